--- /dev/null
+++ b/Libraries/LibBase/hash.h
@@ -0,0 +1,38 @@
+// Hash functions that give the same value on every balancer, so that decisions
+// made from them agree without communication. Not for use against adversaries.
+
+#ifndef LIBBASE_HASH_H_
+#define LIBBASE_HASH_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "LibBase/ids.h"
+
+namespace base {
+
+// The finaliser of SplitMix64 (Steele, Lea and Flood, OOPSLA 2014).
+constexpr std::uint64_t MixBits(std::uint64_t value) {
+  value ^= value >> 30;
+  value *= 0xbf58476d1ce4e5b9ULL;
+  value ^= value >> 27;
+  value *= 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+
+constexpr std::uint64_t CombineHashes(std::uint64_t first,
+                                      std::uint64_t second) {
+  return MixBits(first + 0x9e3779b97f4a7c15ULL + MixBits(second));
+}
+
+// FNV-1a over the bytes, followed by MixBits.
+std::uint64_t HashString(std::string_view text);
+
+ServiceId MakeServiceId(std::string_view service_name);
+BackendServerId MakeBackendServerId(std::string_view service_name,
+                                    std::string_view server_name,
+                                    std::uint64_t incarnation);
+
+}  // namespace base
+
+#endif  // LIBBASE_HASH_H_
--- /dev/null
+++ b/Libraries/LibBase/overloaded.h
@@ -0,0 +1,18 @@
+// Builds one visitor for std::visit out of several lambdas.
+
+#ifndef LIBBASE_OVERLOADED_H_
+#define LIBBASE_OVERLOADED_H_
+
+namespace base {
+
+template <typename... Callables>
+struct Overloaded : Callables... {
+  using Callables::operator()...;
+};
+
+template <typename... Callables>
+Overloaded(Callables...) -> Overloaded<Callables...>;
+
+}  // namespace base
+
+#endif  // LIBBASE_OVERLOADED_H_
