LibFlow: Decide about each packet of a flow

Cause: the path needs one place that knows where a flow lives. Cause found: a former home's probing entry was taken for knowledge, and a probe's silence for a denial. Now a probe counts at the home only and the caller hears a reset only when each server has denied the flow. Ruled out: relaying each first answer to the home, at a relay for each flow and balancer.

--- /dev/null
+++ b/Libraries/LibFlow/effect.h
@@ -0,0 +1,101 @@
+// What the director asks its owner to do with a packet or to note about it.
+
+#ifndef LIBFLOW_EFFECT_H_
+#define LIBFLOW_EFFECT_H_
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include <boost/container/static_vector.hpp>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
+#include "LibBase/time.h"
+#include "LibFlow/flow_event.h"
+#include "LibFlow/flow_key.h"
+
+namespace flow {
+
+enum class DropReason : std::uint8_t {
+  kUnknownService,
+  kUnknownServer,
+  kLeaseExpired,
+  kNoServer,
+  kCrossedAnswer,
+  kSwallowedReset,
+  kSearchBudget,
+  kNotHome,
+  kStaleRefusal,
+};
+
+inline constexpr base::EnumTable<DropReason, 9> kDropReasonNames = {{
+    {DropReason::kUnknownService, "unknown_service"},
+    {DropReason::kUnknownServer, "unknown_server"},
+    {DropReason::kLeaseExpired, "lease_expired"},
+    {DropReason::kNoServer, "no_server"},
+    {DropReason::kCrossedAnswer, "crossed_answer"},
+    {DropReason::kSwallowedReset, "swallowed_reset"},
+    {DropReason::kSearchBudget, "search_budget"},
+    {DropReason::kNotHome, "not_home"},
+    {DropReason::kStaleRefusal, "stale_refusal"},
+}};
+
+// Sends the packet at hand to a backend server.
+struct ForwardToServer {
+  base::Endpoint m_tunnel;
+};
+
+// Sends a kept opening to another backend server than before.
+struct ResendOpening {
+  base::Endpoint m_tunnel;
+  std::vector<std::uint8_t> m_bytes;
+};
+
+// Sends the packet at hand to another balancer.
+struct RelayToBalancer {
+  base::Endpoint m_balancer;
+  RelayContext m_relay;
+};
+
+// Sends the packet at hand to the caller it is addressed to.
+struct DeliverToCaller {};
+
+// Answers the caller's opening with a refusal.
+struct RefuseOpening {};
+
+struct Drop {
+  DropReason m_reason;
+};
+
+enum class FlowNoteKind : std::uint8_t {
+  kOpeningSent,
+  kAccepted,
+  kRefused,
+  kEnded,
+};
+
+// An observation of a flow at its home, for placement and admission.
+struct FlowNote {
+  FlowNoteKind m_kind;
+  base::ServiceId m_service;
+  base::BackendServerId m_server;
+  // From the first opening to this event.
+  base::Duration m_elapsed;
+};
+
+using Effect = std::variant<ForwardToServer,
+                            ResendOpening,
+                            RelayToBalancer,
+                            DeliverToCaller,
+                            RefuseOpening,
+                            Drop,
+                            FlowNote>;
+
+inline constexpr std::size_t kMaximumEffects = 4;
+using Effects = boost::container::static_vector<Effect, kMaximumEffects>;
+
+}  // namespace flow
+
+#endif  // LIBFLOW_EFFECT_H_
--- /dev/null
+++ b/Libraries/LibFlow/flow_director.cc
@@ -0,0 +1,112 @@
+#include "LibFlow/flow_director.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "LibFlow/balancer_set.h"
+#include "LibFlow/routing_table.h"
+
+namespace flow {
+
+namespace {
+
+// The share of the table that one call of Expire passes.
+constexpr std::size_t kSweepDivisor = 32;
+
+std::uint32_t ToMilliseconds(base::Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+FlowDirector::FlowDirector(FlowSettings settings,
+                           Chooser chooser,
+                           base::TimePoint now)
+    : m_settings(settings),
+      m_chooser(std::move(chooser)),
+      m_flows(now, settings.m_table_bytes),
+      m_openings(settings.m_maximum_openings),
+      m_probes(settings.m_maximum_probes),
+      m_search_budget(settings.m_searches_per_second, now) {}
+
+void FlowDirector::SetRouting(std::shared_ptr<const RoutingTable> routing) {
+  m_routing = std::move(routing);
+}
+
+void FlowDirector::SetBalancers(std::shared_ptr<const BalancerSet> balancers) {
+  m_balancers = std::move(balancers);
+}
+
+bool FlowDirector::IsLeaseValid(base::TimePoint now) const {
+  return !m_settings.m_mechanisms.m_configuration_lease ||
+         now < m_lease_expires;
+}
+
+bool FlowDirector::IsHome(const Subject& subject) const {
+  return !m_settings.m_mechanisms.m_relay_to_home ||
+         m_balancers->IsHome(subject.m_hash);
+}
+
+FlowEntry& FlowDirector::InsertEntry(const Subject& subject) {
+  return m_flows.Insert(
+      subject.m_key, subject.m_hash, subject.m_now,
+      [this](const FlowEntry& victim) { NoteEvicted(victim); });
+}
+
+void FlowDirector::NoteEnd(FlowEntry& entry,
+                           base::ServiceId service,
+                           Effects& effects) {
+  if (!entry.m_is_counted)
+    return;
+  entry.m_is_counted = false;
+  effects.push_back(FlowNote{FlowNoteKind::kEnded, service, entry.m_server,
+                             base::Duration::zero()});
+}
+
+void FlowDirector::NoteEvicted(const FlowEntry& entry) {
+  if (!entry.m_is_counted)
+    return;
+  const ServiceRouting* service = m_routing->FindService(entry.m_key.m_service);
+  if (service == nullptr)
+    return;
+  m_ended.push_back({FlowNoteKind::kEnded, service->id(), entry.m_server,
+                     base::Duration::zero()});
+}
+
+Effects FlowDirector::RelayHome(const Subject& subject,
+                                RelayContext relay) const {
+  return {
+      RelayToBalancer{m_balancers->HomeOf(subject.m_hash).m_traffic, relay}};
+}
+
+bool FlowDirector::IsExpired(const FlowEntry& entry,
+                             std::uint32_t now_ms) const {
+  const std::uint32_t idle_ms = now_ms - entry.m_last_seen_ms;
+  if (entry.m_state == FlowState::kClosing)
+    return idle_ms > ToMilliseconds(m_settings.m_closing_idle);
+  if (entry.m_is_counted)
+    return idle_ms > ToMilliseconds(m_settings.m_home_idle);
+  const std::uint32_t lived_ms = entry.m_last_seen_ms - entry.m_first_seen_ms;
+  return idle_ms >
+         std::clamp(lived_ms, ToMilliseconds(m_settings.m_learned_idle_minimum),
+                    ToMilliseconds(m_settings.m_learned_idle_maximum));
+}
+
+std::vector<FlowNote> FlowDirector::Expire(base::TimePoint now) {
+  m_openings.ForgetBefore(now - m_settings.m_opening_deadline);
+  m_probes.ForgetBefore(now - m_settings.m_probe_deadline);
+  const std::uint32_t now_ms = m_flows.Milliseconds(now);
+  const std::size_t slots =
+      m_flows.allocated_bytes() / sizeof(FlowEntry) / kSweepDivisor;
+  m_flows.Sweep(slots, [this, now_ms](const FlowEntry& entry) {
+    if (!IsExpired(entry, now_ms))
+      return false;
+    NoteEvicted(entry);
+    return true;
+  });
+  return std::exchange(m_ended, {});
+}
+
+}  // namespace flow
--- /dev/null
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -0,0 +1,291 @@
+// Packets from callers: openings are decided by the flow's home, all others go
+// to the server that is known, asked for or found by probing.
+
+#include <algorithm>
+#include <limits>
+
+#include "LibFlow/balancer_set.h"
+#include "LibFlow/flow_director.h"
+#include "LibFlow/routing_table.h"
+
+namespace flow {
+
+namespace {
+
+// How often an opening is passed on by balancers that do not agree on its
+// home before the one that has it decides.
+constexpr std::uint8_t kMaximumOpeningHops = 1;
+
+void CountUnanswered(FlowEntry& entry) {
+  if (entry.m_unanswered < std::numeric_limits<std::uint8_t>::max())
+    ++entry.m_unanswered;
+}
+
+}  // namespace
+
+Effects FlowDirector::HandleCallerPacket(const CallerPacket& packet,
+                                         base::TimePoint now) {
+  if (!IsLeaseValid(now))
+    return {Drop{DropReason::kLeaseExpired}};
+  const ServiceRouting* service =
+      m_routing->FindService(packet.m_key.m_service);
+  if (service == nullptr)
+    return {Drop{DropReason::kUnknownService}};
+
+  const Subject subject{packet.m_key, HashFlow(packet.m_key), *service, now};
+  switch (packet.m_kind) {
+    case CallerPacketKind::kOpening:
+      return DecideOpening(packet, subject);
+    case CallerPacketKind::kClosing:
+      return HandleClosing(packet, subject);
+    case CallerPacketKind::kData:
+      break;
+  }
+  return HandleData(packet, subject);
+}
+
+Effects FlowDirector::DecideOpening(const CallerPacket& packet,
+                                    const Subject& subject) {
+  if (!IsHome(subject) && packet.m_relay.m_hops <= kMaximumOpeningHops) {
+    const auto hops = static_cast<std::uint8_t>(packet.m_relay.m_hops + 1);
+    return RelayHome(subject, {RelayPurpose::kOpening, hops, {}});
+  }
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  if (entry != nullptr && entry->m_position == packet.m_position &&
+      entry->m_state != FlowState::kClosing)
+    return RepeatOpening(packet, subject, *entry);
+  return PlaceOpening(packet, subject);
+}
+
+// A duplicate or a retransmission of an opening goes where the first went.
+Effects FlowDirector::RepeatOpening(const CallerPacket& packet,
+                                    const Subject& subject,
+                                    FlowEntry& entry) {
+  PendingOpening* opening = m_openings.Find(subject.m_key);
+  const bool is_silent =
+      entry.m_state == FlowState::kOpening && opening != nullptr &&
+      subject.m_now - opening->m_last_sent > m_settings.m_silent_opening;
+  // Nothing but the opening was ever sent, so another server may have it: a
+  // caller completes the handshake with one of them only.
+  if (is_silent && m_settings.m_mechanisms.m_reopen_on_refusal) {
+    Effects effects = ResendElsewhere(subject, entry, *opening);
+    if (!effects.empty())
+      return effects;
+  }
+  const RoutedServer* server = FindUsableServer(subject, entry.m_server);
+  if (server == nullptr)
+    return PlaceOpening(packet, subject);
+  return {ForwardToServer{server->m_tunnel}};
+}
+
+Effects FlowDirector::PlaceOpening(const CallerPacket& packet,
+                                   const Subject& subject) {
+  Effects effects;
+  if (FlowEntry* former = m_flows.Find(subject.m_key, subject.m_hash)) {
+    NoteEnd(*former, subject.m_service.id(), effects);
+    m_flows.Erase(subject.m_key, subject.m_hash);
+  }
+  const RoutedServer* server = ChooseServer(subject, nullptr);
+  if (server == nullptr) {
+    effects.push_back(RefuseOpening{});
+    return effects;
+  }
+  FlowEntry& entry = InsertEntry(subject);
+  entry.m_server = server->m_id;
+  entry.m_state = FlowState::kOpening;
+  entry.m_position = packet.m_position;
+  entry.m_is_counted = true;
+  PendingOpening* opening =
+      m_openings.Insert(subject.m_key, packet.m_bytes, subject.m_now);
+  if (opening != nullptr)
+    opening->m_tried.push_back(server->m_id);
+  effects.push_back(ForwardToServer{server->m_tunnel});
+  effects.push_back(FlowNote{FlowNoteKind::kOpeningSent, subject.m_service.id(),
+                             server->m_id, base::Duration::zero()});
+  return effects;
+}
+
+const RoutedServer* FlowDirector::ChooseServer(const Subject& subject,
+                                               const PendingOpening* opening) {
+  ServerOrder order;
+  for (const RoutedServer* server :
+       subject.m_service.OrderFor(subject.m_hash)) {
+    const bool may_open = server->m_state == RoutedServerState::kActive &&
+                          server->m_usable_from <= subject.m_now;
+    if (may_open && (opening == nullptr || !opening->WasTried(server->m_id)))
+      order.push_back(server);
+  }
+  if (order.empty())
+    return nullptr;
+  const std::size_t attempt = opening == nullptr ? 0 : opening->m_tried.size();
+  return m_chooser(subject.m_service, order, attempt);
+}
+
+Effects FlowDirector::HandleClosing(const CallerPacket& packet,
+                                    const Subject& subject) {
+  FlowEntry* entry = FindKnown(subject, packet.m_position);
+  if (!IsHome(subject) && packet.m_relay.m_purpose == RelayPurpose::kNone) {
+    RelayContext relay{RelayPurpose::kClosing, 0, {}};
+    if (entry != nullptr) {
+      relay.m_hint =
+          FindUsableServer(subject, entry->m_server)->m_tunnel.m_address;
+      entry->m_state = FlowState::kClosing;
+    }
+    return RelayHome(subject, relay);
+  }
+  if (entry == nullptr)
+    return HandleData(packet, subject);
+
+  Effects effects = ForwardKnown(packet, subject, *entry);
+  entry->m_is_closed_by_caller = true;
+  if (entry->m_is_closed_by_server) {
+    entry->m_state = FlowState::kClosing;
+    NoteEnd(*entry, subject.m_service.id(), effects);
+  }
+  return effects;
+}
+
+Effects FlowDirector::HandleData(const CallerPacket& packet,
+                                 const Subject& subject) {
+  FlowEntry* entry = FindKnown(subject, packet.m_position);
+  const bool is_direct = packet.m_relay.m_purpose == RelayPurpose::kNone;
+  const bool is_home = IsHome(subject);
+  const bool is_doubtful = entry != nullptr && is_direct && !is_home &&
+                           entry->m_unanswered >= m_settings.m_unanswered_limit;
+  if (entry != nullptr && !is_doubtful)
+    return ForwardKnown(packet, subject, *entry);
+  if (is_direct && !is_home)
+    return RelayHome(subject, {RelayPurpose::kAsk, 0, {}});
+  if (packet.m_relay.m_purpose == RelayPurpose::kNotFound)
+    return Probe(packet, subject);
+
+  // A closing packet comes with what the relaying balancer knew.
+  const auto* hinted = m_routing->FindServerAt(packet.m_relay.m_hint);
+  if (hinted != nullptr && hinted->m_service == subject.m_service.id()) {
+    const RoutedServer* server = FindUsableServer(subject, hinted->m_server);
+    if (server != nullptr)
+      return {ForwardToServer{server->m_tunnel}};
+  }
+  return Search(packet, subject);
+}
+
+Effects FlowDirector::ForwardKnown(const CallerPacket& packet,
+                                   const Subject& subject,
+                                   FlowEntry& entry) {
+  const bool is_stuck =
+      entry.m_state == FlowState::kProbing &&
+      entry.m_unanswered >= m_settings.m_unanswered_limit &&
+      m_flows.Milliseconds(subject.m_now) - entry.m_last_seen_ms >
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              m_settings.m_probe_patience)
+              .count();
+  if (is_stuck && !AdvanceProbe(subject, entry))
+    return {Drop{DropReason::kNoServer}};
+  const RoutedServer* server = FindUsableServer(subject, entry.m_server);
+  CountUnanswered(entry);
+  // While a probe waits, the time it started is what counts.
+  if (entry.m_state != FlowState::kProbing)
+    entry.m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
+  entry.m_position = packet.m_position;
+  return {ForwardToServer{server->m_tunnel}};
+}
+
+Effects FlowDirector::Search(const CallerPacket& packet,
+                             const Subject& subject) {
+  if (!m_settings.m_mechanisms.m_relay_to_home)
+    return Probe(packet, subject);
+  const bool is_first = packet.m_relay.m_purpose != RelayPurpose::kSearch;
+  if (is_first && !m_search_budget.Take(subject.m_now))
+    return {Drop{DropReason::kSearchBudget}};
+
+  const std::size_t hops =
+      is_first ? 0 : packet.m_relay.m_hops + std::size_t{1};
+  const auto target = hops < m_settings.m_search_hops
+                          ? m_balancers->SearchTarget(subject.m_hash, hops)
+                          : std::nullopt;
+  if (target && target->m_id != m_balancers->self())
+    return {RelayToBalancer{
+        target->m_traffic,
+        {RelayPurpose::kSearch, static_cast<std::uint8_t>(hops), {}}}};
+  if (is_first || m_balancers->IsHome(subject.m_hash))
+    return Probe(packet, subject);
+  return RelayHome(subject, {RelayPurpose::kNotFound, 0, {}});
+}
+
+Effects FlowDirector::Probe(const CallerPacket& packet,
+                            const Subject& subject) {
+  if (!m_settings.m_mechanisms.m_probe) {
+    const RoutedServer* server =
+        subject.m_service.ExplainedServer(subject.m_hash);
+    if (server == nullptr)
+      return {Drop{DropReason::kNoServer}};
+    return {ForwardToServer{server->m_tunnel}};
+  }
+  if (m_probes.Insert(subject.m_key, subject.m_now) == nullptr)
+    return {Drop{DropReason::kSearchBudget}};
+  FlowEntry& entry = InsertEntry(subject);
+  entry.m_server = {};
+  entry.m_state = FlowState::kProbing;
+  entry.m_position = packet.m_position;
+  if (!AdvanceProbe(subject, entry)) {
+    m_flows.Erase(subject.m_key, subject.m_hash);
+    return {Drop{DropReason::kNoServer}};
+  }
+  return ForwardKnown(packet, subject, entry);
+}
+
+bool FlowDirector::AdvanceProbe(const Subject& subject, FlowEntry& entry) {
+  const PendingProbe* probe = m_probes.Find(subject.m_key);
+  if (probe == nullptr)
+    return false;
+  const ServerOrder order = subject.m_service.OrderFor(subject.m_hash);
+  const auto current = std::find_if(order.begin(), order.end(),
+                                    [&entry](const RoutedServer* server) {
+                                      return server->m_id == entry.m_server;
+                                    });
+  const std::size_t start =
+      current == order.end()
+          ? 0
+          : static_cast<std::size_t>(current - order.begin()) + 1;
+  for (std::size_t step = 0; step < order.size(); ++step) {
+    const RoutedServer* server = order[(start + step) % order.size()];
+    if (server->m_usable_from > subject.m_now || probe->HasDenied(server->m_id))
+      continue;
+    entry.m_server = server->m_id;
+    entry.m_unanswered = 0;
+    entry.m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
+    return true;
+  }
+  return false;
+}
+
+FlowEntry* FlowDirector::FindKnown(const Subject& subject,
+                                   std::uint32_t position) {
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  if (entry == nullptr)
+    return nullptr;
+  // A candidate is no knowledge: once the flow has another home, that home's
+  // probe is the one that counts.
+  if (entry->m_state == FlowState::kProbing && !IsHome(subject))
+    return nullptr;
+  if (FindUsableServer(subject, entry->m_server) == nullptr) {
+    // The server's address is another service's now.
+    NoteEvicted(*entry);
+    m_flows.Erase(subject.m_key, subject.m_hash);
+    return nullptr;
+  }
+  if (!IsPlausiblePosition(entry->m_position, position))
+    return nullptr;
+  return entry;
+}
+
+const RoutedServer* FlowDirector::FindUsableServer(
+    const Subject& subject,
+    base::BackendServerId id) const {
+  const RoutedServer* server = subject.m_service.FindServer(id);
+  if (server == nullptr || server->m_usable_from > subject.m_now)
+    return nullptr;
+  return server;
+}
+
+}  // namespace flow
--- /dev/null
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -0,0 +1,244 @@
+// Packets from servers: what they teach about a flow, and whether the caller
+// gets them.
+
+#include "LibFlow/balancer_set.h"
+#include "LibFlow/flow_director.h"
+#include "LibFlow/routing_table.h"
+
+namespace flow {
+
+namespace {
+
+bool IsSettled(const FlowEntry& entry) {
+  return entry.m_state == FlowState::kAccepted ||
+         entry.m_state == FlowState::kEstablished ||
+         entry.m_state == FlowState::kClosing;
+}
+
+}  // namespace
+
+Effects FlowDirector::HandleServerPacket(const ServerPacket& packet,
+                                         base::TimePoint now) {
+  const ServiceRouting* service =
+      m_routing->FindService(packet.m_key.m_service);
+  if (service == nullptr)
+    return {Drop{DropReason::kUnknownService}};
+
+  const Subject subject{packet.m_key, HashFlow(packet.m_key), *service, now};
+  if (packet.m_kind == ServerPacketKind::kData)
+    return HandleAnswer(packet, subject);
+
+  // All else is seen by the home, which counts the flow.
+  if (!IsHome(subject) && packet.m_relay.m_purpose == RelayPurpose::kNone) {
+    FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+    const bool is_over = packet.m_kind != ServerPacketKind::kAccepted;
+    if (entry != nullptr && is_over &&
+        entry->m_server == IdentifyServer(packet, *service))
+      entry->m_state = FlowState::kClosing;
+    return RelayHome(subject, {RelayPurpose::kAnswer, 0, packet.m_server});
+  }
+  switch (packet.m_kind) {
+    case ServerPacketKind::kAccepted:
+      return HandleAccepted(packet, subject);
+    case ServerPacketKind::kRefused:
+      return HandleRefused(packet, subject);
+    case ServerPacketKind::kNoSuchFlow:
+      return HandleNoSuchFlow(packet, subject);
+    case ServerPacketKind::kClosing:
+    case ServerPacketKind::kAborted:
+      return HandleEnding(packet, subject);
+    case ServerPacketKind::kData:
+      break;
+  }
+  return HandleAnswer(packet, subject);
+}
+
+// The null id if this balancer's configuration does not give the server to the
+// service: its answers are then delivered, but nothing is learned from them.
+base::BackendServerId FlowDirector::IdentifyServer(
+    const ServerPacket& packet,
+    const ServiceRouting& service) const {
+  const OwnedServer* owner = m_routing->FindServerAt(packet.m_server);
+  if (owner == nullptr || owner->m_service != service.id())
+    return {};
+  return owner->m_server;
+}
+
+Effects FlowDirector::HandleAccepted(const ServerPacket& packet,
+                                     const Subject& subject) {
+  const auto server = IdentifyServer(packet, subject.m_service);
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  if (entry == nullptr) {
+    if (server == base::BackendServerId())
+      return {DeliverToCaller{}};
+    FlowEntry& learned = InsertEntry(subject);
+    learned.m_server = server;
+    learned.m_state = FlowState::kAccepted;
+    learned.m_position = packet.m_position;
+    return {DeliverToCaller{}};
+  }
+  // A server that was tried earlier and answers late: the caller hears only
+  // of the one that the flow is now at.
+  if (entry->m_server != server)
+    return {Drop{DropReason::kCrossedAnswer}};
+
+  Effects effects{DeliverToCaller{}};
+  entry->m_unanswered = 0;
+  entry->m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
+  if (entry->m_state != FlowState::kOpening)
+    return effects;
+  entry->m_state = FlowState::kAccepted;
+  const PendingOpening* opening = m_openings.Find(subject.m_key);
+  const auto elapsed = opening == nullptr
+                           ? base::Duration::zero()
+                           : subject.m_now - opening->m_first_sent;
+  m_openings.Erase(subject.m_key);
+  effects.push_back(FlowNote{FlowNoteKind::kAccepted, subject.m_service.id(),
+                             server, elapsed});
+  return effects;
+}
+
+Effects FlowDirector::HandleRefused(const ServerPacket& packet,
+                                    const Subject& subject) {
+  const auto server = IdentifyServer(packet, subject.m_service);
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  if (entry == nullptr)
+    return {DeliverToCaller{}};
+  if (entry->m_server != server || entry->m_state != FlowState::kOpening)
+    return {Drop{DropReason::kStaleRefusal}};
+
+  PendingOpening* opening = m_openings.Find(subject.m_key);
+  if (opening != nullptr && m_settings.m_mechanisms.m_reopen_on_refusal) {
+    Effects effects = ResendElsewhere(subject, *entry, *opening);
+    if (!effects.empty())
+      return effects;
+  }
+  Effects effects{DeliverToCaller{}};
+  effects.push_back(FlowNote{FlowNoteKind::kRefused, subject.m_service.id(),
+                             entry->m_server, base::Duration::zero()});
+  m_openings.Erase(subject.m_key);
+  m_flows.Erase(subject.m_key, subject.m_hash);
+  return effects;
+}
+
+// Empty if no other server may have the opening.
+Effects FlowDirector::ResendElsewhere(const Subject& subject,
+                                      FlowEntry& entry,
+                                      PendingOpening& opening) {
+  const bool can_resend = IsLeaseValid(subject.m_now) &&
+                          !opening.m_bytes.empty() &&
+                          opening.m_tried.size() < kMaximumAttempts;
+  if (!can_resend)
+    return {};
+  const RoutedServer* next = ChooseServer(subject, &opening);
+  if (next == nullptr)
+    return {};
+  Effects effects;
+  effects.push_back(FlowNote{FlowNoteKind::kRefused, subject.m_service.id(),
+                             entry.m_server, base::Duration::zero()});
+  entry.m_server = next->m_id;
+  opening.m_tried.push_back(next->m_id);
+  opening.m_last_sent = subject.m_now;
+  effects.push_back(ResendOpening{next->m_tunnel, opening.m_bytes});
+  effects.push_back(FlowNote{FlowNoteKind::kOpeningSent, subject.m_service.id(),
+                             next->m_id, base::Duration::zero()});
+  return effects;
+}
+
+Effects FlowDirector::HandleNoSuchFlow(const ServerPacket& packet,
+                                       const Subject& subject) {
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  const auto server = IdentifyServer(packet, subject.m_service);
+  if (!m_settings.m_mechanisms.m_probe)
+    return {DeliverToCaller{}};
+  if (entry == nullptr)
+    return {Drop{DropReason::kSwallowedReset}};
+
+  Effects effects;
+  const bool is_opened_elsewhere =
+      entry->m_server == server && (entry->m_state == FlowState::kOpening ||
+                                    entry->m_state == FlowState::kAccepted);
+  if (is_opened_elsewhere) {
+    // The caller completed the handshake with a server tried earlier.
+    NoteEnd(*entry, subject.m_service.id(), effects);
+    entry->m_state = FlowState::kProbing;
+    m_openings.Erase(subject.m_key);
+    m_probes.Insert(subject.m_key, subject.m_now);
+  }
+  PendingProbe* probe = m_probes.Find(subject.m_key);
+  if (entry->m_state == FlowState::kProbing && probe != nullptr)
+    probe->AddDenial(server);
+  const bool is_swallowed =
+      entry->m_server != server ||
+      (entry->m_state == FlowState::kProbing && AdvanceProbe(subject, *entry));
+  if (is_swallowed) {
+    effects.push_back(Drop{DropReason::kSwallowedReset});
+    return effects;
+  }
+  // No server has the flow: the caller learns it from this reset.
+  NoteEnd(*entry, subject.m_service.id(), effects);
+  m_probes.Erase(subject.m_key);
+  m_flows.Erase(subject.m_key, subject.m_hash);
+  effects.push_back(DeliverToCaller{});
+  return effects;
+}
+
+Effects FlowDirector::HandleEnding(const ServerPacket& packet,
+                                   const Subject& subject) {
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  if (entry == nullptr)
+    return {DeliverToCaller{}};
+  if (entry->m_server != IdentifyServer(packet, subject.m_service)) {
+    if (IsSettled(*entry))
+      return {Drop{DropReason::kCrossedAnswer}};
+    return {DeliverToCaller{}};
+  }
+  Effects effects{DeliverToCaller{}};
+  entry->m_unanswered = 0;
+  entry->m_is_closed_by_server = true;
+  const bool is_over = packet.m_kind == ServerPacketKind::kAborted ||
+                       entry->m_is_closed_by_caller;
+  if (is_over) {
+    entry->m_state = FlowState::kClosing;
+    NoteEnd(*entry, subject.m_service.id(), effects);
+  }
+  return effects;
+}
+
+Effects FlowDirector::HandleAnswer(const ServerPacket& packet,
+                                   const Subject& subject) {
+  const auto server = IdentifyServer(packet, subject.m_service);
+  if (server == base::BackendServerId())
+    return {DeliverToCaller{}};
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  const bool is_conflict = entry != nullptr && entry->m_server != server;
+  const bool is_direct = packet.m_relay.m_purpose == RelayPurpose::kNone;
+  if (is_conflict && is_direct && !IsHome(subject)) {
+    // Two servers answer for one flow: the home knows which is right.
+    m_flows.Erase(subject.m_key, subject.m_hash);
+    return RelayHome(subject, {RelayPurpose::kAnswer, 0, packet.m_server});
+  }
+  if (is_conflict && IsSettled(*entry))
+    return {Drop{DropReason::kCrossedAnswer}};
+  if (entry == nullptr && !m_settings.m_mechanisms.m_learn_from_answers)
+    return {DeliverToCaller{}};
+
+  if (entry == nullptr)
+    entry = &InsertEntry(subject);
+  Effects effects{DeliverToCaller{}};
+  if (is_conflict)
+    NoteEnd(*entry, subject.m_service.id(), effects);
+  if (entry->m_state == FlowState::kOpening)
+    m_openings.Erase(subject.m_key);
+  if (entry->m_state == FlowState::kProbing)
+    m_probes.Erase(subject.m_key);
+  entry->m_server = server;
+  if (entry->m_state != FlowState::kClosing)
+    entry->m_state = FlowState::kEstablished;
+  entry->m_unanswered = 0;
+  entry->m_position = packet.m_position;
+  entry->m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
+  return effects;
+}
+
+}  // namespace flow
--- /dev/null
+++ b/Libraries/LibFlow/flow_settings.h
@@ -0,0 +1,53 @@
+// The director's settings.
+
+#ifndef LIBFLOW_FLOW_SETTINGS_H_
+#define LIBFLOW_FLOW_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+
+#include "LibBase/time.h"
+
+namespace flow {
+
+// Each mechanism can be turned off to measure what it is worth.
+struct Mechanisms {
+  bool m_learn_from_answers = true;
+  bool m_relay_to_home = true;
+  bool m_probe = true;
+  bool m_reopen_on_refusal = true;
+  bool m_configuration_lease = true;
+};
+
+struct FlowSettings {
+  Mechanisms m_mechanisms;
+  std::size_t m_table_bytes = std::size_t{48} << 20;
+  std::size_t m_maximum_openings = 65536;
+  std::size_t m_maximum_probes = 16384;
+  // Searches and probes started in a second.
+  double m_searches_per_second = 2000;
+  // Balancers asked, the home not counted.
+  std::size_t m_search_hops = 3;
+  // Packets sent to a server that was not heard since before a balancer that
+  // is not the home asks the home.
+  std::uint8_t m_unanswered_limit = 4;
+  base::Duration m_opening_deadline = std::chrono::seconds(10);
+  // A server that did not answer an opening for so long is passed over when
+  // the caller repeats the opening.
+  base::Duration m_silent_opening = std::chrono::milliseconds(900);
+  // A probe goes on to the next candidate when one was silent for so long,
+  // and is given up after its deadline.
+  base::Duration m_probe_patience = std::chrono::milliseconds(1500);
+  base::Duration m_probe_deadline = std::chrono::seconds(60);
+  // How long an idle entry stays: at the home; where it was only learned, at
+  // least and at most (between them, as long as the flow has lived); after
+  // a side has closed.
+  base::Duration m_home_idle = std::chrono::hours(1);
+  base::Duration m_learned_idle_minimum = std::chrono::seconds(20);
+  base::Duration m_learned_idle_maximum = std::chrono::minutes(10);
+  base::Duration m_closing_idle = std::chrono::seconds(10);
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_FLOW_SETTINGS_H_
--- /dev/null
+++ b/Libraries/LibFlow/probe_table.h
@@ -0,0 +1,54 @@
+// The probes under way at a home: which servers have said that they do not
+// have the flow. Only when all have said so is the flow known to be gone; a
+// server that stays silent proves nothing.
+
+#ifndef LIBFLOW_PROBE_TABLE_H_
+#define LIBFLOW_PROBE_TABLE_H_
+
+#include <cstddef>
+#include <unordered_map>
+
+#include <boost/container/static_vector.hpp>
+
+#include "LibBase/ids.h"
+#include "LibBase/time.h"
+#include "LibFlow/flow_key.h"
+#include "LibFlow/service_routing.h"
+
+namespace flow {
+
+struct PendingProbe {
+  base::TimePoint m_started;
+  boost::container::static_vector<base::BackendServerId, kMaximumOrder>
+      m_denials;
+
+  bool HasDenied(base::BackendServerId server) const;
+  void AddDenial(base::BackendServerId server);
+};
+
+class ProbeTable {
+ public:
+  explicit ProbeTable(std::size_t maximum_probes)
+      : m_maximum_probes(maximum_probes) {}
+
+  std::size_t size() const { return m_probes.size(); }
+
+  PendingProbe* Find(const FlowKey& key);
+  // The probe of the flow, made if it is not there; null at the bound.
+  PendingProbe* Insert(const FlowKey& key, base::TimePoint now);
+  void Erase(const FlowKey& key) { m_probes.erase(key); }
+  // Forgets the probes started before `deadline`.
+  void ForgetBefore(base::TimePoint deadline);
+
+ private:
+  struct KeyHash {
+    std::size_t operator()(const FlowKey& key) const { return HashFlow(key); }
+  };
+
+  std::size_t m_maximum_probes;
+  std::unordered_map<FlowKey, PendingProbe, KeyHash> m_probes;
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_PROBE_TABLE_H_
--- /dev/null
+++ b/Libraries/LibFlow/routing_table.h
@@ -0,0 +1,76 @@
+// All services of one data centre at one version of the configuration. It is
+// immutable: a new version is a new table, built from the one before.
+
+#ifndef LIBFLOW_ROUTING_TABLE_H_
+#define LIBFLOW_ROUTING_TABLE_H_
+
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
+#include "LibBase/time.h"
+#include "LibFlow/service_routing.h"
+
+namespace flow {
+
+// A service as the configuration document gives it, for one data centre.
+struct ServiceDefinition {
+  base::ServiceId m_id;
+  base::Endpoint m_address;
+  // Active and draining servers only.
+  std::vector<RoutedServer> m_servers;
+};
+
+struct OwnedServer {
+  base::ServiceId m_service;
+  base::BackendServerId m_server;
+};
+
+class RoutingTable {
+ public:
+  // The table of `version`. Servers that `previous` (may be null) had and the
+  // document no longer has stay on as retired, unless their address now is
+  // another server's. A server whose address was another server's is usable
+  // only from `now + hold`.
+  static std::shared_ptr<const RoutingTable> Build(
+      base::ConfigurationVersion version,
+      std::span<const ServiceDefinition> services,
+      const RoutingTable* previous,
+      base::TimePoint now,
+      base::Duration hold);
+
+  base::ConfigurationVersion version() const { return m_version; }
+
+  // Null if no service has the address.
+  const ServiceRouting* FindService(base::Endpoint address) const;
+
+  // The server that holds an address, or null. A retired server holds its
+  // address until another server gets it.
+  const OwnedServer* FindServerAt(base::Ipv4Address address) const;
+
+  std::size_t service_count() const { return m_services.size(); }
+  const std::unordered_map<base::Endpoint, ServiceRouting>& services() const {
+    return m_services;
+  }
+
+ private:
+  RoutingTable() = default;
+
+  void Retire(const RoutingTable& previous);
+  void Hold(const RoutingTable& previous,
+            base::TimePoint now,
+            base::Duration hold,
+            ServiceDefinition& service) const;
+  void IndexServers();
+
+  base::ConfigurationVersion m_version;
+  std::unordered_map<base::Endpoint, ServiceRouting> m_services;
+  std::unordered_map<base::Ipv4Address, OwnedServer> m_owners;
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_ROUTING_TABLE_H_
--- /dev/null
+++ b/Libraries/LibFlow/service_routing.h
@@ -0,0 +1,77 @@
+// The backend servers of one service in one data centre, as one version of
+// the configuration and the versions before it leave them.
+
+#ifndef LIBFLOW_SERVICE_ROUTING_H_
+#define LIBFLOW_SERVICE_ROUTING_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include <boost/container/static_vector.hpp>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
+#include "LibBase/time.h"
+
+namespace flow {
+
+enum class RoutedServerState : std::uint8_t {
+  kActive,
+  // Takes no opening, keeps its flows.
+  kDraining,
+  // No longer in the document; keeps its flows until it is forgotten.
+  kRetired,
+};
+
+inline constexpr base::EnumTable<RoutedServerState, 3> kRoutedServerStateNames =
+    {{
+        {RoutedServerState::kActive, "active"},
+        {RoutedServerState::kDraining, "draining"},
+        {RoutedServerState::kRetired, "retired"},
+    }};
+
+struct RoutedServer {
+  base::BackendServerId m_id;
+  base::Endpoint m_tunnel;
+  RoutedServerState m_state = RoutedServerState::kActive;
+  // No packet goes to the server before this: its address was another
+  // service's, and a balancer may still believe so.
+  base::TimePoint m_usable_from = base::TimePoint::min();
+};
+
+// The most servers of one service that a probe or a placement walks.
+inline constexpr std::size_t kMaximumOrder = 64;
+using ServerOrder =
+    boost::container::static_vector<const RoutedServer*, kMaximumOrder>;
+
+class ServiceRouting {
+ public:
+  ServiceRouting(base::ServiceId id, std::vector<RoutedServer> servers)
+      : m_id(id), m_servers(std::move(servers)) {}
+
+  base::ServiceId id() const { return m_id; }
+  std::span<const RoutedServer> servers() const { return m_servers; }
+
+  // All servers in the flow's rendezvous order, at most kMaximumOrder. The
+  // choice of each earlier version is the first of the order that was active
+  // in that version, so one order serves all versions.
+  ServerOrder OrderFor(std::uint64_t flow_hash) const;
+
+  // The server that the order alone explains: its first one, if active.
+  const RoutedServer* ExplainedServer(std::uint64_t flow_hash) const;
+
+  // Null if the service does not have the server (any more).
+  const RoutedServer* FindServer(base::BackendServerId id) const;
+
+ private:
+  base::ServiceId m_id;
+  std::vector<RoutedServer> m_servers;
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_SERVICE_ROUTING_H_
--- /dev/null
+++ b/Libraries/LibFlow/token_bucket.h
@@ -0,0 +1,29 @@
+// A token bucket: a bound on the rate of an operation, with bursts of at most
+// one second's worth.
+
+#ifndef LIBFLOW_TOKEN_BUCKET_H_
+#define LIBFLOW_TOKEN_BUCKET_H_
+
+#include "LibBase/time.h"
+
+namespace flow {
+
+class TokenBucket {
+ public:
+  TokenBucket(double tokens_per_second, base::TimePoint now)
+      : m_tokens_per_second(tokens_per_second),
+        m_tokens(tokens_per_second),
+        m_refilled(now) {}
+
+  // Takes a token; false if there is none.
+  bool Take(base::TimePoint now);
+
+ private:
+  double m_tokens_per_second;
+  double m_tokens;
+  base::TimePoint m_refilled;
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_TOKEN_BUCKET_H_
--- /dev/null
+++ b/Tests/LibFlow/flow_world.h
@@ -0,0 +1,118 @@
+// A small fake around several directors in one process: callers, servers and
+// a fabric that sprays packets, with neither sockets nor real time. Tests and
+// benchmarks drive it.
+
+#ifndef TESTS_LIBFLOW_FLOW_WORLD_H_
+#define TESTS_LIBFLOW_FLOW_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibFlow/balancer_set.h"
+#include "LibFlow/flow_director.h"
+#include "LibFlow/routing_table.h"
+
+namespace flow {
+
+// How the fake servers and callers fared.
+struct WorldCounts {
+  std::uint64_t m_opened = 0;
+  std::uint64_t m_refused = 0;
+  // Exchanges on flows that had been opened.
+  std::uint64_t m_answered = 0;
+  std::uint64_t m_lost = 0;
+  // Resets that reached a caller within an open flow.
+  std::uint64_t m_broken = 0;
+  // Packets that reached a server of another service.
+  std::uint64_t m_foreign = 0;
+  std::uint64_t m_relays = 0;
+};
+
+class FlowWorld {
+ public:
+  // Servers of one service take its openings in the flow's order: the first
+  // `candidates` of them with the least open flows.
+  struct Options {
+    FlowSettings m_settings;
+    std::size_t m_candidates = 3;
+    std::uint64_t m_seed = 1;
+  };
+
+  explicit FlowWorld(Options options);
+  ~FlowWorld();
+  FlowWorld(const FlowWorld&) = delete;
+  FlowWorld& operator=(const FlowWorld&) = delete;
+
+  const WorldCounts& counts() const { return m_counts; }
+  base::TimePoint now() const { return m_now; }
+  std::size_t balancer_count() const { return m_balancers.size(); }
+  std::size_t LearnedFlowCount() const;
+
+  // Topology. Each takes effect at once everywhere.
+  std::uint64_t AddBalancer();
+  void KillBalancer(std::uint64_t id);
+  // Replaces the servers of service `service`; a server is a number, active
+  // unless it is in `draining`.
+  void SetServers(std::uint8_t service,
+                  std::vector<std::uint8_t> active,
+                  std::vector<std::uint8_t> draining = {});
+  // The configuration so far; a balancer with an older one is told so later.
+  void PublishTo(std::uint64_t balancer);
+  void PublishToAll();
+
+  // Opens a flow; nothing if the caller was refused or heard nothing.
+  std::optional<FlowKey> Open(std::uint8_t service);
+  // Sends one packet on the flow and repeats it until it is answered, at most
+  // `attempts` times; false if the flow broke or stayed silent.
+  bool Exchange(const FlowKey& key, int attempts = 12);
+  void Close(const FlowKey& key);
+  void Advance(base::Duration duration);
+
+  static base::Endpoint ServiceAddress(std::uint8_t service);
+  static base::Ipv4Address ServerAddress(std::uint8_t server);
+
+ private:
+  struct Node;
+  struct Reply;
+
+  Node& PickBalancer();
+  void RefreshBalancerSets();
+  std::optional<Reply> SendFromCaller(const CallerPacket& packet);
+  std::optional<Reply> Run(Node& node, const CallerPacket& packet, int depth);
+  std::optional<Reply> Run(Node& node, const ServerPacket& packet, int depth);
+  template <typename Packet>
+  std::optional<Reply> Apply(Node& node,
+                             const Packet& packet,
+                             const Effects& effects,
+                             int depth);
+  std::optional<Reply> AtServer(base::Endpoint tunnel,
+                                const CallerPacket& packet,
+                                int depth);
+  Node* FindByTraffic(base::Endpoint traffic);
+
+  Options m_options;
+  base::Random m_random;
+  base::TimePoint m_now;
+  WorldCounts m_counts;
+  std::map<std::uint64_t, std::unique_ptr<Node>> m_balancers;
+  std::uint64_t m_next_balancer = 1;
+  std::uint16_t m_next_port = 1024;
+  std::uint32_t m_next_address = 1;
+  base::ConfigurationVersion m_version;
+  std::map<std::uint8_t, std::vector<RoutedServer>> m_services;
+  // The connections of each server, and the service it belongs to.
+  std::map<base::Ipv4Address, std::set<FlowKey>> m_connections;
+  std::map<base::Ipv4Address, std::uint8_t> m_owners;
+};
+
+}  // namespace flow
+
+#endif  // TESTS_LIBFLOW_FLOW_WORLD_H_
--- /dev/null
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -0,0 +1,176 @@
+// One director alone: what it does with a single packet.
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+
+#include "LibBase/hash.h"
+#include "LibFlow/balancer_set.h"
+#include "LibFlow/flow_director.h"
+#include "LibFlow/routing_table.h"
+
+using std::chrono::seconds;
+
+namespace {
+
+const base::Endpoint kService{base::Ipv4Address(200), 443};
+const flow::FlowKey kKey{{base::Ipv4Address(7), 4000}, kService};
+constexpr std::uint32_t kPosition = 1000;
+
+std::vector<flow::RoutedServer> MakeServers() {
+  std::vector<flow::RoutedServer> servers;
+  for (std::uint8_t number = 1; number <= 3; ++number)
+    servers.push_back(
+        {base::MakeBackendServerId("a", std::to_string(number), 1),
+         {base::Ipv4Address(number), 5555}});
+  return servers;
+}
+
+// A director that is alone in its data centre and takes the first server of
+// the order.
+flow::FlowDirector MakeDirector(base::TimePoint now) {
+  flow::FlowDirector director(
+      {},
+      [](const auto&, const flow::ServerOrder& order, std::size_t) {
+        return order.front();
+      },
+      now);
+  const flow::ServiceDefinition service{base::MakeServiceId("a"), kService,
+                                        MakeServers()};
+  director.SetRouting(flow::RoutingTable::Build(
+      base::ConfigurationVersion(1), {&service, 1}, nullptr, now, seconds(3)));
+  director.SetBalancers(std::make_shared<flow::BalancerSet>(
+      base::BalancerId(1),
+      std::vector<flow::Balancer>{{base::BalancerId(1), {}}}));
+  director.SetLease(now + seconds(3600));
+  return director;
+}
+
+template <typename Wanted>
+const Wanted* FindEffect(const flow::Effects& effects) {
+  for (const flow::Effect& effect : effects) {
+    if (const auto* found = std::get_if<Wanted>(&effect))
+      return found;
+  }
+  return nullptr;
+}
+
+flow::CallerPacket Opening(const std::vector<std::uint8_t>& bytes) {
+  return {kKey, flow::CallerPacketKind::kOpening, kPosition, {}, bytes};
+}
+
+}  // namespace
+
+TEST_CASE("a repeated opening goes to the same server") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const std::vector<std::uint8_t> bytes(40);
+
+  const auto first = director.HandleCallerPacket(Opening(bytes), now);
+  const auto second = director.HandleCallerPacket(Opening(bytes), now);
+
+  const auto* sent = FindEffect<flow::ForwardToServer>(first);
+  const auto* repeated = FindEffect<flow::ForwardToServer>(second);
+  REQUIRE(sent);
+  REQUIRE(repeated);
+  CHECK(sent->m_tunnel == repeated->m_tunnel);
+  CHECK(FindEffect<flow::FlowNote>(second) == nullptr);
+}
+
+TEST_CASE("a refused opening goes to another server, then to the caller") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const std::vector<std::uint8_t> bytes(40);
+  const auto effects = director.HandleCallerPacket(Opening(bytes), now);
+  auto refusing = FindEffect<flow::ForwardToServer>(effects)->m_tunnel;
+
+  for (int refusal = 1; refusal < 3; ++refusal) {
+    const auto retried = director.HandleServerPacket(
+        {kKey, flow::ServerPacketKind::kRefused, 0, refusing.m_address, {}},
+        now);
+    const auto* resent = FindEffect<flow::ResendOpening>(retried);
+    REQUIRE(resent);
+    CHECK(resent->m_tunnel != refusing);
+    CHECK(resent->m_bytes == bytes);
+    refusing = resent->m_tunnel;
+  }
+  const auto last = director.HandleServerPacket(
+      {kKey, flow::ServerPacketKind::kRefused, 0, refusing.m_address, {}}, now);
+
+  CHECK(FindEffect<flow::DeliverToCaller>(last));
+  CHECK(director.flow_count() == 0);
+}
+
+TEST_CASE("a second refusal from a server tried earlier is not believed") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const std::vector<std::uint8_t> bytes(40);
+  const auto effects = director.HandleCallerPacket(Opening(bytes), now);
+  const auto refusing = FindEffect<flow::ForwardToServer>(effects)->m_tunnel;
+  const flow::ServerPacket refusal{
+      kKey, flow::ServerPacketKind::kRefused, 0, refusing.m_address, {}};
+  director.HandleServerPacket(refusal, now);
+
+  const auto duplicate = director.HandleServerPacket(refusal, now);
+
+  const auto* drop = FindEffect<flow::Drop>(duplicate);
+  REQUIRE(drop);
+  CHECK(drop->m_reason == flow::DropReason::kStaleRefusal);
+}
+
+TEST_CASE("nothing is forwarded after the lease has expired") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  director.SetLease(now + seconds(2));
+  const std::vector<std::uint8_t> bytes(40);
+
+  const auto effects =
+      director.HandleCallerPacket(Opening(bytes), now + seconds(2));
+
+  const auto* drop = FindEffect<flow::Drop>(effects);
+  REQUIRE(drop);
+  CHECK(drop->m_reason == flow::DropReason::kLeaseExpired);
+}
+
+TEST_CASE("a reused port is a new flow, and old answers are not delivered") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const std::vector<std::uint8_t> bytes(40);
+  const auto effects = director.HandleCallerPacket(Opening(bytes), now);
+  const auto first = FindEffect<flow::ForwardToServer>(effects)->m_tunnel;
+  director.HandleServerPacket({kKey,
+                               flow::ServerPacketKind::kAccepted,
+                               kPosition + 1,
+                               first.m_address,
+                               {}},
+                              now);
+  auto servers = MakeServers();
+  for (auto& server : servers) {
+    if (server.m_tunnel == first)
+      server.m_state = flow::RoutedServerState::kDraining;
+  }
+  const flow::ServiceDefinition service{base::MakeServiceId("a"), kService,
+                                        servers};
+  director.SetRouting(flow::RoutingTable::Build(
+      base::ConfigurationVersion(2), {&service, 1}, nullptr, now, seconds(3)));
+
+  auto reused = Opening(bytes);
+  reused.m_position = kPosition + (1u << 30);
+  const auto reopened = director.HandleCallerPacket(reused, now);
+  const auto second = FindEffect<flow::ForwardToServer>(reopened)->m_tunnel;
+  director.HandleServerPacket({kKey,
+                               flow::ServerPacketKind::kAccepted,
+                               reused.m_position + 1,
+                               second.m_address,
+                               {}},
+                              now);
+  const auto late = director.HandleServerPacket(
+      {kKey, flow::ServerPacketKind::kData, kPosition + 9, first.m_address, {}},
+      now);
+
+  CHECK(second != first);
+  const auto* drop = FindEffect<flow::Drop>(late);
+  REQUIRE(drop);
+  CHECK(drop->m_reason == flow::DropReason::kCrossedAnswer);
+}
