LibObservability: Write JSON lines and Prometheus metrics

The balancer needs logs that machines can match on and metrics that need no store. Log lines are formatted by a pure function (escaping, malformed UTF-8, doubles that are not finite) and written by Boost.Log, whose headers stay in log.cc. Events have stable names in one table.

--- /dev/null
+++ b/Libraries/LibObservability/log.h
@@ -0,0 +1,28 @@
+// The log of the process: JSON lines written through Boost.Log.
+
+#ifndef LIBOBSERVABILITY_LOG_H_
+#define LIBOBSERVABILITY_LOG_H_
+
+#include <vector>
+
+#include "LibObservability/event.h"
+#include "LibObservability/log_field.h"
+#include "LibObservability/log_format.h"
+
+namespace observability {
+
+enum class LogDestination { kStandardOutput, kStandardError };
+
+// Sends the log to `destination`, leaving out what is below `threshold`. Call
+// it once at the start of the process; without it nothing is written.
+void StartLog(LogDestination destination, Severity threshold = Severity::kInfo);
+
+// Writes one line and flushes it. Safe from every thread. Example:
+// WriteLog(Severity::kInfo, Event::kPeerJoined, {{"peer", name}});
+void WriteLog(Severity severity,
+              Event event,
+              const std::vector<LogField>& fields = {});
+
+}  // namespace observability
+
+#endif  // LIBOBSERVABILITY_LOG_H_
--- /dev/null
+++ b/Libraries/LibObservability/log_format.cc
@@ -0,0 +1,149 @@
+#include "LibObservability/log_format.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <cmath>
+#include <cstdint>
+#include <optional>
+
+#include "LibBase/overloaded.h"
+
+namespace observability {
+
+namespace {
+
+constexpr std::string_view kReplacementCharacter = "\xEF\xBF\xBD";
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kFirstNonAscii = 0x80;
+
+struct SequenceForm {
+  std::size_t m_length;
+  unsigned char m_second_low;
+  unsigned char m_second_high;
+};
+
+// The well-formed sequences of Unicode 15, table 3-7.
+std::optional<SequenceForm> FormOf(unsigned char lead) {
+  if (lead >= 0xC2 && lead <= 0xDF)
+    return SequenceForm{2, 0x80, 0xBF};
+  if (lead == 0xE0)
+    return SequenceForm{3, 0xA0, 0xBF};
+  if (lead == 0xED)
+    return SequenceForm{3, 0x80, 0x9F};
+  if (lead >= 0xE1 && lead <= 0xEF)
+    return SequenceForm{3, 0x80, 0xBF};
+  if (lead == 0xF0)
+    return SequenceForm{4, 0x90, 0xBF};
+  if (lead >= 0xF1 && lead <= 0xF3)
+    return SequenceForm{4, 0x80, 0xBF};
+  if (lead == 0xF4)
+    return SequenceForm{4, 0x80, 0x8F};
+  return std::nullopt;
+}
+
+// The length of the multi-byte sequence at the start of `text`, or 0 if it is
+// not well-formed.
+std::size_t SequenceLength(std::string_view text) {
+  const auto byte = [&](std::size_t index) {
+    return static_cast<unsigned char>(text[index]);
+  };
+  const auto form = FormOf(byte(0));
+  if (!form || text.size() < form->m_length)
+    return 0;
+  if (byte(1) < form->m_second_low || byte(1) > form->m_second_high)
+    return 0;
+  for (std::size_t index = 2; index < form->m_length; ++index) {
+    if ((byte(index) & 0xC0) != 0x80)
+      return 0;
+  }
+  return form->m_length;
+}
+
+void AppendAscii(std::string& json, char character) {
+  const auto byte = static_cast<unsigned char>(character);
+  switch (character) {
+    case '"':
+      json += "\\\"";
+      return;
+    case '\\':
+      json += "\\\\";
+      return;
+    case '\n':
+      json += "\\n";
+      return;
+    case '\r':
+      json += "\\r";
+      return;
+    case '\t':
+      json += "\\t";
+      return;
+    default:
+      break;
+  }
+  if (byte < kFirstPrintable || byte == 0x7F)
+    json += fmt::format("\\u{:04x}", byte);
+  else
+    json += character;
+}
+
+std::string FormatTime(std::chrono::system_clock::time_point time) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  const auto whole = std::chrono::floor<seconds>(time);
+  const auto fraction =
+      std::chrono::duration_cast<milliseconds>(time - whole).count();
+  const auto calendar =
+      fmt::gmtime(std::chrono::system_clock::to_time_t(whole));
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", calendar, fraction);
+}
+
+}  // namespace
+
+std::string QuoteJson(std::string_view text) {
+  std::string json = "\"";
+  while (!text.empty()) {
+    if (static_cast<unsigned char>(text.front()) < kFirstNonAscii) {
+      AppendAscii(json, text.front());
+      text.remove_prefix(1);
+      continue;
+    }
+    const std::size_t length = SequenceLength(text);
+    json += length == 0 ? kReplacementCharacter : text.substr(0, length);
+    text.remove_prefix(length == 0 ? 1 : length);
+  }
+  json += '"';
+  return json;
+}
+
+std::string ToJson(const LogValue& value) {
+  return std::visit(
+      base::Overloaded{
+          [](bool flag) -> std::string { return flag ? "true" : "false"; },
+          [](double number) -> std::string {
+            return std::isfinite(number) ? fmt::format("{}", number) : "null";
+          },
+          [](const std::string& text) {
+            return QuoteJson(
+                std::string_view(text).substr(0, kMaxLogTextBytes));
+          },
+          [](auto integer) { return fmt::format("{}", integer); },
+      },
+      value);
+}
+
+std::string FormatLogLine(std::chrono::system_clock::time_point time,
+                          Severity severity,
+                          Event event,
+                          std::span<const LogField> fields) {
+  std::string line = fmt::format(
+      R"({{"time":"{}","severity":"{}","event":"{}")", FormatTime(time),
+      NameOf(kSeverityNames, severity), NameOf(kEventNames, event));
+  for (const LogField& field : fields)
+    line +=
+        fmt::format(",{}:{}", QuoteJson(field.m_name), ToJson(field.m_value));
+  line += '}';
+  return line;
+}
+
+}  // namespace observability
--- /dev/null
+++ b/Libraries/LibObservability/metrics_histogram.h
@@ -0,0 +1,43 @@
+// A histogram of the process's metrics, kept by Boost.Histogram.
+
+#ifndef LIBOBSERVABILITY_METRICS_HISTOGRAM_H_
+#define LIBOBSERVABILITY_METRICS_HISTOGRAM_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace observability {
+
+class Histogram {
+ public:
+  // The counts at one moment. Buckets are not cumulative; the last one has no
+  // upper bound.
+  struct Snapshot {
+    std::vector<double> m_upper_bounds;
+    std::vector<std::uint64_t> m_counts;
+    double m_sum = 0;
+  };
+
+  // `upper_bounds` increase and are not empty.
+  explicit Histogram(const std::vector<double>& upper_bounds);
+  ~Histogram();
+  Histogram(const Histogram&) = delete;
+  Histogram& operator=(const Histogram&) = delete;
+
+  // Queries.
+  Snapshot TakeSnapshot() const;
+
+  // Commands.
+  // Counts `value` in the first bucket whose upper bound is not below it. Safe
+  // from every thread.
+  void Record(double value);
+
+ private:
+  struct Storage;
+  std::unique_ptr<Storage> m_storage;
+};
+
+}  // namespace observability
+
+#endif  // LIBOBSERVABILITY_METRICS_HISTOGRAM_H_
