LibPeer: Encode and decode the messages between balancers

Balancers need one bounded format for what they tell one another. Weighed: cereal's own containers (eight bytes a size, and allocate what a hostile length says) and a home-made byte format (codecs come from libraries). Messages are structs in a std::variant, written by cereal's portable binary archive behind a frame of magic, version and length; containers go through Bounded, which checks the size before it allocates. Documents travel by stream only.

--- /dev/null
+++ b/Libraries/LibPeer/ack.h
@@ -0,0 +1,18 @@
+// Answers a Ping or, once the target has answered, a PingRequest.
+
+#ifndef LIBPEER_ACK_H_
+#define LIBPEER_ACK_H_
+
+#include <cstdint>
+
+namespace peer {
+
+struct Ack {
+  std::uint32_t m_sequence = 0;
+
+  friend bool operator==(const Ack&, const Ack&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_ACK_H_
--- /dev/null
+++ b/Libraries/LibPeer/archive.h
@@ -0,0 +1,198 @@
+// How the parts of a message are written to and read from a cereal archive.
+// Reading checks every bound before it allocates and throws cereal::Exception
+// on a breach; only codec.cc includes this header and catches it.
+
+#ifndef LIBPEER_ARCHIVE_H_
+#define LIBPEER_ARCHIVE_H_
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "LibBase/strong_id.h"
+#include "LibPeer/limits.h"
+#include "LibPeer/message.h"
+#include "LibPeer/transport.h"
+
+namespace base {
+
+template <typename Archive, typename Tag>
+void serialize(Archive& archive, StrongId<Tag, std::uint64_t>& id) {
+  std::uint64_t value = id.value();
+  archive(value);
+  id = StrongId<Tag, std::uint64_t>(value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Endpoint& endpoint) {
+  std::uint32_t address = endpoint.m_address.value();
+  archive(address, endpoint.m_port);
+  endpoint.m_address = Ipv4Address(address);
+}
+
+}  // namespace base
+
+namespace peer {
+
+inline constexpr std::uint32_t kNeverConfirmed =
+    std::numeric_limits<std::uint32_t>::max();
+
+// A string or vector of at most kMaximum elements, preceded by its size.
+template <typename Container, typename Size, std::size_t kMaximum>
+struct Bounded {
+  Container& m_container;
+
+  Size CheckedSize(std::size_t size) const {
+    if (size > kMaximum)
+      throw cereal::Exception("a container is over its bound");
+    return static_cast<Size>(size);
+  }
+
+  template <typename Archive>
+  void save(Archive& archive) const {
+    archive(CheckedSize(m_container.size()));
+    if constexpr (std::is_same_v<Container, std::string>) {
+      archive(cereal::binary_data(m_container.data(), m_container.size()));
+    } else {
+      for (const auto& element : m_container)
+        archive(element);
+    }
+  }
+
+  template <typename Archive>
+  void load(Archive& archive) {
+    Size size = 0;
+    archive(size);
+    m_container.resize(CheckedSize(size));
+    if constexpr (std::is_same_v<Container, std::string>) {
+      archive(cereal::binary_data(m_container.data(), m_container.size()));
+    } else {
+      for (auto& element : m_container)
+        archive(element);
+    }
+  }
+};
+
+template <typename Size, std::size_t kMaximum, typename Container>
+Bounded<Container, Size, kMaximum> MakeBounded(Container& container) {
+  return {container};
+}
+
+template <typename Archive>
+void ArchiveState(Archive& archive, MemberState& state) {
+  auto value = static_cast<std::uint8_t>(state);
+  archive(value);
+  if (value > static_cast<std::uint8_t>(MemberState::kDead))
+    throw cereal::Exception("unknown member state");
+  state = static_cast<MemberState>(value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ConfigurationStatus& status) {
+  std::uint32_t age_ms = kNeverConfirmed;
+  if (status.m_confirmation_age) {
+    const auto age = std::clamp<std::int64_t>(
+        status.m_confirmation_age->count(), 0, kNeverConfirmed - 1);
+    age_ms = static_cast<std::uint32_t>(age);
+  }
+  archive(status.m_version, age_ms);
+  status.m_confirmation_age.reset();
+  if (age_ms != kNeverConfirmed)
+    status.m_confirmation_age = std::chrono::milliseconds(age_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, MemberRecord& record) {
+  std::string data_centre = record.m_data_centre.value();
+  archive(record.m_id,
+          MakeBounded<std::uint8_t, kMaximumNameBytes>(record.m_name),
+          MakeBounded<std::uint8_t, kMaximumNameBytes>(data_centre),
+          record.m_traffic, record.m_peer, record.m_admin);
+  ArchiveState(archive, record.m_state);
+  archive(record.m_incarnation, record.m_configuration);
+  record.m_data_centre = base::DataCentreId(std::move(data_centre));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SenderStatus& status) {
+  archive(status.m_id);
+  ArchiveState(archive, status.m_state);
+  archive(status.m_incarnation, status.m_configuration, status.m_view_digest);
+}
+
+template <typename Archive>
+void serialize(Archive&, Heartbeat&) {}
+
+template <typename Archive>
+void serialize(Archive& archive, Ping& ping) {
+  auto wants_record = static_cast<std::uint8_t>(ping.m_wants_record);
+  archive(ping.m_sequence, wants_record);
+  if (wants_record > 1)
+    throw cereal::Exception("a flag is neither 0 nor 1");
+  ping.m_wants_record = wants_record == 1;
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Ack& ack) {
+  archive(ack.m_sequence);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, PingRequest& request) {
+  archive(request.m_sequence, request.m_target);
+}
+
+template <typename Archive>
+void serialize(Archive&, Leave&) {}
+
+template <typename Archive>
+void serialize(Archive& archive, MembersRequest& request) {
+  archive(request.m_after);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, MembersReply& reply) {
+  archive(reply.m_continue_after);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, LoadEntry& entry) {
+  archive(entry.m_server, entry.m_open_flows);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, LoadDigest& digest) {
+  archive(MakeBounded<std::uint8_t, kMaximumLoadEntries>(digest.m_entries));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DocumentRequest& request) {
+  archive(request.m_version);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DocumentReply& reply) {
+  archive(reply.m_version,
+          MakeBounded<std::uint32_t, kMaximumDocumentBytes>(reply.m_body));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BurnCounter& counter) {
+  archive(counter.m_key, counter.m_value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BurnCounters& counters) {
+  archive(MakeBounded<std::uint8_t, kMaximumBurnCounters>(counters.m_counters));
+}
+
+}  // namespace peer
+
+#endif  // LIBPEER_ARCHIVE_H_
--- /dev/null
+++ b/Libraries/LibPeer/codec_error.cc
@@ -0,0 +1,35 @@
+#include "LibPeer/codec_error.h"
+
+#include <string>
+
+#include "LibBase/enum_table.h"
+
+namespace peer {
+
+namespace {
+
+constexpr base::EnumTable<CodecError, 5> kCodecErrorTexts{{
+    {CodecError::kForeign, "not a message of this protocol"},
+    {CodecError::kOtherVersion, "another version of the protocol"},
+    {CodecError::kTruncated, "message is truncated"},
+    {CodecError::kOversized, "message is over a size bound"},
+    {CodecError::kMalformed, "message is malformed"},
+}};
+
+class CodecErrorCategory : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "peer codec"; }
+  std::string message(int value) const override {
+    return std::string(
+        base::NameOf(kCodecErrorTexts, static_cast<CodecError>(value)));
+  }
+};
+
+}  // namespace
+
+std::error_code make_error_code(CodecError error) {
+  static const CodecErrorCategory kCategory;
+  return {static_cast<int>(error), kCategory};
+}
+
+}  // namespace peer
--- /dev/null
+++ b/Libraries/LibPeer/codec_error.h
@@ -0,0 +1,31 @@
+// The errors of the codec as std::error_code.
+
+#ifndef LIBPEER_CODEC_ERROR_H_
+#define LIBPEER_CODEC_ERROR_H_
+
+#include <system_error>
+#include <type_traits>
+
+namespace peer {
+
+enum class CodecError {
+  // The bytes do not begin with the magic number of this protocol.
+  kForeign = 1,
+  // The sender speaks another version of the protocol.
+  kOtherVersion,
+  // Fewer bytes than the frame announces.
+  kTruncated,
+  // A length is over its bound.
+  kOversized,
+  // The content breaks the format.
+  kMalformed,
+};
+
+std::error_code make_error_code(CodecError error);
+
+}  // namespace peer
+
+template <>
+struct std::is_error_code_enum<peer::CodecError> : std::true_type {};
+
+#endif  // LIBPEER_CODEC_ERROR_H_
--- /dev/null
+++ b/Libraries/LibPeer/document_request.h
@@ -0,0 +1,20 @@
+// Asks for the configuration document; stream only.
+
+#ifndef LIBPEER_DOCUMENT_REQUEST_H_
+#define LIBPEER_DOCUMENT_REQUEST_H_
+
+#include "LibBase/ids.h"
+
+namespace peer {
+
+struct DocumentRequest {
+  // The least version that is of use to the sender.
+  base::ConfigurationVersion m_version;
+
+  friend bool operator==(const DocumentRequest&,
+                         const DocumentRequest&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_DOCUMENT_REQUEST_H_
--- /dev/null
+++ b/Libraries/LibPeer/limits.h
@@ -0,0 +1,23 @@
+// Bounds on what a peer may send. The decoder checks each of them before it
+// allocates.
+
+#ifndef LIBPEER_LIMITS_H_
+#define LIBPEER_LIMITS_H_
+
+#include <cstddef>
+
+namespace peer {
+
+// A datagram of this size is not fragmented on an Ethernet path.
+inline constexpr std::size_t kMaximumDatagramBytes = 1'200;
+inline constexpr std::size_t kMaximumDocumentBytes = 1'048'576;
+// A document with the frame and the fields around it.
+inline constexpr std::size_t kMaximumFrameBytes = kMaximumDocumentBytes + 4'096;
+inline constexpr std::size_t kMaximumNameBytes = 64;
+inline constexpr std::size_t kMaximumUpdates = 12;
+inline constexpr std::size_t kMaximumLoadEntries = 150;
+inline constexpr std::size_t kMaximumBurnCounters = 60;
+
+}  // namespace peer
+
+#endif  // LIBPEER_LIMITS_H_
--- /dev/null
+++ b/Libraries/LibPeer/member_record.h
@@ -0,0 +1,34 @@
+// All that balancers tell one another about a balancer.
+
+#ifndef LIBPEER_MEMBER_RECORD_H_
+#define LIBPEER_MEMBER_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
+#include "LibPeer/configuration_status.h"
+#include "LibPeer/member_state.h"
+
+namespace peer {
+
+struct MemberRecord {
+  base::BalancerId m_id;
+  std::string m_name;
+  base::DataCentreId m_data_centre;
+  base::Endpoint m_traffic;
+  base::Endpoint m_peer;
+  base::Endpoint m_admin;
+  MemberState m_state = MemberState::kJoining;
+  // Raised by the member alone: to declare a new state or to refute a
+  // suspicion (SWIM, Das, Gupta and Motivala, DSN 2002, section 4.2).
+  std::uint64_t m_incarnation = 0;
+  ConfigurationStatus m_configuration;
+
+  friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_MEMBER_RECORD_H_
--- /dev/null
+++ b/Libraries/LibPeer/ping_request.h
@@ -0,0 +1,22 @@
+// Asks the receiver to ping a third member and to pass on its Ack (the indirect
+// probe of SWIM, section 3.1).
+
+#ifndef LIBPEER_PING_REQUEST_H_
+#define LIBPEER_PING_REQUEST_H_
+
+#include <cstdint>
+
+#include "LibBase/ipv4.h"
+
+namespace peer {
+
+struct PingRequest {
+  std::uint32_t m_sequence = 0;
+  base::Endpoint m_target;
+
+  friend bool operator==(const PingRequest&, const PingRequest&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_PING_REQUEST_H_
--- /dev/null
+++ b/Libraries/LibPeer/transport.h
@@ -0,0 +1,19 @@
+// How a message travels between balancers.
+
+#ifndef LIBPEER_TRANSPORT_H_
+#define LIBPEER_TRANSPORT_H_
+
+#include <cstdint>
+
+namespace peer {
+
+enum class Transport : std::uint8_t {
+  // One UDP datagram holds one message of at most kMaximumDatagramBytes.
+  kDatagram,
+  // TCP; messages of at most kMaximumFrameBytes follow one another.
+  kStream,
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_TRANSPORT_H_
