LibPlacement, LibAdmission: Add the view of load, policies and admission

Pure decision libraries: LoadView carries old load reports forward by the flows known to have opened and ended since; policies walk a flow's rendezvous order; AdmissionController, RetryBudget, BackOff and OpeningAttempt decide what is let in and where an opening may go next.

--- /dev/null
+++ b/Libraries/LibAdmission/admission_controller.cc
@@ -0,0 +1,48 @@
+#include "LibAdmission/admission_controller.h"
+
+namespace admission {
+
+namespace {
+
+// Share of the limit from which on the load counts as limited by it.
+constexpr double kLimitingShare = 0.9;
+
+}  // namespace
+
+AdmissionController::AdmissionController(const AdmissionSettings& settings)
+    : m_settings(settings),
+      m_concurrency(settings.m_concurrency),
+      m_retry_budget(settings.m_retry_budget) {}
+
+Admission AdmissionController::DecideForService(
+    const ServiceOccupancy& service) const {
+  const std::uint64_t connections = m_settings.m_service_connection_limit;
+  if (connections > 0 &&
+      service.m_connections >= static_cast<double>(connections))
+    return Admission::kServiceConnectionLimit;
+  const bool is_adaptive =
+      m_settings.m_concurrency_control == ConcurrencyControl::kAdaptive;
+  // A service whose slots are not known is not limited by them.
+  if (is_adaptive && service.m_slots > 0.0 &&
+      service.m_busy >= m_concurrency.Limit(service.m_slots))
+    return Admission::kConcurrencyLimit;
+  return Admission::kAdmitted;
+}
+
+Admission AdmissionController::DecideForServer(
+    const ServerOccupancy& server) const {
+  if (server.m_connection_limit > 0 &&
+      server.m_connections >= static_cast<double>(server.m_connection_limit))
+    return Admission::kServerConnectionLimit;
+  return Admission::kAdmitted;
+}
+
+void AdmissionController::RecordOpeningDelay(base::Duration delay,
+                                             const ServiceOccupancy& service,
+                                             base::TimePoint now) {
+  const double limit = m_concurrency.Limit(service.m_slots);
+  const bool is_limiting = service.m_busy >= kLimitingShare * limit;
+  m_concurrency.RecordDelay(delay, is_limiting, now);
+}
+
+}  // namespace admission
--- /dev/null
+++ b/Libraries/LibPlacement/load_event.h
@@ -0,0 +1,108 @@
+// The events that change a balancer's view of the load on the backend servers
+// of one service in one data centre.
+
+#ifndef LIBPLACEMENT_LOAD_EVENT_H_
+#define LIBPLACEMENT_LOAD_EVENT_H_
+
+#include <cstdint>
+#include <span>
+#include <variant>
+
+#include "LibBase/ids.h"
+#include "LibBase/time.h"
+#include "LibPlacement/server_state.h"
+
+namespace placement {
+
+// A server has joined the service.
+struct ServerAdded {
+  base::BackendServerId m_server;
+  // Requests that it runs at once, as configured; reports may correct it.
+  std::uint32_t m_slots = 1;
+  // Connections that it accepts at once; zero stands for no limit.
+  std::uint32_t m_connection_limit = 0;
+  ServerStart m_start = ServerStart::kWarm;
+};
+
+// A server gets no new flows from now on.
+struct ServerDraining {
+  base::BackendServerId m_server;
+};
+
+// A drain was called off before the server left.
+struct ServerUndrained {
+  base::BackendServerId m_server;
+};
+
+// A server has left the service and is forgotten.
+struct ServerRemoved {
+  base::BackendServerId m_server;
+};
+
+// A server's own account of its load. It is old and may be false.
+struct LoadReported {
+  base::BackendServerId m_server;
+  std::uint32_t m_busy = 0;
+  std::uint32_t m_queued = 0;
+  std::uint32_t m_slots = 0;
+  std::uint32_t m_connections = 0;
+  // Zero stands for no limit.
+  std::uint32_t m_connection_limit = 0;
+  // How long ago the figures were true, as far as that could be measured.
+  base::Duration m_age{};
+};
+
+struct HealthReported {
+  base::BackendServerId m_server;
+  Health m_health = Health::kHealthy;
+};
+
+// This balancer has sent a flow's opening to the server.
+struct OpeningSent {
+  base::BackendServerId m_server;
+};
+
+// The server has accepted an opening of this balancer.
+struct OpeningAccepted {
+  base::BackendServerId m_server;
+  // From sending the opening to the server's first answer.
+  base::Duration m_delay{};
+};
+
+// The server has definitely refused an opening: it sheds, or is at a limit.
+// The opening no longer counts as open.
+struct OpeningRefused {
+  base::BackendServerId m_server;
+};
+
+// A flow opened by this balancer has ended or was given up.
+struct FlowEnded {
+  base::BackendServerId m_server;
+};
+
+// The number of flows to one server that all other balancers hold open.
+struct OpenCount {
+  base::BackendServerId m_server;
+  std::uint32_t m_open_flows = 0;
+};
+
+// The other balancers' counts. Servers that are not listed count as zero.
+struct PeerOpenCounts {
+  std::span<const OpenCount> m_counts;
+};
+
+using LoadEvent = std::variant<ServerAdded,
+                               ServerDraining,
+                               ServerUndrained,
+                               ServerRemoved,
+                               LoadReported,
+                               HealthReported,
+                               OpeningSent,
+                               OpeningAccepted,
+                               OpeningRefused,
+                               FlowEnded,
+                               PeerOpenCounts>;
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_LOAD_EVENT_H_
--- /dev/null
+++ b/Libraries/LibPlacement/load_view.cc
@@ -0,0 +1,205 @@
+#include "LibPlacement/load_view.h"
+
+#include <algorithm>
+#include <chrono>
+#include <variant>
+
+#include "LibPlacement/median.h"
+
+namespace placement {
+
+std::optional<double> LoadView::EstimatedBusy(
+    base::BackendServerId server) const {
+  const ServerStatus* status = Find(server);
+  if (status == nullptr)
+    return std::nullopt;
+  return status->m_estimated_busy;
+}
+
+std::optional<double> LoadView::Bound(base::BackendServerId server) const {
+  const ServerStatus* status = Find(server);
+  if (status == nullptr)
+    return std::nullopt;
+  return status->m_bound;
+}
+
+std::int64_t LoadView::OpenFlows(base::BackendServerId server) const {
+  const std::uint32_t position = m_index.Find(server);
+  return position == ServerIndex::kAbsent ? 0 : m_loads[position].OpenFlows();
+}
+
+ServiceLoad LoadView::Total() const {
+  ServiceLoad total;
+  for (std::size_t position = 0; position < m_loads.size(); ++position) {
+    const ServerLoad& load = m_loads[position];
+    if (load.IsDraining())
+      continue;
+    total.m_estimated_busy += m_statuses[position].m_estimated_busy;
+    total.m_connections += load.EstimatedConnections();
+    total.m_slots += load.Slots();
+  }
+  return total;
+}
+
+void LoadView::Apply(const LoadEvent& event, base::TimePoint now) {
+  std::visit([this, now](const auto& typed) { On(typed, now); }, event);
+}
+
+void LoadView::Advance(base::TimePoint now, base::Random& random) {
+  RefreshKnowledge(now);
+  m_detector.Judge(m_settings, m_loads, now, random);
+  RefreshAll(now);
+}
+
+void LoadView::On(const ServerAdded& event, base::TimePoint now) {
+  if (ServerLoad* known = FindLoad(event.m_server)) {
+    known->SetCapacity(event);
+    Refresh(event.m_server, now);
+    return;
+  }
+  m_ids.push_back(event.m_server);
+  m_loads.emplace_back(event, now);
+  m_statuses.emplace_back();
+  RebuildIndex();
+  RefreshAll(now);
+}
+
+void LoadView::On(const ServerDraining& event, base::TimePoint now) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->SetDraining(true);
+  Refresh(event.m_server, now);
+}
+
+void LoadView::On(const ServerUndrained& event, base::TimePoint now) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->SetDraining(false);
+  Refresh(event.m_server, now);
+}
+
+void LoadView::On(const ServerRemoved& event, base::TimePoint now) {
+  const std::uint32_t position = m_index.Find(event.m_server);
+  if (position == ServerIndex::kAbsent)
+    return;
+  m_ids.erase(m_ids.begin() + position);
+  m_loads.erase(m_loads.begin() + position);
+  m_statuses.erase(m_statuses.begin() + position);
+  RebuildIndex();
+  RefreshAll(now);
+}
+
+void LoadView::On(const LoadReported& event, base::TimePoint now) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->RecordReport(event, now);
+  Refresh(event.m_server, now);
+}
+
+void LoadView::On(const HealthReported& event, base::TimePoint now) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->SetHealth(event.m_health);
+  RefreshAll(now);
+}
+
+void LoadView::On(const OpeningSent& event, base::TimePoint now) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->RecordSent(now);
+  Refresh(event.m_server, now);
+}
+
+void LoadView::On(const OpeningAccepted& event, base::TimePoint now) {
+  ServerLoad* load = FindLoad(event.m_server);
+  if (load == nullptr)
+    return;
+  load->MutableConduct().RecordAccepted(event.m_delay);
+  const double slow = std::max(
+      std::chrono::duration<double>(m_settings.m_outlier.m_slow_delay_minimum)
+          .count(),
+      m_median_delay * m_settings.m_outlier.m_slow_delay_factor);
+  const double delay = std::chrono::duration<double>(event.m_delay).count();
+  if (delay > slow && !load->IsInSlowStart(m_settings, now))
+    load->MutableConduct().RecordSlow();
+}
+
+void LoadView::On(const OpeningRefused& event, base::TimePoint now) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->RecordRefused(now + m_settings.m_refusal_hold, now);
+  Refresh(event.m_server, now);
+}
+
+void LoadView::On(const FlowEnded& event, base::TimePoint now) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->RecordEnded(now);
+  Refresh(event.m_server, now);
+}
+
+void LoadView::On(const PeerOpenCounts& event, base::TimePoint now) {
+  m_peer_counts_at = now;
+  for (std::size_t position = 0; position < m_loads.size(); ++position) {
+    const auto found = std::ranges::find(event.m_counts, m_ids[position],
+                                         &OpenCount::m_server);
+    const bool is_listed = found != event.m_counts.end();
+    m_loads[position].SetPeerOpen(is_listed ? found->m_open_flows : 0, now);
+  }
+  RefreshKnowledge(now);
+  RefreshAll(now);
+}
+
+ServerLoad* LoadView::FindLoad(base::BackendServerId server) {
+  const std::uint32_t position = m_index.Find(server);
+  return position == ServerIndex::kAbsent ? nullptr : &m_loads[position];
+}
+
+void LoadView::RebuildIndex() {
+  m_index.Rebuild(m_ids);
+}
+
+void LoadView::Refresh(base::BackendServerId server, base::TimePoint now) {
+  const std::uint32_t position = m_index.Find(server);
+  if (position != ServerIndex::kAbsent)
+    RefreshPosition(position, now);
+}
+
+void LoadView::RefreshAll(base::TimePoint now) {
+  m_are_probes_credible = AreProbesCredible();
+  for (std::size_t position = 0; position < m_loads.size(); ++position)
+    RefreshPosition(position, now);
+}
+
+void LoadView::RefreshPosition(std::size_t position, base::TimePoint now) {
+  const ServerLoad& load = m_loads[position];
+  ServerStatus status =
+      load.MakeStatus(m_ids[position], m_settings, m_knowledge, now);
+  const bool is_unhealthy =
+      m_are_probes_credible && load.LastHealth() == Health::kUnhealthy;
+  status.m_is_suspect = is_unhealthy || load.Conduct().IsEjected(now);
+  m_statuses[position] = status;
+}
+
+void LoadView::RefreshKnowledge(base::TimePoint now) {
+  m_scratch.clear();
+  for (const ServerLoad& load : m_loads) {
+    const double ratio = load.BusyPerOpenFlow();
+    if (ratio >= 0.0 && !load.IsDraining())
+      m_scratch.push_back(ratio);
+  }
+  m_knowledge.m_busy_per_open_flow = Median(m_scratch).value_or(1.0);
+  m_knowledge.m_are_peer_counts_known =
+      m_peer_counts_at &&
+      now - *m_peer_counts_at <= m_settings.m_peer_counts_lifetime;
+
+  m_scratch.clear();
+  for (const ServerLoad& load : m_loads) {
+    if (load.Conduct().MeanDelay() > 0.0 && !load.IsDraining())
+      m_scratch.push_back(load.Conduct().MeanDelay());
+  }
+  m_median_delay = Median(m_scratch).value_or(0.0);
+}
+
+bool LoadView::AreProbesCredible() const {
+  const auto unhealthy =
+      std::ranges::count(m_loads, Health::kUnhealthy, &ServerLoad::LastHealth);
+  const double permitted = m_settings.m_maximum_unhealthy_share *
+                           static_cast<double>(m_loads.size());
+  return static_cast<double>(unhealthy) <= permitted;
+}
+
+}  // namespace placement
--- /dev/null
+++ b/Libraries/LibPlacement/load_view.h
@@ -0,0 +1,96 @@
+// One balancer's view of the load on the backend servers of one service in its
+// data centre. Events change it; placement policies query it. It knows no
+// clock: the owner passes the time in and calls Advance at least every 250 ms.
+
+#ifndef LIBPLACEMENT_LOAD_VIEW_H_
+#define LIBPLACEMENT_LOAD_VIEW_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibPlacement/load_event.h"
+#include "LibPlacement/load_settings.h"
+#include "LibPlacement/outlier_detector.h"
+#include "LibPlacement/server_index.h"
+#include "LibPlacement/server_load.h"
+#include "LibPlacement/server_status.h"
+
+namespace placement {
+
+// Sums over the servers that are not draining.
+struct ServiceLoad {
+  double m_estimated_busy = 0.0;
+  double m_connections = 0.0;
+  std::uint32_t m_slots = 0;
+};
+
+class LoadView {
+ public:
+  explicit LoadView(LoadSettings settings) : m_settings(settings) {}
+
+  // Queries.
+  // Every server, in the order in which they were added.
+  std::span<const ServerStatus> Servers() const { return m_statuses; }
+  // Nothing for a server that is not known. Allocates nothing.
+  const ServerStatus* Find(base::BackendServerId server) const {
+    const std::uint32_t position = m_index.Find(server);
+    return position == ServerIndex::kAbsent ? nullptr : &m_statuses[position];
+  }
+  // Requests running and queued at the server now; nothing if it is unknown.
+  std::optional<double> EstimatedBusy(base::BackendServerId server) const;
+  // Requests at which the server counts as full; nothing if it is unknown.
+  std::optional<double> Bound(base::BackendServerId server) const;
+  // Open flows of this balancer and its peers; zero for an unknown server.
+  std::int64_t OpenFlows(base::BackendServerId server) const;
+  ServiceLoad Total() const;
+
+  // Commands.
+  // Events about servers that are not known are ignored.
+  void Apply(const LoadEvent& event, base::TimePoint now);
+  // Moves slow starts on, ends and begins ejections.
+  void Advance(base::TimePoint now, base::Random& random);
+
+ private:
+  void On(const ServerAdded& event, base::TimePoint now);
+  void On(const ServerDraining& event, base::TimePoint now);
+  void On(const ServerUndrained& event, base::TimePoint now);
+  void On(const ServerRemoved& event, base::TimePoint now);
+  void On(const LoadReported& event, base::TimePoint now);
+  void On(const HealthReported& event, base::TimePoint now);
+  void On(const OpeningSent& event, base::TimePoint now);
+  void On(const OpeningAccepted& event, base::TimePoint now);
+  void On(const OpeningRefused& event, base::TimePoint now);
+  void On(const FlowEnded& event, base::TimePoint now);
+  void On(const PeerOpenCounts& event, base::TimePoint now);
+
+  ServerLoad* FindLoad(base::BackendServerId server);
+  void RebuildIndex();
+  // Recomputes the status of one server, or of all.
+  void Refresh(base::BackendServerId server, base::TimePoint now);
+  void RefreshAll(base::TimePoint now);
+  void RefreshPosition(std::size_t position, base::TimePoint now);
+  void RefreshKnowledge(base::TimePoint now);
+  bool AreProbesCredible() const;
+
+  LoadSettings m_settings;
+  // Parallel: position n in each is the same server.
+  std::vector<base::BackendServerId> m_ids;
+  std::vector<ServerLoad> m_loads;
+  std::vector<ServerStatus> m_statuses;
+  ServerIndex m_index;
+  ServiceKnowledge m_knowledge;
+  std::optional<base::TimePoint> m_peer_counts_at;
+  bool m_are_probes_credible = true;
+  double m_median_delay = 0.0;
+  OutlierDetector m_detector;
+  std::vector<double> m_scratch;
+};
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_LOAD_VIEW_H_
--- /dev/null
+++ b/Libraries/LibPlacement/outlier_detector.cc
@@ -0,0 +1,95 @@
+#include "LibPlacement/outlier_detector.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "LibPlacement/median.h"
+
+namespace placement {
+
+namespace {
+
+// How much worse than its peers a server is; zero for a server in order.
+// Refusals count before delays, as they are definite.
+double Badness(const OutlierSettings& settings,
+               const ServerConduct& conduct,
+               double median_refused,
+               double median_delay) {
+  constexpr double kRefusalsFirst = 1000.0;
+  if (conduct.Samples() < settings.m_minimum_openings)
+    return 0.0;
+  const double excess = conduct.RefusedShare() - median_refused;
+  if (excess > settings.m_refused_share_margin)
+    return kRefusalsFirst + excess;
+  const double slow_minimum =
+      std::chrono::duration<double>(settings.m_slow_delay_minimum).count();
+  const double slow =
+      std::max(slow_minimum, median_delay * settings.m_slow_delay_factor);
+  return conduct.MeanDelay() > slow ? conduct.MeanDelay() / slow : 0.0;
+}
+
+}  // namespace
+
+std::size_t OutlierDetector::MaximumEjected(const OutlierSettings& settings,
+                                            std::size_t servers) {
+  const double share = std::clamp(settings.m_maximum_ejected_share, 0.0, 1.0);
+  const auto permitted =
+      static_cast<std::size_t>(static_cast<double>(servers) * share);
+  return servers == 0 ? 0 : std::min(permitted, servers - 1);
+}
+
+double OutlierDetector::MedianRefusedShare(
+    const std::vector<ServerLoad>& servers) {
+  m_scratch.clear();
+  for (const ServerLoad& server : servers) {
+    if (!server.IsDraining() && server.Conduct().Samples() > 0)
+      m_scratch.push_back(server.Conduct().RefusedShare());
+  }
+  return Median(m_scratch).value_or(0.0);
+}
+
+double OutlierDetector::MedianDelay(const std::vector<ServerLoad>& servers) {
+  m_scratch.clear();
+  for (const ServerLoad& server : servers) {
+    if (!server.IsDraining() && server.Conduct().MeanDelay() > 0.0)
+      m_scratch.push_back(server.Conduct().MeanDelay());
+  }
+  return Median(m_scratch).value_or(0.0);
+}
+
+void OutlierDetector::Judge(const LoadSettings& settings,
+                            std::vector<ServerLoad>& servers,
+                            base::TimePoint now,
+                            base::Random& random) {
+  const double median_refused = MedianRefusedShare(servers);
+  const double median_delay = MedianDelay(servers);
+  std::size_t ejected = 0;
+  for (const ServerLoad& server : servers)
+    ejected += server.Conduct().IsEjected(now) ? 1 : 0;
+
+  const std::size_t permitted =
+      MaximumEjected(settings.m_outlier, servers.size());
+  for (; ejected < permitted; ++ejected) {
+    ServerLoad* worst = nullptr;
+    double worst_badness = 0.0;
+    for (ServerLoad& server : servers) {
+      if (server.IsDraining() || server.IsInSlowStart(settings, now) ||
+          server.Conduct().IsEjected(now))
+        continue;
+      const double badness = Badness(settings.m_outlier, server.Conduct(),
+                                     median_refused, median_delay);
+      if (badness > worst_badness) {
+        worst_badness = badness;
+        worst = &server;
+      }
+    }
+    if (worst == nullptr)
+      return;
+    worst->MutableConduct().Eject(settings.m_outlier, now, random);
+    // It returns with a small bound, so that its peers' flows do not all move
+    // to it at once.
+    worst->RestartSlowStart(worst->Conduct().EjectedUntil());
+  }
+}
+
+}  // namespace placement
--- /dev/null
+++ b/Libraries/LibPlacement/placement_policy.cc
@@ -0,0 +1,167 @@
+#include "LibPlacement/placement_policy.h"
+
+#include "LibPlacement/load_view.h"
+#include "LibPlacement/server_status.h"
+
+namespace placement {
+
+namespace {
+
+using Choice = std::optional<base::BackendServerId>;
+
+// Which servers a pass over the order considers.
+enum class Eligibility {
+  kTrusted,
+  kNotDraining,
+};
+
+bool IsEligible(const ServerStatus* status, Eligibility eligibility) {
+  if (status == nullptr || status->m_is_draining)
+    return false;
+  return eligibility == Eligibility::kNotDraining || !status->m_is_suspect;
+}
+
+// Chooses by one policy among the eligible servers of an order.
+class Chooser {
+ public:
+  Chooser(std::span<const base::BackendServerId> order,
+          const LoadView& view,
+          Eligibility eligibility,
+          base::Random& random)
+      : m_order(order),
+        m_view(view),
+        m_eligibility(eligibility),
+        m_random(random) {}
+
+  Choice operator()(FirstHash&) const {
+    for (const base::BackendServerId server : m_order) {
+      if (Eligible(server) != nullptr)
+        return server;
+    }
+    return std::nullopt;
+  }
+
+  Choice operator()(RoundRobin& policy) const {
+    const auto servers = m_view.Servers();
+    for (std::size_t step = 0; step < servers.size(); ++step) {
+      const ServerStatus& status = servers[policy.m_next++ % servers.size()];
+      if (IsEligible(&status, m_eligibility))
+        return status.m_server;
+    }
+    return std::nullopt;
+  }
+
+  Choice operator()(LeastReported&) const {
+    const ServerStatus* least = nullptr;
+    std::uint64_t ties = 0;
+    for (const base::BackendServerId server : m_order) {
+      const ServerStatus* status = Eligible(server);
+      if (status == nullptr)
+        continue;
+      const double load = Reported(*status);
+      if (least == nullptr || load < Reported(*least)) {
+        least = status;
+        ties = 1;
+      } else if (load == Reported(*least) && m_random.Below(++ties) == 0) {
+        least = status;
+      }
+    }
+    return IdOf(least);
+  }
+
+  Choice operator()(const BoundedWalk& policy) const {
+    const ServerStatus* least = nullptr;
+    std::size_t considered = 0;
+    for (const base::BackendServerId server : m_order) {
+      const ServerStatus* status = Eligible(server);
+      if (status == nullptr)
+        continue;
+      if (least == nullptr || IsLessLoaded(*status, *least))
+        least = status;
+      if (policy.m_margin == BoundedWalk::kNoMargin && !status->IsFull())
+        return server;
+      if (++considered >= policy.m_candidates)
+        break;
+    }
+    if (least == nullptr)
+      return std::nullopt;
+    if (least->IsFull())
+      return policy.m_when_all_full == WhenAllFull::kRefuse ? std::nullopt
+                                                            : IdOf(least);
+    return FirstWithin(least->Utilisation() + policy.m_margin);
+  }
+
+ private:
+  static double Reported(const ServerStatus& status) {
+    return status.m_reported_busy * status.m_inverse_bound;
+  }
+
+  static bool IsLessLoaded(const ServerStatus& first,
+                           const ServerStatus& second) {
+    if (first.IsFull() != second.IsFull())
+      return second.IsFull();
+    if (first.m_is_refusing != second.m_is_refusing)
+      return second.m_is_refusing;
+    return first.Utilisation() < second.Utilisation();
+  }
+
+  static Choice IdOf(const ServerStatus* status) {
+    if (status == nullptr)
+      return std::nullopt;
+    return status->m_server;
+  }
+
+  const ServerStatus* Eligible(base::BackendServerId server) const {
+    const ServerStatus* status = m_view.Find(server);
+    return IsEligible(status, m_eligibility) ? status : nullptr;
+  }
+
+  // The first free server that is no more utilised than `maximum`; one of the
+  // candidates is.
+  Choice FirstWithin(double maximum) const {
+    for (const base::BackendServerId server : m_order) {
+      const ServerStatus* status = Eligible(server);
+      if (status != nullptr && !status->IsFull() &&
+          status->Utilisation() <= maximum)
+        return server;
+    }
+    return std::nullopt;
+  }
+
+  std::span<const base::BackendServerId> m_order;
+  const LoadView& m_view;
+  Eligibility m_eligibility;
+  base::Random& m_random;
+};
+
+Choice ChooseAmong(PlacementPolicy& policy,
+                   std::span<const base::BackendServerId> order,
+                   const LoadView& view,
+                   Eligibility eligibility,
+                   base::Random& random) {
+  return std::visit(Chooser(order, view, eligibility, random), policy);
+}
+
+bool HasTrusted(std::span<const base::BackendServerId> order,
+                const LoadView& view) {
+  for (const base::BackendServerId server : order) {
+    if (IsEligible(view.Find(server), Eligibility::kTrusted))
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+std::optional<base::BackendServerId> Choose(
+    PlacementPolicy& policy,
+    std::span<const base::BackendServerId> order,
+    const LoadView& view,
+    base::Random& random) {
+  const Eligibility eligibility = HasTrusted(order, view)
+                                      ? Eligibility::kTrusted
+                                      : Eligibility::kNotDraining;
+  return ChooseAmong(policy, order, view, eligibility, random);
+}
+
+}  // namespace placement
--- /dev/null
+++ b/Libraries/LibPlacement/placement_preset.h
@@ -0,0 +1,34 @@
+// The documented settings for the two kinds of deployment; docs/PLACEMENT.md
+// has the figures.
+
+#ifndef LIBPLACEMENT_PLACEMENT_PRESET_H_
+#define LIBPLACEMENT_PLACEMENT_PRESET_H_
+
+#include "LibBase/enum_table.h"
+#include "LibPlacement/load_settings.h"
+#include "LibPlacement/placement_policy.h"
+
+namespace placement {
+
+enum class PlacementPreset {
+  // Few flows off their first hash choice, and so few stored exceptions.
+  kFewExceptions,
+  // Even load on servers with few slots.
+  kEvenLoad,
+};
+
+inline constexpr base::EnumTable<PlacementPreset, 2> kPlacementPresetNames{{
+    {PlacementPreset::kFewExceptions, "few-exceptions"},
+    {PlacementPreset::kEvenLoad, "even-load"},
+}};
+
+struct PlacementSettings {
+  LoadSettings m_load;
+  PlacementPolicy m_policy;
+};
+
+PlacementSettings MakePlacementSettings(PlacementPreset preset);
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_PLACEMENT_PRESET_H_
--- /dev/null
+++ b/Libraries/LibPlacement/server_conduct.h
@@ -0,0 +1,67 @@
+// How a backend server has answered the openings of this balancer: the evidence
+// for ejecting it and for distrusting its load reports. Averages run over
+// openings, not over time, so that they serve a balancer that sends it one
+// opening in ten seconds as well as one that sends hundreds a second.
+
+#ifndef LIBPLACEMENT_SERVER_CONDUCT_H_
+#define LIBPLACEMENT_SERVER_CONDUCT_H_
+
+#include <cstdint>
+
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibPlacement/load_settings.h"
+
+namespace placement {
+
+class ServerConduct {
+ public:
+  // Queries.
+  // Openings answered since the server was added or its ejection ended.
+  std::uint32_t Samples() const { return m_samples; }
+  // Moving share of openings that were refused, 0 to 1.
+  double RefusedShare() const { return m_refused_share; }
+  // Moving mean of the opening delay in seconds; zero if none was accepted.
+  double MeanDelay() const { return m_mean_delay; }
+  // How far the server's reports are believed: from kMinimumCredit to 1.
+  double Credit() const { return m_credit; }
+  bool IsEjected(base::TimePoint now) const { return now < m_ejected_until; }
+  base::TimePoint EjectedUntil() const { return m_ejected_until; }
+  // For how many ejections in a row the server has been sent away.
+  std::uint32_t Ejections() const { return m_ejections; }
+
+  // Commands.
+  void RecordAccepted(base::Duration delay);
+  void RecordRefused();
+  // Openings have been slower than those of the server's peers.
+  void RecordSlow() { m_contradicts_idle = true; }
+  // Takes in a report. An idle one after a refusal or a slow opening lowers
+  // the credit; one without contradiction raises it.
+  void RecordReport(bool says_idle);
+  // Ejects the server from `now`, for longer than last time.
+  void Eject(const OutlierSettings& settings,
+             base::TimePoint now,
+             base::Random& random);
+
+  static constexpr double kMinimumCredit = 0.1;
+
+ private:
+  static constexpr double kRefusedWeight = 0.25;
+  static constexpr double kDelayWeight = 0.3;
+  static constexpr double kCreditLossFactor = 0.5;
+  static constexpr double kCreditGain = 0.02;
+
+  void RecordSample(double refused);
+
+  std::uint32_t m_samples = 0;
+  double m_refused_share = 0.0;
+  double m_mean_delay = 0.0;
+  double m_credit = 1.0;
+  bool m_contradicts_idle = false;
+  std::uint32_t m_ejections = 0;
+  base::TimePoint m_ejected_until = base::TimePoint::min();
+};
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_SERVER_CONDUCT_H_
--- /dev/null
+++ b/Libraries/LibPlacement/server_index.h
@@ -0,0 +1,51 @@
+// Finds the position of a backend server by its id. Open addressing over the
+// ids themselves, which are hashes already; a look-up allocates nothing.
+
+#ifndef LIBPLACEMENT_SERVER_INDEX_H_
+#define LIBPLACEMENT_SERVER_INDEX_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "LibBase/ids.h"
+
+namespace placement {
+
+class ServerIndex {
+ public:
+  static constexpr std::uint32_t kAbsent = UINT32_MAX;
+
+  // Queries.
+  // The position of `server` in the span given to Rebuild, or kAbsent.
+  std::uint32_t Find(base::BackendServerId server) const {
+    if (m_entries.empty())
+      return kAbsent;
+    const std::size_t mask = m_entries.size() - 1;
+    std::size_t slot = server.value() & mask;
+    while (m_entries[slot].m_position != kAbsent) {
+      if (m_entries[slot].m_server == server)
+        return m_entries[slot].m_position;
+      slot = (slot + 1) & mask;
+    }
+    return kAbsent;
+  }
+
+  // Commands.
+  // Replaces the contents; the ids are unique.
+  void Rebuild(std::span<const base::BackendServerId> servers);
+
+ private:
+  struct Entry {
+    base::BackendServerId m_server;
+    std::uint32_t m_position = kAbsent;
+  };
+
+  // The size is a power of two and at least twice the number of servers.
+  std::vector<Entry> m_entries;
+};
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_SERVER_INDEX_H_
--- /dev/null
+++ b/Libraries/LibPlacement/server_load.cc
@@ -0,0 +1,147 @@
+#include "LibPlacement/server_load.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace placement {
+
+namespace {
+
+// No report is believed about more slots than this.
+constexpr std::uint32_t kMaximumReportedSlots = 1024;
+// A report may claim at most this multiple of what the open flows suggest,
+// plus the server's slots, and at least the reciprocal of it, less one.
+constexpr double kMaximumReportFactor = 2.0;
+// No bound goes below one request.
+constexpr double kMinimumBound = 1.0;
+
+}  // namespace
+
+ServerLoad::ServerLoad(const ServerAdded& added, base::TimePoint now)
+    : m_slow_start_from(
+          added.m_start == ServerStart::kCold ? now : base::TimePoint::min()) {
+  SetCapacity(added);
+  m_history.Record(now, 0);
+}
+
+void ServerLoad::SetCapacity(const ServerAdded& added) {
+  m_are_slots_configured = added.m_slots > 0;
+  m_slots = std::max(1U, added.m_slots);
+  m_connection_limit = added.m_connection_limit;
+}
+
+void ServerLoad::RecordReport(const LoadReported& report, base::TimePoint now) {
+  const base::Duration age = std::max(report.m_age, base::Duration::zero());
+  const base::TimePoint measured_at = now - age;
+  if (m_has_report && measured_at < m_measured_at)
+    return;
+  m_has_report = true;
+  m_measured_at = measured_at;
+  m_reported_busy = static_cast<double>(report.m_busy) + report.m_queued;
+  m_reported_connections = report.m_connections;
+  m_open_at_report = m_history.CountAt(measured_at);
+  if (!m_are_slots_configured)
+    m_slots = std::clamp(report.m_slots, 1U, kMaximumReportedSlots);
+  if (m_connection_limit == 0)
+    m_connection_limit = report.m_connection_limit;
+  const bool is_at_connection_limit =
+      m_connection_limit > 0 && report.m_connections >= m_connection_limit;
+  m_conduct.RecordReport(m_reported_busy < m_slots && !is_at_connection_limit);
+  if (measured_at > m_refused_at)
+    m_refusing_until = base::TimePoint::min();
+}
+
+void ServerLoad::RecordSent(base::TimePoint now) {
+  ++m_own_open;
+  m_history.Record(now, OpenFlows());
+}
+
+void ServerLoad::RecordEnded(base::TimePoint now) {
+  m_own_open = std::max<std::int64_t>(0, m_own_open - 1);
+  m_history.Record(now, OpenFlows());
+}
+
+void ServerLoad::RecordRefused(base::TimePoint hold_until,
+                               base::TimePoint now) {
+  RecordEnded(now);
+  m_conduct.RecordRefused();
+  m_refused_at = now;
+  m_refusing_until = hold_until;
+}
+
+void ServerLoad::SetPeerOpen(std::uint32_t open_flows, base::TimePoint now) {
+  m_peer_open = open_flows;
+  m_history.Record(now, OpenFlows());
+}
+
+std::int64_t ServerLoad::OpenedSinceReport() const {
+  return OpenFlows() - m_open_at_report;
+}
+
+double ServerLoad::EstimatedConnections() const {
+  if (!m_has_report)
+    return static_cast<double>(OpenFlows());
+  const auto carried = static_cast<double>(OpenedSinceReport());
+  return std::max(0.0, m_reported_connections + carried);
+}
+
+double ServerLoad::BusyPerOpenFlow() const {
+  if (!m_has_report || m_open_at_report <= 0)
+    return -1.0;
+  return m_reported_busy / static_cast<double>(m_open_at_report);
+}
+
+bool ServerLoad::IsInSlowStart(const LoadSettings& settings,
+                               base::TimePoint now) const {
+  return m_slow_start_from != base::TimePoint::min() &&
+         now < m_slow_start_from + settings.m_slow_start_window;
+}
+
+double ServerLoad::EstimatedBusy(const ServiceKnowledge& knowledge) const {
+  const double expected =
+      static_cast<double>(OpenFlows()) * knowledge.m_busy_per_open_flow;
+  if (!m_has_report)
+    return expected;
+  const auto carried = static_cast<double>(OpenedSinceReport());
+  double busy = std::max(0.0, m_reported_busy + carried);
+  if (knowledge.m_are_peer_counts_known) {
+    const double least = std::max(0.0, expected / kMaximumReportFactor - 1.0);
+    const double most = expected * kMaximumReportFactor + m_slots;
+    busy = std::clamp(busy, least, most);
+  }
+  const double credit = m_conduct.Credit();
+  return credit * busy + (1.0 - credit) * std::max(busy, expected);
+}
+
+double ServerLoad::Bound(const LoadSettings& settings,
+                         base::TimePoint now) const {
+  const double full = m_slots * settings.m_bound_factor;
+  if (!IsInSlowStart(settings, now))
+    return std::max(kMinimumBound, full);
+  const auto elapsed =
+      std::max(base::Duration::zero(), now - m_slow_start_from);
+  const double progress =
+      std::chrono::duration<double>(elapsed) / settings.m_slow_start_window;
+  const double share = settings.m_slow_start_share +
+                       (1.0 - settings.m_slow_start_share) * progress;
+  return std::max(kMinimumBound, full * share);
+}
+
+ServerStatus ServerLoad::MakeStatus(base::BackendServerId server,
+                                    const LoadSettings& settings,
+                                    const ServiceKnowledge& knowledge,
+                                    base::TimePoint now) const {
+  ServerStatus status;
+  status.m_server = server;
+  status.m_estimated_busy = EstimatedBusy(knowledge);
+  status.m_reported_busy = m_reported_busy;
+  status.m_bound = Bound(settings, now);
+  status.m_inverse_bound = 1.0 / status.m_bound;
+  status.m_is_draining = m_is_draining;
+  const bool is_at_connection_limit =
+      m_connection_limit > 0 && EstimatedConnections() >= m_connection_limit;
+  status.m_is_refusing = now < m_refusing_until || is_at_connection_limit;
+  return status;
+}
+
+}  // namespace placement
--- /dev/null
+++ b/Libraries/LibPlacement/server_load.h
@@ -0,0 +1,90 @@
+// The estimate of how busy one backend server is. A report says how busy the
+// server was some time ago; the openings and ends of flows since then, as far
+// as this balancer and its peers know them, carry it forward to now.
+
+#ifndef LIBPLACEMENT_SERVER_LOAD_H_
+#define LIBPLACEMENT_SERVER_LOAD_H_
+
+#include <cstdint>
+
+#include "LibBase/time.h"
+#include "LibPlacement/load_event.h"
+#include "LibPlacement/load_settings.h"
+#include "LibPlacement/open_history.h"
+#include "LibPlacement/server_conduct.h"
+#include "LibPlacement/server_status.h"
+
+namespace placement {
+
+// What is known about the service as a whole, for judging one server's report.
+struct ServiceKnowledge {
+  // Median over the servers of reported requests per open flow.
+  double m_busy_per_open_flow = 1.0;
+  // The other balancers' counts are recent.
+  bool m_are_peer_counts_known = false;
+};
+
+class ServerLoad {
+ public:
+  ServerLoad(const ServerAdded& added, base::TimePoint now);
+
+  // Queries.
+  const ServerConduct& Conduct() const { return m_conduct; }
+  bool IsDraining() const { return m_is_draining; }
+  Health LastHealth() const { return m_health; }
+  std::uint32_t Slots() const { return m_slots; }
+  std::int64_t OpenFlows() const { return m_own_open + m_peer_open; }
+  // Connections held, by the last report carried forward.
+  double EstimatedConnections() const;
+  // Reported requests per open flow known at that time; negative if unknown.
+  double BusyPerOpenFlow() const;
+  bool IsInSlowStart(const LoadSettings& settings, base::TimePoint now) const;
+  // Everything but m_is_suspect.
+  ServerStatus MakeStatus(base::BackendServerId server,
+                          const LoadSettings& settings,
+                          const ServiceKnowledge& knowledge,
+                          base::TimePoint now) const;
+
+  // Commands.
+  ServerConduct& MutableConduct() { return m_conduct; }
+  void SetDraining(bool is_draining) { m_is_draining = is_draining; }
+  void SetHealth(Health health) { m_health = health; }
+  void SetCapacity(const ServerAdded& added);
+  void RecordReport(const LoadReported& report, base::TimePoint now);
+  void RecordSent(base::TimePoint now);
+  void RecordEnded(base::TimePoint now);
+  void RecordRefused(base::TimePoint hold_until, base::TimePoint now);
+  void SetPeerOpen(std::uint32_t open_flows, base::TimePoint now);
+  void RestartSlowStart(base::TimePoint at) { m_slow_start_from = at; }
+
+ private:
+  double EstimatedBusy(const ServiceKnowledge& knowledge) const;
+  double Bound(const LoadSettings& settings, base::TimePoint now) const;
+  std::int64_t OpenedSinceReport() const;
+
+  std::uint32_t m_slots = 1;
+  bool m_are_slots_configured = true;
+  std::uint32_t m_connection_limit = 0;
+  bool m_is_draining = false;
+  Health m_health = Health::kHealthy;
+
+  bool m_has_report = false;
+  double m_reported_busy = 0.0;
+  std::uint32_t m_reported_connections = 0;
+  base::TimePoint m_measured_at{};
+  // Open flows known here at the time the report was measured.
+  std::int64_t m_open_at_report = 0;
+
+  std::int64_t m_own_open = 0;
+  std::int64_t m_peer_open = 0;
+  OpenHistory m_history;
+
+  base::TimePoint m_slow_start_from;
+  base::TimePoint m_refused_at = base::TimePoint::min();
+  base::TimePoint m_refusing_until = base::TimePoint::min();
+  ServerConduct m_conduct;
+};
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_SERVER_LOAD_H_
--- /dev/null
+++ b/Libraries/LibPlacement/server_status.h
@@ -0,0 +1,34 @@
+// What a placement policy sees of one backend server.
+
+#ifndef LIBPLACEMENT_SERVER_STATUS_H_
+#define LIBPLACEMENT_SERVER_STATUS_H_
+
+#include "LibBase/ids.h"
+
+namespace placement {
+
+struct ServerStatus {
+  base::BackendServerId m_server;
+  // Requests running and queued now, by estimate.
+  double m_estimated_busy = 0.0;
+  // Requests running and queued in the last report, as it stands.
+  double m_reported_busy = 0.0;
+  // Requests at which the server counts as full; above zero.
+  double m_bound = 1.0;
+  // Reciprocal of m_bound, so that a choice divides nothing.
+  double m_inverse_bound = 1.0;
+  // The server is leaving: it is never chosen.
+  bool m_is_draining = false;
+  // Ejected, or unhealthy: chosen only if there is nothing else.
+  bool m_is_suspect = false;
+  // It has refused an opening a moment ago, or is at its connection limit.
+  bool m_is_refusing = false;
+
+  // Estimated share of the bound that is taken; 1 and above is full.
+  double Utilisation() const { return m_estimated_busy * m_inverse_bound; }
+  bool IsFull() const { return m_is_refusing || m_estimated_busy >= m_bound; }
+};
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_SERVER_STATUS_H_
