LibPlacement, LibAdmission: Test the view, the policies and the attempts

The first run found that one server with samples was its own median, so that it could never be ejected; a server without samples now counts as one that refuses nothing.

--- a/Libraries/LibPlacement/outlier_detector.cc
+++ b/Libraries/LibPlacement/outlier_detector.cc
@@ -42,7 +42,8 @@
     const std::vector<ServerLoad>& servers) {
   m_scratch.clear();
   for (const ServerLoad& server : servers) {
-    if (!server.IsDraining() && server.Conduct().Samples() > 0)
+    // A server without a sample counts as one that refuses nothing.
+    if (!server.IsDraining())
       m_scratch.push_back(server.Conduct().RefusedShare());
   }
   return Median(m_scratch).value_or(0.0);
--- /dev/null
+++ b/Tests/LibAdmission/test_admission_controller.cc
@@ -0,0 +1,73 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "LibAdmission/admission_controller.h"
+
+using namespace std::chrono_literals;
+using namespace admission;
+
+namespace {
+
+constexpr double kSlots = 40.0;
+
+ServiceOccupancy Occupancy(double busy) {
+  return ServiceOccupancy{busy, kSlots, busy};
+}
+
+AdmissionController ControllerAfterDelays(base::Duration delay, double busy) {
+  AdmissionController controller{AdmissionSettings{}};
+  base::TimePoint now{1h};
+  for (int second = 0; second < 100; ++second) {
+    now += 1s;
+    controller.RecordOpeningDelay(delay, Occupancy(busy), now);
+  }
+  return controller;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "openings are refused at the service's and the server's connection "
+    "limits") {
+  AdmissionSettings settings;
+  settings.m_service_connection_limit = 100;
+  const AdmissionController controller(settings);
+
+  CHECK(controller.DecideForService({0.0, kSlots, 99.0}) ==
+        Admission::kAdmitted);
+  CHECK(controller.DecideForService({0.0, kSlots, 100.0}) ==
+        Admission::kServiceConnectionLimit);
+  CHECK(controller.DecideForServer({9.0, 10}) == Admission::kAdmitted);
+  CHECK(controller.DecideForServer({10.0, 10}) ==
+        Admission::kServerConnectionLimit);
+  CHECK(controller.DecideForServer({10.0, 0}) == Admission::kAdmitted);
+}
+
+TEST_CASE(
+    "long opening delays lower the concurrency limit, never under the "
+    "slots") {
+  const AdmissionController controller = ControllerAfterDelays(5s, kSlots);
+
+  CHECK(controller.DecideForService(Occupancy(kSlots)) == Admission::kAdmitted);
+  CHECK(controller.DecideForService(Occupancy(1.2 * kSlots)) ==
+        Admission::kConcurrencyLimit);
+}
+
+TEST_CASE("short opening delays raise a limit that is reached, and no other") {
+  const double initial = ConcurrencySettings{}.m_initial_factor * kSlots;
+
+  const AdmissionController reached = ControllerAfterDelays(1ms, 4.0 * kSlots);
+  const AdmissionController idle = ControllerAfterDelays(1ms, 1.0);
+
+  CHECK(reached.DecideForService(Occupancy(initial)) == Admission::kAdmitted);
+  CHECK(idle.DecideForService(Occupancy(initial)) ==
+        Admission::kConcurrencyLimit);
+}
+
+TEST_CASE("a service whose slots are not known is not limited by them") {
+  const AdmissionController controller{AdmissionSettings{}};
+
+  CHECK(controller.DecideForService({1000.0, 0.0, 0.0}) ==
+        Admission::kAdmitted);
+}
--- /dev/null
+++ b/Tests/LibPlacement/load_view_fixture.h
@@ -0,0 +1,63 @@
+// A LoadView with numbered servers and a time of its own, for the tests of
+// LibPlacement.
+
+#ifndef LIBPLACEMENT_LOAD_VIEW_FIXTURE_H_
+#define LIBPLACEMENT_LOAD_VIEW_FIXTURE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "LibBase/hash.h"
+#include "LibBase/random.h"
+#include "LibPlacement/load_view.h"
+
+namespace placement {
+
+// The id of the numbered server.
+inline base::BackendServerId ServerNumber(std::uint64_t number) {
+  return base::BackendServerId(base::MixBits(number + 1));
+}
+
+struct LoadViewFixture {
+  static constexpr std::uint32_t kSlots = 3;
+
+  explicit LoadViewFixture(std::uint64_t servers, LoadSettings settings = {})
+      : m_view(settings) {
+    for (std::uint64_t number = 0; number < servers; ++number) {
+      m_order.push_back(ServerNumber(number));
+      Apply(ServerAdded{ServerNumber(number), kSlots, 0, ServerStart::kWarm});
+    }
+  }
+
+  void Apply(const LoadEvent& event) { m_view.Apply(event, m_now); }
+
+  void Pass(base::Duration time) {
+    m_now += time;
+    m_view.Advance(m_now, m_random);
+  }
+
+  void Report(std::uint64_t number,
+              std::uint32_t busy,
+              base::Duration age = std::chrono::milliseconds(100)) {
+    Apply(LoadReported{ServerNumber(number), busy, 0, kSlots, busy, 0, age});
+  }
+
+  void Refuse(std::uint64_t number) {
+    Apply(OpeningSent{ServerNumber(number)});
+    Apply(OpeningRefused{ServerNumber(number)});
+  }
+
+  const ServerStatus& Status(std::uint64_t number) const {
+    return *m_view.Find(ServerNumber(number));
+  }
+
+  base::TimePoint m_now{std::chrono::hours(1)};
+  base::Random m_random{1};
+  LoadView m_view;
+  std::vector<base::BackendServerId> m_order;
+};
+
+}  // namespace placement
+
+#endif  // LIBPLACEMENT_LOAD_VIEW_FIXTURE_H_
--- /dev/null
+++ b/Tests/LibPlacement/test_load_view.cc
@@ -0,0 +1,208 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <vector>
+
+#include "LibPlacement/load_view_fixture.h"
+
+using namespace std::chrono_literals;
+using namespace placement;
+
+TEST_CASE(
+    "a report is carried forward by openings and ends since it was "
+    "measured") {
+  LoadViewFixture fixture(1);
+  fixture.Apply(OpeningSent{ServerNumber(0)});
+  fixture.Pass(1s);
+  fixture.Apply(OpeningSent{ServerNumber(0)});
+  fixture.Apply(OpeningSent{ServerNumber(0)});
+  fixture.Pass(100ms);
+
+  fixture.Report(0, 1, 500ms);
+  CHECK(fixture.Status(0).m_estimated_busy == doctest::Approx(3.0));
+
+  fixture.Apply(FlowEnded{ServerNumber(0)});
+  CHECK(fixture.Status(0).m_estimated_busy == doctest::Approx(2.0));
+}
+
+TEST_CASE("an older report does not replace a newer one") {
+  LoadViewFixture fixture(1);
+  fixture.Report(0, 2, 100ms);
+
+  fixture.Report(0, 0, 400ms);
+
+  CHECK(fixture.Status(0).m_estimated_busy == doctest::Approx(2.0));
+}
+
+TEST_CASE("a report of nothing is bounded by the flows that peers hold open") {
+  LoadViewFixture fixture(5);
+  std::vector<OpenCount> counts;
+  for (std::uint64_t number = 0; number < 5; ++number)
+    counts.push_back({ServerNumber(number), 4});
+  fixture.Apply(PeerOpenCounts{counts});
+  fixture.Pass(200ms);
+  for (std::uint64_t number = 1; number < 5; ++number)
+    fixture.Report(number, 4);
+
+  fixture.Report(0, 0);
+  fixture.Pass(1ms);
+
+  CHECK(fixture.Status(0).m_estimated_busy >= 1.0);
+}
+
+TEST_CASE("a report that contradicts refusals loses credit") {
+  LoadViewFixture fixture(3);
+  for (int repeat = 0; repeat < 4; ++repeat) {
+    fixture.Refuse(0);
+    fixture.Pass(300ms);
+    fixture.Report(0, 0);
+    fixture.Report(1, 3);
+  }
+  for (int flow = 0; flow < 4; ++flow)
+    fixture.Apply(OpeningSent{ServerNumber(0)});
+  fixture.Pass(200ms);
+
+  fixture.Report(0, 0);
+
+  CHECK(fixture.Status(0).m_estimated_busy > 3.0);
+}
+
+TEST_CASE("a cold server's bound grows over the slow start window") {
+  LoadViewFixture fixture(1);
+  fixture.Apply(ServerAdded{ServerNumber(9), 10, 0, ServerStart::kCold});
+  const double at_start = fixture.Status(9).m_bound;
+  fixture.Pass(5s);
+  const double halfway = fixture.Status(9).m_bound;
+  fixture.Pass(5s);
+
+  CHECK(at_start < halfway);
+  CHECK(halfway < fixture.Status(9).m_bound);
+  CHECK(fixture.Status(9).m_bound == doctest::Approx(10.0));
+}
+
+TEST_CASE(
+    "a refusal holds a server full until a later report or the hold's "
+    "end") {
+  LoadViewFixture fixture(2);
+  fixture.Refuse(0);
+  fixture.Refuse(1);
+  CHECK(fixture.Status(0).IsFull());
+
+  fixture.Pass(200ms);
+  fixture.Report(0, 0, 50ms);
+  fixture.Report(1, 0, 300ms);
+  CHECK_FALSE(fixture.Status(0).IsFull());
+  CHECK(fixture.Status(1).IsFull());
+
+  fixture.Pass(300ms);
+  CHECK_FALSE(fixture.Status(1).IsFull());
+}
+
+TEST_CASE("a server at its connection limit is full") {
+  LoadViewFixture fixture(1);
+  fixture.Apply(ServerAdded{ServerNumber(9), 3, 2, ServerStart::kWarm});
+  fixture.Apply(LoadReported{ServerNumber(9), 0, 0, 3, 1, 2, 0ms});
+  CHECK_FALSE(fixture.Status(9).IsFull());
+
+  fixture.Pass(1ms);
+  fixture.Apply(OpeningSent{ServerNumber(9)});
+
+  CHECK(fixture.Status(9).IsFull());
+}
+
+TEST_CASE(
+    "a server that refuses far more than its peers is ejected, each "
+    "time for longer") {
+  LoadViewFixture fixture(10);
+  const auto refuse_until_ejected = [&fixture] {
+    for (int repeat = 0; repeat < 6; ++repeat)
+      fixture.Refuse(0);
+    fixture.Pass(1ms);
+    CHECK(fixture.Status(0).m_is_suspect);
+  };
+  const auto pass_until_returned = [&fixture] {
+    base::Duration passed{};
+    while (fixture.Status(0).m_is_suspect && passed < 60s) {
+      fixture.Pass(100ms);
+      passed += 100ms;
+    }
+    return passed;
+  };
+
+  refuse_until_ejected();
+  const base::Duration first = pass_until_returned();
+  fixture.Pass(11s);
+  refuse_until_ejected();
+  const base::Duration second = pass_until_returned();
+
+  CHECK(first >= 3s);
+  CHECK(first <= 4s);
+  CHECK(second >= 6s);
+  CHECK(second <= 8s);
+}
+
+TEST_CASE("a server that is far slower to accept than its peers is ejected") {
+  LoadViewFixture fixture(10);
+  for (int repeat = 0; repeat < 6; ++repeat) {
+    for (std::uint64_t number = 0; number < 10; ++number) {
+      fixture.Apply(OpeningSent{ServerNumber(number)});
+      fixture.Apply(
+          OpeningAccepted{ServerNumber(number), number == 0 ? 2000ms : 100ms});
+    }
+  }
+  fixture.Pass(1ms);
+
+  CHECK(fixture.Status(0).m_is_suspect);
+  CHECK_FALSE(fixture.Status(1).m_is_suspect);
+}
+
+TEST_CASE(
+    "refusals by every server eject none, and at most a share is "
+    "ejected") {
+  LoadViewFixture overloaded(10);
+  LoadViewFixture half_bad(10);
+  for (int repeat = 0; repeat < 10; ++repeat) {
+    for (std::uint64_t number = 0; number < 10; ++number) {
+      overloaded.Refuse(number);
+      if (number < 4)
+        half_bad.Refuse(number);
+      else
+        half_bad.Apply(OpeningAccepted{ServerNumber(number), 1ms});
+    }
+  }
+  overloaded.Pass(1ms);
+  half_bad.Pass(1ms);
+
+  std::size_t ejected_of_overloaded = 0;
+  std::size_t ejected_of_half_bad = 0;
+  for (std::uint64_t number = 0; number < 10; ++number) {
+    ejected_of_overloaded += overloaded.Status(number).m_is_suspect ? 1 : 0;
+    ejected_of_half_bad += half_bad.Status(number).m_is_suspect ? 1 : 0;
+  }
+
+  CHECK(ejected_of_overloaded == 0);
+  CHECK(ejected_of_half_bad == 2);
+}
+
+TEST_CASE("probes that call most servers unhealthy are not believed") {
+  LoadViewFixture fixture(4);
+  fixture.Apply(HealthReported{ServerNumber(0), Health::kUnhealthy});
+  fixture.Apply(HealthReported{ServerNumber(1), Health::kUnhealthy});
+  CHECK(fixture.Status(0).m_is_suspect);
+
+  fixture.Apply(HealthReported{ServerNumber(2), Health::kUnhealthy});
+
+  CHECK_FALSE(fixture.Status(0).m_is_suspect);
+}
+
+TEST_CASE("events about servers that are gone change nothing") {
+  LoadViewFixture fixture(2);
+  fixture.Apply(ServerRemoved{ServerNumber(0)});
+
+  fixture.Apply(OpeningSent{ServerNumber(0)});
+  fixture.Report(0, 3);
+
+  CHECK(fixture.m_view.Find(ServerNumber(0)) == nullptr);
+  CHECK(fixture.m_view.Servers().size() == 1);
+  CHECK(fixture.Status(1).m_estimated_busy == 0.0);
+}
--- /dev/null
+++ b/Tests/LibPlacement/test_placement_policy.cc
@@ -0,0 +1,100 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <set>
+
+#include "LibPlacement/load_view_fixture.h"
+#include "LibPlacement/placement_policy.h"
+#include "LibPlacement/placement_preset.h"
+
+using namespace std::chrono_literals;
+using namespace placement;
+
+namespace {
+
+std::optional<base::BackendServerId> ChooseOnce(LoadViewFixture& fixture,
+                                                PlacementPolicy policy) {
+  return Choose(policy, fixture.m_order, fixture.m_view, fixture.m_random);
+}
+
+}  // namespace
+
+TEST_CASE("the first hash choice is kept whatever its load") {
+  LoadViewFixture fixture(3);
+  fixture.Report(0, 9);
+
+  CHECK(ChooseOnce(fixture, FirstHash{}) == ServerNumber(0));
+}
+
+TEST_CASE("round robin takes each server in turn and skips draining ones") {
+  LoadViewFixture fixture(4);
+  fixture.Apply(ServerDraining{ServerNumber(2)});
+  PlacementPolicy policy = RoundRobin{};
+
+  std::set<base::BackendServerId> chosen;
+  for (int turn = 0; turn < 3; ++turn) {
+    chosen.insert(
+        *Choose(policy, fixture.m_order, fixture.m_view, fixture.m_random));
+  }
+
+  CHECK(chosen.size() == 3);
+  CHECK_FALSE(chosen.contains(ServerNumber(2)));
+}
+
+TEST_CASE("least reported takes the lowest report") {
+  LoadViewFixture fixture(3);
+  fixture.Report(0, 2);
+  fixture.Report(1, 1);
+  fixture.Report(2, 2);
+
+  CHECK(ChooseOnce(fixture, LeastReported{}) == ServerNumber(1));
+}
+
+TEST_CASE(
+    "a bounded walk without a margin takes the first candidate with "
+    "room") {
+  LoadViewFixture fixture(4);
+  fixture.Report(0, 3);
+  fixture.Report(1, 2);
+
+  CHECK(ChooseOnce(fixture, BoundedWalk{}) == ServerNumber(1));
+}
+
+TEST_CASE(
+    "a bounded walk with a margin passes over a server much more loaded "
+    "than the least") {
+  LoadViewFixture fixture(3);
+  fixture.Report(0, 2);
+  fixture.Report(1, 1);
+  BoundedWalk walk;
+
+  walk.m_margin = 0.0;
+  CHECK(ChooseOnce(fixture, walk) == ServerNumber(2));
+  walk.m_margin = 0.4;
+  CHECK(ChooseOnce(fixture, walk) == ServerNumber(1));
+  walk.m_margin = 0.7;
+  CHECK(ChooseOnce(fixture, walk) == ServerNumber(0));
+}
+
+TEST_CASE("when all candidates are full the setting decides") {
+  LoadViewFixture fixture(4);
+  fixture.Report(0, 5);
+  fixture.Report(1, 4);
+  fixture.Report(2, 6);
+  BoundedWalk walk;
+
+  CHECK(ChooseOnce(fixture, walk) == ServerNumber(1));
+  walk.m_when_all_full = WhenAllFull::kRefuse;
+  CHECK_FALSE(ChooseOnce(fixture, walk));
+}
+
+TEST_CASE("nothing is chosen when every server drains") {
+  LoadViewFixture fixture(2);
+  fixture.Apply(ServerDraining{ServerNumber(0)});
+  fixture.Apply(ServerDraining{ServerNumber(1)});
+
+  for (const PlacementPolicy& policy :
+       {PlacementPolicy(FirstHash{}), PlacementPolicy(RoundRobin{}),
+        PlacementPolicy(LeastReported{}), PlacementPolicy(BoundedWalk{})})
+    CHECK_FALSE(ChooseOnce(fixture, policy));
+}
--- /dev/null
+++ b/Tests/LibPlacement/test_placement_properties.cc
@@ -0,0 +1,128 @@
+// Properties of every policy over random histories of events.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+#include <vector>
+
+#include "LibPlacement/load_view_fixture.h"
+#include "LibPlacement/placement_policy.h"
+#include "property.h"
+
+using namespace std::chrono_literals;
+using namespace placement;
+
+namespace {
+
+constexpr std::uint64_t kServers = 8;
+
+// One random step; what it does depends on its kind.
+void TakeStep(LoadViewFixture& fixture,
+              std::uint8_t kind,
+              std::uint8_t number,
+              std::uint8_t amount) {
+  const auto server = ServerNumber(number % kServers);
+  switch (kind % 10) {
+    case 0:
+      return fixture.Report(number % kServers, amount % 6, amount * 5ms);
+    case 1:
+      return fixture.Apply(ServerDraining{server});
+    case 2:
+      return fixture.Apply(ServerUndrained{server});
+    case 3:
+      return fixture.Apply(HealthReported{
+          server, amount % 2 == 0 ? Health::kUnhealthy : Health::kHealthy});
+    case 4:
+      return fixture.Refuse(number % kServers);
+    case 5:
+      return fixture.Apply(FlowEnded{server});
+    case 6:
+      return fixture.Apply(OpeningAccepted{server, amount * 10ms});
+    case 7:
+      return fixture.Pass(amount * 4ms);
+    case 8: {
+      const std::vector<OpenCount> counts{{server, amount % 8U}};
+      return fixture.Apply(PeerOpenCounts{counts});
+    }
+    default:
+      return fixture.Apply(OpeningSent{server});
+  }
+}
+
+using Step = std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>;
+
+LoadViewFixture AfterSteps(const std::vector<Step>& steps) {
+  LoadViewFixture fixture(kServers);
+  for (const auto& [kind, number, amount] : steps)
+    TakeStep(fixture, kind, number, amount);
+  fixture.Pass(1ms);
+  return fixture;
+}
+
+bool IsTrusted(const ServerStatus& status) {
+  return !status.m_is_draining && !status.m_is_suspect;
+}
+
+std::vector<PlacementPolicy> AllPolicies() {
+  BoundedWalk all;
+  all.m_candidates = BoundedWalk::kAllCandidates;
+  BoundedWalk least = all;
+  least.m_margin = 0.0;
+  return {FirstHash{},   RoundRobin{}, LeastReported{},
+          BoundedWalk{}, all,          least};
+}
+
+}  // namespace
+
+TEST_CASE(
+    "no policy chooses a draining server, nor a suspect one while "
+    "another is trusted") {
+  CHECK(testing::HoldsForAll("eligibility", [](const std::vector<Step>& steps) {
+    LoadViewFixture fixture = AfterSteps(steps);
+    const bool has_trusted =
+        std::ranges::any_of(fixture.m_view.Servers(), IsTrusted);
+    for (PlacementPolicy policy : AllPolicies()) {
+      const auto chosen =
+          Choose(policy, fixture.m_order, fixture.m_view, fixture.m_random);
+      if (!chosen)
+        continue;
+      const ServerStatus& status = *fixture.m_view.Find(*chosen);
+      RC_ASSERT(!status.m_is_draining);
+      RC_ASSERT(!has_trusted || !status.m_is_suspect);
+    }
+  }));
+}
+
+TEST_CASE(
+    "a bounded walk chooses no full server while another candidate is "
+    "free") {
+  CHECK(testing::HoldsForAll("bound", [](const std::vector<Step>& steps) {
+    LoadViewFixture fixture = AfterSteps(steps);
+    const bool is_any_free = std::ranges::any_of(
+        fixture.m_view.Servers(), [](const ServerStatus& status) {
+          return IsTrusted(status) && !status.IsFull();
+        });
+    for (const double margin : {0.0, 0.34, BoundedWalk::kNoMargin}) {
+      BoundedWalk walk;
+      walk.m_candidates = BoundedWalk::kAllCandidates;
+      walk.m_margin = margin;
+      PlacementPolicy policy = walk;
+      const auto chosen =
+          Choose(policy, fixture.m_order, fixture.m_view, fixture.m_random);
+      if (is_any_free)
+        RC_ASSERT(chosen && !fixture.m_view.Find(*chosen)->IsFull());
+    }
+  }));
+}
+
+TEST_CASE("estimates stay at or above zero and bounds at or above one") {
+  CHECK(testing::HoldsForAll("ranges", [](const std::vector<Step>& steps) {
+    const LoadViewFixture fixture = AfterSteps(steps);
+    for (const ServerStatus& status : fixture.m_view.Servers()) {
+      RC_ASSERT(status.m_estimated_busy >= 0.0);
+      RC_ASSERT(status.m_bound >= 1.0);
+    }
+  }));
+}
