--- /dev/null
+++ b/Libraries/LibBalancer/traffic_core.h
@@ -0,0 +1,73 @@
+// All decisions about traffic on one balancer, without sockets: the flow
+// director with the placement and admission of each service. This is the part
+// to embed where packets arrive by other means.
+
+#ifndef LIBBALANCER_TRAFFIC_CORE_H_
+#define LIBBALANCER_TRAFFIC_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBalancer/service_gate.h"
+#include "LibBalancer/service_profile.h"
+#include "LibBase/ids.h"
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibFlow/flow_director.h"
+
+namespace flow {
+class BalancerSet;
+class RoutingTable;
+}  // namespace flow
+
+namespace balancer {
+
+class TrafficCore {
+ public:
+  TrafficCore(const flow::FlowSettings& settings,
+              std::uint64_t seed,
+              base::TimePoint now);
+
+  // Queries.
+  const flow::FlowDirector& director() const { return m_director; }
+  const std::unordered_map<base::ServiceId, ServiceGate>& gates() const {
+    return m_gates;
+  }
+
+  // Commands.
+  void SetConfiguration(std::shared_ptr<const flow::RoutingTable> routing,
+                        std::span<const ServiceProfile> services,
+                        base::TimePoint now);
+  void SetBalancers(std::shared_ptr<const flow::BalancerSet> balancers);
+  void SetLease(base::TimePoint expires);
+  // What a server reported, or what other balancers did.
+  void ApplyLoad(base::ServiceId service,
+                 const placement::LoadEvent& event,
+                 base::TimePoint now);
+
+  // The effects on the packet at hand; notes are taken in already.
+  flow::Effects HandleCallerPacket(const flow::CallerPacket& packet,
+                                   base::TimePoint now);
+  flow::Effects HandleServerPacket(const flow::ServerPacket& packet,
+                                   base::TimePoint now);
+  // Call it every 100 to 250 ms.
+  void Advance(base::TimePoint now);
+
+ private:
+  const flow::RoutedServer* Choose(const flow::ServiceRouting& service,
+                                   const flow::ServerOrder& order,
+                                   std::size_t attempt);
+  void Observe(const flow::FlowNote& note, base::TimePoint now);
+  flow::Effects TakeNotes(flow::Effects effects, base::TimePoint now);
+
+  base::Random m_random;
+  std::unordered_map<base::ServiceId, ServiceGate> m_gates;
+  flow::FlowDirector m_director;
+};
+
+}  // namespace balancer
+
+#endif  // LIBBALANCER_TRAFFIC_CORE_H_
