--- a/Libraries/LibBalancer/traffic_core.cc
+++ b/Libraries/LibBalancer/traffic_core.cc
@@ -22,10 +22,15 @@
           },
           now) {}
 
+bool TrafficCore::HasService(base::Endpoint address) const {
+  return m_routing != nullptr && m_routing->FindService(address) != nullptr;
+}
+
 void TrafficCore::SetConfiguration(
     std::shared_ptr<const flow::RoutingTable> routing,
     std::span<const ServiceProfile> services,
     base::TimePoint now) {
+  m_routing = routing;
   m_director.SetRouting(std::move(routing));
   std::erase_if(m_gates, [services](const auto& gate) {
     return std::none_of(services.begin(), services.end(),
--- a/Libraries/LibBalancer/traffic_core.h
+++ b/Libraries/LibBalancer/traffic_core.h
@@ -14,6 +14,7 @@
 #include "LibBalancer/service_gate.h"
 #include "LibBalancer/service_profile.h"
 #include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
 #include "LibBase/random.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_director.h"
@@ -32,6 +33,8 @@
               base::TimePoint now);
 
   // Queries.
+  // Whether packets to this address are from callers; others are from servers.
+  bool HasService(base::Endpoint address) const;
   const flow::FlowDirector& director() const { return m_director; }
   const std::unordered_map<base::ServiceId, ServiceGate>& gates() const {
     return m_gates;
@@ -65,6 +68,7 @@
 
   base::Random m_random;
   std::unordered_map<base::ServiceId, ServiceGate> m_gates;
+  std::shared_ptr<const flow::RoutingTable> m_routing;
   flow::FlowDirector m_director;
 };
 
--- /dev/null
+++ b/Services/Coltsfootdale/traffic_counters.h
@@ -0,0 +1,71 @@
+// What the traffic thread counts, readable from every thread.
+
+#ifndef SERVICES_COLTSFOOTDALE_TRAFFIC_COUNTERS_H_
+#define SERVICES_COLTSFOOTDALE_TRAFFIC_COUNTERS_H_
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+#include "LibBase/enum_table.h"
+#include "LibFlow/effect.h"
+
+namespace service {
+
+enum class TrafficCounter : std::uint8_t {
+  kPacketsFromCallers,
+  kPacketsFromServers,
+  kRelaysReceived,
+  kRelaysSent,
+  kPacketsToServers,
+  kPacketsToCallers,
+  kOpeningsRefused,
+  kOpeningsResent,
+  kPacketsMalformed,
+  kSendFailures,
+};
+
+inline constexpr base::EnumTable<TrafficCounter, 10> kTrafficCounterNames = {{
+    {TrafficCounter::kPacketsFromCallers, "packets_from_callers"},
+    {TrafficCounter::kPacketsFromServers, "packets_from_servers"},
+    {TrafficCounter::kRelaysReceived, "relays_received"},
+    {TrafficCounter::kRelaysSent, "relays_sent"},
+    {TrafficCounter::kPacketsToServers, "packets_to_servers"},
+    {TrafficCounter::kPacketsToCallers, "packets_to_callers"},
+    {TrafficCounter::kOpeningsRefused, "openings_refused"},
+    {TrafficCounter::kOpeningsResent, "openings_resent"},
+    {TrafficCounter::kPacketsMalformed, "packets_malformed"},
+    {TrafficCounter::kSendFailures, "send_failures"},
+}};
+
+class TrafficCounters {
+ public:
+  std::uint64_t Value(TrafficCounter counter) const {
+    return m_counters[static_cast<std::size_t>(counter)].load(
+        std::memory_order_relaxed);
+  }
+  std::uint64_t Drops(flow::DropReason reason) const {
+    return m_drops[static_cast<std::size_t>(reason)].load(
+        std::memory_order_relaxed);
+  }
+
+  void Add(TrafficCounter counter, std::uint64_t count = 1) {
+    m_counters[static_cast<std::size_t>(counter)].fetch_add(
+        count, std::memory_order_relaxed);
+  }
+  void AddDrop(flow::DropReason reason) {
+    m_drops[static_cast<std::size_t>(reason)].fetch_add(
+        1, std::memory_order_relaxed);
+  }
+
+ private:
+  std::array<std::atomic<std::uint64_t>, kTrafficCounterNames.size()>
+      m_counters{};
+  std::array<std::atomic<std::uint64_t>, flow::kDropReasonNames.size()>
+      m_drops{};
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_TRAFFIC_COUNTERS_H_
--- /dev/null
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -0,0 +1,203 @@
+#include "traffic_loop.h"
+
+#include <asio/post.hpp>
+
+#include <chrono>
+#include <utility>
+
+#include "LibBalancer/packet_classifier.h"
+#include "LibBase/overloaded.h"
+#include "LibFlow/routing_table.h"
+#include "LibWire/relay_header.h"
+#include "LibWire/reset_builder.h"
+#include "asio_endpoint.h"
+
+namespace service {
+
+namespace {
+
+constexpr int kSocketBufferBytes = 8 << 20;
+constexpr auto kAdvancePeriod = std::chrono::milliseconds(100);
+// Batches handled before timers and tasks get their turn.
+constexpr int kMaximumBatches = 16;
+
+}  // namespace
+
+base::Outcome<std::unique_ptr<TrafficLoop>> TrafficLoop::Create(
+    const TrafficLoopOptions& options) {
+  std::unique_ptr<TrafficLoop> loop(new TrafficLoop(options));
+  std::error_code error;
+  loop->m_socket.open(asio::ip::udp::v4(), error);
+  if (!error)
+    loop->m_socket.bind(ToAsio<asio::ip::udp>(options.m_listen), error);
+  if (!error)
+    loop->m_socket.non_blocking(true, error);
+  if (error)
+    return error;
+  // The system may grant less; that is no failure.
+  std::error_code ignored;
+  loop->m_socket.set_option(
+      asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+  loop->m_socket.set_option(
+      asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
+  loop->m_local = FromAsio(loop->m_socket.local_endpoint());
+  return loop;
+}
+
+TrafficLoop::TrafficLoop(const TrafficLoopOptions& options)
+    : m_self(options.m_self),
+      m_gateway(options.m_gateway),
+      m_core(options.m_flow, options.m_seed, base::Clock::now()) {}
+
+TrafficLoop::~TrafficLoop() {
+  m_context.stop();
+  if (m_thread.joinable())
+    m_thread.join();
+}
+
+void TrafficLoop::Start() {
+  WaitForPackets();
+  ScheduleAdvance();
+  m_thread = std::thread([this] { m_context.run(); });
+}
+
+void TrafficLoop::Post(Task task) {
+  asio::post(m_context, [this, task = std::move(task)] {
+    task(m_core, base::Clock::now());
+  });
+}
+
+void TrafficLoop::ScheduleAdvance() {
+  m_advance_timer.expires_after(kAdvancePeriod);
+  m_advance_timer.async_wait([this](const std::error_code& error) {
+    if (error)
+      return;
+    m_core.Advance(base::Clock::now());
+    ScheduleAdvance();
+  });
+}
+
+void TrafficLoop::WaitForPackets() {
+  m_socket.async_wait(asio::ip::udp::socket::wait_read,
+                      [this](const std::error_code& error) {
+                        if (error)
+                          return;
+                        ReceivePackets();
+                        WaitForPackets();
+                      });
+}
+
+void TrafficLoop::ReceivePackets() {
+  const int socket = m_socket.native_handle();
+  for (int batch = 0; batch < kMaximumBatches; ++batch) {
+    if (!m_received.Receive(socket))
+      return;
+    // Read after the packets, so that a process that was stopped in between
+    // finds its lease expired.
+    const base::TimePoint now = base::Clock::now();
+    for (std::size_t i = 0; i < m_received.size(); ++i)
+      HandleDatagram(m_received.Bytes(i), m_received.Source(i).m_address, now);
+    Flush();
+  }
+}
+
+void TrafficLoop::HandleDatagram(std::span<const std::uint8_t> datagram,
+                                 base::Ipv4Address source,
+                                 base::TimePoint now) {
+  const bool is_relay = !datagram.empty() && datagram[0] == wire::kRelayMagic;
+  if (!is_relay) {
+    HandlePacket(datagram, source, {}, now);
+    return;
+  }
+  const auto header = wire::DecodeRelayHeader(datagram);
+  if (!header) {
+    m_counters.Add(TrafficCounter::kPacketsMalformed);
+    return;
+  }
+  const auto purpose =
+      static_cast<flow::RelayPurpose>(header.value().m_purpose);
+  if (base::NameOf(flow::kRelayPurposeNames, purpose) == "unknown" ||
+      purpose == flow::RelayPurpose::kNone) {
+    m_counters.Add(TrafficCounter::kPacketsMalformed);
+    return;
+  }
+  m_counters.Add(TrafficCounter::kRelaysReceived);
+  HandlePacket(datagram.subspan(wire::kRelayHeaderBytes),
+               header.value().m_server,
+               {purpose, header.value().m_hops, header.value().m_server}, now);
+}
+
+void TrafficLoop::HandlePacket(std::span<const std::uint8_t> bytes,
+                               base::Ipv4Address server,
+                               flow::RelayContext relay,
+                               base::TimePoint now) {
+  const auto parsed = wire::PacketView::Parse(bytes);
+  if (!parsed) {
+    m_counters.Add(TrafficCounter::kPacketsMalformed);
+    return;
+  }
+  const wire::PacketView& packet = parsed.value();
+  if (m_core.HasService(packet.destination())) {
+    m_counters.Add(TrafficCounter::kPacketsFromCallers);
+    Execute(m_core.HandleCallerPacket(
+                balancer::ClassifyCallerPacket(packet, relay), now),
+            packet, base::Ipv4Address());
+    return;
+  }
+  m_counters.Add(TrafficCounter::kPacketsFromServers);
+  Execute(m_core.HandleServerPacket(
+              balancer::ClassifyServerPacket(packet, server, relay), now),
+          packet, server);
+}
+
+void TrafficLoop::Execute(const flow::Effects& effects,
+                          const wire::PacketView& packet,
+                          base::Ipv4Address server) {
+  const base::Overloaded visitor{
+      [&](const flow::ForwardToServer& forward) {
+        m_counters.Add(TrafficCounter::kPacketsToServers);
+        Send(forward.m_tunnel, {}, packet.bytes());
+      },
+      [&](const flow::ResendOpening& resend) {
+        m_counters.Add(TrafficCounter::kOpeningsResent);
+        // The kept opening goes with the effect, so it is sent as a prefix.
+        Send(resend.m_tunnel, resend.m_bytes, {});
+      },
+      [&](const flow::RelayToBalancer& relay) {
+        m_counters.Add(TrafficCounter::kRelaysSent);
+        const bool is_from_server = server != base::Ipv4Address();
+        const wire::RelayHeader header{
+            static_cast<std::uint8_t>(relay.m_relay.m_purpose),
+            relay.m_relay.m_hops,
+            is_from_server ? server : relay.m_relay.m_hint, m_self};
+        Send(relay.m_balancer, wire::EncodeRelayHeader(header), packet.bytes());
+      },
+      [&](const flow::DeliverToCaller&) {
+        m_counters.Add(TrafficCounter::kPacketsToCallers);
+        Send(m_gateway, {}, packet.bytes());
+      },
+      [&](const flow::RefuseOpening&) {
+        m_counters.Add(TrafficCounter::kOpeningsRefused);
+        Send(m_gateway, wire::BuildReset(packet), {});
+      },
+      [&](const flow::Drop& drop) { m_counters.AddDrop(drop.m_reason); },
+      [](const flow::FlowNote&) {}};
+  for (const flow::Effect& effect : effects)
+    std::visit(visitor, effect);
+}
+
+void TrafficLoop::Send(base::Endpoint destination,
+                       std::span<const std::uint8_t> prefix,
+                       std::span<const std::uint8_t> bytes) {
+  if (m_sending.IsFull())
+    Flush();
+  m_sending.Add(destination, prefix, bytes);
+}
+
+void TrafficLoop::Flush() {
+  const std::size_t failed = m_sending.Flush(m_socket.native_handle());
+  if (failed > 0)
+    m_counters.Add(TrafficCounter::kSendFailures, failed);
+}
+
+}  // namespace service
--- /dev/null
+++ b/Services/Coltsfootdale/traffic_loop.h
@@ -0,0 +1,93 @@
+// The traffic thread: it owns the traffic socket and the TrafficCore, and
+// carries out the core's effects. Other threads reach the core by Post.
+
+#ifndef SERVICES_COLTSFOOTDALE_TRAFFIC_LOOP_H_
+#define SERVICES_COLTSFOOTDALE_TRAFFIC_LOOP_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <thread>
+
+#include "LibBalancer/traffic_core.h"
+#include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "datagram_batch.h"
+#include "traffic_counters.h"
+
+namespace service {
+
+struct TrafficLoopOptions {
+  base::BalancerId m_self;
+  base::Endpoint m_listen;
+  // The fabric's endpoint for packets to callers.
+  base::Endpoint m_gateway;
+  flow::FlowSettings m_flow;
+  std::uint64_t m_seed = 0;
+};
+
+class TrafficLoop {
+ public:
+  using Task =
+      std::function<void(balancer::TrafficCore& core, base::TimePoint now)>;
+
+  // Binds the socket; errors are those of the system.
+  static base::Outcome<std::unique_ptr<TrafficLoop>> Create(
+      const TrafficLoopOptions& options);
+  // Stops the thread.
+  ~TrafficLoop();
+  TrafficLoop(const TrafficLoop&) = delete;
+  TrafficLoop& operator=(const TrafficLoop&) = delete;
+
+  // Queries.
+  base::Endpoint LocalEndpoint() const { return m_local; }
+  const TrafficCounters& counters() const { return m_counters; }
+
+  // Commands.
+  void Start();
+  // Runs `task` on the traffic thread.
+  void Post(Task task);
+
+ private:
+  explicit TrafficLoop(const TrafficLoopOptions& options);
+
+  void WaitForPackets();
+  void ReceivePackets();
+  void HandleDatagram(std::span<const std::uint8_t> datagram,
+                      base::Ipv4Address source,
+                      base::TimePoint now);
+  void HandlePacket(std::span<const std::uint8_t> bytes,
+                    base::Ipv4Address server,
+                    flow::RelayContext relay,
+                    base::TimePoint now);
+  void Execute(const flow::Effects& effects,
+               const wire::PacketView& packet,
+               base::Ipv4Address server);
+  void Send(base::Endpoint destination,
+            std::span<const std::uint8_t> prefix,
+            std::span<const std::uint8_t> bytes);
+  void Flush();
+  void ScheduleAdvance();
+
+  base::BalancerId m_self;
+  base::Endpoint m_gateway;
+  base::Endpoint m_local;
+  balancer::TrafficCore m_core;
+  TrafficCounters m_counters;
+  ReceivedBatch m_received;
+  SendBatch m_sending;
+  asio::io_context m_context{1};
+  asio::ip::udp::socket m_socket{m_context};
+  asio::steady_timer m_advance_timer{m_context};
+  std::thread m_thread;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_TRAFFIC_LOOP_H_
