LibHttp: Add an asynchronous HTTP/1.1 client

Cause: the balancers call the platform over HTTP. Change: Client sends each request once on a connection of its own, bounded in time and size; the errors tell whether the server may have acted (a failed connect can't have).

--- /dev/null
+++ b/Libraries/LibHttp/client.h
@@ -0,0 +1,67 @@
+// A small asynchronous HTTP/1.1 client. Each request has a connection of its
+// own, is sent at most once, and is bounded in time and size.
+
+#ifndef LIBHTTP_CLIENT_H_
+#define LIBHTTP_CLIENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "LibBase/outcome.h"
+#include "LibBase/strong_id.h"
+#include "LibHttp/request.h"
+#include "LibHttp/response.h"
+
+namespace asio {
+class io_context;
+}  // namespace asio
+
+namespace http {
+
+class Exchange;
+
+using RequestId = base::StrongId<struct RequestIdTag, std::uint64_t>;
+
+// Must be used and destroyed on the thread that runs `context`.
+class Client {
+ public:
+  // Called once, from the io_context, never within Send. The errors are those
+  // of http::Error.
+  using Callback = std::function<void(base::Outcome<Response>)>;
+
+  explicit Client(asio::io_context& context);
+  // Abandons what is open, without calling back.
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  // Queries.
+  std::size_t OpenRequests() const { return m_exchanges.size(); }
+
+  // Commands.
+  RequestId Send(const Request& request, Callback callback);
+  // Closes the connection of a request without calling back. Does nothing for
+  // a request that has ended.
+  void Cancel(RequestId id);
+
+  static constexpr std::size_t kMaximumOpenRequests = 64;
+
+ private:
+  void Fail(Callback callback, std::error_code error);
+  void OnComplete(RequestId id,
+                  const Callback& callback,
+                  base::Outcome<Response> outcome);
+
+  asio::io_context& m_context;
+  std::map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
+  // Lets posted callbacks see that the client has gone.
+  std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
+  std::uint64_t m_next_id = 1;
+};
+
+}  // namespace http
+
+#endif  // LIBHTTP_CLIENT_H_
--- /dev/null
+++ b/Libraries/LibHttp/exchange.cc
@@ -0,0 +1,107 @@
+#include "LibHttp/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibHttp/error.h"
+
+namespace http {
+
+Exchange::Exchange(asio::io_context& context,
+                   const Request& request,
+                   std::string text,
+                   Callback callback)
+    : m_socket(context),
+      m_timer(context),
+      m_endpoint(asio::ip::address_v4(request.m_endpoint.m_address.value()),
+                 request.m_endpoint.m_port),
+      m_deadline(base::Clock::now() + request.m_timeout),
+      m_connect_deadline(
+          base::Clock::now() +
+          std::min(request.m_connect_timeout, request.m_timeout)),
+      m_text(std::move(text)),
+      m_parser(request.m_answer_limit_bytes),
+      m_callback(std::move(callback)) {}
+
+void Exchange::Start() {
+  ArmTimer(m_connect_deadline, Error::kConnectFailed);
+  m_socket.async_connect(
+      m_endpoint, [self = shared_from_this()](const std::error_code& error) {
+        self->OnConnected(error);
+      });
+}
+
+void Exchange::Abandon() {
+  m_callback = nullptr;
+  m_timer.cancel();
+  std::error_code ignored;
+  m_socket.close(ignored);
+}
+
+// The wait must not keep the exchange alive: it holds a weak reference.
+void Exchange::ArmTimer(base::TimePoint deadline, std::error_code error) {
+  m_timer.expires_at(deadline);
+  m_timer.async_wait(
+      [weak = weak_from_this(), error](const std::error_code& cancelled) {
+        const auto self = weak.lock();
+        if (self && !cancelled)
+          self->Complete(error);
+      });
+}
+
+void Exchange::OnConnected(std::error_code error) {
+  if (!m_callback)
+    return;
+  if (error) {
+    Complete(make_error_code(Error::kConnectFailed));
+    return;
+  }
+  ArmTimer(m_deadline, Error::kTimedOut);
+  asio::async_write(
+      m_socket, asio::buffer(m_text),
+      [self = shared_from_this()](const std::error_code& failure, std::size_t) {
+        self->OnWritten(failure);
+      });
+}
+
+// A server may answer and close before it has read the whole request, so an
+// error here still leads to a read.
+void Exchange::OnWritten(std::error_code) {
+  if (m_callback)
+    Read();
+}
+
+void Exchange::Read() {
+  m_socket.async_read_some(
+      asio::buffer(m_bytes),
+      [self = shared_from_this()](const std::error_code& error,
+                                  std::size_t length) {
+        self->OnRead(error, length);
+      });
+}
+
+void Exchange::OnRead(std::error_code error, std::size_t length) {
+  if (!m_callback)
+    return;
+  const auto outcome =
+      error ? m_parser.Finish() : m_parser.Feed({m_bytes.data(), length});
+  if (!outcome) {
+    Complete(outcome.error());
+    return;
+  }
+  if (m_parser.IsComplete()) {
+    Complete(m_parser.response());
+    return;
+  }
+  Read();
+}
+
+void Exchange::Complete(base::Outcome<Response> outcome) {
+  if (!m_callback)
+    return;
+  const Callback callback = std::move(m_callback);
+  Abandon();
+  callback(std::move(outcome));
+}
+
+}  // namespace http
--- /dev/null
+++ b/Libraries/LibHttp/exchange.h
@@ -0,0 +1,58 @@
+// One request and its answer on a connection of its own. Internal to LibHttp.
+
+#ifndef LIBHTTP_EXCHANGE_H_
+#define LIBHTTP_EXCHANGE_H_
+
+#include <array>
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "LibBase/outcome.h"
+#include "LibHttp/request.h"
+#include "LibHttp/response_parser.h"
+
+namespace http {
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  using Callback = std::function<void(base::Outcome<Response>)>;
+
+  // `text` holds the bytes of `request`.
+  Exchange(asio::io_context& context,
+           const Request& request,
+           std::string text,
+           Callback callback);
+
+  // Commands.
+  // Begins to connect. The callback is called once, not within Start.
+  void Start();
+  // Closes the connection; the callback is not called any more.
+  void Abandon();
+
+ private:
+  static constexpr std::size_t kReadBytes = 16UL * 1024UL;
+
+  void ArmTimer(base::TimePoint deadline, std::error_code error);
+  void OnConnected(std::error_code error);
+  void OnWritten(std::error_code error);
+  void Read();
+  void OnRead(std::error_code error, std::size_t length);
+  void Complete(base::Outcome<Response> outcome);
+
+  asio::ip::tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  asio::ip::tcp::endpoint m_endpoint;
+  base::TimePoint m_deadline;
+  base::TimePoint m_connect_deadline;
+  std::string m_text;
+  std::array<char, kReadBytes> m_bytes{};
+  ResponseParser m_parser;
+  Callback m_callback;
+};
+
+}  // namespace http
+
+#endif  // LIBHTTP_EXCHANGE_H_
--- /dev/null
+++ b/Libraries/LibHttp/request.h
@@ -0,0 +1,54 @@
+// A request of the HTTP/1.1 client.
+
+#ifndef LIBHTTP_REQUEST_H_
+#define LIBHTTP_REQUEST_H_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibBase/time.h"
+#include "LibHttp/header.h"
+
+namespace http {
+
+enum class Method { kGet, kPut, kPost, kDelete };
+
+inline constexpr base::EnumTable<Method, 4> kMethodNames{{
+    {Method::kGet, "GET"},
+    {Method::kPut, "PUT"},
+    {Method::kPost, "POST"},
+    {Method::kDelete, "DELETE"},
+}};
+
+struct Request {
+  Method m_method = Method::kGet;
+  base::Endpoint m_endpoint;
+  // Path and query, already percent-encoded.
+  std::string m_path;
+  Headers m_headers;
+  std::string m_body;
+  // From the call of Client::Send to the whole answer.
+  base::Duration m_timeout = std::chrono::seconds(2);
+  // The connection must stand after this part of m_timeout.
+  base::Duration m_connect_timeout = std::chrono::seconds(1);
+  // An answer with a greater body fails with Error::kAnswerTooLarge.
+  std::size_t m_answer_limit_bytes = 2UL * 1024UL * 1024UL;
+};
+
+inline constexpr std::size_t kMaximumRequestHeadBytes = 16UL * 1024UL;
+
+// Returns the bytes of `request` with "Connection: close", or
+// Error::kInvalidRequest if its path or headers can't be sent.
+base::Outcome<std::string> SerializeRequest(const Request& request);
+
+// Percent-encodes all but the unreserved characters of RFC 3986 section 2.3
+// and '/'.
+std::string PercentEncode(std::string_view text);
+
+}  // namespace http
+
+#endif  // LIBHTTP_REQUEST_H_
--- /dev/null
+++ b/Tests/LibHttp/test_client.cc
@@ -0,0 +1,119 @@
+#include <doctest/doctest.h>
+
+#include <asio.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "LibHttp/client.h"
+#include "LibHttp/error.h"
+
+using asio::ip::tcp;
+using http::Error;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// Accepts one connection, reads the head of a request, answers `answer` and
+// closes; keeps the connection open without an answer if there is none.
+class OneAnswerServer {
+ public:
+  OneAnswerServer(asio::io_context& context, std::optional<std::string> answer)
+      : m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        m_socket(context),
+        m_answer(std::move(answer)) {
+    m_acceptor.async_accept(m_socket, [this](const std::error_code&) {
+      asio::async_read_until(
+          m_socket, asio::dynamic_buffer(m_request), "\r\n\r\n",
+          [this](const std::error_code&, std::size_t) { Answer(); });
+    });
+  }
+
+  base::Endpoint Listening() const {
+    return {base::Ipv4Address(0x7f000001), m_acceptor.local_endpoint().port()};
+  }
+
+ private:
+  void Answer() {
+    if (!m_answer)
+      return;
+    asio::write(m_socket, asio::buffer(*m_answer));
+    m_socket.close();
+  }
+
+  tcp::acceptor m_acceptor;
+  tcp::socket m_socket;
+  std::optional<std::string> m_answer;
+  std::string m_request;
+};
+
+base::Outcome<http::Response> SendTo(asio::io_context& context,
+                                     base::Endpoint endpoint) {
+  http::Client client(context);
+  http::Request request;
+  request.m_endpoint = endpoint;
+  request.m_path = "/";
+  request.m_timeout = milliseconds(200);
+  std::optional<base::Outcome<http::Response>> result;
+  client.Send(request, [&](auto outcome) { result = std::move(outcome); });
+  const auto deadline = base::Clock::now() + seconds(10);
+  while (!result && base::Clock::now() < deadline)
+    context.run_one_for(milliseconds(100));
+  REQUIRE(result);
+  CHECK(client.OpenRequests() == 0);
+  return *result;
+}
+
+}  // namespace
+
+TEST_CASE("the client gives the answer or says how the request failed") {
+  asio::io_context context;
+
+  SUBCASE("a whole answer") {
+    const OneAnswerServer server(
+        context, "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno");
+    const auto outcome = SendTo(context, server.Listening());
+    REQUIRE(outcome);
+    CHECK(outcome.value().m_status == 404);
+    CHECK(outcome.value().m_body == "no");
+  }
+  SUBCASE("no answer in time") {
+    const OneAnswerServer server(context, std::nullopt);
+    const auto error = SendTo(context, server.Listening()).error();
+    CHECK(error == Error::kTimedOut);
+    CHECK(http::MayHaveTakenEffect(error));
+  }
+  SUBCASE("a connection that closes before the answer") {
+    const OneAnswerServer server(context, "");
+    const auto error = SendTo(context, server.Listening()).error();
+    CHECK(error == Error::kClosedBeforeAnswer);
+    CHECK(http::MayHaveTakenEffect(error));
+  }
+  SUBCASE("nobody listens") {
+    base::Endpoint endpoint;
+    {
+      const OneAnswerServer server(context, "");
+      endpoint = server.Listening();
+    }
+    const auto error = SendTo(context, endpoint).error();
+    CHECK(error == Error::kConnectFailed);
+    CHECK_FALSE(http::MayHaveTakenEffect(error));
+  }
+}
+
+TEST_CASE("a cancelled request does not call back") {
+  asio::io_context context;
+  const OneAnswerServer server(context, "HTTP/1.1 200 OK\r\n\r\n");
+  http::Client client(context);
+  http::Request request;
+  request.m_endpoint = server.Listening();
+  request.m_path = "/";
+  bool called = false;
+
+  client.Cancel(client.Send(request, [&](auto) { called = true; }));
+  context.run_for(milliseconds(50));
+
+  CHECK_FALSE(called);
+  CHECK(client.OpenRequests() == 0);
+}
