LibConfiguration: Read settings and document with every error at once

An operator who sees one error at a time submits many times, and a reader that stops half-way may leave half a configuration. Both texts are now parsed into a tree of our own from yaml-cpp's events: its own tree loses duplicate keys and positions, and follows aliases. Fields are then read with type, range and place, unknown keys refused, and the document checked as a whole and as the replacement of another. A value is returned only if there is no error. Texts are bounded in bytes, depth, nodes and listed errors.

--- /dev/null
+++ b/Libraries/LibConfiguration/document_validation.cc
@@ -0,0 +1,288 @@
+#include "LibConfiguration/document_validation.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "LibBase/hash.h"
+
+namespace configuration {
+
+namespace {
+
+std::string ServicePath(std::size_t service) {
+  return fmt::format("services[{}]", service);
+}
+
+std::string ServerPath(std::size_t service, std::size_t server) {
+  return fmt::format("services[{}].backend_servers[{}]", service, server);
+}
+
+// Collects the errors of one document by itself.
+class Validator {
+ public:
+  explicit Validator(const Document& document) : m_document(document) {}
+
+  Problems Run() {
+    CheckSubmissions();
+    for (std::size_t index = 0; index < m_document.m_services.size(); ++index)
+      CheckService(index);
+    return std::move(m_problems);
+  }
+
+ private:
+  void CheckSubmissions() {
+    std::set<std::string> seen{m_document.m_submission};
+    const auto& previous = m_document.m_previous_submissions;
+    for (std::size_t index = 0; index < previous.size(); ++index) {
+      if (!seen.insert(previous[index]).second)
+        Report(ProblemKind::kDuplicateName,
+               fmt::format("previous_submissions[{}]", index),
+               fmt::format("the submission {} stands twice", previous[index]));
+    }
+  }
+
+  void CheckService(std::size_t index) {
+    const Service& service = m_document.m_services[index];
+    const std::string path = ServicePath(index);
+    const auto [same_name, is_new] =
+        m_service_names.try_emplace(service.m_name, path);
+    if (!is_new)
+      Report(ProblemKind::kDuplicateName, path + ".name",
+             fmt::format("{} has the name {} already", same_name->second,
+                         service.m_name));
+    else
+      CheckServiceId(service, path);
+    const auto [same_address, is_free] =
+        m_service_addresses.try_emplace(service.m_address, path);
+    if (!is_free)
+      Report(ProblemKind::kAddressConflict, path + ".address",
+             fmt::format("{} has the address {} already", same_address->second,
+                         ToString(service.m_address)));
+    CheckServers(index);
+  }
+
+  void CheckServiceId(const Service& service, const std::string& path) {
+    const auto id = base::MakeServiceId(service.m_name);
+    const auto [other, is_new] = m_service_ids.try_emplace(id, path);
+    if (!is_new)
+      Report(ProblemKind::kIdCollision, path + ".name",
+             fmt::format("the id of {} is that of {}; choose another name",
+                         service.m_name, other->second));
+  }
+
+  void CheckServers(std::size_t service_index) {
+    const Service& service = m_document.m_services[service_index];
+    std::map<std::string, std::string> names;
+    for (std::size_t index = 0; index < service.m_backend_servers.size();
+         ++index) {
+      const BackendServer& server = service.m_backend_servers[index];
+      const std::string path = ServerPath(service_index, index);
+      const auto [other, is_new] = names.try_emplace(server.m_name, path);
+      if (!is_new)
+        Report(ProblemKind::kDuplicateName, path + ".name",
+               fmt::format("{} has the name {} already", other->second,
+                           server.m_name));
+      else
+        CheckServerId(service, server, path);
+      CheckServer(server, path);
+    }
+  }
+
+  void CheckServerId(const Service& service,
+                     const BackendServer& server,
+                     const std::string& path) {
+    const auto id = base::MakeBackendServerId(service.m_name, server.m_name,
+                                              server.m_incarnation);
+    const auto [other, is_new] = m_server_ids.try_emplace(id, path);
+    if (!is_new)
+      Report(ProblemKind::kIdCollision, path + ".name",
+             fmt::format("the id of {} is that of {}; choose another name",
+                         server.m_name, other->second));
+  }
+
+  void CheckServer(const BackendServer& server, const std::string& path) {
+    const auto [other, is_free] =
+        m_server_addresses.try_emplace(server.m_address.m_address, path);
+    if (!is_free)
+      Report(ProblemKind::kAddressConflict, path + ".address",
+             fmt::format("{} has the IP number {} already", other->second,
+                         ToString(server.m_address.m_address)));
+    if (server.m_slots > server.m_connections)
+      Report(ProblemKind::kContradiction, path + ".slots",
+             "there are more slots than connections");
+  }
+
+  void Report(ProblemKind kind, std::string path, std::string message) {
+    AddProblem(m_problems, {kind, std::move(path), std::move(message), {}});
+  }
+
+  const Document& m_document;
+  Problems m_problems;
+  // Each value leads to the path of what has it.
+  std::map<std::string, std::string> m_service_names;
+  std::map<base::Endpoint, std::string> m_service_addresses;
+  std::map<base::ServiceId, std::string> m_service_ids;
+  std::map<base::Ipv4Address, std::string> m_server_addresses;
+  std::map<base::BackendServerId, std::string> m_server_ids;
+};
+
+struct ServerOfService {
+  const Service* m_service;
+  const BackendServer* m_server;
+};
+
+// Collects what forbids one document to replace another.
+class ReplacementValidator {
+ public:
+  ReplacementValidator(const Document& previous, const Document& next)
+      : m_previous(previous), m_next(next) {
+    for (const Service& service : previous.m_services)
+      Index(service);
+  }
+
+  Problems Run() {
+    for (std::size_t index = 0; index < m_next.m_services.size(); ++index) {
+      CheckServiceAddress(index);
+      CheckServers(index);
+    }
+    // Last, so that a full list never lacks an error.
+    WarnOfRemovals();
+    return std::move(m_problems);
+  }
+
+ private:
+  void Index(const Service& service) {
+    m_services_by_address.emplace(service.m_address, &service);
+    for (const BackendServer& server : service.m_backend_servers) {
+      const ServerOfService entry{&service, &server};
+      m_by_name.emplace(std::pair(service.m_name, server.m_name), entry);
+      m_by_address.emplace(server.m_address.m_address, entry);
+    }
+  }
+
+  // Flows of callers to the old service would reach the new one.
+  void CheckServiceAddress(std::size_t index) {
+    const Service& service = m_next.m_services[index];
+    const auto before = m_services_by_address.find(service.m_address);
+    if (before == m_services_by_address.end() ||
+        before->second->m_name == service.m_name)
+      return;
+    Report(ProblemKind::kAddressConflict, ServicePath(index) + ".address",
+           fmt::format("{} is the address of service {} until now; submit a "
+                       "document without it first",
+                       ToString(service.m_address), before->second->m_name));
+  }
+
+  void CheckServers(std::size_t service_index) {
+    const Service& service = m_next.m_services[service_index];
+    for (std::size_t index = 0; index < service.m_backend_servers.size();
+         ++index) {
+      const std::string path = ServerPath(service_index, index);
+      const BackendServer& server = service.m_backend_servers[index];
+      CheckName(service, server, path);
+      CheckAddress(service, server, path);
+    }
+  }
+
+  void CheckName(const Service& service,
+                 const BackendServer& server,
+                 const std::string& path) {
+    const auto found = m_by_name.find({service.m_name, server.m_name});
+    if (found == m_by_name.end())
+      return;
+    const BackendServer& before = *found->second.m_server;
+    const bool moved =
+        before.m_address.m_address != server.m_address.m_address ||
+        before.m_data_centre != server.m_data_centre;
+    RequireIncarnation(server, before, moved, path,
+                       "its address or data centre changes");
+  }
+
+  void CheckAddress(const Service& service,
+                    const BackendServer& server,
+                    const std::string& path) {
+    const auto found = m_by_address.find(server.m_address.m_address);
+    if (found == m_by_address.end())
+      return;
+    const ServerOfService& before = found->second;
+    const bool same_service = before.m_service->m_name == service.m_name;
+    // CheckName has compared the two.
+    if (same_service && before.m_server->m_name == server.m_name)
+      return;
+    RequireIncarnation(
+        server, *before.m_server, !same_service, path,
+        "its address was in service " + before.m_service->m_name);
+  }
+
+  void RequireIncarnation(const BackendServer& server,
+                          const BackendServer& before,
+                          bool must_grow,
+                          const std::string& path,
+                          const std::string& reason) {
+    const std::uint64_t least = before.m_incarnation + (must_grow ? 1 : 0);
+    if (server.m_incarnation >= least)
+      return;
+    Report(ProblemKind::kIncarnation, path + ".incarnation",
+           must_grow ? fmt::format("it must be at least {}: {}", least, reason)
+                     : fmt::format("it was {} and never decreases", least));
+  }
+
+  void WarnOfRemovals() {
+    std::set<base::Ipv4Address> kept;
+    for (const Service& service : m_next.m_services) {
+      for (const BackendServer& server : service.m_backend_servers)
+        kept.insert(server.m_address.m_address);
+    }
+    for (const Service& service : m_previous.m_services) {
+      for (const BackendServer& server : service.m_backend_servers) {
+        if (server.m_state == BackendServerState::kActive &&
+            !kept.contains(server.m_address.m_address))
+          Report(ProblemKind::kDrainFirst, PathInNext(service.m_name),
+                 fmt::format("the active backend server {} of service {} is "
+                             "removed, which cuts its flows; drain it first",
+                             server.m_name, service.m_name));
+      }
+    }
+  }
+
+  std::string PathInNext(const std::string& service_name) const {
+    const auto found =
+        std::ranges::find(m_next.m_services, service_name, &Service::m_name);
+    if (found == m_next.m_services.end())
+      return "services";
+    const auto index = found - m_next.m_services.begin();
+    return ServicePath(static_cast<std::size_t>(index));
+  }
+
+  void Report(ProblemKind kind, std::string path, std::string message) {
+    AddProblem(m_problems, {kind, std::move(path), std::move(message), {}});
+  }
+
+  const Document& m_previous;
+  const Document& m_next;
+  Problems m_problems;
+  std::map<base::Endpoint, const Service*> m_services_by_address;
+  std::map<std::pair<std::string, std::string>, ServerOfService> m_by_name;
+  std::map<base::Ipv4Address, ServerOfService> m_by_address;
+};
+
+}  // namespace
+
+bool HasError(const Problems& problems) {
+  return !std::ranges::all_of(problems, &Problem::IsWarning);
+}
+
+Problems Validate(const Document& document) {
+  return Validator(document).Run();
+}
+
+Problems ValidateReplacement(const Document& previous, const Document& next) {
+  return ReplacementValidator(previous, next).Run();
+}
+
+}  // namespace configuration
--- /dev/null
+++ b/Libraries/LibConfiguration/map_reader.h
@@ -0,0 +1,124 @@
+// Reads the typed fields of one YAML map and reports every error in it.
+
+#ifndef LIBCONFIGURATION_MAP_READER_H_
+#define LIBCONFIGURATION_MAP_READER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/ipv4.h"
+#include "LibConfiguration/yaml_node.h"
+
+namespace configuration {
+
+struct IntegerRange {
+  std::uint64_t m_least;
+  std::uint64_t m_greatest;
+};
+
+struct NumberRange {
+  double m_least;
+  double m_greatest;
+};
+
+// The longest name of a service, server, data centre or submission.
+inline constexpr std::size_t kMaxNameBytes = 63;
+
+// Returns the text of a node that has to be a name (see RequiredName).
+std::string ReadNameItem(const YamlNode& node,
+                         const std::string& path,
+                         Problems& problems);
+
+class MapReader {
+ public:
+  // Reports a node that is not a map and then reads it as an empty one. The
+  // node and `problems` must outlive the reader. `path` is that of the map.
+  MapReader(const YamlNode& node, std::string path, Problems& problems);
+
+  // Each returns the field `key`. A field that is malformed, or required and
+  // missing, is reported and a placeholder is returned.
+
+  // Letters, digits, '-', '_' and '.', at most kMaxNameBytes.
+  std::string RequiredName(std::string_view key);
+  // Printable ASCII without spaces.
+  std::string RequiredSecret(std::string_view key, IntegerRange length);
+  base::Endpoint RequiredEndpoint(std::string_view key, IntegerRange port);
+  std::uint64_t RequiredInteger(std::string_view key, IntegerRange range);
+  std::uint64_t IntegerOr(std::string_view key,
+                          std::uint64_t fallback,
+                          IntegerRange range);
+  std::optional<std::uint64_t> OptionalInteger(std::string_view key,
+                                               IntegerRange range);
+  template <typename DurationType>
+  DurationType DurationOr(std::string_view key,
+                          DurationType fallback,
+                          IntegerRange range) {
+    const auto count = static_cast<std::uint64_t>(fallback.count());
+    return DurationType(IntegerOr(key, count, range));
+  }
+  double NumberOr(std::string_view key, double fallback, NumberRange range);
+  bool BooleanOr(std::string_view key, bool fallback);
+  template <typename Enum, std::size_t kSize>
+  Enum EnumOr(std::string_view key,
+              Enum fallback,
+              const base::EnumTable<Enum, kSize>& table);
+  // A null if it is missing.
+  const YamlNode* OptionalNode(std::string_view key);
+  // The items of a sequence; none if it is missing.
+  const std::vector<YamlNode>& OptionalItems(std::string_view key,
+                                             std::size_t max_items);
+
+  // Reports the keys that were not asked for, and those that stand twice.
+  void Finish();
+
+  std::string PathOf(std::string_view key) const;
+
+ private:
+  const YamlNode* RequiredNode(std::string_view key);
+  const YamlNode* RequiredScalar(std::string_view key);
+  const YamlNode* OptionalScalar(std::string_view key);
+  const YamlNode* CheckScalar(std::string_view key, const YamlNode* node);
+  std::optional<std::uint64_t> ParseInteger(std::string_view key,
+                                            const YamlNode& node,
+                                            IntegerRange range);
+  void Report(ProblemKind kind,
+              std::string_view key,
+              Position position,
+              std::string message);
+  void ReportWrongName(std::string_view key,
+                       const YamlNode& node,
+                       const std::string& allowed);
+
+  const YamlNode& m_node;
+  std::string m_path;
+  Problems& m_problems;
+  std::set<std::string, std::less<>> m_known_keys;
+};
+
+template <typename Enum, std::size_t kSize>
+Enum MapReader::EnumOr(std::string_view key,
+                       Enum fallback,
+                       const base::EnumTable<Enum, kSize>& table) {
+  const YamlNode* node = OptionalScalar(key);
+  if (node == nullptr)
+    return fallback;
+  if (const auto value = base::ValueOf(table, node->m_text))
+    return *value;
+  std::string allowed;
+  for (const auto& entry : table) {
+    allowed += allowed.empty() ? "" : ", ";
+    allowed += entry.m_name;
+  }
+  ReportWrongName(key, *node, allowed);
+  return fallback;
+}
+
+}  // namespace configuration
+
+#endif  // LIBCONFIGURATION_MAP_READER_H_
--- /dev/null
+++ b/Libraries/LibConfiguration/problem.h
@@ -0,0 +1,90 @@
+// What is wrong with a configuration, and where.
+
+#ifndef LIBCONFIGURATION_PROBLEM_H_
+#define LIBCONFIGURATION_PROBLEM_H_
+
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibBase/enum_table.h"
+
+namespace configuration {
+
+enum class ProblemKind {
+  kSyntax,
+  kTooLarge,
+  kTooDeep,
+  kUnknownKey,
+  kDuplicateKey,
+  kMissingKey,
+  kWrongType,
+  kOutOfRange,
+  kTooLong,
+  kContradiction,
+  kDuplicateName,
+  kAddressConflict,
+  kIdCollision,
+  kIncarnation,
+  // The only warning: the change is allowed but cuts open flows.
+  kDrainFirst,
+};
+
+inline constexpr base::EnumTable<ProblemKind, 15> kProblemKindNames{{
+    {ProblemKind::kSyntax, "syntax"},
+    {ProblemKind::kTooLarge, "too_large"},
+    {ProblemKind::kTooDeep, "too_deep"},
+    {ProblemKind::kUnknownKey, "unknown_key"},
+    {ProblemKind::kDuplicateKey, "duplicate_key"},
+    {ProblemKind::kMissingKey, "missing_key"},
+    {ProblemKind::kWrongType, "wrong_type"},
+    {ProblemKind::kOutOfRange, "out_of_range"},
+    {ProblemKind::kTooLong, "too_long"},
+    {ProblemKind::kContradiction, "contradiction"},
+    {ProblemKind::kDuplicateName, "duplicate_name"},
+    {ProblemKind::kAddressConflict, "address_conflict"},
+    {ProblemKind::kIdCollision, "id_collision"},
+    {ProblemKind::kIncarnation, "incarnation"},
+    {ProblemKind::kDrainFirst, "drain_first"},
+}};
+
+// A place in a text; both count from 1, and 0 means that there is no text.
+struct Position {
+  int m_line = 0;
+  int m_column = 0;
+
+  friend bool operator==(const Position&, const Position&) = default;
+};
+
+struct Problem {
+  ProblemKind m_kind = ProblemKind::kSyntax;
+  // Of the key, as in "services[2].backend_servers[0].name"; empty for the
+  // whole text.
+  std::string m_path;
+  std::string m_message;
+  Position m_position;
+
+  bool IsWarning() const { return m_kind == ProblemKind::kDrainFirst; }
+
+  friend bool operator==(const Problem&, const Problem&) = default;
+};
+
+using Problems = std::vector<Problem>;
+
+// Errors beyond this number are not listed.
+inline constexpr std::size_t kMaxProblems = 1000;
+
+// Appends `problem` unless the list is full.
+void AddProblem(Problems& problems, Problem problem);
+
+// A value read whole, or every error found in it.
+template <typename T>
+using Reading = std::variant<T, Problems>;
+
+// "line 3, column 5: services[0].name: ... (duplicate_name)".
+std::string ToString(const Problem& problem);
+
+}  // namespace configuration
+
+#endif  // LIBCONFIGURATION_PROBLEM_H_
--- /dev/null
+++ b/Libraries/LibConfiguration/settings_reader.h
@@ -0,0 +1,18 @@
+// Reads the settings of a process from YAML.
+
+#ifndef LIBCONFIGURATION_SETTINGS_READER_H_
+#define LIBCONFIGURATION_SETTINGS_READER_H_
+
+#include <string_view>
+
+#include "LibConfiguration/problem.h"
+#include "LibConfiguration/settings.h"
+
+namespace configuration {
+
+// Returns the settings, or every error of the text with its place.
+Reading<Settings> ReadSettings(std::string_view text);
+
+}  // namespace configuration
+
+#endif  // LIBCONFIGURATION_SETTINGS_READER_H_
--- /dev/null
+++ b/Libraries/LibConfiguration/yaml_tree_builder.h
@@ -0,0 +1,70 @@
+// Receives the events of yaml-cpp's parser and builds a YamlNode from them.
+
+#ifndef LIBCONFIGURATION_YAML_TREE_BUILDER_H_
+#define LIBCONFIGURATION_YAML_TREE_BUILDER_H_
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/mark.h>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "LibConfiguration/yaml_node.h"
+
+namespace configuration {
+
+class YamlTreeBuilder : public YAML::EventHandler {
+ public:
+  // Queries.
+  std::size_t DocumentCount() const { return m_documents; }
+  const Problems& problems() const { return m_problems; }
+  const YamlNode& root() const { return m_root; }
+
+  // Commands, called by the parser.
+  void OnDocumentStart(const YAML::Mark& mark) override;
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override;
+  void OnAlias(const YAML::Mark& mark, YAML::anchor_t anchor) override;
+  void OnScalar(const YAML::Mark& mark,
+                const std::string& tag,
+                YAML::anchor_t anchor,
+                const std::string& value) override;
+  void OnSequenceStart(const YAML::Mark& mark,
+                       const std::string& tag,
+                       YAML::anchor_t anchor,
+                       YAML::EmitterStyle::value style) override;
+  void OnSequenceEnd() override { CloseContainer(); }
+  void OnMapStart(const YAML::Mark& mark,
+                  const std::string& tag,
+                  YAML::anchor_t anchor,
+                  YAML::EmitterStyle::value style) override;
+  void OnMapEnd() override { CloseContainer(); }
+
+ private:
+  // Whether the next node is a key of the innermost open map.
+  bool ExpectsKey() const;
+
+  void Report(ProblemKind kind, const YAML::Mark& mark, std::string message);
+  // Returns false for a node beyond the bounds, which is left out.
+  bool CountNode(const YAML::Mark& mark);
+  void CheckMarkup(const YAML::Mark& mark,
+                   const std::string& tag,
+                   YAML::anchor_t anchor);
+  void OpenContainer(const YAML::Mark& mark, YamlNode::Kind kind);
+  void CloseContainer();
+  void Insert(YamlNode node);
+
+  YamlNode m_root;
+  Problems m_problems;
+  // The open containers, outermost first.
+  std::vector<YamlNode> m_open;
+  // Open containers that lie too deep and are left out.
+  std::size_t m_skipped_depth = 0;
+  std::size_t m_documents = 0;
+  std::size_t m_nodes = 0;
+};
+
+}  // namespace configuration
+
+#endif  // LIBCONFIGURATION_YAML_TREE_BUILDER_H_
