LibPlacement, LibAdmission: Part the answer's delay from the acceptance

A server's kernel accepts an opening at once even when its slots are all busy, so the delay of the acceptance says nothing about load. AnswerStarted carries the delay of the first payload instead, of which a sample is enough, and the concurrency limit compares it with the service's own usual delay. Ends of flows count where they are seen: counts may be negative, their sum stays right.

--- a/Libraries/LibAdmission/admission_controller.cc
+++ b/Libraries/LibAdmission/admission_controller.cc
@@ -37,9 +37,9 @@
   return Admission::kAdmitted;
 }
 
-void AdmissionController::RecordOpeningDelay(base::Duration delay,
-                                             const ServiceOccupancy& service,
-                                             base::TimePoint now) {
+void AdmissionController::RecordAnswerDelay(base::Duration delay,
+                                            const ServiceOccupancy& service,
+                                            base::TimePoint now) {
   const double limit = m_concurrency.Limit(service.m_slots);
   const bool is_limiting = service.m_busy >= kLimitingShare * limit;
   m_concurrency.RecordDelay(delay, is_limiting, now);
--- a/Libraries/LibAdmission/admission_controller.h
+++ b/Libraries/LibAdmission/admission_controller.h
@@ -64,10 +64,11 @@
   // Counts an opening received from a caller, let in or not. A caller's
   // retransmission of it is not counted again.
   void RecordOpening() { m_retry_budget.Earn(); }
-  // Takes in the delay from sending an opening to the server's first answer.
-  void RecordOpeningDelay(base::Duration delay,
-                          const ServiceOccupancy& service,
-                          base::TimePoint now);
+  // Takes in the delay from sending an opening to the first payload of the
+  // server's answer. A sample of the flows is enough.
+  void RecordAnswerDelay(base::Duration delay,
+                         const ServiceOccupancy& service,
+                         base::TimePoint now);
   RetryBudget& MutableRetries() { return m_retry_budget; }
 
  private:
--- a/Libraries/LibAdmission/concurrency_limit.cc
+++ b/Libraries/LibAdmission/concurrency_limit.cc
@@ -1,23 +1,43 @@
 #include "LibAdmission/concurrency_limit.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace admission {
 
+namespace {
+
+// The usual delay follows a shorter one at once and a longer one by this share
+// of the difference, so that a service that has become slower is not throttled
+// for ever.
+constexpr double kUsualDelayGain = 0.01;
+
+}  // namespace
+
 void ConcurrencyLimit::RecordDelay(base::Duration delay,
                                    bool is_limiting,
                                    base::TimePoint now) {
   if (m_interval_start == base::TimePoint::min())
     m_interval_start = now;
   ++m_samples;
-  m_long_delays += delay > m_settings.m_target_delay ? 1 : 0;
+  m_delay_sum_seconds += std::chrono::duration<double>(delay).count();
   m_was_limiting = m_was_limiting || is_limiting;
-  if (now - m_interval_start >= m_settings.m_interval)
+  if (m_samples >= m_settings.m_minimum_samples &&
+      now - m_interval_start >= m_settings.m_interval)
     EndInterval(now);
 }
 
 void ConcurrencyLimit::EndInterval(base::TimePoint now) {
-  const bool are_delays_long = 2 * m_long_delays > m_samples;
+  const double mean = m_delay_sum_seconds / m_samples;
+  if (m_usual_delay_seconds == 0.0 || mean < m_usual_delay_seconds)
+    m_usual_delay_seconds = mean;
+  else
+    m_usual_delay_seconds += kUsualDelayGain * (mean - m_usual_delay_seconds);
+  const double minimum =
+      std::chrono::duration<double>(m_settings.m_minimum_long_delay).count();
+  const bool are_delays_long =
+      mean >
+      std::max(minimum, m_settings.m_long_delay_factor * m_usual_delay_seconds);
   if (are_delays_long)
     m_factor *= m_settings.m_decrease;
   else if (m_was_limiting)
@@ -26,7 +46,7 @@
                         m_settings.m_maximum_factor);
   m_interval_start = now;
   m_samples = 0;
-  m_long_delays = 0;
+  m_delay_sum_seconds = 0.0;
   m_was_limiting = false;
 }
 
--- a/Libraries/LibAdmission/concurrency_limit.h
+++ b/Libraries/LibAdmission/concurrency_limit.h
@@ -1,6 +1,8 @@
 // A limit on the requests that a service runs and queues at once, adapted to
-// the opening delay by additive increase and multiplicative decrease (Chiu and
-// Jain, 1989). The limit is a multiple of the service's slots, so that it
+// the delay of answers by additive increase and multiplicative decrease (Chiu
+// and Jain, 1989). A delay is long by comparison with the service's own usual
+// delay, because an answer's first byte comes after a service time that nobody
+// has configured. The limit is a multiple of the service's slots, so that it
 // follows servers that come and go, and every balancer compares it with the
 // same estimate of the whole service's load; no share is divided among them.
 
@@ -14,8 +16,10 @@
 namespace admission {
 
 struct ConcurrencySettings {
-  // Opening delay that is aimed at; a longer one lowers the limit.
-  base::Duration m_target_delay = std::chrono::seconds(1);
+  // A mean delay of more than this multiple of the usual one lowers the limit.
+  double m_long_delay_factor = 2.0;
+  // Mean delays under this never lower it.
+  base::Duration m_minimum_long_delay = std::chrono::milliseconds(50);
   // The limit as a multiple of the slots: at the start, and its range. At 1
   // every slot may be busy and nothing may queue.
   double m_initial_factor = 1.5;
@@ -28,6 +32,8 @@
   // The limit changes at most once in this time, so that a change shows in the
   // delays before the next.
   base::Duration m_interval = std::chrono::milliseconds(500);
+  // Fewer delays than this in an interval prolong it.
+  int m_minimum_samples = 10;
 };
 
 class ConcurrencyLimit {
@@ -41,7 +47,7 @@
   double Factor() const { return m_factor; }
 
   // Commands.
-  // Takes in the delay of one opening. `is_limiting` tells whether the load was
+  // Takes in the delay of one answer. `is_limiting` tells whether the load was
   // near the limit; a limit that is not reached does not grow.
   void RecordDelay(base::Duration delay, bool is_limiting, base::TimePoint now);
 
@@ -52,7 +58,9 @@
   double m_factor;
   base::TimePoint m_interval_start = base::TimePoint::min();
   int m_samples = 0;
-  int m_long_delays = 0;
+  double m_delay_sum_seconds = 0.0;
+  // The usual delay; zero before the first interval has ended.
+  double m_usual_delay_seconds = 0.0;
   bool m_was_limiting = false;
 };
 
--- a/Libraries/LibPlacement/load_event.h
+++ b/Libraries/LibPlacement/load_event.h
@@ -65,7 +65,13 @@
 // The server has accepted an opening of this balancer.
 struct OpeningAccepted {
   base::BackendServerId m_server;
-  // From sending the opening to the server's first answer.
+};
+
+// The first payload of a server's answer to a flow of this balancer has passed
+// here. A sample of the flows is enough.
+struct AnswerStarted {
+  base::BackendServerId m_server;
+  // From sending the opening to the first payload of the answer.
   base::Duration m_delay{};
 };
 
@@ -75,18 +81,22 @@
   base::BackendServerId m_server;
 };
 
-// A flow opened by this balancer has ended or was given up.
+// A flow to the server has ended or was given up, as seen passing here. Another
+// balancer may have opened it: the sum over all balancers stays right if each
+// end is counted by one of them.
 struct FlowEnded {
   base::BackendServerId m_server;
 };
 
-// The number of flows to one server that all other balancers hold open.
+// Openings less ends of flows to one server, as counted by some balancers.
+// Negative if they have seen more ends than openings.
 struct OpenCount {
   base::BackendServerId m_server;
-  std::uint32_t m_open_flows = 0;
+  std::int32_t m_open_flows = 0;
 };
 
-// The other balancers' counts. Servers that are not listed count as zero.
+// The sum of all other balancers' counts. Servers that are not listed count as
+// zero.
 struct PeerOpenCounts {
   std::span<const OpenCount> m_counts;
 };
@@ -99,6 +109,7 @@
                                HealthReported,
                                OpeningSent,
                                OpeningAccepted,
+                               AnswerStarted,
                                OpeningRefused,
                                FlowEnded,
                                PeerOpenCounts>;
--- a/Libraries/LibPlacement/load_settings.h
+++ b/Libraries/LibPlacement/load_settings.h
@@ -14,11 +14,11 @@
 // server that does much worse than its peers gets no new flows for a while,
 // longer each time, but never too many servers at once.
 struct OutlierSettings {
-  // Fewer answered openings than this prove nothing.
-  std::uint32_t m_minimum_openings = 4;
+  // Fewer openings, or fewer answers, than this prove nothing.
+  std::uint32_t m_minimum_samples = 4;
   // Share of refused openings, above the median of the servers, that ejects.
   double m_refused_share_margin = 0.4;
-  // Multiple of the median opening delay of the servers that counts as slow.
+  // Multiple of the median answer delay of the servers that counts as slow.
   double m_slow_delay_factor = 4.0;
   // Delays under this are never slow.
   base::Duration m_slow_delay_minimum = std::chrono::milliseconds(50);
--- a/Libraries/LibPlacement/load_view.cc
+++ b/Libraries/LibPlacement/load_view.cc
@@ -23,9 +23,18 @@
   return status->m_bound;
 }
 
-std::int64_t LoadView::OpenFlows(base::BackendServerId server) const {
+std::int64_t LoadView::OwnOpenFlows(base::BackendServerId server) const {
   const std::uint32_t position = m_index.Find(server);
-  return position == ServerIndex::kAbsent ? 0 : m_loads[position].OpenFlows();
+  if (position == ServerIndex::kAbsent)
+    return 0;
+  return m_loads[position].OwnOpenFlows();
+}
+
+double LoadView::EstimatedConnections(base::BackendServerId server) const {
+  const std::uint32_t position = m_index.Find(server);
+  if (position == ServerIndex::kAbsent)
+    return 0.0;
+  return m_loads[position].EstimatedConnections();
 }
 
 ServiceLoad LoadView::Total() const {
@@ -105,11 +114,16 @@
   Refresh(event.m_server, now);
 }
 
-void LoadView::On(const OpeningAccepted& event, base::TimePoint now) {
+void LoadView::On(const OpeningAccepted& event, base::TimePoint) {
+  if (ServerLoad* load = FindLoad(event.m_server))
+    load->MutableConduct().RecordAccepted();
+}
+
+void LoadView::On(const AnswerStarted& event, base::TimePoint now) {
   ServerLoad* load = FindLoad(event.m_server);
   if (load == nullptr)
     return;
-  load->MutableConduct().RecordAccepted(event.m_delay);
+  load->MutableConduct().RecordDelay(event.m_delay);
   const double slow = std::max(
       std::chrono::duration<double>(m_settings.m_outlier.m_slow_delay_minimum)
           .count(),
@@ -188,7 +202,7 @@
 
   m_scratch.clear();
   for (const ServerLoad& load : m_loads) {
-    if (load.Conduct().MeanDelay() > 0.0 && !load.IsDraining())
+    if (load.Conduct().DelaySamples() > 0 && !load.IsDraining())
       m_scratch.push_back(load.Conduct().MeanDelay());
   }
   m_median_delay = Median(m_scratch).value_or(0.0);
--- a/Libraries/LibPlacement/load_view.h
+++ b/Libraries/LibPlacement/load_view.h
@@ -45,8 +45,11 @@
   std::optional<double> EstimatedBusy(base::BackendServerId server) const;
   // Requests at which the server counts as full; nothing if it is unknown.
   std::optional<double> Bound(base::BackendServerId server) const;
-  // Open flows of this balancer and its peers; zero for an unknown server.
-  std::int64_t OpenFlows(base::BackendServerId server) const;
+  // This balancer's openings less the ends that it saw, for telling its peers;
+  // zero for an unknown server.
+  std::int64_t OwnOpenFlows(base::BackendServerId server) const;
+  // Connections held by the server by estimate; zero for an unknown server.
+  double EstimatedConnections(base::BackendServerId server) const;
   ServiceLoad Total() const;
 
   // Commands.
@@ -64,6 +67,7 @@
   void On(const HealthReported& event, base::TimePoint now);
   void On(const OpeningSent& event, base::TimePoint now);
   void On(const OpeningAccepted& event, base::TimePoint now);
+  void On(const AnswerStarted& event, base::TimePoint now);
   void On(const OpeningRefused& event, base::TimePoint now);
   void On(const FlowEnded& event, base::TimePoint now);
   void On(const PeerOpenCounts& event, base::TimePoint now);
--- a/Libraries/LibPlacement/outlier_detector.cc
+++ b/Libraries/LibPlacement/outlier_detector.cc
@@ -16,11 +16,12 @@
                double median_refused,
                double median_delay) {
   constexpr double kRefusalsFirst = 1000.0;
-  if (conduct.Samples() < settings.m_minimum_openings)
-    return 0.0;
   const double excess = conduct.RefusedShare() - median_refused;
-  if (excess > settings.m_refused_share_margin)
+  if (conduct.Samples() >= settings.m_minimum_samples &&
+      excess > settings.m_refused_share_margin)
     return kRefusalsFirst + excess;
+  if (conduct.DelaySamples() < settings.m_minimum_samples)
+    return 0.0;
   const double slow_minimum =
       std::chrono::duration<double>(settings.m_slow_delay_minimum).count();
   const double slow =
@@ -52,7 +53,7 @@
 double OutlierDetector::MedianDelay(const std::vector<ServerLoad>& servers) {
   m_scratch.clear();
   for (const ServerLoad& server : servers) {
-    if (!server.IsDraining() && server.Conduct().MeanDelay() > 0.0)
+    if (!server.IsDraining() && server.Conduct().DelaySamples() > 0)
       m_scratch.push_back(server.Conduct().MeanDelay());
   }
   return Median(m_scratch).value_or(0.0);
--- a/Libraries/LibPlacement/server_conduct.cc
+++ b/Libraries/LibPlacement/server_conduct.cc
@@ -13,10 +13,9 @@
 
 }  // namespace
 
-void ServerConduct::RecordAccepted(base::Duration delay) {
-  RecordSample(0.0);
+void ServerConduct::RecordDelay(base::Duration delay) {
   const double seconds = InSeconds(delay);
-  if (m_mean_delay == 0.0)
+  if (++m_delay_samples == 1)
     m_mean_delay = seconds;
   else
     m_mean_delay += kDelayWeight * (seconds - m_mean_delay);
@@ -58,6 +57,7 @@
       now + std::chrono::duration_cast<base::Duration>(time * jitter);
   m_samples = 0;
   m_refused_share = 0.0;
+  m_delay_samples = 0;
   m_mean_delay = 0.0;
 }
 
--- a/Libraries/LibPlacement/server_conduct.h
+++ b/Libraries/LibPlacement/server_conduct.h
@@ -17,12 +17,14 @@
 class ServerConduct {
  public:
   // Queries.
-  // Openings answered since the server was added or its ejection ended.
+  // Openings accepted or refused since the server was added or its ejection
+  // ended.
   std::uint32_t Samples() const { return m_samples; }
   // Moving share of openings that were refused, 0 to 1.
   double RefusedShare() const { return m_refused_share; }
-  // Moving mean of the opening delay in seconds; zero if none was accepted.
+  // Moving mean of the delay of answers in seconds, and over how many.
   double MeanDelay() const { return m_mean_delay; }
+  std::uint32_t DelaySamples() const { return m_delay_samples; }
   // How far the server's reports are believed: from kMinimumCredit to 1.
   double Credit() const { return m_credit; }
   bool IsEjected(base::TimePoint now) const { return now < m_ejected_until; }
@@ -31,11 +33,12 @@
   std::uint32_t Ejections() const { return m_ejections; }
 
   // Commands.
-  void RecordAccepted(base::Duration delay);
+  void RecordAccepted() { RecordSample(0.0); }
+  void RecordDelay(base::Duration delay);
   void RecordRefused();
-  // Openings have been slower than those of the server's peers.
+  // An answer has been slower than those of the server's peers.
   void RecordSlow() { m_contradicts_idle = true; }
-  // Takes in a report. An idle one after a refusal or a slow opening lowers
+  // Takes in a report. An idle one after a refusal or a slow answer lowers
   // the credit; one without contradiction raises it.
   void RecordReport(bool says_idle);
   // Ejects the server from `now`, for longer than last time.
@@ -55,6 +58,7 @@
 
   std::uint32_t m_samples = 0;
   double m_refused_share = 0.0;
+  std::uint32_t m_delay_samples = 0;
   double m_mean_delay = 0.0;
   double m_credit = 1.0;
   bool m_contradicts_idle = false;
--- a/Libraries/LibPlacement/server_load.cc
+++ b/Libraries/LibPlacement/server_load.cc
@@ -57,7 +57,7 @@
 }
 
 void ServerLoad::RecordEnded(base::TimePoint now) {
-  m_own_open = std::max<std::int64_t>(0, m_own_open - 1);
+  --m_own_open;
   m_history.Record(now, OpenFlows());
 }
 
@@ -69,7 +69,7 @@
   m_refusing_until = hold_until;
 }
 
-void ServerLoad::SetPeerOpen(std::uint32_t open_flows, base::TimePoint now) {
+void ServerLoad::SetPeerOpen(std::int32_t open_flows, base::TimePoint now) {
   m_peer_open = open_flows;
   m_history.Record(now, OpenFlows());
 }
@@ -80,7 +80,7 @@
 
 double ServerLoad::EstimatedConnections() const {
   if (!m_has_report)
-    return static_cast<double>(OpenFlows());
+    return std::max(0.0, static_cast<double>(OpenFlows()));
   const auto carried = static_cast<double>(OpenedSinceReport());
   return std::max(0.0, m_reported_connections + carried);
 }
@@ -98,8 +98,8 @@
 }
 
 double ServerLoad::EstimatedBusy(const ServiceKnowledge& knowledge) const {
-  const double expected =
-      static_cast<double>(OpenFlows()) * knowledge.m_busy_per_open_flow;
+  const double open = std::max(0.0, static_cast<double>(OpenFlows()));
+  const double expected = open * knowledge.m_busy_per_open_flow;
   if (!m_has_report)
     return expected;
   const auto carried = static_cast<double>(OpenedSinceReport());
--- a/Libraries/LibPlacement/server_load.h
+++ b/Libraries/LibPlacement/server_load.h
@@ -33,6 +33,9 @@
   bool IsDraining() const { return m_is_draining; }
   Health LastHealth() const { return m_health; }
   std::uint32_t Slots() const { return m_slots; }
+  // This balancer's openings less the ends that it saw; may be negative.
+  std::int64_t OwnOpenFlows() const { return m_own_open; }
+  // All balancers' openings less ends, as far as known here.
   std::int64_t OpenFlows() const { return m_own_open + m_peer_open; }
   // Connections held, by the last report carried forward.
   double EstimatedConnections() const;
@@ -54,7 +57,7 @@
   void RecordSent(base::TimePoint now);
   void RecordEnded(base::TimePoint now);
   void RecordRefused(base::TimePoint hold_until, base::TimePoint now);
-  void SetPeerOpen(std::uint32_t open_flows, base::TimePoint now);
+  void SetPeerOpen(std::int32_t open_flows, base::TimePoint now);
   void RestartSlowStart(base::TimePoint at) { m_slow_start_from = at; }
 
  private:
