Tests: Add the traffic stand-ins fabric, server and caller

The balancers need callers, a fabric and backend servers around them. Each is one process of StandInTraffic, with TCP ends as a pure state machine.

--- /dev/null
+++ b/Tests/StandIns/caller.h
@@ -0,0 +1,123 @@
+// The stand-in for callers: opens flows at a given rate through the fabric and
+// accounts for each of them.
+
+#ifndef STANDINS_CALLER_H_
+#define STANDINS_CALLER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibBase/random.h"
+#include "StandIns/caller_flow.h"
+#include "StandIns/caller_report.h"
+#include "StandIns/deadline_timer.h"
+#include "StandIns/line_commands.h"
+#include "StandIns/request_source.h"
+#include "StandIns/source_ports.h"
+#include "StandIns/udp_port.h"
+
+namespace stand_ins {
+
+class EventLoop;
+
+struct CallerOptions {
+  base::Ipv4Address m_address;
+  base::Endpoint m_fabric;
+  base::Endpoint m_service_address;
+  std::uint64_t m_seed = 0;
+  double m_openings_per_second = 0;
+  std::chrono::milliseconds m_duration{};
+  // The most requests; 0: no bound.
+  std::uint64_t m_maximum_flows = 0;
+  RequestSourceOptions m_requests;
+  std::chrono::milliseconds m_deadline{};
+  std::chrono::milliseconds m_silence{};
+  std::uint16_t m_low_port = 1024;
+  std::uint16_t m_high_port = 65535;
+  PortReuse m_port_reuse = PortReuse::kLongestFree;
+  int m_retries_not_run = 0;
+};
+
+class Caller {
+ public:
+  // `loop` must outlive the caller.
+  Caller(EventLoop* loop, const CallerOptions& options);
+
+  // Queries.
+  JsonLine ListeningLine() const;
+  // The counters as they are now.
+  JsonLine ReportLine() const;
+
+  // Commands.
+  base::Outcome<void> Open();
+  void AddCommands(LineCommands* commands);
+  // Opens flows until the duration is over.
+  void Start();
+
+ private:
+  struct Attempt {
+    Request m_request;
+    base::TimePoint m_requested;  // when it was first tried
+    int m_number = 0;             // how often it was tried before
+  };
+
+  struct OpenFlow {
+    OpenFlow(CallerFlow flow,
+             const Attempt& attempt,
+             base::TimerService* timers,
+             DeadlineTimer::Callback callback)
+        : m_flow(std::move(flow)),
+          m_attempt(attempt),
+          m_timer(timers, std::move(callback)) {}
+
+    CallerFlow m_flow;
+    Attempt m_attempt;
+    DeadlineTimer m_timer;
+    bool m_established_counted = false;
+    bool m_result_counted = false;
+  };
+
+  JsonLine ProgressLine() const;
+  void AddCounters(JsonLine* line) const;
+
+  void ScheduleOpening(base::TimePoint when);
+  void OpenNext(base::TimePoint now);
+  // Returns whether there was a free source port.
+  bool OpenFlowFor(const Attempt& attempt, base::TimePoint now);
+  void StopOpening(base::TimePoint now);
+  void HandleDatagram(UdpPort::Bytes datagram);
+  void HandleTimer(std::uint16_t port, base::TimePoint now);
+  // Counts what has been decided, sends what is due and forgets the flow if
+  // its connection has closed.
+  void Update(std::uint16_t port, base::TimePoint now);
+  void HandleResult(const OpenFlow& open, base::TimePoint now);
+  bool ScheduleRetry(const OpenFlow& open, base::TimePoint now);
+  void Retry(const Attempt& attempt,
+             FlowResult last_result,
+             base::TimePoint now);
+  void ReportIfFinished();
+  void SendSegment(const TcpSegment& segment, std::uint16_t port);
+
+  EventLoop* m_loop;
+  CallerOptions m_options;
+  base::Random m_random;
+  RequestSource m_requests;
+  SourcePorts m_ports;
+  std::unique_ptr<UdpPort> m_socket;
+  std::unordered_map<std::uint16_t, std::unique_ptr<OpenFlow>> m_flows;
+  std::uint64_t m_undecided = 0;  // flows without a result, and retries
+  base::TimePoint m_end;
+  std::uint64_t m_opened = 0;
+  bool m_stopping = false;
+  bool m_final_report_sent = false;
+  CallerReport m_report;
+};
+
+}  // namespace stand_ins
+
+#endif  // STANDINS_CALLER_H_
--- /dev/null
+++ b/Tests/StandIns/load_history.h
@@ -0,0 +1,43 @@
+// What a backend server reports as its load, some time late.
+
+#ifndef STANDINS_LOAD_HISTORY_H_
+#define STANDINS_LOAD_HISTORY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <utility>
+
+#include "LibBase/time.h"
+
+namespace stand_ins {
+
+struct LoadReport {
+  std::uint64_t m_busy = 0;
+  std::uint64_t m_slots = 0;
+  std::uint64_t m_queued = 0;
+  std::uint64_t m_connections = 0;
+  std::uint64_t m_limit = 0;
+
+  friend bool operator==(const LoadReport&, const LoadReport&) = default;
+};
+
+class LoadHistory {
+ public:
+  explicit LoadHistory(base::Duration lag) : m_lag(lag) {}
+
+  // Queries.
+  // The report as it was `lag` before `now`; empty before the first one.
+  LoadReport ReportAt(base::TimePoint now) const;
+
+  // Commands.
+  void Add(const LoadReport& report, base::TimePoint now);
+
+ private:
+  base::Duration m_lag;
+  std::deque<std::pair<base::TimePoint, LoadReport>> m_reports;
+};
+
+}  // namespace stand_ins
+
+#endif  // STANDINS_LOAD_HISTORY_H_
--- /dev/null
+++ b/Tests/StandIns/main.cc
@@ -0,0 +1,31 @@
+// StandInTraffic: the stand-ins around the balancers, one in each process.
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "StandIns/subcommands.h"
+
+int main(int argc, char** argv) {
+  using Subcommand = int (*)(const stand_ins::Arguments&);
+  const std::map<std::string, Subcommand> subcommands{
+      {"fabric", &stand_ins::RunFabric},
+      {"server", &stand_ins::RunBackendServer},
+      {"caller", &stand_ins::RunCaller},
+      {"forwarder", &stand_ins::RunForwarder},
+  };
+  std::signal(SIGPIPE, SIG_IGN);
+  const stand_ins::Arguments words(argv + 1, argv + argc);
+  const auto found =
+      words.empty() ? subcommands.end() : subcommands.find(words.front());
+  if (found == subcommands.end()) {
+    std::cerr << "expected a subcommand:";
+    for (const auto& [name, run] : subcommands)
+      std::cerr << " " << name;
+    std::cerr << "\n";
+    return EXIT_FAILURE;
+  }
+  return found->second({words.begin() + 1, words.end()});
+}
--- /dev/null
+++ b/Tests/StandIns/server_connection.h
@@ -0,0 +1,64 @@
+// One connection of the stand-in backend server: the TCP end, the request that
+// arrives on it and the answer that leaves.
+
+#ifndef STANDINS_SERVER_CONNECTION_H_
+#define STANDINS_SERVER_CONNECTION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/time.h"
+#include "StandIns/request_message.h"
+#include "StandIns/tcp_connection.h"
+
+namespace stand_ins {
+
+class ServerConnection {
+ public:
+  ServerConnection(TcpConnection tcp, base::Endpoint service_address);
+
+  // Queries.
+  const TcpConnection& Tcp() const { return m_tcp; }
+  // The request, once it has arrived whole. After a malformed one the
+  // connection is aborted.
+  const std::optional<Request>& Received() const { return m_request; }
+  bool IsMalformed() const { return m_malformed; }
+  std::optional<base::TimePoint> NextDeadline() const;
+
+  // Commands.
+  void Receive(const TcpSegment& segment, base::TimePoint now);
+  void Advance(base::TimePoint now);
+  // Begins the answer; the events of a feed start at once.
+  void StartAnswer(base::TimePoint now);
+  // Answers that the request was not run.
+  void AnswerNotRun();
+  std::vector<TcpSegment> TakeSegments(base::TimePoint now);
+
+ private:
+  enum class Phase { kReading, kWaiting, kSendingBody, kFeeding, kDone };
+
+  void ReadRequest();
+  void SendMoreOfAnswer();
+  // Sends FIN once the peer has, unless some of the answer is yet to come.
+  void CloseAfterPeer();
+  void SendDueEvents(base::TimePoint now);
+  void SendEvent();
+  AnswerHeader MakeHeader(AnswerStatus status) const;
+
+  TcpConnection m_tcp;
+  base::Endpoint m_service_address;
+  std::string m_received;
+  std::optional<Request> m_request;
+  bool m_malformed = false;
+  Phase m_phase = Phase::kReading;
+  std::uint32_t m_answer_offset = 0;
+  std::uint64_t m_next_sequence = 0;
+  base::TimePoint m_next_event;
+};
+
+}  // namespace stand_ins
+
+#endif  // STANDINS_SERVER_CONNECTION_H_
--- /dev/null
+++ b/Tests/StandIns/tcp_connection.h
@@ -0,0 +1,184 @@
+// One end of a TCP connection: the subset of RFC 9293 that the stand-ins need.
+// A pure state machine: segments and the time go in, segments come out. It
+// knows no addresses. Simultaneous opening, urgent data, window scaling and
+// selective acknowledgments are left out; the application takes received bytes
+// at once, so the receive window never closes.
+
+#ifndef STANDINS_TCP_CONNECTION_H_
+#define STANDINS_TCP_CONNECTION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "StandIns/tcp_reassembly.h"
+#include "StandIns/tcp_segment.h"
+
+namespace stand_ins {
+
+enum class TcpState {
+  kSynSent,
+  kSynReceived,
+  kEstablished,
+  kFinWait1,
+  kFinWait2,
+  kCloseWait,
+  kClosing,
+  kLastAck,
+  kTimeWait,
+  kClosed,
+};
+
+// Why a connection is closed.
+enum class TcpEnd {
+  kOpen,            // it is not closed
+  kFinished,        // both ends sent FIN
+  kRefused,         // reset in answer to the SYN, sequence number 0
+  kOpeningAborted,  // any other reset before the connection was established
+  kReset,           // reset with ACK: the peer aborted
+  kUnknownToPeer,   // reset without ACK: the peer has no such connection
+  kTimedOut,        // the peer stopped acknowledging
+  kAborted,         // aborted by this end
+};
+
+struct TcpOptions {
+  base::Duration m_initial_retransmission_timeout =
+      std::chrono::milliseconds(200);
+  base::Duration m_maximum_retransmission_timeout =
+      std::chrono::milliseconds(1600);
+  // How long the peer may fail to acknowledge or answer (RFC 5482).
+  base::Duration m_user_timeout = std::chrono::seconds(30);
+  // A keep-alive is sent after this time without a segment of the peer.
+  base::Duration m_keep_alive_interval = std::chrono::seconds(1);
+  base::Duration m_time_wait = std::chrono::seconds(1);
+};
+
+class TcpConnection {
+ public:
+  // Starts an active opening.
+  static TcpConnection Connect(std::uint32_t initial_sequence,
+                               base::TimePoint now,
+                               const TcpOptions& options);
+  // Accepts the opening `syn`.
+  static TcpConnection Accept(std::uint32_t initial_sequence,
+                              const TcpSegment& syn,
+                              base::TimePoint now,
+                              const TcpOptions& options);
+
+  // Queries.
+  TcpState State() const { return m_state; }
+  TcpEnd End() const { return m_end; }
+  bool IsClosed() const { return m_state == TcpState::kClosed; }
+  // Whether the handshake has been completed at any time.
+  bool WasEstablished() const { return m_was_established; }
+  // Whether the peer has sent FIN and every byte before it has arrived.
+  bool PeerHasFinished() const { return m_reassembly.IsFinished(); }
+  // When Advance must be called, if at all.
+  std::optional<base::TimePoint> NextDeadline() const;
+  // When the peer last sent an acceptable segment (the opening at first).
+  base::TimePoint LastHeard() const { return m_last_heard; }
+  // Bytes given to Send that the peer has not acknowledged.
+  std::size_t UnacknowledgedBytes() const { return m_send_buffer.size(); }
+
+  // Commands.
+  void Receive(const TcpSegment& segment, base::TimePoint now);
+  void Send(std::string_view bytes);
+  // Sends FIN after what has been given to Send.
+  void Close();
+  // Resets the connection; before it is established the end is silent if no
+  // segment of the peer has arrived.
+  void Abort();
+  // Retransmits, keeps alive and ends waits, as far as due.
+  void Advance(base::TimePoint now);
+  // Takes the bytes received in order since the last call.
+  std::string TakeReceived() { return m_reassembly.TakeInOrder(); }
+  // Takes the segments that are to be sent now.
+  std::vector<TcpSegment> TakeSegments(base::TimePoint now);
+
+ private:
+  // Offsets count sequence numbers from the initial one on, without wrapping.
+  using Offset = std::uint64_t;
+
+  TcpConnection(TcpState state,
+                std::uint32_t initial_sequence,
+                base::TimePoint now,
+                const TcpOptions& options);
+
+  std::uint32_t SendSequence(Offset offset) const;
+  std::uint32_t ReceiveSequence(Offset offset) const;
+  // The offset of a sequence number or acknowledgment near the expected one;
+  // negative if it lies before the initial sequence number.
+  std::int64_t ReceiveOffsetOf(std::uint32_t sequence) const;
+  std::int64_t SendOffsetOf(std::uint32_t acknowledgment) const;
+  bool IsOwnFinAcknowledged() const;
+  bool IsAcceptable(const TcpSegment& segment) const;
+
+  void ReceiveInSynSent(const TcpSegment& segment, base::TimePoint now);
+  void ReceiveUnacceptable(const TcpSegment& segment, base::TimePoint now);
+  void ReceiveReset(const TcpSegment& segment);
+  void ReceiveInSynReceived(const TcpSegment& segment);
+  // Returns whether the rest of the segment may be processed.
+  bool ReceiveAcknowledgment(const TcpSegment& segment, base::TimePoint now);
+  void AcknowledgeUpTo(Offset acknowledged, base::TimePoint now);
+  void CountDuplicate(const TcpSegment& segment);
+  void ReceiveText(const TcpSegment& segment, base::TimePoint now);
+  void AfterOwnFinAcknowledged(base::TimePoint now);
+  void AfterPeerFin(base::TimePoint now);
+  void EnterTimeWait(base::TimePoint now);
+  void CloseWith(TcpEnd end);
+  // Queues the reset without ACK that answers an unacceptable acknowledgment.
+  void RejectAcknowledgment(const TcpSegment& segment);
+  // Acknowledges a segment that is not processed (RFC 5961), at most once an
+  // interval, so that two ends that disagree do not answer each other forever.
+  void QueueChallenge(base::TimePoint now);
+  void RetransmitFirst();
+  void RetransmitAfterTimeout(base::TimePoint now);
+  void KeepAlive(base::TimePoint now);
+  std::optional<base::TimePoint> KeepAliveDeadline() const;
+  bool HasNewSegment() const;
+  void TransmitNew(base::TimePoint now);
+  TcpSegment MakeSegment(Offset offset) const;
+
+  TcpOptions m_options;
+  TcpState m_state;
+  TcpEnd m_end = TcpEnd::kOpen;
+  bool m_was_established = false;
+
+  // Send side. The SYN has offset 0, the first byte of data offset 1.
+  std::uint32_t m_initial_send_sequence;
+  Offset m_unacknowledged = 0;  // SND.UNA
+  Offset m_next = 0;            // what is transmitted next
+  Offset m_highest = 0;         // SND.NXT
+  std::string m_send_buffer;    // unacknowledged data, ends at m_data_end
+  Offset m_data_end = 1;
+  bool m_close_requested = false;
+  std::size_t m_congestion_window;
+  std::size_t m_peer_window = 0;
+  int m_duplicate_acknowledgments = 0;
+  // RFC 6582's "recover" while a fast recovery is under way.
+  std::optional<Offset> m_recovery_end;
+
+  // Receive side. The SYN of the peer has offset 0.
+  std::uint32_t m_initial_receive_sequence = 0;
+  TcpReassembly m_reassembly;
+
+  base::Duration m_retransmission_timeout;
+  std::optional<base::TimePoint> m_retransmission_deadline;
+  std::optional<base::TimePoint> m_time_wait_deadline;
+  base::TimePoint m_last_progress;  // the peer acknowledged something new
+  base::TimePoint m_last_heard;
+  base::TimePoint m_keep_alive_base;
+  std::optional<base::TimePoint> m_last_challenge;
+
+  bool m_acknowledgment_due = false;
+  std::vector<TcpSegment> m_output;
+};
+
+}  // namespace stand_ins
+
+#endif  // STANDINS_TCP_CONNECTION_H_
