--- a/Libraries/LibBalancer/packet_classifier.cc
+++ b/Libraries/LibBalancer/packet_classifier.cc
@@ -51,7 +51,8 @@
           .m_kind = ServerKindOf(packet),
           .m_position = packet.acknowledgement(),
           .m_server = server,
-          .m_relay = relay};
+          .m_relay = relay,
+          .m_has_payload = packet.payload_bytes() > 0};
 }
 
 }  // namespace balancer
--- a/Libraries/LibBalancer/service_gate.cc
+++ b/Libraries/LibBalancer/service_gate.cc
@@ -101,9 +101,12 @@
       m_load.Apply(placement::OpeningSent{note.m_server}, now);
       break;
     case flow::FlowNoteKind::kAccepted:
-      m_load.Apply(placement::OpeningAccepted{note.m_server, note.m_elapsed},
+      m_load.Apply(placement::OpeningAccepted{note.m_server}, now);
+      break;
+    case flow::FlowNoteKind::kAnswered:
+      m_load.Apply(placement::AnswerStarted{note.m_server, note.m_elapsed},
                    now);
-      m_admission.RecordOpeningDelay(note.m_elapsed, Occupancy(), now);
+      m_admission.RecordAnswerDelay(note.m_elapsed, Occupancy(), now);
       break;
     case flow::FlowNoteKind::kRefused:
       m_load.Apply(placement::OpeningRefused{note.m_server}, now);
--- a/Libraries/LibFlow/effect.h
+++ b/Libraries/LibFlow/effect.h
@@ -72,6 +72,9 @@
 enum class FlowNoteKind : std::uint8_t {
   kOpeningSent,
   kAccepted,
+  // The first payload of the server that this home has seen. A home sees some
+  // of the answers only, so this is a sample.
+  kAnswered,
   kRefused,
   kEnded,
 };
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -1,6 +1,8 @@
 // Packets from servers: what they teach about a flow, and whether the caller
 // gets them.
 
+#include <chrono>
+
 #include "LibFlow/balancer_set.h"
 #include "LibFlow/flow_director.h"
 #include "LibFlow/routing_table.h"
@@ -238,6 +240,13 @@
   entry->m_unanswered = 0;
   entry->m_position = packet.m_position;
   entry->m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
+  if (packet.m_has_payload && entry->m_is_counted && !entry->m_is_answered) {
+    entry->m_is_answered = true;
+    effects.push_back(FlowNote{
+        FlowNoteKind::kAnswered, subject.m_service.id(), server,
+        std::chrono::milliseconds(entry->m_last_seen_ms -
+                                  entry->m_first_seen_ms)});
+  }
   return effects;
 }
 
--- a/Libraries/LibFlow/flow_entry.h
+++ b/Libraries/LibFlow/flow_entry.h
@@ -40,6 +40,8 @@
   bool m_is_counted : 1 = false;
   bool m_is_closed_by_caller : 1 = false;
   bool m_is_closed_by_server : 1 = false;
+  // Whether a payload of the server has been seen here.
+  bool m_is_answered : 1 = false;
 };
 
 static_assert(sizeof(FlowEntry) <= 40);
--- a/Libraries/LibFlow/flow_event.h
+++ b/Libraries/LibFlow/flow_event.h
@@ -85,6 +85,7 @@
   std::uint32_t m_position = 0;
   base::Ipv4Address m_server;
   RelayContext m_relay;
+  bool m_has_payload = false;
 };
 
 }  // namespace flow
--- /dev/null
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -0,0 +1,398 @@
+#include "balancer_process.h"
+
+#include <chrono>
+#include <csignal>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "LibBase/overloaded.h"
+#include "LibFlow/balancer_set.h"
+#include "LibMembership/vm_entry.h"
+#include "LibObservability/log.h"
+#include "LibPeer/document_request.h"
+#include "LibPlatform/configuration_follower.h"
+#include "LibPlatform/follower_driver.h"
+#include "LibPlatform/vm_poller.h"
+
+namespace service {
+
+namespace {
+
+using observability::Event;
+using observability::Severity;
+using observability::WriteLog;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::string_view kDocumentKey = "coltsfootdale/document";
+constexpr auto kMembershipPeriod = milliseconds(20);
+constexpr auto kLeasePeriod = milliseconds(50);
+constexpr auto kPhasePeriod = milliseconds(100);
+constexpr auto kVmListInterval = seconds(1);
+// A balancer serves without a VM list once it has waited so long for one.
+constexpr auto kJoinPatience = seconds(2);
+// Peers that are listed get so long to be met before the balancer serves.
+constexpr auto kMeetingTime = milliseconds(700);
+// A leaving balancer stays at least so long, so that peers and fabric hear of
+// it and its flows are learned elsewhere; then until no packet has come from
+// the fabric for the quiet time, at most until the limit.
+constexpr auto kLeavingMinimum = seconds(3);
+constexpr auto kLeavingQuiet = seconds(1);
+constexpr auto kLeavingLimit = seconds(20);
+
+std::uint64_t DrawSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+std::uint64_t WallClockMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+flow::FlowSettings MakeFlowSettings(const configuration::Settings& settings) {
+  const configuration::MechanismSettings& mechanisms = settings.m_mechanisms;
+  flow::FlowSettings flow;
+  flow.m_mechanisms = {
+      .m_learn_from_answers = mechanisms.m_learn_from_answers,
+      .m_relay_to_home = mechanisms.m_relay_to_home,
+      .m_probe = mechanisms.m_probe,
+      .m_reopen_on_refusal = mechanisms.m_reopen_on_refusal,
+      .m_configuration_lease = mechanisms.m_configuration_lease};
+  flow.m_table_bytes = settings.m_control.m_flow_table_mb << 20;
+  flow.m_searches_per_second =
+      static_cast<double>(settings.m_control.m_search_budget_per_second);
+  flow.m_home_idle = settings.m_control.m_flow_idle;
+  return flow;
+}
+
+}  // namespace
+
+base::Outcome<std::unique_ptr<BalancerProcess>> BalancerProcess::Create(
+    const configuration::Settings& settings) {
+  std::unique_ptr<BalancerProcess> process(
+      new BalancerProcess(settings, settings.m_seed.value_or(DrawSeed())));
+  BOOST_OUTCOME_TRYV(process->Bind());
+  process->StartParts();
+  return process;
+}
+
+BalancerProcess::BalancerProcess(const configuration::Settings& settings,
+                                 std::uint64_t seed)
+    : m_settings(settings),
+      m_seed(seed),
+      m_random(seed),
+      // The seed may be fixed, but each run is another balancer.
+      m_id(DrawSeed()),
+      m_started_at(base::Clock::now()),
+      m_platform(m_context, settings.m_platform),
+      m_lease(settings.m_control.m_lease) {}
+
+BalancerProcess::~BalancerProcess() = default;
+
+base::Outcome<void> BalancerProcess::Bind() {
+  TRY(traffic, TrafficLoop::Create({.m_self = m_id,
+                                    .m_listen = m_settings.m_traffic,
+                                    .m_gateway = m_settings.m_gateway,
+                                    .m_flow = MakeFlowSettings(m_settings),
+                                    .m_seed = m_random.Next()}));
+  m_traffic = std::move(traffic);
+  TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
+  m_peer_link = std::move(link);
+  // Documents are pulled by TCP from the number of the UDP port.
+  TRY(server,
+      DocumentServer::Create(m_context, m_peer_link->LocalEndpoint(), [this] {
+        return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
+                                                   m_configuration->body()});
+      }));
+  m_document_server = std::move(server);
+  return base::Success();
+}
+
+peer::MemberRecord BalancerProcess::MakeSelf() const {
+  peer::MemberRecord self;
+  self.m_id = m_id;
+  self.m_name = m_settings.m_name;
+  self.m_data_centre = m_settings.m_data_centre;
+  self.m_traffic = m_traffic->LocalEndpoint();
+  self.m_peer = m_peer_link->LocalEndpoint();
+  self.m_admin = m_settings.m_admin;
+  self.m_incarnation = WallClockMilliseconds();
+  return self;
+}
+
+void BalancerProcess::StartParts() {
+  m_membership = std::make_unique<membership::Membership>(
+      membership::Settings{}, MakeSelf(), m_started_at);
+  m_configuration =
+      std::make_unique<ConfigurationKeeper>(m_settings, *m_traffic);
+  m_load_poller = std::make_unique<LoadPoller>(
+      m_context,
+      [this](base::ServiceId service, const placement::LoadEvent& event) {
+        m_traffic->Post(
+            [service, event](balancer::TrafficCore& core, base::TimePoint now) {
+              core.ApplyLoad(service, event, now);
+            });
+      });
+  m_follower = std::make_unique<platform::FollowerDriver>(
+      m_context, m_platform, std::string(kDocumentKey),
+      platform::ConfigurationFollower(m_id, {}, base::Random(m_random.Next()),
+                                      m_started_at),
+      [this](base::ConfigurationVersion version, const std::string& body) {
+        OnDocument(version, body);
+      },
+      [this](const platform::PullFromPeer& pull) { OnPull(pull); },
+      // Membership pings every peer in turn and passes on what they tell.
+      [](const platform::ProbePeer&) {});
+  m_vm_poller = std::make_unique<platform::VmPoller>(
+      m_context, m_platform, m_settings.m_data_centre, kVmListInterval,
+      base::Random(m_random.Next()), [this](const auto& vms) { OnVms(vms); });
+}
+
+void BalancerProcess::SubscribeTimers() {
+  const base::TimePoint now = base::Clock::now();
+  base::TimerService& timers = m_timers.timers();
+  timers.SubscribeEvery(now, kMembershipPeriod,
+                        [this](base::TimePoint at) { AdvanceMembership(at); });
+  timers.SubscribeEvery(now, kLeasePeriod, [this](base::TimePoint at) {
+    const membership::NewestConfiguration newest =
+        m_membership->NewestKnownConfiguration(at);
+    const auto expires = m_lease.Renew(
+        {.m_is_isolated = m_membership->IsIsolated(at, m_lease.EvidenceBound()),
+         .m_confirmed_at = m_follower->follower().ConfirmedAt(),
+         .m_is_behind = newest.m_version > m_configuration->version()},
+        at);
+    if (!expires)
+      return;
+    m_traffic->Post(
+        [until = *expires](balancer::TrafficCore& core, base::TimePoint) {
+          core.SetLease(until);
+        });
+  });
+  timers.SubscribeEvery(now, kPhasePeriod, [this](base::TimePoint at) {
+    ServeIfJoined(at);
+    StopIfQuiet(at);
+  });
+  timers.SubscribeEvery(
+      now, m_settings.m_control.m_health_interval / LoadPoller::kPhases,
+      [this](base::TimePoint) { m_load_poller->Poll(); });
+  m_timers.Rearm();
+}
+
+void BalancerProcess::Run() {
+  m_signals.add(SIGTERM);
+  m_signals.add(SIGINT);
+  m_signals.async_wait([this](const std::error_code& error, int) {
+    if (!error)
+      StartLeaving();
+  });
+  PublishBalancers();
+  m_peer_link->Start(
+      [this](base::Endpoint from, const peer::Message& message) {
+        OnPeerMessage(from, message);
+      },
+      [](base::Endpoint from, std::error_code reason) {
+        WriteLog(
+            Severity::kWarning, Event::kPeerMessageRefused,
+            {{"from", base::ToString(from)}, {"reason", reason.message()}});
+      });
+  m_document_server->Start();
+  m_follower->Start();
+  m_vm_poller->Start();
+  SubscribeTimers();
+  m_traffic->Start();
+  WriteLog(Severity::kInfo, Event::kListening,
+           {{"traffic", base::ToString(m_traffic->LocalEndpoint())},
+            {"peer", base::ToString(m_peer_link->LocalEndpoint())},
+            {"name", m_settings.m_name},
+            {"data_centre", m_settings.m_data_centre.value()},
+            {"id", m_id.value()},
+            {"seed", m_seed}});
+  m_context.run();
+}
+
+void BalancerProcess::AdvanceMembership(base::TimePoint now) {
+  m_membership->SetConfiguration(m_configuration->version(),
+                                 m_follower->follower().ConfirmedAt());
+  Take(m_membership->Advance(now, m_random));
+  TellFollower(now);
+}
+
+void BalancerProcess::Take(const membership::Effects& effects) {
+  bool has_changed = false;
+  const base::Overloaded visitor{
+      [this](const membership::SendMessage& send) {
+        m_peer_link->Send(send.m_to, send.m_message);
+      },
+      [&](const membership::MemberCame& came) {
+        has_changed = true;
+        WriteLog(Severity::kInfo, Event::kPeerJoined,
+                 {{"peer", came.m_record.m_name}});
+      },
+      [&](const membership::MemberChanged& /*changed*/) { has_changed = true; },
+      [&](const membership::MemberGone& gone) {
+        has_changed = true;
+        WriteLog(Severity::kInfo, Event::kPeerLeft,
+                 {{"peer", gone.m_record.m_name}});
+      },
+      [&](const membership::LiveMembersChanged&) { has_changed = true; },
+      [](const membership::Paused& paused) {
+        WriteLog(Severity::kWarning, Event::kLeaseLapsed,
+                 {{"paused_ms",
+                   std::chrono::duration_cast<milliseconds>(paused.m_duration)
+                       .count()}});
+      }};
+  for (const membership::Effect& effect : effects)
+    std::visit(visitor, effect);
+  if (has_changed)
+    PublishBalancers();
+}
+
+void BalancerProcess::OnPeerMessage(base::Endpoint from,
+                                    const peer::Message& message) {
+  Take(m_membership->ReceiveMessage(from, message, base::Clock::now()));
+  m_follower->Handle(platform::PeerDigest{
+      message.m_sender.m_id, message.m_sender.m_configuration.m_version,
+      std::nullopt});
+}
+
+void BalancerProcess::TellFollower(base::TimePoint now) {
+  const auto age =
+      m_membership->NewestKnownConfiguration(now).m_confirmation_age;
+  if (!age)
+    return;
+  m_follower->Handle(platform::PeerDigest{
+      m_id, m_configuration->version(),
+      platform::PeerConfirmation{.m_asked_at = now, .m_age = *age}});
+}
+
+void BalancerProcess::OnVms(const std::vector<platform::VmRecord>& vms) {
+  m_has_vm_list = true;
+  std::vector<membership::VmEntry> entries;
+  for (const platform::VmRecord& vm : vms)
+    entries.push_back({vm.m_name, vm.m_data_centre,
+                       vm.m_state == platform::VmState::kLive
+                           ? membership::VmState::kLive
+                           : membership::VmState::kLeaving,
+                       vm.m_traffic, vm.m_peer, vm.m_admin});
+  Take(m_membership->ReceiveVmList(entries, base::Clock::now()));
+}
+
+void BalancerProcess::PublishBalancers() {
+  std::vector<flow::Balancer> balancers{{m_id, m_traffic->LocalEndpoint(),
+                                         m_phase == ProcessPhase::kLeaving
+                                             ? flow::BalancerState::kLeaving
+                                             : flow::BalancerState::kServing}};
+  platform::LivePeersChanged peers;
+  for (const auto& [id, entry] : m_membership->Peers().Entries()) {
+    const peer::MemberState state = entry.m_record.m_state;
+    const bool is_serving =
+        state == peer::MemberState::kServing ||
+        (state == peer::MemberState::kSuspected && entry.m_has_served);
+    if (!is_serving && state != peer::MemberState::kLeaving)
+      continue;
+    balancers.push_back({id, entry.m_record.m_traffic,
+                         is_serving ? flow::BalancerState::kServing
+                                    : flow::BalancerState::kLeaving});
+    if (is_serving)
+      peers.m_peers.push_back(id);
+  }
+  m_follower->Handle(peers);
+  m_traffic->Post(
+      [set = std::make_shared<flow::BalancerSet>(m_id, std::move(balancers))](
+          balancer::TrafficCore& core, base::TimePoint) {
+        core.SetBalancers(set);
+      });
+}
+
+void BalancerProcess::OnDocument(base::ConfigurationVersion version,
+                                 const std::string& body) {
+  if (!m_configuration->Adopt(version, body, base::Clock::now()))
+    return;
+  m_load_poller->SetServers(m_configuration->PolledServers());
+  // Peers hear of the new version at once.
+  m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
+}
+
+peer::Message BalancerProcess::MakePeerMessage(peer::MessageBody body) const {
+  peer::Message message;
+  message.m_sender.m_id = m_id;
+  message.m_sender.m_state = m_membership->Self().m_state;
+  message.m_sender.m_incarnation = m_membership->Self().m_incarnation;
+  message.m_sender.m_configuration.m_version = m_configuration->version();
+  message.m_body = std::move(body);
+  return message;
+}
+
+void BalancerProcess::OnPull(const platform::PullFromPeer& pull) {
+  const membership::MemberEntry* entry =
+      m_membership->Peers().Find(pull.m_peer);
+  const auto source =
+      entry != nullptr
+          ? std::optional(entry->m_record.m_peer)
+          : m_membership->NewestKnownConfiguration(base::Clock::now()).m_source;
+  if (!source) {
+    m_follower->Handle(platform::PeerPullFailed{pull.m_peer});
+    return;
+  }
+  m_document_puller.Pull(
+      *source, MakePeerMessage(peer::DocumentRequest{pull.m_version}),
+      [this, peer = pull.m_peer](std::optional<peer::DocumentReply> reply) {
+        if (!reply || reply->m_version == base::ConfigurationVersion()) {
+          m_follower->Handle(platform::PeerPullFailed{peer});
+          return;
+        }
+        m_follower->Handle(platform::PeerDocument{
+            peer, reply->m_version,
+            std::make_shared<const std::string>(std::move(reply->m_body))});
+      });
+}
+
+void BalancerProcess::ServeIfJoined(base::TimePoint now) {
+  if (m_phase != ProcessPhase::kJoining ||
+      m_configuration->version() == base::ConfigurationVersion())
+    return;
+  const bool has_met_peers = m_has_vm_list && now - m_started_at > kMeetingTime;
+  if (!has_met_peers && now - m_started_at < kJoinPatience)
+    return;
+  m_phase = ProcessPhase::kServing;
+  m_membership->Serve();
+  PublishBalancers();
+  WriteLog(Severity::kInfo, Event::kReady,
+           {{"version", m_configuration->version().value()}});
+}
+
+void BalancerProcess::StartLeaving() {
+  WriteLog(Severity::kInfo, Event::kShutdownStarted);
+  m_phase = ProcessPhase::kLeaving;
+  m_leaving_since = base::Clock::now();
+  m_last_direct_packet = m_leaving_since;
+  m_membership->Leave();
+  PublishBalancers();
+}
+
+void BalancerProcess::StopIfQuiet(base::TimePoint now) {
+  if (m_phase != ProcessPhase::kLeaving)
+    return;
+  const TrafficCounters& counters = m_traffic->counters();
+  const std::uint64_t packets =
+      counters.Value(TrafficCounter::kPacketsFromCallers) +
+      counters.Value(TrafficCounter::kPacketsFromServers) -
+      counters.Value(TrafficCounter::kRelaysReceived);
+  if (packets != m_direct_packets) {
+    m_direct_packets = packets;
+    m_last_direct_packet = now;
+  }
+  const base::Duration left_for = now - m_leaving_since;
+  const bool is_quiet =
+      left_for > kLeavingMinimum && now - m_last_direct_packet > kLeavingQuiet;
+  if (!is_quiet && left_for < kLeavingLimit)
+    return;
+  m_phase = ProcessPhase::kStopped;
+  WriteLog(Severity::kInfo, Event::kShutdownFinished, {{"is_quiet", is_quiet}});
+  m_context.stop();
+}
+
+}  // namespace service
--- /dev/null
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -0,0 +1,127 @@
+// One balancer: the control thread with membership, configuration, load
+// reports and lease, and the traffic thread that it instructs.
+
+#ifndef SERVICES_COLTSFOOTDALE_BALANCER_PROCESS_H_
+#define SERVICES_COLTSFOOTDALE_BALANCER_PROCESS_H_
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/outcome.h"
+#include "LibBase/random.h"
+#include "LibConfiguration/settings.h"
+#include "LibMembership/membership.h"
+#include "LibPeer/message.h"
+#include "LibPlatform/platform_client.h"
+#include "configuration_keeper.h"
+#include "document_puller.h"
+#include "document_server.h"
+#include "lease_keeper.h"
+#include "load_poller.h"
+#include "peer_link.h"
+#include "timer_driver.h"
+#include "traffic_loop.h"
+
+namespace platform {
+class FollowerDriver;
+class VmPoller;
+struct PullFromPeer;
+struct VmRecord;
+}  // namespace platform
+
+namespace service {
+
+enum class ProcessPhase : std::uint8_t {
+  // Has no configuration yet, or has not met its peers.
+  kJoining,
+  kServing,
+  // Has left the fabric and answers for what it knows.
+  kLeaving,
+  kStopped,
+};
+
+inline constexpr base::EnumTable<ProcessPhase, 4> kProcessPhaseNames = {{
+    {ProcessPhase::kJoining, "joining"},
+    {ProcessPhase::kServing, "serving"},
+    {ProcessPhase::kLeaving, "leaving"},
+    {ProcessPhase::kStopped, "stopped"},
+}};
+
+class BalancerProcess {
+ public:
+  // Binds all sockets; errors are those of the system.
+  static base::Outcome<std::unique_ptr<BalancerProcess>> Create(
+      const configuration::Settings& settings);
+  ~BalancerProcess();
+  BalancerProcess(const BalancerProcess&) = delete;
+  BalancerProcess& operator=(const BalancerProcess&) = delete;
+
+  // Queries.
+  bool IsReady() const { return m_phase == ProcessPhase::kServing; }
+
+  // Commands.
+  // Runs until a graceful shutdown (SIGTERM or SIGINT) has ended.
+  void Run();
+
+ private:
+  BalancerProcess(const configuration::Settings& settings, std::uint64_t seed);
+
+  base::Outcome<void> Bind();
+  void StartParts();
+  void SubscribeTimers();
+  peer::MemberRecord MakeSelf() const;
+
+  // Membership.
+  void AdvanceMembership(base::TimePoint now);
+  void Take(const membership::Effects& effects);
+  void OnPeerMessage(base::Endpoint from, const peer::Message& message);
+  void OnVms(const std::vector<platform::VmRecord>& vms);
+  void PublishBalancers();
+  void TellFollower(base::TimePoint now);
+
+  // Configuration.
+  void OnDocument(base::ConfigurationVersion version, const std::string& body);
+  void OnPull(const platform::PullFromPeer& pull);
+  peer::Message MakePeerMessage(peer::MessageBody body) const;
+
+  // Phases.
+  void ServeIfJoined(base::TimePoint now);
+  void StartLeaving();
+  void StopIfQuiet(base::TimePoint now);
+
+  configuration::Settings m_settings;
+  std::uint64_t m_seed;
+  base::Random m_random;
+  base::BalancerId m_id;
+  base::TimePoint m_started_at;
+  ProcessPhase m_phase = ProcessPhase::kJoining;
+  bool m_has_vm_list = false;
+  base::TimePoint m_leaving_since;
+  base::TimePoint m_last_direct_packet;
+  std::uint64_t m_direct_packets = 0;
+
+  asio::io_context m_context{1};
+  asio::signal_set m_signals{m_context};
+  TimerDriver m_timers{m_context};
+  std::unique_ptr<TrafficLoop> m_traffic;
+  std::unique_ptr<PeerLink> m_peer_link;
+  std::unique_ptr<DocumentServer> m_document_server;
+  DocumentPuller m_document_puller{m_context};
+  platform::PlatformClient m_platform;
+  std::unique_ptr<membership::Membership> m_membership;
+  std::unique_ptr<platform::FollowerDriver> m_follower;
+  std::unique_ptr<platform::VmPoller> m_vm_poller;
+  std::unique_ptr<ConfigurationKeeper> m_configuration;
+  std::unique_ptr<LoadPoller> m_load_poller;
+  LeaseKeeper m_lease;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_BALANCER_PROCESS_H_
--- /dev/null
+++ b/Services/Coltsfootdale/configuration_keeper.h
@@ -0,0 +1,57 @@
+// Puts configuration documents in force on this balancer: whole or not at all.
+
+#ifndef SERVICES_COLTSFOOTDALE_CONFIGURATION_KEEPER_H_
+#define SERVICES_COLTSFOOTDALE_CONFIGURATION_KEEPER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/time.h"
+#include "LibConfiguration/document.h"
+#include "LibConfiguration/settings.h"
+#include "load_poller.h"
+
+namespace flow {
+class RoutingTable;
+}  // namespace flow
+
+namespace service {
+
+class TrafficLoop;
+
+class ConfigurationKeeper {
+ public:
+  ConfigurationKeeper(const configuration::Settings& settings,
+                      TrafficLoop& traffic);
+
+  // Queries.
+  // Zero if no document is in force.
+  base::ConfigurationVersion version() const { return m_version; }
+  const std::string& body() const { return m_body; }
+  const configuration::Document& document() const { return m_document; }
+  std::vector<PolledServer> PolledServers() const;
+
+  // Commands.
+  // Puts the document in force. False if it cannot be read or is not newer;
+  // the one in force then stays.
+  bool Adopt(base::ConfigurationVersion version,
+             const std::string& body,
+             base::TimePoint now);
+
+ private:
+  base::DataCentreId m_data_centre;
+  configuration::PlacementPolicy m_placement;
+  base::Duration m_hold;
+  TrafficLoop& m_traffic;
+  base::ConfigurationVersion m_version;
+  std::string m_body;
+  configuration::Document m_document;
+  std::shared_ptr<const flow::RoutingTable> m_routing;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_CONFIGURATION_KEEPER_H_
--- /dev/null
+++ b/Services/Coltsfootdale/load_poller.cc
@@ -0,0 +1,82 @@
+#include "load_poller.h"
+
+#include <boost/property_tree/json_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+#include <chrono>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "LibPlacement/server_state.h"
+
+namespace service {
+
+namespace {
+
+constexpr auto kTimeout = std::chrono::milliseconds(400);
+constexpr std::size_t kMaximumAnswerBytes = 4096;
+constexpr std::uint16_t kStatusOk = 200;
+
+std::optional<placement::LoadReported> ParseReport(const std::string& body) {
+  try {
+    std::istringstream stream(body);
+    boost::property_tree::ptree tree;
+    boost::property_tree::read_json(stream, tree);
+    placement::LoadReported report;
+    report.m_busy = tree.get<std::uint32_t>("busy");
+    report.m_queued = tree.get<std::uint32_t>("queued");
+    report.m_slots = tree.get<std::uint32_t>("slots");
+    report.m_connections = tree.get<std::uint32_t>("connections");
+    report.m_connection_limit = tree.get<std::uint32_t>("limit");
+    return report;
+  } catch (const boost::property_tree::ptree_error&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+LoadPoller::LoadPoller(asio::io_context& context, ReportHandler on_report)
+    : m_client(context), m_on_report(std::move(on_report)) {}
+
+void LoadPoller::SetServers(std::vector<PolledServer> servers) {
+  m_servers = std::move(servers);
+}
+
+void LoadPoller::Poll() {
+  for (std::size_t i = m_phase; i < m_servers.size(); i += kPhases)
+    Ask(m_servers[i]);
+  m_phase = (m_phase + 1) % kPhases;
+}
+
+void LoadPoller::Ask(const PolledServer& server) {
+  const base::TimePoint asked_at = base::Clock::now();
+  m_client.Send({.m_endpoint = server.m_health,
+                 .m_path = "/load",
+                 .m_timeout = kTimeout,
+                 .m_connect_timeout = kTimeout,
+                 .m_answer_limit_bytes = kMaximumAnswerBytes},
+                [this, server, asked_at](const auto& outcome) {
+                  Take(server, asked_at, outcome);
+                });
+}
+
+void LoadPoller::Take(const PolledServer& server,
+                      base::TimePoint asked_at,
+                      const base::Outcome<http::Response>& outcome) {
+  std::optional<placement::LoadReported> report;
+  if (outcome && outcome.value().m_status == kStatusOk)
+    report = ParseReport(outcome.value().m_body);
+  m_on_report(server.m_service,
+              placement::HealthReported{
+                  server.m_server, report ? placement::Health::kHealthy
+                                          : placement::Health::kUnhealthy});
+  if (!report)
+    return;
+  report->m_server = server.m_server;
+  report->m_age = base::Clock::now() - asked_at;
+  m_on_report(server.m_service, *report);
+}
+
+}  // namespace service
--- /dev/null
+++ b/Services/Coltsfootdale/main.cc
@@ -0,0 +1,45 @@
+// The one binary: its first argument names the subcommand.
+
+#include <array>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "balancer_command.h"
+
+namespace {
+
+constexpr int kExitUsage = 2;
+
+struct Subcommand {
+  std::string_view m_name;
+  std::string_view m_summary;
+  int (*m_run)(const std::vector<std::string>& arguments);
+};
+
+constexpr std::array kSubcommands = {
+    Subcommand{"balancer", "run a balancer", service::RunBalancer},
+};
+
+int PrintUsage() {
+  std::cerr << "usage: coltsfootdale SUBCOMMAND [OPTIONS]\n\n";
+  for (const Subcommand& subcommand : kSubcommands)
+    std::cerr << "  " << subcommand.m_name << "\t" << subcommand.m_summary
+              << "\n";
+  std::cerr << "\nEach subcommand explains itself with --help.\n";
+  return kExitUsage;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  if (arguments.empty())
+    return PrintUsage();
+  for (const Subcommand& subcommand : kSubcommands) {
+    if (subcommand.m_name == arguments.front())
+      return subcommand.m_run({arguments.begin() + 1, arguments.end()});
+  }
+  return PrintUsage();
+}
--- /dev/null
+++ b/Services/Coltsfootdale/peer_link.cc
@@ -0,0 +1,78 @@
+#include "peer_link.h"
+
+#include <asio/buffer.hpp>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "LibPeer/codec.h"
+#include "asio_endpoint.h"
+
+namespace service {
+
+base::Outcome<std::unique_ptr<PeerLink>> PeerLink::Create(
+    asio::io_context& context,
+    base::Endpoint listen) {
+  std::unique_ptr<PeerLink> link(new PeerLink(context));
+  std::error_code error;
+  link->m_socket.open(asio::ip::udp::v4(), error);
+  if (!error)
+    link->m_socket.bind(ToAsio<asio::ip::udp>(listen), error);
+  if (!error)
+    link->m_socket.non_blocking(true, error);
+  if (error)
+    return error;
+  return link;
+}
+
+base::Endpoint PeerLink::LocalEndpoint() const {
+  return FromAsio(m_socket.local_endpoint());
+}
+
+void PeerLink::Start(MessageHandler on_message, RefusalHandler on_refusal) {
+  m_on_message = std::move(on_message);
+  m_on_refusal = std::move(on_refusal);
+  Receive();
+}
+
+void PeerLink::Stop() {
+  std::error_code ignored;
+  m_socket.close(ignored);
+}
+
+void PeerLink::Send(base::Endpoint to, const peer::Message& message) {
+  const auto frame = peer::Encode(peer::Transport::kDatagram, message);
+  if (!frame)
+    return;
+  std::error_code ignored;
+  m_socket.send_to(asio::buffer(frame.value()), ToAsio<asio::ip::udp>(to), 0,
+                   ignored);
+  m_counters.m_bytes_sent += frame.value().size();
+}
+
+void PeerLink::Receive() {
+  m_socket.async_receive_from(
+      asio::buffer(m_buffer), m_sender,
+      [this](const std::error_code& error, std::size_t size) {
+        if (!m_socket.is_open())
+          return;
+        if (!error)
+          Handle(size);
+        Receive();
+      });
+}
+
+void PeerLink::Handle(std::size_t size) {
+  m_counters.m_bytes_received += size;
+  const auto message = peer::Decode(peer::Transport::kDatagram,
+                                    std::string_view(m_buffer.data(), size));
+  if (message) {
+    m_on_message(FromAsio(m_sender), message.value());
+    return;
+  }
+  ++m_counters.m_messages_refused;
+  m_on_refusal(FromAsio(m_sender), message.error());
+}
+
+}  // namespace service
--- /dev/null
+++ b/Services/Coltsfootdale/peer_link.h
@@ -0,0 +1,67 @@
+// Datagrams of the peer protocol: one UDP socket of the control thread.
+
+#ifndef SERVICES_COLTSFOOTDALE_PEER_LINK_H_
+#define SERVICES_COLTSFOOTDALE_PEER_LINK_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <system_error>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibPeer/limits.h"
+#include "LibPeer/message.h"
+
+namespace service {
+
+struct PeerLinkCounters {
+  std::uint64_t m_bytes_sent = 0;
+  std::uint64_t m_bytes_received = 0;
+  std::uint64_t m_messages_refused = 0;
+};
+
+class PeerLink {
+ public:
+  using MessageHandler =
+      std::function<void(base::Endpoint from, const peer::Message& message)>;
+  using RefusalHandler =
+      std::function<void(base::Endpoint from, std::error_code reason)>;
+
+  // Binds the socket; errors are those of the system.
+  static base::Outcome<std::unique_ptr<PeerLink>> Create(
+      asio::io_context& context,
+      base::Endpoint listen);
+
+  // Queries.
+  base::Endpoint LocalEndpoint() const;
+  const PeerLinkCounters& counters() const { return m_counters; }
+
+  // Commands.
+  void Start(MessageHandler on_message, RefusalHandler on_refusal);
+  void Stop();
+  // A message that cannot be sent is lost like one lost on the way.
+  void Send(base::Endpoint to, const peer::Message& message);
+
+ private:
+  explicit PeerLink(asio::io_context& context) : m_socket(context) {}
+
+  void Receive();
+  void Handle(std::size_t size);
+
+  asio::ip::udp::socket m_socket;
+  asio::ip::udp::endpoint m_sender;
+  // One byte more than is accepted, so that longer datagrams show.
+  std::array<char, peer::kMaximumDatagramBytes + 1> m_buffer{};
+  MessageHandler m_on_message;
+  RefusalHandler m_on_refusal;
+  PeerLinkCounters m_counters;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_PEER_LINK_H_
--- /dev/null
+++ b/Services/Coltsfootdale/timer_driver.h
@@ -0,0 +1,29 @@
+// Drives the timer service of the control thread by one Asio timer.
+
+#ifndef SERVICES_COLTSFOOTDALE_TIMER_DRIVER_H_
+#define SERVICES_COLTSFOOTDALE_TIMER_DRIVER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "LibBase/timer_service.h"
+
+namespace service {
+
+class TimerDriver {
+ public:
+  explicit TimerDriver(asio::io_context& context) : m_timer(context) {}
+
+  // Subscriptions made outside of a callback of the service take effect at
+  // the next Rearm.
+  base::TimerService& timers() { return m_timers; }
+  void Rearm();
+
+ private:
+  base::TimerService m_timers;
+  asio::steady_timer m_timer;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_TIMER_DRIVER_H_
--- /dev/null
+++ b/Tests/Integration/child_process.cc
@@ -0,0 +1,148 @@
+#include "child_process.h"
+
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <boost/process.hpp>
+#include <boost/property_tree/json_parser.hpp>
+
+#include <sstream>
+
+namespace integration {
+
+namespace {
+
+namespace process = boost::process;
+
+std::optional<JsonLine> ParseLine(const std::string& line) {
+  try {
+    std::istringstream stream(line);
+    JsonLine tree;
+    boost::property_tree::read_json(stream, tree);
+    return tree;
+  } catch (const boost::property_tree::ptree_error&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+struct ChildProcess::Handle {
+  process::opstream m_input;
+  process::ipstream m_output;
+  process::child m_child;
+};
+
+ChildProcess::ChildProcess(const std::string& program,
+                           const std::vector<std::string>& arguments)
+    : m_name(program.substr(program.rfind('/') + 1)),
+      m_handle(std::make_unique<Handle>()) {
+  std::error_code error;
+  m_handle->m_child = process::child(
+      process::exe = program, process::args = arguments,
+      process::std_in<m_handle->m_input, process::std_out> m_handle->m_output,
+      error);
+  REQUIRE_MESSAGE(!error, program << ": " << error.message());
+  m_reader = std::thread([this] { ReadLines(); });
+}
+
+ChildProcess::~ChildProcess() {
+  if (IsRunning())
+    Signal(SIGKILL);
+  std::error_code ignored;
+  m_handle->m_child.wait(ignored);
+  m_reader.join();
+}
+
+bool ChildProcess::IsRunning() const {
+  std::error_code ignored;
+  return m_handle->m_child.running(ignored);
+}
+
+void ChildProcess::ReadLines() {
+  std::string line;
+  while (std::getline(m_handle->m_output, line)) {
+    auto parsed = ParseLine(line);
+    if (!parsed)
+      continue;
+    const std::lock_guard lock(m_mutex);
+    m_lines.push_back(std::move(*parsed));
+    m_changed.notify_all();
+  }
+  const std::lock_guard lock(m_mutex);
+  m_has_ended = true;
+  m_changed.notify_all();
+}
+
+std::vector<JsonLine> ChildProcess::Lines(const std::string& event) const {
+  const std::lock_guard lock(m_mutex);
+  std::vector<JsonLine> lines;
+  for (const JsonLine& line : m_lines) {
+    if (line.get("event", "") == event)
+      lines.push_back(line);
+  }
+  return lines;
+}
+
+void ChildProcess::SendLine(const std::string& line) {
+  m_handle->m_input << line << std::endl;
+}
+
+void ChildProcess::Signal(int signal) {
+  ::kill(m_handle->m_child.id(), signal);
+}
+
+std::optional<JsonLine> ChildProcess::FindLine(
+    std::size_t first,
+    const std::string& event,
+    const Predicate& predicate) const {
+  for (std::size_t i = first; i < m_lines.size(); ++i) {
+    const JsonLine& line = m_lines[i];
+    if (line.get("event", "") == event && (!predicate || predicate(line)))
+      return line;
+  }
+  return std::nullopt;
+}
+
+JsonLine ChildProcess::WaitFrom(std::size_t first,
+                                const std::string& event,
+                                std::chrono::milliseconds deadline,
+                                const Predicate& predicate) {
+  std::unique_lock lock(m_mutex);
+  std::optional<JsonLine> found;
+  m_changed.wait_for(lock, deadline, [&] {
+    found = FindLine(first, event, predicate);
+    return found || m_has_ended;
+  });
+  REQUIRE_MESSAGE(found, m_name << " did not report " << event << " within "
+                                << deadline.count() << " ms");
+  return *found;
+}
+
+JsonLine ChildProcess::WaitFor(const std::string& event,
+                               std::chrono::milliseconds deadline,
+                               const Predicate& predicate) {
+  return WaitFrom(0, event, deadline, predicate);
+}
+
+JsonLine ChildProcess::Ask(const std::string& line,
+                           const std::string& event,
+                           std::chrono::milliseconds deadline) {
+  std::size_t first = 0;
+  {
+    const std::lock_guard lock(m_mutex);
+    first = m_lines.size();
+  }
+  SendLine(line);
+  return WaitFrom(first, event, deadline, nullptr);
+}
+
+int ChildProcess::WaitForExit(std::chrono::milliseconds deadline) {
+  std::error_code error;
+  const bool has_ended = m_handle->m_child.wait_for(deadline, error);
+  REQUIRE_MESSAGE(has_ended, m_name << " did not stop within "
+                                    << deadline.count() << " ms");
+  return m_handle->m_child.exit_code();
+}
+
+}  // namespace integration
--- /dev/null
+++ b/Tests/Integration/child_process.h
@@ -0,0 +1,78 @@
+// A process of the deployment under test: its JSON lines are read as they
+// come, and it is ended with the object.
+
+#ifndef TESTS_INTEGRATION_CHILD_PROCESS_H_
+#define TESTS_INTEGRATION_CHILD_PROCESS_H_
+
+#include <boost/property_tree/ptree.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace integration {
+
+using JsonLine = boost::property_tree::ptree;
+
+class ChildProcess {
+ public:
+  using Predicate = std::function<bool(const JsonLine&)>;
+
+  // Starts `program`; fails the test if it cannot be started.
+  ChildProcess(const std::string& program,
+               const std::vector<std::string>& arguments);
+  // Kills the process if it still runs.
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  // Queries.
+  bool IsRunning() const;
+  // All lines so far of one event.
+  std::vector<JsonLine> Lines(const std::string& event) const;
+
+  // Commands.
+  void SendLine(const std::string& line);
+  void Signal(int signal);
+  // Waits for an event that fulfils `predicate`, among those already read too;
+  // fails the test at the deadline.
+  JsonLine WaitFor(const std::string& event,
+                   std::chrono::milliseconds deadline,
+                   const Predicate& predicate = nullptr);
+  // Sends the line and waits for the next line of `event`.
+  JsonLine Ask(const std::string& line,
+               const std::string& event,
+               std::chrono::milliseconds deadline = std::chrono::seconds(5));
+  // The exit code; fails the test if the process does not end in time.
+  int WaitForExit(std::chrono::milliseconds deadline);
+
+ private:
+  struct Handle;
+
+  void ReadLines();
+  std::optional<JsonLine> FindLine(std::size_t first,
+                                   const std::string& event,
+                                   const Predicate& predicate) const;
+  JsonLine WaitFrom(std::size_t first,
+                    const std::string& event,
+                    std::chrono::milliseconds deadline,
+                    const Predicate& predicate);
+
+  std::string m_name;
+  std::unique_ptr<Handle> m_handle;
+  mutable std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::vector<JsonLine> m_lines;
+  bool m_has_ended = false;
+  std::thread m_reader;
+};
+
+}  // namespace integration
+
+#endif  // TESTS_INTEGRATION_CHILD_PROCESS_H_
--- /dev/null
+++ b/Tests/Integration/deployment.cc
@@ -0,0 +1,255 @@
+#include "deployment.h"
+
+#include <doctest/doctest.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "programs.h"
+
+namespace integration {
+
+namespace {
+
+constexpr auto kStartDeadline = std::chrono::seconds(10);
+constexpr auto kStopDeadline = std::chrono::seconds(25);
+constexpr int kServerBlock = 16;
+constexpr int kCallerBlock = 32;
+
+std::string MakeFolder() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "coltsfootdale-XXXXXX")
+          .string();
+  REQUIRE(mkdtemp(pattern.data()) != nullptr);
+  return pattern;
+}
+
+base::Endpoint Endpoint(const JsonLine& line, const std::string& field) {
+  const auto endpoint = base::ParseEndpoint(line.get(field, ""));
+  REQUIRE_MESSAGE(endpoint, "no endpoint in field " << field);
+  return *endpoint;
+}
+
+}  // namespace
+
+Deployment::Deployment(PlatformControl& platform,
+                       DocumentModel& document,
+                       Options options)
+    : m_platform(platform),
+      m_document(document),
+      m_options(std::move(options)),
+      m_platform_endpoint(platform.endpoint()),
+      m_folder(MakeFolder()) {
+  m_fabric = std::make_unique<ChildProcess>(
+      kStandInTraffic,
+      std::vector<std::string>{"fabric", "--address", Address(0, 1), "--seed",
+                               std::to_string(m_options.m_seed)});
+  const JsonLine line = m_fabric->WaitFor("listening", kStartDeadline);
+  m_fabric_callers = line.get("callers", "");
+  m_fabric_servers = line.get("servers", "");
+  m_fabric_balancers = line.get("balancers", "");
+}
+
+Deployment::~Deployment() {
+  std::error_code ignored;
+  std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string Deployment::Address(int block, int number) const {
+  return "127." + std::to_string(block) + "." +
+         std::to_string(m_options.m_number) + "." + std::to_string(number);
+}
+
+void Deployment::AddServer(const std::string& service,
+                           const std::string& name,
+                           const std::vector<std::string>& more) {
+  ServiceModel& model = m_document.m_services.at(service);
+  ServerModel server;
+  std::vector<std::string> arguments = {
+      "server",
+      "--address",
+      Address(kServerBlock, m_next_server++),
+      "--tunnel-port",
+      "0",
+      "--service",
+      service,
+      "--service-address",
+      base::ToString(model.m_address),
+      "--name",
+      name,
+      "--gateway",
+      m_fabric_servers,
+      "--slots",
+      std::to_string(server.m_slots),
+      "--connections",
+      std::to_string(server.m_connections),
+      "--seed",
+      std::to_string(m_options.m_seed + m_next_server)};
+  arguments.insert(arguments.end(), more.begin(), more.end());
+  auto process = std::make_unique<ChildProcess>(kStandInTraffic, arguments);
+  const JsonLine line = process->WaitFor("listening", kStartDeadline);
+  server.m_data_centre = m_options.m_data_centre;
+  server.m_tunnel = Endpoint(line, "tunnel");
+  server.m_health = Endpoint(line, "health");
+  model.m_servers[name] = server;
+  m_servers[name] = std::move(process);
+}
+
+std::string Deployment::WriteSettings(const std::string& name) {
+  const std::string path = m_folder + "/" + name + ".yaml";
+  std::ofstream(path) << "data_centre: " << m_options.m_data_centre
+                      << "\nname: " << name << "\ntraffic: " << Address(0, 1)
+                      << ":0\npeer: " << Address(0, 1)
+                      << ":0\nadmin: " << Address(0, 1)
+                      << ":0\ngateway: " << m_fabric_balancers
+                      << "\nplatform: " << base::ToString(m_platform_endpoint)
+                      << "\noperator_token: integration-test-token\n"
+                      << m_options.m_settings;
+  return path;
+}
+
+void Deployment::StartBalancer(const std::string& name) {
+  m_balancers[name] = std::make_unique<ChildProcess>(
+      kColtsfootdale,
+      std::vector<std::string>{"balancer", "--settings", WriteSettings(name)});
+}
+
+void Deployment::AnnounceBalancer(const std::string& name) {
+  const JsonLine line = Balancer(name).WaitFor("listening", kStartDeadline);
+  m_platform.Post("vm?name=" + name +
+                  "&data_centre=" + m_options.m_data_centre +
+                  "&state=live&traffic=" + line.get("traffic", "") +
+                  "&peer=" + line.get("peer", "") +
+                  "&admin=" + line.get("admin", "127.0.0.1:1"));
+}
+
+void Deployment::AwaitReady(const std::string& name) {
+  ChildProcess& balancer = Balancer(name);
+  const JsonLine line = balancer.WaitFor("listening", kStartDeadline);
+  balancer.WaitFor("ready", kStartDeadline);
+  m_fabric->Ask("balancer " + name + " " + line.get("traffic", ""), "done");
+}
+
+void Deployment::AddBalancer(const std::string& name) {
+  StartBalancer(name);
+  AnnounceBalancer(name);
+  AwaitReady(name);
+}
+
+void Deployment::KillBalancer(const std::string& name) {
+  auto node = m_balancers.extract(name);
+  node.mapped()->Signal(SIGKILL);
+  node.mapped()->WaitForExit(kStartDeadline);
+  m_former_balancers.push_back(std::move(node.mapped()));
+  // The fabric sends to the dead balancer for as long as a health check takes.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  m_fabric->Ask("remove " + name, "done");
+}
+
+int Deployment::StopBalancer(const std::string& name) {
+  auto node = m_balancers.extract(name);
+  node.mapped()->Signal(SIGTERM);
+  node.mapped()->WaitFor("shutdown_started", kStartDeadline);
+  m_fabric->Ask("remove " + name, "done");
+  const int code = node.mapped()->WaitForExit(kStopDeadline);
+  m_former_balancers.push_back(std::move(node.mapped()));
+  return code;
+}
+
+std::unique_ptr<ChildProcess> Deployment::StartCaller(
+    const std::string& service,
+    const CallerOptions& options) {
+  const int number = m_next_caller++;
+  std::vector<std::string> arguments = {
+      "caller",
+      "--address",
+      Address(kCallerBlock, number),
+      "--fabric",
+      m_fabric_callers,
+      "--service-address",
+      base::ToString(m_document.m_services.at(service).m_address),
+      "--seed",
+      std::to_string(m_options.m_seed * 1000 + static_cast<unsigned>(number)),
+      "--openings-per-second",
+      std::to_string(options.m_openings_per_second),
+      "--duration-ms",
+      std::to_string(options.m_duration.count()),
+      "--kind",
+      options.m_kind,
+      "--service-time-ms",
+      std::to_string(options.m_service_time_ms),
+      "--answer-bytes",
+      std::to_string(options.m_answer_bytes)};
+  arguments.insert(arguments.end(), options.m_more.begin(),
+                   options.m_more.end());
+  return std::make_unique<ChildProcess>(kStandInTraffic, arguments);
+}
+
+std::vector<std::string> Deployment::BalancerNames() const {
+  std::vector<std::string> names;
+  for (const auto& [name, process] : m_balancers)
+    names.push_back(name);
+  return names;
+}
+
+void Deployment::AwaitInForce(std::uint64_t version,
+                              std::chrono::milliseconds deadline) {
+  const auto end = std::chrono::steady_clock::now() + deadline;
+  for (const auto& [name, process] : m_balancers) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        end - std::chrono::steady_clock::now());
+    process->WaitFor("configuration_in_force",
+                     std::max(left, std::chrono::milliseconds(0)),
+                     [version](const JsonLine& line) {
+                       return line.get("version", std::uint64_t{0}) >= version;
+                     });
+  }
+}
+
+bool Deployment::AreVersionsMonotonic() const {
+  const auto is_monotonic = [](const ChildProcess& process) {
+    std::uint64_t last = 0;
+    for (const JsonLine& line : process.Lines("configuration_in_force")) {
+      const auto version = line.get("version", std::uint64_t{0});
+      if (version <= last)
+        return false;
+      last = version;
+    }
+    return true;
+  };
+  bool are_monotonic = true;
+  for (const auto& [name, process] : m_balancers)
+    are_monotonic = are_monotonic && is_monotonic(*process);
+  for (const auto& process : m_former_balancers)
+    are_monotonic = are_monotonic && is_monotonic(*process);
+  return are_monotonic;
+}
+
+std::uint64_t Deployment::SumOverServers(const std::string& counter) {
+  std::uint64_t sum = 0;
+  for (const auto& [name, process] : m_servers)
+    sum += process->Ask("report", "report").get<std::uint64_t>(counter);
+  return sum;
+}
+
+std::map<std::string, int> Deployment::Executions() {
+  std::map<std::string, int> executions;
+  for (const auto& [name, process] : m_servers) {
+    const JsonLine line = process->Ask("executions", "executions");
+    for (const auto& [key, id] : line.get_child("ids"))
+      ++executions[id.data()];
+  }
+  return executions;
+}
+
+std::uint64_t Deployment::CountExecutedTwice() {
+  std::uint64_t twice = 0;
+  for (const auto& [id, count] : Executions())
+    twice += count > 1 ? 1 : 0;
+  return twice;
+}
+
+}  // namespace integration
--- /dev/null
+++ b/Tests/Integration/deployment.h
@@ -0,0 +1,118 @@
+// A deployment of one data centre with the stand-ins around it, as separate
+// processes. Tests that need more data centres make several on one platform.
+
+#ifndef TESTS_INTEGRATION_DEPLOYMENT_H_
+#define TESTS_INTEGRATION_DEPLOYMENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "document_model.h"
+#include "platform_control.h"
+
+namespace integration {
+
+// The time in which a configuration must be in force everywhere (letter of
+// the users, 4 s).
+inline constexpr std::chrono::milliseconds kInForceDeadline{4000};
+// The time after which a leaving server gets no opening.
+inline constexpr std::chrono::milliseconds kDrainDeadline{3000};
+
+struct CallerOptions {
+  std::string m_kind = "short";
+  double m_openings_per_second = 100;
+  std::chrono::milliseconds m_duration{5000};
+  int m_service_time_ms = 20;
+  int m_answer_bytes = 2000;
+  // More command-line options of the stand-in.
+  std::vector<std::string> m_more;
+};
+
+class Deployment {
+ public:
+  struct Options {
+    std::string m_data_centre = "a";
+    // The second-last number of all addresses; differs between data centres.
+    int m_number = 1;
+    std::uint64_t m_seed = 1;
+    // YAML lines added to each balancer's settings.
+    std::string m_settings;
+  };
+
+  Deployment(PlatformControl& platform,
+             DocumentModel& document,
+             Options options);
+  ~Deployment();
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+
+  // Starts a server and enters it into the document model, unpublished.
+  void AddServer(const std::string& service,
+                 const std::string& name,
+                 const std::vector<std::string>& more = {});
+  // Starts a balancer, tells platform and fabric of it, and waits until it
+  // serves.
+  void AddBalancer(const std::string& name);
+  // The same in three steps, for tests that interfere in between.
+  void StartBalancer(const std::string& name);
+  void AnnounceBalancer(const std::string& name);
+  void AwaitReady(const std::string& name);
+  // SIGKILL. The fabric notices as late as a health check would.
+  void KillBalancer(const std::string& name);
+  // SIGTERM: the fabric is told at once; returns the exit code.
+  int StopBalancer(const std::string& name);
+  std::unique_ptr<ChildProcess> StartCaller(const std::string& service,
+                                            const CallerOptions& options);
+
+  ChildProcess& Balancer(const std::string& name) {
+    return *m_balancers.at(name);
+  }
+  ChildProcess& Server(const std::string& name) { return *m_servers.at(name); }
+  ChildProcess& Fabric() { return *m_fabric; }
+  std::vector<std::string> BalancerNames() const;
+  // Endpoint that balancers started from now on use for the platform.
+  void SetPlatformEndpoint(base::Endpoint endpoint) {
+    m_platform_endpoint = endpoint;
+  }
+
+  // Waits until every running balancer has `version` or a later one in force.
+  void AwaitInForce(std::uint64_t version,
+                    std::chrono::milliseconds deadline = kInForceDeadline);
+  // Whether each balancer's versions only ever grew.
+  bool AreVersionsMonotonic() const;
+  // Sums a counter of the servers' reports.
+  std::uint64_t SumOverServers(const std::string& counter);
+  // How many request ids ran twice, over all servers together.
+  std::uint64_t CountExecutedTwice();
+  // All request ids that ran, over all servers together.
+  std::map<std::string, int> Executions();
+
+ private:
+  std::string Address(int block, int number) const;
+  std::string WriteSettings(const std::string& name);
+
+  PlatformControl& m_platform;
+  DocumentModel& m_document;
+  Options m_options;
+  base::Endpoint m_platform_endpoint;
+  std::string m_folder;
+  std::unique_ptr<ChildProcess> m_fabric;
+  std::string m_fabric_callers;
+  std::string m_fabric_servers;
+  std::string m_fabric_balancers;
+  std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
+  std::map<std::string, std::unique_ptr<ChildProcess>> m_balancers;
+  // Processes that were killed or stopped; their logs are still read.
+  std::vector<std::unique_ptr<ChildProcess>> m_former_balancers;
+  int m_next_server = 1;
+  int m_next_caller = 1;
+};
+
+}  // namespace integration
+
+#endif  // TESTS_INTEGRATION_DEPLOYMENT_H_
--- /dev/null
+++ b/Tests/Integration/platform_control.cc
@@ -0,0 +1,81 @@
+#include "platform_control.h"
+
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "LibHttp/client.h"
+#include "child_process.h"
+#include "programs.h"
+
+namespace integration {
+
+namespace {
+
+constexpr auto kStartDeadline = std::chrono::seconds(10);
+constexpr std::uint16_t kStatusOk = 200;
+
+}  // namespace
+
+PlatformControl::PlatformControl()
+    : m_process(std::make_unique<ChildProcess>(
+          kStandInPlatform,
+          std::vector<std::string>{"--address", "127.0.0.1", "--port", "0",
+                                   "--seed", "1"})) {
+  const JsonLine line = m_process->WaitFor("listening", kStartDeadline);
+  const auto endpoint = base::ParseEndpoint(line.get("http", ""));
+  REQUIRE(endpoint);
+  m_endpoint = *endpoint;
+}
+
+PlatformControl::~PlatformControl() = default;
+
+http::Response PlatformControl::Call(http::Method method,
+                                     const std::string& path,
+                                     http::Headers headers,
+                                     std::string body) {
+  asio::io_context context;
+  http::Client client(context);
+  std::optional<http::Response> response;
+  client.Send({.m_method = method,
+               .m_endpoint = m_endpoint,
+               .m_path = path,
+               .m_headers = std::move(headers),
+               .m_body = std::move(body)},
+              [&response](const base::Outcome<http::Response>& outcome) {
+                if (outcome)
+                  response = outcome.value();
+              });
+  context.run();
+  return response.value_or(http::Response{});
+}
+
+std::string PlatformControl::Post(const std::string& path) {
+  const auto response = Call(http::Method::kPost, "/standin/" + path, {}, "");
+  REQUIRE_MESSAGE(response.m_status == kStatusOk, path);
+  return response.m_body;
+}
+
+std::uint64_t PlatformControl::PutDocument(const std::string& body,
+                                           std::uint64_t expected) {
+  const auto response =
+      Call(http::Method::kPut, "/objects/coltsfootdale/document",
+           {{"If-Version", std::to_string(expected)}}, body);
+  const auto version = http::FindHeader(response.m_headers, "X-Version");
+  if (response.m_status != kStatusOk || !version)
+    return 0;
+  return std::stoull(std::string(*version));
+}
+
+std::uint64_t PlatformControl::DocumentVersion() {
+  const auto response =
+      Call(http::Method::kGet, "/objects/coltsfootdale/document", {}, "");
+  const auto version = http::FindHeader(response.m_headers, "X-Version");
+  return version ? std::stoull(std::string(*version)) : 0;
+}
+
+}  // namespace integration
