--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -242,10 +242,10 @@
   entry->m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
   if (packet.m_has_payload && entry->m_is_counted && !entry->m_is_answered) {
     entry->m_is_answered = true;
-    effects.push_back(FlowNote{
-        FlowNoteKind::kAnswered, subject.m_service.id(), server,
-        std::chrono::milliseconds(entry->m_last_seen_ms -
-                                  entry->m_first_seen_ms)});
+    effects.push_back(
+        FlowNote{FlowNoteKind::kAnswered, subject.m_service.id(), server,
+                 std::chrono::milliseconds(entry->m_last_seen_ms -
+                                           entry->m_first_seen_ms)});
   }
   return effects;
 }
--- /dev/null
+++ b/Tests/Integration/scenario.cc
@@ -0,0 +1,57 @@
+#include "scenario.h"
+
+#include <doctest/doctest.h>
+
+#include <iostream>
+
+namespace integration {
+
+Scenario::Scenario(const Options& options)
+    : m_deployment(
+          m_platform,
+          m_document,
+          {.m_seed = options.m_seed, .m_settings = options.m_settings}) {
+  m_document.m_services[kPortal].m_address =
+      *base::ParseEndpoint("127.48.0.1:443");
+  m_document.m_services[kArchive].m_address =
+      *base::ParseEndpoint("127.48.0.2:443");
+  for (int i = 1; i <= options.m_portal_servers; ++i)
+    m_deployment.AddServer(kPortal, "portal-" + std::to_string(i),
+                           options.m_server_options);
+  for (int i = 1; i <= options.m_archive_servers; ++i)
+    m_deployment.AddServer(kArchive, "archive-" + std::to_string(i),
+                           options.m_server_options);
+  Publish("first");
+  for (int i = 1; i <= options.m_balancers; ++i)
+    m_deployment.StartBalancer("entry-" + std::to_string(i));
+  for (const std::string& name : m_deployment.BalancerNames())
+    m_deployment.AnnounceBalancer(name);
+  for (const std::string& name : m_deployment.BalancerNames())
+    m_deployment.AwaitReady(name);
+  m_deployment.AwaitInForce(m_version);
+}
+
+std::uint64_t Scenario::Publish(const std::string& submission) {
+  m_version = m_platform.PutDocument(m_document.Render(submission), m_version);
+  REQUIRE(m_version > 0);
+  return m_version;
+}
+
+void Scenario::PublishAndAwait(const std::string& submission) {
+  m_deployment.AwaitInForce(Publish(submission));
+}
+
+void PrintFigures(const std::string& proof,
+                  std::uint64_t seed,
+                  const JsonLine& report) {
+  std::cout << proof << ": seed " << seed << ", flows "
+            << report.get("flows", 0) << ", whole " << report.get("whole", 0)
+            << ", broken " << report.get("broken", 0) << ", refused "
+            << report.get("refused", 0) << ", unanswered openings "
+            << report.get("unanswered_openings", 0) << ", wrong bytes "
+            << report.get("wrong_bytes", 0) << ", crossed answers "
+            << report.get("crossed_answers", 0) << ", wait p99 "
+            << report.get("wait_p99_ms", 0.0) << " ms\n";
+}
+
+}  // namespace integration
--- /dev/null
+++ b/Tests/Integration/scenario.h
@@ -0,0 +1,61 @@
+// The deployment that most proofs start from: a portal of several servers
+// behind six balancers, as the users run it today in one data centre.
+
+#ifndef TESTS_INTEGRATION_SCENARIO_H_
+#define TESTS_INTEGRATION_SCENARIO_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "deployment.h"
+#include "document_model.h"
+#include "platform_control.h"
+
+namespace integration {
+
+inline constexpr const char* kPortal = "portal";
+inline constexpr const char* kArchive = "archive";
+
+class Scenario {
+ public:
+  struct Options {
+    int m_portal_servers = 6;
+    int m_archive_servers = 0;
+    int m_balancers = 6;
+    std::uint64_t m_seed = 1;
+    std::string m_settings;
+    std::vector<std::string> m_server_options;
+  };
+
+  // Starts all and waits until the first document is in force everywhere.
+  explicit Scenario(const Options& options);
+
+  // Puts the document model in force; returns when it is so everywhere.
+  void PublishAndAwait(const std::string& submission);
+  // Writes the document model without waiting.
+  std::uint64_t Publish(const std::string& submission);
+
+  PlatformControl& platform() { return m_platform; }
+  DocumentModel& document() { return m_document; }
+  Deployment& deployment() { return m_deployment; }
+  ServerModel& server(const std::string& service, const std::string& name) {
+    return m_document.m_services.at(service).m_servers.at(name);
+  }
+
+ private:
+  PlatformControl m_platform;
+  DocumentModel m_document;
+  Deployment m_deployment;
+  std::uint64_t m_version = 0;
+};
+
+// Prints one line of figures that the proof stands on.
+void PrintFigures(const std::string& proof,
+                  std::uint64_t seed,
+                  const JsonLine& report);
+
+}  // namespace integration
+
+#endif  // TESTS_INTEGRATION_SCENARIO_H_
--- /dev/null
+++ b/Tests/Integration/test_planned_change.cc
@@ -0,0 +1,92 @@
+// Promise: an established flow lives through any planned change.
+
+#include <doctest/doctest.h>
+
+#include "scenario.h"
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 31;
+
+// Long feeds and slow pulls that run through everything the test does.
+struct LongFlows {
+  explicit LongFlows(integration::Deployment& deployment)
+      : m_feeds(
+            deployment.StartCaller(integration::kPortal,
+                                   {.m_kind = "feed",
+                                    .m_openings_per_second = 20,
+                                    .m_duration = seconds(60),
+                                    .m_more = {"--feed-interval-ms", "400"}})),
+        m_pulls(deployment.StartCaller(integration::kPortal,
+                                       {.m_kind = "pull",
+                                        .m_openings_per_second = 4,
+                                        .m_duration = seconds(60),
+                                        .m_service_time_ms = 50,
+                                        .m_answer_bytes = 400000})),
+        m_shorts(deployment.StartCaller(integration::kPortal,
+                                        {.m_kind = "declaration",
+                                         .m_openings_per_second = 60,
+                                         .m_duration = seconds(60)})) {}
+
+  // Waits until each caller has established `count` flows more.
+  void AwaitMore(int count) {
+    m_awaited += count;
+    for (auto* caller : {&m_feeds, &m_pulls, &m_shorts})
+      (*caller)->WaitFor("progress", seconds(30), [this](const auto& line) {
+        return line.get("established", 0) >= m_awaited;
+      });
+  }
+
+  void CheckWhole(const std::string& proof) {
+    for (auto* caller : {&m_feeds, &m_pulls, &m_shorts}) {
+      const auto report = (*caller)->Ask("stop", "report", seconds(20));
+      integration::PrintFigures(proof, kSeed, report);
+      CHECK(report.get<int>("established") > 0);
+      CHECK(report.get<int>("broken") == 0);
+      CHECK(report.get<int>("wrong_bytes") == 0);
+    }
+  }
+
+  int m_awaited = 0;
+  std::unique_ptr<integration::ChildProcess> m_feeds;
+  std::unique_ptr<integration::ChildProcess> m_pulls;
+  std::unique_ptr<integration::ChildProcess> m_shorts;
+};
+
+}  // namespace
+
+TEST_CASE("flows live through servers added, drained and removed") {
+  integration::Scenario scenario({.m_seed = kSeed});
+  LongFlows flows(scenario.deployment());
+
+  flows.AwaitMore(8);
+  scenario.deployment().AddServer(integration::kPortal, "portal-7");
+  scenario.PublishAndAwait("added");
+  flows.AwaitMore(8);
+  scenario.server(integration::kPortal, "portal-1").m_is_draining = true;
+  scenario.server(integration::kPortal, "portal-2").m_is_draining = true;
+  scenario.PublishAndAwait("drained");
+  flows.AwaitMore(8);
+  scenario.document().m_services[integration::kPortal].m_servers.erase(
+      "portal-1");
+  scenario.PublishAndAwait("removed");
+  flows.AwaitMore(8);
+
+  flows.CheckWhole("servers added, drained, removed");
+  CHECK(scenario.deployment().AreVersionsMonotonic());
+}
+
+TEST_CASE("flows live through a roll of all balancers one after another") {
+  integration::Scenario scenario({.m_seed = kSeed});
+  LongFlows flows(scenario.deployment());
+
+  for (const std::string& name : scenario.deployment().BalancerNames()) {
+    scenario.deployment().AddBalancer("new-" + name);
+    CHECK(scenario.deployment().StopBalancer(name) == 0);
+  }
+
+  flows.CheckWhole("all balancers rolled");
+}
