--- /dev/null
+++ b/Tests/StandIns/Tests/test_traffic.cc
@@ -0,0 +1,293 @@
+// The stand-ins together in one event loop, over real sockets.
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <rapidjson/document.h>
+
+#include "StandIns/backend_server.h"
+#include "StandIns/caller.h"
+#include "StandIns/event_loop.h"
+#include "StandIns/fabric.h"
+#include "StandIns/fault_plan.h"
+#include "StandIns/udp_port.h"
+#include "StandIns/udp_proxy.h"
+
+using namespace std::chrono_literals;
+using stand_ins::BackendServer;
+using stand_ins::BackendServerOptions;
+using stand_ins::Caller;
+using stand_ins::CallerOptions;
+using stand_ins::EventLoop;
+using stand_ins::JsonLine;
+using stand_ins::LineCommands;
+using stand_ins::RequestKind;
+
+namespace {
+
+constexpr auto kLimit = 30s;
+
+rapidjson::Document Parse(const JsonLine& line) {
+  rapidjson::Document document;
+  document.Parse(line.Text().c_str());
+  return document;
+}
+
+std::uint64_t Number(const JsonLine& line, const char* name) {
+  return Parse(line)[name].GetUint64();
+}
+
+// How often each id is in the line's array "ids".
+std::map<std::uint64_t, int> CountIds(const JsonLine& line) {
+  std::map<std::uint64_t, int> counts;
+  const auto document = Parse(line);
+  for (const auto& id : document["ids"].GetArray())
+    ++counts[id.GetUint64()];
+  return counts;
+}
+
+// One backend server behind a fabric, a proxy and a balancer that forwards.
+class Traffic {
+ public:
+  Traffic() : m_fabric(&m_loop, 1), m_plan(stand_ins::ProxyProtocol::kUdp, 1) {
+    m_fabric.AddCommands(&m_fabric_commands);
+    m_plan.AddCommands(&m_proxy_commands, [this] { m_proxy->DeliverHeld(); });
+    REQUIRE(m_fabric.Open(Address("127.48.200.1")));
+    OpenServer();
+    OpenBalancer();
+    m_proxy = std::make_unique<stand_ins::UdpProxy>(
+        &m_loop, &m_plan, m_balancer->LocalEndpoint());
+    REQUIRE(m_proxy->Open({Address("127.48.200.3"), 0}));
+    m_fabric_commands.Answer("balancer b " +
+                             base::ToString(m_proxy->LocalEndpoint()));
+  }
+
+  // Starts a caller.
+  void Call(CallerOptions options) {
+    options.m_address = Address("127.32.200.1");
+    options.m_fabric = Bound(m_fabric.ListeningLine(), "callers");
+    options.m_service_address = m_server_options.m_service_address;
+    options.m_seed = 7;
+    options.m_requests.m_id_prefix = 7;
+    m_caller.emplace(&m_loop, options, [](const JsonLine&) {});
+    m_caller->AddCommands(&m_caller_commands);
+    REQUIRE(m_caller->Open());
+    m_caller->Start();
+  }
+
+  // Runs the loop until the condition holds; returns whether it came to hold.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const base::TimePoint limit = EventLoop::Now() + kLimit;
+    const auto timer = m_loop.Timers().SubscribeEvery(
+        EventLoop::Now(), 1ms, [&](base::TimePoint now) {
+          if (condition() || now >= limit)
+            m_loop.Stop();
+        });
+    m_loop.Run();
+    m_loop.Timers().Cancel(timer);
+    return condition();
+  }
+
+  bool RunToFinalReport() {
+    return RunUntil(
+        [this] { return Parse(m_caller->ReportLine())["final"].GetBool(); });
+  }
+
+  std::uint64_t OfCaller(const char* name) const {
+    return Number(m_caller->ReportLine(), name);
+  }
+  std::uint64_t OfServer(const char* name) const {
+    return Number(m_server->ReportLine(), name);
+  }
+
+  static base::Ipv4Address Address(const char* text) {
+    return *base::ParseIpv4Address(text);
+  }
+
+  static base::Endpoint Bound(const JsonLine& line, const char* name) {
+    return *base::ParseEndpoint(Parse(line)[name].GetString());
+  }
+
+  EventLoop m_loop;
+  stand_ins::Fabric m_fabric;
+  LineCommands m_fabric_commands;
+  stand_ins::FaultPlan m_plan;
+  LineCommands m_proxy_commands;
+  std::unique_ptr<stand_ins::UdpProxy> m_proxy;
+  BackendServerOptions m_server_options;
+  std::optional<BackendServer> m_server;
+  LineCommands m_server_commands;
+  std::optional<Caller> m_caller;
+  LineCommands m_caller_commands;
+
+ private:
+  void OpenServer() {
+    m_server_options.m_address = Address("127.16.200.1");
+    m_server_options.m_service = "service";
+    m_server_options.m_service_address = {Address("127.64.200.1"), 80};
+    m_server_options.m_name = "server";
+    m_server_options.m_gateway = Bound(m_fabric.ListeningLine(), "servers");
+    m_server_options.m_slots = 3;
+    m_server_options.m_connection_limit = 2000;
+    m_server_options.m_seed = 3;
+    m_server.emplace(&m_loop, m_server_options);
+    m_server->AddCommands(&m_server_commands);
+    REQUIRE(m_server->Open());
+  }
+
+  void OpenBalancer() {
+    m_balancer = stand_ins::UdpPort::Open(&m_loop.Context(),
+                                          {Address("127.48.200.2"), 0})
+                     .value();
+    const base::Endpoint tunnel = Bound(m_server->ListeningLine(), "tunnel");
+    const base::Endpoint callers = Bound(m_fabric.ListeningLine(), "balancers");
+    const base::Ipv4Address server = m_server_options.m_address;
+    m_balancer->StartReceiving([=, this](auto packet, base::Endpoint source) {
+      const bool is_answer = source.m_address == server;
+      m_balancer->Send(packet, is_answer ? callers : tunnel);
+    });
+  }
+
+  std::unique_ptr<stand_ins::UdpPort> m_balancer;
+};
+
+CallerOptions MakeOptions(std::optional<RequestKind> kind) {
+  CallerOptions options;
+  options.m_openings_per_second = 200;
+  options.m_duration = 500ms;
+  options.m_deadline = 20s;
+  options.m_silence = 5s;
+  options.m_requests.m_kind = kind;
+  options.m_requests.m_answer_bytes = 20'000;
+  options.m_requests.m_feed_interval = 50ms;
+  return options;
+}
+
+}  // namespace
+
+TEST_CASE("faults of the network neither break, lose nor repeat a flow") {
+  Traffic traffic;
+  for (const char* fault : {"loss 0.05", "duplicate 0.05", "reorder 0.05"})
+    traffic.m_proxy_commands.Answer(fault);
+
+  traffic.Call(MakeOptions(std::nullopt));
+  REQUIRE(traffic.RunToFinalReport());
+
+  const std::uint64_t flows = traffic.OfCaller("flows");
+  CHECK(flows > 50);
+  CHECK(traffic.OfCaller("whole") == flows);
+  CHECK(traffic.OfCaller("wrong_bytes") == 0);
+  CHECK(traffic.OfCaller("crossed_answers") == 0);
+  CHECK(traffic.OfCaller("feed_gaps") == 0);
+  CHECK(traffic.OfServer("executions") == flows);
+  CHECK(traffic.OfServer("executions_repeated") == 0);
+}
+
+TEST_CASE("a refused request did not run, each other one ran once") {
+  Traffic traffic;
+  CallerOptions options = MakeOptions(RequestKind::kDeclaration);
+  options.m_retries_not_run = 2;
+  traffic.Call(options);
+  REQUIRE(traffic.RunUntil([&] { return traffic.OfCaller("whole") > 20; }));
+  traffic.m_server_commands.Answer("drain");
+  REQUIRE(traffic.RunToFinalReport());
+
+  const auto refused = CountIds(traffic.m_caller->RefusedIdsLine());
+  const auto executed = CountIds(traffic.m_server->ExecutionsLine());
+  CHECK(!refused.empty());
+  CHECK(refused.size() == traffic.OfCaller("refused"));
+  CHECK(executed.size() == traffic.OfCaller("whole"));
+  CHECK(refused.size() + executed.size() == traffic.OfCaller("flows"));
+  for (const auto& [id, times] : refused)
+    CHECK_FALSE(executed.contains(id));
+  for (const auto& [id, times] : executed)
+    CHECK(times == 1);
+  CHECK(traffic.OfServer("accepted_after_drain") == 0);
+  CHECK(traffic.OfServer("refused_draining") ==
+        traffic.OfCaller("refused_openings"));
+  CHECK(traffic.OfCaller("retries") == 2 * refused.size());
+}
+
+TEST_CASE("a request that waits past its deadline is not run") {
+  Traffic traffic;
+  CallerOptions options = MakeOptions(RequestKind::kDeclaration);
+  options.m_requests.m_mean_service_time = 200ms;
+  options.m_deadline = 300ms;
+  traffic.Call(options);
+  REQUIRE(traffic.RunToFinalReport());
+
+  const auto refused = CountIds(traffic.m_caller->RefusedIdsLine());
+  const auto executed = CountIds(traffic.m_server->ExecutionsLine());
+  CHECK(traffic.OfCaller("not_run") == refused.size());
+  for (const auto& [id, times] : refused)
+    CHECK_FALSE(executed.contains(id));
+  CHECK(traffic.OfCaller("whole") + traffic.OfCaller("not_run") +
+            traffic.OfCaller("expired") ==
+        traffic.OfCaller("flows"));
+  CHECK(traffic.OfCaller("expired") > 0);
+}
+
+TEST_CASE("flows on ports that are reused at once are whole") {
+  Traffic traffic;
+  traffic.m_proxy_commands.Answer("delay 0 5");
+  CallerOptions options = MakeOptions(RequestKind::kShort);
+  options.m_low_port = 5000;
+  options.m_high_port = 5019;
+  options.m_port_reuse = stand_ins::PortReuse::kShortestFree;
+  traffic.Call(options);
+  REQUIRE(traffic.RunToFinalReport());
+
+  const std::uint64_t flows = traffic.OfCaller("flows");
+  CHECK(flows > 50);
+  CHECK(traffic.OfCaller("whole") + traffic.OfCaller("skipped_openings") ==
+        flows);
+  CHECK(traffic.OfCaller("wrong_bytes") == 0);
+  CHECK(traffic.OfServer("executions_repeated") == 0);
+}
+
+TEST_CASE("a server that lost its connections breaks them and is told apart") {
+  Traffic traffic;
+  CallerOptions options = MakeOptions(RequestKind::kFeed);
+  options.m_duration = 10s;
+  options.m_maximum_flows = 20;
+  traffic.Call(options);
+  REQUIRE(
+      traffic.RunUntil([&] { return traffic.OfCaller("feed_events") > 40; }));
+  traffic.m_server_commands.Answer("become service 127.64.200.1:80");
+  REQUIRE(traffic.RunUntil([&] { return traffic.OfCaller("broken") == 20; }));
+  CHECK(traffic.OfCaller("unknown_to_server") == 20);
+}
+
+TEST_CASE("packets for another service are foreign to a server") {
+  Traffic traffic;
+  traffic.m_server_commands.Answer("become other 127.64.200.2:80");
+
+  traffic.Call(MakeOptions(RequestKind::kShort));
+
+  REQUIRE(traffic.RunUntil(
+      [&] { return traffic.OfServer("foreign_packets") > 0; }));
+  CHECK(traffic.OfCaller("established") == 0);
+}
+
+TEST_CASE("a flow without progress is silent after its limit") {
+  Traffic traffic;
+  CallerOptions options = MakeOptions(RequestKind::kShort);
+  options.m_requests.m_mean_service_time = 10s;
+  options.m_silence = 1500ms;
+  options.m_maximum_flows = 10;
+  traffic.Call(options);
+  REQUIRE(
+      traffic.RunUntil([&] { return traffic.OfCaller("established") == 10; }));
+  traffic.m_server_commands.Answer("silence on");
+  REQUIRE(traffic.RunToFinalReport());
+
+  CHECK(traffic.OfCaller("silent") + traffic.OfCaller("whole") == 10);
+  CHECK(traffic.OfCaller("silent") >= 7);
+}
--- a/Tests/StandIns/caller.cc
+++ b/Tests/StandIns/caller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "StandIns/event_loop.h"
@@ -28,9 +29,10 @@
 
 }  // namespace
 
-Caller::Caller(EventLoop* loop, const CallerOptions& options)
+Caller::Caller(EventLoop* loop, const CallerOptions& options, Printer print)
     : m_loop(loop),
       m_options(options),
+      m_print(std::move(print)),
       m_random(options.m_seed),
       m_requests(options.m_requests),
       m_ports(options.m_low_port, options.m_high_port, options.m_port_reuse) {}
@@ -77,7 +79,7 @@
 void Caller::AddCommands(LineCommands* commands) {
   commands->Add("report", [this](const auto&) { return ReportLine(); });
   commands->Add("refused_ids",
-                [this](const auto&) { return m_report.RefusedIdsLine(); });
+                [this](const auto&) { return RefusedIdsLine(); });
   commands->Add("stop", [this](const auto&) {
     StopOpening(EventLoop::Now());
     return CommandDone{};
@@ -93,7 +95,7 @@
   timers.SubscribeEvery(now + kProgressInterval, kProgressInterval,
                         [this](auto) {
                           if (!m_final_report_sent)
-                            PrintLine(ProgressLine());
+                            m_print(ProgressLine());
                         });
   timers.SubscribeOnce(m_end,
                        [this](base::TimePoint time) { StopOpening(time); });
@@ -251,7 +253,7 @@
   if (!m_stopping || m_undecided > 0 || m_final_report_sent)
     return;
   m_final_report_sent = true;
-  PrintLine(ReportLine());
+  m_print(ReportLine());
 }
 
 void Caller::SendSegment(const TcpSegment& segment, std::uint16_t port) {
--- a/Tests/StandIns/caller.h
+++ b/Tests/StandIns/caller.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <utility>
@@ -45,13 +46,17 @@
 
 class Caller {
  public:
-  // `loop` must outlive the caller.
-  Caller(EventLoop* loop, const CallerOptions& options);
+  using Printer = std::function<void(const JsonLine& line)>;
+
+  // `loop` must outlive the caller, and the caller its timers. `print` takes
+  // the lines that no command asked for.
+  Caller(EventLoop* loop, const CallerOptions& options, Printer print);
 
   // Queries.
   JsonLine ListeningLine() const;
   // The counters as they are now.
   JsonLine ReportLine() const;
+  JsonLine RefusedIdsLine() const { return m_report.RefusedIdsLine(); }
 
   // Commands.
   base::Outcome<void> Open();
@@ -105,6 +110,7 @@
 
   EventLoop* m_loop;
   CallerOptions m_options;
+  Printer m_print;
   base::Random m_random;
   RequestSource m_requests;
   SourcePorts m_ports;
--- a/Tests/StandIns/caller_command.cc
+++ b/Tests/StandIns/caller_command.cc
@@ -105,7 +105,7 @@
     return FailToStart("bad --kind, --answer-bytes or --ports");
 
   EventLoop loop;
-  Caller caller(&loop, options);
+  Caller caller(&loop, options, &PrintLine);
   if (const auto opened = caller.Open(); !opened)
     return FailToStart(opened.error().message());
   PrintLine(caller.ListeningLine());
--- a/Tests/StandIns/event_loop.cc
+++ b/Tests/StandIns/event_loop.cc
@@ -13,6 +13,7 @@
 }  // namespace
 
 void EventLoop::Run() {
+  m_stopped = false;
   asio::signal_set signals(m_context, SIGTERM);
   signals.async_wait([this](std::error_code error, int) {
     if (!error)
--- a/Tests/StandIns/main.cc
+++ b/Tests/StandIns/main.cc
@@ -14,6 +14,7 @@
       {"fabric", &stand_ins::RunFabric},
       {"server", &stand_ins::RunBackendServer},
       {"caller", &stand_ins::RunCaller},
+      {"proxy", &stand_ins::RunProxy},
       {"forwarder", &stand_ins::RunForwarder},
   };
   std::signal(SIGPIPE, SIG_IGN);
--- a/Tests/StandIns/subcommands.h
+++ b/Tests/StandIns/subcommands.h
@@ -11,6 +11,7 @@
 int RunFabric(const Arguments& arguments);
 int RunBackendServer(const Arguments& arguments);
 int RunCaller(const Arguments& arguments);
+int RunProxy(const Arguments& arguments);
 // A balancer of one backend server, to try the others without the real one.
 int RunForwarder(const Arguments& arguments);
 
--- /dev/null
+++ b/Tests/StandIns/tcp_proxy.h
@@ -0,0 +1,54 @@
+// A proxy that delays, holds and cuts TCP connections to one target.
+
+#ifndef STANDINS_TCP_PROXY_H_
+#define STANDINS_TCP_PROXY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include <asio.hpp>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "StandIns/fault_plan.h"
+#include "StandIns/json_line.h"
+
+namespace stand_ins {
+
+class EventLoop;
+class TcpProxyConnection;
+
+class TcpProxy {
+ public:
+  // `loop` and `plan` must outlive the proxy.
+  TcpProxy(EventLoop* loop, FaultPlan* plan, base::Endpoint target);
+
+  // Queries.
+  base::Endpoint LocalEndpoint() const;
+  JsonLine ReportLine() const;
+
+  // Commands.
+  base::Outcome<void> Open(base::Endpoint listen);
+  // Goes on with what a rule held back that is gone.
+  void Resume();
+
+ private:
+  static constexpr std::size_t kMaximumConnections = 4096;
+
+  void AcceptNext();
+  void HandleAccepted(asio::ip::tcp::socket socket);
+  void ForgetClosed();
+
+  EventLoop* m_loop;
+  FaultPlan* m_plan;
+  base::Endpoint m_target;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::vector<std::weak_ptr<TcpProxyConnection>> m_connections;
+  std::uint64_t m_accepted = 0;
+};
+
+}  // namespace stand_ins
+
+#endif  // STANDINS_TCP_PROXY_H_
--- /dev/null
+++ b/Tests/StandIns/udp_proxy.h
@@ -0,0 +1,74 @@
+// A proxy that injects faults between UDP sources and one target.
+
+#ifndef STANDINS_UDP_PROXY_H_
+#define STANDINS_UDP_PROXY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "StandIns/fault_plan.h"
+#include "StandIns/json_line.h"
+#include "StandIns/udp_port.h"
+
+namespace stand_ins {
+
+class EventLoop;
+
+class UdpProxy {
+ public:
+  // `loop` and `plan` must outlive the proxy.
+  UdpProxy(EventLoop* loop, FaultPlan* plan, base::Endpoint target)
+      : m_loop(loop), m_plan(plan), m_target(target) {}
+
+  // Queries.
+  base::Endpoint LocalEndpoint() const { return m_listen->LocalEndpoint(); }
+  JsonLine ReportLine() const;
+
+  // Commands.
+  base::Outcome<void> Open(base::Endpoint listen);
+  // Delivers what was held by a freeze that is over.
+  void DeliverHeld();
+
+ private:
+  static constexpr std::size_t kMaximumSources = 4096;
+  static constexpr std::size_t kMaximumWaiting = 200'000;  // datagrams
+
+  struct Datagram {
+    Direction m_direction;
+    std::string m_bytes;
+    base::Endpoint m_source;  // of the flow, whichever the direction
+  };
+
+  struct Counters {
+    std::uint64_t m_received = 0;
+    std::uint64_t m_delivered = 0;
+    std::uint64_t m_overflowed = 0;  // too many sources or waiting datagrams
+  };
+
+  UdpPort* PortOf(base::Endpoint source);
+  void Receive(Datagram datagram);
+  void DeliverAfter(base::Duration delay, Datagram datagram);
+  void Deliver(Datagram datagram);
+
+  EventLoop* m_loop;
+  FaultPlan* m_plan;
+  base::Endpoint m_target;
+  std::unique_ptr<UdpPort> m_listen;
+  // Each source has a socket bound to its own address, so that the target sees
+  // it; what the target sends there goes back to the source.
+  std::unordered_map<base::Endpoint, std::unique_ptr<UdpPort>> m_ports;
+  std::deque<Datagram> m_held;
+  std::size_t m_delayed = 0;
+  Counters m_counters;
+};
+
+}  // namespace stand_ins
+
+#endif  // STANDINS_UDP_PROXY_H_
