LibConfiguration: Keep base versions with the submissions

LibPlatform settles a lost answer by the pairs of submission id and base version that the document carries, which the reader refused as unknown keys. The document now holds them in that form; the versions must decrease from entry to entry. A text without an id is one that was not submitted yet.

--- a/Libraries/LibConfiguration/document_reader.cc
+++ b/Libraries/LibConfiguration/document_reader.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <limits>
 #include <utility>
 
 #include "LibConfiguration/document_validation.h"
@@ -22,6 +23,7 @@
 constexpr IntegerRange kConnections{1, 1'000'000};
 // What a double and JSON's readers still hold exactly.
 constexpr IntegerRange kIncarnation{1, 1ULL << 53};
+constexpr IntegerRange kVersion{0, std::numeric_limits<std::uint64_t>::max()};
 
 PlacementRule ReadPlacement(MapReader& map) {
   PlacementRule rule;
@@ -77,7 +79,7 @@
   Document Read() {
     Document document;
     MapReader map(m_root, "", m_problems);
-    document.m_submission = map.RequiredName("submission");
+    document.m_submission = ReadSubmission(map);
     document.m_previous_submissions = ReadPreviousSubmissions(map);
     document.m_services = ReadServices(map);
     map.Finish();
@@ -85,13 +87,22 @@
   }
 
  private:
-  std::vector<std::string> ReadPreviousSubmissions(MapReader& parent) {
+  static SubmissionEntry ReadSubmission(MapReader& map) {
+    SubmissionEntry entry;
+    entry.m_id = map.OptionalName("submission");
+    entry.m_base_version =
+        base::ConfigurationVersion(map.IntegerOr("base_version", 0, kVersion));
+    return entry;
+  }
+
+  std::vector<SubmissionEntry> ReadPreviousSubmissions(MapReader& parent) {
     constexpr std::string_view kKey = "previous_submissions";
-    std::vector<std::string> submissions;
+    std::vector<SubmissionEntry> submissions;
     const auto& items = parent.OptionalItems(kKey, kMaxPreviousSubmissions);
     for (std::size_t index = 0; index < items.size(); ++index) {
-      const std::string path = ItemPath(parent, kKey, index);
-      submissions.push_back(ReadNameItem(items[index], path, m_problems));
+      MapReader map(items[index], ItemPath(parent, kKey, index), m_problems);
+      submissions.push_back(ReadSubmission(map));
+      map.Finish();
     }
     return submissions;
   }
--- a/Libraries/LibConfiguration/document_validation.cc
+++ b/Libraries/LibConfiguration/document_validation.cc
@@ -36,13 +36,15 @@
 
  private:
   void CheckSubmissions() {
-    std::set<std::string> seen{m_document.m_submission};
+    base::ConfigurationVersion replaced =
+        m_document.m_submission.m_base_version;
     const auto& previous = m_document.m_previous_submissions;
     for (std::size_t index = 0; index < previous.size(); ++index) {
-      if (!seen.insert(previous[index]).second)
-        Report(ProblemKind::kDuplicateName,
-               fmt::format("previous_submissions[{}]", index),
-               fmt::format("the submission {} stands twice", previous[index]));
+      if (previous[index].m_base_version >= replaced)
+        Report(ProblemKind::kContradiction,
+               fmt::format("previous_submissions[{}].base_version", index),
+               "the base versions must decrease from entry to entry");
+      replaced = previous[index].m_base_version;
     }
   }
 
--- a/Libraries/LibConfiguration/document_writer.cc
+++ b/Libraries/LibConfiguration/document_writer.cc
@@ -9,12 +9,17 @@
 // Names need no escape: they hold only letters, digits, '-', '_' and '.'. The
 // quotation marks keep names such as "null" and "1" text.
 std::string WriteSubmissions(const Document& document) {
-  std::string text = fmt::format("submission: \"{}\"\n", document.m_submission);
+  std::string text;
+  if (!document.m_submission.m_id.empty())
+    text = fmt::format("submission: \"{}\"\nbase_version: {}\n",
+                       document.m_submission.m_id,
+                       document.m_submission.m_base_version.value());
   if (document.m_previous_submissions.empty())
     return text + "previous_submissions: []\n";
   text += "previous_submissions:\n";
-  for (const std::string& submission : document.m_previous_submissions)
-    text += fmt::format("  - \"{}\"\n", submission);
+  for (const SubmissionEntry& entry : document.m_previous_submissions)
+    text += fmt::format("  - submission: \"{}\"\n    base_version: {}\n",
+                        entry.m_id, entry.m_base_version.value());
   return text;
 }
 
--- a/Libraries/LibConfiguration/map_reader.cc
+++ b/Libraries/LibConfiguration/map_reader.cc
@@ -55,25 +55,6 @@
 
 }  // namespace
 
-std::string ReadNameItem(const YamlNode& node,
-                         const std::string& path,
-                         Problems& problems) {
-  const auto report = [&](ProblemKind kind, std::string message) {
-    AddProblem(problems, {kind, path, std::move(message), node.m_position});
-  };
-  const bool is_name =
-      !node.m_text.empty() && std::ranges::all_of(node.m_text, IsNameCharacter);
-  if (node.m_text.size() > kMaxNameBytes)
-    report(ProblemKind::kTooLong,
-           fmt::format("a name has at most {} characters", kMaxNameBytes));
-  else if (!is_name)
-    report(ProblemKind::kWrongType,
-           fmt::format("{} is no name; a name consists of letters, digits, "
-                       "'-', '_' and '.'",
-                       Quote(node.m_text)));
-  return node.m_text;
-}
-
 MapReader::MapReader(const YamlNode& node, std::string path, Problems& problems)
     : m_node(node), m_path(std::move(path)), m_problems(problems) {
   if (m_node.m_kind != YamlNode::Kind::kMap)
@@ -82,10 +63,11 @@
 }
 
 std::string MapReader::RequiredName(std::string_view key) {
-  const YamlNode* node = RequiredScalar(key);
-  if (node == nullptr)
-    return {};
-  return ReadNameItem(*node, PathOf(key), m_problems);
+  return ReadName(key, RequiredScalar(key));
+}
+
+std::string MapReader::OptionalName(std::string_view key) {
+  return ReadName(key, OptionalScalar(key));
 }
 
 std::string MapReader::RequiredSecret(std::string_view key,
@@ -242,6 +224,22 @@
   return nullptr;
 }
 
+std::string MapReader::ReadName(std::string_view key, const YamlNode* node) {
+  if (node == nullptr)
+    return {};
+  const bool is_name = !node->m_text.empty() &&
+                       std::ranges::all_of(node->m_text, IsNameCharacter);
+  if (node->m_text.size() > kMaxNameBytes)
+    Report(ProblemKind::kTooLong, key, node->m_position,
+           fmt::format("a name has at most {} characters", kMaxNameBytes));
+  else if (!is_name)
+    Report(ProblemKind::kWrongType, key, node->m_position,
+           fmt::format("{} is no name; a name consists of letters, digits, "
+                       "'-', '_' and '.'",
+                       Quote(node->m_text)));
+  return node->m_text;
+}
+
 std::optional<std::uint64_t> MapReader::ParseInteger(std::string_view key,
                                                      const YamlNode& node,
                                                      IntegerRange range) {
--- a/Libraries/LibConfiguration/map_reader.h
+++ b/Libraries/LibConfiguration/map_reader.h
@@ -30,11 +30,6 @@
 // The longest name of a service, server, data centre or submission.
 inline constexpr std::size_t kMaxNameBytes = 63;
 
-// Returns the text of a node that has to be a name (see RequiredName).
-std::string ReadNameItem(const YamlNode& node,
-                         const std::string& path,
-                         Problems& problems);
-
 class MapReader {
  public:
   // Reports a node that is not a map and then reads it as an empty one. The
@@ -46,6 +41,8 @@
 
   // Letters, digits, '-', '_' and '.', at most kMaxNameBytes.
   std::string RequiredName(std::string_view key);
+  // The same, or an empty name if it is missing.
+  std::string OptionalName(std::string_view key);
   // Printable ASCII without spaces.
   std::string RequiredSecret(std::string_view key, IntegerRange length);
   base::Endpoint RequiredEndpoint(std::string_view key, IntegerRange port);
@@ -84,6 +81,7 @@
   const YamlNode* RequiredScalar(std::string_view key);
   const YamlNode* OptionalScalar(std::string_view key);
   const YamlNode* CheckScalar(std::string_view key, const YamlNode* node);
+  std::string ReadName(std::string_view key, const YamlNode* node);
   std::optional<std::uint64_t> ParseInteger(std::string_view key,
                                             const YamlNode& node,
                                             IntegerRange range);
--- a/Tests/LibConfiguration/example_document.h
+++ b/Tests/LibConfiguration/example_document.h
@@ -30,7 +30,7 @@
 // Service licence with servers tap-1 and tap-2, service dossier with file-1.
 inline Document MakeDocument() {
   Document document;
-  document.m_submission = "first";
+  document.m_submission = {"first", base::ConfigurationVersion(7)};
   document.m_services = {MakeService("licence", 1), MakeService("dossier", 2)};
   document.m_services[0].m_backend_servers = {MakeServer("tap-1", 1),
                                               MakeServer("tap-2", 2)};
