Services: Add the subcommands check, status and report

Operators need to validate files without a platform, and to read one balancer's status and report from scripts. The subcommands share the parsing of arguments and the exit codes (0 done, 1 refused, 2 usage, 3 conflict, 4 unreachable or unknown).

--- /dev/null
+++ b/Services/Coltsfootdale/admin_request.h
@@ -0,0 +1,27 @@
+// Fetches one page from the admin server of a balancer.
+
+#ifndef SERVICES_COLTSFOOTDALE_ADMIN_REQUEST_H_
+#define SERVICES_COLTSFOOTDALE_ADMIN_REQUEST_H_
+
+#include <string>
+#include <vector>
+
+#include "exit_code.h"
+
+namespace service {
+
+struct AdminPage {
+  // The subcommand that prints the page.
+  std::string m_subcommand;
+  std::string m_summary;
+  std::string m_path;
+};
+
+// Parses `arguments` (--admin IP:PORT), waits for the answer and prints its
+// body to standard output.
+ExitCode PrintAdminPage(const AdminPage& page,
+                        const std::vector<std::string>& arguments);
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_ADMIN_REQUEST_H_
--- /dev/null
+++ b/Services/Coltsfootdale/command_line.h
@@ -0,0 +1,46 @@
+// The part of the command line that the subcommands share.
+
+#ifndef SERVICES_COLTSFOOTDALE_COMMAND_LINE_H_
+#define SERVICES_COLTSFOOTDALE_COMMAND_LINE_H_
+
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/variables_map.hpp>
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibBase/ipv4.h"
+#include "exit_code.h"
+
+namespace service {
+
+// The values of the options, or the code to exit with at once.
+using ParsedArguments =
+    std::variant<boost::program_options::variables_map, ExitCode>;
+
+// Parses `arguments` and handles --help, which must be among the options: it
+// prints the description to standard output, errors go to standard error.
+ParsedArguments ParseArguments(
+    const boost::program_options::options_description& description,
+    const std::vector<std::string>& arguments);
+
+// Returns the text of an option, or nothing if it was not given.
+std::optional<std::string> TextOption(
+    const boost::program_options::variables_map& values,
+    const std::string& name);
+
+// The same for an option of the form IP:PORT. Prints an error and returns
+// nothing also if it is malformed.
+std::optional<base::Endpoint> EndpointOption(
+    const boost::program_options::variables_map& values,
+    const std::string& name);
+
+// Returns what a file holds. Prints an error and returns nothing if it cannot
+// be read or is larger than any configuration.
+std::optional<std::string> ReadTextFile(const std::string& path);
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_COMMAND_LINE_H_
--- /dev/null
+++ b/Services/Coltsfootdale/exit_code.h
@@ -0,0 +1,26 @@
+// The exit codes of every subcommand; docs/OPERATING.md lists them.
+
+#ifndef SERVICES_COLTSFOOTDALE_EXIT_CODE_H_
+#define SERVICES_COLTSFOOTDALE_EXIT_CODE_H_
+
+namespace service {
+
+enum class ExitCode {
+  kDone = 0,
+  // The input was refused; every error is listed.
+  kRefused = 1,
+  // The command line is wrong, or a file cannot be read.
+  kUsage = 2,
+  // Another operator has changed the configuration in the meantime.
+  kConflict = 3,
+  // The other side cannot be reached, or the outcome is unknown.
+  kUnreachable = 4,
+};
+
+constexpr int ToInt(ExitCode code) {
+  return static_cast<int>(code);
+}
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_EXIT_CODE_H_
