--- a/Services/Coltsfootdale/balancer_command.cc
+++ b/Services/Coltsfootdale/balancer_command.cc
@@ -10,6 +10,7 @@
 #include "LibConfiguration/settings_reader.h"
 #include "LibObservability/log.h"
 #include "balancer_process.h"
+#include "exit_code.h"
 
 namespace service {
 
@@ -17,27 +18,22 @@
 
 namespace options = boost::program_options;
 
-constexpr int kExitDone = 0;
-constexpr int kExitRefused = 1;
-constexpr int kExitUsage = 2;
-constexpr int kExitUnreachable = 4;
-
 int RunWithSettings(const configuration::Settings& settings) {
   observability::StartLog(observability::LogDestination::kStandardOutput);
   auto process = BalancerProcess::Create(settings);
   if (!process) {
     std::cerr << "cannot start: " << process.error().message() << "\n";
-    return kExitUnreachable;
+    return ToInt(ExitCode::kUnreachable);
   }
   process.value()->Run();
-  return kExitDone;
+  return ToInt(ExitCode::kDone);
 }
 
 int RunWithFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
     std::cerr << "cannot read " << path << "\n";
-    return kExitUsage;
+    return ToInt(ExitCode::kUsage);
   }
   std::stringstream text;
   text << file.rdbuf();
@@ -45,7 +41,7 @@
   if (const auto* problems = std::get_if<configuration::Problems>(&reading)) {
     for (const configuration::Problem& problem : *problems)
       std::cerr << path << ": " << ToString(problem) << "\n";
-    return kExitRefused;
+    return ToInt(ExitCode::kRefused);
   }
   return RunWithSettings(std::get<configuration::Settings>(reading));
 }
@@ -65,16 +61,16 @@
         values);
     if (values.count("help") != 0) {
       std::cout << description;
-      return kExitDone;
+      return ToInt(ExitCode::kDone);
     }
     if (values.count("settings") == 0) {
       std::cerr << description;
-      return kExitUsage;
+      return ToInt(ExitCode::kUsage);
     }
     return RunWithFile(values["settings"].as<std::string>());
   } catch (const options::error& error) {
     std::cerr << error.what() << "\n" << description;
-    return kExitUsage;
+    return ToInt(ExitCode::kUsage);
   }
 }
 
--- a/Services/Coltsfootdale/main.cc
+++ b/Services/Coltsfootdale/main.cc
@@ -7,11 +7,13 @@
 #include <vector>
 
 #include "balancer_command.h"
+#include "check_command.h"
+#include "exit_code.h"
+#include "report_command.h"
+#include "status_command.h"
 
 namespace {
 
-constexpr int kExitUsage = 2;
-
 struct Subcommand {
   std::string_view m_name;
   std::string_view m_summary;
@@ -20,6 +22,10 @@
 
 constexpr std::array kSubcommands = {
     Subcommand{"balancer", "run a balancer", service::RunBalancer},
+    Subcommand{"check", "validate settings and documents", service::RunCheck},
+    Subcommand{"status", "print a balancer's status", service::RunStatus},
+    Subcommand{"report", "print the report on service-level burn",
+               service::RunReport},
 };
 
 int PrintUsage() {
@@ -28,7 +34,7 @@
     std::cerr << "  " << subcommand.m_name << "\t" << subcommand.m_summary
               << "\n";
   std::cerr << "\nEach subcommand explains itself with --help.\n";
-  return kExitUsage;
+  return service::ToInt(service::ExitCode::kUsage);
 }
 
 }  // namespace
