--- /dev/null
+++ b/Benchmarks/ServiceEmulator/emulated_server.h
@@ -0,0 +1,78 @@
+// An emulated backend server: slots, a first-in first-out queue that may be
+// limited, a cold start, and load reports that lag and may be false.
+
+#ifndef SERVICE_EMULATOR_EMULATED_SERVER_H_
+#define SERVICE_EMULATOR_EMULATED_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "LibBase/ids.h"
+#include "LibBase/time.h"
+#include "LibBase/timer_service.h"
+#include "LibPlacement/load_event.h"
+#include "ServiceEmulator/emulated_flow.h"
+#include "ServiceEmulator/emulator_settings.h"
+
+namespace service_emulator {
+
+class EmulatedServer {
+ public:
+  using FlowPointer = std::shared_ptr<EmulatedFlow>;
+  using Completed = std::function<void(const FlowPointer& flow,
+                                       base::BackendServerId server,
+                                       base::TimePoint now)>;
+
+  EmulatedServer(const EmulatorSettings& settings,
+                 base::BackendServerId id,
+                 base::TimerService& timers,
+                 Completed completed);
+
+  // Queries.
+  base::BackendServerId Id() const { return m_id; }
+  std::size_t Busy() const { return m_busy; }
+  // Requests running and queued.
+  std::size_t Load() const { return m_busy + m_queue.size(); }
+  // Running and queued for each slot.
+  double Utilisation() const;
+  // What the server says about its load at `now`.
+  placement::LoadReported Report(base::TimePoint now) const;
+
+  // Commands.
+  void SetMisbehaviour(Misbehaviour misbehaviour);
+  void SetRefusing(bool is_refusing) { m_is_refusing = is_refusing; }
+  // Service times are longer from `now` on and return to normal.
+  void StartCold(base::TimePoint now);
+  // Takes a flow in; false if the server refuses it.
+  [[nodiscard]] bool Offer(const FlowPointer& flow, base::TimePoint now);
+
+ private:
+  struct Sample {
+    base::TimePoint m_at;
+    std::size_t m_busy;
+    std::size_t m_queued;
+  };
+
+  void Start(const FlowPointer& flow, base::TimePoint now);
+  void Complete(const FlowPointer& flow, base::TimePoint now);
+  void RecordSample(base::TimePoint now);
+  double ServiceFactor(base::TimePoint now) const;
+
+  const EmulatorSettings& m_settings;
+  base::BackendServerId m_id;
+  base::TimerService& m_timers;
+  Completed m_completed;
+  Misbehaviour m_misbehaviour = Misbehaviour::kNone;
+  bool m_is_refusing = false;
+  base::TimePoint m_cold_from = base::TimePoint::min();
+  std::size_t m_busy = 0;
+  std::deque<FlowPointer> m_queue;
+  std::deque<Sample> m_samples;
+};
+
+}  // namespace service_emulator
+
+#endif  // SERVICE_EMULATOR_EMULATED_SERVER_H_
--- /dev/null
+++ b/Benchmarks/ServiceEmulator/service_emulator.cc
@@ -0,0 +1,315 @@
+#include "ServiceEmulator/service_emulator.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "LibBase/hash.h"
+
+namespace service_emulator {
+
+namespace {
+
+using std::chrono::duration_cast;
+
+constexpr base::Duration kTick = std::chrono::milliseconds(100);
+// Exceptions are told to other balancers once a flow has lived this long.
+constexpr base::Duration kSharingAge = std::chrono::seconds(3);
+constexpr base::Duration kRemovalDelay = std::chrono::seconds(30);
+constexpr int kReplacedTogether = 2;
+constexpr base::TimePoint kEpoch{std::chrono::hours(1)};
+
+base::Duration Exponential(base::Random& random, base::Duration mean) {
+  return duration_cast<base::Duration>(mean * -std::log1p(-random.Unit()));
+}
+
+}  // namespace
+
+ServiceEmulator::ServiceEmulator(EmulatorSettings settings)
+    : m_settings(std::move(settings)),
+      m_now(kEpoch),
+      m_start(kEpoch + m_settings.m_warm_up),
+      m_end(m_start + m_settings.m_measured),
+      m_workload(m_settings.m_seed),
+      m_random(base::CombineHashes(m_settings.m_seed, 1)) {
+  AddBalancers();
+  for (std::uint32_t server = 0; server < m_settings.m_servers; ++server)
+    AddServer(placement::ServerStart::kWarm, m_now);
+  FindServer(m_active.front())->SetMisbehaviour(m_settings.m_misbehaviour);
+}
+
+EmulatorResults ServiceEmulator::Run() {
+  ScheduleArrival(m_now);
+  ScheduleReports();
+  SchedulePeerCounts();
+  ScheduleFaults();
+  ScheduleSamples();
+  while (const auto deadline = m_timers.NextDeadline()) {
+    if (*deadline > m_end)
+      break;
+    m_now = *deadline;
+    m_timers.Advance(m_now);
+  }
+  const double seconds =
+      std::chrono::duration<double>(m_settings.m_measured).count();
+  m_results.m_possible_work =
+      seconds * m_settings.m_servers * m_settings.m_slots;
+  return std::move(m_results);
+}
+
+void ServiceEmulator::AddBalancers() {
+  for (std::uint32_t number = 0; number < m_settings.m_balancers; ++number) {
+    EmulatedBalancer::World world;
+    world.m_offer = [this](const FlowPointer& flow,
+                           base::BackendServerId server) {
+      m_results.m_sent += IsMeasured() ? 1 : 0;
+      return FindServer(server)->Offer(flow, m_now);
+    };
+    world.m_choose_perfectly = [this](const EmulatedFlow& flow) {
+      return ChoosePerfectly(flow);
+    };
+    world.m_placed = [this](const FlowPointer& flow,
+                            base::BackendServerId server) {
+      OnPlaced(flow, server);
+    };
+    world.m_refused = [this](const FlowPointer& flow) { OnRefused(flow); };
+    m_balancers.push_back(std::make_unique<EmulatedBalancer>(
+        m_settings, m_random.Next(), m_timers, std::move(world)));
+  }
+}
+
+void ServiceEmulator::AddServer(placement::ServerStart start,
+                                base::TimePoint now) {
+  const base::BackendServerId id(base::MixBits(++m_next_server));
+  auto server = std::make_unique<EmulatedServer>(
+      m_settings, id, m_timers,
+      [this](const FlowPointer& flow, base::BackendServerId from,
+             base::TimePoint at) { OnCompleted(flow, from, at); });
+  if (start == placement::ServerStart::kCold)
+    server->StartCold(now);
+  m_servers.emplace(id, std::move(server));
+  m_active.push_back(id);
+  TellAll(placement::ServerAdded{id, m_settings.m_slots, 0, start}, now);
+}
+
+void ServiceEmulator::ScheduleArrival(base::TimePoint now) {
+  const double slots = m_settings.m_servers * m_settings.m_slots;
+  const auto interval = duration_cast<base::Duration>(
+      m_settings.m_mean_service_time / (slots * OfferedLoad()));
+  m_timers.SubscribeOnce(now + Exponential(m_workload, interval),
+                         [this](base::TimePoint at) {
+                           Arrive(at);
+                           ScheduleArrival(at);
+                         });
+}
+
+void ServiceEmulator::ScheduleReports() {
+  for (const auto& owned : m_balancers) {
+    EmulatedBalancer* balancer = owned.get();
+    const auto phase = duration_cast<base::Duration>(
+        m_settings.m_report_period * m_random.Unit());
+    m_timers.SubscribeEvery(m_now + phase, m_settings.m_report_period,
+                            [this, balancer](base::TimePoint now) {
+                              for (const auto& [id, server] : m_servers)
+                                balancer->Apply(server->Report(now), now);
+                            });
+    m_timers.SubscribeEvery(
+        m_now + kTick, kTick,
+        [balancer](base::TimePoint now) { balancer->Advance(now); });
+  }
+}
+
+void ServiceEmulator::SchedulePeerCounts() {
+  if (m_settings.m_knowledge != Knowledge::kPeerCounts)
+    return;
+  for (std::uint32_t number = 0; number < m_balancers.size(); ++number) {
+    const auto phase = duration_cast<base::Duration>(m_settings.m_peer_period *
+                                                     m_random.Unit());
+    m_timers.SubscribeEvery(
+        m_now + phase, m_settings.m_peer_period,
+        [this, number](base::TimePoint now) { TellPeerCounts(number, now); });
+  }
+}
+
+void ServiceEmulator::TellPeerCounts(std::uint32_t balancer,
+                                     base::TimePoint now) {
+  std::vector<placement::OpenCount> counts;
+  for (const auto& [id, server] : m_servers) {
+    std::int64_t sum = 0;
+    for (std::uint32_t peer = 0; peer < m_balancers.size(); ++peer)
+      sum += peer == balancer ? 0 : m_balancers[peer]->View().OwnOpenFlows(id);
+    counts.push_back({id, static_cast<std::int32_t>(sum)});
+  }
+  m_balancers[balancer]->Apply(placement::PeerOpenCounts{counts}, now);
+}
+
+void ServiceEmulator::ScheduleFaults() {
+  if (m_settings.m_replacement_period) {
+    m_timers.SubscribeEvery(
+        m_start, *m_settings.m_replacement_period,
+        [this](base::TimePoint now) { ReplaceServers(now); });
+  }
+  if (m_settings.m_refusal_period) {
+    const base::Duration period = *m_settings.m_refusal_period;
+    EmulatedServer* server = FindServer(m_active.front());
+    m_timers.SubscribeEvery(m_start, period, [server](base::TimePoint) {
+      server->SetRefusing(true);
+    });
+    m_timers.SubscribeEvery(
+        m_start + period / 3, period,
+        [server](base::TimePoint) { server->SetRefusing(false); });
+  }
+}
+
+void ServiceEmulator::ReplaceServers(base::TimePoint now) {
+  for (int replaced = 0; replaced < kReplacedTogether; ++replaced) {
+    const base::BackendServerId leaving = m_active.front();
+    m_active.erase(m_active.begin());
+    TellAll(placement::ServerDraining{leaving}, now);
+    m_timers.SubscribeOnce(now + kRemovalDelay,
+                           [this, leaving](base::TimePoint at) {
+                             TellAll(placement::ServerRemoved{leaving}, at);
+                           });
+    AddServer(placement::ServerStart::kCold, now);
+  }
+}
+
+void ServiceEmulator::ScheduleSamples() {
+  m_timers.SubscribeEvery(m_start, kTick,
+                          [this](base::TimePoint) { Sample(); });
+}
+
+void ServiceEmulator::Sample() {
+  double highest = 0.0;
+  double sum = 0.0;
+  for (const base::BackendServerId id : m_active) {
+    const double load = FindServer(id)->Utilisation();
+    highest = std::max(highest, load);
+    sum += load;
+  }
+  if (sum == 0.0)
+    return;
+  m_results.m_imbalance_sum +=
+      highest * static_cast<double>(m_active.size()) / sum;
+  ++m_results.m_imbalance_samples;
+}
+
+void ServiceEmulator::Arrive(base::TimePoint now) {
+  auto flow = std::make_shared<EmulatedFlow>();
+  flow->m_key = m_workload.Next();
+  flow->m_home =
+      static_cast<std::uint32_t>(m_workload.Below(m_balancers.size()));
+  flow->m_service_time =
+      Exponential(m_workload, m_settings.m_mean_service_time);
+  flow->m_caller_retries_left = m_settings.m_caller_retries;
+  Open(flow, now);
+}
+
+void ServiceEmulator::Open(const FlowPointer& flow, base::TimePoint now) {
+  m_results.m_received += IsMeasured() ? 1 : 0;
+  flow->m_opened_at = now;
+  flow->m_order = RendezvousOrder(flow->m_key);
+  m_timers.SubscribeOnce(
+      now + m_settings.m_patience,
+      [this, flow](base::TimePoint) { OnPatienceEnded(flow); });
+  m_balancers[flow->m_home]->Open(flow, now);
+}
+
+void ServiceEmulator::OnPlaced(const FlowPointer& flow,
+                               base::BackendServerId server) {
+  if (!IsMeasured())
+    return;
+  ++m_results.m_placed;
+  m_results.m_exceptions += server == flow->m_order.front() ? 0 : 1;
+}
+
+void ServiceEmulator::OnRefused(const FlowPointer& flow) {
+  m_results.m_refused += IsMeasured() ? 1 : 0;
+  // It has ended: its patience is no longer of interest.
+  flow->m_has_started = true;
+  RetryLater(*flow);
+}
+
+void ServiceEmulator::OnPatienceEnded(const FlowPointer& flow) {
+  if (flow->m_has_started)
+    return;
+  flow->m_is_abandoned = true;
+  RetryLater(*flow);
+}
+
+void ServiceEmulator::RetryLater(const EmulatedFlow& flow) {
+  if (flow.m_caller_retries_left == 0)
+    return;
+  auto again = std::make_shared<EmulatedFlow>(flow);
+  again->m_has_started = false;
+  again->m_is_abandoned = false;
+  --again->m_caller_retries_left;
+  m_timers.SubscribeOnce(
+      m_now + Exponential(m_random, m_settings.m_caller_retry_wait),
+      [this, again](base::TimePoint at) { Open(again, at); });
+}
+
+void ServiceEmulator::OnCompleted(const FlowPointer& flow,
+                                  base::BackendServerId server,
+                                  base::TimePoint now) {
+  const auto passing =
+      static_cast<std::uint32_t>(m_random.Below(m_balancers.size()));
+  if (m_settings.m_knowledge != Knowledge::kReports)
+    m_balancers[passing]->Apply(placement::FlowEnded{server}, now);
+  const base::Duration delay = now - flow->m_opened_at;
+  if (passing == flow->m_home)
+    m_balancers[passing]->SeeAnswer(server, delay, now);
+  if (!IsMeasured())
+    return;
+  if (!flow->m_is_abandoned) {
+    m_results.m_useful_work +=
+        std::chrono::duration<double>(flow->m_service_time).count();
+  }
+  if (flow->m_opened_at < m_start)
+    return;
+  const base::Duration wait = flow->m_started_at - flow->m_opened_at;
+  m_results.m_waits.push_back(std::chrono::duration<double>(wait).count());
+  if (server != flow->m_order.front() && delay >= kSharingAge)
+    ++m_results.m_long_exceptions;
+}
+
+bool ServiceEmulator::IsMeasured() const {
+  return m_now >= m_start && m_now <= m_end;
+}
+
+double ServiceEmulator::OfferedLoad() const {
+  const bool is_overloaded = m_settings.m_overload && m_now >= m_start &&
+                             m_now < m_start + m_settings.m_overload_time;
+  return is_overloaded ? *m_settings.m_overload : m_settings.m_utilisation;
+}
+
+EmulatedServer* ServiceEmulator::FindServer(base::BackendServerId server) {
+  return m_servers.at(server).get();
+}
+
+std::vector<base::BackendServerId> ServiceEmulator::RendezvousOrder(
+    std::uint64_t key) const {
+  std::vector<base::BackendServerId> order = m_active;
+  const auto weight = [key](base::BackendServerId id) {
+    return base::CombineHashes(key, id.value());
+  };
+  std::ranges::sort(order, std::ranges::greater{}, weight);
+  return order;
+}
+
+std::optional<base::BackendServerId> ServiceEmulator::ChoosePerfectly(
+    const EmulatedFlow& flow) {
+  const auto load = [this](base::BackendServerId id) {
+    return FindServer(id)->Utilisation();
+  };
+  return *std::ranges::min_element(flow.m_order, {}, load);
+}
+
+void ServiceEmulator::TellAll(const placement::LoadEvent& event,
+                              base::TimePoint now) {
+  for (const auto& balancer : m_balancers)
+    balancer->Apply(event, now);
+}
+
+}  // namespace service_emulator
--- /dev/null
+++ b/Benchmarks/ServiceEmulator/service_emulator.h
@@ -0,0 +1,84 @@
+// Emulates one service in one data centre event by event: callers, balancers
+// that share its flows evenly, and servers. Time is virtual, and a run is a
+// pure function of its settings.
+
+#ifndef SERVICE_EMULATOR_SERVICE_EMULATOR_H_
+#define SERVICE_EMULATOR_SERVICE_EMULATOR_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/random.h"
+#include "LibBase/timer_service.h"
+#include "ServiceEmulator/emulated_balancer.h"
+#include "ServiceEmulator/emulated_flow.h"
+#include "ServiceEmulator/emulated_server.h"
+#include "ServiceEmulator/emulator_results.h"
+#include "ServiceEmulator/emulator_settings.h"
+
+namespace service_emulator {
+
+class ServiceEmulator {
+ public:
+  explicit ServiceEmulator(EmulatorSettings settings);
+
+  // Runs from the start to the end and returns what was measured.
+  EmulatorResults Run();
+
+ private:
+  using FlowPointer = std::shared_ptr<EmulatedFlow>;
+
+  void AddBalancers();
+  void AddServer(placement::ServerStart start, base::TimePoint now);
+  void ScheduleArrival(base::TimePoint now);
+  void ScheduleReports();
+  void SchedulePeerCounts();
+  void ScheduleFaults();
+  void ScheduleSamples();
+
+  void Arrive(base::TimePoint now);
+  void Open(const FlowPointer& flow, base::TimePoint now);
+  void OnPlaced(const FlowPointer& flow, base::BackendServerId server);
+  void OnRefused(const FlowPointer& flow);
+  void OnPatienceEnded(const FlowPointer& flow);
+  void RetryLater(const EmulatedFlow& flow);
+  void OnCompleted(const FlowPointer& flow,
+                   base::BackendServerId server,
+                   base::TimePoint now);
+  void TellPeerCounts(std::uint32_t balancer, base::TimePoint now);
+  void ReplaceServers(base::TimePoint now);
+  void Sample();
+
+  bool IsMeasured() const;
+  double OfferedLoad() const;
+  EmulatedServer* FindServer(base::BackendServerId server);
+  std::vector<base::BackendServerId> RendezvousOrder(std::uint64_t key) const;
+  std::optional<base::BackendServerId> ChoosePerfectly(
+      const EmulatedFlow& flow);
+  void TellAll(const placement::LoadEvent& event, base::TimePoint now);
+
+  EmulatorSettings m_settings;
+  base::TimerService m_timers;
+  base::TimePoint m_now;
+  base::TimePoint m_start;
+  base::TimePoint m_end;
+  // Arrivals, service times and keys come from a generator of their own, so
+  // that every policy meets the same callers.
+  base::Random m_workload;
+  base::Random m_random;
+  std::uint64_t m_next_server = 0;
+  // Servers that take new flows.
+  std::vector<base::BackendServerId> m_active;
+  std::unordered_map<base::BackendServerId, std::unique_ptr<EmulatedServer>>
+      m_servers;
+  std::vector<std::unique_ptr<EmulatedBalancer>> m_balancers;
+  EmulatorResults m_results;
+};
+
+}  // namespace service_emulator
+
+#endif  // SERVICE_EMULATOR_SERVICE_EMULATOR_H_
