LibFlow: Send a denied probe's packet on at once and ask suspects last

Cause: a pull stalled past 5 s after deaths under machine load: a probe moved one candidate a retransmission, and those back off exponentially. Change: the home keeps the caller's packet and sends it to the next candidate on denial; a suspected balancer is no home and is asked last.

--- a/Libraries/LibFlow/balancer_set.cc
+++ b/Libraries/LibFlow/balancer_set.cc
@@ -26,9 +26,9 @@
   for (const Balancer& balancer : m_balancers) {
     const std::uint64_t weight = WeightOf(flow_hash, balancer);
     const bool is_better =
-        best == nullptr || (balancer.m_state == best->m_state
-                                ? weight > best_weight
-                                : balancer.m_state == BalancerState::kServing);
+        best == nullptr ||
+        (balancer.m_state == best->m_state ? weight > best_weight
+                                           : balancer.m_state < best->m_state);
     if (is_better) {
       best = &balancer;
       best_weight = weight;
@@ -49,11 +49,15 @@
   if (hops >= others.size())
     return std::nullopt;
   const auto target = others.begin() + static_cast<std::ptrdiff_t>(hops);
-  std::nth_element(others.begin(), target, others.end(),
-                   [flow_hash](const Balancer* left, const Balancer* right) {
-                     return WeightOf(flow_hash, *left) >
-                            WeightOf(flow_hash, *right);
-                   });
+  std::nth_element(
+      others.begin(), target, others.end(),
+      [flow_hash](const Balancer* left, const Balancer* right) {
+        const bool is_left_last = left->m_state == BalancerState::kSuspected;
+        const bool is_right_last = right->m_state == BalancerState::kSuspected;
+        if (is_left_last != is_right_last)
+          return is_right_last;
+        return WeightOf(flow_hash, *left) > WeightOf(flow_hash, *right);
+      });
   return **target;
 }
 
--- a/Libraries/LibFlow/balancer_set.h
+++ b/Libraries/LibFlow/balancer_set.h
@@ -21,12 +21,17 @@
   kServing,
   // About to stop: answers for the flows it knows, takes no opening.
   kLeaving,
+  // May be dead: takes no opening and is asked last. If the suspicion is wrong,
+  // that costs relays and no flow.
+  kSuspected,
 };
 
 struct Balancer {
   base::BalancerId m_id;
   base::Endpoint m_traffic;
   BalancerState m_state = BalancerState::kServing;
+
+  friend bool operator==(const Balancer&, const Balancer&) = default;
 };
 
 class BalancerSet {
@@ -47,7 +52,7 @@
 
   // The balancer to ask after `hops` others, the home not counted; nothing
   // when the order ends. A balancer that joins or leaves moves a home by one
-  // place, so the former home comes first.
+  // place, so the former home comes first. Suspected ones come last.
   std::optional<Balancer> SearchTarget(std::uint64_t flow_hash,
                                        std::size_t hops) const;
 
--- a/Libraries/LibFlow/effect.h
+++ b/Libraries/LibFlow/effect.h
@@ -47,8 +47,8 @@
   base::Endpoint m_tunnel;
 };
 
-// Sends a kept opening to another backend server than before.
-struct ResendOpening {
+// Sends a kept packet to another backend server than before.
+struct ResendPacket {
   base::Endpoint m_tunnel;
   std::vector<std::uint8_t> m_bytes;
 };
@@ -89,7 +89,7 @@
 };
 
 using Effect = std::variant<ForwardToServer,
-                            ResendOpening,
+                            ResendPacket,
                             RelayToBalancer,
                             DeliverToCaller,
                             RefuseOpening,
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -141,7 +141,7 @@
   entry.m_server = next->m_id;
   opening.m_tried.push_back(next->m_id);
   opening.m_last_sent = subject.m_now;
-  effects.push_back(ResendOpening{next->m_tunnel, opening.m_bytes});
+  effects.push_back(ResendPacket{next->m_tunnel, opening.m_bytes});
   effects.push_back(FlowNote{FlowNoteKind::kOpeningSent, subject.m_service.id(),
                              next->m_id, base::Duration::zero()});
   return effects;
@@ -168,12 +168,18 @@
     m_probes.Insert(subject.m_key, subject.m_now);
   }
   PendingProbe* probe = m_probes.Find(subject.m_key);
-  if (entry->m_state == FlowState::kProbing && probe != nullptr)
+  const bool is_probing =
+      entry->m_state == FlowState::kProbing && probe != nullptr;
+  if (is_probing)
     probe->AddDenial(server);
-  const bool is_swallowed =
-      entry->m_server != server ||
-      (entry->m_state == FlowState::kProbing && AdvanceProbe(subject, *entry));
-  if (is_swallowed) {
+  if (entry->m_server != server) {
+    effects.push_back(Drop{DropReason::kSwallowedReset});
+    return effects;
+  }
+  if (is_probing && AdvanceProbe(subject, *entry)) {
+    const RoutedServer* next = FindUsableServer(subject, entry->m_server);
+    if (!probe->m_packet.empty() && IsLeaseValid(subject.m_now))
+      effects.push_back(ResendPacket{next->m_tunnel, probe->m_packet});
     effects.push_back(Drop{DropReason::kSwallowedReset});
     return effects;
   }
--- a/Libraries/LibFlow/flow_settings.h
+++ b/Libraries/LibFlow/flow_settings.h
@@ -23,7 +23,8 @@
   Mechanisms m_mechanisms;
   std::size_t m_table_bytes = std::size_t{48} << 20;
   std::size_t m_maximum_openings = 65536;
-  std::size_t m_maximum_probes = 16384;
+  // Each keeps one packet.
+  std::size_t m_maximum_probes = 4096;
   // Searches and probes started in a second.
   double m_searches_per_second = 2000;
   // Balancers asked, the home not counted.
--- a/Libraries/LibFlow/probe_table.h
+++ b/Libraries/LibFlow/probe_table.h
@@ -6,7 +6,9 @@
 #define LIBFLOW_PROBE_TABLE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/container/static_vector.hpp>
 
@@ -19,6 +21,10 @@
 
 struct PendingProbe {
   base::TimePoint m_started;
+  // The caller's latest packet, sent on to the next candidate as soon as one
+  // has denied the flow: waiting for the caller to repeat it would cost an
+  // exponentially growing timeout for each candidate.
+  std::vector<std::uint8_t> m_packet;
   boost::container::static_vector<base::BackendServerId, kMaximumOrder>
       m_denials;
 
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -68,6 +68,25 @@
   return flow;
 }
 
+// How a peer takes part in traffic; nothing if it does not.
+std::optional<flow::BalancerState> RoutedStateOf(
+    const membership::MemberEntry& entry) {
+  switch (entry.m_record.m_state) {
+    case peer::MemberState::kLeaving:
+      return flow::BalancerState::kLeaving;
+    case peer::MemberState::kServing:
+    case peer::MemberState::kSuspected:
+      if (!entry.m_has_served)
+        return std::nullopt;
+      return entry.m_suspected_since ? flow::BalancerState::kSuspected
+                                     : flow::BalancerState::kServing;
+    case peer::MemberState::kJoining:
+    case peer::MemberState::kDead:
+      break;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 base::Outcome<std::unique_ptr<BalancerProcess>> BalancerProcess::Create(
@@ -218,26 +237,28 @@
                                  m_follower->follower().ConfirmedAt());
   Take(m_membership->Advance(now, m_random));
   TellFollower(now);
+  PublishBalancers();
 }
 
 void BalancerProcess::Take(const membership::Effects& effects) {
-  bool has_changed = false;
   const base::Overloaded visitor{
       [this](const membership::SendMessage& send) {
         m_peer_link->Send(send.m_to, send.m_message);
       },
-      [&](const membership::MemberCame& came) {
-        has_changed = true;
+      [](const membership::MemberCame& came) {
         WriteLog(Severity::kInfo, Event::kPeerJoined,
                  {{"peer", came.m_record.m_name}});
       },
-      [&](const membership::MemberChanged& /*changed*/) { has_changed = true; },
-      [&](const membership::MemberGone& gone) {
-        has_changed = true;
+      [](const membership::MemberChanged& changed) {
+        if (changed.m_record.m_state == peer::MemberState::kSuspected)
+          WriteLog(Severity::kWarning, Event::kPeerSuspected,
+                   {{"peer", changed.m_record.m_name}});
+      },
+      [](const membership::MemberGone& gone) {
         WriteLog(Severity::kInfo, Event::kPeerLeft,
                  {{"peer", gone.m_record.m_name}});
       },
-      [&](const membership::LiveMembersChanged&) { has_changed = true; },
+      [](const membership::LiveMembersChanged&) {},
       [](const membership::Paused& paused) {
         WriteLog(Severity::kWarning, Event::kLeaseLapsed,
                  {{"paused_ms",
@@ -246,8 +267,6 @@
       }};
   for (const membership::Effect& effect : effects)
     std::visit(visitor, effect);
-  if (has_changed)
-    PublishBalancers();
 }
 
 void BalancerProcess::OnPeerMessage(base::Endpoint from,
@@ -287,18 +306,16 @@
                                              : flow::BalancerState::kServing}};
   platform::LivePeersChanged peers;
   for (const auto& [id, entry] : m_membership->Peers().Entries()) {
-    const peer::MemberState state = entry.m_record.m_state;
-    const bool is_serving =
-        state == peer::MemberState::kServing ||
-        (state == peer::MemberState::kSuspected && entry.m_has_served);
-    if (!is_serving && state != peer::MemberState::kLeaving)
+    const auto state = RoutedStateOf(entry);
+    if (!state)
       continue;
-    balancers.push_back({id, entry.m_record.m_traffic,
-                         is_serving ? flow::BalancerState::kServing
-                                    : flow::BalancerState::kLeaving});
-    if (is_serving)
+    balancers.push_back({id, entry.m_record.m_traffic, *state});
+    if (*state == flow::BalancerState::kServing)
       peers.m_peers.push_back(id);
   }
+  if (balancers == m_published_balancers)
+    return;
+  m_published_balancers = balancers;
   m_follower->Handle(peers);
   m_traffic->Post(
       [set = std::make_shared<flow::BalancerSet>(m_id, std::move(balancers))](
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -16,6 +16,7 @@
 #include "LibBase/outcome.h"
 #include "LibBase/random.h"
 #include "LibConfiguration/settings.h"
+#include "LibFlow/balancer_set.h"
 #include "LibMembership/membership.h"
 #include "LibPeer/message.h"
 #include "LibPlatform/platform_client.h"
@@ -105,6 +106,7 @@
   base::TimePoint m_leaving_since;
   base::TimePoint m_last_direct_packet;
   std::uint64_t m_direct_packets = 0;
+  std::vector<flow::Balancer> m_published_balancers;
 
   asio::io_context m_context{1};
   asio::signal_set m_signals{m_context};
--- a/Services/Coltsfootdale/traffic_counters.h
+++ b/Services/Coltsfootdale/traffic_counters.h
@@ -21,7 +21,7 @@
   kPacketsToServers,
   kPacketsToCallers,
   kOpeningsRefused,
-  kOpeningsResent,
+  kPacketsResent,
   kPacketsMalformed,
   kSendFailures,
 };
@@ -34,7 +34,7 @@
     {TrafficCounter::kPacketsToServers, "packets_to_servers"},
     {TrafficCounter::kPacketsToCallers, "packets_to_callers"},
     {TrafficCounter::kOpeningsRefused, "openings_refused"},
-    {TrafficCounter::kOpeningsResent, "openings_resent"},
+    {TrafficCounter::kPacketsResent, "packets_resent"},
     {TrafficCounter::kPacketsMalformed, "packets_malformed"},
     {TrafficCounter::kSendFailures, "send_failures"},
 }};
--- a/Services/Coltsfootdale/traffic_loop.cc
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -150,7 +150,7 @@
           packet, server);
 }
 
-void TrafficLoop::Execute(const flow::Effects& effects,
+void TrafficLoop::Execute(flow::Effects effects,
                           const wire::PacketView& packet,
                           base::Ipv4Address server) {
   const base::Overloaded visitor{
@@ -158,10 +158,12 @@
         m_counters.Add(TrafficCounter::kPacketsToServers);
         Send(forward.m_tunnel, {}, packet.bytes());
       },
-      [&](const flow::ResendOpening& resend) {
-        m_counters.Add(TrafficCounter::kOpeningsResent);
-        // The kept opening goes with the effect, so it is sent as a prefix.
-        Send(resend.m_tunnel, resend.m_bytes, {});
+      [&](flow::ResendPacket& resend) {
+        m_counters.Add(TrafficCounter::kPacketsResent);
+        if (m_sending.IsFull())
+          Flush();
+        m_kept.push_back(std::move(resend.m_bytes));
+        Send(resend.m_tunnel, {}, m_kept.back());
       },
       [&](const flow::RelayToBalancer& relay) {
         m_counters.Add(TrafficCounter::kRelaysSent);
@@ -182,7 +184,7 @@
       },
       [&](const flow::Drop& drop) { m_counters.AddDrop(drop.m_reason); },
       [](const flow::FlowNote&) {}};
-  for (const flow::Effect& effect : effects)
+  for (flow::Effect& effect : effects)
     std::visit(visitor, effect);
 }
 
@@ -196,6 +198,7 @@
 
 void TrafficLoop::Flush() {
   const std::size_t failed = m_sending.Flush(m_socket.native_handle());
+  m_kept.clear();
   if (failed > 0)
     m_counters.Add(TrafficCounter::kSendFailures, failed);
 }
--- a/Services/Coltsfootdale/traffic_loop.h
+++ b/Services/Coltsfootdale/traffic_loop.h
@@ -9,10 +9,12 @@
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <span>
 #include <thread>
+#include <vector>
 
 #include "LibBalancer/traffic_core.h"
 #include "LibBase/ids.h"
@@ -66,7 +68,7 @@
                     base::Ipv4Address server,
                     flow::RelayContext relay,
                     base::TimePoint now);
-  void Execute(const flow::Effects& effects,
+  void Execute(flow::Effects effects,
                const wire::PacketView& packet,
                base::Ipv4Address server);
   void Send(base::Endpoint destination,
@@ -82,6 +84,9 @@
   TrafficCounters m_counters;
   ReceivedBatch m_received;
   SendBatch m_sending;
+  // Packets that m_sending refers to and no receive buffer holds. A deque, so
+  // that they stay in place.
+  std::deque<std::vector<std::uint8_t>> m_kept;
   asio::io_context m_context{1};
   asio::ip::udp::socket m_socket{m_context};
   asio::steady_timer m_advance_timer{m_context};
--- a/Tests/Integration/scenario.cc
+++ b/Tests/Integration/scenario.cc
@@ -51,7 +51,9 @@
             << report.get("unanswered_openings", 0) << ", wrong bytes "
             << report.get("wrong_bytes", 0) << ", crossed answers "
             << report.get("crossed_answers", 0) << ", wait p99 "
-            << report.get("wait_p99_ms", 0.0) << " ms\n";
+            << report.get("wait_p99_ms", 0.0) << " ms, resets "
+            << report.get("reset", 0) << ", silent " << report.get("silent", 0)
+            << "\n";
 }
 
 }  // namespace integration
--- a/Tests/LibFlow/flow_world.cc
+++ b/Tests/LibFlow/flow_world.cc
@@ -229,7 +229,7 @@
         if constexpr (kIsFromCaller)
           reply = AtServer(forward.m_tunnel, packet, depth);
       },
-      [&](const ResendOpening& resend) {
+      [&](const ResendPacket& resend) {
         const CallerPacket opening{packet.m_key,
                                    CallerPacketKind::kOpening,
                                    packet.m_position,
--- a/Tests/LibFlow/test_balancer_set.cc
+++ b/Tests/LibFlow/test_balancer_set.cc
@@ -53,3 +53,14 @@
   CHECK_FALSE(set.SearchTarget(7, 3));
   CHECK(set.SearchTarget(7, 0)->m_id != set.SearchTarget(7, 1)->m_id);
 }
+
+TEST_CASE("a suspected balancer is no home and is asked last") {
+  auto balancers = MakeBalancers(6);
+  balancers[0].m_state = flow::BalancerState::kSuspected;
+  const flow::BalancerSet set(balancers[1].m_id, balancers);
+
+  for (std::uint64_t hash = 0; hash < 1000; ++hash) {
+    CHECK(set.HomeOf(hash).m_id != balancers[0].m_id);
+    CHECK(set.SearchTarget(hash, 4)->m_id == balancers[0].m_id);
+  }
+}
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -89,7 +89,7 @@
     const auto retried = director.HandleServerPacket(
         {kKey, flow::ServerPacketKind::kRefused, 0, refusing.m_address, {}},
         now);
-    const auto* resent = FindEffect<flow::ResendOpening>(retried);
+    const auto* resent = FindEffect<flow::ResendPacket>(retried);
     REQUIRE(resent);
     CHECK(resent->m_tunnel != refusing);
     CHECK(resent->m_bytes == bytes);
@@ -174,3 +174,29 @@
   REQUIRE(drop);
   CHECK(drop->m_reason == flow::DropReason::kCrossedAnswer);
 }
+
+TEST_CASE("a denied probe goes on to the next candidate with the same packet") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const std::vector<std::uint8_t> bytes(60, 7);
+  const auto first = director.HandleCallerPacket(
+      {kKey, flow::CallerPacketKind::kData, kPosition, {}, bytes}, now);
+  auto candidate = FindEffect<flow::ForwardToServer>(first)->m_tunnel;
+
+  for (int denial = 1; denial < 3; ++denial) {
+    const auto effects = director.HandleServerPacket(
+        {kKey, flow::ServerPacketKind::kNoSuchFlow, 0, candidate.m_address, {}},
+        now);
+    const auto* resent = FindEffect<flow::ResendPacket>(effects);
+    REQUIRE(resent);
+    CHECK(resent->m_tunnel != candidate);
+    CHECK(resent->m_bytes == bytes);
+    CHECK_FALSE(FindEffect<flow::DeliverToCaller>(effects));
+    candidate = resent->m_tunnel;
+  }
+  const auto last = director.HandleServerPacket(
+      {kKey, flow::ServerPacketKind::kNoSuchFlow, 0, candidate.m_address, {}},
+      now);
+
+  CHECK(FindEffect<flow::DeliverToCaller>(last));
+}
