Tests: Keep held connections of the TCP proxy open

A connection held by a freeze or cut had no pending operation and so no owner, and was closed. The proxy owns its connections now.

--- a/Tests/StandIns/server_connection.cc
+++ b/Tests/StandIns/server_connection.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // How much of an answer is handed to TCP ahead of its acknowledgment.
-constexpr std::size_t kSendBufferBytes = 128 * 1024;
+constexpr std::size_t kSendBufferBytes = 131'072;
 constexpr auto kShortestFeedInterval = std::chrono::milliseconds(1);
 
 }  // namespace
--- a/Tests/StandIns/tcp_connection.h
+++ b/Tests/StandIns/tcp_connection.h
@@ -101,6 +101,8 @@
   std::vector<TcpSegment> TakeSegments(base::TimePoint now);
 
  private:
+  static constexpr std::uint16_t kReceiveWindowBytes = 65535;
+
   // Offsets count sequence numbers from the initial one on, without wrapping.
   using Offset = std::uint64_t;
 
--- a/Tests/StandIns/tcp_proxy.cc
+++ b/Tests/StandIns/tcp_proxy.cc
@@ -24,7 +24,7 @@
 JsonLine TcpProxy::ReportLine() const {
   std::uint64_t open = 0;
   for (const auto& connection : m_connections)
-    open += connection.expired() ? 0 : 1;
+    open += connection->IsClosed() ? 0 : 1;
   JsonLine line("report");
   line.Add("accepted", m_accepted).Add("open", open);
   return line;
@@ -69,15 +69,13 @@
 
 void TcpProxy::ForgetClosed() {
   std::erase_if(m_connections,
-                [](const auto& connection) { return connection.expired(); });
+                [](const auto& connection) { return connection->IsClosed(); });
 }
 
 void TcpProxy::Resume() {
   ForgetClosed();
-  for (const auto& weak : m_connections) {
-    if (const auto connection = weak.lock())
-      connection->Resume();
-  }
+  for (const auto& connection : m_connections)
+    connection->Resume();
 }
 
 }  // namespace stand_ins
--- a/Tests/StandIns/tcp_proxy.h
+++ b/Tests/StandIns/tcp_proxy.h
@@ -45,7 +45,7 @@
   FaultPlan* m_plan;
   base::Endpoint m_target;
   asio::ip::tcp::acceptor m_acceptor;
-  std::vector<std::weak_ptr<TcpProxyConnection>> m_connections;
+  std::vector<std::shared_ptr<TcpProxyConnection>> m_connections;
   std::uint64_t m_accepted = 0;
 };
 
--- a/Tests/StandIns/tcp_proxy_connection.cc
+++ b/Tests/StandIns/tcp_proxy_connection.cc
@@ -33,7 +33,7 @@
 }
 
 void TcpProxyConnection::Resume() {
-  if (!m_connected)
+  if (!m_connected || m_closed)
     return;
   Continue(&m_forward);
   Continue(&m_backward);
@@ -125,6 +125,7 @@
 }
 
 void TcpProxyConnection::Close() {
+  m_closed = true;
   std::error_code ignored;
   m_source.close(ignored);
   m_target.close(ignored);
--- a/Tests/StandIns/tcp_proxy_connection.h
+++ b/Tests/StandIns/tcp_proxy_connection.h
@@ -27,13 +27,16 @@
                      FaultPlan* plan,
                      asio::ip::tcp::socket source);
 
+  // Queries.
+  bool IsClosed() const { return m_closed; }
+
   // Commands.
   void Start(base::Endpoint target);
   // Goes on with what a rule held back that is gone.
   void Resume();
 
  private:
-  static constexpr std::size_t kReadBytes = 16 * 1024;
+  static constexpr std::size_t kReadBytes = 16'384;
   static constexpr std::size_t kMaximumChunks = 64;
 
   // Some bytes, or the end of the stream if there are none.
@@ -71,6 +74,7 @@
   Pipe m_forward;
   Pipe m_backward;
   bool m_connected = false;
+  bool m_closed = false;
 };
 
 }  // namespace stand_ins
--- a/Tests/StandIns/udp_proxy.cc
+++ b/Tests/StandIns/udp_proxy.cc
@@ -53,15 +53,15 @@
   return port;
 }
 
-void UdpProxy::Receive(Datagram datagram) {
+void UdpProxy::Receive(const Datagram& datagram) {
   ++m_counters.m_received;
   for (const base::Duration delay : m_plan->DrawCopies(datagram.m_direction))
     DeliverAfter(delay, datagram);
 }
 
-void UdpProxy::DeliverAfter(base::Duration delay, Datagram datagram) {
+void UdpProxy::DeliverAfter(base::Duration delay, const Datagram& datagram) {
   if (delay == base::Duration::zero()) {
-    Deliver(std::move(datagram));
+    Deliver(datagram);
     return;
   }
   if (m_delayed >= kMaximumWaiting) {
@@ -69,18 +69,17 @@
     return;
   }
   ++m_delayed;
-  m_loop->Timers().SubscribeOnce(
-      EventLoop::Now() + delay,
-      [this, datagram = std::move(datagram)](base::TimePoint) {
-        --m_delayed;
-        Deliver(datagram);
-      });
+  m_loop->Timers().SubscribeOnce(EventLoop::Now() + delay,
+                                 [this, datagram](base::TimePoint) {
+                                   --m_delayed;
+                                   Deliver(datagram);
+                                 });
 }
 
-void UdpProxy::Deliver(Datagram datagram) {
+void UdpProxy::Deliver(const Datagram& datagram) {
   if (m_plan->RulesOf(datagram.m_direction).m_frozen) {
     if (m_held.size() < kMaximumWaiting)
-      m_held.push_back(std::move(datagram));
+      m_held.push_back(datagram);
     else
       ++m_counters.m_overflowed;
     return;
@@ -98,9 +97,9 @@
 }
 
 void UdpProxy::DeliverHeld() {
-  std::deque<Datagram> held = std::exchange(m_held, {});
-  for (Datagram& datagram : held)
-    Deliver(std::move(datagram));
+  const std::deque<Datagram> held = std::exchange(m_held, {});
+  for (const Datagram& datagram : held)
+    Deliver(datagram);
 }
 
 }  // namespace stand_ins
--- a/Tests/StandIns/udp_proxy.h
+++ b/Tests/StandIns/udp_proxy.h
@@ -53,9 +53,9 @@
   };
 
   UdpPort* PortOf(base::Endpoint source);
-  void Receive(Datagram datagram);
-  void DeliverAfter(base::Duration delay, Datagram datagram);
-  void Deliver(Datagram datagram);
+  void Receive(const Datagram& datagram);
+  void DeliverAfter(base::Duration delay, const Datagram& datagram);
+  void Deliver(const Datagram& datagram);
 
   EventLoop* m_loop;
   FaultPlan* m_plan;
