--- a/Tests/StandIns/Tests/test_tcp_connection.cc
+++ b/Tests/StandIns/Tests/test_tcp_connection.cc
@@ -167,6 +167,23 @@
   }
 }
 
+TEST_CASE("a lost segment among others is repaired without a timeout") {
+  EstablishedPair pair;
+  const std::string data = PatternBytes(RequestId(1), 0, 10'000);
+  pair.m_client.Send(data);
+  auto segments = pair.m_client.TakeSegments(pair.m_now);
+  segments.erase(segments.begin() + 1);
+  for (const TcpSegment& segment : segments) {
+    pair.m_server.Receive(segment, pair.m_now);
+    for (const TcpSegment& answer : pair.m_server.TakeSegments(pair.m_now))
+      pair.m_client.Receive(answer, pair.m_now);
+  }
+  for (const TcpSegment& segment : pair.m_client.TakeSegments(pair.m_now))
+    pair.m_server.Receive(segment, pair.m_now);
+
+  CHECK(pair.m_server.TakeReceived() == data);
+}
+
 TEST_CASE("a reset is accepted only inside the window") {
   EstablishedPair pair;
   const std::uint32_t next = EstablishedPair::kServerSequence + 1;
--- a/Tests/StandIns/Tests/test_traffic.cc
+++ b/Tests/StandIns/Tests/test_traffic.cc
@@ -234,6 +234,21 @@
   CHECK(traffic.OfCaller("expired") > 0);
 }
 
+TEST_CASE("a cancelled request frees its slot or its place in the queue") {
+  Traffic traffic;
+  CallerOptions options = MakeOptions(RequestKind::kDeclaration);
+  options.m_requests.m_mean_service_time = 1h;
+  options.m_deadline = 300ms;
+  traffic.Call(options);
+  REQUIRE(traffic.RunToFinalReport());
+
+  CHECK(traffic.RunUntil([&] {
+    return traffic.OfServer("busy") == 0 && traffic.OfServer("queued") == 0;
+  }));
+  CHECK(traffic.OfServer("cancelled_running") ==
+        traffic.OfServer("executions"));
+}
+
 TEST_CASE("flows on ports that are reused at once are whole") {
   Traffic traffic;
   traffic.m_proxy_commands.Answer("delay 0 5");
