LibPlatform: Follow and submit the configuration document

Cause: a balancer needs the platform's object API, an accepted document in force everywhere within 4 s, and an honest result of a submission whose answer was lost. Change: PlatformClient gives typed results; Submission settles a lost answer by the history that the document carries (one submission at most succeeds on a base version); ConfigurationFollower lets two balancers of a data centre watch, the others pull from peers. A peer's confirmation counts only from the own message that it answers, so a digest read after a pause is not fresh. Ruled out: reading the id back from the current body alone (another update may have replaced it); taking a read of the base version for 'had no effect' (the read may lag, or the update may be under way).

--- /dev/null
+++ b/Libraries/LibPlatform/follower_messages.h
@@ -0,0 +1,116 @@
+// The events that a ConfigurationFollower takes and the effects that it asks
+// for.
+
+#ifndef LIBPLATFORM_FOLLOWER_MESSAGES_H_
+#define LIBPLATFORM_FOLLOWER_MESSAGES_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/strong_id.h"
+#include "LibBase/time.h"
+
+namespace platform {
+
+// The text of a configuration document.
+using DocumentBody = std::shared_ptr<const std::string>;
+
+// One question to the platform.
+using AskId = base::StrongId<struct AskIdTag, std::uint64_t>;
+
+// How long ago, at the latest, the platform confirmed a peer's version.
+//
+// A digest may wait in a socket buffer while its receiver is paused, so its
+// age alone proves nothing. m_asked_at is the receiver's own time at which it
+// sent the message that the digest answers: the digest was made after it, and
+// the platform confirmed the version no earlier than m_asked_at - m_age.
+struct PeerConfirmation {
+  base::TimePoint m_asked_at;
+  base::Duration m_age;
+};
+
+// Events.
+
+// The other live balancers of the own data centre.
+struct LivePeersChanged {
+  std::vector<base::BalancerId> m_peers;
+};
+// A peer of any data centre tells which version it has in force. A digest that
+// answers no message of ours, or of a peer that lacks a confirmation, has none.
+struct PeerDigest {
+  base::BalancerId m_peer;
+  base::ConfigurationVersion m_version;
+  std::optional<PeerConfirmation> m_confirmation;
+};
+// The document that PullFromPeer asked for.
+struct PeerDocument {
+  base::BalancerId m_peer;
+  base::ConfigurationVersion m_version;
+  DocumentBody m_body;
+};
+struct PeerPullFailed {
+  base::BalancerId m_peer;
+};
+// Answers to AskPlatform.
+struct PlatformDocument {
+  AskId m_ask;
+  base::ConfigurationVersion m_version;
+  DocumentBody m_body;
+};
+// There is nothing newer than the version of the question.
+struct PlatformUnchanged {
+  AskId m_ask;
+};
+// The platform is down, over its rate, or holds no document.
+struct PlatformFailed {
+  AskId m_ask;
+};
+struct TimerFired {};
+
+using FollowerEvent = std::variant<LivePeersChanged,
+                                   PeerDigest,
+                                   PeerDocument,
+                                   PeerPullFailed,
+                                   PlatformDocument,
+                                   PlatformUnchanged,
+                                   PlatformFailed,
+                                   TimerFired>;
+
+// Effects.
+
+// Read the document if it is newer than m_newer_than, waiting up to m_wait for
+// one that is. Must be answered by one event, unless it is cancelled.
+struct AskPlatform {
+  AskId m_ask;
+  base::ConfigurationVersion m_newer_than;
+  base::Duration m_wait;
+};
+struct CancelAsk {
+  AskId m_ask;
+};
+struct PullFromPeer {
+  base::BalancerId m_peer;
+  base::ConfigurationVersion m_version;
+};
+// Send the peer a message that its digest answers, to learn how fresh it is.
+struct ProbePeer {
+  base::BalancerId m_peer;
+};
+// Put this version in force.
+struct AdoptDocument {
+  base::ConfigurationVersion m_version;
+  DocumentBody m_body;
+};
+
+using FollowerEffect = std::
+    variant<AskPlatform, CancelAsk, PullFromPeer, ProbePeer, AdoptDocument>;
+using FollowerEffects = std::vector<FollowerEffect>;
+
+}  // namespace platform
+
+#endif  // LIBPLATFORM_FOLLOWER_MESSAGES_H_
--- /dev/null
+++ b/Libraries/LibPlatform/known_peers.h
@@ -0,0 +1,57 @@
+// What peers have told about the versions that they have in force; bounded.
+
+#ifndef LIBPLATFORM_KNOWN_PEERS_H_
+#define LIBPLATFORM_KNOWN_PEERS_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+#include "LibBase/ids.h"
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibPlatform/follower_messages.h"
+
+namespace platform {
+
+class KnownPeers {
+ public:
+  // Queries.
+  base::ConfigurationVersion HighestVersion() const;
+  // The latest time at which the platform is known to have confirmed `version`
+  // to a peer.
+  std::optional<base::TimePoint> ConfirmedAt(
+      base::ConfigurationVersion version) const;
+  // When a peer with a version newer than `version` may be pulled from.
+  std::optional<base::TimePoint> NextPullTime(
+      base::ConfigurationVersion version) const;
+
+  // Commands.
+  void Learn(const PeerDigest& digest, base::TimePoint now);
+  // Keeps `peer` from being pulled from until `time`.
+  void Defer(base::BalancerId peer, base::TimePoint time);
+  // Picks one of the peers with the highest version above `version`, at
+  // random, so that a new version does not load one peer alone.
+  std::optional<PullFromPeer> PickSource(base::ConfigurationVersion version,
+                                         base::TimePoint now,
+                                         base::Random& random);
+  // Forgets peers not heard of for kPeerLifetime.
+  void Expire(base::TimePoint now);
+
+  static constexpr std::size_t kMaximumPeers = 1024;
+  static constexpr base::Duration kPeerLifetime = std::chrono::seconds(30);
+
+ private:
+  struct Peer {
+    base::ConfigurationVersion m_version;
+    std::optional<base::TimePoint> m_confirmed_at;
+    base::TimePoint m_heard_at;
+    base::TimePoint m_pull_not_before;
+  };
+
+  std::map<base::BalancerId, Peer> m_peers;
+};
+
+}  // namespace platform
+
+#endif  // LIBPLATFORM_KNOWN_PEERS_H_
--- /dev/null
+++ b/Libraries/LibPlatform/submission_driver.h
@@ -0,0 +1,60 @@
+// Runs one Submission on an io_context: sends the update, reads the document
+// back and waits, as the submission decides.
+
+#ifndef LIBPLATFORM_SUBMISSION_DRIVER_H_
+#define LIBPLATFORM_SUBMISSION_DRIVER_H_
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "LibPlatform/platform_client.h"
+#include "LibPlatform/submission.h"
+
+namespace platform {
+
+// Used on the thread that runs the io_context. The client must outlive it.
+class SubmissionDriver {
+ public:
+  using ResultCallback = std::function<void(const SubmissionResult&)>;
+
+  // `document` must carry the history that `submission` appends to (see
+  // WithHistory). `on_result` is called once and may destroy the driver.
+  SubmissionDriver(asio::io_context& context,
+                   PlatformClient& client,
+                   std::string key,
+                   std::string document,
+                   Submission submission,
+                   ResultCallback on_result);
+  // Cancels what is open; an update may still take effect.
+  ~SubmissionDriver();
+  SubmissionDriver(const SubmissionDriver&) = delete;
+  SubmissionDriver& operator=(const SubmissionDriver&) = delete;
+
+  // Queries.
+  const Submission& submission() const { return m_submission; }
+
+  // Commands.
+  void Start();
+
+ private:
+  void Handle(const SubmissionEvent& event);
+  void Send(base::ConfigurationVersion base_version);
+  void Read();
+  void WaitUntil(base::TimePoint time);
+
+  PlatformClient& m_client;
+  std::string m_key;
+  std::string m_document;
+  Submission m_submission;
+  ResultCallback m_on_result;
+  asio::steady_timer m_timer;
+  http::RequestId m_request;
+  // Expires with the driver; callbacks check it.
+  std::shared_ptr<bool> m_lifetime = std::make_shared<bool>(true);
+};
+
+}  // namespace platform
+
+#endif  // LIBPLATFORM_SUBMISSION_DRIVER_H_
--- /dev/null
+++ b/Tests/LibPlatform/test_drivers.cc
@@ -0,0 +1,131 @@
+// Runs the drivers against the platform stand-in over loopback sockets.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibPlatform/follower_driver.h"
+#include "LibPlatform/history_yaml.h"
+#include "LibPlatform/submission_driver.h"
+#include "LibPlatform/vm_poller.h"
+#include "StandIns/Platform/platform_server.h"
+
+using base::ConfigurationVersion;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char* kKey = "coltsfootdale/document";
+constexpr auto kInForceWithin = seconds(4);
+
+class Trial {
+ public:
+  bool RunUntil(const std::function<bool()>& condition) {
+    const base::TimePoint deadline = base::Clock::now() + kInForceWithin;
+    while (!condition() && base::Clock::now() < deadline)
+      m_context.run_one_for(milliseconds(10));
+    return condition();
+  }
+
+  platform::SubmissionResult Submit(const std::string& id,
+                                    std::uint64_t base_version) {
+    const platform::SubmissionRecord record{platform::SubmissionId(id),
+                                            ConfigurationVersion(base_version)};
+    const auto document = platform::WithHistory(
+        "services: []\n", platform::SubmissionHistory().Followed(record));
+    REQUIRE(document);
+    std::optional<platform::SubmissionResult> result;
+    platform::SubmissionDriver driver(
+        m_context, m_client, kKey, document.value(),
+        platform::Submission(record, {}, base::Random(1)),
+        [&](const auto& settled) { result = settled; });
+    driver.Start();
+    REQUIRE(RunUntil([&] { return result.has_value(); }));
+    return *result;
+  }
+
+  asio::io_context m_context{1};
+  stand_ins::PlatformServer m_server{m_context,
+                                     {base::Ipv4Address(0x7f000001), 0},
+                                     {}};
+  platform::PlatformClient m_client{m_context, m_server.Listening()};
+};
+
+}  // namespace
+
+TEST_CASE("a submission whose answer is lost is settled by the document") {
+  Trial trial;
+  trial.m_server.Execute("lose-answers count=1");
+
+  const auto result = trial.Submit("first", 0);
+  const auto second = trial.Submit("second", 0);
+
+  REQUIRE(std::holds_alternative<platform::Accepted>(result));
+  CHECK(std::get<platform::Accepted>(result).m_version ==
+        ConfigurationVersion(1));
+  REQUIRE(std::holds_alternative<platform::RefusedByConflict>(second));
+}
+
+TEST_CASE("a submission is settled though reads lag") {
+  Trial trial;
+  trial.m_server.Execute("lag ms=300");
+  trial.m_server.Execute("lose-answers count=2");
+
+  const auto result = trial.Submit("first", 0);
+
+  REQUIRE(std::holds_alternative<platform::Accepted>(result));
+}
+
+TEST_CASE("a follower has each document in force, also after an outage") {
+  Trial trial;
+  std::vector<ConfigurationVersion> versions;
+  platform::FollowerDriver driver(
+      trial.m_context, trial.m_client, kKey,
+      platform::ConfigurationFollower(base::BalancerId(1), {}, base::Random(1),
+                                      base::Clock::now()),
+      [&](ConfigurationVersion version, const std::string&) {
+        versions.push_back(version);
+      },
+      [](const platform::PullFromPeer&) {}, [](const platform::ProbePeer&) {});
+  driver.Start();
+
+  trial.Submit("first", 0);
+  REQUIRE(trial.RunUntil([&] { return versions.size() == 1; }));
+  for (const std::string mode : {"refuse", "silent"}) {
+    const std::size_t expected = versions.size() + 1;
+    const std::string counter = mode == "refuse" ? "refused" : "silent";
+    trial.m_server.Execute("outage mode=" + mode);
+    REQUIRE(trial.RunUntil([&] {
+      return trial.m_server.Execute("counts").find(counter) !=
+             std::string::npos;
+    }));
+    trial.m_server.Execute("outage mode=off");
+    trial.Submit(mode, versions.back().value());
+    REQUIRE(trial.RunUntil([&] { return versions.size() == expected; }));
+  }
+
+  CHECK(std::is_sorted(versions.begin(), versions.end()));
+}
+
+TEST_CASE("the poller gives the VMs that the platform lists") {
+  Trial trial;
+  std::vector<platform::VmRecord> vms;
+  platform::VmPoller poller(
+      trial.m_context, trial.m_client, base::DataCentreId("north"),
+      milliseconds(20), base::Random(1),
+      [&](const std::vector<platform::VmRecord>& records) { vms = records; });
+  poller.Start();
+
+  trial.m_server.Execute(
+      "vm name=a data_centre=north state=leaving traffic=127.0.0.1:1 "
+      "peer=127.0.0.1:2 admin=127.0.0.1:3");
+
+  REQUIRE(trial.RunUntil([&] { return vms.size() == 1; }));
+  CHECK(vms.front().m_state == platform::VmState::kLeaving);
+}
--- /dev/null
+++ b/Tests/LibPlatform/test_submission.cc
@@ -0,0 +1,129 @@
+#include <doctest/doctest.h>
+
+#include "LibPlatform/submission.h"
+
+using base::ConfigurationVersion;
+using platform::ObjectVersion;
+using platform::Submission;
+using platform::SubmissionEffect;
+using platform::SubmissionEvent;
+using platform::SubmissionHistory;
+using platform::SubmissionRecord;
+using std::chrono::seconds;
+
+namespace {
+
+const base::TimePoint kStart = base::TimePoint() + seconds(1000);
+const SubmissionRecord kOwn{platform::SubmissionId("own"),
+                            ConfigurationVersion(5)};
+const SubmissionRecord kOther{platform::SubmissionId("other"),
+                              ConfigurationVersion(5)};
+
+template <typename Alternative, typename Variant>
+Alternative As(const Variant& variant) {
+  REQUIRE(std::holds_alternative<Alternative>(variant));
+  return std::get<Alternative>(variant);
+}
+
+// A submission on base version 5, and the time that its waits take it to.
+class Trial {
+ public:
+  SubmissionEffect Handle(const SubmissionEvent& event) {
+    SubmissionEffect effect = m_submission.Handle(event, m_now);
+    if (const auto* wait = std::get_if<platform::WaitUntil>(&effect)) {
+      m_now = wait->m_time;
+      effect = m_submission.Handle(platform::WaitEnded{}, m_now);
+    }
+    return effect;
+  }
+  SubmissionEffect Answer(const platform::WriteResult& result) {
+    return Handle(platform::UpdateAnswered{result});
+  }
+  SubmissionEffect Read(std::uint64_t version,
+                        const SubmissionHistory& history) {
+    return Handle(
+        platform::DocumentRead{ConfigurationVersion(version), history});
+  }
+
+  Submission m_submission{kOwn, {}, base::Random(1)};
+  base::TimePoint m_now = kStart;
+};
+
+}  // namespace
+
+TEST_CASE("a submission is accepted or refused by the first answer") {
+  Trial accepted;
+  As<platform::SendUpdate>(accepted.Handle(platform::SubmissionStarted{}));
+  const auto settled = As<platform::Settled>(
+      accepted.Answer(platform::Written{ObjectVersion(6)}));
+  CHECK(As<platform::Accepted>(settled.m_result).m_version ==
+        ConfigurationVersion(6));
+
+  Trial refused;
+  refused.Handle(platform::SubmissionStarted{});
+  const auto conflict = As<platform::Settled>(
+      refused.Answer(platform::Conflict{ObjectVersion(8)}));
+  CHECK(As<platform::RefusedByConflict>(conflict.m_result).m_current ==
+        ConfigurationVersion(8));
+}
+
+TEST_CASE("a lost answer is settled though another update has replaced it") {
+  Trial trial;
+  trial.Handle(platform::SubmissionStarted{});
+  As<platform::ReadBack>(trial.Answer(platform::UnknownOutcome{}));
+  CHECK(trial.m_submission.IsBeingSettled());
+
+  const auto history = SubmissionHistory().Followed(kOwn).Followed(
+      {platform::SubmissionId("later"), ConfigurationVersion(6)});
+  const auto settled = As<platform::Settled>(trial.Read(7, history));
+
+  CHECK(As<platform::Accepted>(settled.m_result).m_version ==
+        ConfigurationVersion(6));
+}
+
+TEST_CASE("an update under way is not taken for one that had no effect") {
+  Trial trial;
+  trial.Handle(platform::SubmissionStarted{});
+  trial.Answer(platform::UnknownOutcome{});
+
+  // The document still is the base: the same update is sent again, and its
+  // conflict shows that a later read, not a lagging one, must decide.
+  As<platform::SendUpdate>(trial.Read(5, {}));
+  As<platform::ReadBack>(trial.Answer(platform::Conflict{ObjectVersion(6)}));
+  As<platform::ReadBack>(trial.Read(5, {}));
+  const auto settled =
+      As<platform::Settled>(trial.Read(6, SubmissionHistory().Followed(kOwn)));
+
+  CHECK(std::holds_alternative<platform::Accepted>(settled.m_result));
+}
+
+TEST_CASE("a lost answer is a refusal once another took effect on the base") {
+  Trial trial;
+  trial.Handle(platform::SubmissionStarted{});
+  trial.Answer(platform::UnknownOutcome{});
+
+  const auto settled = As<platform::Settled>(
+      trial.Read(6, SubmissionHistory().Followed(kOther)));
+
+  CHECK(As<platform::RefusedByConflict>(settled.m_result).m_current ==
+        ConfigurationVersion(6));
+}
+
+TEST_CASE(
+    "what can't be settled in time is unknown, what was not sent is not") {
+  Trial lost;
+  lost.Handle(platform::SubmissionStarted{});
+  SubmissionEffect effect = lost.Answer(platform::UnknownOutcome{});
+  while (!std::holds_alternative<platform::Settled>(effect))
+    effect = lost.Handle(platform::ReadFailed{});
+  CHECK(std::holds_alternative<platform::OutcomeUnknown>(
+      *lost.m_submission.result()));
+  CHECK(lost.m_now <= kStart + platform::SubmissionPolicy().m_deadline);
+
+  Trial limited;
+  effect = limited.Handle(platform::SubmissionStarted{});
+  while (!std::holds_alternative<platform::Settled>(effect))
+    effect = limited.Answer(platform::RateLimited{});
+  CHECK(std::holds_alternative<platform::NotSubmitted>(
+      *limited.m_submission.result()));
+}
--- /dev/null
+++ b/Tests/LibPlatform/test_submission_history.cc
@@ -0,0 +1,74 @@
+#include <doctest/doctest.h>
+
+#include <ostream>
+
+#include "LibPlatform/error.h"
+#include "LibPlatform/history_yaml.h"
+#include "LibPlatform/submission_history.h"
+
+using base::ConfigurationVersion;
+using platform::SubmissionHistory;
+using platform::SubmissionId;
+using platform::SubmissionRecord;
+
+namespace {
+
+SubmissionRecord Record(const std::string& id, std::uint64_t base_version) {
+  return {SubmissionId(id), ConfigurationVersion(base_version)};
+}
+
+}  // namespace
+
+TEST_CASE("a replaced submission still shows the version that it became") {
+  const SubmissionHistory history = SubmissionHistory()
+                                        .Followed(Record("a", 0))
+                                        .Followed(Record("b", 4))
+                                        .Followed(Record("c", 9));
+  const ConfigurationVersion version(12);
+
+  const auto verdict = history.Judge(Record("b", 4), version);
+
+  REQUIRE(std::holds_alternative<SubmissionHistory::TookEffect>(verdict));
+  CHECK(std::get<SubmissionHistory::TookEffect>(verdict).m_version ==
+        ConfigurationVersion(9));
+  CHECK(std::holds_alternative<SubmissionHistory::Superseded>(
+      history.Judge(Record("x", 4), version)));
+  CHECK(std::holds_alternative<SubmissionHistory::NotYet>(
+      history.Judge(Record("x", 12), version)));
+  CHECK(std::holds_alternative<SubmissionHistory::Forgotten>(
+      history.Judge(Record("x", 5), version)));
+}
+
+TEST_CASE("the history is bounded and forgets the oldest") {
+  SubmissionHistory history;
+  for (std::uint64_t version = 0; version < 100; ++version)
+    history = history.Followed(Record("id", version));
+
+  CHECK(history.records().size() == SubmissionHistory::kMaximumRecords);
+  CHECK(std::holds_alternative<SubmissionHistory::Forgotten>(
+      history.Judge(Record("x", 1), ConfigurationVersion(100))));
+}
+
+TEST_CASE("the history survives a round trip through the document") {
+  const SubmissionHistory history =
+      SubmissionHistory().Followed(Record("a", 0)).Followed(Record("0017", 4));
+
+  const auto document =
+      platform::WithHistory("services:\n  - name: portal\n", history);
+  REQUIRE(document);
+  const auto read = platform::ReadHistory(document.value());
+
+  REQUIRE(read);
+  CHECK(read.value().records() == history.records());
+  CHECK(document.value().find("name: portal") != std::string::npos);
+  CHECK(platform::ReadHistory("services: []").value().records().empty());
+}
+
+TEST_CASE("a document with malformed submissions is refused") {
+  CHECK(platform::ReadHistory("submission: a").error() ==
+        platform::Error::kMalformedHistory);
+  CHECK(platform::ReadHistory("{").error() ==
+        platform::Error::kMalformedHistory);
+  CHECK(platform::WithHistory("- a", {}).error() ==
+        platform::Error::kNotAMapping);
+}
