LibObservability: Report the burn of service objectives

Change: each balancer counts broken flows, refused openings and openings above the wait bound in rings of bounded size; reports of balancers merge by addition of windows that end at each sender's present, so no clocks need to agree; alerts follow The Site Reliability Workbook, chapter 5, table 5-8; text and SVG.

--- /dev/null
+++ b/Libraries/LibObservability/burn_recorder.h
@@ -0,0 +1,53 @@
+// Records the events of each service that its objectives count, on one
+// balancer.
+
+#ifndef LIBOBSERVABILITY_BURN_RECORDER_H_
+#define LIBOBSERVABILITY_BURN_RECORDER_H_
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "LibBase/time.h"
+#include "LibObservability/burn_report.h"
+#include "LibObservability/burn_ring.h"
+#include "LibObservability/burn_window.h"
+
+namespace observability {
+
+class BurnRecorder {
+ public:
+  // Queries.
+  // The counts of this balancer as of `now`.
+  BurnReport Report(base::TimePoint now) const;
+
+  // Commands.
+  // Counts events at `now`; events of services beyond
+  // BurnReport::kMaximumServices are not counted.
+  void Record(std::string_view service,
+              Objective objective,
+              const EventCounts& counts,
+              base::TimePoint now);
+  // Forgets a service that is no longer configured.
+  void Remove(std::string_view service);
+
+ private:
+  // One ring for each resolution: seconds for the windows up to an hour,
+  // minutes for those up to six hours, hours for three days.
+  struct Rings {
+    BurnRing m_seconds{std::chrono::seconds(15), 240};
+    BurnRing m_minutes{std::chrono::minutes(5), 72};
+    BurnRing m_hours{std::chrono::hours(1), 72};
+  };
+  using ServiceRings = std::array<Rings, kObjectiveCount>;
+
+  static WindowCounts CountsOf(const Rings& rings, base::TimePoint now);
+
+  std::map<std::string, ServiceRings, std::less<>> m_services;
+};
+
+}  // namespace observability
+
+#endif  // LIBOBSERVABILITY_BURN_RECORDER_H_
--- /dev/null
+++ b/Libraries/LibObservability/burn_render.h
@@ -0,0 +1,22 @@
+// Renders burn statuses as text and as inline SVG.
+
+#ifndef LIBOBSERVABILITY_BURN_RENDER_H_
+#define LIBOBSERVABILITY_BURN_RENDER_H_
+
+#include <string>
+#include <vector>
+
+#include "LibObservability/burn_status.h"
+
+namespace observability {
+
+// One line for each status, with the burn rate over each window and the alert.
+std::string RenderBurnText(const std::vector<BurnStatus>& statuses);
+
+// An <svg> element with a bar for each window of each status, and lines at the
+// burn rates of kBurnRules. Names are escaped.
+std::string RenderBurnSvg(const std::vector<BurnStatus>& statuses);
+
+}  // namespace observability
+
+#endif  // LIBOBSERVABILITY_BURN_RENDER_H_
--- /dev/null
+++ b/Libraries/LibObservability/burn_ring.cc
@@ -0,0 +1,40 @@
+#include "LibObservability/burn_ring.h"
+
+#include <algorithm>
+
+#include "LibBase/verify.h"
+
+namespace observability {
+
+BurnRing::BurnRing(base::Duration bucket_width, std::size_t bucket_count)
+    : m_bucket_width(bucket_width), m_buckets(bucket_count) {
+  VERIFY(bucket_width > base::Duration::zero());
+  VERIFY(bucket_count > 0);
+}
+
+std::int64_t BurnRing::IndexOf(base::TimePoint time) const {
+  return time.time_since_epoch() / m_bucket_width;
+}
+
+EventCounts BurnRing::Sum(base::Duration window, base::TimePoint now) const {
+  const std::int64_t last = IndexOf(now);
+  const auto covered =
+      (window + m_bucket_width - base::Duration(1)) / m_bucket_width;
+  EventCounts sum;
+  for (const Bucket& bucket : m_buckets) {
+    if (bucket.m_index > last - covered && bucket.m_index <= last)
+      sum += bucket.m_counts;
+  }
+  return sum;
+}
+
+void BurnRing::Add(const EventCounts& counts, base::TimePoint now) {
+  m_latest = std::max(m_latest, IndexOf(now));
+  Bucket& bucket =
+      m_buckets[static_cast<std::size_t>(m_latest) % m_buckets.size()];
+  if (bucket.m_index != m_latest)
+    bucket = {m_latest, {}};
+  bucket.m_counts += counts;
+}
+
+}  // namespace observability
--- /dev/null
+++ b/Libraries/LibObservability/burn_window.h
@@ -0,0 +1,66 @@
+// The service objectives, the time windows over which their burn is measured,
+// and the counts of one window.
+
+#ifndef LIBOBSERVABILITY_BURN_WINDOW_H_
+#define LIBOBSERVABILITY_BURN_WINDOW_H_
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/time.h"
+
+namespace observability {
+
+enum class Objective { kBrokenFlows, kRefusedOpenings, kSlowOpenings };
+
+inline constexpr base::EnumTable<Objective, 3> kObjectiveNames{{
+    {Objective::kBrokenFlows, "broken flows"},
+    {Objective::kRefusedOpenings, "refused openings"},
+    {Objective::kSlowOpenings, "openings above the wait bound"},
+}};
+inline constexpr std::size_t kObjectiveCount = kObjectiveNames.size();
+
+enum class BurnWindow {
+  kFiveMinutes,
+  kThirtyMinutes,
+  kOneHour,
+  kSixHours,
+  kThreeDays,
+};
+
+inline constexpr base::EnumTable<BurnWindow, 5> kBurnWindowNames{{
+    {BurnWindow::kFiveMinutes, "5 min"},
+    {BurnWindow::kThirtyMinutes, "30 min"},
+    {BurnWindow::kOneHour, "1 h"},
+    {BurnWindow::kSixHours, "6 h"},
+    {BurnWindow::kThreeDays, "3 d"},
+}};
+inline constexpr std::size_t kBurnWindowCount = kBurnWindowNames.size();
+
+// The lengths of the windows, in the order of BurnWindow.
+inline constexpr std::array<base::Duration, kBurnWindowCount> kBurnWindows{
+    std::chrono::minutes(5), std::chrono::minutes(30), std::chrono::hours(1),
+    std::chrono::hours(6), std::chrono::hours(72)};
+
+struct EventCounts {
+  std::uint64_t m_bad = 0;
+  std::uint64_t m_total = 0;
+
+  EventCounts& operator+=(const EventCounts& other) {
+    m_bad += other.m_bad;
+    m_total += other.m_total;
+    return *this;
+  }
+  friend bool operator==(const EventCounts&, const EventCounts&) = default;
+};
+
+// One count for each BurnWindow. Counts of several balancers add up, whatever
+// their clocks say, since each window ends at its sender's present.
+using WindowCounts = std::array<EventCounts, kBurnWindowCount>;
+
+}  // namespace observability
+
+#endif  // LIBOBSERVABILITY_BURN_WINDOW_H_
