LibPlatform: Read the history through LibConfiguration

Cause: LibConfiguration came to read and write the submissions of a document, which LibPlatform did as well with a reader of its own; and membership knows when a version was confirmed without naming a peer. Change: one reader and one writer; event VersionConfirmed, which counts only for the version in force.

--- a/Libraries/LibPlatform/configuration_follower.cc
+++ b/Libraries/LibPlatform/configuration_follower.cc
@@ -97,6 +97,9 @@
       base::Overloaded{
           [&](const LivePeersChanged& change) { OnLivePeers(change); },
           [&](const PeerDigest& digest) { OnDigest(digest, now); },
+          [&](const VersionConfirmed& confirmation) {
+            OnConfirmed(confirmation, now);
+          },
           [&](const PeerDocument& document) { OnPeerDocument(document, now); },
           [&](const PeerPullFailed& failure) {
             OnPullFailed(failure.m_peer, now);
@@ -136,6 +139,12 @@
   Confirm(m_peers.ConfirmedAt(m_version));
 }
 
+void ConfigurationFollower::OnConfirmed(const VersionConfirmed& confirmation,
+                                        base::TimePoint now) {
+  if (confirmation.m_version == m_version)
+    Confirm(std::min(confirmation.m_confirmed_at, now));
+}
+
 void ConfigurationFollower::OnPeerDocument(const PeerDocument& document,
                                            base::TimePoint now) {
   if (m_pull && m_pull->m_peer == document.m_peer)
--- a/Libraries/LibPlatform/configuration_follower.h
+++ b/Libraries/LibPlatform/configuration_follower.h
@@ -92,6 +92,7 @@
 
   void OnLivePeers(const LivePeersChanged& event);
   void OnDigest(const PeerDigest& digest, base::TimePoint now);
+  void OnConfirmed(const VersionConfirmed& confirmation, base::TimePoint now);
   void OnPeerDocument(const PeerDocument& document, base::TimePoint now);
   void OnPullFailed(base::BalancerId peer, base::TimePoint now);
   void OnPlatformDocument(const PlatformDocument& document,
--- a/Libraries/LibPlatform/follower_messages.h
+++ b/Libraries/LibPlatform/follower_messages.h
@@ -47,6 +47,12 @@
   base::ConfigurationVersion m_version;
   std::optional<PeerConfirmation> m_confirmation;
 };
+// It is known from elsewhere, as from membership, that the platform confirmed
+// this version at this time or later.
+struct VersionConfirmed {
+  base::ConfigurationVersion m_version;
+  base::TimePoint m_confirmed_at;
+};
 // The document that PullFromPeer asked for.
 struct PeerDocument {
   base::BalancerId m_peer;
@@ -74,6 +80,7 @@
 
 using FollowerEvent = std::variant<LivePeersChanged,
                                    PeerDigest,
+                                   VersionConfirmed,
                                    PeerDocument,
                                    PeerPullFailed,
                                    PlatformDocument,
--- a/Libraries/LibPlatform/submission_driver.cc
+++ b/Libraries/LibPlatform/submission_driver.cc
@@ -4,7 +4,8 @@
 #include <utility>
 
 #include "LibBase/overloaded.h"
-#include "LibPlatform/history_yaml.h"
+#include "LibConfiguration/document_reader.h"
+#include "LibPlatform/document_history.h"
 
 namespace platform {
 
@@ -17,11 +18,12 @@
   const auto* found = std::get_if<Found>(&result);
   if (!found)
     return ReadFailed{};
-  auto history = ReadHistory(found->m_body);
-  if (!history)
+  const auto reading = configuration::ReadDocument(found->m_body);
+  const auto* document = std::get_if<configuration::Document>(&reading);
+  if (!document)
     return ReadFailed{};
   return DocumentRead{base::ConfigurationVersion(found->m_version.value()),
-                      std::move(history).value()};
+                      HistoryOf(*document)};
 }
 
 }  // namespace
--- a/Libraries/LibPlatform/submission_driver.h
+++ b/Libraries/LibPlatform/submission_driver.h
@@ -19,8 +19,8 @@
  public:
   using ResultCallback = std::function<void(const SubmissionResult&)>;
 
-  // `document` must carry the history that `submission` appends to (see
-  // WithHistory). `on_result` is called once and may destroy the driver.
+  // `document` is the text that WriteSubmittedDocument gives. `on_result` is
+  // called once and may destroy the driver.
   SubmissionDriver(asio::io_context& context,
                    PlatformClient& client,
                    std::string key,
--- a/Tests/LibPlatform/test_configuration_follower.cc
+++ b/Tests/LibPlatform/test_configuration_follower.cc
@@ -120,6 +120,23 @@
   CHECK_FALSE(follower.ConfirmedAt());
 }
 
+TEST_CASE("a confirmation counts for the version in force alone") {
+  auto follower = MakeFollower();
+  follower.Handle(platform::PeerDocument{BalancerId(2), ConfigurationVersion(4),
+                                         Body("four")},
+                  kStart);
+
+  follower.Handle(
+      platform::VersionConfirmed{ConfigurationVersion(3), kStart + seconds(2)},
+      kStart + seconds(2));
+  CHECK_FALSE(follower.ConfirmedAt());
+
+  follower.Handle(
+      platform::VersionConfirmed{ConfigurationVersion(4), kStart + seconds(1)},
+      kStart + seconds(2));
+  CHECK(follower.ConfirmedAt() == kStart + seconds(1));
+}
+
 TEST_CASE("a failed pull goes to another peer") {
   auto follower = MakeFollower();
   const auto digest = [](std::uint64_t peer) {
--- a/Tests/LibPlatform/test_drivers.cc
+++ b/Tests/LibPlatform/test_drivers.cc
@@ -9,8 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "LibConfiguration/document.h"
+#include "LibPlatform/document_history.h"
 #include "LibPlatform/follower_driver.h"
-#include "LibPlatform/history_yaml.h"
 #include "LibPlatform/submission_driver.h"
 #include "LibPlatform/vm_poller.h"
 #include "StandIns/Platform/platform_server.h"
@@ -37,12 +38,11 @@
                                     std::uint64_t base_version) {
     const platform::SubmissionRecord record{platform::SubmissionId(id),
                                             ConfigurationVersion(base_version)};
-    const auto document = platform::WithHistory(
-        "services: []\n", platform::SubmissionHistory().Followed(record));
-    REQUIRE(document);
+    const std::string document =
+        platform::WriteSubmittedDocument({}, {}, record);
     std::optional<platform::SubmissionResult> result;
     platform::SubmissionDriver driver(
-        m_context, m_client, kKey, document.value(),
+        m_context, m_client, kKey, document,
         platform::Submission(record, {}, base::Random(1)),
         [&](const auto& settled) { result = settled; });
     driver.Start();
--- a/Tests/LibPlatform/test_submission_history.cc
+++ b/Tests/LibPlatform/test_submission_history.cc
@@ -1,9 +1,10 @@
 #include <doctest/doctest.h>
 
-#include <ostream>
+#include <string>
+#include <variant>
 
-#include "LibPlatform/error.h"
-#include "LibPlatform/history_yaml.h"
+#include "LibConfiguration/document_reader.h"
+#include "LibPlatform/document_history.h"
 #include "LibPlatform/submission_history.h"
 
 using base::ConfigurationVersion;
@@ -50,25 +51,30 @@
 }
 
 TEST_CASE("the history survives a round trip through the document") {
-  const SubmissionHistory history =
-      SubmissionHistory().Followed(Record("a", 0)).Followed(Record("0017", 4));
-
-  const auto document =
-      platform::WithHistory("services:\n  - name: portal\n", history);
-  REQUIRE(document);
-  const auto read = platform::ReadHistory(document.value());
-
-  REQUIRE(read);
-  CHECK(read.value().records() == history.records());
-  CHECK(document.value().find("name: portal") != std::string::npos);
-  CHECK(platform::ReadHistory("services: []").value().records().empty());
+  const SubmissionRecord second = Record("0017", 4);
+  const SubmissionHistory first = SubmissionHistory().Followed(Record("a", 0));
+
+  const std::string text = platform::WriteSubmittedDocument({}, first, second);
+  const auto reading = configuration::ReadDocument(text);
+
+  REQUIRE(std::holds_alternative<configuration::Document>(reading));
+  const auto& document = std::get<configuration::Document>(reading);
+  CHECK(platform::HistoryOf(document).records() ==
+        first.Followed(second).records());
+  CHECK(platform::HistoryOf({}).records().empty());
 }
 
-TEST_CASE("a document with malformed submissions is refused") {
-  CHECK(platform::ReadHistory("submission: a").error() ==
-        platform::Error::kMalformedHistory);
-  CHECK(platform::ReadHistory("{").error() ==
-        platform::Error::kMalformedHistory);
-  CHECK(platform::WithHistory("- a", {}).error() ==
-        platform::Error::kNotAMapping);
+TEST_CASE("a document can carry the longest history") {
+  SubmissionHistory history;
+  for (std::uint64_t version = 0; version < 100; ++version)
+    history = history.Followed(Record("id", version));
+
+  const std::string text =
+      platform::WriteSubmittedDocument({}, history, Record("id", 100));
+  const auto reading = configuration::ReadDocument(text);
+
+  REQUIRE(std::holds_alternative<configuration::Document>(reading));
+  CHECK(platform::HistoryOf(std::get<configuration::Document>(reading))
+            .records()
+            .size() == SubmissionHistory::kMaximumRecords);
 }
