LibConsole: Serve status, metrics and a console of forms

Operators edit services, rules and backend servers by data centre in one session that yields one document. No balancer keeps a session: the page carries the base version, the base document and the draft in its fields, so any balancer can take the next request and a restart loses nothing. Validation is LibConfiguration's, run on a tree built from the fields, so errors carry the path of their field and are shown beside it. Outcomes are accepted, refused, conflict (with what the other operator changed), platform unavailable and unknown (with a page that settles it from the submissions in force).

Markup is built only from escaped parts; a change needs the operator token, compared in constant time and sent as a field, never as a cookie; posts from another origin are refused. RESTinio stays in one translation unit, with bounds on connections, sizes and times.

--- /dev/null
+++ b/Libraries/LibConsole/admin_server.cc
@@ -0,0 +1,152 @@
+#include "LibConsole/admin_server.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/address_v4.hpp>
+#include <chrono>
+#include <cstdint>
+#include <restinio/all.hpp>
+#include <system_error>
+#include <utility>
+
+#include "LibConsole/console.h"
+#include "LibConsole/request.h"
+
+namespace console {
+
+namespace {
+
+constexpr std::size_t kMaxConnections = 64;
+constexpr std::size_t kMaxUrlBytes = 2048;
+constexpr std::size_t kMaxHeaderNameBytes = 128;
+constexpr std::size_t kMaxHeaderValueBytes = 8192;
+constexpr std::size_t kMaxHeaderCount = 64;
+// A document of the greatest size, spelled as the fields of a form.
+constexpr std::uint64_t kMaxBodyBytes = 8'000'000;
+constexpr std::chrono::seconds kReadTimeout{10};
+constexpr std::chrono::seconds kWriteTimeout{10};
+// Longer than a submission takes to be settled.
+constexpr std::chrono::seconds kHandleTimeout{30};
+
+struct ServerTraits : public restinio::default_single_thread_traits_t {
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT
+};
+
+using HttpServer = restinio::http_server_t<ServerTraits>;
+
+Method MethodOf(const restinio::http_method_id_t& method) {
+  if (method == restinio::http_method_get())
+    return Method::kGet;
+  if (method == restinio::http_method_post())
+    return Method::kPost;
+  return Method::kOther;
+}
+
+Request Convert(const restinio::request_t& request) {
+  const auto& header = request.header();
+  Request converted;
+  converted.m_method = MethodOf(header.method());
+  converted.m_path = std::string(header.path());
+  converted.m_query = std::string(header.query());
+  converted.m_host = header.get_field_or(restinio::http_field::host, "");
+  if (const auto origin = header.opt_value_of(restinio::http_field::origin))
+    converted.m_origin = std::string(*origin);
+  converted.m_body = request.body();
+  return converted;
+}
+
+void Send(const restinio::request_handle_t& request, Response response) {
+  const auto code = static_cast<std::uint16_t>(response.m_status);
+  const std::string reason(NameOf(kStatusReasons, response.m_status));
+  request
+      ->create_response(
+          {restinio::http_status_code_t(code), std::string(reason)})
+      .append_header(restinio::http_field::content_type,
+                     response.m_content_type)
+      .append_header(restinio::http_field::cache_control, "no-store")
+      .append_header("X-Content-Type-Options", "nosniff")
+      .append_header("Referrer-Policy", "same-origin")
+      .append_header("Content-Security-Policy",
+                     "default-src 'none'; style-src 'self'; form-action "
+                     "'self'; frame-ancestors 'none'; base-uri 'none'")
+      .set_body(std::move(response.m_body))
+      .done();
+}
+
+}  // namespace
+
+struct AdminServer::Server {
+  Server(asio::io_context& context,
+         const base::Endpoint& endpoint,
+         const Backend& backend,
+         const std::string& operator_token)
+      : m_console(backend, operator_token),
+        m_http(restinio::external_io_context(context),
+               [&](auto& settings) { Configure(settings, endpoint); }) {}
+
+  template <typename Settings>
+  void Configure(Settings& settings, const base::Endpoint& endpoint) {
+    settings.address(asio::ip::address_v4(endpoint.m_address.value()))
+        .port(endpoint.m_port)
+        .max_parallel_connections(kMaxConnections)
+        .max_pipelined_requests(1)
+        .read_next_http_message_timelimit(kReadTimeout)
+        .write_http_response_timelimit(kWriteTimeout)
+        .handle_request_timeout(kHandleTimeout)
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(kMaxUrlBytes)
+                .max_field_name_size(kMaxHeaderNameBytes)
+                .max_field_value_size(kMaxHeaderValueBytes)
+                .max_field_count(kMaxHeaderCount)
+                .max_body_size(kMaxBodyBytes))
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+          const auto bound = acceptor.local_endpoint();
+          m_endpoint = {base::Ipv4Address(bound.address().to_v4().to_uint()),
+                        bound.port()};
+        })
+        .request_handler([this](const restinio::request_handle_t& request) {
+          m_console.Handle(
+              Convert(*request),
+              [request](const Response& response) { Send(request, response); });
+          return restinio::request_accepted();
+        });
+  }
+
+  Console m_console;
+  base::Endpoint m_endpoint;
+  HttpServer m_http;
+};
+
+base::Outcome<std::unique_ptr<AdminServer>> AdminServer::Create(
+    asio::io_context& context,
+    const base::Endpoint& endpoint,
+    const Backend& backend,
+    const std::string& operator_token) {
+  try {
+    auto server =
+        std::make_unique<Server>(context, endpoint, backend, operator_token);
+    server->m_http.open_sync();
+    return std::unique_ptr<AdminServer>(new AdminServer(std::move(server)));
+  } catch (const std::system_error& error) {
+    return error.code();
+  } catch (const std::exception&) {
+    return std::make_error_code(std::errc::address_not_available);
+  }
+}
+
+AdminServer::AdminServer(std::unique_ptr<Server> server)
+    : m_server(std::move(server)) {}
+
+AdminServer::~AdminServer() {
+  try {
+    m_server->m_http.close_sync();
+  } catch (const std::exception&) {
+    // The sockets are closed with the io_context.
+  }
+}
+
+const base::Endpoint& AdminServer::endpoint() const {
+  return m_server->m_endpoint;
+}
+
+}  // namespace console
--- /dev/null
+++ b/Libraries/LibConsole/admin_server.h
@@ -0,0 +1,49 @@
+// Serves the console over HTTP/1.1 on the admin address. Bounds the number of
+// connections, the sizes of a request, and the time that a client may take.
+
+#ifndef LIBCONSOLE_ADMIN_SERVER_H_
+#define LIBCONSOLE_ADMIN_SERVER_H_
+
+#include <memory>
+#include <string>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibConsole/backend.h"
+
+namespace asio {
+class io_context;
+}  // namespace asio
+
+namespace console {
+
+// Must be used and destroyed on the thread that runs the io_context.
+class AdminServer {
+ public:
+  // Listens on `endpoint`; port 0 lets the system choose. The functions of
+  // `backend` are called from `context`. Errors are those of the system.
+  static base::Outcome<std::unique_ptr<AdminServer>> Create(
+      asio::io_context& context,
+      const base::Endpoint& endpoint,
+      const Backend& backend,
+      const std::string& operator_token);
+  // Closes all connections.
+  ~AdminServer();
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
+
+  // Queries.
+  // Where it listens.
+  const base::Endpoint& endpoint() const;
+
+ private:
+  struct Server;
+
+  explicit AdminServer(std::unique_ptr<Server> server);
+
+  std::unique_ptr<Server> m_server;
+};
+
+}  // namespace console
+
+#endif  // LIBCONSOLE_ADMIN_SERVER_H_
--- /dev/null
+++ b/Libraries/LibConsole/backend.h
@@ -0,0 +1,45 @@
+// What the console needs of the process that it runs in.
+
+#ifndef LIBCONSOLE_BACKEND_H_
+#define LIBCONSOLE_BACKEND_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "LibBase/ids.h"
+#include "LibConfiguration/document.h"
+#include "LibConsole/document_in_force.h"
+#include "LibConsole/submit_outcome.h"
+
+namespace console {
+
+// Every function must be set. All are called on the thread that serves the
+// console, and only m_submit may answer later.
+struct Backend {
+  // Queries.
+  std::function<bool()> m_is_ready;
+  // A JSON object.
+  std::function<std::string()> m_status;
+  // The Prometheus text format.
+  std::function<std::string()> m_metrics;
+  // The report on service-level burn as plain text.
+  std::function<std::string()> m_report;
+  std::function<DocumentInForce()> m_document_in_force;
+
+  // Commands.
+  // Submits `document`, which is valid, to replace version `base`, and calls
+  // `answer` once, on the same thread. The submission ids of `document` are
+  // those of the base.
+  using SubmitAnswer = std::function<void(const SubmitOutcome&)>;
+  std::function<void(base::ConfigurationVersion base,
+                     const configuration::Document& document,
+                     SubmitAnswer answer)>
+      m_submit;
+  // Tells of a request for a change that was refused, as for a wrong token.
+  std::function<void(std::string_view reason)> m_on_refused_request;
+};
+
+}  // namespace console
+
+#endif  // LIBCONSOLE_BACKEND_H_
--- /dev/null
+++ b/Libraries/LibConsole/console.cc
@@ -0,0 +1,212 @@
+#include "LibConsole/console.h"
+
+#include <charconv>
+#include <utility>
+#include <variant>
+
+#include "LibConfiguration/document_reader.h"
+#include "LibConsole/draft_action.h"
+#include "LibConsole/editor_page.h"
+#include "LibConsole/overview_page.h"
+#include "LibConsole/page.h"
+#include "LibConsole/session_pages.h"
+
+namespace console {
+
+namespace {
+
+constexpr std::string_view kJsonType = "application/json";
+constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
+constexpr std::string_view kStyleType = "text/css; charset=utf-8";
+
+Response TextResponse(Status status, std::string_view text) {
+  return {status, std::string(kTextType), std::string(text) + "\n"};
+}
+
+Response Page(std::string body, Status status = Status::kOk) {
+  return {status, std::string(kHtmlType), std::move(body)};
+}
+
+Status StatusOf(const SubmitOutcome& outcome) {
+  if (std::holds_alternative<SubmitAccepted>(outcome))
+    return Status::kOk;
+  if (std::holds_alternative<SubmitConflict>(outcome))
+    return Status::kConflict;
+  if (std::holds_alternative<SubmitRefused>(outcome))
+    return Status::kUnprocessable;
+  return Status::kUnavailable;
+}
+
+using CheckedDraft = configuration::Reading<configuration::CheckedDocument>;
+
+CheckedDraft Check(const Draft& draft, const DocumentInForce& current) {
+  return configuration::ReadReplacement(draft.m_root, current.m_document);
+}
+
+}  // namespace
+
+Console::Console(Backend backend, std::string operator_token)
+    : m_backend(std::move(backend)),
+      m_operator_token(std::move(operator_token)) {}
+
+void Console::Handle(const Request& request, const Reply& reply) {
+  switch (request.m_method) {
+    case Method::kGet:
+      reply(Get(request));
+      return;
+    case Method::kPost:
+      Post(request, reply);
+      return;
+    case Method::kOther:
+      reply(TextResponse(Status::kMethodNotAllowed, "method not allowed"));
+      return;
+  }
+}
+
+Response Console::Get(const Request& request) const {
+  const std::string& path = request.m_path;
+  if (path == "/ready")
+    return GetReady();
+  if (path == "/status")
+    return {Status::kOk, std::string(kJsonType), m_backend.m_status() + "\n"};
+  if (path == "/metrics")
+    return {Status::kOk, std::string(kMetricsType), m_backend.m_metrics()};
+  if (path == "/report")
+    return GetReport(request);
+  if (path == "/")
+    return Page(RenderOverview(m_backend.m_document_in_force()));
+  if (path == "/edit")
+    return Page(RenderEditor(StartDraft(m_backend.m_document_in_force()), {}));
+  if (path == "/submission")
+    return GetSubmission(request);
+  if (path == kStylePath)
+    return {Status::kOk, std::string(kStyleType), std::string(StyleSheet())};
+  return TextResponse(Status::kNotFound, "not found");
+}
+
+Response Console::GetReady() const {
+  if (m_backend.m_is_ready())
+    return TextResponse(Status::kOk, "ready");
+  return TextResponse(Status::kUnavailable, "not ready");
+}
+
+Response Console::GetReport(const Request& request) const {
+  const std::string report = m_backend.m_report();
+  if (request.m_query == "format=text")
+    return {Status::kOk, std::string(kTextType), report};
+  return Page(RenderReport(report));
+}
+
+Response Console::GetSubmission(const Request& request) const {
+  const auto fields = ParseForm(request.m_query);
+  if (!fields)
+    return TextResponse(Status::kBadRequest, "malformed query");
+  const std::string base_text = FieldValue(*fields, "base");
+  std::uint64_t base = 0;
+  const char* end = base_text.data() + base_text.size();
+  const auto result = std::from_chars(base_text.data(), end, base);
+  if (result.ec != std::errc() || result.ptr != end)
+    return TextResponse(Status::kBadRequest, "malformed version");
+  return Page(RenderSubmission(FieldValue(*fields, "id"),
+                               base::ConfigurationVersion(base),
+                               m_backend.m_document_in_force()));
+}
+
+void Console::Post(const Request& request, const Reply& reply) {
+  const bool is_edit = request.m_path == "/edit";
+  if (!is_edit && request.m_path != "/submit") {
+    reply(TextResponse(Status::kNotFound, "not found"));
+    return;
+  }
+  if (IsCrossSite(request)) {
+    reply(Refuse(Status::kForbidden, "request from another site"));
+    return;
+  }
+  const auto fields = ParseForm(request.m_body);
+  const auto draft = fields ? DraftFromFields(*fields) : std::nullopt;
+  if (!draft) {
+    reply(Refuse(Status::kBadRequest, "malformed form"));
+    return;
+  }
+  if (is_edit)
+    reply(PostEdit(*draft, *fields));
+  else
+    Submit(*draft, FieldValue(*fields, kTokenField), reply);
+}
+
+Response Console::PostEdit(const Draft& draft, const FormFields& fields) const {
+  const DraftAction action = ParseAction(FieldValue(fields, kActionField));
+  if (std::holds_alternative<ShowReview>(action))
+    return Review(draft);
+  Draft changed = draft;
+  Apply(action, changed);
+  return Page(RenderEditor(changed, {}));
+}
+
+Response Console::Review(const Draft& draft) const {
+  const DocumentInForce current = m_backend.m_document_in_force();
+  if (current.m_version != draft.m_base_version)
+    return Page(RenderConflict(draft, current), Status::kConflict);
+  const CheckedDraft checked = Check(draft, current);
+  if (const auto* problems = std::get_if<configuration::Problems>(&checked))
+    return Page(RenderEditor(draft, *problems), Status::kUnprocessable);
+  const auto& document = std::get<configuration::CheckedDocument>(checked);
+  return Page(RenderReview(draft, current.m_document, document, ""));
+}
+
+void Console::Submit(const Draft& draft,
+                     std::string_view token,
+                     const Reply& reply) {
+  const DocumentInForce current = m_backend.m_document_in_force();
+  if (current.m_version != draft.m_base_version) {
+    reply(Page(RenderConflict(draft, current), Status::kConflict));
+    return;
+  }
+  const CheckedDraft checked = Check(draft, current);
+  if (const auto* problems = std::get_if<configuration::Problems>(&checked)) {
+    reply(Page(RenderEditor(draft, *problems), Status::kUnprocessable));
+    return;
+  }
+  auto document = std::get<configuration::CheckedDocument>(checked);
+  if (!TokensMatch(m_operator_token, token)) {
+    m_backend.m_on_refused_request("wrong operator token");
+    reply(Page(RenderReview(draft, current.m_document, document,
+                            "The operator token is wrong."),
+               Status::kForbidden));
+    return;
+  }
+  document.m_document.m_submission = current.m_document.m_submission;
+  document.m_document.m_previous_submissions =
+      current.m_document.m_previous_submissions;
+  m_backend.m_submit(
+      draft.m_base_version, document.m_document,
+      [draft, reply](const SubmitOutcome& outcome) {
+        reply(Page(RenderOutcome(draft, outcome), StatusOf(outcome)));
+      });
+}
+
+Response Console::Refuse(Status status, std::string_view reason) {
+  m_backend.m_on_refused_request(reason);
+  return TextResponse(status, reason);
+}
+
+bool IsCrossSite(const Request& request) {
+  if (!request.m_origin)
+    return false;
+  return *request.m_origin != "http://" + request.m_host &&
+         *request.m_origin != "https://" + request.m_host;
+}
+
+bool TokensMatch(std::string_view expected, std::string_view given) {
+  if (expected.empty())
+    return false;
+  unsigned int difference = expected.size() == given.size() ? 0 : 1;
+  for (std::size_t index = 0; index < given.size(); ++index) {
+    const char wanted = expected[index % expected.size()];
+    difference |= static_cast<unsigned char>(wanted) ^
+                  static_cast<unsigned char>(given[index]);
+  }
+  return difference == 0;
+}
+
+}  // namespace console
--- /dev/null
+++ b/Libraries/LibConsole/session_pages.cc
@@ -0,0 +1,239 @@
+#include "LibConsole/session_pages.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "LibBase/overloaded.h"
+#include "LibConfiguration/difference.h"
+#include "LibConsole/draft_action.h"
+#include "LibConsole/page.h"
+
+namespace console {
+
+namespace {
+
+Html DifferenceSection(std::string_view title,
+                       const configuration::Document& before,
+                       const configuration::Document& after) {
+  const auto changes = configuration::DifferenceBetween(before, after);
+  Html items;
+  for (const configuration::Change& change : changes)
+    items += Element("li", {}, Text(ToString(change)));
+  const Html list = changes.empty()
+                        ? Element("p", {}, Text("There is no difference."))
+                        : Element("ul", {}, items);
+  return Element("section", {}, Element("h2", {}, Text(title)) + list);
+}
+
+Html HiddenFields(const Draft& draft) {
+  Html fields;
+  for (const FormField& field : FieldsOf(draft))
+    fields += HiddenField(field.m_name, field.m_value);
+  return fields;
+}
+
+Html PrimaryButton(std::string_view label) {
+  return Element("button", {{"type", "submit"}, {"class", "primary"}},
+                 Text(label));
+}
+
+// A form that takes the draft back to the editor.
+Html BackToEditor(const Draft& draft,
+                  const DraftAction& action,
+                  std::string_view label) {
+  return Element("form", {{"method", "post"}, {"action", "/edit"}},
+                 HiddenFields(draft) + ActionButton(ToString(action), label));
+}
+
+Html SubmitForm(const Draft& draft) {
+  const Html token =
+      Element("label", {},
+              Element("span", {}, Text("Operator token")) +
+                  VoidElement("input", {{"type", "password"},
+                                        {"name", std::string(kTokenField)},
+                                        {"autocomplete", "off"},
+                                        {"required", ""}}));
+  return Element("form", {{"method", "post"}, {"action", "/submit"}},
+                 HiddenFields(draft) +
+                     Element("p", {{"class", "actions"}},
+                             token + PrimaryButton("Submit the document")));
+}
+
+Html StartAgain() {
+  return Element("p", {{"class", "actions"}},
+                 Element("a", {{"href", "/edit"}, {"class", "button"}},
+                         Text("Start again from the version in force")));
+}
+
+std::string RenderAccepted(const SubmitAccepted& accepted) {
+  const Html home = Element("p", {{"class", "actions"}},
+                            Element("a", {{"href", "/"}, {"class", "button"}},
+                                    Text("To the version in force")));
+  return RenderPage("Accepted",
+                    Notice(NoticeKind::kSuccess,
+                           fmt::format("The document is accepted as version "
+                                       "{}. Every balancer puts it in force "
+                                       "within seconds.",
+                                       accepted.m_version.value())) +
+                        home);
+}
+
+std::string RenderRefused(const Draft& draft, std::string_view reason) {
+  return RenderPage(
+      "Refused",
+      Notice(NoticeKind::kError,
+             fmt::format("The document was refused and nothing took effect: "
+                         "{}",
+                         reason)) +
+          BackToEditor(draft, ShowEditor{}, "Back to the editor"));
+}
+
+std::string RenderUnavailable(const Draft& draft) {
+  return RenderPage(
+      "Platform unavailable",
+      Notice(NoticeKind::kWarning,
+             "The platform could not be reached. Nothing took effect; the "
+             "document is kept on this page to be submitted again.") +
+          BackToEditor(draft, ShowReview{}, "Review and submit again"));
+}
+
+std::string RenderUnknown(const Draft& draft, const SubmitUnknown& unknown) {
+  const std::string target =
+      fmt::format("/submission?id={}&base={}", unknown.m_submission,
+                  draft.m_base_version.value());
+  return RenderPage(
+      "Outcome unknown",
+      Notice(NoticeKind::kWarning,
+             "The platform's answer was lost, so the document may have taken "
+             "effect or not. Don't submit it again before this is settled.") +
+          Element("p", {{"class", "actions"}},
+                  Element("a", {{"href", target}, {"class", "button primary"}},
+                          Text("Look whether it took effect"))));
+}
+
+enum class SubmissionFate { kTookEffect, kSuperseded, kUndecided, kForgotten };
+
+SubmissionFate FateOf(std::string_view id,
+                      base::ConfigurationVersion base,
+                      const DocumentInForce& current) {
+  std::vector<configuration::SubmissionEntry> entries{
+      current.m_document.m_submission};
+  const auto& previous = current.m_document.m_previous_submissions;
+  entries.insert(entries.end(), previous.begin(), previous.end());
+  const auto same_id =
+      std::ranges::find(entries, id, &configuration::SubmissionEntry::m_id);
+  if (same_id != entries.end() && !id.empty())
+    return SubmissionFate::kTookEffect;
+  if (current.m_version <= base)
+    return SubmissionFate::kUndecided;
+  const auto same_base = std::ranges::find(
+      entries, base, &configuration::SubmissionEntry::m_base_version);
+  return same_base != entries.end() ? SubmissionFate::kSuperseded
+                                    : SubmissionFate::kForgotten;
+}
+
+}  // namespace
+
+std::string RenderReview(const Draft& draft,
+                         const configuration::Document& previous,
+                         const configuration::CheckedDocument& checked,
+                         std::string_view error) {
+  Html content;
+  if (!error.empty())
+    content += Notice(NoticeKind::kError, error);
+  if (!checked.m_warnings.empty()) {
+    content += Notice(NoticeKind::kWarning,
+                      "The document is valid, but note the following.");
+    content += ProblemList(checked.m_warnings);
+  }
+  const std::string title =
+      fmt::format("Changes to version {}", draft.m_base_version.value());
+  content += DifferenceSection(title, previous, checked.m_document);
+  content += SubmitForm(draft);
+  content +=
+      Element("p", {}, BackToEditor(draft, ShowEditor{}, "Back to the editor"));
+  return RenderPage("Review", content);
+}
+
+std::string RenderConflict(const Draft& draft, const DocumentInForce& current) {
+  Html content = Notice(
+      NoticeKind::kError,
+      fmt::format("Version {} took effect while you were editing version {}. "
+                  "Nothing of your document took effect.",
+                  current.m_version.value(), draft.m_base_version.value()));
+  const auto base = BaseDocumentOf(draft);
+  if (base)
+    content += DifferenceSection("What the other operator changed", *base,
+                                 current.m_document);
+  Draft rebased = draft;
+  const Draft fresh = StartDraft(current);
+  rebased.m_base_version = fresh.m_base_version;
+  rebased.m_base_document = fresh.m_base_document;
+  content += StartAgain();
+  content += Element(
+      "p", {},
+      Text("Or keep your values and review them against the new version. "
+           "Whatever the other operator changed is then listed as a change "
+           "back to your values, unless you edit it."));
+  content += BackToEditor(rebased, ShowReview{},
+                          "Review my document against the new version");
+  return RenderPage("Conflict", content);
+}
+
+std::string RenderOutcome(const Draft& draft, const SubmitOutcome& outcome) {
+  return std::visit(
+      base::Overloaded{
+          [](const SubmitAccepted& accepted) {
+            return RenderAccepted(accepted);
+          },
+          [&](const SubmitRefused& refused) {
+            return RenderRefused(draft, refused.m_reason);
+          },
+          [&](const SubmitConflict& conflict) {
+            return RenderConflict(draft, conflict.m_current);
+          },
+          [&](const SubmitUnavailable&) { return RenderUnavailable(draft); },
+          [&](const SubmitUnknown& unknown) {
+            return RenderUnknown(draft, unknown);
+          }},
+      outcome);
+}
+
+std::string RenderSubmission(std::string_view id,
+                             base::ConfigurationVersion base,
+                             const DocumentInForce& current) {
+  const std::string version = std::to_string(current.m_version.value());
+  switch (FateOf(id, base, current)) {
+    case SubmissionFate::kTookEffect:
+      return RenderPage("Accepted",
+                        Notice(NoticeKind::kSuccess,
+                               "The submission took effect; it is part of "
+                               "version " +
+                                   version + "."));
+    case SubmissionFate::kSuperseded:
+      return RenderPage("Conflict",
+                        Notice(NoticeKind::kError,
+                               "Another document took effect first, in or "
+                               "before version " +
+                                   version + ". The submission never will.") +
+                            StartAgain());
+    case SubmissionFate::kUndecided:
+      return RenderPage("Outcome unknown",
+                        Notice(NoticeKind::kWarning,
+                               "This balancer still has version " + version +
+                                   ". Load this page again until it tells."));
+    case SubmissionFate::kForgotten:
+      return RenderPage(
+          "Outcome unknown",
+          Notice(NoticeKind::kWarning,
+                 "Version " + version +
+                     " no longer tells. Compare it with your document.") +
+              StartAgain());
+  }
+  return {};
+}
+
+}  // namespace console
--- /dev/null
+++ b/Tests/LibConsole/fake_backend.h
@@ -0,0 +1,47 @@
+// A process without a balancer, for the tests of the console.
+
+#ifndef TESTS_LIBCONSOLE_FAKE_BACKEND_H_
+#define TESTS_LIBCONSOLE_FAKE_BACKEND_H_
+
+#include <string>
+#include <vector>
+
+#include "LibConfiguration/example_document.h"
+#include "LibConsole/backend.h"
+
+namespace console {
+
+struct FakeBackend {
+  bool m_is_ready = true;
+  DocumentInForce m_in_force{base::ConfigurationVersion(12),
+                             configuration::MakeDocument()};
+  SubmitOutcome m_outcome = SubmitAccepted{base::ConfigurationVersion(13)};
+  std::vector<configuration::Document> m_submitted;
+  std::vector<std::string> m_refusals;
+
+  // The fake must outlive it.
+  Backend MakeBackend() {
+    Backend backend;
+    backend.m_is_ready = [this] { return m_is_ready; };
+    backend.m_status = [] { return std::string("{}"); };
+    backend.m_metrics = [] { return std::string("up 1\n"); };
+    backend.m_report = [] { return std::string("burn <1>\n"); };
+    backend.m_document_in_force = [this] { return m_in_force; };
+    backend.m_submit = [this](base::ConfigurationVersion,
+                              const configuration::Document& document,
+                              const Backend::SubmitAnswer& answer) {
+      m_submitted.push_back(document);
+      answer(m_outcome);
+    };
+    backend.m_on_refused_request = [this](std::string_view reason) {
+      m_refusals.emplace_back(reason);
+    };
+    return backend;
+  }
+};
+
+inline constexpr const char* kFakeToken = "correct-horse";
+
+}  // namespace console
+
+#endif  // TESTS_LIBCONSOLE_FAKE_BACKEND_H_
--- /dev/null
+++ b/Tests/LibConsole/test_admin_server.cc
@@ -0,0 +1,120 @@
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "LibConsole/admin_server.h"
+#include "LibConsole/fake_backend.h"
+#include "LibHttp/client.h"
+
+using console::AdminServer;
+using console::FakeBackend;
+
+namespace {
+
+// Longer than the server's own bound on reading a request.
+constexpr std::chrono::seconds kDeadline{20};
+
+class Fixture {
+ public:
+  Fixture() {
+    const auto any_port = base::ParseEndpoint("127.0.0.1:0");
+    auto created = AdminServer::Create(
+        m_context, *any_port, m_backend.MakeBackend(), console::kFakeToken);
+    REQUIRE(created);
+    m_server = std::move(created).value();
+  }
+
+  asio::io_context& context() { return m_context; }
+  FakeBackend& backend() { return m_backend; }
+  base::Endpoint Endpoint() const { return m_server->endpoint(); }
+
+  base::Outcome<http::Response> Ask(http::Request request) {
+    request.m_endpoint = Endpoint();
+    http::Client client(m_context);
+    std::optional<base::Outcome<http::Response>> result;
+    client.Send(request, [&](auto outcome) { result = std::move(outcome); });
+    RunUntil([&] { return result.has_value(); });
+    return std::move(*result);
+  }
+
+  template <typename Condition>
+  void RunUntil(const Condition& condition) {
+    const auto end = std::chrono::steady_clock::now() + kDeadline;
+    while (!condition()) {
+      REQUIRE(std::chrono::steady_clock::now() < end);
+      m_context.restart();
+      m_context.run_one_for(kDeadline);
+    }
+  }
+
+ private:
+  asio::io_context m_context;
+  FakeBackend m_backend;
+  std::unique_ptr<AdminServer> m_server;
+};
+
+}  // namespace
+
+TEST_CASE("the console is served over HTTP with restrictive headers") {
+  Fixture fixture;
+  http::Request request;
+  request.m_path = "/";
+
+  const auto response = fixture.Ask(request);
+
+  REQUIRE(response);
+  CHECK(response.value().m_status == 200);
+  const auto policy =
+      FindHeader(response.value().m_headers, "Content-Security-Policy");
+  REQUIRE(policy);
+  CHECK(policy->find("default-src 'none'") == 0);
+}
+
+TEST_CASE("a post from another site is refused over HTTP") {
+  Fixture fixture;
+  http::Request request;
+  request.m_method = http::Method::kPost;
+  request.m_path = "/submit";
+  request.m_headers = {{"Origin", "http://evil.example"}};
+  request.m_body = "base_version=12";
+
+  const auto response = fixture.Ask(request);
+
+  REQUIRE(response);
+  CHECK(response.value().m_status == 403);
+}
+
+TEST_CASE("a body over the limit gets no answer and does not harm the server") {
+  Fixture fixture;
+  http::Request request;
+  request.m_method = http::Method::kPost;
+  request.m_path = "/submit";
+  request.m_body.resize(9'000'000, 'a');
+
+  CHECK_FALSE(fixture.Ask(request));
+  request = {};
+  request.m_path = "/ready";
+  CHECK(fixture.Ask(request));
+}
+
+TEST_CASE("a client that stalls in its request is disconnected") {
+  Fixture fixture;
+  asio::ip::tcp::socket socket(fixture.context());
+  socket.connect({asio::ip::address_v4::loopback(), fixture.Endpoint().m_port});
+  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: ")));
+  bool closed = false;
+  char byte = 0;
+  asio::async_read(socket, asio::buffer(&byte, 1),
+                   [&](const std::error_code&, std::size_t) { closed = true; });
+
+  fixture.RunUntil([&] { return closed; });
+
+  CHECK(closed);
+}
