Coltsfootdale: Log the id of the submission in force

The submission of a document is a pair of id and base version since LibConfiguration keeps both; the log line still took it for a text, so the merge did not compile.

--- a/Services/Coltsfootdale/configuration_keeper.cc
+++ b/Services/Coltsfootdale/configuration_keeper.cc
@@ -69,7 +69,7 @@
   observability::WriteLog(observability::Severity::kInfo,
                           observability::Event::kConfigurationInForce,
                           {{"version", version.value()},
-                           {"submission", m_document.m_submission},
+                           {"submission", m_document.m_submission.m_id},
                            {"services", m_document.m_services.size()}});
   return true;
 }
