Services: Submit a document from the command line

A file may be older than the version in force, and submitting it would undo another operator's change unseen.

--- /dev/null
+++ b/Services/Coltsfootdale/document_submitter.h
@@ -0,0 +1,80 @@
+// Submits documents to the platform, for the console and the command line.
+
+#ifndef SERVICES_COLTSFOOTDALE_DOCUMENT_SUBMITTER_H_
+#define SERVICES_COLTSFOOTDALE_DOCUMENT_SUBMITTER_H_
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibBase/ids.h"
+#include "LibBase/strong_id.h"
+#include "LibBase/time.h"
+#include "LibConfiguration/document.h"
+#include "LibConsole/document_in_force.h"
+#include "LibConsole/submit_outcome.h"
+#include "LibPlatform/platform_client.h"
+#include "LibPlatform/submission.h"
+
+namespace platform {
+class SubmissionDriver;
+}  // namespace platform
+
+namespace service {
+
+// The object that holds the configuration document.
+inline constexpr std::string_view kDocumentKey = "coltsfootdale/document";
+
+// Returns what the platform's answer holds: version zero and an empty document
+// if there is none, nothing if the read failed or the document is malformed.
+std::optional<console::DocumentInForce> ReadDocumentInForce(
+    const platform::ReadResult& result);
+
+// Used on the thread that runs the io_context. The client must outlive it.
+class DocumentSubmitter {
+ public:
+  using Callback = std::function<void(const console::SubmitOutcome&)>;
+
+  // Submissions that are not settled within `deadline` are given up.
+  DocumentSubmitter(asio::io_context& context,
+                    platform::PlatformClient& client,
+                    base::Duration deadline = std::chrono::seconds(15));
+  // Drops what is open without calling back; an update may still take effect.
+  ~DocumentSubmitter();
+  DocumentSubmitter(const DocumentSubmitter&) = delete;
+  DocumentSubmitter& operator=(const DocumentSubmitter&) = delete;
+
+  // Submits `document` in place of version `base` under an id of its own and
+  // calls back once. The submissions of `document` are those of the base.
+  void Submit(base::ConfigurationVersion base,
+              configuration::Document document,
+              Callback callback);
+
+  static constexpr std::size_t kMaxOpenSubmissions = 8;
+
+ private:
+  using Key = base::StrongId<struct SubmitterKeyTag, std::uint64_t>;
+
+  void OnResult(Key key,
+                const std::string& id,
+                const platform::SubmissionResult& result,
+                const Callback& callback);
+  void ReportConflict(const Callback& callback);
+
+  asio::io_context& m_context;
+  platform::PlatformClient& m_client;
+  base::Duration m_deadline;
+  std::map<Key, std::unique_ptr<platform::SubmissionDriver>> m_drivers;
+  std::uint64_t m_next_key = 1;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_DOCUMENT_SUBMITTER_H_
--- a/Services/Coltsfootdale/main.cc
+++ b/Services/Coltsfootdale/main.cc
@@ -11,6 +11,7 @@
 #include "exit_code.h"
 #include "report_command.h"
 #include "status_command.h"
+#include "submit_command.h"
 
 namespace {
 
@@ -23,6 +24,7 @@
 constexpr std::array kSubcommands = {
     Subcommand{"balancer", "run a balancer", service::RunBalancer},
     Subcommand{"check", "validate settings and documents", service::RunCheck},
+    Subcommand{"submit", "submit a configuration document", service::RunSubmit},
     Subcommand{"status", "print a balancer's status", service::RunStatus},
     Subcommand{"report", "print the report on service-level burn",
                service::RunReport},
--- a/Tests/Services/test_commands.cc
+++ b/Tests/Services/test_commands.cc
@@ -1,41 +1,20 @@
 #include <doctest/doctest.h>
 
-#include <cstdio>
-#include <fstream>
 #include <string>
 #include <vector>
 
 #include "LibConfiguration/document_writer.h"
 #include "LibConfiguration/example_document.h"
 #include "Services/captured_streams.h"
+#include "Services/temporary_file.h"
 #include "check_command.h"
 #include "report_command.h"
 #include "status_command.h"
-
-namespace {
-
-// A file that is removed with its object.
-class TemporaryFile {
- public:
-  TemporaryFile(std::string name, const std::string& text)
-      : m_path(std::move(name)) {
-    std::ofstream(m_path) << text;
-  }
-  ~TemporaryFile() { std::remove(m_path.c_str()); }
-  TemporaryFile(const TemporaryFile&) = delete;
-  TemporaryFile& operator=(const TemporaryFile&) = delete;
-
-  const std::string& path() const { return m_path; }
-
- private:
-  std::string m_path;
-};
-
-}  // namespace
+#include "submit_command.h"
 
 TEST_CASE("every subcommand prints its help and refuses wrong usage") {
-  for (const auto run :
-       {service::RunCheck, service::RunStatus, service::RunReport}) {
+  for (const auto run : {service::RunCheck, service::RunSubmit,
+                         service::RunStatus, service::RunReport}) {
     const CapturedStreams streams;
 
     CHECK(run({"--help"}) == 0);
