--- a/Libraries/LibConsole/backend.h
+++ b/Libraries/LibConsole/backend.h
@@ -25,6 +25,8 @@
   std::function<std::string()> m_metrics;
   // The report on service-level burn as plain text.
   std::function<std::string()> m_report;
+  // The same as an <svg> element whose texts are escaped; may be empty.
+  std::function<std::string()> m_report_chart;
   std::function<DocumentInForce()> m_document_in_force;
 
   // Commands.
--- a/Libraries/LibConsole/console.cc
+++ b/Libraries/LibConsole/console.cc
@@ -94,7 +94,7 @@
   const std::string report = m_backend.m_report();
   if (request.m_query == "format=text")
     return {Status::kOk, std::string(kTextType), report};
-  return Page(RenderReport(report));
+  return Page(RenderReport(report, m_backend.m_report_chart()));
 }
 
 Response Console::GetSubmission(const Request& request) const {
--- a/Libraries/LibConsole/html.cc
+++ b/Libraries/LibConsole/html.cc
@@ -48,6 +48,10 @@
   return Html(Escape(text));
 }
 
+Html TrustedMarkup(std::string markup) {
+  return Html(std::move(markup));
+}
+
 Html Element(std::string_view tag,
              const Attributes& attributes,
              const Html& content) {
--- a/Libraries/LibConsole/html.h
+++ b/Libraries/LibConsole/html.h
@@ -34,6 +34,8 @@
       std::string_view tag,
       const std::vector<std::pair<std::string_view, std::string>>& attributes);
 
+  friend Html TrustedMarkup(std::string markup);
+
   explicit Html(std::string markup) : m_markup(std::move(markup)) {}
 
   std::string m_markup;
@@ -49,6 +51,9 @@
              const Attributes& attributes,
              const Html& content);
 
+// Markup that another part of the process has made and escaped.
+Html TrustedMarkup(std::string markup);
+
 // An element that has no content and no end tag, as input and meta.
 Html VoidElement(std::string_view tag, const Attributes& attributes);
 
--- a/Libraries/LibConsole/overview_page.cc
+++ b/Libraries/LibConsole/overview_page.cc
@@ -73,8 +73,11 @@
       fmt::format("Version {} in force", document.m_version.value()), content);
 }
 
-std::string RenderReport(std::string_view report) {
-  return RenderPage("Service-level burn", Element("pre", {}, Text(report)));
+std::string RenderReport(std::string_view report, const std::string& chart) {
+  Html content = Element("pre", {}, Text(report));
+  if (!chart.empty())
+    content += Element("section", {}, TrustedMarkup(chart));
+  return RenderPage("Service-level burn", content);
 }
 
 }  // namespace console
--- a/Libraries/LibConsole/overview_page.h
+++ b/Libraries/LibConsole/overview_page.h
@@ -13,8 +13,8 @@
 // Services, rules and backend servers by data centre.
 std::string RenderOverview(const DocumentInForce& document);
 
-// `report` is plain text.
-std::string RenderReport(std::string_view report);
+// `report` is plain text, `chart` an <svg> element or empty.
+std::string RenderReport(std::string_view report, const std::string& chart);
 
 }  // namespace console
 
--- a/Tests/LibConsole/fake_backend.h
+++ b/Tests/LibConsole/fake_backend.h
@@ -26,6 +26,7 @@
     backend.m_status = [] { return std::string("{}"); };
     backend.m_metrics = [] { return std::string("up 1\n"); };
     backend.m_report = [] { return std::string("burn <1>\n"); };
+    backend.m_report_chart = [] { return std::string("<svg></svg>"); };
     backend.m_document_in_force = [this] { return m_in_force; };
     backend.m_submit = [this](base::ConfigurationVersion,
                               const configuration::Document& document,
--- a/Tests/LibConsole/test_console.cc
+++ b/Tests/LibConsole/test_console.cc
@@ -74,6 +74,7 @@
   CHECK(Get(backend, "/metrics").m_body == "up 1\n");
   CHECK(Get(backend, "/report", "format=text").m_body == "burn <1>\n");
   CHECK(Has(Get(backend, "/report"), "burn &lt;1&gt;"));
+  CHECK(Has(Get(backend, "/report"), "<svg></svg>"));
   CHECK(Has(Get(backend, "/"), "Data centre uppsala"));
   CHECK(Has(Get(backend, "/edit"), "services[1].backend_servers[0].name"));
   CHECK(Get(backend, "/style.css").m_content_type == "text/css; charset=utf-8");
