--- a/Libraries/LibPlatform/submission.cc
+++ b/Libraries/LibPlatform/submission.cc
@@ -120,7 +120,7 @@
 
 SubmissionEffect Submission::Settle(SubmissionResult result) {
   m_result = result;
-  return Settled{std::move(result)};
+  return Settled{result};
 }
 
 }  // namespace platform
