--- a/Tests/StandIns/answer_reader.h
+++ b/Tests/StandIns/answer_reader.h
@@ -29,6 +29,7 @@
   // Whether a header belonged to another request or service.
   bool IsCrossed() const { return m_crossed; }
   // Bytes that differ from the pattern, are malformed or follow the answer.
+  std::uint64_t Bytes() const { return m_bytes; }
   std::uint64_t WrongBytes() const { return m_wrong_bytes; }
   std::uint64_t Events() const { return m_events; }
   // Events whose sequence number was not the next one.
--- a/Tests/StandIns/caller.cc
+++ b/Tests/StandIns/caller.cc
@@ -212,6 +212,8 @@
 }
 
 void Caller::HandleResult(const OpenFlow& open, base::TimePoint now) {
+  if (IsBroken(open.m_flow.Result()))
+    PrintLine(open.m_flow.BrokenLine(now));
   const bool retried = ScheduleRetry(open, now);
   m_report.CountResult(open.m_flow, !retried);
   if (!retried)
--- a/Tests/StandIns/caller_flow.cc
+++ b/Tests/StandIns/caller_flow.cc
@@ -74,6 +74,17 @@
   return next;
 }
 
+JsonLine CallerFlow::BrokenLine(base::TimePoint now) const {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  JsonLine line("broken_flow");
+  line.Add("request", m_request.m_id.value())
+      .Add("result", base::NameOf(kFlowResultNames, m_result))
+      .Add("answer_bytes", m_answer.Bytes())
+      .Add("unacknowledged_bytes", std::uint64_t{m_tcp.UnacknowledgedBytes()})
+      .Add("silent_ms", Milliseconds(now - m_tcp.LastHeard()).count());
+  return line;
+}
+
 void CallerFlow::Receive(const TcpSegment& segment, base::TimePoint now) {
   m_tcp.Receive(segment, now);
   SendRequest(now);
--- a/Tests/StandIns/caller_flow.h
+++ b/Tests/StandIns/caller_flow.h
@@ -13,6 +13,7 @@
 #include "LibBase/ipv4.h"
 #include "LibBase/time.h"
 #include "StandIns/answer_reader.h"
+#include "StandIns/json_line.h"
 #include "StandIns/request_message.h"
 #include "StandIns/tcp_connection.h"
 
@@ -84,6 +85,8 @@
   // The longest time between two events of a feed so far.
   base::Duration LongestEventGap(base::TimePoint now) const;
   std::optional<base::TimePoint> NextDeadline() const;
+  // How far a broken flow came, for whoever looks for the cause.
+  JsonLine BrokenLine(base::TimePoint now) const;
 
   // Commands.
   void Receive(const TcpSegment& segment, base::TimePoint now);
