Coltsfootdale: Join the console with submitter, log and metrics

The console library knows no platform and no log. AdminConsole gives it both: it submits through DocumentSubmitter, logs each outcome, and logs refused requests through the rate limiter. The status is rendered from a typed view, and the counters of the traffic thread are mirrored as metrics.

The balancer process does not create the AdminConsole yet.

--- a/Libraries/LibObservability/metrics.h
+++ b/Libraries/LibObservability/metrics.h
@@ -27,6 +27,13 @@
   void Add(std::uint64_t count = 1) {
     m_value.fetch_add(count, std::memory_order_relaxed);
   }
+  // Takes over the total of another counter; does nothing if it is less.
+  void RaiseTo(std::uint64_t total) {
+    std::uint64_t value = Value();
+    while (value < total && !m_value.compare_exchange_weak(
+                                value, total, std::memory_order_relaxed)) {
+    }
+  }
   std::uint64_t Value() const {
     return m_value.load(std::memory_order_relaxed);
   }
--- /dev/null
+++ b/Services/Coltsfootdale/admin_console.h
@@ -0,0 +1,69 @@
+// The admin server of a balancer: the console of LibConsole joined with the
+// submitter and the log.
+
+#ifndef SERVICES_COLTSFOOTDALE_ADMIN_CONSOLE_H_
+#define SERVICES_COLTSFOOTDALE_ADMIN_CONSOLE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibConfiguration/settings.h"
+#include "LibConsole/backend.h"
+#include "LibConsole/document_in_force.h"
+#include "LibConsole/submit_outcome.h"
+#include "LibObservability/rate_limiter.h"
+#include "document_submitter.h"
+#include "status_view.h"
+
+namespace console {
+class AdminServer;
+}  // namespace console
+
+namespace service {
+
+// Used on the thread that runs the io_context.
+class AdminConsole {
+ public:
+  // What the pages show; each must be set. Called on the same thread.
+  struct Sources {
+    std::function<StatusView()> m_status;
+    // The Prometheus text format.
+    std::function<std::string()> m_metrics;
+    // The burn report as text and as an <svg> element.
+    std::function<std::string()> m_report;
+    std::function<std::string()> m_report_chart;
+    std::function<console::DocumentInForce()> m_document_in_force;
+  };
+
+  // Listens on the admin address of `settings`. `client` must outlive it.
+  // Errors are those of the system.
+  static base::Outcome<std::unique_ptr<AdminConsole>> Create(
+      asio::io_context& context,
+      const configuration::Settings& settings,
+      platform::PlatformClient& client,
+      const Sources& sources);
+  ~AdminConsole();
+  AdminConsole(const AdminConsole&) = delete;
+  AdminConsole& operator=(const AdminConsole&) = delete;
+
+  // Queries.
+  const base::Endpoint& endpoint() const;
+
+ private:
+  AdminConsole(asio::io_context& context, platform::PlatformClient& client);
+
+  console::Backend MakeBackend(const Sources& sources);
+  void OnRefusedRequest(std::string_view reason);
+
+  DocumentSubmitter m_submitter;
+  observability::RateLimiter m_refusals;
+  std::unique_ptr<console::AdminServer> m_server;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_ADMIN_CONSOLE_H_
--- /dev/null
+++ b/Services/Coltsfootdale/status_view.h
@@ -0,0 +1,39 @@
+// What the status page shows of a balancer.
+
+#ifndef SERVICES_COLTSFOOTDALE_STATUS_VIEW_H_
+#define SERVICES_COLTSFOOTDALE_STATUS_VIEW_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
+
+namespace service {
+
+struct StatusView {
+  struct Peer {
+    std::string m_name;
+    std::string m_state;
+  };
+
+  std::string m_name;
+  base::DataCentreId m_data_centre;
+  base::BalancerId m_id;
+  // Of ProcessPhase.
+  std::string m_phase;
+  bool m_is_ready = false;
+  base::ConfigurationVersion m_version;
+  std::string m_submission;
+  base::Endpoint m_traffic;
+  base::Endpoint m_peer;
+  std::vector<Peer> m_peers;
+};
+
+// Returns one JSON object.
+std::string ToJson(const StatusView& status);
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_STATUS_VIEW_H_
--- a/Tests/LibObservability/test_metrics.cc
+++ b/Tests/LibObservability/test_metrics.cc
@@ -26,6 +26,15 @@
         "wait_seconds_sum 3.65\nwait_seconds_count 4\n");
 }
 
+TEST_CASE("a counter that mirrors another one never falls") {
+  observability::Counter counter;
+
+  counter.RaiseTo(5);
+  counter.RaiseTo(3);
+
+  CHECK(counter.Value() == 5);
+}
+
 TEST_CASE("a family keeps a bounded number of label sets") {
   MetricsRegistry metrics;
 
