--- a/Benchmarks/benchmark_membership.cc
+++ b/Benchmarks/benchmark_membership.cc
@@ -4,6 +4,7 @@
 // Members run in one process on simulated time; messages are really encoded
 // and decoded. Processor time includes the loop that drives them.
 
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -37,33 +38,45 @@
          static_cast<double>(microseconds) / 1e6;
 }
 
+double AllocatedBytes() {
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
 double ToSeconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
 
-// A data centre of members that hand datagrams to one another without loss.
-class DataCentre {
+// Members, in equal data centres, that hand datagrams to one another without
+// loss.
+class Fleet {
  public:
-  explicit DataCentre(std::size_t size) : m_random(kSeed) {
+  Fleet(std::size_t size, std::size_t data_centres)
+      : m_data_centres(data_centres), m_random(kSeed) {
     for (std::size_t at = 0; at < size; ++at)
-      m_list.push_back(MakeVmEntry(at));
+      m_list.push_back(MakeVmEntry(at, at % data_centres));
     for (std::size_t at = 0; at < size; ++at)
       Start(at);
   }
 
   base::TimePoint Now() const { return m_now; }
+  double BytesBetweenDataCentres() const {
+    return static_cast<double>(m_bytes_between);
+  }
   double Bytes() const { return static_cast<double>(m_bytes); }
   membership::Membership& At(std::size_t at) { return *m_members[at]; }
   std::size_t Size() const { return m_members.size(); }
 
   bool HasConverged() const {
-    std::size_t running = 0;
-    for (const auto& member : m_members)
-      running += member != nullptr;
-    return std::all_of(
-        m_members.begin(), m_members.end(), [&](const auto& member) {
-          return !member || member->LiveMembers().size() == running;
-        });
+    std::vector<std::size_t> running(m_data_centres, 0);
+    for (std::size_t at = 0; at < m_members.size(); ++at)
+      running[at % m_data_centres] += m_members[at] != nullptr;
+    for (std::size_t at = 0; at < m_members.size(); ++at) {
+      const auto& member = m_members[at];
+      if (member &&
+          member->LiveMembers().size() != running[at % m_data_centres])
+        return false;
+    }
+    return true;
   }
 
   void Kill(std::size_t at) { m_members[at].reset(); }
@@ -115,10 +128,14 @@
     return endpoint.m_address.value() - MakeEndpoint(0, 0).m_address.value();
   }
 
-  static membership::VmEntry MakeVmEntry(std::size_t at) {
-    return {"entry-vm-" + std::to_string(at), base::DataCentreId("north-1"),
-            membership::VmState::kLive,       MakeEndpoint(at, 6'000),
-            MakeEndpoint(at, 7'000),          MakeEndpoint(at, 8'000)};
+  static membership::VmEntry MakeVmEntry(std::size_t at,
+                                         std::size_t data_centre) {
+    return {"entry-vm-" + std::to_string(at),
+            base::DataCentreId("north-" + std::to_string(data_centre)),
+            membership::VmState::kLive,
+            MakeEndpoint(at, 6'000),
+            MakeEndpoint(at, 7'000),
+            MakeEndpoint(at, 8'000)};
   }
 
   // Delivers in rounds of the delay; members advance one part of them in each
@@ -154,18 +171,24 @@
         continue;
       std::string bytes =
           peer::Encode(peer::Transport::kDatagram, send->m_message).value();
-      m_bytes += bytes.size() + kIpAndUdpHeaderBytes;
-      m_in_flight.push_back({at, PositionOf(send->m_to), std::move(bytes)});
+      const std::size_t sent = bytes.size() + kIpAndUdpHeaderBytes;
+      const std::size_t to = PositionOf(send->m_to);
+      m_bytes += sent;
+      if (at % m_data_centres != to % m_data_centres)
+        m_bytes_between += sent;
+      m_in_flight.push_back({at, to, std::move(bytes)});
     }
   }
 
   base::TimePoint m_now{std::chrono::hours(1)};
+  std::size_t m_data_centres;
   base::Random m_random;
   std::vector<membership::VmEntry> m_list;
   std::vector<std::unique_ptr<membership::Membership>> m_members;
   std::vector<Datagram> m_in_flight;
   std::uint64_t m_incarnation = 1;
   std::size_t m_bytes = 0;
+  std::size_t m_bytes_between = 0;
 };
 
 struct Point {
@@ -195,12 +218,12 @@
 }
 
 // Runs until no news of the formation waits any more.
-void Settle(DataCentre& data_centre) {
+void Settle(Fleet& fleet) {
   constexpr base::Duration kLimit = seconds(600);
-  data_centre.RunUntil(
+  fleet.RunUntil(
       [&] {
-        for (std::size_t at = 0; at < data_centre.Size(); ++at) {
-          if (data_centre.At(at).WaitingNews() > 0)
+        for (std::size_t at = 0; at < fleet.Size(); ++at) {
+          if (fleet.At(at).WaitingNews() > 0)
             return false;
         }
         return true;
@@ -208,66 +231,113 @@
       kLimit);
 }
 
-bool HasVersion(DataCentre& data_centre, base::ConfigurationVersion version) {
+bool HasVersion(Fleet& fleet, base::ConfigurationVersion version) {
   std::size_t having = 0;
-  for (std::size_t at = 0; at < data_centre.Size(); ++at) {
-    membership::Membership& member = data_centre.At(at);
-    const auto newest = member.NewestKnownConfiguration(data_centre.Now());
+  for (std::size_t at = 0; at < fleet.Size(); ++at) {
+    membership::Membership& member = fleet.At(at);
+    const auto newest = member.NewestKnownConfiguration(fleet.Now());
     member.SetConfiguration(newest.m_version, std::nullopt);
     having += member.Self().m_configuration.m_version == version;
   }
-  return having == data_centre.Size();
+  return having == fleet.Size();
+}
+
+struct Cost {
+  double m_sent_bytes_per_second;
+  double m_processor_microseconds_per_second;
+  double m_replacement_bytes;
+  double m_memory_bytes;
+};
+
+// Measures one data centre and prints a line.
+Cost MeasureSize(std::size_t size) {
+  const auto members = static_cast<double>(size);
+  const double allocated = AllocatedBytes();
+  Fleet fleet(size, 1);
+  const auto converged = [&] { return fleet.HasConverged(); };
+  const auto formed = fleet.RunUntil(converged, seconds(120));
+  Settle(fleet);
+
+  const double memory = (AllocatedBytes() - allocated) / members;
+  constexpr base::Duration kSteady = seconds(20);
+  double bytes = fleet.Bytes();
+  double cpu = ProcessorSeconds();
+  fleet.Run(kSteady);
+  const double per_second = members * ToSeconds(kSteady);
+  const double steady = (fleet.Bytes() - bytes) / per_second;
+  cpu = (ProcessorSeconds() - cpu) / per_second;
+
+  bytes = fleet.Bytes();
+  fleet.Kill(1);
+  const auto detected = fleet.RunUntil(converged, seconds(30));
+  fleet.Run(seconds(10));
+  fleet.Start(1);
+  const auto joined = fleet.RunUntil(converged, seconds(30));
+  fleet.Run(seconds(10));
+  const double elapsed = ToSeconds(detected + joined + seconds(20));
+  const double replacement =
+      (fleet.Bytes() - bytes) / members - steady * elapsed;
+
+  const base::ConfigurationVersion version(9);
+  fleet.At(0).SetConfiguration(version, std::nullopt);
+  const auto spread =
+      fleet.RunUntil([&] { return HasVersion(fleet, version); }, seconds(30));
+
+  std::printf(
+      "members %zu: sent %.0f B/s, processor %.0f us/s (%.3f%% of a core), "
+      "memory %.1f KB, "
+      "formed in %.2f s, kill known in %.2f s, join known in %.2f s, "
+      "version known in %.2f s, replacement %.0f B sent a member\n",
+      size, steady, cpu * 1e6, cpu * 100, memory / 1e3, ToSeconds(formed),
+      ToSeconds(detected), ToSeconds(joined), ToSeconds(spread), replacement);
+  return {steady, cpu * 1e6, replacement, memory};
+}
+
+// Measures several data centres of today's size and prints a line.
+void MeasureDataCentres(std::size_t data_centres, std::size_t members_each) {
+  const std::size_t size = data_centres * members_each;
+  Fleet fleet(size, data_centres);
+  Settle(fleet);
+  constexpr base::Duration kSteady = seconds(60);
+  const double bytes = fleet.Bytes();
+  const double between = fleet.BytesBetweenDataCentres();
+  fleet.Run(kSteady);
+  const double member_seconds = static_cast<double>(size) * ToSeconds(kSteady);
+  const double sent = (fleet.Bytes() - bytes) / member_seconds;
+  const double sent_between =
+      (fleet.BytesBetweenDataCentres() - between) / ToSeconds(kSteady);
+  const base::ConfigurationVersion version(9);
+  fleet.At(0).SetConfiguration(version, std::nullopt);
+  const auto spread =
+      fleet.RunUntil([&] { return HasVersion(fleet, version); }, seconds(30));
+  std::printf(
+      "data centres %zu of %zu members: sent %.0f B/s a member, %.0f B/s "
+      "between data centres in all, version known in %.2f s\n",
+      data_centres, members_each, sent, sent_between, ToSeconds(spread));
 }
 
 }  // namespace
 
 int main() {
-  std::vector<Point> steady_bytes;
-  std::vector<Point> replacement_bytes;
+  std::vector<Point> sent;
   std::vector<Point> processor;
+  std::vector<Point> replacement;
+  std::vector<Point> memory;
   for (const std::size_t size : {6, 7, 50, 200, 1'000}) {
     const auto members = static_cast<double>(size);
-    DataCentre data_centre(size);
-    const auto converged = [&] { return data_centre.HasConverged(); };
-    const auto formed = data_centre.RunUntil(converged, seconds(120));
-    Settle(data_centre);
-
-    constexpr base::Duration kSteady = seconds(20);
-    double bytes = data_centre.Bytes();
-    double cpu = ProcessorSeconds();
-    data_centre.Run(kSteady);
-    const double per_second = members * ToSeconds(kSteady);
-    const double steady = (data_centre.Bytes() - bytes) / per_second;
-    cpu = (ProcessorSeconds() - cpu) / per_second;
-
-    bytes = data_centre.Bytes();
-    data_centre.Kill(1);
-    const auto detected = data_centre.RunUntil(converged, seconds(30));
-    data_centre.Run(seconds(10));
-    data_centre.Start(1);
-    const auto joined = data_centre.RunUntil(converged, seconds(30));
-    data_centre.Run(seconds(10));
-    const double elapsed = ToSeconds(detected + joined + seconds(20));
-    const double replacement =
-        (data_centre.Bytes() - bytes) / members - steady * elapsed;
-
-    const base::ConfigurationVersion version(9);
-    data_centre.At(0).SetConfiguration(version, std::nullopt);
-    const auto spread = data_centre.RunUntil(
-        [&] { return HasVersion(data_centre, version); }, seconds(30));
-
-    std::printf(
-        "members %zu: sent %.0f B/s, processor %.0f us/s (%.3f%% of a core), "
-        "formed in %.2f s, kill known in %.2f s, join known in %.2f s, "
-        "version known in %.2f s, replacement %.0f B sent a member\n",
-        size, steady, cpu * 1e6, cpu * 100, ToSeconds(formed),
-        ToSeconds(detected), ToSeconds(joined), ToSeconds(spread), replacement);
-    steady_bytes.push_back({members, steady});
-    replacement_bytes.push_back({members, replacement});
-    processor.push_back({members, cpu * 1e6});
+    const Cost cost = MeasureSize(size);
+    sent.push_back({members, cost.m_sent_bytes_per_second});
+    processor.push_back({members, cost.m_processor_microseconds_per_second});
+    replacement.push_back({members, cost.m_replacement_bytes});
+    memory.push_back({members, cost.m_memory_bytes});
   }
-  PrintFit("sent B/s", steady_bytes);
+  PrintFit("sent B/s", sent);
   PrintFit("processor us/s", processor);
-  PrintFit("replacement B", replacement_bytes);
+  PrintFit("replacement B", replacement);
+  PrintFit("memory B", memory);
+  MeasureDataCentres(3, 7);
+  MeasureDataCentres(4, 7);
+  MeasureDataCentres(7, 7);
+  MeasureDataCentres(7, 50);
   return 0;
 }
--- a/Libraries/LibMembership/membership.cc
+++ b/Libraries/LibMembership/membership.cc
@@ -231,8 +231,10 @@
       break;
   }
   m_is_snapshot_stale = true;
-  if (novelty == Novelty::kNews)
-    AddNews(record.m_id);
+  if (novelty == Novelty::kCatchingUp)
+    return;
+  m_sync.CountChange();
+  AddNews(record.m_id);
 }
 
 void Membership::RefreshSnapshot() {
--- a/Libraries/LibMembership/view_sync.cc
+++ b/Libraries/LibMembership/view_sync.cc
@@ -13,10 +13,12 @@
                                  base::TimePoint now) {
   if (m_request)
     return;
-  const bool is_settled = now - own_view_changed_at >= kSettlingTime &&
-                          now - m_finished_at >= kSettlingTime;
-  const bool is_overdue = now - m_finished_at >= kMaximumInterval;
-  if (m_has_finished && !is_settled && !is_overdue)
+  const base::Duration since_finish = now - m_finished_at;
+  const bool is_settled = now - own_view_changed_at >= kSettlingTime ||
+                          m_changes >= kMaximumChanges;
+  const bool is_due = since_finish >= kMaximumInterval ||
+                      (since_finish >= kSettlingTime && is_settled);
+  if (m_has_finished && !is_due)
     return;
   m_request = Request{peer, base::BalancerId()};
   m_unanswered = 0;
@@ -44,6 +46,7 @@
   if (reply.m_continue_after == base::BalancerId()) {
     m_request.reset();
     m_has_finished = true;
+    m_changes = 0;
     m_finished_at = now;
   }
 }
--- a/Libraries/LibMembership/view_sync.h
+++ b/Libraries/LibMembership/view_sync.h
@@ -20,6 +20,8 @@
   // Gossip gets this long to make views equal before pages are asked for.
   static constexpr base::Duration kSettlingTime = std::chrono::seconds(2);
   static constexpr base::Duration kMaximumInterval = std::chrono::seconds(60);
+  // So much news at once is more than gossip carries; pages carry it sooner.
+  static constexpr int kMaximumChanges = 64;
   static constexpr int kMaximumRequests = 5;
 
   struct Request {
@@ -41,6 +43,8 @@
   void ObserveDifference(base::Endpoint peer,
                          base::TimePoint own_view_changed_at,
                          base::TimePoint now);
+  // News changed the own view.
+  void CountChange() { ++m_changes; }
   // A member's digest equals the own one.
   void ObserveEquality() { m_has_finished = true; }
   void CountRequest(base::TimePoint now);
@@ -53,6 +57,7 @@
  private:
   std::optional<Request> m_request;
   int m_unanswered = 0;
+  int m_changes = 0;
   base::TimePoint m_next_at;
   base::TimePoint m_finished_at;
   bool m_has_finished = false;
