LibPlacement: Estimate the lag of reports and publish counts on change

CountPublisher tells peers at once after a change, within an interval and a byte budget; ReportLag finds the lag at which reports and open flows differ least. Presets now differ by candidates and bound.

--- a/Benchmarks/ServiceEmulator/emulated_flow.h
+++ b/Benchmarks/ServiceEmulator/emulated_flow.h
@@ -15,7 +15,8 @@
 struct EmulatedFlow {
   std::uint64_t m_key = 0;
   std::uint32_t m_home = 0;
-  // Runs alone on a warm server for this time.
+  bool m_is_feed = false;
+  // A request runs alone on a warm server for this time; a feed lasts so long.
   base::Duration m_service_time{};
   // When the caller sent the opening that is under way.
   base::TimePoint m_opened_at{};
--- a/Benchmarks/ServiceEmulator/emulated_server.cc
+++ b/Benchmarks/ServiceEmulator/emulated_server.cc
@@ -34,9 +34,10 @@
       continue;
     report.m_busy = static_cast<std::uint32_t>(sample->m_busy);
     report.m_queued = static_cast<std::uint32_t>(sample->m_queued);
+    report.m_connections = static_cast<std::uint32_t>(
+        sample->m_busy + sample->m_queued + sample->m_feeds);
     break;
   }
-  report.m_connections = report.m_busy + report.m_queued;
   if (m_misbehaviour == Misbehaviour::kReportsBusy)
     report.m_busy = 2 * m_settings.m_slots;
   if (m_misbehaviour == Misbehaviour::kReportsIdle ||
@@ -58,7 +59,9 @@
 bool EmulatedServer::Offer(const FlowPointer& flow, base::TimePoint now) {
   if (m_is_refusing || m_queue.size() >= m_settings.m_queue_limit)
     return false;
-  if (m_busy < m_settings.m_slots)
+  if (flow->m_is_feed)
+    StartFeed(flow, now);
+  else if (m_busy < m_settings.m_slots)
     Start(flow, now);
   else
     m_queue.push_back(flow);
@@ -66,6 +69,18 @@
   return true;
 }
 
+void EmulatedServer::StartFeed(const FlowPointer& flow, base::TimePoint now) {
+  ++m_feeds;
+  flow->m_started_at = now;
+  flow->m_has_started = true;
+  m_timers.SubscribeOnce(now + flow->m_service_time,
+                         [this, flow](base::TimePoint at) {
+                           --m_feeds;
+                           RecordSample(at);
+                           m_completed(flow, m_id, at);
+                         });
+}
+
 void EmulatedServer::Start(const FlowPointer& flow, base::TimePoint now) {
   ++m_busy;
   flow->m_started_at = now;
@@ -88,7 +103,7 @@
 }
 
 void EmulatedServer::RecordSample(base::TimePoint now) {
-  m_samples.push_back(Sample{now, m_busy, m_queue.size()});
+  m_samples.push_back(Sample{now, m_busy, m_queue.size(), m_feeds});
   const base::TimePoint oldest_needed = now - m_settings.m_report_lag;
   while (m_samples.size() > 1 && m_samples[1].m_at <= oldest_needed)
     m_samples.pop_front();
--- a/Benchmarks/ServiceEmulator/emulated_server.h
+++ b/Benchmarks/ServiceEmulator/emulated_server.h
@@ -54,8 +54,10 @@
     base::TimePoint m_at;
     std::size_t m_busy;
     std::size_t m_queued;
+    std::size_t m_feeds;
   };
 
+  void StartFeed(const FlowPointer& flow, base::TimePoint now);
   void Start(const FlowPointer& flow, base::TimePoint now);
   void Complete(const FlowPointer& flow, base::TimePoint now);
   void RecordSample(base::TimePoint now);
@@ -69,6 +71,7 @@
   bool m_is_refusing = false;
   base::TimePoint m_cold_from = base::TimePoint::min();
   std::size_t m_busy = 0;
+  std::size_t m_feeds = 0;
   std::deque<FlowPointer> m_queue;
   std::deque<Sample> m_samples;
 };
--- a/Benchmarks/ServiceEmulator/emulator_results.cc
+++ b/Benchmarks/ServiceEmulator/emulator_results.cc
@@ -44,6 +44,11 @@
   return Ratio(static_cast<double>(m_sent), static_cast<double>(m_received));
 }
 
+double EmulatorResults::PeerBytesPerSecond() const {
+  return Ratio(static_cast<double>(m_peer_bytes),
+               m_balancers * m_measured_seconds);
+}
+
 double EmulatorResults::RefusedShare() const {
   return Ratio(static_cast<double>(m_refused), static_cast<double>(m_received));
 }
--- a/Benchmarks/ServiceEmulator/emulator_results.h
+++ b/Benchmarks/ServiceEmulator/emulator_results.h
@@ -19,6 +19,8 @@
   // shared.
   double LongExceptionShare() const;
   double SentPerReceived() const;
+  // Bytes a second that each balancer sends to tell its peers of its counts.
+  double PeerBytesPerSecond() const;
   double RefusedShare() const;
   // Work done for callers who were still there, as a share of what all slots
   // could do.
@@ -36,6 +38,9 @@
   std::uint64_t m_refused = 0;
   std::uint64_t m_exceptions = 0;
   std::uint64_t m_long_exceptions = 0;
+  std::uint64_t m_peer_bytes = 0;
+  std::uint32_t m_balancers = 0;
+  double m_measured_seconds = 0.0;
   // In seconds of service time on a warm server.
   double m_useful_work = 0.0;
   double m_possible_work = 0.0;
--- a/Benchmarks/ServiceEmulator/emulator_settings.h
+++ b/Benchmarks/ServiceEmulator/emulator_settings.h
@@ -12,6 +12,7 @@
 #include "LibAdmission/admission_controller.h"
 #include "LibAdmission/opening_attempt.h"
 #include "LibBase/time.h"
+#include "LibPlacement/count_publisher.h"
 #include "LibPlacement/load_settings.h"
 #include "LibPlacement/placement_policy.h"
 
@@ -48,6 +49,9 @@
   // Mean load offered, as a share of all slots.
   double m_utilisation = 0.8;
   base::Duration m_mean_service_time = std::chrono::seconds(2);
+  // This share of the flows are feeds: they last long and take no slot.
+  double m_feed_share = 0.0;
+  base::Duration m_mean_feed_time = std::chrono::seconds(60);
   base::Duration m_warm_up = std::chrono::seconds(30);
   base::Duration m_measured = std::chrono::seconds(600);
 
@@ -56,7 +60,10 @@
   base::Duration m_report_period = std::chrono::milliseconds(500);
   base::Duration m_report_lag = std::chrono::milliseconds(100);
   Knowledge m_knowledge = Knowledge::kReports;
-  base::Duration m_peer_period = std::chrono::milliseconds(250);
+  // How often balancers tell their peers of their counts, and how long that is
+  // on the way.
+  placement::CountPublisherSettings m_count_publisher;
+  base::Duration m_peer_delay = std::chrono::milliseconds(1);
 
   Misbehaviour m_misbehaviour = Misbehaviour::kNone;
   // Two servers in turn drain and are replaced by cold ones in this period.
--- a/Benchmarks/ServiceEmulator/service_emulator.cc
+++ b/Benchmarks/ServiceEmulator/service_emulator.cc
@@ -18,6 +18,10 @@
 constexpr base::Duration kSharingAge = std::chrono::seconds(3);
 constexpr base::Duration kRemovalDelay = std::chrono::seconds(30);
 constexpr int kReplacedTogether = 2;
+// Headers of IPv4 and UDP and of a peer message, and one changed count in it:
+// the server's position and a signed number of variable length.
+constexpr std::uint64_t kPeerMessageBytes = 28 + 16;
+constexpr std::uint64_t kCountBytes = 3;
 constexpr base::TimePoint kEpoch{std::chrono::hours(1)};
 
 base::Duration Exponential(base::Random& random, base::Duration mean) {
@@ -42,7 +46,6 @@
 EmulatorResults ServiceEmulator::Run() {
   ScheduleArrival(m_now);
   ScheduleReports();
-  SchedulePeerCounts();
   ScheduleFaults();
   ScheduleSamples();
   while (const auto deadline = m_timers.NextDeadline()) {
@@ -53,16 +56,23 @@
   }
   const double seconds =
       std::chrono::duration<double>(m_settings.m_measured).count();
+  m_results.m_balancers = m_settings.m_balancers;
+  m_results.m_measured_seconds = seconds;
   m_results.m_possible_work =
       seconds * m_settings.m_servers * m_settings.m_slots;
   return std::move(m_results);
 }
 
 void ServiceEmulator::AddBalancers() {
+  for (std::uint32_t number = 0; number < m_settings.m_balancers; ++number) {
+    m_publications.push_back(Publication{
+        {}, placement::CountPublisher(m_settings.m_count_publisher), false});
+  }
   for (std::uint32_t number = 0; number < m_settings.m_balancers; ++number) {
     EmulatedBalancer::World world;
-    world.m_offer = [this](const FlowPointer& flow,
-                           base::BackendServerId server) {
+    world.m_offer = [this, number](const FlowPointer& flow,
+                                   base::BackendServerId server) {
+      OnCountChanged(number, m_now);
       m_results.m_sent += IsMeasured() ? 1 : 0;
       return FindServer(server)->Offer(flow, m_now);
     };
@@ -96,7 +106,8 @@
 void ServiceEmulator::ScheduleArrival(base::TimePoint now) {
   const double slots = m_settings.m_servers * m_settings.m_slots;
   const auto interval = duration_cast<base::Duration>(
-      m_settings.m_mean_service_time / (slots * OfferedLoad()));
+      m_settings.m_mean_service_time * (1.0 - m_settings.m_feed_share) /
+      (slots * OfferedLoad()));
   m_timers.SubscribeOnce(now + Exponential(m_workload, interval),
                          [this](base::TimePoint at) {
                            Arrive(at);
@@ -120,28 +131,54 @@
   }
 }
 
-void ServiceEmulator::SchedulePeerCounts() {
-  if (m_settings.m_knowledge != Knowledge::kPeerCounts)
+void ServiceEmulator::OnCountChanged(std::uint32_t balancer,
+                                     base::TimePoint now) {
+  Publication& publication = m_publications[balancer];
+  if (m_settings.m_knowledge != Knowledge::kPeerCounts ||
+      publication.m_is_pending)
     return;
-  for (std::uint32_t number = 0; number < m_balancers.size(); ++number) {
-    const auto phase = duration_cast<base::Duration>(m_settings.m_peer_period *
-                                                     m_random.Unit());
-    m_timers.SubscribeEvery(
-        m_now + phase, m_settings.m_peer_period,
-        [this, number](base::TimePoint now) { TellPeerCounts(number, now); });
+  publication.m_is_pending = true;
+  // Another change at the same moment goes into the same message.
+  publication.m_publisher.RecordChange(now + std::chrono::microseconds(1));
+  const base::TimePoint at = *publication.m_publisher.NextDue();
+  m_timers.SubscribeOnce(at, [this, balancer](base::TimePoint due) {
+    PublishCounts(balancer, due);
+  });
+}
+
+void ServiceEmulator::PublishCounts(std::uint32_t balancer,
+                                    base::TimePoint now) {
+  Publication& publication = m_publications[balancer];
+  publication.m_is_pending = false;
+  std::uint64_t bytes = kPeerMessageBytes;
+  for (const auto& [id, server] : m_servers) {
+    const std::int64_t count = m_balancers[balancer]->View().OwnOpenFlows(id);
+    bytes += count == publication.m_counts[id] ? 0 : kCountBytes;
+    publication.m_counts[id] = count;
   }
+  bytes *= m_balancers.size() - 1;
+  publication.m_publisher.RecordPublished(bytes, now);
+  m_results.m_peer_bytes += IsMeasured() ? bytes : 0;
+  m_timers.SubscribeOnce(
+      now + m_settings.m_peer_delay, [this, balancer](base::TimePoint due) {
+        for (std::uint32_t peer = 0; peer < m_balancers.size(); ++peer) {
+          if (peer != balancer)
+            ReceiveCounts(peer, due);
+        }
+      });
 }
 
-void ServiceEmulator::TellPeerCounts(std::uint32_t balancer,
-                                     base::TimePoint now) {
+void ServiceEmulator::ReceiveCounts(std::uint32_t balancer,
+                                    base::TimePoint now) {
   std::vector<placement::OpenCount> counts;
   for (const auto& [id, server] : m_servers) {
     std::int64_t sum = 0;
     for (std::uint32_t peer = 0; peer < m_balancers.size(); ++peer)
-      sum += peer == balancer ? 0 : m_balancers[peer]->View().OwnOpenFlows(id);
+      sum += peer == balancer ? 0 : m_publications[peer].m_counts[id];
     counts.push_back({id, static_cast<std::int32_t>(sum)});
   }
-  m_balancers[balancer]->Apply(placement::PeerOpenCounts{counts}, now);
+  m_balancers[balancer]->Apply(
+      placement::PeerOpenCounts{counts, m_settings.m_balancers - 1}, now);
 }
 
 void ServiceEmulator::ScheduleFaults() {
@@ -200,8 +237,10 @@
   flow->m_key = m_workload.Next();
   flow->m_home =
       static_cast<std::uint32_t>(m_workload.Below(m_balancers.size()));
+  flow->m_is_feed = m_workload.Unit() < m_settings.m_feed_share;
   flow->m_service_time =
-      Exponential(m_workload, m_settings.m_mean_service_time);
+      Exponential(m_workload, flow->m_is_feed ? m_settings.m_mean_feed_time
+                                              : m_settings.m_mean_service_time);
   flow->m_caller_retries_left = m_settings.m_caller_retries;
   Open(flow, now);
 }
@@ -255,12 +294,15 @@
                                   base::TimePoint now) {
   const auto passing =
       static_cast<std::uint32_t>(m_random.Below(m_balancers.size()));
-  if (m_settings.m_knowledge != Knowledge::kReports)
+  if (m_settings.m_knowledge != Knowledge::kReports) {
     m_balancers[passing]->Apply(placement::FlowEnded{server}, now);
+    OnCountChanged(passing, now);
+  }
   const base::Duration delay = now - flow->m_opened_at;
-  if (passing == flow->m_home)
+  // The first byte of a feed does not wait for its end.
+  if (passing == flow->m_home && !flow->m_is_feed)
     m_balancers[passing]->SeeAnswer(server, delay, now);
-  if (!IsMeasured())
+  if (!IsMeasured() || flow->m_is_feed)
     return;
   if (!flow->m_is_abandoned) {
     m_results.m_useful_work +=
--- a/Benchmarks/ServiceEmulator/service_emulator.h
+++ b/Benchmarks/ServiceEmulator/service_emulator.h
@@ -36,7 +36,6 @@
   void AddServer(placement::ServerStart start, base::TimePoint now);
   void ScheduleArrival(base::TimePoint now);
   void ScheduleReports();
-  void SchedulePeerCounts();
   void ScheduleFaults();
   void ScheduleSamples();
 
@@ -49,7 +48,10 @@
   void OnCompleted(const FlowPointer& flow,
                    base::BackendServerId server,
                    base::TimePoint now);
-  void TellPeerCounts(std::uint32_t balancer, base::TimePoint now);
+  // Tells the peers of a changed count as soon as the interval permits.
+  void OnCountChanged(std::uint32_t balancer, base::TimePoint now);
+  void PublishCounts(std::uint32_t balancer, base::TimePoint now);
+  void ReceiveCounts(std::uint32_t balancer, base::TimePoint now);
   void ReplaceServers(base::TimePoint now);
   void Sample();
 
@@ -76,6 +78,13 @@
   std::unordered_map<base::BackendServerId, std::unique_ptr<EmulatedServer>>
       m_servers;
   std::vector<std::unique_ptr<EmulatedBalancer>> m_balancers;
+  // What each balancer has told the others, and when.
+  struct Publication {
+    std::unordered_map<base::BackendServerId, std::int64_t> m_counts;
+    placement::CountPublisher m_publisher;
+    bool m_is_pending = false;
+  };
+  std::vector<Publication> m_publications;
   EmulatorResults m_results;
 };
 
--- a/Benchmarks/benchmark_placement.cc
+++ b/Benchmarks/benchmark_placement.cc
@@ -42,6 +42,8 @@
   std::string m_name;
   placement::PlacementPolicy m_policy;
   Knowledge m_knowledge = Knowledge::kReports;
+  base::Duration m_peer_interval = 50ms;
+  double m_bound_factor = 1.0;
 };
 
 BoundedWalk Walk(std::size_t candidates, double margin) {
@@ -65,12 +67,12 @@
       {"first free of 3", Walk(3, kFirst), reports},
       {"first free of all", Walk(kAll, kFirst), reports},
       {"first free of 3, ends seen", Walk(3, kFirst), ends},
-      {"best of 2, peers", Walk(2, 0.0), peers},
+      {"first free of 3, peers 250 ms", Walk(3, kFirst), peers, 250ms},
       {"first free of 3, peers", Walk(3, kFirst), peers},
+      {"first free of 3, bound 4/3, peers", Walk(3, kFirst), peers, 50ms,
+       4.0 / 3.0},
+      {"first free of all, peers 250 ms", Walk(kAll, kFirst), peers, 250ms},
       {"first free of all, peers", Walk(kAll, kFirst), peers},
-      {"best of 3, peers", Walk(3, 0.0), peers},
-      {"first of 3 within 1/3, peers", Walk(3, 0.34), peers},
-      {"first of all within 1/2, peers", Walk(kAll, 0.5), peers},
       {"first of all within 1/3, peers", Walk(kAll, 0.34), peers},
       {"best of all, peers", Walk(kAll, 0.0), peers},
       {"best of all, perfect", Walk(kAll, 0.0), Knowledge::kPerfect},
@@ -127,8 +129,8 @@
   fmt::print("\n### {}\n\n", title);
   fmt::print(
       "| policy | load peak/mean | p50 wait s | p99 wait s | off first choice "
-      "| KB/s all | KB/s after 3 s | refused |\n"
-      "|---|---|---|---|---|---|---|---|\n");
+      "| KB/s all | KB/s after 3 s | KB/s counts | refused |\n"
+      "|---|---|---|---|---|---|---|---|---|\n");
 }
 
 void PrintPolicyRow(std::string_view name,
@@ -145,10 +147,14 @@
       runs, [](const auto& run) { return run.LongExceptionShare(); });
   const auto refused =
       SummariseRuns(runs, [](const auto& run) { return run.RefusedShare(); });
+  const auto counts = SummariseRuns(
+      runs, [](const auto& run) { return run.PeerBytesPerSecond(); });
   fmt::print(
-      "| {} | {} | {:.2f} | {} | {:.0f}% | {:.1f} | {:.1f} | {:.1f}% |\n", name,
-      Text(imbalance, 2), median.m_mean, Text(tail, 1), 100 * exceptions.m_mean,
-      ControlRate(exceptions.m_mean), ControlRate(long_exceptions.m_mean),
+      "| {} | {} | {:.2f} | {} | {:.0f}% | {:.1f} | {:.1f} | {:.1f} | {:.1f}% "
+      "|\n",
+      name, Text(imbalance, 2), median.m_mean, Text(tail, 1),
+      100 * exceptions.m_mean, ControlRate(exceptions.m_mean),
+      ControlRate(long_exceptions.m_mean), counts.m_mean / kBytesPerKilobyte,
       100 * refused.m_mean);
   std::fflush(stdout);
 }
@@ -158,6 +164,8 @@
   settings.m_slots = slots;
   settings.m_knowledge = contender.m_knowledge;
   settings.m_policy = contender.m_policy;
+  settings.m_count_publisher.m_minimum_interval = contender.m_peer_interval;
+  settings.m_load.m_bound_factor = contender.m_bound_factor;
   // Placement is measured on its own.
   settings.m_admission.m_concurrency_control =
       admission::ConcurrencyControl::kOff;
@@ -172,6 +180,23 @@
   }
 }
 
+// The contenders that the tables of faults show.
+std::vector<Contender> FaultContenders() {
+  constexpr std::size_t kAll = BoundedWalk::kAllCandidates;
+  constexpr double kFirst = BoundedWalk::kNoMargin;
+  const auto peers = Knowledge::kPeerCounts;
+  return {
+      {"hash only", placement::FirstHash{}},
+      {"least reported", placement::LeastReported{}},
+      {"first free of 3", Walk(3, kFirst)},
+      {"first free of all", Walk(kAll, kFirst)},
+      {"first free of 3, bound 4/3, peers", Walk(3, kFirst), peers, 50ms,
+       4.0 / 3.0},
+      {"first free of all, peers", Walk(kAll, kFirst), peers},
+      {"best of all, perfect", Walk(kAll, 0.0), Knowledge::kPerfect},
+  };
+}
+
 struct Fault {
   std::string m_name;
   void (*m_apply)(EmulatorSettings&);
@@ -198,6 +223,8 @@
          settings.m_queue_limit = 2;
          settings.m_refusal_period = 60s;
        }},
+      {"a fifth of the flows are feeds of 60 s that take no slot",
+       [](EmulatorSettings& settings) { settings.m_feed_share = 0.2; }},
       {"load reports lag by 1 s",
        [](EmulatorSettings& settings) { settings.m_report_lag = 1s; }},
   };
@@ -207,7 +234,7 @@
   for (const Fault& fault : Faults()) {
     for (const std::uint32_t slots : {3U, 2U}) {
       PrintPolicyHeader(fmt::format("{}, {} slots", fault.m_name, slots));
-      for (const Contender& contender : Contenders()) {
+      for (const Contender& contender : FaultContenders()) {
         EmulatorSettings settings = SettingsFor(slots, contender);
         fault.m_apply(settings);
         PrintPolicyRow(contender.m_name, RunSeeds(settings));
--- a/Libraries/LibPlacement/load_event.h
+++ b/Libraries/LibPlacement/load_event.h
@@ -99,6 +99,8 @@
 // zero.
 struct PeerOpenCounts {
   std::span<const OpenCount> m_counts;
+  // How many balancers the sum is over.
+  std::uint32_t m_peers = 1;
 };
 
 using LoadEvent = std::variant<ServerAdded,
--- a/Libraries/LibPlacement/load_view.cc
+++ b/Libraries/LibPlacement/load_view.cc
@@ -97,8 +97,12 @@
 }
 
 void LoadView::On(const LoadReported& event, base::TimePoint now) {
-  if (ServerLoad* load = FindLoad(event.m_server))
-    load->RecordReport(event, now);
+  ServerLoad* load = FindLoad(event.m_server);
+  if (load == nullptr)
+    return;
+  load->RecordReport(event, m_knowledge, now);
+  if (const auto changes = load->CompareReports(m_knowledge))
+    m_report_lag.Record(*changes);
   Refresh(event.m_server, now);
 }
 
@@ -147,6 +151,7 @@
 
 void LoadView::On(const PeerOpenCounts& event, base::TimePoint now) {
   m_peer_counts_at = now;
+  m_knowledge.m_peers = event.m_peers;
   for (std::size_t position = 0; position < m_loads.size(); ++position) {
     const auto found = std::ranges::find(event.m_counts, m_ids[position],
                                          &OpenCount::m_server);
@@ -196,6 +201,7 @@
       m_scratch.push_back(ratio);
   }
   m_knowledge.m_busy_per_open_flow = Median(m_scratch).value_or(1.0);
+  m_knowledge.m_report_lag = m_report_lag.Estimate();
   m_knowledge.m_are_peer_counts_known =
       m_peer_counts_at &&
       now - *m_peer_counts_at <= m_settings.m_peer_counts_lifetime;
--- a/Libraries/LibPlacement/load_view.h
+++ b/Libraries/LibPlacement/load_view.h
@@ -16,6 +16,7 @@
 #include "LibPlacement/load_event.h"
 #include "LibPlacement/load_settings.h"
 #include "LibPlacement/outlier_detector.h"
+#include "LibPlacement/report_lag.h"
 #include "LibPlacement/server_index.h"
 #include "LibPlacement/server_load.h"
 #include "LibPlacement/server_status.h"
@@ -41,6 +42,8 @@
     const std::uint32_t position = m_index.Find(server);
     return position == ServerIndex::kAbsent ? nullptr : &m_statuses[position];
   }
+  // By how much the servers' reports lag, by estimate.
+  base::Duration EstimatedReportLag() const { return m_report_lag.Estimate(); }
   // Requests running and queued at the server now; nothing if it is unknown.
   std::optional<double> EstimatedBusy(base::BackendServerId server) const;
   // Requests at which the server counts as full; nothing if it is unknown.
@@ -92,6 +95,7 @@
   bool m_are_probes_credible = true;
   double m_median_delay = 0.0;
   OutlierDetector m_detector;
+  ReportLag m_report_lag;
   std::vector<double> m_scratch;
 };
 
--- a/Libraries/LibPlacement/open_history.h
+++ b/Libraries/LibPlacement/open_history.h
@@ -26,8 +26,8 @@
   void Record(base::TimePoint now, std::int64_t count);
 
  private:
-  static constexpr std::size_t kCapacity = 64;
-  static constexpr base::Duration kResolution = std::chrono::milliseconds(50);
+  static constexpr std::size_t kCapacity = 128;
+  static constexpr base::Duration kResolution = std::chrono::milliseconds(20);
 
   struct Sample {
     base::TimePoint m_from;
--- a/Libraries/LibPlacement/placement_preset.cc
+++ b/Libraries/LibPlacement/placement_preset.cc
@@ -2,19 +2,26 @@
 
 namespace placement {
 
+namespace {
+
+// Room for one request in the queue of a server with three slots.
+constexpr double kFewExceptionsBoundFactor = 4.0 / 3.0;
+
+}  // namespace
+
 PlacementSettings MakePlacementSettings(PlacementPreset preset) {
+  LoadSettings load;
   BoundedWalk walk;
   switch (preset) {
     case PlacementPreset::kFewExceptions:
       walk.m_candidates = 3;
-      walk.m_margin = BoundedWalk::kNoMargin;
+      load.m_bound_factor = kFewExceptionsBoundFactor;
       break;
     case PlacementPreset::kEvenLoad:
       walk.m_candidates = BoundedWalk::kAllCandidates;
-      walk.m_margin = 0.0;
       break;
   }
-  return PlacementSettings{LoadSettings{}, walk};
+  return PlacementSettings{load, walk};
 }
 
 }  // namespace placement
--- a/Libraries/LibPlacement/placement_preset.h
+++ b/Libraries/LibPlacement/placement_preset.h
@@ -11,9 +11,13 @@
 namespace placement {
 
 enum class PlacementPreset {
-  // Few flows off their first hash choice, and so few stored exceptions.
+  // Few flows off their first hash choice, and so few stored exceptions: three
+  // candidates, each with room for a short queue. For a service where a broken
+  // flow is far worse than a wait, such as the licence portal.
   kFewExceptions,
-  // Even load on servers with few slots.
+  // Even load on servers with few slots: all candidates, none with room for a
+  // queue. For small servers that are easily overloaded, such as the logbook
+  // service.
   kEvenLoad,
 };
 
--- a/Libraries/LibPlacement/server_load.cc
+++ b/Libraries/LibPlacement/server_load.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace placement {
 
@@ -30,13 +31,15 @@
   m_connection_limit = added.m_connection_limit;
 }
 
-void ServerLoad::RecordReport(const LoadReported& report, base::TimePoint now) {
+void ServerLoad::RecordReport(const LoadReported& report,
+                              const ServiceKnowledge& knowledge,
+                              base::TimePoint now) {
   const base::Duration age = std::max(report.m_age, base::Duration::zero());
-  const base::TimePoint measured_at = now - age;
-  if (m_has_report && measured_at < m_measured_at)
+  if (m_has_report && now - age < m_reported_at)
     return;
+  m_reported_at = now - age;
+  const base::TimePoint measured_at = m_reported_at - knowledge.m_report_lag;
   m_has_report = true;
-  m_measured_at = measured_at;
   m_reported_busy = static_cast<double>(report.m_busy) + report.m_queued;
   m_reported_connections = report.m_connections;
   m_open_at_report = m_history.CountAt(measured_at);
@@ -74,14 +77,29 @@
   m_history.Record(now, OpenFlows());
 }
 
-std::int64_t ServerLoad::OpenedSinceReport() const {
-  return OpenFlows() - m_open_at_report;
+std::optional<ReportLag::PerCandidate> ServerLoad::CompareReports(
+    const ServiceKnowledge& knowledge) {
+  ReportLag::PerCandidate changes{};
+  for (std::size_t candidate = 0; candidate < changes.size(); ++candidate) {
+    const std::int64_t open =
+        m_history.CountAt(m_reported_at - ReportLag::kCandidates[candidate]);
+    const double excess = m_reported_busy - static_cast<double>(open);
+    changes[candidate] = excess - m_excess_by_lag[candidate];
+    m_excess_by_lag[candidate] = excess;
+  }
+  const std::uint32_t peers =
+      knowledge.m_are_peer_counts_known ? knowledge.m_peers : 0;
+  const bool is_comparable = peers > 0 && peers == m_peers_of_lag;
+  m_peers_of_lag = peers;
+  if (!is_comparable)
+    return std::nullopt;
+  return changes;
 }
 
 double ServerLoad::EstimatedConnections() const {
   if (!m_has_report)
     return std::max(0.0, static_cast<double>(OpenFlows()));
-  const auto carried = static_cast<double>(OpenedSinceReport());
+  const auto carried = static_cast<double>(OpenFlows() - m_open_at_report);
   return std::max(0.0, m_reported_connections + carried);
 }
 
@@ -102,7 +120,7 @@
   const double expected = open * knowledge.m_busy_per_open_flow;
   if (!m_has_report)
     return expected;
-  const auto carried = static_cast<double>(OpenedSinceReport());
+  const auto carried = static_cast<double>(OpenFlows() - m_open_at_report);
   double busy = std::max(0.0, m_reported_busy + carried);
   if (knowledge.m_are_peer_counts_known) {
     const double least = std::max(0.0, expected / kMaximumReportFactor - 1.0);
@@ -134,6 +152,7 @@
   ServerStatus status;
   status.m_server = server;
   status.m_estimated_busy = EstimatedBusy(knowledge);
+  status.m_whole_busy = std::round(status.m_estimated_busy);
   status.m_reported_busy = m_reported_busy;
   status.m_bound = Bound(settings, now);
   status.m_inverse_bound = 1.0 / status.m_bound;
--- a/Libraries/LibPlacement/server_load.h
+++ b/Libraries/LibPlacement/server_load.h
@@ -6,11 +6,13 @@
 #define LIBPLACEMENT_SERVER_LOAD_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "LibBase/time.h"
 #include "LibPlacement/load_event.h"
 #include "LibPlacement/load_settings.h"
 #include "LibPlacement/open_history.h"
+#include "LibPlacement/report_lag.h"
 #include "LibPlacement/server_conduct.h"
 #include "LibPlacement/server_status.h"
 
@@ -22,6 +24,10 @@
   double m_busy_per_open_flow = 1.0;
   // The other balancers' counts are recent.
   bool m_are_peer_counts_known = false;
+  // How many other balancers they come from.
+  std::uint32_t m_peers = 0;
+  // By how much reports are older than their measured age.
+  base::Duration m_report_lag{};
 };
 
 class ServerLoad {
@@ -53,7 +59,13 @@
   void SetDraining(bool is_draining) { m_is_draining = is_draining; }
   void SetHealth(Health health) { m_health = health; }
   void SetCapacity(const ServerAdded& added);
-  void RecordReport(const LoadReported& report, base::TimePoint now);
+  void RecordReport(const LoadReported& report,
+                    const ServiceKnowledge& knowledge,
+                    base::TimePoint now);
+  // Compares the last report with the one before, for estimating their lag.
+  // Nothing unless both were measured with the same peers' counts known.
+  std::optional<ReportLag::PerCandidate> CompareReports(
+      const ServiceKnowledge& knowledge);
   void RecordSent(base::TimePoint now);
   void RecordEnded(base::TimePoint now);
   void RecordRefused(base::TimePoint hold_until, base::TimePoint now);
@@ -63,7 +75,6 @@
  private:
   double EstimatedBusy(const ServiceKnowledge& knowledge) const;
   double Bound(const LoadSettings& settings, base::TimePoint now) const;
-  std::int64_t OpenedSinceReport() const;
 
   std::uint32_t m_slots = 1;
   bool m_are_slots_configured = true;
@@ -74,9 +85,14 @@
   bool m_has_report = false;
   double m_reported_busy = 0.0;
   std::uint32_t m_reported_connections = 0;
-  base::TimePoint m_measured_at{};
+  // The time of the report by its measured age.
+  base::TimePoint m_reported_at{};
   // Open flows known here at the time the report was measured.
   std::int64_t m_open_at_report = 0;
+  // Requests in the report less the flows open at its time, for each lag that
+  // reports may have, and the number of peers whose counts that includes.
+  ReportLag::PerCandidate m_excess_by_lag{};
+  std::uint32_t m_peers_of_lag = 0;
 
   std::int64_t m_own_open = 0;
   std::int64_t m_peer_open = 0;
--- a/Libraries/LibPlacement/server_status.h
+++ b/Libraries/LibPlacement/server_status.h
@@ -11,6 +11,9 @@
   base::BackendServerId m_server;
   // Requests running and queued now, by estimate.
   double m_estimated_busy = 0.0;
+  // The same as a whole number, so that servers whose estimates differ by noise
+  // alone are equals.
+  double m_whole_busy = 0.0;
   // Requests running and queued in the last report, as it stands.
   double m_reported_busy = 0.0;
   // Requests at which the server counts as full; above zero.
@@ -25,8 +28,8 @@
   bool m_is_refusing = false;
 
   // Estimated share of the bound that is taken; 1 and above is full.
-  double Utilisation() const { return m_estimated_busy * m_inverse_bound; }
-  bool IsFull() const { return m_is_refusing || m_estimated_busy >= m_bound; }
+  double Utilisation() const { return m_whole_busy * m_inverse_bound; }
+  bool IsFull() const { return m_is_refusing || m_whole_busy >= m_bound; }
 };
 
 }  // namespace placement
