Coltsfootdale: Serve the console, the burn report and shared load counts

Cause: the parts stood unjoined. Change: the balancer process serves the admin address, keeps the burn report, shares open-flow counts with its peers, passes the platform's confirmations on (they went to the follower under the balancer's own id and were ignored), logs a lapsed lease, and joins when its view of the members is complete. test_thin_path passes; the pulls of test_balancer_death still fail in 1 of 3 runs under load, cause not yet found.

--- a/Libraries/LibBalancer/service_gate.cc
+++ b/Libraries/LibBalancer/service_gate.cc
@@ -25,7 +25,8 @@
     : m_load(profile.m_placement.m_load),
       m_policy(profile.m_placement.m_policy),
       m_admission(profile.m_admission),
-      m_servers(profile.m_servers) {
+      m_servers(profile.m_servers),
+      m_wait_bound(profile.m_wait_bound) {
   for (const ServerProfile& server : m_servers)
     AddServer(server, placement::ServerStart::kWarm, now);
 }
@@ -58,6 +59,7 @@
   }
   m_servers = profile.m_servers;
   m_policy = profile.m_placement.m_policy;
+  m_wait_bound = profile.m_wait_bound;
 }
 
 admission::ServiceOccupancy ServiceGate::Occupancy() const {
@@ -69,6 +71,7 @@
 bool ServiceGate::IsAdmitted(std::size_t attempt) {
   if (attempt > 0)
     return m_admission.MutableRetries().TrySpend();
+  ++m_counts.m_openings;
   m_admission.RecordOpening();
   return m_admission.DecideForService(Occupancy()) ==
          admission::Admission::kAdmitted;
@@ -78,7 +81,7 @@
                                               std::size_t attempt,
                                               base::Random& random) {
   if (!IsAdmitted(attempt)) {
-    ++m_refused_count;
+    ++m_counts.m_refused;
     return nullptr;
   }
   boost::container::static_vector<base::BackendServerId, flow::kMaximumOrder>
@@ -88,7 +91,7 @@
   const std::optional<base::BackendServerId> chosen =
       placement::Choose(m_policy, {ids.data(), ids.size()}, m_load, random);
   if (!chosen) {
-    ++m_refused_count;
+    ++m_counts.m_refused;
     return nullptr;
   }
   const auto position = std::find(ids.begin(), ids.end(), *chosen);
@@ -98,25 +101,46 @@
 void ServiceGate::Observe(const flow::FlowNote& note, base::TimePoint now) {
   switch (note.m_kind) {
     case flow::FlowNoteKind::kOpeningSent:
+      ++m_own_open[note.m_server];
       m_load.Apply(placement::OpeningSent{note.m_server}, now);
       break;
     case flow::FlowNoteKind::kAccepted:
       m_load.Apply(placement::OpeningAccepted{note.m_server}, now);
       break;
     case flow::FlowNoteKind::kAnswered:
+      ++m_counts.m_answered;
+      m_counts.m_slow += note.m_elapsed > m_wait_bound ? 1 : 0;
       m_load.Apply(placement::AnswerStarted{note.m_server, note.m_elapsed},
                    now);
       m_admission.RecordAnswerDelay(note.m_elapsed, Occupancy(), now);
       break;
     case flow::FlowNoteKind::kRefused:
+      ForgetOpen(note.m_server);
       m_load.Apply(placement::OpeningRefused{note.m_server}, now);
       break;
     case flow::FlowNoteKind::kEnded:
+      ForgetOpen(note.m_server);
       m_load.Apply(placement::FlowEnded{note.m_server}, now);
       break;
+    case flow::FlowNoteKind::kBroken:
+      ++m_counts.m_broken;
+      break;
   }
 }
 
+void ServiceGate::ForgetOpen(base::BackendServerId server) {
+  std::uint32_t& open = m_own_open[server];
+  if (open > 0)
+    --open;
+}
+
+std::vector<placement::OpenCount> ServiceGate::OwnOpenFlows() const {
+  std::vector<placement::OpenCount> counts;
+  for (const auto& [server, open] : m_own_open)
+    counts.push_back({server, static_cast<std::int32_t>(open)});
+  return counts;
+}
+
 void ServiceGate::Apply(const placement::LoadEvent& event,
                         base::TimePoint now) {
   m_load.Apply(event, now);
--- a/Libraries/LibBalancer/service_gate.h
+++ b/Libraries/LibBalancer/service_gate.h
@@ -6,9 +6,11 @@
 
 #include <cstddef>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "LibAdmission/admission_controller.h"
+#include "LibBalancer/service_counts.h"
 #include "LibBalancer/service_profile.h"
 #include "LibBase/random.h"
 #include "LibBase/time.h"
@@ -27,7 +29,9 @@
 
   // Queries.
   const placement::LoadView& load() const { return m_load; }
-  std::uint64_t refused_count() const { return m_refused_count; }
+  const ServiceCounts& counts() const { return m_counts; }
+  // The flows of each server that were opened here and have not ended.
+  std::vector<placement::OpenCount> OwnOpenFlows() const;
 
   // Commands.
   // Brings the servers into line with a later profile. Settings of placement
@@ -48,12 +52,15 @@
                  base::TimePoint now);
   admission::ServiceOccupancy Occupancy() const;
   bool IsAdmitted(std::size_t attempt);
+  void ForgetOpen(base::BackendServerId server);
 
   placement::LoadView m_load;
   placement::PlacementPolicy m_policy;
   admission::AdmissionController m_admission;
   std::vector<ServerProfile> m_servers;
-  std::uint64_t m_refused_count = 0;
+  base::Duration m_wait_bound;
+  std::unordered_map<base::BackendServerId, std::uint32_t> m_own_open;
+  ServiceCounts m_counts;
 };
 
 }  // namespace balancer
--- a/Libraries/LibBalancer/service_profile.h
+++ b/Libraries/LibBalancer/service_profile.h
@@ -3,11 +3,13 @@
 #ifndef LIBBALANCER_SERVICE_PROFILE_H_
 #define LIBBALANCER_SERVICE_PROFILE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
 #include "LibAdmission/admission_controller.h"
 #include "LibBase/ids.h"
+#include "LibBase/time.h"
 #include "LibPlacement/placement_preset.h"
 
 namespace balancer {
@@ -24,6 +26,8 @@
   base::ServiceId m_id;
   placement::PlacementSettings m_placement;
   admission::AdmissionSettings m_admission;
+  // A flow whose first answer takes longer counts as slow.
+  base::Duration m_wait_bound = std::chrono::seconds(1);
   std::vector<ServerProfile> m_servers;
 };
 
--- a/Libraries/LibFlow/effect.h
+++ b/Libraries/LibFlow/effect.h
@@ -77,6 +77,8 @@
   kAnswered,
   kRefused,
   kEnded,
+  // No server has the flow any more; the caller is told.
+  kBroken,
 };
 
 // An observation of a flow at its home, for placement and admission.
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -185,6 +185,8 @@
   }
   // No server has the flow: the caller learns it from this reset.
   NoteEnd(*entry, subject.m_service.id(), effects);
+  effects.push_back(FlowNote{FlowNoteKind::kBroken, subject.m_service.id(),
+                             server, base::Duration::zero()});
   m_probes.Erase(subject.m_key);
   m_flows.Erase(subject.m_key, subject.m_hash);
   effects.push_back(DeliverToCaller{});
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -1,5 +1,7 @@
 #include "balancer_process.h"
 
+#include <asio/post.hpp>
+
 #include <chrono>
 #include <csignal>
 #include <optional>
@@ -25,15 +27,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::string_view kDocumentKey = "coltsfootdale/document";
 constexpr auto kMembershipPeriod = milliseconds(20);
 constexpr auto kLeasePeriod = milliseconds(50);
 constexpr auto kPhasePeriod = milliseconds(100);
+constexpr auto kCountsPeriod = milliseconds(250);
 constexpr auto kVmListInterval = seconds(1);
 // A balancer serves without a VM list once it has waited so long for one.
 constexpr auto kJoinPatience = seconds(2);
-// Peers that are listed get so long to be met before the balancer serves.
-constexpr auto kMeetingTime = milliseconds(700);
 // A leaving balancer stays at least so long, so that peers and fabric hear of
 // it and its flows are learned elsewhere; then until no packet has come from
 // the fabric for the quiet time, at most until the limit.
@@ -107,7 +107,8 @@
       m_id(DrawSeed()),
       m_started_at(base::Clock::now()),
       m_platform(m_context, settings.m_platform),
-      m_lease(settings.m_control.m_lease) {}
+      m_lease(settings.m_control.m_lease),
+      m_load_sharer(m_started_at) {}
 
 BalancerProcess::~BalancerProcess() = default;
 
@@ -127,6 +128,9 @@
                                                    m_configuration->body()});
       }));
   m_document_server = std::move(server);
+  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
+                                  MakeAdminSources()));
+  m_admin = std::move(admin);
   return base::Success();
 }
 
@@ -137,7 +141,7 @@
   self.m_data_centre = m_settings.m_data_centre;
   self.m_traffic = m_traffic->LocalEndpoint();
   self.m_peer = m_peer_link->LocalEndpoint();
-  self.m_admin = m_settings.m_admin;
+  self.m_admin = m_admin->endpoint();
   self.m_incarnation = WallClockMilliseconds();
   return self;
 }
@@ -175,21 +179,10 @@
   base::TimerService& timers = m_timers.timers();
   timers.SubscribeEvery(now, kMembershipPeriod,
                         [this](base::TimePoint at) { AdvanceMembership(at); });
-  timers.SubscribeEvery(now, kLeasePeriod, [this](base::TimePoint at) {
-    const membership::NewestConfiguration newest =
-        m_membership->NewestKnownConfiguration(at);
-    const auto expires = m_lease.Renew(
-        {.m_is_isolated = m_membership->IsIsolated(at, m_lease.EvidenceBound()),
-         .m_confirmed_at = m_follower->follower().ConfirmedAt(),
-         .m_is_behind = newest.m_version > m_configuration->version()},
-        at);
-    if (!expires)
-      return;
-    m_traffic->Post(
-        [until = *expires](balancer::TrafficCore& core, base::TimePoint) {
-          core.SetLease(until);
-        });
-  });
+  timers.SubscribeEvery(now, kLeasePeriod,
+                        [this](base::TimePoint at) { RenewLease(at); });
+  timers.SubscribeEvery(now, kCountsPeriod,
+                        [this](base::TimePoint) { CollectCounts(); });
   timers.SubscribeEvery(now, kPhasePeriod, [this](base::TimePoint at) {
     ServeIfJoined(at);
     StopIfQuiet(at);
@@ -200,6 +193,70 @@
   m_timers.Rearm();
 }
 
+void BalancerProcess::RenewLease(base::TimePoint now) {
+  const membership::NewestConfiguration newest =
+      m_membership->NewestKnownConfiguration(now);
+  const auto expires = m_lease.Renew(
+      {.m_is_isolated = m_membership->IsIsolated(now, m_lease.EvidenceBound()),
+       .m_confirmed_at = m_follower->follower().ConfirmedAt(),
+       .m_is_behind = newest.m_version > m_configuration->version()},
+      now);
+  if (expires.has_value() != m_has_lease) {
+    m_has_lease = expires.has_value();
+    WriteLog(m_has_lease ? Severity::kInfo : Severity::kWarning,
+             m_has_lease ? Event::kLeaseRegained : Event::kLeaseLapsed,
+             {{"version", m_configuration->version().value()},
+              {"newest_known_version", newest.m_version.value()}});
+  }
+  if (!expires)
+    return;
+  m_traffic->Post(
+      [until = *expires](balancer::TrafficCore& core, base::TimePoint) {
+        core.SetLease(until);
+      });
+}
+
+void BalancerProcess::CollectCounts() {
+  m_traffic->Post([this](balancer::TrafficCore& core, base::TimePoint) {
+    BurnKeeper::Counts counts;
+    LoadSharer::OpenFlows open_flows;
+    for (const auto& [service, gate] : core.gates()) {
+      counts[service] = gate.counts();
+      open_flows[service] = gate.OwnOpenFlows();
+    }
+    asio::post(m_context,
+               [this, counts, open_flows] { TakeCounts(counts, open_flows); });
+  });
+}
+
+void BalancerProcess::TakeCounts(const BurnKeeper::Counts& counts,
+                                 const LoadSharer::OpenFlows& open_flows) {
+  const base::TimePoint now = base::Clock::now();
+  m_burn.Take(counts, now);
+  m_load_sharer.SetOwn(open_flows);
+  ShareLoad(now);
+  m_traffic->Post(
+      [elsewhere = m_load_sharer.Elsewhere(open_flows),
+       peers = static_cast<std::uint32_t>(m_published_balancers.size() - 1)](
+          balancer::TrafficCore& core, base::TimePoint at) {
+        for (const auto& [service, others] : elsewhere)
+          core.ApplyLoad(service, placement::PeerOpenCounts{others, peers}, at);
+      });
+}
+
+void BalancerProcess::ShareLoad(base::TimePoint now) {
+  std::vector<base::Endpoint> recipients;
+  for (const auto& [id, entry] : m_membership->Peers().Entries()) {
+    if (RoutedStateOf(entry) == flow::BalancerState::kServing)
+      recipients.push_back(entry.m_record.m_peer);
+  }
+  const auto digest = m_load_sharer.Next(recipients.size(), now);
+  if (!digest)
+    return;
+  for (const base::Endpoint& recipient : recipients)
+    m_peer_link->Send(recipient, MakePeerMessage(*digest));
+}
+
 void BalancerProcess::Run() {
   m_signals.add(SIGTERM);
   m_signals.add(SIGINT);
@@ -225,6 +282,7 @@
   WriteLog(Severity::kInfo, Event::kListening,
            {{"traffic", base::ToString(m_traffic->LocalEndpoint())},
             {"peer", base::ToString(m_peer_link->LocalEndpoint())},
+            {"admin", base::ToString(m_admin->endpoint())},
             {"name", m_settings.m_name},
             {"data_centre", m_settings.m_data_centre.value()},
             {"id", m_id.value()},
@@ -272,6 +330,8 @@
 void BalancerProcess::OnPeerMessage(base::Endpoint from,
                                     const peer::Message& message) {
   Take(m_membership->ReceiveMessage(from, message, base::Clock::now()));
+  if (const auto* digest = std::get_if<peer::LoadDigest>(&message.m_body))
+    m_load_sharer.Receive(message.m_sender.m_id, *digest);
   m_follower->Handle(platform::PeerDigest{
       message.m_sender.m_id, message.m_sender.m_configuration.m_version,
       std::nullopt});
@@ -282,9 +342,8 @@
       m_membership->NewestKnownConfiguration(now).m_confirmation_age;
   if (!age)
     return;
-  m_follower->Handle(platform::PeerDigest{
-      m_id, m_configuration->version(),
-      platform::PeerConfirmation{.m_asked_at = now, .m_age = *age}});
+  m_follower->Handle(
+      platform::VersionConfirmed{m_configuration->version(), now - *age});
 }
 
 void BalancerProcess::OnVms(const std::vector<platform::VmRecord>& vms) {
@@ -316,6 +375,7 @@
   if (balancers == m_published_balancers)
     return;
   m_published_balancers = balancers;
+  m_load_sharer.Retain(*m_membership->Snapshot());
   m_follower->Handle(peers);
   m_traffic->Post(
       [set = std::make_shared<flow::BalancerSet>(m_id, std::move(balancers))](
@@ -329,6 +389,7 @@
   if (!m_configuration->Adopt(version, body, base::Clock::now()))
     return;
   m_load_poller->SetServers(m_configuration->PolledServers());
+  m_burn.SetDocument(m_configuration->document());
   // Peers hear of the new version at once.
   m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
 }
@@ -371,7 +432,8 @@
   if (m_phase != ProcessPhase::kJoining ||
       m_configuration->version() == base::ConfigurationVersion())
     return;
-  const bool has_met_peers = m_has_vm_list && now - m_started_at > kMeetingTime;
+  const bool has_met_peers =
+      m_has_vm_list && m_membership->HasCompleteView(now);
   if (!has_met_peers && now - m_started_at < kJoinPatience)
     return;
   m_phase = ProcessPhase::kServing;
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -18,13 +18,17 @@
 #include "LibConfiguration/settings.h"
 #include "LibFlow/balancer_set.h"
 #include "LibMembership/membership.h"
+#include "LibObservability/metrics.h"
 #include "LibPeer/message.h"
 #include "LibPlatform/platform_client.h"
+#include "admin_console.h"
+#include "burn_keeper.h"
 #include "configuration_keeper.h"
 #include "document_puller.h"
 #include "document_server.h"
 #include "lease_keeper.h"
 #include "load_poller.h"
+#include "load_sharer.h"
 #include "peer_link.h"
 #include "timer_driver.h"
 #include "traffic_loop.h"
@@ -76,6 +80,7 @@
   base::Outcome<void> Bind();
   void StartParts();
   void SubscribeTimers();
+  void RenewLease(base::TimePoint now);
   peer::MemberRecord MakeSelf() const;
 
   // Membership.
@@ -91,6 +96,17 @@
   void OnPull(const platform::PullFromPeer& pull);
   peer::Message MakePeerMessage(peer::MessageBody body) const;
 
+  // What the traffic thread knows and others need.
+  void CollectCounts();
+  void TakeCounts(const BurnKeeper::Counts& counts,
+                  const LoadSharer::OpenFlows& open_flows);
+  void ShareLoad(base::TimePoint now);
+
+  // Admin server.
+  AdminConsole::Sources MakeAdminSources();
+  StatusView MakeStatus() const;
+  std::string RenderMetrics();
+
   // Phases.
   void ServeIfJoined(base::TimePoint now);
   void StartLeaving();
@@ -122,6 +138,11 @@
   std::unique_ptr<ConfigurationKeeper> m_configuration;
   std::unique_ptr<LoadPoller> m_load_poller;
   LeaseKeeper m_lease;
+  bool m_has_lease = true;
+  LoadSharer m_load_sharer;
+  BurnKeeper m_burn;
+  observability::MetricsRegistry m_metrics;
+  std::unique_ptr<AdminConsole> m_admin;
 };
 
 }  // namespace service
--- /dev/null
+++ b/Services/Coltsfootdale/burn_keeper.h
@@ -0,0 +1,41 @@
+// Keeps the burn report of this balancer from what the traffic thread counts.
+
+#ifndef SERVICES_COLTSFOOTDALE_BURN_KEEPER_H_
+#define SERVICES_COLTSFOOTDALE_BURN_KEEPER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "LibBalancer/service_counts.h"
+#include "LibBase/ids.h"
+#include "LibBase/time.h"
+#include "LibConfiguration/document.h"
+#include "LibObservability/burn_recorder.h"
+#include "LibObservability/burn_status.h"
+
+namespace service {
+
+class BurnKeeper {
+ public:
+  using Counts = std::map<base::ServiceId, balancer::ServiceCounts>;
+
+  // Queries.
+  std::vector<observability::BurnStatus> Statuses(base::TimePoint now) const;
+
+  // Commands.
+  // Takes the names and objectives of the services in force.
+  void SetDocument(const configuration::Document& document);
+  // Takes counts that only grow and records what was added.
+  void Take(const Counts& counts, base::TimePoint now);
+
+ private:
+  std::map<base::ServiceId, std::string> m_names;
+  observability::ServiceErrorBudgets m_budgets;
+  Counts m_taken;
+  observability::BurnRecorder m_recorder;
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_BURN_KEEPER_H_
--- a/Services/Coltsfootdale/configuration_mapping.cc
+++ b/Services/Coltsfootdale/configuration_mapping.cc
@@ -38,6 +38,7 @@
   constexpr double kPercent = 100.0;
   balancer::ServiceProfile profile;
   profile.m_id = base::MakeServiceId(service.m_name);
+  profile.m_wait_bound = service.m_objective.m_wait;
   profile.m_placement.m_policy = MapPolicy(service.m_placement, placement);
   profile.m_admission.m_retry_budget.m_share =
       static_cast<double>(service.m_limits.m_retry_budget_percent) / kPercent;
