--- a/Libraries/LibAdmission/retry_budget.h
+++ b/Libraries/LibAdmission/retry_budget.h
@@ -13,7 +13,7 @@
   // Retries allowed for each opening received.
   double m_share = 0.1;
   // Retries that may be saved up for a burst.
-  double m_maximum_tokens = 50.0;
+  double m_maximum_tokens = 10.0;
 };
 
 // Starts empty: at any time the retries spent are at most the share of the
--- a/Libraries/LibPlacement/count_publisher.h
+++ b/Libraries/LibPlacement/count_publisher.h
@@ -21,6 +21,8 @@
   base::Duration m_refresh_interval = std::chrono::seconds(1);
   // Mean bytes a second that may be sent, over all peers together.
   double m_bytes_per_second = 2000.0;
+  // Bytes that may be sent ahead of the budget.
+  double m_burst_bytes = 2000.0;
 };
 
 class CountPublisher {
@@ -39,6 +41,9 @@
   void RecordPublished(std::size_t bytes, base::TimePoint now);
 
  private:
+  // For how long the budget pays for this.
+  base::Duration TimeToPay(double bytes) const;
+
   CountPublisherSettings m_settings;
   std::optional<base::TimePoint> m_changed_at;
   std::optional<base::TimePoint> m_published_at;
--- a/Libraries/LibPlacement/load_view.cc
+++ b/Libraries/LibPlacement/load_view.cc
@@ -101,6 +101,8 @@
   if (load == nullptr)
     return;
   load->RecordReport(event, m_knowledge, now);
+  if (load->IsReportImplausible(m_knowledge))
+    load->MutableConduct().RecordContradiction();
   if (const auto changes = load->CompareReports(m_knowledge))
     m_report_lag.Record(*changes);
   Refresh(event.m_server, now);
@@ -134,7 +136,7 @@
       m_median_delay * m_settings.m_outlier.m_slow_delay_factor);
   const double delay = std::chrono::duration<double>(event.m_delay).count();
   if (delay > slow && !load->IsInSlowStart(m_settings, now))
-    load->MutableConduct().RecordSlow();
+    load->MutableConduct().RecordContradiction();
 }
 
 void LoadView::On(const OpeningRefused& event, base::TimePoint now) {
--- a/Libraries/LibPlacement/server_conduct.h
+++ b/Libraries/LibPlacement/server_conduct.h
@@ -36,9 +36,10 @@
   void RecordAccepted() { RecordSample(0.0); }
   void RecordDelay(base::Duration delay);
   void RecordRefused();
-  // An answer has been slower than those of the server's peers.
-  void RecordSlow() { m_contradicts_idle = true; }
-  // Takes in a report. An idle one after a refusal or a slow answer lowers
+  // An answer was slower than those of the server's peers, or a report does
+  // not fit the flows that are open.
+  void RecordContradiction() { m_contradicts_idle = true; }
+  // Takes in a report. An idle one after a refusal or a contradiction lowers
   // the credit; one without contradiction raises it.
   void RecordReport(bool says_idle);
   // Ejects the server from `now`, for longer than last time.
--- a/Libraries/LibPlacement/server_load.cc
+++ b/Libraries/LibPlacement/server_load.cc
@@ -115,18 +115,30 @@
          now < m_slow_start_from + settings.m_slow_start_window;
 }
 
-double ServerLoad::EstimatedBusy(const ServiceKnowledge& knowledge) const {
+double ServerLoad::ExpectedBusy(const ServiceKnowledge& knowledge) const {
   const double open = std::max(0.0, static_cast<double>(OpenFlows()));
-  const double expected = open * knowledge.m_busy_per_open_flow;
+  return open * knowledge.m_busy_per_open_flow;
+}
+
+double ServerLoad::LeastBusy(const ServiceKnowledge& knowledge) const {
+  if (!knowledge.m_are_peer_counts_known)
+    return 0.0;
+  return std::max(0.0, ExpectedBusy(knowledge) / kMaximumReportFactor - 1.0);
+}
+
+bool ServerLoad::IsReportImplausible(const ServiceKnowledge& knowledge) const {
+  const auto carried = static_cast<double>(OpenFlows() - m_open_at_report);
+  return m_has_report && m_reported_busy + carried < LeastBusy(knowledge);
+}
+
+double ServerLoad::EstimatedBusy(const ServiceKnowledge& knowledge) const {
+  const double expected = ExpectedBusy(knowledge);
   if (!m_has_report)
     return expected;
   const auto carried = static_cast<double>(OpenFlows() - m_open_at_report);
-  double busy = std::max(0.0, m_reported_busy + carried);
-  if (knowledge.m_are_peer_counts_known) {
-    const double least = std::max(0.0, expected / kMaximumReportFactor - 1.0);
-    const double most = expected * kMaximumReportFactor + m_slots;
-    busy = std::clamp(busy, least, most);
-  }
+  double busy = std::max(LeastBusy(knowledge), m_reported_busy + carried);
+  if (knowledge.m_are_peer_counts_known)
+    busy = std::min(busy, expected * kMaximumReportFactor + m_slots);
   const double credit = m_conduct.Credit();
   return credit * busy + (1.0 - credit) * std::max(busy, expected);
 }
--- a/Libraries/LibPlacement/server_load.h
+++ b/Libraries/LibPlacement/server_load.h
@@ -45,6 +45,8 @@
   std::int64_t OpenFlows() const { return m_own_open + m_peer_open; }
   // Connections held, by the last report carried forward.
   double EstimatedConnections() const;
+  // The report claims far fewer requests than the open flows suggest.
+  bool IsReportImplausible(const ServiceKnowledge& knowledge) const;
   // Reported requests per open flow known at that time; negative if unknown.
   double BusyPerOpenFlow() const;
   bool IsInSlowStart(const LoadSettings& settings, base::TimePoint now) const;
@@ -73,6 +75,10 @@
   void RestartSlowStart(base::TimePoint at) { m_slow_start_from = at; }
 
  private:
+  // Requests that the open flows suggest, and the fewest that a report may
+  // claim in view of that.
+  double ExpectedBusy(const ServiceKnowledge& knowledge) const;
+  double LeastBusy(const ServiceKnowledge& knowledge) const;
   double EstimatedBusy(const ServiceKnowledge& knowledge) const;
   double Bound(const LoadSettings& settings, base::TimePoint now) const;
 
