--- a/Benchmarks/ServiceEmulator/emulator_results.cc
+++ b/Benchmarks/ServiceEmulator/emulator_results.cc
@@ -44,6 +44,11 @@
   return Ratio(static_cast<double>(m_sent), static_cast<double>(m_received));
 }
 
+double EmulatorResults::SentPerReceivedSinceStart() const {
+  return Ratio(static_cast<double>(m_sent_since_start),
+               static_cast<double>(m_received_since_start));
+}
+
 double EmulatorResults::PeerBytesPerSecond() const {
   return Ratio(static_cast<double>(m_peer_bytes),
                m_balancers * m_measured_seconds);
--- a/Benchmarks/ServiceEmulator/emulator_results.h
+++ b/Benchmarks/ServiceEmulator/emulator_results.h
@@ -18,7 +18,10 @@
   // Share of the flows placed that are not, and live on when exceptions are
   // shared.
   double LongExceptionShare() const;
+  // Openings sent to servers for each one received, while measured and since
+  // the start of the run.
   double SentPerReceived() const;
+  double SentPerReceivedSinceStart() const;
   // Bytes a second that each balancer sends to tell its peers of its counts.
   double PeerBytesPerSecond() const;
   double RefusedShare() const;
@@ -34,6 +37,8 @@
   std::uint64_t m_imbalance_samples = 0;
   std::uint64_t m_received = 0;
   std::uint64_t m_sent = 0;
+  std::uint64_t m_received_since_start = 0;
+  std::uint64_t m_sent_since_start = 0;
   std::uint64_t m_placed = 0;
   std::uint64_t m_refused = 0;
   std::uint64_t m_exceptions = 0;
--- a/Benchmarks/ServiceEmulator/service_emulator.cc
+++ b/Benchmarks/ServiceEmulator/service_emulator.cc
@@ -30,8 +30,8 @@
 
 }  // namespace
 
-ServiceEmulator::ServiceEmulator(EmulatorSettings settings)
-    : m_settings(std::move(settings)),
+ServiceEmulator::ServiceEmulator(const EmulatorSettings& settings)
+    : m_settings(settings),
       m_now(kEpoch),
       m_start(kEpoch + m_settings.m_warm_up),
       m_end(m_start + m_settings.m_measured),
@@ -73,6 +73,7 @@
     world.m_offer = [this, number](const FlowPointer& flow,
                                    base::BackendServerId server) {
       OnCountChanged(number, m_now);
+      ++m_results.m_sent_since_start;
       m_results.m_sent += IsMeasured() ? 1 : 0;
       return FindServer(server)->Offer(flow, m_now);
     };
@@ -246,6 +247,7 @@
 }
 
 void ServiceEmulator::Open(const FlowPointer& flow, base::TimePoint now) {
+  ++m_results.m_received_since_start;
   m_results.m_received += IsMeasured() ? 1 : 0;
   flow->m_opened_at = now;
   flow->m_order = RendezvousOrder(flow->m_key);
--- a/Benchmarks/ServiceEmulator/service_emulator.h
+++ b/Benchmarks/ServiceEmulator/service_emulator.h
@@ -24,7 +24,7 @@
 
 class ServiceEmulator {
  public:
-  explicit ServiceEmulator(EmulatorSettings settings);
+  explicit ServiceEmulator(const EmulatorSettings& settings);
 
   // Runs from the start to the end and returns what was measured.
   EmulatorResults Run();
--- a/Benchmarks/benchmark_placement.cc
+++ b/Benchmarks/benchmark_placement.cc
@@ -100,6 +100,7 @@
 template <typename Query>
 Summary SummariseRuns(const std::vector<EmulatorResults>& runs, Query query) {
   std::vector<double> values;
+  values.reserve(runs.size());
   for (const EmulatorResults& run : runs)
     values.push_back(query(run));
   return Summarise(values);
@@ -247,7 +248,8 @@
   fmt::print("\n### Twice the capacity for a minute\n\n");
   fmt::print(
       "| slots | servers shed | admission | goodput/capacity | sent/received | "
-      "refused | p99 wait s |\n|---|---|---|---|---|---|---|\n");
+      "since start | refused | p99 wait s "
+      "|\n|---|---|---|---|---|---|---|---|\n");
   for (const std::uint32_t slots : {3U, 2U}) {
     for (const bool do_servers_shed : {false, true}) {
       for (const auto control : {admission::ConcurrencyControl::kOff,
@@ -267,15 +269,18 @@
             SummariseRuns(runs, [](const auto& run) { return run.Goodput(); });
         const auto sent = SummariseRuns(
             runs, [](const auto& run) { return run.SentPerReceived(); });
+        const auto sent_since_start = SummariseRuns(runs, [](const auto& run) {
+          return run.SentPerReceivedSinceStart();
+        });
         const auto refused = SummariseRuns(
             runs, [](const auto& run) { return run.RefusedShare(); });
         const auto tail = SummariseRuns(
             runs, [](const auto& run) { return run.WaitQuantile(0.99); });
-        fmt::print("| {} | {} | {} | {} | {} | {:.0f}% | {} |\n", slots,
+        fmt::print("| {} | {} | {} | {} | {} | {} | {:.0f}% | {} |\n", slots,
                    do_servers_shed ? "at 4 queued" : "no",
                    base::NameOf(admission::kConcurrencyControlNames, control),
-                   Text(goodput, 3), Text(sent, 3), 100 * refused.m_mean,
-                   Text(tail, 1));
+                   Text(goodput, 3), Text(sent, 3), Text(sent_since_start, 3),
+                   100 * refused.m_mean, Text(tail, 1));
       }
     }
   }
--- /dev/null
+++ b/Tests/LibPlacement/test_placement_preset.cc
@@ -0,0 +1,34 @@
+#include <doctest/doctest.h>
+
+#include "LibPlacement/load_view_fixture.h"
+#include "LibPlacement/placement_preset.h"
+
+using namespace placement;
+
+namespace {
+
+// The choice of a preset when the first server runs as many requests as it has
+// slots and the others run none.
+std::optional<base::BackendServerId> ChooseWithFirstBusy(
+    PlacementPreset preset) {
+  PlacementSettings settings = MakePlacementSettings(preset);
+  LoadViewFixture fixture(3, settings.m_load);
+  fixture.Report(0, LoadViewFixture::kSlots);
+  return Choose(settings.m_policy, fixture.m_order, fixture.m_view,
+                fixture.m_random);
+}
+
+}  // namespace
+
+TEST_CASE(
+    "few exceptions keeps the first hash choice for a short queue, even "
+    "load does not") {
+  CHECK(ChooseWithFirstBusy(PlacementPreset::kFewExceptions) ==
+        ServerNumber(0));
+  CHECK(ChooseWithFirstBusy(PlacementPreset::kEvenLoad) == ServerNumber(1));
+}
+
+TEST_CASE("presets read back from their names") {
+  for (const auto& entry : kPlacementPresetNames)
+    CHECK(base::ValueOf(kPlacementPresetNames, entry.m_name) == entry.m_value);
+}
