--- a/Libraries/LibPlacement/load_settings.h
+++ b/Libraries/LibPlacement/load_settings.h
@@ -27,7 +27,7 @@
   // Each ejection lasts its time plus up to this share of it.
   double m_jitter_share = 0.25;
   // At most this share of the servers is ejected at once.
-  double m_maximum_ejected_share = 0.2;
+  double m_maximum_ejected_share = 0.25;
 };
 
 struct LoadSettings {
