--- a/Libraries/LibPlacement/load_view.cc
+++ b/Libraries/LibPlacement/load_view.cc
@@ -54,6 +54,11 @@
   std::visit([this, now](const auto& typed) { On(typed, now); }, event);
 }
 
+void LoadView::SetSettings(const LoadSettings& settings, base::TimePoint now) {
+  m_settings = settings;
+  RefreshAll(now);
+}
+
 void LoadView::Advance(base::TimePoint now, base::Random& random) {
   RefreshKnowledge(now);
   m_detector.Judge(m_settings, m_loads, now, random);
--- a/Libraries/LibPlacement/load_view.h
+++ b/Libraries/LibPlacement/load_view.h
@@ -58,6 +58,8 @@
   // Commands.
   // Events about servers that are not known are ignored.
   void Apply(const LoadEvent& event, base::TimePoint now);
+  // Takes effect for every server at once; what is known stays.
+  void SetSettings(const LoadSettings& settings, base::TimePoint now);
   // Moves slow starts on, ends and begins ejections.
   void Advance(base::TimePoint now, base::Random& random);
 
--- a/Tests/LibPlacement/test_load_view.cc
+++ b/Tests/LibPlacement/test_load_view.cc
@@ -217,3 +217,18 @@
   CHECK(fixture.m_view.OwnOpenFlows(ServerNumber(0)) == -1);
   CHECK(fixture.Status(0).m_estimated_busy == doctest::Approx(2.0));
 }
+
+TEST_CASE("changed settings and slots take effect and keep what is known") {
+  LoadViewFixture fixture(1);
+  fixture.Report(0, 3);
+  CHECK(fixture.Status(0).IsFull());
+
+  LoadSettings settings;
+  settings.m_bound_factor = 2.0;
+  fixture.m_view.SetSettings(settings, fixture.m_now);
+  CHECK_FALSE(fixture.Status(0).IsFull());
+
+  fixture.Apply(ServerAdded{ServerNumber(0), 1, 0, ServerStart::kWarm});
+  CHECK(fixture.Status(0).m_estimated_busy == doctest::Approx(3.0));
+  CHECK(fixture.Status(0).IsFull());
+}
