--- a/Tests/StandIns/Tests/test_tcp_connection.cc
+++ b/Tests/StandIns/Tests/test_tcp_connection.cc
@@ -197,6 +197,26 @@
   CHECK(pair.m_client.End() == TcpEnd::kUnknownToPeer);
 }
 
+TEST_CASE("data with an acknowledgment of another connection is dropped") {
+  for (const std::uint32_t offset : {1U + 100'000U, 1U - 100'000U}) {
+    EstablishedPair pair;
+    TcpSegment stale;
+    stale.m_ack = true;
+    stale.m_sequence = EstablishedPair::kServerSequence + 1;
+    stale.m_acknowledgment = EstablishedPair::kClientSequence + offset;
+    stale.m_payload = "stale";
+
+    pair.m_client.Receive(stale, pair.m_now);
+
+    CHECK(pair.m_client.TakeReceived().empty());
+    CHECK(pair.m_client.State() == TcpState::kEstablished);
+    const auto answer = pair.m_client.TakeSegments(pair.m_now);
+    REQUIRE(answer.size() == 1);
+    CHECK(answer[0].m_ack);
+    CHECK_FALSE(answer[0].m_rst);
+  }
+}
+
 TEST_CASE("an opening takes a reset only with the right acknowledgment") {
   const base::TimePoint now;
   auto client = TcpConnection::Connect(1000, now, {});
