LibBalancer: Take changed settings into a service's gate

A later profile changed only which servers a gate had and whether they drained: new slots, limits and settings of placement and admission were lost, a retry was charged although no server was left, a server's connection limit was never asked, and counts of removed servers stayed for good.

Update now applies capacities of known servers and both kinds of settings (AdmissionController::SetSettings keeps what was learned). Choose checks the retry budget, chooses, checks the chosen server's limit, goes on to the next candidate, and spends last. Own open counts come from LoadView, so they go with their server; more ends than openings are told as zero, as a digest has no negative counts. Round robin ignores the order; a choice outside of it was read past the end before and is passed over now.

--- a/Libraries/LibAdmission/admission_controller.cc
+++ b/Libraries/LibAdmission/admission_controller.cc
@@ -37,6 +37,12 @@
   return Admission::kAdmitted;
 }
 
+void AdmissionController::SetSettings(const AdmissionSettings& settings) {
+  m_settings = settings;
+  m_concurrency.SetSettings(settings.m_concurrency);
+  m_retry_budget.SetSettings(settings.m_retry_budget);
+}
+
 void AdmissionController::RecordAnswerDelay(base::Duration delay,
                                             const ServiceOccupancy& service,
                                             base::TimePoint now) {
--- a/Libraries/LibAdmission/admission_controller.h
+++ b/Libraries/LibAdmission/admission_controller.h
@@ -61,6 +61,8 @@
   const ConcurrencyLimit& Concurrency() const { return m_concurrency; }
 
   // Commands.
+  // Takes effect for the next opening; what was learned stays.
+  void SetSettings(const AdmissionSettings& settings);
   // Counts an opening received from a caller, let in or not. A caller's
   // retransmission of it is not counted again.
   void RecordOpening() { m_retry_budget.Earn(); }
--- a/Libraries/LibAdmission/concurrency_limit.h
+++ b/Libraries/LibAdmission/concurrency_limit.h
@@ -9,6 +9,7 @@
 #ifndef LIBADMISSION_CONCURRENCY_LIMIT_H_
 #define LIBADMISSION_CONCURRENCY_LIMIT_H_
 
+#include <algorithm>
 #include <chrono>
 
 #include "LibBase/time.h"
@@ -47,6 +48,12 @@
   double Factor() const { return m_factor; }
 
   // Commands.
+  // Keeps the learned factor as far as the new range holds it.
+  void SetSettings(const ConcurrencySettings& settings) {
+    m_settings = settings;
+    m_factor = std::clamp(m_factor, m_settings.m_minimum_factor,
+                          m_settings.m_maximum_factor);
+  }
   // Takes in the delay of one answer. `is_limiting` tells whether the load was
   // near the limit; a limit that is not reached does not grow.
   void RecordDelay(base::Duration delay, bool is_limiting, base::TimePoint now);
--- a/Libraries/LibAdmission/retry_budget.h
+++ b/Libraries/LibAdmission/retry_budget.h
@@ -27,6 +27,11 @@
   double Tokens() const { return m_tokens; }
 
   // Commands.
+  // Tokens above the new maximum are lost.
+  void SetSettings(RetryBudgetSettings settings) {
+    m_settings = settings;
+    m_tokens = std::min(m_tokens, m_settings.m_maximum_tokens);
+  }
   // Counts an opening received from a caller.
   void Earn() {
     m_tokens =
--- a/Libraries/LibBalancer/service_gate.cc
+++ b/Libraries/LibBalancer/service_gate.cc
@@ -1,11 +1,15 @@
 #include "LibBalancer/service_gate.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <optional>
 
 #include <boost/container/static_vector.hpp>
 
 #include "LibAdmission/admission.h"
+#include "LibBase/verify.h"
+#include "LibPlacement/server_status.h"
 
 namespace balancer {
 
@@ -52,16 +56,30 @@
       AddServer(server, placement::ServerStart::kCold, now);
       continue;
     }
-    if (server.m_is_draining && !before->m_is_draining)
-      m_load.Apply(placement::ServerDraining{server.m_id}, now);
-    if (!server.m_is_draining && before->m_is_draining)
-      m_load.Apply(placement::ServerUndrained{server.m_id}, now);
+    UpdateServer(*before, server, now);
   }
   m_servers = profile.m_servers;
   m_policy = profile.m_placement.m_policy;
+  m_load.SetSettings(profile.m_placement.m_load, now);
+  m_admission.SetSettings(profile.m_admission);
   m_wait_bound = profile.m_wait_bound;
 }
 
+void ServiceGate::UpdateServer(const ServerProfile& before,
+                               const ServerProfile& server,
+                               base::TimePoint now) {
+  // The view takes a known server's new capacity and keeps what it knows.
+  if (server.m_slots != before.m_slots ||
+      server.m_connection_limit != before.m_connection_limit)
+    m_load.Apply(placement::ServerAdded{server.m_id, server.m_slots,
+                                        server.m_connection_limit},
+                 now);
+  if (server.m_is_draining && !before.m_is_draining)
+    m_load.Apply(placement::ServerDraining{server.m_id}, now);
+  if (!server.m_is_draining && before.m_is_draining)
+    m_load.Apply(placement::ServerUndrained{server.m_id}, now);
+}
+
 admission::ServiceOccupancy ServiceGate::Occupancy() const {
   const placement::ServiceLoad total = m_load.Total();
   return {total.m_estimated_busy, static_cast<double>(total.m_slots),
@@ -70,38 +88,63 @@
 
 bool ServiceGate::IsAdmitted(std::size_t attempt) {
   if (attempt > 0)
-    return m_admission.MutableRetries().TrySpend();
+    return m_admission.Retries().CanSpend();
   ++m_counts.m_openings;
   m_admission.RecordOpening();
   return m_admission.DecideForService(Occupancy()) ==
          admission::Admission::kAdmitted;
 }
 
-const flow::RoutedServer* ServiceGate::Choose(const flow::ServerOrder& order,
-                                              std::size_t attempt,
-                                              base::Random& random) {
-  if (!IsAdmitted(attempt)) {
-    ++m_counts.m_refused;
-    return nullptr;
-  }
+bool ServiceGate::IsBelowLimit(base::BackendServerId server) const {
+  const ServerProfile* profile = FindProfile(m_servers, server);
+  if (profile == nullptr)
+    return false;
+  const admission::ServerOccupancy occupancy{
+      m_load.EstimatedConnections(server), profile->m_connection_limit};
+  return m_admission.DecideForServer(occupancy) ==
+         admission::Admission::kAdmitted;
+}
+
+const flow::RoutedServer* ServiceGate::ChooseBelowLimit(
+    const flow::ServerOrder& order,
+    base::Random& random) {
   boost::container::static_vector<base::BackendServerId, flow::kMaximumOrder>
       ids;
   for (const flow::RoutedServer* server : order)
     ids.push_back(server->m_id);
-  const std::optional<base::BackendServerId> chosen =
-      placement::Choose(m_policy, {ids.data(), ids.size()}, m_load, random);
-  if (!chosen) {
+  // Round robin ignores the order, so a choice may repeat or not be in it.
+  for (std::size_t tries = m_load.Servers().size(); tries > 0; --tries) {
+    const std::optional<base::BackendServerId> chosen =
+        placement::Choose(m_policy, {ids.data(), ids.size()}, m_load, random);
+    if (!chosen)
+      return nullptr;
+    const auto candidate = std::find(ids.begin(), ids.end(), *chosen);
+    if (candidate == ids.end())
+      continue;
+    if (IsBelowLimit(*chosen))
+      return *std::ranges::find(order, *chosen, &flow::RoutedServer::m_id);
+    ids.erase(candidate);
+  }
+  return nullptr;
+}
+
+const flow::RoutedServer* ServiceGate::Choose(const flow::ServerOrder& order,
+                                              std::size_t attempt,
+                                              base::Random& random) {
+  const flow::RoutedServer* chosen =
+      IsAdmitted(attempt) ? ChooseBelowLimit(order, random) : nullptr;
+  if (chosen == nullptr) {
     ++m_counts.m_refused;
     return nullptr;
   }
-  const auto position = std::find(ids.begin(), ids.end(), *chosen);
-  return order[static_cast<std::size_t>(position - ids.begin())];
+  if (attempt > 0)
+    VERIFY(m_admission.MutableRetries().TrySpend());
+  return chosen;
 }
 
 void ServiceGate::Observe(const flow::FlowNote& note, base::TimePoint now) {
   switch (note.m_kind) {
     case flow::FlowNoteKind::kOpeningSent:
-      ++m_own_open[note.m_server];
       m_load.Apply(placement::OpeningSent{note.m_server}, now);
       break;
     case flow::FlowNoteKind::kAccepted:
@@ -115,11 +158,9 @@
       m_admission.RecordAnswerDelay(note.m_elapsed, Occupancy(), now);
       break;
     case flow::FlowNoteKind::kRefused:
-      ForgetOpen(note.m_server);
       m_load.Apply(placement::OpeningRefused{note.m_server}, now);
       break;
     case flow::FlowNoteKind::kEnded:
-      ForgetOpen(note.m_server);
       m_load.Apply(placement::FlowEnded{note.m_server}, now);
       break;
     case flow::FlowNoteKind::kBroken:
@@ -128,16 +169,14 @@
   }
 }
 
-void ServiceGate::ForgetOpen(base::BackendServerId server) {
-  std::uint32_t& open = m_own_open[server];
-  if (open > 0)
-    --open;
-}
-
 std::vector<placement::OpenCount> ServiceGate::OwnOpenFlows() const {
   std::vector<placement::OpenCount> counts;
-  for (const auto& [server, open] : m_own_open)
-    counts.push_back({server, static_cast<std::int32_t>(open)});
+  for (const placement::ServerStatus& status : m_load.Servers()) {
+    const std::int64_t open =
+        std::clamp<std::int64_t>(m_load.OwnOpenFlows(status.m_server), 0,
+                                 std::numeric_limits<std::int32_t>::max());
+    counts.push_back({status.m_server, static_cast<std::int32_t>(open)});
+  }
   return counts;
 }
 
--- a/Libraries/LibBalancer/service_gate.h
+++ b/Libraries/LibBalancer/service_gate.h
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 #include "LibAdmission/admission_controller.h"
@@ -30,7 +29,8 @@
   // Queries.
   const placement::LoadView& load() const { return m_load; }
   const ServiceCounts& counts() const { return m_counts; }
-  // The flows of each server that were opened here and have not ended.
+  // The flows of each server of the latest profile that were opened here, less
+  // the ends that were seen here; zero where more ends were seen.
   std::vector<placement::OpenCount> OwnOpenFlows() const;
 
   // Commands.
@@ -38,7 +38,8 @@
   // and admission take effect for openings from then on.
   void Update(const ServiceProfile& profile, base::TimePoint now);
   // The server for an opening, or null to refuse it. `attempt` counts from
-  // zero; an attempt after the first spends the retry budget.
+  // zero; an attempt after the first spends the retry budget if a server is
+  // chosen.
   const flow::RoutedServer* Choose(const flow::ServerOrder& order,
                                    std::size_t attempt,
                                    base::Random& random);
@@ -51,15 +52,20 @@
                  placement::ServerStart start,
                  base::TimePoint now);
   admission::ServiceOccupancy Occupancy() const;
+  void UpdateServer(const ServerProfile& before,
+                    const ServerProfile& server,
+                    base::TimePoint now);
   bool IsAdmitted(std::size_t attempt);
-  void ForgetOpen(base::BackendServerId server);
+  bool IsBelowLimit(base::BackendServerId server) const;
+  // The policy's choice among those below their connection limits, or null.
+  const flow::RoutedServer* ChooseBelowLimit(const flow::ServerOrder& order,
+                                             base::Random& random);
 
   placement::LoadView m_load;
   placement::PlacementPolicy m_policy;
   admission::AdmissionController m_admission;
   std::vector<ServerProfile> m_servers;
   base::Duration m_wait_bound;
-  std::unordered_map<base::BackendServerId, std::uint32_t> m_own_open;
   ServiceCounts m_counts;
 };
 
