LibMembership, LibPlacement: One publisher of load counts

LoadPublisher (product) and CountPublisher (emulator only) did one job. Kept: LoadPublisher, which chooses what to tell and encodes real digests. Moved over: settings in place of constants, the interval of 50 ms in place of 250 ms, and that a change does not wait for the bytes of repetitions. Not moved over: the repetition after 1 s; it would spend the budget on what is known. The three tests of CountPublisher moved: at once and then after 50 ms; told again without a change (existed); constant change spends 90 to 100% of the budget. One new; it fails when a change waits for repetitions.

The emulator uses it with real frames, which are larger than those it assumed (86 bytes and 6 each count, before 44 and 3), and counts ends at a flow's home, as the director does; counts on the wire are unsigned.

--- a/Benchmarks/ServiceEmulator/emulator_settings.h
+++ b/Benchmarks/ServiceEmulator/emulator_settings.h
@@ -12,7 +12,7 @@
 #include "LibAdmission/admission_controller.h"
 #include "LibAdmission/opening_attempt.h"
 #include "LibBase/time.h"
-#include "LibPlacement/count_publisher.h"
+#include "LibMembership/load_publisher.h"
 #include "LibPlacement/load_settings.h"
 #include "LibPlacement/placement_policy.h"
 
@@ -24,7 +24,8 @@
   kReports,
   // The ends of the flows whose last packet happens to pass them.
   kPassingEnds,
-  // Those, and the other balancers' counts from time to time.
+  // The ends of its own flows, and the other balancers' counts from time to
+  // time.
   kPeerCounts,
   // The true load of every server at every moment.
   kPerfect,
@@ -62,7 +63,7 @@
   Knowledge m_knowledge = Knowledge::kReports;
   // How often balancers tell their peers of their counts, and how long that is
   // on the way.
-  placement::CountPublisherSettings m_count_publisher;
+  membership::LoadPublisherSettings m_load_publisher;
   base::Duration m_peer_delay = std::chrono::milliseconds(1);
 
   Misbehaviour m_misbehaviour = Misbehaviour::kNone;
--- a/Benchmarks/ServiceEmulator/service_emulator.cc
+++ b/Benchmarks/ServiceEmulator/service_emulator.cc
@@ -6,6 +6,9 @@
 #include <utility>
 
 #include "LibBase/hash.h"
+#include "LibMembership/load_key.h"
+#include "LibPeer/codec.h"
+#include "LibPeer/message.h"
 
 namespace service_emulator {
 
@@ -18,10 +21,9 @@
 constexpr base::Duration kSharingAge = std::chrono::seconds(3);
 constexpr base::Duration kRemovalDelay = std::chrono::seconds(30);
 constexpr int kReplacedTogether = 2;
-// Headers of IPv4 and UDP and of a peer message, and one changed count in it:
-// the server's position and a signed number of variable length.
-constexpr std::uint64_t kPeerMessageBytes = 28 + 16;
-constexpr std::uint64_t kCountBytes = 3;
+// How often a balancer tries to tell a change that the budget holds back.
+constexpr base::Duration kPublishingPeriod = std::chrono::milliseconds(20);
+constexpr std::uint64_t kIpAndUdpHeaderBytes = 28;
 constexpr base::TimePoint kEpoch{std::chrono::hours(1)};
 
 base::Duration Exponential(base::Random& random, base::Duration mean) {
@@ -66,7 +68,9 @@
 void ServiceEmulator::AddBalancers() {
   for (std::uint32_t number = 0; number < m_settings.m_balancers; ++number) {
     m_publications.push_back(Publication{
-        {}, placement::CountPublisher(m_settings.m_count_publisher), false});
+        {},
+        membership::LoadPublisher(m_now, m_settings.m_load_publisher),
+        false});
   }
   for (std::uint32_t number = 0; number < m_settings.m_balancers; ++number) {
     EmulatedBalancer::World world;
@@ -140,25 +144,36 @@
     return;
   publication.m_is_pending = true;
   // Another change at the same moment goes into the same message.
-  publication.m_publisher.RecordChange(now + std::chrono::microseconds(1));
-  const base::TimePoint at = *publication.m_publisher.NextDue();
-  m_timers.SubscribeOnce(at, [this, balancer](base::TimePoint due) {
-    PublishCounts(balancer, due);
-  });
+  m_timers.SubscribeOnce(
+      now + std::chrono::microseconds(1),
+      [this, balancer](base::TimePoint due) { PublishCounts(balancer, due); });
 }
 
 void ServiceEmulator::PublishCounts(std::uint32_t balancer,
                                     base::TimePoint now) {
   Publication& publication = m_publications[balancer];
-  publication.m_is_pending = false;
-  std::uint64_t bytes = kPeerMessageBytes;
   for (const auto& [id, server] : m_servers) {
-    const std::int64_t count = m_balancers[balancer]->View().OwnOpenFlows(id);
-    bytes += count == publication.m_counts[id] ? 0 : kCountBytes;
-    publication.m_counts[id] = count;
+    const std::int64_t open = m_balancers[balancer]->View().OwnOpenFlows(id);
+    publication.m_publisher.SetOpenFlows(
+        id, static_cast<std::uint64_t>(std::max<std::int64_t>(0, open)));
+  }
+  const std::size_t peers = m_balancers.size() - 1;
+  const auto digest = publication.m_publisher.Next(peers, now);
+  publication.m_is_pending = publication.m_publisher.HasChanges();
+  if (publication.m_is_pending) {
+    m_timers.SubscribeOnce(now + kPublishingPeriod,
+                           [this, balancer](base::TimePoint due) {
+                             PublishCounts(balancer, due);
+                           });
   }
-  bytes *= m_balancers.size() - 1;
-  publication.m_publisher.RecordPublished(bytes, now);
+  if (!digest)
+    return;
+  for (const peer::LoadEntry& entry : digest->m_entries)
+    publication.m_counts[entry.m_server] = entry.m_open_flows;
+  const auto frame =
+      peer::Encode(peer::Transport::kDatagram, {{}, *digest, {}});
+  const std::uint64_t bytes =
+      peers * (frame.value().size() + kIpAndUdpHeaderBytes);
   m_results.m_peer_bytes += IsMeasured() ? bytes : 0;
   m_timers.SubscribeOnce(
       now + m_settings.m_peer_delay, [this, balancer](base::TimePoint due) {
@@ -175,7 +190,9 @@
   for (const auto& [id, server] : m_servers) {
     std::int64_t sum = 0;
     for (std::uint32_t peer = 0; peer < m_balancers.size(); ++peer)
-      sum += peer == balancer ? 0 : m_publications[peer].m_counts[id];
+      sum += peer == balancer
+                 ? 0
+                 : m_publications[peer].m_counts[membership::LoadKey(id)];
     counts.push_back({id, static_cast<std::int32_t>(sum)});
   }
   m_balancers[balancer]->Apply(
@@ -297,8 +314,11 @@
   const auto passing =
       static_cast<std::uint32_t>(m_random.Below(m_balancers.size()));
   if (m_settings.m_knowledge != Knowledge::kReports) {
-    m_balancers[passing]->Apply(placement::FlowEnded{server}, now);
-    OnCountChanged(passing, now);
+    // Those that share their counts relay the end of a flow to its home.
+    const bool is_relayed = m_settings.m_knowledge == Knowledge::kPeerCounts;
+    const std::uint32_t noting = is_relayed ? flow->m_home : passing;
+    m_balancers[noting]->Apply(placement::FlowEnded{server}, now);
+    OnCountChanged(noting, now);
   }
   const base::Duration delay = now - flow->m_opened_at;
   // The first byte of a feed does not wait for its end.
--- a/Benchmarks/ServiceEmulator/service_emulator.h
+++ b/Benchmarks/ServiceEmulator/service_emulator.h
@@ -80,8 +80,9 @@
   std::vector<std::unique_ptr<EmulatedBalancer>> m_balancers;
   // What each balancer has told the others, and when.
   struct Publication {
-    std::unordered_map<base::BackendServerId, std::int64_t> m_counts;
-    placement::CountPublisher m_publisher;
+    // By load key.
+    std::unordered_map<std::uint32_t, std::uint16_t> m_counts;
+    membership::LoadPublisher m_publisher;
     bool m_is_pending = false;
   };
   std::vector<Publication> m_publications;
--- a/Benchmarks/benchmark_placement.cc
+++ b/Benchmarks/benchmark_placement.cc
@@ -165,7 +165,7 @@
   settings.m_slots = slots;
   settings.m_knowledge = contender.m_knowledge;
   settings.m_policy = contender.m_policy;
-  settings.m_count_publisher.m_minimum_interval = contender.m_peer_interval;
+  settings.m_load_publisher.m_minimum_period = contender.m_peer_interval;
   settings.m_load.m_bound_factor = contender.m_bound_factor;
   // Placement is measured on its own.
   settings.m_admission.m_concurrency_control =
--- a/Libraries/LibMembership/load_publisher.cc
+++ b/Libraries/LibMembership/load_publisher.cc
@@ -18,6 +18,11 @@
 
 }  // namespace
 
+bool LoadPublisher::HasChanges() const {
+  return std::ranges::any_of(
+      m_counts, [](const auto& count) { return count.second.HasChanged(); });
+}
+
 void LoadPublisher::SetOpenFlows(base::BackendServerId server,
                                  std::uint64_t open_flows) {
   constexpr std::uint64_t kGreatest = std::numeric_limits<std::uint16_t>::max();
@@ -28,8 +33,9 @@
 void LoadPublisher::Refill(base::TimePoint now) {
   const std::chrono::duration<double> elapsed = now - m_refilled_at;
   m_refilled_at = now;
-  m_tokens_bytes =
-      std::min(kBurstBytes, m_tokens_bytes + elapsed.count() * kBytesPerSecond);
+  m_tokens_bytes = std::min(
+      m_settings.m_burst_bytes,
+      m_tokens_bytes + elapsed.count() * m_settings.m_bytes_per_second);
 }
 
 std::vector<LoadPublisher::Counts::iterator> LoadPublisher::Due(
@@ -37,9 +43,9 @@
   std::vector<Counts::iterator> due;
   for (auto at = m_counts.begin(); at != m_counts.end(); ++at) {
     const Count& count = at->second;
-    const bool is_old =
-        !count.m_told_at || now - *count.m_told_at >= kRepeatPeriod;
-    if (is_old || count.m_open_flows != count.m_told)
+    const bool is_old = !count.m_told_at ||
+                        now - *count.m_told_at >= m_settings.m_repeat_period;
+    if (is_old || count.HasChanged())
       due.push_back(at);
   }
   const auto urgency = [](const Counts::iterator& at) {
@@ -53,25 +59,37 @@
   return due;
 }
 
+std::size_t LoadPublisher::AffordableEntries(
+    const std::vector<Counts::iterator>& due,
+    std::size_t recipients) const {
+  const auto members = static_cast<double>(recipients);
+  const auto entries_for = [members](double bytes) {
+    return (bytes / members - kMessageBytes) / kEntryBytes;
+  };
+  const auto changed = static_cast<std::size_t>(std::ranges::count_if(
+      due, [](const auto& at) { return at->second.HasChanged(); }));
+  const std::size_t wanted =
+      std::min(changed > 0 ? changed : due.size(), peer::kMaximumLoadEntries);
+  // Half-empty messages would spend the budget on headers, so it waits until
+  // all that is wanted is affordable, or as much as the budget ever allows.
+  const double affordable = entries_for(m_tokens_bytes);
+  const double most = entries_for(m_settings.m_burst_bytes);
+  if (most < 1 || affordable < std::min(static_cast<double>(wanted), most))
+    return 0;
+  return std::min({due.size(), static_cast<std::size_t>(affordable),
+                   peer::kMaximumLoadEntries});
+}
+
 std::optional<peer::LoadDigest> LoadPublisher::Next(std::size_t recipients,
                                                     base::TimePoint now) {
   Refill(now);
   if (recipients == 0 || now < m_next_at)
     return std::nullopt;
-  const double bytes_each = m_tokens_bytes / static_cast<double>(recipients);
-  const double affordable = (bytes_each - kMessageBytes) / kEntryBytes;
   std::vector<Counts::iterator> due = Due(now);
-  const std::size_t wanted = std::min(due.size(), peer::kMaximumLoadEntries);
-  // Half-empty messages would spend the budget on headers, so it waits until
-  // all that is wanted is affordable, or as much as the budget ever allows.
-  const double most =
-      (kBurstBytes / static_cast<double>(recipients) - kMessageBytes) /
-      kEntryBytes;
-  const double enough = std::min(static_cast<double>(wanted), most);
-  if (wanted == 0 || most < 1 || affordable < enough)
+  due.resize(AffordableEntries(due, recipients));
+  if (due.empty())
     return std::nullopt;
 
-  due.resize(std::min(wanted, static_cast<std::size_t>(affordable)));
   peer::LoadDigest digest;
   for (const auto& at : due) {
     Count& count = at->second;
@@ -82,7 +100,7 @@
   const double entries = static_cast<double>(due.size());
   m_tokens_bytes -=
       static_cast<double>(recipients) * (kMessageBytes + kEntryBytes * entries);
-  m_next_at = now + kMinimumPeriod;
+  m_next_at = now + m_settings.m_minimum_period;
   return digest;
 }
 
--- a/Libraries/LibMembership/load_publisher.h
+++ b/Libraries/LibMembership/load_publisher.h
@@ -5,6 +5,7 @@
 #ifndef LIBMEMBERSHIP_LOAD_PUBLISHER_H_
 #define LIBMEMBERSHIP_LOAD_PUBLISHER_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -17,26 +18,39 @@
 
 namespace membership {
 
-class LoadPublisher {
- public:
-  // Bytes sent to all recipients together, headers of IP and UDP included.
-  static constexpr double kBytesPerSecond = 1'500;
-  static constexpr double kBurstBytes = 3'000;
-  static constexpr base::Duration kMinimumPeriod =
-      std::chrono::milliseconds(250);
+struct LoadPublisherSettings {
+  // Mean bytes a second sent to all recipients together, headers of IP and UDP
+  // included, and bytes that may be sent ahead of it.
+  double m_bytes_per_second = 4'000;
+  double m_burst_bytes = 3'000;
+  // Changes within this time go into one digest. docs/PLACEMENT.md has the
+  // figures for it.
+  base::Duration m_minimum_period = std::chrono::milliseconds(50);
   // An unchanged count is told again after this time, for members that came
   // since or missed it.
-  static constexpr base::Duration kRepeatPeriod = std::chrono::seconds(5);
+  base::Duration m_repeat_period = std::chrono::seconds(5);
+};
 
-  explicit LoadPublisher(base::TimePoint now)
-      : m_refilled_at(now), m_next_at(now) {}
+class LoadPublisher {
+ public:
+  explicit LoadPublisher(base::TimePoint now,
+                         const LoadPublisherSettings& settings = {})
+      : m_settings(settings),
+        m_tokens_bytes(settings.m_burst_bytes),
+        m_refilled_at(now),
+        m_next_at(now) {}
+
+  // Queries.
+  // Whether a count differs from what was told of it last.
+  bool HasChanges() const;
 
   // Commands.
   // Sets the number of flows that this balancer has open on the server.
   void SetOpenFlows(base::BackendServerId server, std::uint64_t open_flows);
   // Returns the digest to send now to each of `recipients` members: what
   // changed most first, then what was told longest ago. Nothing if nothing is
-  // due or the budget does not allow it.
+  // due or the budget does not allow it. A change does not wait until the
+  // budget allows repetitions too.
   std::optional<peer::LoadDigest> Next(std::size_t recipients,
                                        base::TimePoint now);
 
@@ -45,14 +59,20 @@
     std::uint16_t m_open_flows = 0;
     std::uint16_t m_told = 0;
     std::optional<base::TimePoint> m_told_at;
+
+    bool HasChanged() const { return !m_told_at || m_open_flows != m_told; }
   };
   using Counts = std::map<std::uint32_t, Count>;
 
   std::vector<Counts::iterator> Due(base::TimePoint now);
+  // The entries of a digest that the budget allows now; zero to wait for more.
+  std::size_t AffordableEntries(const std::vector<Counts::iterator>& due,
+                                std::size_t recipients) const;
   void Refill(base::TimePoint now);
 
+  LoadPublisherSettings m_settings;
   Counts m_counts;
-  double m_tokens_bytes = kBurstBytes;
+  double m_tokens_bytes;
   base::TimePoint m_refilled_at;
   base::TimePoint m_next_at;
 };
--- a/Tests/LibMembership/test_load.cc
+++ b/Tests/LibMembership/test_load.cc
@@ -85,7 +85,7 @@
   for (std::uint32_t server = 1; server <= kServers; ++server)
     CHECK(load.OpenFlowsElsewhere(BackendServerId(server)) == counts[server]);
   CHECK(static_cast<double>(bytes) / kSeconds <=
-        membership::LoadPublisher::kBytesPerSecond * 1.05);
+        membership::LoadPublisherSettings{}.m_bytes_per_second * 1.05);
 }
 
 TEST_CASE("unchanged counts are told again for members that came since") {
@@ -94,9 +94,67 @@
   REQUIRE(publisher.Next(kPeers, kStart));
   CHECK_FALSE(publisher.Next(kPeers, kStart + seconds(1)));
 
-  const auto repeated =
-      publisher.Next(kPeers, kStart + membership::LoadPublisher::kRepeatPeriod);
+  const auto repeated = publisher.Next(
+      kPeers, kStart + membership::LoadPublisherSettings{}.m_repeat_period);
 
   REQUIRE(repeated);
   CHECK(repeated->m_entries == std::vector<peer::LoadEntry>{{4, 65'535}});
 }
+
+TEST_CASE("a change is told at once, the next after the interval") {
+  membership::LoadPublisher publisher(kStart);
+  CHECK_FALSE(publisher.Next(kPeers, kStart));
+
+  publisher.SetOpenFlows(BackendServerId(1), 1);
+  CHECK(publisher.HasChanges());
+  REQUIRE(publisher.Next(kPeers, kStart));
+  CHECK_FALSE(publisher.HasChanges());
+
+  publisher.SetOpenFlows(BackendServerId(1), 2);
+  CHECK_FALSE(publisher.Next(kPeers, kStart + milliseconds(49)));
+  CHECK(publisher.Next(kPeers, kStart + milliseconds(50)));
+}
+
+TEST_CASE("constant change spends the budget of bytes and no more") {
+  constexpr int kSeconds = 60;
+  const membership::LoadPublisherSettings settings;
+  membership::LoadPublisher publisher(kStart);
+  std::size_t bytes = 0;
+
+  for (int step = 0; step < kSeconds * 1000; ++step) {
+    publisher.SetOpenFlows(BackendServerId(1 + step % 19), step);
+    const auto digest = publisher.Next(kPeers, kStart + milliseconds(step));
+    if (!digest)
+      continue;
+    const auto frame =
+        peer::Encode(peer::Transport::kDatagram, {{}, *digest, {}});
+    bytes += kPeers * (frame.value().size() + kIpAndUdpHeaderBytes);
+  }
+
+  const double budget = kSeconds * settings.m_bytes_per_second;
+  CHECK(bytes <= budget + settings.m_burst_bytes);
+  CHECK(bytes >= 0.9 * budget);
+}
+
+TEST_CASE("a change does not wait for the budget of repetitions") {
+  membership::LoadPublisher publisher(kStart);
+  const membership::LoadPublisherSettings settings;
+  constexpr std::uint32_t kServers = 64;
+  for (std::uint32_t server = 1; server <= kServers; ++server)
+    publisher.SetOpenFlows(BackendServerId(server), 1);
+  REQUIRE(publisher.Next(kPeers, kStart)->m_entries.size() == kServers);
+  // Spends the budget just before all counts are due to be repeated.
+  const auto late = kStart + settings.m_repeat_period - milliseconds(100);
+  for (std::uint32_t server = 1; server <= kServers; ++server)
+    publisher.SetOpenFlows(BackendServerId(server), 2);
+  REQUIRE(publisher.Next(kPeers, late)->m_entries.size() == kServers);
+  const auto repeat_at = late + settings.m_repeat_period;
+  publisher.SetOpenFlows(BackendServerId(1), 3);
+  REQUIRE(publisher.Next(kPeers, repeat_at - milliseconds(1)));
+  publisher.SetOpenFlows(BackendServerId(2), 9);
+
+  const auto digest = publisher.Next(kPeers, repeat_at + milliseconds(50));
+
+  REQUIRE(digest);
+  CHECK(digest->m_entries.front() == peer::LoadEntry{2, 9});
+}
