--- /dev/null
+++ b/Benchmarks/benchmark_flow.cc
@@ -0,0 +1,489 @@
+// Measures the decisions about packets, the flow table, the routing table, the
+// gates of services, and the flows that changes of topology break. Prints one
+// table in Markdown.
+
+#include <arpa/inet.h>
+#include <malloc.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <fmt/core.h>
+
+#include "LibBalancer/service_gate.h"
+#include "LibBase/hash.h"
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibBase/verify.h"
+#include "LibFlow/balancer_set.h"
+#include "LibFlow/flow_director.h"
+#include "LibFlow/flow_table.h"
+#include "LibFlow/routing_table.h"
+#include "broken_flows.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::TimePoint kNow{1h};
+constexpr std::size_t kFlows = 100'000;
+constexpr std::size_t kRounds = 5;
+constexpr std::size_t kBalancers = 6;
+constexpr std::size_t kServers = 15;
+constexpr base::Endpoint kService{base::Ipv4Address(0x7f300001), 443};
+constexpr std::uint16_t kTunnelPort = 5555;
+
+void PrintRow(std::string_view what, const std::string& value) {
+  fmt::print("| {} | {} |\n", what, value);
+  std::fflush(stdout);
+}
+
+// Nanoseconds of one call: the median of kRounds passes over `count` calls.
+double MedianNanoseconds(std::size_t count,
+                         const std::function<void(std::size_t)>& action) {
+  std::array<double, kRounds> rounds{};
+  for (double& round : rounds) {
+    const auto start = base::Clock::now();
+    for (std::size_t call = 0; call < count; ++call)
+      action(call);
+    const std::chrono::duration<double, std::nano> time =
+        base::Clock::now() - start;
+    round = time.count() / static_cast<double>(count);
+  }
+  std::ranges::sort(rounds);
+  return rounds[kRounds / 2];
+}
+
+// One datagram to itself over loopback, sent and received.
+double MeasureDatagram() {
+  constexpr std::size_t kDatagrams = 50'000;
+  const int socket = ::socket(AF_INET, SOCK_DGRAM, 0);
+  VERIFY(socket >= 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  VERIFY(::bind(socket, generic, size) == 0);
+  VERIFY(::getsockname(socket, generic, &size) == 0);
+  VERIFY(::connect(socket, generic, size) == 0);
+  std::array<std::uint8_t, 100> bytes{};
+  const double time = MedianNanoseconds(kDatagrams, [&](std::size_t) {
+    VERIFY(::send(socket, bytes.data(), bytes.size(), 0) > 0);
+    VERIFY(::recv(socket, bytes.data(), bytes.size(), 0) > 0);
+  });
+  ::close(socket);
+  return time;
+}
+
+flow::FlowKey KeyOf(std::uint32_t number) {
+  const auto port = static_cast<std::uint16_t>(number);
+  return {{base::Ipv4Address(0x7f200000 + (number >> 16)), port}, kService};
+}
+
+std::vector<flow::ServiceDefinition> MakeServices(std::size_t services,
+                                                  std::size_t servers) {
+  std::vector<flow::ServiceDefinition> definitions(services);
+  for (std::size_t number = 0; number < services; ++number) {
+    definitions[number].m_id = base::ServiceId(number + 1);
+    definitions[number].m_address = {
+        base::Ipv4Address(static_cast<std::uint32_t>(0x7f300001 + number)),
+        443};
+  }
+  for (std::size_t number = 0; number < servers; ++number) {
+    const auto address = static_cast<std::uint32_t>(0x7f400000 + number);
+    definitions[number % services].m_servers.push_back(
+        {base::BackendServerId(base::MixBits(number + 1)),
+         {base::Ipv4Address(address), kTunnelPort}});
+  }
+  return definitions;
+}
+
+std::shared_ptr<const flow::RoutingTable> BuildTable(
+    const std::vector<flow::ServiceDefinition>& services,
+    const flow::RoutingTable* previous) {
+  return flow::RoutingTable::Build(base::ConfigurationVersion(1), services,
+                                   previous, kNow, 3s);
+}
+
+std::shared_ptr<const flow::BalancerSet> MakeBalancers(std::size_t count) {
+  std::vector<flow::Balancer> balancers;
+  for (std::uint32_t number = 1; number <= count; ++number)
+    balancers.push_back({base::BalancerId(base::MixBits(number)),
+                         {base::Ipv4Address(0x7f000100 + number), 1}});
+  return std::make_shared<flow::BalancerSet>(balancers.front().m_id, balancers);
+}
+
+// A director among some balancers with kFlows flows that it is home of.
+class Bench {
+ public:
+  explicit Bench(const flow::FlowSettings& settings,
+                 std::size_t balancers = kBalancers)
+      : m_balancers(MakeBalancers(balancers)),
+        m_director(
+            settings,
+            [](const auto&, const flow::ServerOrder& order, std::size_t) {
+              return order[order.size() > 1 ? 1 : 0];
+            },
+            kNow) {
+    m_director.SetRouting(BuildTable(MakeServices(1, kServers), nullptr));
+    m_director.SetBalancers(m_balancers);
+    m_director.SetLease(base::TimePoint::max());
+  }
+
+  // Keys from `first` on that this balancer is, or is not, the home of.
+  std::vector<flow::FlowKey> Keys(std::size_t count, bool is_home) {
+    std::vector<flow::FlowKey> keys;
+    for (; keys.size() < count; ++m_next) {
+      const flow::FlowKey key = KeyOf(m_next);
+      if (m_balancers->IsHome(flow::HashFlow(key)) == is_home)
+        keys.push_back(key);
+    }
+    return keys;
+  }
+
+  base::Ipv4Address Open(const flow::FlowKey& key) {
+    const auto effects = Call(key, flow::CallerPacketKind::kOpening);
+    const auto* forward = std::get_if<flow::ForwardToServer>(&effects[0]);
+    VERIFY(forward != nullptr);
+    const base::Ipv4Address server = forward->m_tunnel.m_address;
+    Answer(key, flow::ServerPacketKind::kAccepted, server);
+    return server;
+  }
+
+  flow::Effects Call(const flow::FlowKey& key,
+                     flow::CallerPacketKind kind,
+                     flow::RelayPurpose purpose = flow::RelayPurpose::kNone) {
+    return m_director.HandleCallerPacket({key, kind, 1, {purpose, 0, {}}, {}},
+                                         kNow);
+  }
+
+  flow::Effects Answer(const flow::FlowKey& key,
+                       flow::ServerPacketKind kind,
+                       base::Ipv4Address server) {
+    return m_director.HandleServerPacket({key, kind, 1, server, {}, true},
+                                         kNow);
+  }
+
+ private:
+  std::shared_ptr<const flow::BalancerSet> m_balancers;
+  flow::FlowDirector m_director;
+  std::uint32_t m_next = 1;
+};
+
+template <typename Wanted>
+void VerifyFirst(const flow::Effects& effects) {
+  VERIFY(!effects.empty() && std::holds_alternative<Wanted>(effects[0]));
+}
+
+void PrintDecision(std::string_view what, double time, double datagram) {
+  PrintRow(what, fmt::format("{:.0f} ns, {:.3f} of a datagram", time,
+                             time / datagram));
+}
+
+void MeasureDecisions() {
+  const double datagram = MeasureDatagram();
+  PrintRow("UDP datagram sent and received on loopback",
+           fmt::format("{:.0f} ns", datagram));
+  const auto data = flow::CallerPacketKind::kData;
+  flow::FlowSettings settings;
+  settings.m_searches_per_second = 1e12;
+  settings.m_maximum_probes = kFlows;
+  Bench bench(settings);
+  const auto known = bench.Keys(kFlows, true);
+  std::vector<base::Ipv4Address> servers;
+  servers.reserve(known.size());
+  for (const flow::FlowKey& key : known)
+    servers.push_back(bench.Open(key));
+  const auto time_all = [&](const std::vector<flow::FlowKey>& keys,
+                            const auto& action) {
+    // A stride that shares no factor with the count defeats the caches.
+    return MedianNanoseconds(keys.size(), [&](std::size_t call) {
+      action(call * 7919 % keys.size());
+    });
+  };
+  PrintDecision("known flow, from the caller",
+                time_all(known,
+                         [&](auto at) {
+                           VerifyFirst<flow::ForwardToServer>(
+                               bench.Call(known[at], data));
+                         }),
+                datagram);
+  PrintDecision(
+      "known flow, from the server",
+      time_all(known,
+               [&](auto at) {
+                 VerifyFirst<flow::DeliverToCaller>(bench.Answer(
+                     known[at], flow::ServerPacketKind::kData, servers[at]));
+               }),
+      datagram);
+  const auto foreign = bench.Keys(kFlows, false);
+  PrintDecision("flow of another home, relayed",
+                time_all(foreign,
+                         [&](auto at) {
+                           VerifyFirst<flow::RelayToBalancer>(
+                               bench.Call(foreign[at], data));
+                         }),
+                datagram);
+  const auto unknown = bench.Keys(kFlows, true);
+  PrintDecision("unknown flow at its home, searched",
+                time_all(unknown,
+                         [&](auto at) {
+                           VerifyFirst<flow::RelayToBalancer>(
+                               bench.Call(unknown[at], data));
+                         }),
+                datagram);
+
+  settings.m_mechanisms.m_probe = false;
+  settings.m_mechanisms.m_relay_to_home = false;
+  Bench stateless(settings);
+  const auto explained = stateless.Keys(kFlows, true);
+  PrintDecision("unknown flow, explained by the hash alone",
+                time_all(explained,
+                         [&](auto at) {
+                           VerifyFirst<flow::ForwardToServer>(
+                               stateless.Call(explained[at], data));
+                         }),
+                datagram);
+}
+
+// One pass only: each packet is the first of its flow.
+void MeasureFirstPackets() {
+  flow::FlowSettings settings;
+  settings.m_maximum_probes = kFlows;
+  Bench bench(settings);
+  for (const flow::FlowKey& key : bench.Keys(kFlows, true))
+    bench.Open(key);
+  const auto time_once = [](const std::vector<flow::FlowKey>& keys,
+                            const auto& action) {
+    const auto start = base::Clock::now();
+    for (const flow::FlowKey& key : keys)
+      action(key);
+    const std::chrono::duration<double, std::nano> time =
+        base::Clock::now() - start;
+    return time.count() / static_cast<double>(keys.size());
+  };
+  constexpr std::size_t kFirstPackets = 10'000;
+  const double datagram = MeasureDatagram();
+  PrintDecision("opening at its home, with the acceptance",
+                time_once(bench.Keys(kFirstPackets, true),
+                          [&](const auto& key) { bench.Open(key); }),
+                datagram);
+  PrintDecision("flow that nobody knows, probed",
+                time_once(bench.Keys(kFirstPackets, true),
+                          [&](const auto& key) {
+                            VerifyFirst<flow::ForwardToServer>(
+                                bench.Call(key, flow::CallerPacketKind::kData,
+                                           flow::RelayPurpose::kNotFound));
+                          }),
+                datagram);
+}
+
+void MeasureStoredFlow() {
+  constexpr std::size_t kTableBytes = std::size_t{48} << 20;
+  constexpr std::uint32_t kInserted = 900'000;
+  flow::FlowTable table(kNow, kTableBytes);
+  const auto bytes_a_flow = [](std::size_t bytes, std::size_t flows) {
+    return static_cast<double>(bytes) / static_cast<double>(flows);
+  };
+  for (std::uint32_t number = 0; number < kInserted; ++number) {
+    const std::size_t bytes = table.allocated_bytes();
+    const std::size_t flows = table.size();
+    const flow::FlowKey key = KeyOf(number);
+    table.Insert(key, flow::HashFlow(key), kNow, [](const auto&) {});
+    if (table.allocated_bytes() == bytes || flows < kFlows)
+      continue;
+    PrintRow(fmt::format("bytes a flow at {} flows", flows),
+             fmt::format("{:.1f} full, {:.1f} just after the doubling",
+                         bytes_a_flow(bytes, flows),
+                         bytes_a_flow(table.allocated_bytes(), table.size())));
+  }
+  PrintRow(fmt::format("bytes a flow at the bound of 48 MiB, {} flows",
+                       table.size()),
+           fmt::format("{:.1f}; {} evicted",
+                       bytes_a_flow(table.allocated_bytes(), table.size()),
+                       table.evictions()));
+}
+
+struct Sample {
+  double m_size;
+  double m_value;
+};
+
+// Least squares over the samples.
+void PrintFit(std::string_view what,
+              const std::vector<Sample>& samples,
+              std::string_view unit) {
+  double size = 0;
+  double value = 0;
+  const auto count = static_cast<double>(samples.size());
+  for (const Sample& sample : samples) {
+    size += sample.m_size / count;
+    value += sample.m_value / count;
+  }
+  double covariance = 0;
+  double variance = 0;
+  for (const Sample& sample : samples) {
+    covariance += (sample.m_size - size) * (sample.m_value - value);
+    variance += (sample.m_size - size) * (sample.m_size - size);
+  }
+  const double slope = covariance / variance;
+  const double constant = value - slope * size;
+  double residual = 0;
+  std::string points;
+  for (const Sample& sample : samples) {
+    const double error = sample.m_value - constant - slope * sample.m_size;
+    residual = std::max(residual, std::abs(error));
+    points += fmt::format("{}: {:.0f}; ", sample.m_size, sample.m_value);
+  }
+  PrintRow(what, fmt::format("{}{:.3g} + {:.4g} n {}, residual {:.3g}", points,
+                             constant, slope, unit, residual));
+}
+
+double AllocatedBytes() {
+  const auto heap = ::mallinfo2();
+  return static_cast<double>(heap.uordblks + heap.hblkhd);
+}
+
+void MeasureRoutingTable() {
+  constexpr std::size_t kServices = 8'900;
+  constexpr std::size_t kAllServers = 75'000;
+  std::vector<Sample> times;
+  std::vector<Sample> bytes;
+  for (const std::size_t share : {10U, 3U, 1U}) {
+    const std::size_t servers = kAllServers / share;
+    const auto services = MakeServices(kServices / share, servers);
+    const auto size = static_cast<double>(servers);
+    const double before = AllocatedBytes();
+    const auto table = BuildTable(services, nullptr);
+    bytes.push_back({size, AllocatedBytes() - before});
+    times.push_back({size, MedianNanoseconds(1, [&](std::size_t) {
+                             BuildTable(services, table.get());
+                           }) / 1e3});
+  }
+  PrintFit("routing table built from the one before, n servers", times, "us");
+  PrintFit("routing table's memory, n servers", bytes, "bytes");
+
+  auto services = MakeServices(kServices, kAllServers);
+  const auto table = BuildTable(services, nullptr);
+  PrintRow("routing table built from nothing, 75,000 servers of 8,900 services",
+           fmt::format("{:.1f} ms", MedianNanoseconds(1, [&](std::size_t) {
+                                      BuildTable(services, nullptr);
+                                    }) / 1e6));
+  for (const std::size_t changed : {1U, 100U, 8'900U}) {
+    auto later = services;
+    for (std::size_t number = 0; number < changed; ++number)
+      later[number].m_servers.pop_back();
+    PrintRow(fmt::format("the same with {} services changed", changed),
+             fmt::format("{:.1f} ms", MedianNanoseconds(1, [&](std::size_t) {
+                                        BuildTable(later, table.get());
+                                      }) / 1e6));
+  }
+}
+
+void MeasureBalancers() {
+  std::vector<Sample> homes;
+  for (const std::size_t count : {6U, 50U, 200U, 1'071U}) {
+    const auto balancers = MakeBalancers(count);
+    std::uint64_t sum = 0;
+    homes.push_back({static_cast<double>(count),
+                     MedianNanoseconds(20'000, [&](std::size_t call) {
+                       sum +=
+                           balancers->HomeOf(base::MixBits(call)).m_id.value();
+                     })});
+    VERIFY(sum != 0);
+  }
+  PrintFit("home of a flow, n balancers", homes, "ns");
+}
+
+balancer::ServiceProfile MakeProfile(std::size_t servers) {
+  balancer::ServiceProfile profile;
+  profile.m_placement =
+      placement::MakePlacementSettings(placement::PlacementPreset::kEvenLoad);
+  for (std::size_t number = 0; number < servers; ++number)
+    profile.m_servers.push_back(
+        {base::BackendServerId(base::MixBits(number + 1)), 1'000'000});
+  return profile;
+}
+
+void MeasureGates() {
+  std::vector<Sample> memory;
+  std::vector<Sample> advances;
+  std::vector<Sample> openings;
+  base::Random random(1);
+  for (const std::size_t servers : {8U, 16U, 32U, 64U}) {
+    const auto profile = MakeProfile(servers);
+    const auto size = static_cast<double>(servers);
+    constexpr std::size_t kGates = 200;
+    std::vector<std::unique_ptr<balancer::ServiceGate>> gates;
+    gates.reserve(kGates);
+    const double before = AllocatedBytes();
+    for (std::size_t number = 0; number < kGates; ++number)
+      gates.push_back(std::make_unique<balancer::ServiceGate>(profile, kNow));
+    memory.push_back({size, (AllocatedBytes() - before) / kGates});
+    advances.push_back({size, MedianNanoseconds(kGates, [&](std::size_t at) {
+                          gates[at]->Advance(kNow, random);
+                        })});
+    const flow::ServiceRouting routing(
+        base::ServiceId(1), MakeServices(1, servers).front().m_servers);
+    openings.push_back({size, MedianNanoseconds(20'000, [&](std::size_t call) {
+                          const auto order =
+                              routing.OrderFor(base::MixBits(call));
+                          const auto* server =
+                              gates[0]->Choose(order, 0, random);
+                          VERIFY(server != nullptr);
+                          gates[0]->Observe({flow::FlowNoteKind::kOpeningSent,
+                                             base::ServiceId(1),
+                                             server->m_id,
+                                             {}},
+                                            kNow);
+                          gates[0]->Observe({flow::FlowNoteKind::kEnded,
+                                             base::ServiceId(1),
+                                             server->m_id,
+                                             {}},
+                                            kNow);
+                        })});
+  }
+  PrintFit("memory of a service's gate, n servers", memory, "bytes");
+  PrintFit("advance of a service's gate, n servers", advances, "ns");
+  PrintFit("opening placed and ended by a gate, n servers", openings, "ns");
+}
+
+void MeasureBrokenFlows() {
+  constexpr std::uint64_t kSeeds = 5;
+  for (const auto& [change, change_name] : benchmark::kTopologyChangeNames) {
+    for (const auto& [contender, name] : benchmark::kContenderNames) {
+      std::string counts;
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed)
+        counts += fmt::format(
+            "{} ", benchmark::CountBrokenFlows(contender, change, seed));
+      PrintRow(fmt::format("broken of {} flows, {}, {}",
+                           benchmark::kFlowsOpened, change_name, name),
+               counts + "(seeds 1 to 5)");
+    }
+  }
+}
+
+}  // namespace
+
+int main() {
+  fmt::print("| what | measured |\n|---|---|\n");
+  MeasureDecisions();
+  MeasureFirstPackets();
+  MeasureStoredFlow();
+  MeasureRoutingTable();
+  MeasureBalancers();
+  MeasureGates();
+  MeasureBrokenFlows();
+  return 0;
+}
