Tests: Make the caller's progress lines cheap

Each progress line copied and sorted the waits of all flows. It has counters only now; the percentiles are in the reports.

--- a/Tests/StandIns/caller.cc
+++ b/Tests/StandIns/caller.cc
@@ -55,18 +55,27 @@
 }
 
 void Caller::AddCounters(JsonLine* line) const {
-  CallerReport report = m_report;
+  AnswerTotals answers = m_report.ClosedAnswers();
   const base::TimePoint now = EventLoop::Now();
   for (const auto& [port, open] : m_flows)
-    report.CountAnswer(open->m_flow, now);
+    answers.Add(open->m_flow, now);
+  const std::chrono::duration<double, std::milli> longest_gap =
+      answers.m_longest_event_gap;
   line->Add("open", m_undecided);
-  report.AddTo(line);
+  m_report.AddCountersTo(line);
+  line->Add("wrong_bytes", answers.m_wrong_bytes)
+      .Add("crossed_answers", answers.m_crossed_answers)
+      .Add("foreign_packets", m_foreign_packets)
+      .Add("feed_events", answers.m_feed_events)
+      .Add("feed_gaps", answers.m_feed_gaps)
+      .Add("feed_longest_gap_ms", longest_gap.count());
 }
 
 JsonLine Caller::ReportLine() const {
   JsonLine line("report");
   line.Add("final", m_stopping && m_undecided == 0);
   AddCounters(&line);
+  m_report.AddWaitsTo(&line);
   return line;
 }
 
@@ -162,9 +171,13 @@
 
 void Caller::HandleDatagram(UdpPort::Bytes datagram) {
   const auto packet = ParsePacket(datagram);
-  if (!packet || packet->m_source != m_options.m_service_address ||
-      packet->m_destination.m_address != m_options.m_address)
+  if (!packet)
     return;
+  if (packet->m_source != m_options.m_service_address ||
+      packet->m_destination.m_address != m_options.m_address) {
+    ++m_foreign_packets;
+    return;
+  }
   const base::TimePoint now = EventLoop::Now();
   const std::uint16_t port = packet->m_destination.m_port;
   const auto found = m_flows.find(port);
@@ -204,7 +217,7 @@
   }
   open.m_timer.RunBy(flow.NextDeadline());
   if (flow.IsGone()) {
-    m_report.CountAnswer(flow, now);
+    m_report.CountClosed(flow, now);
     m_flows.erase(found);
     m_ports.Release(port);
   }
--- a/Tests/StandIns/caller.h
+++ b/Tests/StandIns/caller.h
@@ -119,6 +119,8 @@
   std::uint64_t m_undecided = 0;  // flows without a result, and retries
   base::TimePoint m_end;
   std::uint64_t m_opened = 0;
+  // Packets of another service or to another caller.
+  std::uint64_t m_foreign_packets = 0;
   bool m_stopping = false;
   bool m_final_report_sent = false;
   CallerReport m_report;
--- a/Tests/StandIns/caller_report.cc
+++ b/Tests/StandIns/caller_report.cc
@@ -13,6 +13,16 @@
 
 }  // namespace
 
+void AnswerTotals::Add(const CallerFlow& flow, base::TimePoint now) {
+  const AnswerReader& answer = flow.Answer();
+  m_wrong_bytes += answer.WrongBytes();
+  m_crossed_answers += answer.IsCrossed() ? 1 : 0;
+  m_feed_events += answer.Events();
+  m_feed_gaps += answer.EventGaps();
+  m_longest_event_gap =
+      std::max(m_longest_event_gap, flow.LongestEventGap(now));
+}
+
 std::uint64_t CallerReport::CountOf(FlowResult result) const {
   return m_results.at(static_cast<std::size_t>(result));
 }
@@ -24,7 +34,7 @@
   return broken;
 }
 
-void CallerReport::AddTo(JsonLine* line) const {
+void CallerReport::AddCountersTo(JsonLine* line) const {
   line->Add("flows", m_flows)
       .Add("established", m_established)
       .Add("broken", Broken())
@@ -33,17 +43,13 @@
     if (entry.m_value != FlowResult::kOpen)
       line->Add(entry.m_name, CountOf(entry.m_value));
   }
-  const std::chrono::duration<double, std::milli> longest_gap =
-      m_longest_event_gap;
   line->Add("refused_openings", m_refused_openings)
       .Add("retries", m_retries)
-      .Add("skipped_openings", m_skipped)
-      .Add("wrong_bytes", m_wrong_bytes)
-      .Add("crossed_answers", m_crossed_answers)
-      .Add("feed_events", m_feed_events)
-      .Add("feed_gaps", m_feed_gaps)
-      .Add("feed_longest_gap_ms", longest_gap.count())
-      .Add("wait_p50_ms", WaitPercentileMs(kMedian))
+      .Add("skipped_openings", m_skipped);
+}
+
+void CallerReport::AddWaitsTo(JsonLine* line) const {
+  line->Add("wait_p50_ms", WaitPercentileMs(kMedian))
       .Add("wait_p99_ms", WaitPercentileMs(kHighPercentile));
 }
 
@@ -81,16 +87,6 @@
   }
 }
 
-void CallerReport::CountAnswer(const CallerFlow& flow, base::TimePoint now) {
-  const AnswerReader& answer = flow.Answer();
-  m_wrong_bytes += answer.WrongBytes();
-  m_crossed_answers += answer.IsCrossed() ? 1 : 0;
-  m_feed_events += answer.Events();
-  m_feed_gaps += answer.EventGaps();
-  m_longest_event_gap =
-      std::max(m_longest_event_gap, flow.LongestEventGap(now));
-}
-
 double CallerReport::WaitPercentileMs(double share) const {
   if (m_waits.empty())
     return 0;
--- a/Tests/StandIns/caller_report.h
+++ b/Tests/StandIns/caller_report.h
@@ -16,12 +16,27 @@
 
 namespace stand_ins {
 
+// What the answers to some flows held.
+struct AnswerTotals {
+  std::uint64_t m_wrong_bytes = 0;
+  std::uint64_t m_crossed_answers = 0;
+  std::uint64_t m_feed_events = 0;
+  std::uint64_t m_feed_gaps = 0;
+  base::Duration m_longest_event_gap{};
+
+  void Add(const CallerFlow& flow, base::TimePoint now);
+};
+
 class CallerReport {
  public:
   // Queries.
   std::uint64_t CountOf(FlowResult result) const;
+  // The totals of the flows whose connections have closed.
+  const AnswerTotals& ClosedAnswers() const { return m_closed_answers; }
   // Adds all counters.
-  void AddTo(JsonLine* line) const;
+  void AddCountersTo(JsonLine* line) const;
+  // Adds the percentiles of the waits; takes time in proportion to the flows.
+  void AddWaitsTo(JsonLine* line) const;
   JsonLine RefusedIdsLine() const;
 
   // Commands.
@@ -36,9 +51,10 @@
   // The result of a flow has been decided. `is_final` is false if the request
   // is tried again.
   void CountResult(const CallerFlow& flow, bool is_final);
-  // The connection of a flow has closed, or the report is made while it is
-  // open; adds what its answer held.
-  void CountAnswer(const CallerFlow& flow, base::TimePoint now);
+  // The connection of a flow has closed.
+  void CountClosed(const CallerFlow& flow, base::TimePoint now) {
+    m_closed_answers.Add(flow, now);
+  }
 
  private:
   static constexpr std::size_t kResults = kFlowResultNames.size();
@@ -52,11 +68,7 @@
   std::uint64_t m_established = 0;
   std::uint64_t m_refused_openings = 0;
   std::array<std::uint64_t, kResults> m_results{};
-  std::uint64_t m_wrong_bytes = 0;
-  std::uint64_t m_crossed_answers = 0;
-  std::uint64_t m_feed_events = 0;
-  std::uint64_t m_feed_gaps = 0;
-  base::Duration m_longest_event_gap{};
+  AnswerTotals m_closed_answers;
   // The time to the answer beyond the service time, of each flow, in
   // microseconds.
   std::vector<std::uint32_t> m_waits;
--- a/Tests/StandIns/command_input.cc
+++ b/Tests/StandIns/command_input.cc
@@ -16,10 +16,13 @@
 }  // namespace
 
 CommandInput::CommandInput(EventLoop* loop, const LineCommands* commands)
-    : m_loop(loop),
-      m_commands(commands),
-      m_input(loop->Context(), ::dup(STDIN_FILENO)) {
-  ReadNext();
+    : m_loop(loop), m_commands(commands), m_input(loop->Context()) {
+  std::error_code error;
+  m_input.assign(::dup(STDIN_FILENO), error);
+  if (error)
+    asio::post(loop->Context(), [loop] { loop->Stop(); });
+  else
+    ReadNext();
 }
 
 void CommandInput::ReadNext() {
