Tests: End the stand-ins when standard input is closed

With descriptor 0 closed, a socket took its place and the process never ended. It exits at once with status 0 now, as it does with /dev/null.

--- a/Tests/StandIns/main.cc
+++ b/Tests/StandIns/main.cc
@@ -1,5 +1,8 @@
 // StandInTraffic: the stand-ins around the balancers, one in each process.
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -8,6 +11,17 @@
 
 #include "StandIns/subcommands.h"
 
+namespace {
+
+// A closed standard input counts as one that has ended; without this the next
+// socket would take its descriptor.
+void EnsureStandardInput() {
+  if (::fcntl(STDIN_FILENO, F_GETFD) == -1)
+    ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   using Subcommand = int (*)(const stand_ins::Arguments&);
   const std::map<std::string, Subcommand> subcommands{
@@ -17,6 +31,7 @@
       {"proxy", &stand_ins::RunProxy},
       {"forwarder", &stand_ins::RunForwarder},
   };
+  EnsureStandardInput();
   std::signal(SIGPIPE, SIG_IGN);
   const stand_ins::Arguments words(argv + 1, argv + argc);
   const auto found =
