LibMembership: Count announcements towards the budget of pushed news

When a whole data centre starts, each member announced itself outside the budget and then pushed news up to a burst of 12,000 bytes. Announcements still always go out, but draw on the budget, and the burst is 6,000 bytes. TestLibMembership: 22 cases pass.

--- a/Libraries/LibMembership/membership_advance.cc
+++ b/Libraries/LibMembership/membership_advance.cc
@@ -263,6 +263,9 @@
     peer::MessageBody body = peer::Heartbeat{};
     if (is_leaving)
       body = peer::Leave{};
+    // An announcement always goes out; news of others waits for the budget.
+    m_push_tokens_bytes -=
+        kPushedMessageBytes + static_cast<double>(RecordBytes(m_self));
     Send(m_table.Find(id)->m_record.m_peer, std::move(body), {m_self}, now);
   }
 }
--- a/Libraries/LibMembership/settings.h
+++ b/Libraries/LibMembership/settings.h
@@ -34,7 +34,7 @@
   std::size_t m_announcement_fanout = 16;
   // Budget of the messages that pass news on at once.
   std::size_t m_push_bytes_per_second = 3'000;
-  std::size_t m_push_burst_bytes = 12'000;
+  std::size_t m_push_burst_bytes = 6'000;
 };
 
 }  // namespace membership
