Tests: Prove declarations at most once and graceful shutdown

The harness gets a fault proxy before each balancer and server, the pause of a balancer past every timeout and the shutdown of several at once.

--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -125,14 +125,22 @@
   return WaitFrom(0, event, deadline, predicate);
 }
 
+JsonLine ChildProcess::WaitForLater(std::size_t line_count,
+                                    const std::string& event,
+                                    std::chrono::milliseconds deadline,
+                                    const Predicate& predicate) {
+  return WaitFrom(line_count, event, deadline, predicate);
+}
+
+std::size_t ChildProcess::LineCount() const {
+  const std::lock_guard lock(m_mutex);
+  return m_lines.size();
+}
+
 JsonLine ChildProcess::Ask(const std::string& line,
                            const std::string& event,
                            std::chrono::milliseconds deadline) {
-  std::size_t first = 0;
-  {
-    const std::lock_guard lock(m_mutex);
-    first = m_lines.size();
-  }
+  const std::size_t first = LineCount();
   SendLine(line);
   return WaitFrom(first, event, deadline, nullptr);
 }
--- a/Tests/Integration/child_process.h
+++ b/Tests/Integration/child_process.h
@@ -36,6 +36,8 @@
   bool IsRunning() const;
   // All lines so far of one event.
   std::vector<JsonLine> Lines(const std::string& event) const;
+  // How many lines were read so far.
+  std::size_t LineCount() const;
 
   // Commands.
   void SendLine(const std::string& line);
@@ -45,6 +47,11 @@
   JsonLine WaitFor(const std::string& event,
                    std::chrono::milliseconds deadline,
                    const Predicate& predicate = nullptr);
+  // The same, among the lines after the first `line_count`.
+  JsonLine WaitForLater(std::size_t line_count,
+                        const std::string& event,
+                        std::chrono::milliseconds deadline,
+                        const Predicate& predicate = nullptr);
   // Sends the line and waits for the next line of `event`.
   JsonLine Ask(const std::string& line,
                const std::string& event,
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -68,6 +68,7 @@
                            const std::vector<std::string>& more) {
   ServiceModel& model = m_document.m_services.at(service);
   ServerModel server;
+  server.m_connections = m_options.m_server_connections;
   std::vector<std::string> arguments = {
       "server",
       "--address",
@@ -92,7 +93,7 @@
   auto process = std::make_unique<ChildProcess>(kStandInTraffic, arguments);
   const JsonLine line = process->WaitFor("listening", kStartDeadline);
   server.m_data_centre = m_options.m_data_centre;
-  server.m_tunnel = Endpoint(line, "tunnel");
+  server.m_tunnel = StartProxy(Endpoint(line, "tunnel"));
   server.m_health = Endpoint(line, "health");
   model.m_servers[name] = server;
   m_servers[name] = std::move(process);
@@ -130,7 +131,28 @@
   ChildProcess& balancer = Balancer(name);
   const JsonLine line = balancer.WaitFor("listening", kStartDeadline);
   balancer.WaitFor("ready", kStartDeadline);
-  m_fabric->Ask("balancer " + name + " " + line.get("traffic", ""), "done");
+  const base::Endpoint traffic = StartProxy(Endpoint(line, "traffic"));
+  m_fabric->Ask("balancer " + name + " " + base::ToString(traffic), "done");
+}
+
+base::Endpoint Deployment::StartProxy(base::Endpoint target) {
+  if (!m_options.m_has_fault_proxies)
+    return target;
+  auto process = std::make_unique<ChildProcess>(
+      kStandInTraffic,
+      std::vector<std::string>{
+          "proxy", "--listen", base::ToString({target.m_address, 0}),
+          "--target", base::ToString(target), "--protocol", "udp", "--seed",
+          std::to_string(m_options.m_seed + m_proxies.size())});
+  const JsonLine line = process->WaitFor("listening", kStartDeadline);
+  m_proxies.push_back(std::move(process));
+  return Endpoint(line, "listen");
+}
+
+void Deployment::SetFault(const std::string& command) {
+  REQUIRE(!m_proxies.empty());
+  for (const auto& proxy : m_proxies)
+    proxy->Ask(command, "done");
 }
 
 void Deployment::AddBalancer(const std::string& name) {
@@ -159,6 +181,45 @@
   return code;
 }
 
+bool Deployment::StopBalancers(const std::vector<std::string>& names,
+                               const std::function<void()>& meanwhile) {
+  std::vector<std::unique_ptr<ChildProcess>> leaving;
+  for (const std::string& name : names) {
+    leaving.push_back(std::move(m_balancers.extract(name).mapped()));
+    leaving.back()->Signal(SIGTERM);
+  }
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    leaving[i]->WaitFor("shutdown_started", kStartDeadline);
+    m_fabric->Ask("remove " + names[i], "done");
+  }
+  if (meanwhile)
+    meanwhile();
+  bool are_clean = true;
+  for (auto& process : leaving) {
+    const int code = process->WaitForExit(kStopDeadline);
+    are_clean = are_clean && code == 0;
+    m_former_balancers.push_back(std::move(process));
+  }
+  return are_clean;
+}
+
+void Deployment::PauseBalancer(const std::string& name) {
+  ChildProcess& paused = Balancer(name);
+  std::map<std::string, std::size_t> lines_before;
+  for (const auto& [other, process] : m_balancers)
+    lines_before[other] = process->LineCount();
+  paused.Signal(SIGSTOP);
+  for (const auto& [other, process] : m_balancers) {
+    if (other == name)
+      continue;
+    process->WaitForLater(
+        lines_before[other], "peer_left", kStartDeadline,
+        [&name](const JsonLine& line) { return line.get("peer", "") == name; });
+  }
+  paused.Signal(SIGCONT);
+  paused.WaitForLater(lines_before[name], "lease_lapsed", kStartDeadline);
+}
+
 std::unique_ptr<ChildProcess> Deployment::StartCaller(
     const std::string& service,
     const CallerOptions& options) {
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -42,6 +43,11 @@
     std::uint64_t m_seed = 1;
     // YAML lines added to each balancer's settings.
     std::string m_settings;
+    // Connection limit of each server, in its options and in the document.
+    int m_server_connections = ServerModel().m_connections;
+    // Puts a fault proxy before each balancer, and before each server that is
+    // added.
+    bool m_has_fault_proxies = false;
   };
 
   Deployment(PlatformControl& platform,
@@ -66,6 +72,15 @@
   void KillBalancer(const std::string& name);
   // SIGTERM: the fabric is told at once; returns the exit code.
   int StopBalancer(const std::string& name);
+  // The same of several at once; `meanwhile` runs while they leave. Whether all
+  // ended with exit code 0.
+  bool StopBalancers(const std::vector<std::string>& names,
+                     const std::function<void()>& meanwhile = nullptr);
+  // SIGSTOP, until every other balancer has noticed, so past every timeout;
+  // then SIGCONT.
+  void PauseBalancer(const std::string& name);
+  // Sends a command, as `loss 0.02`, to the fault proxies.
+  void SetFault(const std::string& command);
   std::unique_ptr<ChildProcess> StartCaller(const std::string& service,
                                             const CallerOptions& options);
 
@@ -95,6 +110,9 @@
  private:
   std::string Address(int block, int number) const;
   std::string WriteSettings(const std::string& name);
+  // Endpoint of a new fault proxy before `target`, or `target` if there are
+  // none. It has the address of `target`, by which balancers know servers.
+  base::Endpoint StartProxy(base::Endpoint target);
 
   PlatformControl& m_platform;
   DocumentModel& m_document;
@@ -107,6 +125,7 @@
   std::string m_fabric_balancers;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_balancers;
+  std::vector<std::unique_ptr<ChildProcess>> m_proxies;
   // Processes that were killed or stopped; their logs are still read.
   std::vector<std::unique_ptr<ChildProcess>> m_former_balancers;
   int m_next_server = 1;
--- a/Tests/Integration/scenario.h
+++ b/Tests/Integration/scenario.h
@@ -27,6 +27,8 @@
     std::uint64_t m_seed = 1;
     std::string m_settings;
     std::vector<std::string> m_server_options;
+    int m_server_connections = ServerModel().m_connections;
+    bool m_has_fault_proxies = false;
   };
 
   // Starts all and waits until the first document is in force everywhere.
--- /dev/null
+++ b/Tests/Integration/test_at_most_once.cc
@@ -0,0 +1,138 @@
+// Promise: a request that is not idempotent runs at most once, and one whose
+// caller was told that it did not run did not run.
+
+#include <doctest/doctest.h>
+
+#include <iostream>
+
+#include "scenario.h"
+
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 61;
+// Of the packets on each hop.
+constexpr const char* kLoss = "loss 0.02";
+
+struct Outcome {
+  integration::JsonLine m_report;
+  std::uint64_t m_refused_for_limit = 0;
+  std::uint64_t m_refused_for_shedding = 0;
+  std::size_t m_executions = 0;
+  std::size_t m_executed_twice = 0;
+  std::size_t m_refused_ids = 0;
+  std::size_t m_refused_but_run = 0;
+};
+
+void AwaitMore(integration::ChildProcess& caller, int count) {
+  const std::size_t line = caller.LineCount();
+  const int before = caller.Ask("report", "report").get("established", 0);
+  caller.WaitForLater(line, "progress", seconds(30), [&](const auto& progress) {
+    return progress.get("established", 0) >= before + count;
+  });
+}
+
+void ShedAt(integration::Deployment& deployment,
+            const std::string& server,
+            const std::string& state) {
+  deployment.Server(server).Ask("shed " + state, "done");
+}
+
+// Compares what the servers ran with what the caller was told.
+Outcome Compare(integration::Scenario& scenario,
+                integration::ChildProcess& caller) {
+  integration::Deployment& deployment = scenario.deployment();
+  Outcome outcome;
+  outcome.m_report = caller.Ask("stop", "report", seconds(30));
+  outcome.m_refused_for_limit = deployment.SumOverServers("refused_limit");
+  outcome.m_refused_for_shedding =
+      deployment.SumOverServers("refused_shedding");
+  const std::map<std::string, int> executions = deployment.Executions();
+  outcome.m_executions = executions.size();
+  for (const auto& [id, count] : executions)
+    outcome.m_executed_twice += count > 1 ? 1 : 0;
+  const auto refused = caller.Ask("refused_ids", "refused_ids");
+  for (const auto& [key, id] : refused.get_child("ids")) {
+    ++outcome.m_refused_ids;
+    outcome.m_refused_but_run += executions.count(id.data());
+  }
+  return outcome;
+}
+
+void CheckAtMostOnce(const std::string& proof, const Outcome& outcome) {
+  integration::PrintFigures(proof, kSeed, outcome.m_report);
+  std::cout << proof << ": refused for the limit "
+            << outcome.m_refused_for_limit << ", for shedding "
+            << outcome.m_refused_for_shedding << ", executions "
+            << outcome.m_executions << ", run twice "
+            << outcome.m_executed_twice << ", refused to the caller "
+            << outcome.m_refused_ids << ", of them run "
+            << outcome.m_refused_but_run << std::endl;
+  CHECK(outcome.m_executions > 500);
+  CHECK(outcome.m_refused_for_shedding > 0);
+  CHECK(outcome.m_executed_twice == 0);
+  CHECK(outcome.m_refused_but_run == 0);
+  CHECK(outcome.m_report.get<int>("wrong_bytes") == 0);
+  CHECK(outcome.m_report.get<int>("crossed_answers") == 0);
+}
+
+}  // namespace
+
+TEST_CASE("declarations run at most once when balancers die and stop") {
+  integration::Scenario scenario(
+      {.m_seed = kSeed, .m_has_fault_proxies = true});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto caller = deployment.StartCaller(
+      integration::kPortal, {.m_kind = "declaration",
+                             .m_openings_per_second = 100,
+                             .m_duration = seconds(120),
+                             .m_service_time_ms = 30,
+                             .m_more = {"--retry-not-run", "3"}});
+  AwaitMore(*caller, 100);
+
+  // Twice: loss, shedding, a death and a pause together.
+  deployment.SetFault(kLoss);
+  ShedAt(deployment, "portal-1", "on");
+  deployment.KillBalancer("entry-1");
+  deployment.PauseBalancer("entry-2");
+  AwaitMore(*caller, 100);
+  ShedAt(deployment, "portal-1", "off");
+  ShedAt(deployment, "portal-2", "on");
+  deployment.KillBalancer("entry-3");
+  deployment.PauseBalancer("entry-2");
+  AwaitMore(*caller, 100);
+
+  CheckAtMostOnce("2 killed, 2 pauses, shedding, loss",
+                  Compare(scenario, *caller));
+}
+
+TEST_CASE("declarations run at most once when all servers are at their limit") {
+  integration::Scenario scenario({.m_portal_servers = 3,
+                                  .m_balancers = 4,
+                                  .m_seed = kSeed,
+                                  .m_server_connections = 4,
+                                  .m_has_fault_proxies = true});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto caller = deployment.StartCaller(
+      integration::kPortal, {.m_kind = "declaration",
+                             .m_openings_per_second = 200,
+                             .m_duration = seconds(120),
+                             .m_service_time_ms = 50,
+                             .m_more = {"--retry-not-run", "3"}});
+  AwaitMore(*caller, 200);
+
+  deployment.SetFault(kLoss);
+  ShedAt(deployment, "portal-1", "on");
+  deployment.KillBalancer("entry-1");
+  AwaitMore(*caller, 200);
+  ShedAt(deployment, "portal-1", "off");
+  ShedAt(deployment, "portal-2", "on");
+  deployment.KillBalancer("entry-2");
+  AwaitMore(*caller, 200);
+
+  const Outcome outcome = Compare(scenario, *caller);
+  CheckAtMostOnce("at the connection limit, 2 killed, shedding, loss", outcome);
+  CHECK(outcome.m_refused_for_limit > 0);
+  CHECK(outcome.m_refused_ids > 0);
+}
--- /dev/null
+++ b/Tests/Integration/test_graceful_shutdown.cc
@@ -0,0 +1,74 @@
+// Promise: a graceful shutdown (SIGTERM) of balancers breaks nothing.
+
+#include <doctest/doctest.h>
+
+#include "scenario.h"
+
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 91;
+
+std::unique_ptr<integration::ChildProcess> StartPulls(
+    integration::Deployment& deployment) {
+  auto pulls =
+      deployment.StartCaller(integration::kPortal, {.m_kind = "pull",
+                                                    .m_openings_per_second = 20,
+                                                    .m_duration = seconds(120),
+                                                    .m_service_time_ms = 50,
+                                                    .m_answer_bytes = 200000});
+  pulls->WaitFor("progress", seconds(30), [](const auto& line) {
+    return line.get("established", 0) >= 20;
+  });
+  return pulls;
+}
+
+void CheckWhole(const std::string& proof, integration::ChildProcess& pulls) {
+  const auto report = pulls.Ask("stop", "report", seconds(30));
+  integration::PrintFigures(proof, kSeed, report);
+  CHECK(report.get<int>("established") > 60);
+  CHECK(report.get<int>("broken") == 0);
+  CHECK(report.get<int>("wrong_bytes") == 0);
+}
+
+}  // namespace
+
+TEST_CASE("pulls live through two shutdowns at once, twice") {
+  integration::Scenario scenario({.m_seed = kSeed});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto pulls = StartPulls(deployment);
+
+  CHECK(deployment.StopBalancers({"entry-1", "entry-2"}));
+  CHECK(deployment.StopBalancers({"entry-3", "entry-4"}));
+
+  CheckWhole("2 of 6, then 2 of 4 shut down", *pulls);
+}
+
+TEST_CASE("pulls live through shutdowns while the platform is out") {
+  integration::Scenario scenario({.m_seed = kSeed});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto pulls = StartPulls(deployment);
+
+  scenario.platform().Post("outage?mode=silent");
+  CHECK(deployment.StopBalancers({"entry-1", "entry-2"}));
+  scenario.platform().Post("outage?mode=refuse");
+  CHECK(deployment.StopBalancers({"entry-3", "entry-4"}));
+
+  CheckWhole("2 of 6, then 2 of 4 shut down in platform outages", *pulls);
+}
+
+TEST_CASE("pulls live through shutdowns while another balancer dies") {
+  integration::Scenario scenario({.m_balancers = 8, .m_seed = kSeed});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto pulls = StartPulls(deployment);
+
+  CHECK(deployment.StopBalancers({"entry-1", "entry-2"}, [&deployment] {
+    deployment.KillBalancer("entry-3");
+  }));
+  CHECK(deployment.StopBalancers({"entry-4", "entry-5"}, [&deployment] {
+    deployment.KillBalancer("entry-6");
+  }));
+
+  CheckWhole("twice 2 shut down and 1 killed, of 8", *pulls);
+}
