Coltsfootdale: Believe a server that says it drains

Cause: the balancer asked the load endpoint only, never /health, so a server that drained by itself went on getting openings. Change: /health is asked beside /load; 503 with state draining is a health of its own, believed of any number of servers (unlike unhealthy, which is distrusted of most). Health now comes from /health alone; a failing /load takes a server's reports away, not its health.

--- a/Libraries/LibPlacement/server_load.cc
+++ b/Libraries/LibPlacement/server_load.cc
@@ -156,7 +156,7 @@
   status.m_reported_busy = m_reported_busy;
   status.m_bound = Bound(settings, now);
   status.m_inverse_bound = 1.0 / status.m_bound;
-  status.m_is_draining = m_is_draining;
+  status.m_is_draining = IsDraining();
   const bool is_at_connection_limit =
       m_connection_limit > 0 && EstimatedConnections() >= m_connection_limit;
   status.m_is_refusing = now < m_refusing_until || is_at_connection_limit;
--- a/Libraries/LibPlacement/server_load.h
+++ b/Libraries/LibPlacement/server_load.h
@@ -36,7 +36,10 @@
 
   // Queries.
   const ServerConduct& Conduct() const { return m_conduct; }
-  bool IsDraining() const { return m_is_draining; }
+  // By the configuration, or as the server itself says.
+  bool IsDraining() const {
+    return m_is_draining || m_health == Health::kDraining;
+  }
   Health LastHealth() const { return m_health; }
   std::uint32_t Slots() const { return m_slots; }
   // This balancer's openings less the ends that it saw; may be negative.
--- a/Libraries/LibPlacement/server_state.h
+++ b/Libraries/LibPlacement/server_state.h
@@ -13,11 +13,15 @@
 enum class Health {
   kHealthy,
   kUnhealthy,
+  // The server itself says that it leaves. Unlike kUnhealthy this is believed
+  // of any number of servers.
+  kDraining,
 };
 
-inline constexpr base::EnumTable<Health, 2> kHealthNames{{
+inline constexpr base::EnumTable<Health, 3> kHealthNames{{
     {Health::kHealthy, "healthy"},
     {Health::kUnhealthy, "unhealthy"},
+    {Health::kDraining, "draining"},
 }};
 
 // Whether a server that is added has been serving for long (the balancer is
--- a/Services/Coltsfootdale/load_poller.cc
+++ b/Services/Coltsfootdale/load_poller.cc
@@ -17,6 +17,7 @@
 constexpr auto kTimeout = std::chrono::milliseconds(400);
 constexpr std::size_t kMaximumAnswerBytes = 4096;
 constexpr std::uint16_t kStatusOk = 200;
+constexpr const char* kDrainingState = "draining";
 
 std::optional<placement::LoadReported> ParseReport(const std::string& body) {
   try {
@@ -35,6 +36,34 @@
   }
 }
 
+bool SaysDraining(const std::string& body) {
+  try {
+    std::istringstream stream(body);
+    boost::property_tree::ptree tree;
+    boost::property_tree::read_json(stream, tree);
+    return tree.get("state", "") == kDrainingState;
+  } catch (const boost::property_tree::ptree_error&) {
+    return false;
+  }
+}
+
+placement::Health HealthOf(const base::Outcome<http::Response>& outcome) {
+  if (!outcome)
+    return placement::Health::kUnhealthy;
+  if (outcome.value().m_status == kStatusOk)
+    return placement::Health::kHealthy;
+  return SaysDraining(outcome.value().m_body) ? placement::Health::kDraining
+                                              : placement::Health::kUnhealthy;
+}
+
+http::Request MakeRequest(const PolledServer& server, std::string path) {
+  return {.m_endpoint = server.m_health,
+          .m_path = std::move(path),
+          .m_timeout = kTimeout,
+          .m_connect_timeout = kTimeout,
+          .m_answer_limit_bytes = kMaximumAnswerBytes};
+}
+
 }  // namespace
 
 LoadPoller::LoadPoller(asio::io_context& context, ReportHandler on_report)
@@ -45,33 +74,39 @@
 }
 
 void LoadPoller::Poll() {
-  for (std::size_t i = m_phase; i < m_servers.size(); i += kPhases)
-    Ask(m_servers[i]);
+  for (std::size_t i = m_phase; i < m_servers.size(); i += kPhases) {
+    AskHealth(m_servers[i]);
+    AskLoad(m_servers[i]);
+  }
   m_phase = (m_phase + 1) % kPhases;
 }
 
-void LoadPoller::Ask(const PolledServer& server) {
+void LoadPoller::AskHealth(const PolledServer& server) {
+  m_client.Send(
+      MakeRequest(server, "/health"),
+      [this, server](const auto& outcome) { TakeHealth(server, outcome); });
+}
+
+void LoadPoller::AskLoad(const PolledServer& server) {
   const base::TimePoint asked_at = base::Clock::now();
-  m_client.Send({.m_endpoint = server.m_health,
-                 .m_path = "/load",
-                 .m_timeout = kTimeout,
-                 .m_connect_timeout = kTimeout,
-                 .m_answer_limit_bytes = kMaximumAnswerBytes},
+  m_client.Send(MakeRequest(server, "/load"),
                 [this, server, asked_at](const auto& outcome) {
-                  Take(server, asked_at, outcome);
+                  TakeLoad(server, asked_at, outcome);
                 });
 }
 
-void LoadPoller::Take(const PolledServer& server,
-                      base::TimePoint asked_at,
-                      const base::Outcome<http::Response>& outcome) {
-  std::optional<placement::LoadReported> report;
-  if (outcome && outcome.value().m_status == kStatusOk)
-    report = ParseReport(outcome.value().m_body);
+void LoadPoller::TakeHealth(const PolledServer& server,
+                            const base::Outcome<http::Response>& outcome) {
   m_on_report(server.m_service,
-              placement::HealthReported{
-                  server.m_server, report ? placement::Health::kHealthy
-                                          : placement::Health::kUnhealthy});
+              placement::HealthReported{server.m_server, HealthOf(outcome)});
+}
+
+void LoadPoller::TakeLoad(const PolledServer& server,
+                          base::TimePoint asked_at,
+                          const base::Outcome<http::Response>& outcome) {
+  if (!outcome || outcome.value().m_status != kStatusOk)
+    return;
+  auto report = ParseReport(outcome.value().m_body);
   if (!report)
     return;
   report->m_server = server.m_server;
--- a/Services/Coltsfootdale/load_poller.h
+++ b/Services/Coltsfootdale/load_poller.h
@@ -1,4 +1,5 @@
-// Asks the backend servers' load endpoints and passes on what they report.
+// Asks the backend servers' health and load endpoints and passes on what they
+// report.
 
 #ifndef SERVICES_COLTSFOOTDALE_LOAD_POLLER_H_
 #define SERVICES_COLTSFOOTDALE_LOAD_POLLER_H_
@@ -35,10 +36,13 @@
   static constexpr std::size_t kPhases = 5;
 
  private:
-  void Ask(const PolledServer& server);
-  void Take(const PolledServer& server,
-            base::TimePoint asked_at,
-            const base::Outcome<http::Response>& outcome);
+  void AskHealth(const PolledServer& server);
+  void AskLoad(const PolledServer& server);
+  void TakeHealth(const PolledServer& server,
+                  const base::Outcome<http::Response>& outcome);
+  void TakeLoad(const PolledServer& server,
+                base::TimePoint asked_at,
+                const base::Outcome<http::Response>& outcome);
 
   http::Client m_client;
   ReportHandler m_on_report;
--- a/Tests/LibPlacement/test_placement_policy.cc
+++ b/Tests/LibPlacement/test_placement_policy.cc
@@ -88,6 +88,17 @@
   CHECK_FALSE(ChooseOnce(fixture, walk));
 }
 
+TEST_CASE("a server that says it drains is not chosen until it is healthy") {
+  LoadViewFixture fixture(2);
+  for (const std::uint64_t number : {0, 1})
+    fixture.Apply(HealthReported{ServerNumber(number), Health::kDraining});
+  CHECK_FALSE(ChooseOnce(fixture, BoundedWalk{}));
+
+  fixture.Apply(HealthReported{ServerNumber(1), Health::kHealthy});
+
+  CHECK(ChooseOnce(fixture, BoundedWalk{}) == ServerNumber(1));
+}
+
 TEST_CASE("nothing is chosen when every server drains") {
   LoadViewFixture fixture(2);
   fixture.Apply(ServerDraining{ServerNumber(0)});
