LibFlow: Let late resets of an earlier flow deny no probe

Cause, as read from the code: a port used again at once has the key of its former flow, and late or duplicated packets of that flow draw resets without ACK from its server. The home took each for a denial by the server that has the new flow; when the other candidates had denied too, the caller got a reset. What was seen: flows ended by such a reset with no byte of answer, mostly some 70 ms after the handshake, time enough for a round of all candidates. Ruled out: wrong bytes and crossed answers (none), silence (each broken flow ended by a reset). Not shown by a packet trace.

Change: such a reset repeats the acknowledgement number of the packet that it answers (RFC 9293 section 3.10.7.1). It denies a probe only if that is the probe's packet, and the reset that starts a probe is no denial yet. The model world of the tests answers with that number too.

TestLibFlow and TestLibBalancer pass.

--- a/Libraries/LibBalancer/packet_classifier.cc
+++ b/Libraries/LibBalancer/packet_classifier.cc
@@ -41,15 +41,19 @@
           .m_kind = CallerKindOf(packet.flags()),
           .m_position = packet.sequence(),
           .m_relay = relay,
-          .m_bytes = packet.bytes()};
+          .m_bytes = packet.bytes(),
+          .m_acknowledged = packet.acknowledgement()};
 }
 
 flow::ServerPacket ClassifyServerPacket(const wire::PacketView& packet,
                                         base::Ipv4Address server,
                                         flow::RelayContext relay) {
+  const flow::ServerPacketKind kind = ServerKindOf(packet);
   return {.m_key = {packet.destination(), packet.source()},
-          .m_kind = ServerKindOf(packet),
-          .m_position = packet.acknowledgement(),
+          .m_kind = kind,
+          .m_position = kind == flow::ServerPacketKind::kNoSuchFlow
+                            ? packet.sequence()
+                            : packet.acknowledgement(),
           .m_server = server,
           .m_relay = relay,
           .m_has_payload = packet.payload_bytes() > 0};
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -184,10 +184,12 @@
   const RoutedServer* server = FindUsableServer(subject, entry.m_server);
   CountUnanswered(entry);
   // While a probe waits, the time it started is what counts.
-  if (entry.m_state != FlowState::kProbing)
+  if (entry.m_state != FlowState::kProbing) {
     entry.m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
-  else if (PendingProbe* probe = m_probes.Find(subject.m_key))
+  } else if (PendingProbe* probe = m_probes.Find(subject.m_key)) {
     probe->m_packet.assign(packet.m_bytes.begin(), packet.m_bytes.end());
+    probe->m_acknowledged = packet.m_acknowledged;
+  }
   entry.m_position = packet.m_position;
   return {ForwardToServer{server->m_tunnel}};
 }
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -170,8 +170,13 @@
   PendingProbe* probe = m_probes.Find(subject.m_key);
   const bool is_probing =
       entry->m_state == FlowState::kProbing && probe != nullptr;
-  if (is_probing)
+  // The reset that starts a probe may be a late one: the server stays a
+  // candidate, after the others.
+  if (is_probing && !is_opened_elsewhere) {
+    if (probe->m_acknowledged != packet.m_position)
+      return {Drop{DropReason::kSwallowedReset}};
     probe->AddDenial(server);
+  }
   if (entry->m_server != server) {
     effects.push_back(Drop{DropReason::kSwallowedReset});
     return effects;
--- a/Libraries/LibFlow/flow_event.h
+++ b/Libraries/LibFlow/flow_event.h
@@ -75,13 +75,18 @@
   RelayContext m_relay;
   // The packet itself, kept by the home while the opening may be repeated.
   std::span<const std::uint8_t> m_bytes;
+  // How far the caller has read the server's byte stream: TCP's
+  // acknowledgement number. A server that does not have the flow repeats it
+  // (RFC 9293 section 3.10.7.1).
+  std::uint32_t m_acknowledged = 0;
 };
 
 struct ServerPacket {
   FlowKey m_key;
   ServerPacketKind m_kind = ServerPacketKind::kData;
   // How far the server has read the caller's byte stream: TCP's
-  // acknowledgement number.
+  // acknowledgement number. Of kNoSuchFlow the sequence number, which is
+  // m_acknowledged of the packet that it answers.
   std::uint32_t m_position = 0;
   base::Ipv4Address m_server;
   RelayContext m_relay;
--- a/Libraries/LibFlow/probe_table.h
+++ b/Libraries/LibFlow/probe_table.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,10 @@
   // has denied the flow: waiting for the caller to repeat it would cost an
   // exponentially growing timeout for each candidate.
   std::vector<std::uint8_t> m_packet;
+  // Its CallerPacket::m_acknowledged; nothing before the first packet is sent.
+  // A reset that does not repeat it answers something else, as a late packet
+  // of an earlier flow with the same key, and denies nothing.
+  std::optional<std::uint32_t> m_acknowledged;
   boost::container::static_vector<base::BackendServerId, kMaximumOrder>
       m_denials;
 
--- a/Tests/LibFlow/flow_world.cc
+++ b/Tests/LibFlow/flow_world.cc
@@ -281,8 +281,10 @@
     connections.erase(packet.m_key);
     kind = ServerPacketKind::kClosing;
   }
-  const ServerPacket answer{
-      packet.m_key, kind, packet.m_position + 1, address, {}};
+  const std::uint32_t position = kind == ServerPacketKind::kNoSuchFlow
+                                     ? packet.m_acknowledged
+                                     : packet.m_position + 1;
+  const ServerPacket answer{packet.m_key, kind, position, address, {}};
   return Run(PickBalancer(), answer, depth + 1);
 }
 
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -175,6 +175,30 @@
   CHECK(drop->m_reason == flow::DropReason::kCrossedAnswer);
 }
 
+TEST_CASE("late resets of an earlier flow deny no probe") {
+  constexpr std::uint32_t kAcknowledged = 500;
+  constexpr std::uint32_t kAcknowledgedEarlier = 100;
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const flow::CallerPacket data{
+      kKey, flow::CallerPacketKind::kData, kPosition, {}, {}, kAcknowledged};
+  const auto first = director.HandleCallerPacket(data, now);
+  const auto candidate = FindEffect<flow::ForwardToServer>(first)->m_tunnel;
+
+  const auto late =
+      director.HandleServerPacket({kKey,
+                                   flow::ServerPacketKind::kNoSuchFlow,
+                                   kAcknowledgedEarlier,
+                                   candidate.m_address,
+                                   {}},
+                                  now);
+  const auto second = director.HandleCallerPacket(data, now);
+
+  CHECK(FindEffect<flow::Drop>(late));
+  CHECK_FALSE(FindEffect<flow::DeliverToCaller>(late));
+  CHECK(FindEffect<flow::ForwardToServer>(second)->m_tunnel == candidate);
+}
+
 TEST_CASE("a denied probe goes on to the next candidate with the same packet") {
   const base::TimePoint now;
   auto director = MakeDirector(now);
