--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -66,6 +66,7 @@
     if (!parsed)
       continue;
     const std::lock_guard lock(m_mutex);
+    m_last_line = line;
     m_lines.push_back(std::move(*parsed));
     m_changed.notify_all();
   }
@@ -104,18 +105,40 @@
   return std::nullopt;
 }
 
-JsonLine ChildProcess::WaitFrom(std::size_t first,
-                                const std::string& event,
-                                std::chrono::milliseconds deadline,
-                                const Predicate& predicate) {
+std::optional<JsonLine> ChildProcess::FindWithinFrom(
+    std::size_t first,
+    const std::string& event,
+    std::chrono::milliseconds deadline,
+    const Predicate& predicate) {
   std::unique_lock lock(m_mutex);
   std::optional<JsonLine> found;
   m_changed.wait_for(lock, deadline, [&] {
     found = FindLine(first, event, predicate);
     return found || m_has_ended;
   });
-  REQUIRE_MESSAGE(found, m_name << " did not report " << event << " within "
-                                << deadline.count() << " ms");
+  return found;
+}
+
+bool ChildProcess::HasEnded() const {
+  const std::lock_guard lock(m_mutex);
+  return m_has_ended;
+}
+
+std::string ChildProcess::LastLine() const {
+  const std::lock_guard lock(m_mutex);
+  return m_last_line;
+}
+
+JsonLine ChildProcess::WaitFrom(std::size_t first,
+                                const std::string& event,
+                                std::chrono::milliseconds deadline,
+                                const Predicate& predicate) {
+  const auto found = FindWithinFrom(first, event, deadline, predicate);
+  REQUIRE_MESSAGE(found, m_name
+                             << " did not report " << event << " within "
+                             << deadline.count() << " ms"
+                             << std::string(HasEnded() ? "; it has ended" : "")
+                             << "; last line: " << LastLine());
   return *found;
 }
 
@@ -125,6 +148,13 @@
   return WaitFrom(0, event, deadline, predicate);
 }
 
+std::optional<JsonLine> ChildProcess::FindWithin(
+    const std::string& event,
+    std::chrono::milliseconds deadline,
+    const Predicate& predicate) {
+  return FindWithinFrom(0, event, deadline, predicate);
+}
+
 JsonLine ChildProcess::Ask(const std::string& line,
                            const std::string& event,
                            std::chrono::milliseconds deadline) {
@@ -138,10 +168,18 @@
 }
 
 int ChildProcess::WaitForExit(std::chrono::milliseconds deadline) {
-  std::error_code error;
-  const bool has_ended = m_handle->m_child.wait_for(deadline, error);
+  // The end of the output is awaited: wait_for of boost::process may sleep
+  // through the end of the child when several threads run.
+  bool has_ended = false;
+  {
+    std::unique_lock lock(m_mutex);
+    has_ended =
+        m_changed.wait_for(lock, deadline, [this] { return m_has_ended; });
+  }
   REQUIRE_MESSAGE(has_ended, m_name << " did not stop within "
                                     << deadline.count() << " ms");
+  std::error_code ignored;
+  m_handle->m_child.wait(ignored);
   return m_handle->m_child.exit_code();
 }
 
--- a/Tests/Integration/child_process.h
+++ b/Tests/Integration/child_process.h
@@ -45,6 +45,10 @@
   JsonLine WaitFor(const std::string& event,
                    std::chrono::milliseconds deadline,
                    const Predicate& predicate = nullptr);
+  // The same, but nothing at the deadline.
+  std::optional<JsonLine> FindWithin(const std::string& event,
+                                     std::chrono::milliseconds deadline,
+                                     const Predicate& predicate = nullptr);
   // Sends the line and waits for the next line of `event`.
   JsonLine Ask(const std::string& line,
                const std::string& event,
@@ -55,10 +59,16 @@
  private:
   struct Handle;
 
+  bool HasEnded() const;
+  std::string LastLine() const;
   void ReadLines();
   std::optional<JsonLine> FindLine(std::size_t first,
                                    const std::string& event,
                                    const Predicate& predicate) const;
+  std::optional<JsonLine> FindWithinFrom(std::size_t first,
+                                         const std::string& event,
+                                         std::chrono::milliseconds deadline,
+                                         const Predicate& predicate);
   JsonLine WaitFrom(std::size_t first,
                     const std::string& event,
                     std::chrono::milliseconds deadline,
@@ -69,6 +79,7 @@
   mutable std::mutex m_mutex;
   std::condition_variable m_changed;
   std::vector<JsonLine> m_lines;
+  std::string m_last_line;
   bool m_has_ended = false;
   std::thread m_reader;
 };
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -100,11 +100,14 @@
 
 std::string Deployment::WriteSettings(const std::string& name) {
   const std::string path = m_folder + "/" + name + ".yaml";
+  const std::string any_port = Address(0, 1) + ":0";
+  const JsonLine& former = m_former_endpoints[name];
   std::ofstream(path) << "data_centre: " << m_options.m_data_centre
-                      << "\nname: " << name << "\ntraffic: " << Address(0, 1)
-                      << ":0\npeer: " << Address(0, 1)
-                      << ":0\nadmin: " << Address(0, 1)
-                      << ":0\ngateway: " << m_fabric_balancers
+                      << "\nname: " << name
+                      << "\ntraffic: " << former.get("traffic", any_port)
+                      << "\npeer: " << former.get("peer", any_port)
+                      << "\nadmin: " << former.get("admin", any_port)
+                      << "\ngateway: " << m_fabric_balancers
                       << "\nplatform: " << base::ToString(m_platform_endpoint)
                       << "\noperator_token: integration-test-token\n"
                       << m_options.m_settings;
@@ -141,6 +144,8 @@
 
 void Deployment::KillBalancer(const std::string& name) {
   auto node = m_balancers.extract(name);
+  m_former_endpoints[name] =
+      node.mapped()->WaitFor("listening", kStartDeadline);
   node.mapped()->Signal(SIGKILL);
   node.mapped()->WaitForExit(kStartDeadline);
   m_former_balancers.push_back(std::move(node.mapped()));
@@ -149,6 +154,21 @@
   m_fabric->Ask("remove " + name, "done");
 }
 
+void Deployment::RestartBalancer(const std::string& name) {
+  StartBalancer(name);
+  AwaitReady(name);
+}
+
+void Deployment::FreezeBalancer(const std::string& name) {
+  Balancer(name).Signal(SIGSTOP);
+  m_frozen.insert(name);
+}
+
+void Deployment::ThawBalancer(const std::string& name) {
+  Balancer(name).Signal(SIGCONT);
+  m_frozen.erase(name);
+}
+
 int Deployment::StopBalancer(const std::string& name) {
   auto node = m_balancers.extract(name);
   node.mapped()->Signal(SIGTERM);
@@ -199,6 +219,8 @@
                               std::chrono::milliseconds deadline) {
   const auto end = std::chrono::steady_clock::now() + deadline;
   for (const auto& [name, process] : m_balancers) {
+    if (m_frozen.contains(name))
+      continue;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end - std::chrono::steady_clock::now());
     process->WaitFor("configuration_in_force",
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,13 @@
   void AwaitReady(const std::string& name);
   // SIGKILL. The fabric notices as late as a health check would.
   void KillBalancer(const std::string& name);
+  // Starts a killed balancer again without any state at the endpoints it had,
+  // and waits until it serves.
+  void RestartBalancer(const std::string& name);
+  // SIGSTOP: the balancer stands still and packets wait in its sockets.
+  void FreezeBalancer(const std::string& name);
+  // SIGCONT.
+  void ThawBalancer(const std::string& name);
   // SIGTERM: the fabric is told at once; returns the exit code.
   int StopBalancer(const std::string& name);
   std::unique_ptr<ChildProcess> StartCaller(const std::string& service,
@@ -80,7 +88,7 @@
     m_platform_endpoint = endpoint;
   }
 
-  // Waits until every running balancer has `version` or a later one in force.
+  // Waits until every running balancer that is not frozen has `version` or a later one in force.
   void AwaitInForce(std::uint64_t version,
                     std::chrono::milliseconds deadline = kInForceDeadline);
   // Whether each balancer's versions only ever grew.
@@ -109,6 +117,9 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> m_balancers;
   // Processes that were killed or stopped; their logs are still read.
   std::vector<std::unique_ptr<ChildProcess>> m_former_balancers;
+  // The `listening` lines of killed balancers, by name.
+  std::map<std::string, JsonLine> m_former_endpoints;
+  std::set<std::string> m_frozen;
   int m_next_server = 1;
   int m_next_caller = 1;
 };
--- a/Tests/Integration/document_model.cc
+++ b/Tests/Integration/document_model.cc
@@ -6,7 +6,9 @@
 
 std::string DocumentModel::Render(const std::string& submission) const {
   std::ostringstream text;
-  text << "submission: " << submission << "\nservices:\n";
+  if (!submission.empty())
+    text << "submission: " << submission << "\n";
+  text << "services:\n";
   for (const auto& [name, service] : m_services) {
     text << "  - name: " << name
          << "\n    address: " << base::ToString(service.m_address)
--- a/Tests/Integration/document_model.h
+++ b/Tests/Integration/document_model.h
@@ -30,7 +30,7 @@
   // By name.
   std::map<std::string, ServiceModel> m_services;
 
-  // The YAML text, under a submission id of its own.
+  // The YAML text, under a submission id unless that is empty.
   std::string Render(const std::string& submission) const;
 };
 
