LibBalancer: Drop packets that come before the first configuration

A balancer that was killed and started again at its old endpoints ended right after it listened: peers still relayed packets to it, and the director was asked without a routing table (a null pointer).

Ruled out: the pull of the document from a peer (a second balancer started in an outage without traffic served after 2 s).

--- a/Libraries/LibBalancer/traffic_core.cc
+++ b/Libraries/LibBalancer/traffic_core.cc
@@ -64,11 +64,15 @@
 
 flow::Effects TrafficCore::HandleCallerPacket(const flow::CallerPacket& packet,
                                               base::TimePoint now) {
+  if (m_routing == nullptr)
+    return {flow::Drop{flow::DropReason::kUnknownService}};
   return TakeNotes(m_director.HandleCallerPacket(packet, now), now);
 }
 
 flow::Effects TrafficCore::HandleServerPacket(const flow::ServerPacket& packet,
                                               base::TimePoint now) {
+  if (m_routing == nullptr)
+    return {flow::Drop{flow::DropReason::kUnknownService}};
   return TakeNotes(m_director.HandleServerPacket(packet, now), now);
 }
 
--- a/Tests/LibBalancer/test_traffic_core.cc
+++ b/Tests/LibBalancer/test_traffic_core.cc
@@ -89,3 +89,17 @@
   CHECK(refused >= 100 - 4 * kServers * static_cast<int>(kSlots));
   CHECK(refused < 100);
 }
+
+TEST_CASE("packets before the first configuration are dropped") {
+  const base::TimePoint now;
+  balancer::TrafficCore core({}, 1, now);
+  core.SetLease(now + seconds(1));
+  const flow::ServerPacket answer{
+      .m_key = {{base::Ipv4Address(9), 1}, kService}};
+
+  for (const flow::Effects& effects :
+       {Open(core, 1, now), core.HandleServerPacket(answer, now)}) {
+    REQUIRE(effects.size() == 1);
+    CHECK(std::holds_alternative<flow::Drop>(effects[0]));
+  }
+}
