--- a/Libraries/LibConfiguration/settings.h
+++ b/Libraries/LibConfiguration/settings.h
@@ -57,6 +57,7 @@
   bool m_reopen_on_refusal = true;
   bool m_configuration_lease = true;
   bool m_address_hold = true;
+  bool m_pull_from_peers = true;
 };
 
 struct Settings {
--- a/Libraries/LibConfiguration/settings_reader.cc
+++ b/Libraries/LibConfiguration/settings_reader.cc
@@ -54,6 +54,8 @@
       map.BooleanOr("configuration_lease", mechanisms.m_configuration_lease);
   mechanisms.m_address_hold =
       map.BooleanOr("address_hold", mechanisms.m_address_hold);
+  mechanisms.m_pull_from_peers =
+      map.BooleanOr("pull_from_peers", mechanisms.m_pull_from_peers);
   return mechanisms;
 }
 
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -350,7 +350,7 @@
       entry != nullptr
           ? std::optional(entry->m_record.m_peer)
           : m_membership->NewestKnownConfiguration(base::Clock::now()).m_source;
-  if (!source) {
+  if (!source || !m_settings.m_mechanisms.m_pull_from_peers) {
     m_follower->Handle(platform::PeerPullFailed{pull.m_peer});
     return;
   }
