--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -215,9 +215,11 @@
   return names;
 }
 
-void Deployment::AwaitInForce(std::uint64_t version,
-                              std::chrono::milliseconds deadline) {
-  const auto end = std::chrono::steady_clock::now() + deadline;
+std::chrono::milliseconds Deployment::AwaitInForce(
+    std::uint64_t version,
+    std::chrono::milliseconds deadline) {
+  const auto start = std::chrono::steady_clock::now();
+  const auto end = start + deadline;
   for (const auto& [name, process] : m_balancers) {
     if (m_frozen.contains(name))
       continue;
@@ -229,6 +231,8 @@
                        return line.get("version", std::uint64_t{0}) >= version;
                      });
   }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - start);
 }
 
 bool Deployment::AreVersionsMonotonic() const {
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -88,9 +88,11 @@
     m_platform_endpoint = endpoint;
   }
 
-  // Waits until every running balancer that is not frozen has `version` or a later one in force.
-  void AwaitInForce(std::uint64_t version,
-                    std::chrono::milliseconds deadline = kInForceDeadline);
+  // Waits until every running balancer that is not frozen has `version` or a
+  // later one in force; returns how long it waited.
+  std::chrono::milliseconds AwaitInForce(
+      std::uint64_t version,
+      std::chrono::milliseconds deadline = kInForceDeadline);
   // Whether each balancer's versions only ever grew.
   bool AreVersionsMonotonic() const;
   // Sums a counter of the servers' reports.
