--- a/Tests/Integration/child_process.h
+++ b/Tests/Integration/child_process.h
@@ -36,6 +36,8 @@
   bool IsRunning() const;
   // All lines so far of one event.
   std::vector<JsonLine> Lines(const std::string& event) const;
+  // How many lines were read so far.
+  std::size_t LineCount() const;
 
   // Commands.
   void SendLine(const std::string& line);
@@ -45,6 +47,15 @@
   JsonLine WaitFor(const std::string& event,
                    std::chrono::milliseconds deadline,
                    const Predicate& predicate = nullptr);
+  // The same, among the lines after the first `line_count`.
+  JsonLine WaitForLater(std::size_t line_count,
+                        const std::string& event,
+                        std::chrono::milliseconds deadline,
+                        const Predicate& predicate = nullptr);
+  // The same, but nothing at the deadline.
+  std::optional<JsonLine> FindWithin(const std::string& event,
+                                     std::chrono::milliseconds deadline,
+                                     const Predicate& predicate = nullptr);
   // Sends the line and waits for the next line of `event`.
   JsonLine Ask(const std::string& line,
                const std::string& event,
@@ -55,10 +66,16 @@
  private:
   struct Handle;
 
+  bool HasEnded() const;
+  std::string LastLine() const;
   void ReadLines();
   std::optional<JsonLine> FindLine(std::size_t first,
                                    const std::string& event,
                                    const Predicate& predicate) const;
+  std::optional<JsonLine> FindWithinFrom(std::size_t first,
+                                         const std::string& event,
+                                         std::chrono::milliseconds deadline,
+                                         const Predicate& predicate);
   JsonLine WaitFrom(std::size_t first,
                     const std::string& event,
                     std::chrono::milliseconds deadline,
@@ -69,6 +86,7 @@
   mutable std::mutex m_mutex;
   std::condition_variable m_changed;
   std::vector<JsonLine> m_lines;
+  std::string m_last_line;
   bool m_has_ended = false;
   std::thread m_reader;
 };
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -6,8 +6,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,11 @@
     std::uint64_t m_seed = 1;
     // YAML lines added to each balancer's settings.
     std::string m_settings;
+    // Connection limit of each server, in its options and in the document.
+    int m_server_connections = ServerModel().m_connections;
+    // Puts a fault proxy before each balancer, and before each server that is
+    // added.
+    bool m_has_fault_proxies = false;
   };
 
   Deployment(PlatformControl& platform,
@@ -64,8 +71,24 @@
   void AwaitReady(const std::string& name);
   // SIGKILL. The fabric notices as late as a health check would.
   void KillBalancer(const std::string& name);
+  // Starts a killed balancer again without any state at the endpoints it had,
+  // and waits until it serves.
+  void RestartBalancer(const std::string& name);
+  // SIGSTOP: the balancer stands still and packets wait in its sockets.
+  void FreezeBalancer(const std::string& name);
+  // SIGCONT.
+  void ThawBalancer(const std::string& name);
   // SIGTERM: the fabric is told at once; returns the exit code.
   int StopBalancer(const std::string& name);
+  // The same of several at once; `meanwhile` runs while they leave. Whether all
+  // ended with exit code 0.
+  bool StopBalancers(const std::vector<std::string>& names,
+                     const std::function<void()>& meanwhile = nullptr);
+  // SIGSTOP, until every other balancer has noticed, so past every timeout;
+  // then SIGCONT.
+  void PauseBalancer(const std::string& name);
+  // Sends a command, as `loss 0.02`, to the fault proxies.
+  void SetFault(const std::string& command);
   std::unique_ptr<ChildProcess> StartCaller(const std::string& service,
                                             const CallerOptions& options);
 
@@ -80,9 +103,11 @@
     m_platform_endpoint = endpoint;
   }
 
-  // Waits until every running balancer has `version` or a later one in force.
-  void AwaitInForce(std::uint64_t version,
-                    std::chrono::milliseconds deadline = kInForceDeadline);
+  // Waits until every running balancer that is not frozen has `version` or a
+  // later one in force; returns how long it waited.
+  std::chrono::milliseconds AwaitInForce(
+      std::uint64_t version,
+      std::chrono::milliseconds deadline = kInForceDeadline);
   // Whether each balancer's versions only ever grew.
   bool AreVersionsMonotonic() const;
   // Sums a counter of the servers' reports.
@@ -95,6 +120,9 @@
  private:
   std::string Address(int block, int number) const;
   std::string WriteSettings(const std::string& name);
+  // Endpoint of a new fault proxy before `target`, or `target` if there are
+  // none. It has the address of `target`, by which balancers know servers.
+  base::Endpoint StartProxy(base::Endpoint target);
 
   PlatformControl& m_platform;
   DocumentModel& m_document;
@@ -107,8 +135,12 @@
   std::string m_fabric_balancers;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_balancers;
+  std::vector<std::unique_ptr<ChildProcess>> m_proxies;
   // Processes that were killed or stopped; their logs are still read.
   std::vector<std::unique_ptr<ChildProcess>> m_former_balancers;
+  // The `listening` lines of killed balancers, by name.
+  std::map<std::string, JsonLine> m_former_endpoints;
+  std::set<std::string> m_frozen;
   int m_next_server = 1;
   int m_next_caller = 1;
 };
