--- a/Libraries/LibConfiguration/settings.h
+++ b/Libraries/LibConfiguration/settings.h
@@ -32,7 +32,6 @@
 
 // Tunables, under the key "control".
 struct ControlSettings {
-  std::chrono::milliseconds m_heartbeat_interval{250};
   // A balancer that has heard neither a peer nor the platform for this long
   // forwards nothing.
   std::chrono::milliseconds m_lease{2000};
--- a/Libraries/LibConfiguration/settings_reader.cc
+++ b/Libraries/LibConfiguration/settings_reader.cc
@@ -20,9 +20,6 @@
 
 ControlSettings ReadControl(MapReader& map) {
   ControlSettings control;
-  control.m_heartbeat_interval =
-      map.DurationOr("heartbeat_interval_ms", control.m_heartbeat_interval,
-                     kIntervalMilliseconds);
   control.m_lease =
       map.DurationOr("lease_ms", control.m_lease, kIntervalMilliseconds);
   control.m_hold =
@@ -101,9 +98,6 @@
   const ControlSettings& control = settings.m_control;
   if (control.m_hold <= control.m_lease)
     report("control.hold_ms", "the hold must be longer than the lease");
-  if (control.m_lease <= control.m_heartbeat_interval)
-    report("control.lease_ms",
-           "the lease must be longer than the heartbeat interval");
   if (settings.m_peer.m_port != 0 && settings.m_peer == settings.m_traffic)
     report("peer", "peer and traffic are the same address and port");
 }
--- a/Services/Coltsfootdale/balancer_command.cc
+++ b/Services/Coltsfootdale/balancer_command.cc
@@ -2,15 +2,15 @@
 
 #include <boost/program_options.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <variant>
 
 #include "LibConfiguration/settings_reader.h"
 #include "LibObservability/log.h"
 #include "balancer_process.h"
+#include "command_line.h"
 #include "exit_code.h"
+#include "problem_report.h"
 
 namespace service {
 
@@ -30,17 +30,12 @@
 }
 
 int RunWithFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    std::cerr << "cannot read " << path << "\n";
+  const auto text = ReadTextFile(path);
+  if (!text)
     return ToInt(ExitCode::kUsage);
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  const auto reading = configuration::ReadSettings(text.str());
+  const auto reading = configuration::ReadSettings(*text);
   if (const auto* problems = std::get_if<configuration::Problems>(&reading)) {
-    for (const configuration::Problem& problem : *problems)
-      std::cerr << path << ": " << ToString(problem) << "\n";
+    PrintProblems(path, *problems);
     return ToInt(ExitCode::kRefused);
   }
   return RunWithSettings(std::get<configuration::Settings>(reading));
@@ -54,24 +49,16 @@
   description.add_options()("help", "print this text")(
       "settings", options::value<std::string>(),
       "the YAML file with the settings of this process");
-  try {
-    options::variables_map values;
-    options::store(
-        options::command_line_parser(arguments).options(description).run(),
-        values);
-    if (values.count("help") != 0) {
-      std::cout << description;
-      return ToInt(ExitCode::kDone);
-    }
-    if (values.count("settings") == 0) {
-      std::cerr << description;
-      return ToInt(ExitCode::kUsage);
-    }
-    return RunWithFile(values["settings"].as<std::string>());
-  } catch (const options::error& error) {
-    std::cerr << error.what() << "\n" << description;
+  const ParsedArguments parsed = ParseArguments(description, arguments);
+  if (const auto* code = std::get_if<ExitCode>(&parsed))
+    return ToInt(*code);
+  const auto path =
+      TextOption(std::get<options::variables_map>(parsed), "settings");
+  if (!path) {
+    std::cerr << description;
     return ToInt(ExitCode::kUsage);
   }
+  return RunWithFile(*path);
 }
 
 }  // namespace service
