Tests/Integration: Throw a HarnessError in place of REQUIRE

Cause: a program outside of tests is to start the same deployments, and doctest's REQUIRE may only be used inside a test.

Ruled out: a second harness; error values, which each test would have to check, so that a forgotten check would weaken it.

Change: the harness throws HarnessError, a std::runtime_error, with the former messages. ChildProcess gains LastLine and ForgetLines, Deployment the servers' slots.

--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -1,13 +1,15 @@
 #include "child_process.h"
 
-#include <doctest/doctest.h>
 #include <signal.h>
 
 #include <boost/process.hpp>
 #include <boost/property_tree/json_parser.hpp>
 
+#include <algorithm>
 #include <sstream>
 
+#include "harness_error.h"
+
 namespace integration {
 
 namespace {
@@ -42,7 +44,7 @@
       process::exe = program, process::args = arguments,
       process::std_in<m_handle->m_input, process::std_out> m_handle->m_output,
       error);
-  REQUIRE_MESSAGE(!error, program << ": " << error.message());
+  Require(!error, program + ": " + error.message());
   m_reader = std::thread([this] { ReadLines(); });
 }
 
@@ -84,6 +86,21 @@
   return lines;
 }
 
+std::optional<JsonLine> ChildProcess::LastLine(const std::string& event) const {
+  const std::lock_guard lock(m_mutex);
+  const auto last = std::find_if(
+      m_lines.rbegin(), m_lines.rend(),
+      [&](const JsonLine& line) { return line.get("event", "") == event; });
+  if (last == m_lines.rend())
+    return std::nullopt;
+  return *last;
+}
+
+void ChildProcess::ForgetLines() {
+  const std::lock_guard lock(m_mutex);
+  m_lines.clear();
+}
+
 void ChildProcess::SendLine(const std::string& line) {
   m_handle->m_input << line << std::endl;
 }
@@ -114,8 +131,8 @@
     found = FindLine(first, event, predicate);
     return found || m_has_ended;
   });
-  REQUIRE_MESSAGE(found, m_name << " did not report " << event << " within "
-                                << deadline.count() << " ms");
+  Require(found.has_value(), m_name + " did not report " + event + " within " +
+                                 std::to_string(deadline.count()) + " ms");
   return *found;
 }
 
@@ -140,8 +157,8 @@
 int ChildProcess::WaitForExit(std::chrono::milliseconds deadline) {
   std::error_code error;
   const bool has_ended = m_handle->m_child.wait_for(deadline, error);
-  REQUIRE_MESSAGE(has_ended, m_name << " did not stop within "
-                                    << deadline.count() << " ms");
+  Require(has_ended, m_name + " did not stop within " +
+                         std::to_string(deadline.count()) + " ms");
   return m_handle->m_child.exit_code();
 }
 
--- a/Tests/Integration/child_process.h
+++ b/Tests/Integration/child_process.h
@@ -24,7 +24,7 @@
  public:
   using Predicate = std::function<bool(const JsonLine&)>;
 
-  // Starts `program`; fails the test if it cannot be started.
+  // Starts `program`; throws a HarnessError if it cannot be started.
   ChildProcess(const std::string& program,
                const std::vector<std::string>& arguments);
   // Kills the process if it still runs.
@@ -36,12 +36,16 @@
   bool IsRunning() const;
   // All lines so far of one event.
   std::vector<JsonLine> Lines(const std::string& event) const;
+  // The latest line of one event.
+  std::optional<JsonLine> LastLine(const std::string& event) const;
 
   // Commands.
+  // Drops all lines so far, to bound the memory of a long run.
+  void ForgetLines();
   void SendLine(const std::string& line);
   void Signal(int signal);
   // Waits for an event that fulfils `predicate`, among those already read too;
-  // fails the test at the deadline.
+  // throws a HarnessError at the deadline.
   JsonLine WaitFor(const std::string& event,
                    std::chrono::milliseconds deadline,
                    const Predicate& predicate = nullptr);
@@ -49,7 +53,7 @@
   JsonLine Ask(const std::string& line,
                const std::string& event,
                std::chrono::milliseconds deadline = std::chrono::seconds(5));
-  // The exit code; fails the test if the process does not end in time.
+  // The exit code; throws a HarnessError if the process does not end in time.
   int WaitForExit(std::chrono::milliseconds deadline);
 
  private:
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -1,6 +1,5 @@
 #include "deployment.h"
 
-#include <doctest/doctest.h>
 #include <signal.h>
 #include <stdlib.h>
 
@@ -8,6 +7,7 @@
 #include <fstream>
 #include <utility>
 
+#include "harness_error.h"
 #include "programs.h"
 
 namespace integration {
@@ -23,13 +23,13 @@
   std::string pattern =
       (std::filesystem::temp_directory_path() / "coltsfootdale-XXXXXX")
           .string();
-  REQUIRE(mkdtemp(pattern.data()) != nullptr);
+  Require(mkdtemp(pattern.data()) != nullptr, "cannot make " + pattern);
   return pattern;
 }
 
 base::Endpoint Endpoint(const JsonLine& line, const std::string& field) {
   const auto endpoint = base::ParseEndpoint(line.get(field, ""));
-  REQUIRE_MESSAGE(endpoint, "no endpoint in field " << field);
+  Require(endpoint.has_value(), "no endpoint in field " + field);
   return *endpoint;
 }
 
@@ -68,6 +68,7 @@
                            const std::vector<std::string>& more) {
   ServiceModel& model = m_document.m_services.at(service);
   ServerModel server;
+  server.m_slots = m_options.m_server_slots;
   std::vector<std::string> arguments = {
       "server",
       "--address",
@@ -99,7 +100,7 @@
 }
 
 std::string Deployment::WriteSettings(const std::string& name) {
-  const std::string path = m_folder + "/" + name + ".yaml";
+  std::string path = m_folder + "/" + name + ".yaml";
   std::ofstream(path) << "data_centre: " << m_options.m_data_centre
                       << "\nname: " << name << "\ntraffic: " << Address(0, 1)
                       << ":0\npeer: " << Address(0, 1)
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -42,6 +42,8 @@
     std::uint64_t m_seed = 1;
     // YAML lines added to each balancer's settings.
     std::string m_settings;
+    // Of each backend server.
+    int m_server_slots = 3;
   };
 
   Deployment(PlatformControl& platform,
--- a/Tests/Integration/platform_control.cc
+++ b/Tests/Integration/platform_control.cc
@@ -1,7 +1,5 @@
 #include "platform_control.h"
 
-#include <doctest/doctest.h>
-
 #include <asio/io_context.hpp>
 
 #include <chrono>
@@ -10,6 +8,7 @@
 
 #include "LibHttp/client.h"
 #include "child_process.h"
+#include "harness_error.h"
 #include "programs.h"
 
 namespace integration {
@@ -28,7 +27,7 @@
                                    "--seed", "1"})) {
   const JsonLine line = m_process->WaitFor("listening", kStartDeadline);
   const auto endpoint = base::ParseEndpoint(line.get("http", ""));
-  REQUIRE(endpoint);
+  Require(endpoint.has_value(), "the platform names no endpoint");
   m_endpoint = *endpoint;
 }
 
@@ -56,7 +55,7 @@
 
 std::string PlatformControl::Post(const std::string& path) {
   const auto response = Call(http::Method::kPost, "/standin/" + path, {}, "");
-  REQUIRE_MESSAGE(response.m_status == kStatusOk, path);
+  Require(response.m_status == kStatusOk, "the platform refused " + path);
   return response.m_body;
 }
 
--- a/Tests/Integration/platform_control.h
+++ b/Tests/Integration/platform_control.h
@@ -24,7 +24,7 @@
 
   base::Endpoint endpoint() const { return m_endpoint; }
 
-  // "/standin/" + `path`; fails the test unless the answer is 200.
+  // "/standin/" + `path`; throws a HarnessError unless the answer is 200.
   std::string Post(const std::string& path);
   // Writes the configuration document over version `expected`; the new
   // version, or zero if it was refused or the answer was lost.
--- a/Tests/Integration/scenario.cc
+++ b/Tests/Integration/scenario.cc
@@ -1,9 +1,9 @@
 #include "scenario.h"
 
-#include <doctest/doctest.h>
-
 #include <iostream>
 
+#include "harness_error.h"
+
 namespace integration {
 
 Scenario::Scenario(const Options& options)
@@ -33,7 +33,7 @@
 
 std::uint64_t Scenario::Publish(const std::string& submission) {
   m_version = m_platform.PutDocument(m_document.Render(submission), m_version);
-  REQUIRE(m_version > 0);
+  Require(m_version > 0, "the platform refused the document " + submission);
   return m_version;
 }
 
