--- /dev/null
+++ b/Utilities/LocalDeployment/user_deployment.h
@@ -0,0 +1,71 @@
+// All data centres of one user, on a platform of their own, and load on them.
+
+#ifndef UTILITIES_LOCALDEPLOYMENT_USER_DEPLOYMENT_H_
+#define UTILITIES_LOCALDEPLOYMENT_USER_DEPLOYMENT_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "document_model.h"
+#include "load_figures.h"
+#include "platform_control.h"
+#include "user_profile.h"
+
+namespace integration {
+class ChildProcess;
+class Deployment;
+struct CallerOptions;
+}  // namespace integration
+
+namespace local_deployment {
+
+class UserDeployment {
+ public:
+  // Starts all and returns when the configuration is in force everywhere;
+  // throws an integration::HarnessError if that fails.
+  explicit UserDeployment(const UserProfile& profile);
+  ~UserDeployment();
+  UserDeployment(const UserDeployment&) = delete;
+  UserDeployment& operator=(const UserDeployment&) = delete;
+
+  // Queries.
+  const UserProfile& profile() const { return m_profile; }
+  // Admin address of the first balancer of a data centre, IP:PORT.
+  std::string ConsoleOf(std::size_t data_centre);
+
+  // Commands.
+  void StartLoad();
+  // The counts as the callers last reported them, at most a second ago.
+  FlowCounts PollLoad();
+  // Ends openings, waits until every flow is decided, and asks all servers.
+  ClosingFigures StopLoad();
+
+ private:
+  struct LoadCaller {
+    std::unique_ptr<integration::ChildProcess> m_process;
+    FlowCounts m_counts;
+  };
+
+  void AddDataCentre(std::size_t index);
+  void AddServers(integration::Deployment& deployment,
+                  const std::string& data_centre,
+                  const std::string& service,
+                  int count);
+  void StartBalancers(integration::Deployment& deployment,
+                      const std::string& data_centre);
+  void StartCallers(integration::Deployment& deployment);
+  void AddImbalance(integration::Deployment& deployment,
+                    const std::string& data_centre,
+                    ClosingFigures& figures);
+
+  UserProfile m_profile;
+  integration::PlatformControl m_platform;
+  integration::DocumentModel m_document;
+  std::vector<std::unique_ptr<integration::Deployment>> m_deployments;
+  std::vector<LoadCaller> m_callers;
+};
+
+}  // namespace local_deployment
+
+#endif  // UTILITIES_LOCALDEPLOYMENT_USER_DEPLOYMENT_H_
