--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -1,13 +1,15 @@
 #include "child_process.h"
 
-#include <doctest/doctest.h>
 #include <signal.h>
 
 #include <boost/process.hpp>
 #include <boost/property_tree/json_parser.hpp>
 
+#include <algorithm>
 #include <sstream>
 
+#include "harness_error.h"
+
 namespace integration {
 
 namespace {
@@ -42,7 +44,7 @@
       process::exe = program, process::args = arguments,
       process::std_in<m_handle->m_input, process::std_out> m_handle->m_output,
       error);
-  REQUIRE_MESSAGE(!error, program << ": " << error.message());
+  Require(!error, program + ": " + error.message());
   m_reader = std::thread([this] { ReadLines(); });
 }
 
@@ -85,6 +87,21 @@
   return lines;
 }
 
+std::optional<JsonLine> ChildProcess::LastLine(const std::string& event) const {
+  const std::lock_guard lock(m_mutex);
+  const auto last = std::find_if(
+      m_lines.rbegin(), m_lines.rend(),
+      [&](const JsonLine& line) { return line.get("event", "") == event; });
+  if (last == m_lines.rend())
+    return std::nullopt;
+  return *last;
+}
+
+void ChildProcess::ForgetLines() {
+  const std::lock_guard lock(m_mutex);
+  m_lines.clear();
+}
+
 void ChildProcess::SendLine(const std::string& line) {
   m_handle->m_input << line << std::endl;
 }
@@ -134,11 +151,10 @@
                                 std::chrono::milliseconds deadline,
                                 const Predicate& predicate) {
   const auto found = FindWithinFrom(first, event, deadline, predicate);
-  REQUIRE_MESSAGE(found, m_name
-                             << " did not report " << event << " within "
-                             << deadline.count() << " ms"
-                             << std::string(HasEnded() ? "; it has ended" : "")
-                             << "; last line: " << LastLine());
+  Require(found.has_value(), m_name + " did not report " + event + " within " +
+                                 std::to_string(deadline.count()) + " ms" +
+                                 (HasEnded() ? "; it has ended" : "") +
+                                 "; last line: " + LastLine());
   return *found;
 }
 
@@ -184,8 +200,8 @@
     has_ended =
         m_changed.wait_for(lock, deadline, [this] { return m_has_ended; });
   }
-  REQUIRE_MESSAGE(has_ended, m_name << " did not stop within "
-                                    << deadline.count() << " ms");
+  Require(has_ended, m_name + " did not stop within " +
+                         std::to_string(deadline.count()) + " ms");
   std::error_code ignored;
   m_handle->m_child.wait(ignored);
   return m_handle->m_child.exit_code();
