--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -99,7 +99,7 @@
 }
 
 std::string Deployment::WriteSettings(const std::string& name) {
-  const std::string path = m_folder + "/" + name + ".yaml";
+  std::string path = m_folder + "/" + name + ".yaml";
   const std::string any_port = Address(0, 1) + ":0";
   const JsonLine& former = m_former_endpoints[name];
   std::ofstream(path) << "data_centre: " << m_options.m_data_centre
