LibBalancer: Let held-open connections refuse no opening

Ruled out: the connection limit (2000 a server, under 60 held). Change: admission lets the estimate exceed the reported load by a quarter of the slots at most, once any server reports.

--- a/Libraries/LibBalancer/service_gate.cc
+++ b/Libraries/LibBalancer/service_gate.cc
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <variant>
 
 #include <boost/container/static_vector.hpp>
 
@@ -15,6 +16,10 @@
 
 namespace {
 
+// How far the estimated load may exceed the reported one, as a share of the
+// slots, when openings are let in.
+constexpr double kUnreportedShare = 0.25;
+
 const ServerProfile* FindProfile(const std::vector<ServerProfile>& servers,
                                  base::BackendServerId id) {
   const auto found = std::find_if(
@@ -82,8 +87,18 @@
 
 admission::ServiceOccupancy ServiceGate::Occupancy() const {
   const placement::ServiceLoad total = m_load.Total();
-  return {total.m_estimated_busy, static_cast<double>(total.m_slots),
-          total.m_connections};
+  const auto slots = static_cast<double>(total.m_slots);
+  double busy = total.m_estimated_busy;
+  if (m_has_reports) {
+    // Between two reports an open flow counts as a request, which a connection
+    // that is only held open is not. An overload shows in the reports too, so
+    // the estimate may exceed them by a part of the slots only.
+    double reported = 0.0;
+    for (const placement::ServerStatus& server : m_load.Servers())
+      reported += server.m_is_draining ? 0.0 : server.m_reported_busy;
+    busy = std::min(busy, reported + kUnreportedShare * slots);
+  }
+  return {busy, slots, total.m_connections};
 }
 
 bool ServiceGate::IsAdmitted(std::size_t attempt) {
@@ -182,6 +197,8 @@
 
 void ServiceGate::Apply(const placement::LoadEvent& event,
                         base::TimePoint now) {
+  m_has_reports =
+      m_has_reports || std::holds_alternative<placement::LoadReported>(event);
   m_load.Apply(event, now);
 }
 
--- a/Libraries/LibBalancer/service_gate.h
+++ b/Libraries/LibBalancer/service_gate.h
@@ -66,6 +66,8 @@
   admission::AdmissionController m_admission;
   std::vector<ServerProfile> m_servers;
   base::Duration m_wait_bound;
+  // Whether any server has ever reported its load.
+  bool m_has_reports = false;
   ServiceCounts m_counts;
 };
 
--- a/Tests/LibBalancer/test_traffic_core.cc
+++ b/Tests/LibBalancer/test_traffic_core.cc
@@ -103,3 +103,27 @@
     CHECK(std::holds_alternative<flow::Drop>(effects[0]));
   }
 }
+
+TEST_CASE("connections that are held open without work refuse no opening") {
+  const base::TimePoint now;
+  auto core = MakeCore(now);
+  const auto report = [&core](int server, std::uint32_t busy,
+                              base::TimePoint at) {
+    placement::LoadReported reported;
+    reported.m_server = ServerId(server);
+    reported.m_busy = busy;
+    reported.m_slots = kSlots;
+    core->ApplyLoad(base::MakeServiceId("a"), reported, at);
+  };
+  int refused = 0;
+
+  for (std::uint16_t port = 1; port <= 500; ++port) {
+    const base::TimePoint at = now + std::chrono::milliseconds(25 * port);
+    for (int server = 1; server <= kServers; ++server)
+      report(server, 0, at);
+    const auto effects = Open(*core, port, at);
+    refused += std::holds_alternative<flow::RefuseOpening>(effects[0]) ? 1 : 0;
+  }
+
+  CHECK(refused == 0);
+}
