Coltsfootdale: Do not renew a lapsed lease while a newer version is known

A balancer that had stood still and heard a peer again got a new lease at once, although the peer told a newer version: the bound on being behind counted from that moment, not from the lapse, so for up to 1.5 s (until the pull ended) it could forward by a document older than the hold covers.

Ruled out as cover: the hold (3 s, over by then).

--- a/Services/Coltsfootdale/lease_keeper.cc
+++ b/Services/Coltsfootdale/lease_keeper.cc
@@ -16,7 +16,13 @@
                             now - *evidence.m_confirmed_at < EvidenceBound();
   if (evidence.m_is_isolated && !is_confirmed)
     return std::nullopt;
-  return now + RenewalTime();
+  // After a lapse the newer version may be in force elsewhere for longer than
+  // an address is held.
+  const bool has_lapsed = !m_expires || now >= *m_expires;
+  if (evidence.m_is_behind && has_lapsed)
+    return std::nullopt;
+  m_expires = now + RenewalTime();
+  return m_expires;
 }
 
 }  // namespace service
--- a/Services/Coltsfootdale/lease_keeper.h
+++ b/Services/Coltsfootdale/lease_keeper.h
@@ -38,6 +38,8 @@
 
   base::Duration m_lease;
   std::optional<base::TimePoint> m_behind_since;
+  // Until when the lease was renewed last.
+  std::optional<base::TimePoint> m_expires;
 };
 
 }  // namespace service
