--- a/Libraries/LibBalancer/service_gate.h
+++ b/Libraries/LibBalancer/service_gate.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibAdmission/admission_controller.h"
+#include "LibBalancer/service_counts.h"
 #include "LibBalancer/service_profile.h"
 #include "LibBase/random.h"
 #include "LibBase/time.h"
@@ -27,14 +28,18 @@
 
   // Queries.
   const placement::LoadView& load() const { return m_load; }
-  std::uint64_t refused_count() const { return m_refused_count; }
+  const ServiceCounts& counts() const { return m_counts; }
+  // The flows of each server of the latest profile that were opened here, less
+  // the ends that were seen here; zero where more ends were seen.
+  std::vector<placement::OpenCount> OwnOpenFlows() const;
 
   // Commands.
   // Brings the servers into line with a later profile. Settings of placement
   // and admission take effect for openings from then on.
   void Update(const ServiceProfile& profile, base::TimePoint now);
   // The server for an opening, or null to refuse it. `attempt` counts from
-  // zero; an attempt after the first spends the retry budget.
+  // zero; an attempt after the first spends the retry budget if a server is
+  // chosen.
   const flow::RoutedServer* Choose(const flow::ServerOrder& order,
                                    std::size_t attempt,
                                    base::Random& random);
@@ -47,13 +52,21 @@
                  placement::ServerStart start,
                  base::TimePoint now);
   admission::ServiceOccupancy Occupancy() const;
+  void UpdateServer(const ServerProfile& before,
+                    const ServerProfile& server,
+                    base::TimePoint now);
   bool IsAdmitted(std::size_t attempt);
+  bool IsBelowLimit(base::BackendServerId server) const;
+  // The policy's choice among those below their connection limits, or null.
+  const flow::RoutedServer* ChooseBelowLimit(const flow::ServerOrder& order,
+                                             base::Random& random);
 
   placement::LoadView m_load;
   placement::PlacementPolicy m_policy;
   admission::AdmissionController m_admission;
   std::vector<ServerProfile> m_servers;
-  std::uint64_t m_refused_count = 0;
+  base::Duration m_wait_bound;
+  ServiceCounts m_counts;
 };
 
 }  // namespace balancer
--- a/Libraries/LibConfiguration/settings.h
+++ b/Libraries/LibConfiguration/settings.h
@@ -32,7 +32,6 @@
 
 // Tunables, under the key "control".
 struct ControlSettings {
-  std::chrono::milliseconds m_heartbeat_interval{250};
   // A balancer that has heard neither a peer nor the platform for this long
   // forwards nothing.
   std::chrono::milliseconds m_lease{2000};
@@ -57,6 +56,7 @@
   bool m_reopen_on_refusal = true;
   bool m_configuration_lease = true;
   bool m_address_hold = true;
+  bool m_pull_from_peers = true;
 };
 
 struct Settings {
--- a/Libraries/LibMembership/membership_advance.cc
+++ b/Libraries/LibMembership/membership_advance.cc
@@ -236,10 +236,12 @@
     const auto endpoint = m_remote.Pick(data_centre, random);
     if (!is_delegate || !endpoint)
       continue;
-    SendPing(
-        *endpoint,
-        {PendingPing::Contact{true}, *endpoint, now, now + kContactLifetime},
-        {m_self}, now);
+    // These links are dear, so records are exchanged at the first contact only.
+    const bool is_first = !m_remote.HasLearned(*endpoint);
+    SendPing(*endpoint,
+             {PendingPing::Contact{is_first}, *endpoint, now,
+              now + kContactLifetime},
+             is_first ? Records{m_self} : Records{}, now);
   }
 }
 
@@ -261,6 +263,9 @@
     peer::MessageBody body = peer::Heartbeat{};
     if (is_leaving)
       body = peer::Leave{};
+    // An announcement always goes out; news of others waits for the budget.
+    m_push_tokens_bytes -=
+        kPushedMessageBytes + static_cast<double>(RecordBytes(m_self));
     Send(m_table.Find(id)->m_record.m_peer, std::move(body), {m_self}, now);
   }
 }
--- a/Libraries/LibMembership/settings.h
+++ b/Libraries/LibMembership/settings.h
@@ -24,7 +24,7 @@
   // How often a VM of the platform's list that is not a member is pinged.
   base::Duration m_contact_period = std::chrono::milliseconds(500);
   // How often each other data centre is pinged by each delegate.
-  base::Duration m_remote_period = std::chrono::seconds(1);
+  base::Duration m_remote_period = std::chrono::seconds(2);
   // A longer time between two calls of Advance is reported as a pause.
   base::Duration m_pause_threshold = std::chrono::seconds(1);
   // How long a dead member is remembered so that old news can't revive it.
@@ -34,7 +34,7 @@
   std::size_t m_announcement_fanout = 16;
   // Budget of the messages that pass news on at once.
   std::size_t m_push_bytes_per_second = 3'000;
-  std::size_t m_push_burst_bytes = 12'000;
+  std::size_t m_push_burst_bytes = 6'000;
 };
 
 }  // namespace membership
--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -1,13 +1,15 @@
 #include "child_process.h"
 
-#include <doctest/doctest.h>
 #include <signal.h>
 
 #include <boost/process.hpp>
 #include <boost/property_tree/json_parser.hpp>
 
+#include <algorithm>
 #include <sstream>
 
+#include "harness_error.h"
+
 namespace integration {
 
 namespace {
@@ -42,7 +44,7 @@
       process::exe = program, process::args = arguments,
       process::std_in<m_handle->m_input, process::std_out> m_handle->m_output,
       error);
-  REQUIRE_MESSAGE(!error, program << ": " << error.message());
+  Require(!error, program + ": " + error.message());
   m_reader = std::thread([this] { ReadLines(); });
 }
 
@@ -66,6 +68,7 @@
     if (!parsed)
       continue;
     const std::lock_guard lock(m_mutex);
+    m_last_line = line;
     m_lines.push_back(std::move(*parsed));
     m_changed.notify_all();
   }
@@ -84,6 +87,21 @@
   return lines;
 }
 
+std::optional<JsonLine> ChildProcess::LastLine(const std::string& event) const {
+  const std::lock_guard lock(m_mutex);
+  const auto last = std::find_if(
+      m_lines.rbegin(), m_lines.rend(),
+      [&](const JsonLine& line) { return line.get("event", "") == event; });
+  if (last == m_lines.rend())
+    return std::nullopt;
+  return *last;
+}
+
+void ChildProcess::ForgetLines() {
+  const std::lock_guard lock(m_mutex);
+  m_lines.clear();
+}
+
 void ChildProcess::SendLine(const std::string& line) {
   m_handle->m_input << line << std::endl;
 }
@@ -104,18 +122,39 @@
   return std::nullopt;
 }
 
-JsonLine ChildProcess::WaitFrom(std::size_t first,
-                                const std::string& event,
-                                std::chrono::milliseconds deadline,
-                                const Predicate& predicate) {
+std::optional<JsonLine> ChildProcess::FindWithinFrom(
+    std::size_t first,
+    const std::string& event,
+    std::chrono::milliseconds deadline,
+    const Predicate& predicate) {
   std::unique_lock lock(m_mutex);
   std::optional<JsonLine> found;
   m_changed.wait_for(lock, deadline, [&] {
     found = FindLine(first, event, predicate);
     return found || m_has_ended;
   });
-  REQUIRE_MESSAGE(found, m_name << " did not report " << event << " within "
-                                << deadline.count() << " ms");
+  return found;
+}
+
+bool ChildProcess::HasEnded() const {
+  const std::lock_guard lock(m_mutex);
+  return m_has_ended;
+}
+
+std::string ChildProcess::LastLine() const {
+  const std::lock_guard lock(m_mutex);
+  return m_last_line;
+}
+
+JsonLine ChildProcess::WaitFrom(std::size_t first,
+                                const std::string& event,
+                                std::chrono::milliseconds deadline,
+                                const Predicate& predicate) {
+  const auto found = FindWithinFrom(first, event, deadline, predicate);
+  Require(found.has_value(), m_name + " did not report " + event + " within " +
+                                 std::to_string(deadline.count()) + " ms" +
+                                 (HasEnded() ? "; it has ended" : "") +
+                                 "; last line: " + LastLine());
   return *found;
 }
 
@@ -137,6 +176,13 @@
   return m_lines.size();
 }
 
+std::optional<JsonLine> ChildProcess::FindWithin(
+    const std::string& event,
+    std::chrono::milliseconds deadline,
+    const Predicate& predicate) {
+  return FindWithinFrom(0, event, deadline, predicate);
+}
+
 JsonLine ChildProcess::Ask(const std::string& line,
                            const std::string& event,
                            std::chrono::milliseconds deadline) {
@@ -146,10 +192,18 @@
 }
 
 int ChildProcess::WaitForExit(std::chrono::milliseconds deadline) {
-  std::error_code error;
-  const bool has_ended = m_handle->m_child.wait_for(deadline, error);
-  REQUIRE_MESSAGE(has_ended, m_name << " did not stop within "
-                                    << deadline.count() << " ms");
+  // The end of the output is awaited: wait_for of boost::process may sleep
+  // through the end of the child when several threads run.
+  bool has_ended = false;
+  {
+    std::unique_lock lock(m_mutex);
+    has_ended =
+        m_changed.wait_for(lock, deadline, [this] { return m_has_ended; });
+  }
+  Require(has_ended, m_name + " did not stop within " +
+                         std::to_string(deadline.count()) + " ms");
+  std::error_code ignored;
+  m_handle->m_child.wait(ignored);
   return m_handle->m_child.exit_code();
 }
 
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -1,6 +1,5 @@
 #include "deployment.h"
 
-#include <doctest/doctest.h>
 #include <signal.h>
 #include <stdlib.h>
 
@@ -8,6 +7,7 @@
 #include <fstream>
 #include <utility>
 
+#include "harness_error.h"
 #include "programs.h"
 
 namespace integration {
@@ -23,13 +23,13 @@
   std::string pattern =
       (std::filesystem::temp_directory_path() / "coltsfootdale-XXXXXX")
           .string();
-  REQUIRE(mkdtemp(pattern.data()) != nullptr);
+  Require(mkdtemp(pattern.data()) != nullptr, "cannot make " + pattern);
   return pattern;
 }
 
 base::Endpoint Endpoint(const JsonLine& line, const std::string& field) {
   const auto endpoint = base::ParseEndpoint(line.get(field, ""));
-  REQUIRE_MESSAGE(endpoint, "no endpoint in field " << field);
+  Require(endpoint.has_value(), "no endpoint in field " + field);
   return *endpoint;
 }
 
@@ -69,6 +69,7 @@
   ServiceModel& model = m_document.m_services.at(service);
   ServerModel server;
   server.m_connections = m_options.m_server_connections;
+  server.m_slots = m_options.m_server_slots;
   std::vector<std::string> arguments = {
       "server",
       "--address",
@@ -100,12 +101,15 @@
 }
 
 std::string Deployment::WriteSettings(const std::string& name) {
-  const std::string path = m_folder + "/" + name + ".yaml";
+  std::string path = m_folder + "/" + name + ".yaml";
+  const std::string any_port = Address(0, 1) + ":0";
+  const JsonLine& former = m_former_endpoints[name];
   std::ofstream(path) << "data_centre: " << m_options.m_data_centre
-                      << "\nname: " << name << "\ntraffic: " << Address(0, 1)
-                      << ":0\npeer: " << Address(0, 1)
-                      << ":0\nadmin: " << Address(0, 1)
-                      << ":0\ngateway: " << m_fabric_balancers
+                      << "\nname: " << name
+                      << "\ntraffic: " << former.get("traffic", any_port)
+                      << "\npeer: " << former.get("peer", any_port)
+                      << "\nadmin: " << former.get("admin", any_port)
+                      << "\ngateway: " << m_fabric_balancers
                       << "\nplatform: " << base::ToString(m_platform_endpoint)
                       << "\noperator_token: integration-test-token\n"
                       << m_options.m_settings;
@@ -150,7 +154,7 @@
 }
 
 void Deployment::SetFault(const std::string& command) {
-  REQUIRE(!m_proxies.empty());
+  Require(!m_proxies.empty(), "no fault proxies in this deployment");
   for (const auto& proxy : m_proxies)
     proxy->Ask(command, "done");
 }
@@ -163,6 +167,8 @@
 
 void Deployment::KillBalancer(const std::string& name) {
   auto node = m_balancers.extract(name);
+  m_former_endpoints[name] =
+      node.mapped()->WaitFor("listening", kStartDeadline);
   node.mapped()->Signal(SIGKILL);
   node.mapped()->WaitForExit(kStartDeadline);
   m_former_balancers.push_back(std::move(node.mapped()));
@@ -171,6 +177,21 @@
   m_fabric->Ask("remove " + name, "done");
 }
 
+void Deployment::RestartBalancer(const std::string& name) {
+  StartBalancer(name);
+  AwaitReady(name);
+}
+
+void Deployment::FreezeBalancer(const std::string& name) {
+  Balancer(name).Signal(SIGSTOP);
+  m_frozen.insert(name);
+}
+
+void Deployment::ThawBalancer(const std::string& name) {
+  Balancer(name).Signal(SIGCONT);
+  m_frozen.erase(name);
+}
+
 int Deployment::StopBalancer(const std::string& name) {
   auto node = m_balancers.extract(name);
   node.mapped()->Signal(SIGTERM);
@@ -256,10 +277,14 @@
   return names;
 }
 
-void Deployment::AwaitInForce(std::uint64_t version,
-                              std::chrono::milliseconds deadline) {
-  const auto end = std::chrono::steady_clock::now() + deadline;
+std::chrono::milliseconds Deployment::AwaitInForce(
+    std::uint64_t version,
+    std::chrono::milliseconds deadline) {
+  const auto start = std::chrono::steady_clock::now();
+  const auto end = start + deadline;
   for (const auto& [name, process] : m_balancers) {
+    if (m_frozen.contains(name))
+      continue;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end - std::chrono::steady_clock::now());
     process->WaitFor("configuration_in_force",
@@ -268,6 +293,8 @@
                        return line.get("version", std::uint64_t{0}) >= version;
                      });
   }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - start);
 }
 
 bool Deployment::AreVersionsMonotonic() const {
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,8 @@
     // Puts a fault proxy before each balancer, and before each server that is
     // added.
     bool m_has_fault_proxies = false;
+    // Of each backend server.
+    int m_server_slots = 3;
   };
 
   Deployment(PlatformControl& platform,
@@ -70,6 +73,13 @@
   void AwaitReady(const std::string& name);
   // SIGKILL. The fabric notices as late as a health check would.
   void KillBalancer(const std::string& name);
+  // Starts a killed balancer again without any state at the endpoints it had,
+  // and waits until it serves.
+  void RestartBalancer(const std::string& name);
+  // SIGSTOP: the balancer stands still and packets wait in its sockets.
+  void FreezeBalancer(const std::string& name);
+  // SIGCONT.
+  void ThawBalancer(const std::string& name);
   // SIGTERM: the fabric is told at once; returns the exit code.
   int StopBalancer(const std::string& name);
   // The same of several at once; `meanwhile` runs while they leave. Whether all
@@ -95,9 +105,11 @@
     m_platform_endpoint = endpoint;
   }
 
-  // Waits until every running balancer has `version` or a later one in force.
-  void AwaitInForce(std::uint64_t version,
-                    std::chrono::milliseconds deadline = kInForceDeadline);
+  // Waits until every running balancer that is not frozen has `version` or a
+  // later one in force; returns how long it waited.
+  std::chrono::milliseconds AwaitInForce(
+      std::uint64_t version,
+      std::chrono::milliseconds deadline = kInForceDeadline);
   // Whether each balancer's versions only ever grew.
   bool AreVersionsMonotonic() const;
   // Sums a counter of the servers' reports.
@@ -128,6 +140,9 @@
   std::vector<std::unique_ptr<ChildProcess>> m_proxies;
   // Processes that were killed or stopped; their logs are still read.
   std::vector<std::unique_ptr<ChildProcess>> m_former_balancers;
+  // The `listening` lines of killed balancers, by name.
+  std::map<std::string, JsonLine> m_former_endpoints;
+  std::set<std::string> m_frozen;
   int m_next_server = 1;
   int m_next_caller = 1;
 };
