LibFlow: Take only the start of an answer for the caller's wait

Cause: a home sees one answer packet in six, so the first payload it saw of a feed came seconds after the opening and counted as the wait: the concurrency limit fell to its minimum and refused openings at low load, and the burn report showed slow openings. Change: the opening is kept with the start of the server's stream, and only the packet there counts. With it: a late reset after the end of a flow is no broken flow, a probing home learns from an accepted opening, a probe that was given up is begun anew, one counter of direct packets ends a shutdown, and a paused balancer in test_at_most_once is paused past its lease.

--- a/Libraries/LibBalancer/packet_classifier.cc
+++ b/Libraries/LibBalancer/packet_classifier.cc
@@ -56,7 +56,8 @@
                             : packet.acknowledgement(),
           .m_server = server,
           .m_relay = relay,
-          .m_has_payload = packet.payload_bytes() > 0};
+          .m_has_payload = packet.payload_bytes() > 0,
+          .m_server_position = packet.sequence()};
 }
 
 }  // namespace balancer
--- a/Libraries/LibFlow/flow_director.h
+++ b/Libraries/LibFlow/flow_director.h
@@ -104,6 +104,10 @@
   Effects ResendElsewhere(const Subject& subject,
                           FlowEntry& entry,
                           PendingOpening& opening);
+  void NoteFirstAnswer(const ServerPacket& packet,
+                       const Subject& subject,
+                       FlowEntry& entry,
+                       Effects& effects);
   base::BackendServerId IdentifyServer(const ServerPacket& packet,
                                        const ServiceRouting& service) const;
 
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -179,8 +179,11 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(
               m_settings.m_probe_patience)
               .count();
-  if (is_stuck && !AdvanceProbe(subject, entry))
+  // A probe that was given up is begun anew by the next search.
+  if (is_stuck && !AdvanceProbe(subject, entry)) {
+    m_flows.Erase(subject.m_key, subject.m_hash);
     return {Drop{DropReason::kNoServer}};
+  }
   const RoutedServer* server = FindUsableServer(subject, entry.m_server);
   CountUnanswered(entry);
   // While a probe waits, the time it started is what counts.
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -79,6 +79,13 @@
     learned.m_position = packet.m_position;
     return {DeliverToCaller{}};
   }
+  // A candidate of a probe is no knowledge; the server that accepts is.
+  if (entry->m_state == FlowState::kProbing &&
+      server != base::BackendServerId()) {
+    entry->m_server = server;
+    entry->m_state = FlowState::kAccepted;
+    m_probes.Erase(subject.m_key);
+  }
   // A server that was tried earlier and answers late: the caller hears only
   // of the one that the flow is now at.
   if (entry->m_server != server)
@@ -90,11 +97,12 @@
   if (entry->m_state != FlowState::kOpening)
     return effects;
   entry->m_state = FlowState::kAccepted;
-  const PendingOpening* opening = m_openings.Find(subject.m_key);
+  PendingOpening* opening = m_openings.Find(subject.m_key);
   const auto elapsed = opening == nullptr
                            ? base::Duration::zero()
                            : subject.m_now - opening->m_first_sent;
-  m_openings.Erase(subject.m_key);
+  if (opening != nullptr)
+    opening->m_answer_start = packet.m_server_position + 1;
   effects.push_back(FlowNote{FlowNoteKind::kAccepted, subject.m_service.id(),
                              server, elapsed});
   return effects;
@@ -189,9 +197,12 @@
     return effects;
   }
   // No server has the flow: the caller learns it from this reset.
+  // After the end of a flow this only answers a late segment of the caller.
+  const bool is_broken = entry->m_state != FlowState::kClosing;
   NoteEnd(*entry, subject.m_service.id(), effects);
-  effects.push_back(FlowNote{FlowNoteKind::kBroken, subject.m_service.id(),
-                             server, base::Duration::zero()});
+  if (is_broken)
+    effects.push_back(FlowNote{FlowNoteKind::kBroken, subject.m_service.id(),
+                               server, base::Duration::zero()});
   m_probes.Erase(subject.m_key);
   m_flows.Erase(subject.m_key, subject.m_hash);
   effects.push_back(DeliverToCaller{});
@@ -243,8 +254,6 @@
   Effects effects{DeliverToCaller{}};
   if (is_conflict)
     NoteEnd(*entry, subject.m_service.id(), effects);
-  if (entry->m_state == FlowState::kOpening)
-    m_openings.Erase(subject.m_key);
   if (entry->m_state == FlowState::kProbing)
     m_probes.Erase(subject.m_key);
   entry->m_server = server;
@@ -253,14 +262,25 @@
   entry->m_unanswered = 0;
   entry->m_position = packet.m_position;
   entry->m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
-  if (packet.m_has_payload && entry->m_is_counted && !entry->m_is_answered) {
-    entry->m_is_answered = true;
-    effects.push_back(
-        FlowNote{FlowNoteKind::kAnswered, subject.m_service.id(), server,
-                 std::chrono::milliseconds(entry->m_last_seen_ms -
-                                           entry->m_first_seen_ms)});
-  }
+  NoteFirstAnswer(packet, subject, *entry, effects);
   return effects;
 }
 
+// Only the packet that starts the answer tells how long the caller waited; the
+// home sees it or does not, and must not take a later one for it.
+void FlowDirector::NoteFirstAnswer(const ServerPacket& packet,
+                                   const Subject& subject,
+                                   FlowEntry& entry,
+                                   Effects& effects) {
+  if (!packet.m_has_payload || !entry.m_is_counted || entry.m_is_answered)
+    return;
+  entry.m_is_answered = true;
+  const PendingOpening* opening = m_openings.Find(subject.m_key);
+  if (opening != nullptr && opening->m_answer_start == packet.m_server_position)
+    effects.push_back(FlowNote{FlowNoteKind::kAnswered, subject.m_service.id(),
+                               entry.m_server,
+                               subject.m_now - opening->m_first_sent});
+  m_openings.Erase(subject.m_key);
+}
+
 }  // namespace flow
--- a/Libraries/LibFlow/flow_event.h
+++ b/Libraries/LibFlow/flow_event.h
@@ -91,6 +91,8 @@
   base::Ipv4Address m_server;
   RelayContext m_relay;
   bool m_has_payload = false;
+  // Where in the server's byte stream the packet starts: TCP's sequence number.
+  std::uint32_t m_server_position = 0;
 };
 
 }  // namespace flow
--- a/Libraries/LibFlow/opening_table.h
+++ b/Libraries/LibFlow/opening_table.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -24,6 +25,8 @@
 struct PendingOpening {
   base::TimePoint m_first_sent;
   base::TimePoint m_last_sent;
+  // Where the server's byte stream starts, once it has accepted.
+  std::optional<std::uint32_t> m_answer_start;
   boost::container::static_vector<base::BackendServerId, kMaximumAttempts>
       m_tried;
   // The opening as the caller sent it; empty if it was too long to keep.
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -455,11 +455,8 @@
 void BalancerProcess::StopIfQuiet(base::TimePoint now) {
   if (m_phase != ProcessPhase::kLeaving)
     return;
-  const TrafficCounters& counters = m_traffic->counters();
   const std::uint64_t packets =
-      counters.Value(TrafficCounter::kPacketsFromCallers) +
-      counters.Value(TrafficCounter::kPacketsFromServers) -
-      counters.Value(TrafficCounter::kRelaysReceived);
+      m_traffic->counters().Value(TrafficCounter::kPacketsFromFabric);
   if (packets != m_direct_packets) {
     m_direct_packets = packets;
     m_last_direct_packet = now;
--- a/Services/Coltsfootdale/traffic_counters.h
+++ b/Services/Coltsfootdale/traffic_counters.h
@@ -16,6 +16,8 @@
 enum class TrafficCounter : std::uint8_t {
   kPacketsFromCallers,
   kPacketsFromServers,
+  // Packets that came by the fabric and not from a balancer.
+  kPacketsFromFabric,
   kRelaysReceived,
   kRelaysSent,
   kPacketsToServers,
@@ -26,9 +28,10 @@
   kSendFailures,
 };
 
-inline constexpr base::EnumTable<TrafficCounter, 10> kTrafficCounterNames = {{
+inline constexpr base::EnumTable<TrafficCounter, 11> kTrafficCounterNames = {{
     {TrafficCounter::kPacketsFromCallers, "packets_from_callers"},
     {TrafficCounter::kPacketsFromServers, "packets_from_servers"},
+    {TrafficCounter::kPacketsFromFabric, "packets_from_fabric"},
     {TrafficCounter::kRelaysReceived, "relays_received"},
     {TrafficCounter::kRelaysSent, "relays_sent"},
     {TrafficCounter::kPacketsToServers, "packets_to_servers"},
--- a/Services/Coltsfootdale/traffic_loop.cc
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -106,6 +106,7 @@
                                  base::TimePoint now) {
   const bool is_relay = !datagram.empty() && datagram[0] == wire::kRelayMagic;
   if (!is_relay) {
+    m_counters.Add(TrafficCounter::kPacketsFromFabric);
     HandlePacket(datagram, source, {}, now);
     return;
   }
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr auto kStartDeadline = std::chrono::seconds(10);
+constexpr auto kPastLease = std::chrono::milliseconds(2500);
 constexpr auto kStopDeadline = std::chrono::seconds(25);
 constexpr int kServerBlock = 16;
 constexpr int kCallerBlock = 32;
@@ -237,6 +238,9 @@
         lines_before[other], "peer_left", kStartDeadline,
         [&name](const JsonLine& line) { return line.get("peer", "") == name; });
   }
+  // The pause is the fault under test, so its length is given: past the lease
+  // and past the time after which a balancer tells of its own pause.
+  std::this_thread::sleep_for(kPastLease);
   paused.Signal(SIGCONT);
   paused.WaitForLater(lines_before[name], "lease_lapsed", kStartDeadline);
 }
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -224,3 +224,58 @@
 
   CHECK(FindEffect<flow::DeliverToCaller>(last));
 }
+
+TEST_CASE("only the start of an answer tells how long the caller waited") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(40);
+  constexpr std::uint32_t kServerStart = 5000;
+  for (const std::uint32_t offset : {1u, 1401u}) {
+    auto director = MakeDirector(now);
+    const auto effects = director.HandleCallerPacket(Opening(bytes), now);
+    const auto server = FindEffect<flow::ForwardToServer>(effects)->m_tunnel;
+    director.HandleServerPacket({.m_key = kKey,
+                                 .m_kind = flow::ServerPacketKind::kAccepted,
+                                 .m_server = server.m_address,
+                                 .m_server_position = kServerStart},
+                                now);
+
+    const auto answered = director.HandleServerPacket(
+        {.m_key = kKey,
+         .m_kind = flow::ServerPacketKind::kData,
+         .m_position = kPosition + 1,
+         .m_server = server.m_address,
+         .m_has_payload = true,
+         .m_server_position = kServerStart + offset},
+        now + seconds(2));
+
+    const auto* note = FindEffect<flow::FlowNote>(answered);
+    REQUIRE((note != nullptr) == (offset == 1));
+    if (note != nullptr)
+      CHECK(note->m_elapsed == seconds(2));
+  }
+}
+
+TEST_CASE("a late packet after the end of a flow does not count it as broken") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const std::vector<std::uint8_t> bytes(40);
+  const auto effects = director.HandleCallerPacket(Opening(bytes), now);
+  const auto server =
+      FindEffect<flow::ForwardToServer>(effects)->m_tunnel.m_address;
+  director.HandleServerPacket({.m_key = kKey,
+                               .m_kind = flow::ServerPacketKind::kAccepted,
+                               .m_server = server},
+                              now);
+  director.HandleServerPacket({.m_key = kKey,
+                               .m_kind = flow::ServerPacketKind::kAborted,
+                               .m_server = server},
+                              now);
+
+  const auto late = director.HandleServerPacket(
+      {.m_key = kKey,
+       .m_kind = flow::ServerPacketKind::kNoSuchFlow,
+       .m_server = server},
+      now);
+
+  CHECK(FindEffect<flow::FlowNote>(late) == nullptr);
+}
