--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -49,6 +49,8 @@
     // Puts a fault proxy before each balancer, and before each server that is
     // added.
     bool m_has_fault_proxies = false;
+    // Of each backend server.
+    int m_server_slots = 3;
   };
 
   Deployment(PlatformControl& platform,
--- a/Tests/Integration/test_configuration_in_force.cc
+++ b/Tests/Integration/test_configuration_in_force.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <stdlib.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -68,12 +69,30 @@
   std::string m_path;
 };
 
-// Prints one line of figures.
-void PrintInForce(const std::string& proof,
-                  std::uint64_t version,
-                  std::chrono::milliseconds waited) {
+std::chrono::steady_clock::time_point Now() {
+  return std::chrono::steady_clock::now();
+}
+
+// Waits until `version` is in force and prints one line of figures.
+void AwaitAndPrint(const std::string& proof,
+                   Deployment& deployment,
+                   std::uint64_t version,
+                   std::chrono::steady_clock::time_point start) {
+  deployment.AwaitInForce(version);
+  const auto took =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now() - start);
   std::cout << proof << ": seed " << kSeed << ", version " << version
-            << " in force everywhere after " << waited.count() << " ms\n";
+            << " in force everywhere after " << took.count() << " ms\n";
+}
+
+std::uint64_t NewestInForce(Deployment& deployment) {
+  std::uint64_t newest = 0;
+  for (const std::string& name : deployment.BalancerNames()) {
+    for (const auto& line :
+         deployment.Balancer(name).Lines("configuration_in_force"))
+      newest = std::max(newest, line.get<std::uint64_t>("version"));
+  }
+  return newest;
 }
 
 // Waits until the caller has established `count` flows more.
@@ -221,9 +240,9 @@
 
   for (const char* fault : {"slow?ms=0", "slow?ms=300"}) {
     scenario.platform().Post(fault);
+    const auto start = Now();
     const std::uint64_t version = Race(scenario, folder);
-    PrintInForce("two operators raced", version,
-                 scenario.deployment().AwaitInForce(version));
+    AwaitAndPrint("two operators raced", scenario.deployment(), version, start);
     CheckOneSubmission(scenario.deployment(), version);
   }
 
@@ -240,12 +259,13 @@
     platform.Post("lose-answers?count=1");
     const std::uint64_t base = platform.DocumentVersion();
     SetDraining(scenario, "portal-1", is_draining);
+    const auto start = Now();
     Operator submitter(platform, folder.File("lost.yaml"),
                        scenario.document().Render(""), base);
     CHECK(submitter.WaitForExit() == 0);
     CHECK(platform.DocumentVersion() == base + 1);
-    PrintInForce("answer of the write lost", base + 1,
-                 scenario.deployment().AwaitInForce(base + 1));
+    AwaitAndPrint("answer of the write lost", scenario.deployment(), base + 1,
+                  start);
     CheckOneSubmission(scenario.deployment(), base + 1);
   }
 
@@ -260,8 +280,9 @@
     // Late at first; then the reads go back behind what is in force.
     scenario.platform().Post("lag?ms=1000");
     SetDraining(scenario, "portal-1", name == "entry-1");
+    const auto start = Now();
     const std::uint64_t version = scenario.Publish("late");
-    PrintInForce("reads 1 s late", version, deployment.AwaitInForce(version));
+    AwaitAndPrint("reads 1 s late", deployment, version, start);
     scenario.platform().Post("lag?ms=6000");
     deployment.KillBalancer(name);
     deployment.RestartBalancer(name);
@@ -319,9 +340,10 @@
     CHECK(VersionAtReady(far.m_deployment, name) == before);
     AwaitMore(*near.m_caller, 50);
     AwaitMore(*far.m_caller, 50);
+    CHECK(NewestInForce(far.m_deployment) == before);
+    const auto start = Now();
     proxy.Ask("heal", "done");
-    PrintInForce("data centre healed", version,
-                 far.m_deployment.AwaitInForce(version));
+    AwaitAndPrint("data centre healed", far.m_deployment, version, start);
   }
 
   CHECK(near.m_deployment.AreVersionsMonotonic());
