--- a/Libraries/LibConsole/html.cc
+++ b/Libraries/LibConsole/html.cc
@@ -1,43 +1,18 @@
 #include "LibConsole/html.h"
 
+#include "LibBase/escape_markup.h"
+
 namespace console {
 
 namespace {
 
-std::string Escape(std::string_view text) {
-  std::string escaped;
-  escaped.reserve(text.size());
-  for (const char character : text) {
-    switch (character) {
-      case '&':
-        escaped += "&amp;";
-        break;
-      case '<':
-        escaped += "&lt;";
-        break;
-      case '>':
-        escaped += "&gt;";
-        break;
-      case '"':
-        escaped += "&quot;";
-        break;
-      case '\'':
-        escaped += "&#39;";
-        break;
-      default:
-        escaped += character;
-    }
-  }
-  return escaped;
-}
-
 std::string StartTag(std::string_view tag, const Attributes& attributes) {
   std::string markup = "<";
   markup += tag;
   for (const auto& [name, value] : attributes) {
     markup += ' ';
     markup += name;
-    markup += "=\"" + Escape(value) + "\"";
+    markup += "=\"" + base::EscapeMarkup(value) + "\"";
   }
   return markup + ">";
 }
@@ -45,7 +20,7 @@
 }  // namespace
 
 Html Text(std::string_view text) {
-  return Html(Escape(text));
+  return Html(base::EscapeMarkup(text));
 }
 
 Html TrustedMarkup(std::string markup) {
--- a/Libraries/LibObservability/burn_render.cc
+++ b/Libraries/LibObservability/burn_render.cc
@@ -1,5 +1,7 @@
 #include "LibObservability/burn_render.h"
 
+#include "LibBase/escape_markup.h"
+
 #include <algorithm>
 #include <iomanip>
 #include <sstream>
@@ -21,29 +23,6 @@
 constexpr int kPictureWidth = kLabelWidth + kChartWidth + kValueWidth;
 constexpr double kGreatestBurnRate = 20;
 
-std::string EscapeXml(std::string_view text) {
-  std::string escaped;
-  for (const char character : text) {
-    switch (character) {
-      case '&':
-        escaped += "&amp;";
-        break;
-      case '<':
-        escaped += "&lt;";
-        break;
-      case '>':
-        escaped += "&gt;";
-        break;
-      case '"':
-        escaped += "&quot;";
-        break;
-      default:
-        escaped += character;
-    }
-  }
-  return escaped;
-}
-
 std::string FormatRate(double rate) {
   std::ostringstream text;
   text << std::fixed << std::setprecision(rate < 10 ? 2 : 1) << rate;
@@ -69,8 +48,8 @@
 }
 
 void AppendText(std::ostringstream& svg, int x, int y, std::string_view text) {
-  svg << "<text x=\"" << x << "\" y=\"" << y << "\">" << EscapeXml(text)
-      << "</text>";
+  svg << "<text x=\"" << x << "\" y=\"" << y << "\">"
+      << base::EscapeMarkup(text) << "</text>";
 }
 
 void AppendBar(std::ostringstream& svg,
