Coltsfootdale: Leave the fabric while the lease has lapsed

Cause: a balancer whose lease has lapsed drops the packets of callers, yet told the fabric that it was ready. Change: /ready answers 503 then.

--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -68,7 +68,11 @@
   BalancerProcess& operator=(const BalancerProcess&) = delete;
 
   // Queries.
-  bool IsReady() const { return m_phase == ProcessPhase::kServing; }
+  // Whether the fabric should send packets here: not while the lease has
+  // lapsed, when they would be dropped.
+  bool IsReady() const {
+    return m_phase == ProcessPhase::kServing && m_has_lease;
+  }
 
   // Commands.
   // Runs until a graceful shutdown (SIGTERM or SIGINT) has ended.
