LibFlow tests: Send a denied probe's packet on as data in the model world

Cause: the fake around the directors took every resent packet for an opening, so a probe's next candidate accepted the flow instead of denying it and the world's figures for the product were too good to be trusted. Change: a packet resent after a denial is data with the acknowledgement of the packet denied.

--- a/Tests/LibFlow/flow_world.cc
+++ b/Tests/LibFlow/flow_world.cc
@@ -230,12 +230,20 @@
           reply = AtServer(forward.m_tunnel, packet, depth);
       },
       [&](const ResendPacket& resend) {
-        const CallerPacket opening{packet.m_key,
-                                   CallerPacketKind::kOpening,
-                                   packet.m_position,
-                                   {},
-                                   resend.m_bytes};
-        reply = AtServer(resend.m_tunnel, opening, depth);
+        CallerPacket kept{packet.m_key,
+                          CallerPacketKind::kOpening,
+                          packet.m_position,
+                          {},
+                          resend.m_bytes};
+        if constexpr (!kIsFromCaller) {
+          // A denied probe sends on the packet that the denial answers.
+          if (packet.m_kind == ServerPacketKind::kNoSuchFlow) {
+            kept.m_kind = CallerPacketKind::kData;
+            kept.m_position = PositionOf(packet.m_key) + 1;
+            kept.m_acknowledged = packet.m_position;
+          }
+        }
+        reply = AtServer(resend.m_tunnel, kept, depth);
       },
       [&](const RelayToBalancer& relay) {
         ++m_counts.m_relays;
