--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -105,6 +105,7 @@
 void BalancerProcess::OnVms(const std::vector<platform::VmRecord>& vms) {
   m_has_vm_list = true;
   std::vector<membership::VmEntry> entries;
+  entries.reserve(vms.size());
   for (const platform::VmRecord& vm : vms)
     entries.push_back({vm.m_name, vm.m_data_centre,
                        vm.m_state == platform::VmState::kLive
--- a/Tests/LibFlow/flow_world.cc
+++ b/Tests/LibFlow/flow_world.cc
@@ -93,8 +93,8 @@
 }
 
 void FlowWorld::SetServers(std::uint8_t service,
-                           std::vector<std::uint8_t> active,
-                           std::vector<std::uint8_t> draining) {
+                           const std::vector<std::uint8_t>& active,
+                           const std::vector<std::uint8_t>& draining) {
   std::vector<RoutedServer> servers;
   const auto add = [&](std::uint8_t server, RoutedServerState state) {
     const base::Ipv4Address address = ServerAddress(server);
--- a/Tests/LibFlow/flow_world.h
+++ b/Tests/LibFlow/flow_world.h
@@ -62,8 +62,8 @@
   // Replaces the servers of service `service`; a server is a number, active
   // unless it is in `draining`.
   void SetServers(std::uint8_t service,
-                  std::vector<std::uint8_t> active,
-                  std::vector<std::uint8_t> draining = {});
+                  const std::vector<std::uint8_t>& active,
+                  const std::vector<std::uint8_t>& draining = {});
   // The configuration so far; a balancer with an older one is told so later.
   void PublishTo(std::uint64_t balancer);
   void PublishToAll();
--- a/Tests/LibFlow/test_flows_stay_whole.cc
+++ b/Tests/LibFlow/test_flows_stay_whole.cc
@@ -20,6 +20,7 @@
 
 std::vector<std::uint8_t> Servers(std::uint8_t first, std::uint8_t count) {
   std::vector<std::uint8_t> servers;
+  servers.reserve(count);
   for (std::uint8_t i = 0; i < count; ++i)
     servers.push_back(static_cast<std::uint8_t>(first + i));
   return servers;
@@ -27,6 +28,7 @@
 
 std::vector<std::uint64_t> AddBalancers(flow::FlowWorld& world, int count) {
   std::vector<std::uint64_t> balancers;
+  balancers.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i)
     balancers.push_back(world.AddBalancer());
   return balancers;
@@ -36,6 +38,7 @@
                                      std::uint8_t service,
                                      int count) {
   std::vector<flow::FlowKey> flows;
+  flows.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     const auto key = world.Open(service);
     REQUIRE(key);
--- a/Tests/LibFlow/test_routing_table.cc
+++ b/Tests/LibFlow/test_routing_table.cc
@@ -18,7 +18,7 @@
 
 flow::ServiceDefinition MakeService(const char* name,
                                     std::uint8_t address,
-                                    std::vector<std::uint8_t> servers) {
+                                    const std::vector<std::uint8_t>& servers) {
   flow::ServiceDefinition service{
       base::MakeServiceId(name), {base::Ipv4Address(address), 443}, {}};
   for (const std::uint8_t number : servers)
