Coltsfootdale: Renew a lapsed lease by holders or the platform only

Cause: any peer's answer renewed a lapsed lease. Balancers that were suspended together, so that what peers sent them was lost, renewed each other's lease on an old document when they thawed. A majority of the expected peers does not help: four of six that stood still are one. Change: every message tells whether its sender holds its lease (peer protocol version 2). Once a lease has not been renewed for the evidence bound it takes the platform, a holder with the same version, or all expected peers. test_lease_keeper expected a lapsed lease to be renewed without any evidence; it now has to be shown a confirmation. What concerns the configuration moved to balancer_configuration.cc.

--- a/Libraries/LibMembership/member_table.cc
+++ b/Libraries/LibMembership/member_table.cc
@@ -108,6 +108,14 @@
   m_suspects.erase(id);
 }
 
+void MemberTable::TakeAnswer(base::BalancerId id, base::TimePoint sent_at) {
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end())
+    return;
+  auto& latest = found->second.m_answered_ping_sent_at;
+  latest = std::max(latest, std::optional(sent_at));
+}
+
 void MemberTable::SuspectLocally(base::BalancerId id, base::TimePoint now) {
   const auto found = m_entries.find(id);
   if (found == m_entries.end() || IsDead(found->second) ||
--- a/Libraries/LibMembership/member_table.h
+++ b/Libraries/LibMembership/member_table.h
@@ -48,6 +48,8 @@
   void Hear(base::BalancerId id,
             const peer::ConfigurationStatus& configuration,
             base::TimePoint now);
+  // Takes in that the member answered a ping that was sent at `sent_at`.
+  void TakeAnswer(base::BalancerId id, base::TimePoint sent_at);
   // Suspects the member here without a change of its record.
   void SuspectLocally(base::BalancerId id, base::TimePoint now);
   void SetNextSuspectPing(base::BalancerId id, base::TimePoint when);
--- a/Libraries/LibMembership/membership.cc
+++ b/Libraries/LibMembership/membership.cc
@@ -74,6 +74,21 @@
                      [&](const auto& item) { return IsExpected(item.second); });
 }
 
+PeerAnswers Membership::Answers() const {
+  PeerAnswers answers{.m_from_holder = m_holder_ping_sent_at};
+  for (const auto& [id, entry] : m_table.Entries()) {
+    if (!IsExpected(entry))
+      continue;
+    // An absent time is less than any.
+    const auto& answered = entry.m_answered_ping_sent_at;
+    answers.m_from_all = answers.m_are_expected
+                             ? std::min(answers.m_from_all, answered)
+                             : answered;
+    answers.m_are_expected = true;
+  }
+  return answers;
+}
+
 std::optional<std::chrono::milliseconds> Membership::ConfirmationAge(
     base::TimePoint now) const {
   if (!m_confirmed_at)
@@ -122,6 +137,7 @@
   if (version > in_force) {
     in_force = version;
     m_confirmed_at = confirmed_at;
+    m_holder_ping_sent_at.reset();
     // The status in every message tells the version; a pushed message tells
     // it sooner.
     m_fresh_news.push_back(m_self.m_id);
@@ -184,9 +200,9 @@
   // Built in place, which spares moves of the variants within.
   auto& effect = m_effects.emplace_back().emplace<SendMessage>();
   effect.m_to = to;
-  effect.m_message.m_sender = {m_self.m_id, m_self.m_state,
+  effect.m_message.m_sender = {m_self.m_id,          m_self.m_state,
                                m_self.m_incarnation, configuration,
-                               view_digest};
+                               view_digest,          now < m_lease_expires};
   effect.m_message.m_body = std::move(body);
   effect.m_message.m_updates = std::move(records);
 }
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -27,6 +27,7 @@
 #include "LibMembership/member_snapshot.h"
 #include "LibMembership/member_table.h"
 #include "LibMembership/newest_configuration.h"
+#include "LibMembership/peer_answers.h"
 #include "LibMembership/pending_ping.h"
 #include "LibMembership/remote_contacts.h"
 #include "LibMembership/settings.h"
@@ -63,6 +64,7 @@
   // answered a ping that was sent within `bound`. The time of the ping counts,
   // so that answers that waited in a queue prove nothing fresh.
   bool IsIsolated(base::TimePoint now, base::Duration bound) const;
+  PeerAnswers Answers() const;
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
@@ -81,6 +83,8 @@
   // older version is ignored; the same one takes the later confirmation.
   void SetConfiguration(base::ConfigurationVersion version,
                         std::optional<base::TimePoint> confirmed_at);
+  // Tells until when the lease on the version in force runs, for the peers.
+  void SetLease(base::TimePoint expires) { m_lease_expires = expires; }
 
   // Events.
   Effects ReceiveVmList(const std::vector<VmEntry>& list, base::TimePoint now);
@@ -197,6 +201,8 @@
   std::uint32_t m_last_sequence = 0;
   std::vector<base::BalancerId> m_probe_order;
   std::optional<base::TimePoint> m_answered_ping_sent_at;
+  std::optional<base::TimePoint> m_holder_ping_sent_at;
+  std::optional<base::TimePoint> m_lease_expires;
   ViewSync m_sync;
 
   UpdateQueue m_updates;
--- a/Libraries/LibMembership/membership_receive.cc
+++ b/Libraries/LibMembership/membership_receive.cc
@@ -209,14 +209,19 @@
 // how old it is, however long it waited in a queue.
 void Membership::TakeEvidence(const peer::SenderStatus& sender,
                               base::TimePoint sent_at) {
-  if (m_table.Find(sender.m_id))
-    m_answered_ping_sent_at =
-        std::max(m_answered_ping_sent_at, std::optional(sent_at));
   const peer::ConfigurationStatus& status = sender.m_configuration;
-  const bool is_confirmed =
-      status.m_confirmation_age &&
+  const bool has_same_version =
       status.m_version == m_self.m_configuration.m_version &&
       status.m_version != base::ConfigurationVersion();
+  if (m_table.Find(sender.m_id)) {
+    m_table.TakeAnswer(sender.m_id, sent_at);
+    m_answered_ping_sent_at =
+        std::max(m_answered_ping_sent_at, std::optional(sent_at));
+    if (sender.m_holds_lease && has_same_version)
+      m_holder_ping_sent_at =
+          std::max(m_holder_ping_sent_at, std::optional(sent_at));
+  }
+  const bool is_confirmed = status.m_confirmation_age && has_same_version;
   if (is_confirmed)
     m_confirmed_at = std::max(
         m_confirmed_at, std::optional(sent_at - *status.m_confirmation_age));
--- a/Libraries/LibPeer/archive.h
+++ b/Libraries/LibPeer/archive.h
@@ -124,7 +124,12 @@
 void serialize(Archive& archive, SenderStatus& status) {
   archive(status.m_id);
   ArchiveState(archive, status.m_state);
-  archive(status.m_incarnation, status.m_configuration, status.m_view_digest);
+  auto holds_lease = static_cast<std::uint8_t>(status.m_holds_lease);
+  archive(status.m_incarnation, status.m_configuration, status.m_view_digest,
+          holds_lease);
+  if (holds_lease > 1)
+    throw cereal::Exception("a flag is neither 0 nor 1");
+  status.m_holds_lease = holds_lease == 1;
 }
 
 template <typename Archive>
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -15,7 +15,7 @@
 
 constexpr std::uint8_t kMagicFirst = 0xCF;
 constexpr std::uint8_t kMagicSecond = 0x1D;
-constexpr std::uint8_t kProtocolVersion = 1;
+constexpr std::uint8_t kProtocolVersion = 2;
 constexpr std::size_t kVersionPosition = 2;
 constexpr std::size_t kLengthPosition = 3;
 
--- a/Libraries/LibPeer/sender_status.h
+++ b/Libraries/LibPeer/sender_status.h
@@ -20,6 +20,9 @@
   // Digest of the sender's view of its data centre's members. Two members with
   // the same digest need not compare their views.
   std::uint32_t m_view_digest = 0;
+  // Whether the sender may forward by its configuration now: its lease has not
+  // expired. Only such a sender's version may stand for the newest one.
+  bool m_holds_lease = false;
 
   friend bool operator==(const SenderStatus&, const SenderStatus&) = default;
 };
--- /dev/null
+++ b/Services/Coltsfootdale/balancer_configuration.cc
@@ -0,0 +1,91 @@
+// What a balancer does with its configuration: the lease on the version in
+// force, new documents and pulls from peers.
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "LibObservability/log.h"
+#include "LibPeer/document_request.h"
+#include "LibPlatform/configuration_follower.h"
+#include "LibPlatform/follower_driver.h"
+#include "balancer_process.h"
+
+namespace service {
+
+namespace {
+
+using observability::Event;
+using observability::Severity;
+using observability::WriteLog;
+
+}  // namespace
+
+void BalancerProcess::RenewLease(base::TimePoint now) {
+  if (m_configuration->version() == base::ConfigurationVersion())
+    return;
+  m_membership->SetConfiguration(m_configuration->version(),
+                                 m_follower->follower().ConfirmedAt());
+  const auto expires = m_lease.Renew(
+      GatherEvidence(*m_membership, m_lease.EvidenceBound(), now), now);
+  if (expires.has_value() != m_has_lease) {
+    m_has_lease = expires.has_value();
+    const auto newest = m_membership->NewestKnownConfiguration(now).m_version;
+    WriteLog(m_has_lease ? Severity::kInfo : Severity::kWarning,
+             m_has_lease ? Event::kLeaseRegained : Event::kLeaseLapsed,
+             {{"version", m_configuration->version().value()},
+              {"newest_known_version", newest.value()}});
+  }
+  if (!expires)
+    return;
+  m_membership->SetLease(*expires);
+  m_traffic->Post(
+      [until = *expires](balancer::TrafficCore& core, base::TimePoint) {
+        core.SetLease(until);
+      });
+}
+
+void BalancerProcess::OnDocument(base::ConfigurationVersion version,
+                                 const std::string& body) {
+  if (!m_configuration->Adopt(version, body, base::Clock::now()))
+    return;
+  m_load_poller->SetServers(m_configuration->PolledServers());
+  m_burn.SetDocument(m_configuration->document());
+  // Peers hear of the new version at once.
+  m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
+}
+
+void BalancerProcess::TellFollower(base::TimePoint now) {
+  const auto age =
+      m_membership->NewestKnownConfiguration(now).m_confirmation_age;
+  if (!age)
+    return;
+  m_follower->Handle(
+      platform::VersionConfirmed{m_configuration->version(), now - *age});
+}
+
+void BalancerProcess::OnPull(const platform::PullFromPeer& pull) {
+  const membership::MemberEntry* entry =
+      m_membership->Peers().Find(pull.m_peer);
+  const auto source =
+      entry != nullptr
+          ? std::optional(entry->m_record.m_peer)
+          : m_membership->NewestKnownConfiguration(base::Clock::now()).m_source;
+  if (!source || !m_settings.m_mechanisms.m_pull_from_peers) {
+    m_follower->Handle(platform::PeerPullFailed{pull.m_peer});
+    return;
+  }
+  m_document_puller.Pull(
+      *source, MakePeerMessage(peer::DocumentRequest{pull.m_version}),
+      [this, peer = pull.m_peer](std::optional<peer::DocumentReply> reply) {
+        if (!reply || reply->m_version == base::ConfigurationVersion()) {
+          m_follower->Handle(platform::PeerPullFailed{peer});
+          return;
+        }
+        m_follower->Handle(platform::PeerDocument{
+            peer, reply->m_version,
+            std::make_shared<const std::string>(std::move(reply->m_body))});
+      });
+}
+
+}  // namespace service
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -1,4 +1,4 @@
-// What a balancer does with its peers: membership, pulls and load counts.
+// What a balancer does with its peers: membership and load counts.
 
 #include <algorithm>
 #include <chrono>
@@ -10,7 +10,6 @@
 #include "LibFlow/balancer_set.h"
 #include "LibMembership/vm_entry.h"
 #include "LibObservability/log.h"
-#include "LibPeer/document_request.h"
 #include "LibPlatform/configuration_follower.h"
 #include "LibPlatform/follower_driver.h"
 #include "LibPlatform/vm_poller.h"
@@ -93,15 +92,6 @@
       std::nullopt});
 }
 
-void BalancerProcess::TellFollower(base::TimePoint now) {
-  const auto age =
-      m_membership->NewestKnownConfiguration(now).m_confirmation_age;
-  if (!age)
-    return;
-  m_follower->Handle(
-      platform::VersionConfirmed{m_configuration->version(), now - *age});
-}
-
 void BalancerProcess::OnVms(const std::vector<platform::VmRecord>& vms) {
   m_has_vm_list = true;
   std::vector<membership::VmEntry> entries;
@@ -164,28 +154,4 @@
   return message;
 }
 
-void BalancerProcess::OnPull(const platform::PullFromPeer& pull) {
-  const membership::MemberEntry* entry =
-      m_membership->Peers().Find(pull.m_peer);
-  const auto source =
-      entry != nullptr
-          ? std::optional(entry->m_record.m_peer)
-          : m_membership->NewestKnownConfiguration(base::Clock::now()).m_source;
-  if (!source || !m_settings.m_mechanisms.m_pull_from_peers) {
-    m_follower->Handle(platform::PeerPullFailed{pull.m_peer});
-    return;
-  }
-  m_document_puller.Pull(
-      *source, MakePeerMessage(peer::DocumentRequest{pull.m_version}),
-      [this, peer = pull.m_peer](std::optional<peer::DocumentReply> reply) {
-        if (!reply || reply->m_version == base::ConfigurationVersion()) {
-          m_follower->Handle(platform::PeerPullFailed{peer});
-          return;
-        }
-        m_follower->Handle(platform::PeerDocument{
-            peer, reply->m_version,
-            std::make_shared<const std::string>(std::move(reply->m_body))});
-      });
-}
-
 }  // namespace service
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -171,29 +171,6 @@
   m_timers.Rearm();
 }
 
-void BalancerProcess::RenewLease(base::TimePoint now) {
-  const membership::NewestConfiguration newest =
-      m_membership->NewestKnownConfiguration(now);
-  const auto expires = m_lease.Renew(
-      {.m_is_isolated = m_membership->IsIsolated(now, m_lease.EvidenceBound()),
-       .m_confirmed_at = m_follower->follower().ConfirmedAt(),
-       .m_is_behind = newest.m_version > m_configuration->version()},
-      now);
-  if (expires.has_value() != m_has_lease) {
-    m_has_lease = expires.has_value();
-    WriteLog(m_has_lease ? Severity::kInfo : Severity::kWarning,
-             m_has_lease ? Event::kLeaseRegained : Event::kLeaseLapsed,
-             {{"version", m_configuration->version().value()},
-              {"newest_known_version", newest.m_version.value()}});
-  }
-  if (!expires)
-    return;
-  m_traffic->Post(
-      [until = *expires](balancer::TrafficCore& core, base::TimePoint) {
-        core.SetLease(until);
-      });
-}
-
 void BalancerProcess::CollectCounts() {
   m_traffic->Post([this](balancer::TrafficCore& core, base::TimePoint) {
     BurnKeeper::Counts counts;
@@ -255,16 +232,6 @@
   m_context.run();
 }
 
-void BalancerProcess::OnDocument(base::ConfigurationVersion version,
-                                 const std::string& body) {
-  if (!m_configuration->Adopt(version, body, base::Clock::now()))
-    return;
-  m_load_poller->SetServers(m_configuration->PolledServers());
-  m_burn.SetDocument(m_configuration->document());
-  // Peers hear of the new version at once.
-  m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
-}
-
 void BalancerProcess::ServeIfJoined(base::TimePoint now) {
   if (m_phase != ProcessPhase::kJoining ||
       m_configuration->version() == base::ConfigurationVersion())
--- a/Services/Coltsfootdale/lease_keeper.cc
+++ b/Services/Coltsfootdale/lease_keeper.cc
@@ -12,17 +12,33 @@
   // for, but not for longer than an address is held.
   if (m_behind_since && now - *m_behind_since > EvidenceBound())
     return std::nullopt;
-  const bool is_confirmed = evidence.m_confirmed_at &&
-                            now - *evidence.m_confirmed_at < EvidenceBound();
-  if (evidence.m_is_isolated && !is_confirmed)
-    return std::nullopt;
   // After a lapse the newer version may be in force elsewhere for longer than
   // an address is held.
-  const bool has_lapsed = !m_expires || now >= *m_expires;
-  if (evidence.m_is_behind && has_lapsed)
+  const bool has_expired =
+      !m_renewed_at || now - *m_renewed_at >= RenewalTime();
+  if (evidence.m_is_behind && has_expired)
+    return std::nullopt;
+  if (!IsCurrent(evidence, now))
     return std::nullopt;
-  m_expires = now + RenewalTime();
-  return m_expires;
+  m_renewed_at = now;
+  return now + RenewalTime();
+}
+
+bool LeaseKeeper::IsFresh(std::optional<base::TimePoint> time,
+                          base::TimePoint now) const {
+  return time && now - *time < EvidenceBound();
+}
+
+bool LeaseKeeper::IsCurrent(const LeaseEvidence& evidence,
+                            base::TimePoint now) const {
+  if (IsFresh(evidence.m_confirmed_at, now))
+    return true;
+  if (IsFresh(m_renewed_at, now))
+    return !evidence.m_is_isolated;
+  if (!evidence.m_answers.m_are_expected && !m_renewed_at)
+    return true;
+  return IsFresh(evidence.m_answers.m_from_holder, now) ||
+         IsFresh(evidence.m_answers.m_from_all, now);
 }
 
 }  // namespace service
--- a/Services/Coltsfootdale/lease_keeper.h
+++ b/Services/Coltsfootdale/lease_keeper.h
@@ -1,6 +1,10 @@
 // Decides until when the configuration in force counts as current. A balancer
 // that cannot tell forwards nothing, because an address may have gone to
 // another service meanwhile; docs/DESIGN.md section 3 gives the reasons.
+//
+// While the lease runs, the answer of any peer renews it. Once it has not been
+// renewed for the evidence bound, peers that stood still as well could answer
+// alike, so it takes the platform, a peer whose own lease runs, or all peers.
 
 #ifndef SERVICES_COLTSFOOTDALE_LEASE_KEEPER_H_
 #define SERVICES_COLTSFOOTDALE_LEASE_KEEPER_H_
@@ -8,19 +12,10 @@
 #include <optional>
 
 #include "LibBase/time.h"
+#include "lease_evidence.h"
 
 namespace service {
 
-// What the lease is judged by.
-struct LeaseEvidence {
-  // Peers are expected and none was heard within the bound.
-  bool m_is_isolated = false;
-  // When the platform last confirmed the version in force.
-  std::optional<base::TimePoint> m_confirmed_at;
-  // A greater version than the one in force is known to exist.
-  bool m_is_behind = false;
-};
-
 class LeaseKeeper {
  public:
   // `lease` is the longest time from the evidence to the last packet.
@@ -35,11 +30,12 @@
 
  private:
   base::Duration RenewalTime() const { return m_lease / 4; }
+  bool IsFresh(std::optional<base::TimePoint> time, base::TimePoint now) const;
+  bool IsCurrent(const LeaseEvidence& evidence, base::TimePoint now) const;
 
   base::Duration m_lease;
   std::optional<base::TimePoint> m_behind_since;
-  // Until when the lease was renewed last.
-  std::optional<base::TimePoint> m_expires;
+  std::optional<base::TimePoint> m_renewed_at;
 };
 
 }  // namespace service
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -3,6 +3,9 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+
 #include <filesystem>
 #include <fstream>
 #include <utility>
@@ -17,6 +20,9 @@
 constexpr auto kStartDeadline = std::chrono::seconds(10);
 constexpr auto kPastLease = std::chrono::milliseconds(2500);
 constexpr auto kStopDeadline = std::chrono::seconds(25);
+// More than the receive buffer of a socket holds.
+constexpr std::size_t kFillBytes = 4 << 20;
+constexpr std::size_t kFillDatagramBytes = 1024;
 constexpr int kServerBlock = 16;
 constexpr int kCallerBlock = 32;
 
@@ -188,6 +194,18 @@
   m_frozen.insert(name);
 }
 
+void Deployment::FillPeerSocket(const std::string& name) {
+  const JsonLine line = Balancer(name).WaitFor("listening", kStartDeadline);
+  const base::Endpoint peer = Endpoint(line, "peer");
+  const asio::ip::udp::endpoint target(
+      asio::ip::address_v4(peer.m_address.value()), peer.m_port);
+  asio::io_context context;
+  asio::ip::udp::socket socket(context, asio::ip::udp::v4());
+  const std::string datagram(kFillDatagramBytes, 'x');
+  for (std::size_t sent = 0; sent < kFillBytes; sent += datagram.size())
+    socket.send_to(asio::buffer(datagram), target);
+}
+
 void Deployment::ThawBalancer(const std::string& name) {
   Balancer(name).Signal(SIGCONT);
   m_frozen.erase(name);
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -78,6 +78,9 @@
   void RestartBalancer(const std::string& name);
   // SIGSTOP: the balancer stands still and packets wait in its sockets.
   void FreezeBalancer(const std::string& name);
+  // Fills the peer socket of a frozen balancer, so that it gets nothing that
+  // peers send until it thaws, like a VM that was suspended.
+  void FillPeerSocket(const std::string& name);
   // SIGCONT.
   void ThawBalancer(const std::string& name);
   // SIGTERM: the fabric is told at once; returns the exit code.
--- a/Tests/Integration/test_no_foreign_packets.cc
+++ b/Tests/Integration/test_no_foreign_packets.cc
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <iostream>
+#include <thread>
 
 #include "scenario.h"
 
@@ -19,6 +21,9 @@
 // An address is held for 3 s after the change is in force.
 constexpr auto kUseDeadline = integration::kInForceDeadline + seconds(6);
 constexpr int kOpeningsWhileFrozen = 60;
+// How long thawed balancers hear nobody but each other: in that time each of
+// six probes every other one.
+constexpr auto kAmongThemselves = milliseconds(1500);
 
 struct Load {
   Load(integration::Scenario& scenario, const std::string& service)
@@ -44,11 +49,16 @@
   std::unique_ptr<integration::ChildProcess> m_feeds;
 };
 
+// Whom thawed balancers hear at first.
+enum class HeardAtFirst { kEverybody, kEachOther };
+
 struct Round {
-  std::string m_frozen;
+  std::vector<std::string> m_frozen;
+  // Nobody if empty.
   std::string m_killed;
   // The servers that move, and the services they move to.
   std::vector<std::pair<std::string, std::string>> m_moves;
+  HeardAtFirst m_heard_at_first = HeardAtFirst::kEverybody;
 };
 
 const char* OtherService(const std::string& service) {
@@ -74,26 +84,33 @@
         m_portal(m_scenario, kPortal),
         m_archive(m_scenario, kArchive) {}
 
-  // One balancer stands still through the move and another dies in it.
+  // Balancers stand still through the move and another dies in it.
   void Run(const Round& round) {
     integration::Deployment& deployment = m_scenario.deployment();
     m_scenario.platform().Post("lag?ms=400");
     m_portal.AwaitMore(kOpeningsWhileFrozen);
-    deployment.FreezeBalancer(round.m_frozen);
+    if (round.m_heard_at_first == HeardAtFirst::kEachOther)
+      Suspend(round.m_frozen);
+    else
+      Freeze(round.m_frozen);
     m_portal.AwaitMore(kOpeningsWhileFrozen);
     m_archive.AwaitMore(kOpeningsWhileFrozen);
 
     for (const auto& [server, service] : round.m_moves)
       MoveServer(m_scenario.document(), server, service);
     const std::uint64_t version = m_scenario.Publish("moved");
-    deployment.KillBalancer(round.m_killed);
+    if (!round.m_killed.empty())
+      deployment.KillBalancer(round.m_killed);
     deployment.AwaitInForce(version);
     for (const auto& [server, service] : round.m_moves)
       Become(server, service);
     for (const auto& [server, service] : round.m_moves)
       AwaitUse(server);
 
-    deployment.ThawBalancer(round.m_frozen);
+    if (round.m_heard_at_first == HeardAtFirst::kEachOther)
+      ThawAmongThemselves(round.m_frozen);
+    else
+      Thaw(round.m_frozen);
     deployment.AwaitInForce(version);
     m_portal.AwaitMore(kOpeningsWhileFrozen);
     m_archive.AwaitMore(kOpeningsWhileFrozen);
@@ -105,6 +122,38 @@
   }
 
  private:
+  // Suspends balancers that are to hear only each other, so that what peers
+  // send meanwhile is lost to them.
+  void Suspend(const std::vector<std::string>& names) {
+    Freeze(names);
+    for (const std::string& name : names)
+      m_scenario.deployment().FillPeerSocket(name);
+  }
+
+  void Freeze(const std::vector<std::string>& names) {
+    for (const std::string& name : names)
+      m_scenario.deployment().FreezeBalancer(name);
+  }
+
+  void Thaw(const std::vector<std::string>& names) {
+    for (const std::string& name : names)
+      m_scenario.deployment().ThawBalancer(name);
+  }
+
+  // Thaws the balancers while all others stand still and the platform is down.
+  void ThawAmongThemselves(const std::vector<std::string>& names) {
+    std::vector<std::string> others = m_scenario.deployment().BalancerNames();
+    std::erase_if(others, [&names](const std::string& name) {
+      return std::ranges::find(names, name) != names.end();
+    });
+    m_scenario.platform().Post("outage?mode=refuse");
+    Freeze(others);
+    Thaw(names);
+    std::this_thread::sleep_for(kAmongThemselves);
+    Thaw(others);
+    m_scenario.platform().Post("outage?mode=off");
+  }
+
   void Become(const std::string& server, const std::string& service) {
     const auto address = m_scenario.document().m_services.at(service).m_address;
     m_scenario.deployment().Server(server).Ask(
@@ -135,22 +184,26 @@
   std::map<std::string, int> m_accepted;
 };
 
+const std::vector<std::pair<std::string, std::string>> kThere = {
+    {"portal-1", kArchive},
+    {"portal-2", kArchive},
+    {"archive-1", kPortal},
+    {"archive-2", kPortal}};
+const std::vector<std::pair<std::string, std::string>> kBack = {
+    {"portal-1", kPortal},
+    {"portal-2", kPortal},
+    {"archive-1", kArchive},
+    {"archive-2", kArchive}};
+
 // The foreign packets of two swaps, there and back.
-std::uint64_t SwapTwice(const std::string& name, const std::string& settings) {
+std::uint64_t SwapTwice(const std::string& name,
+                        const std::string& settings,
+                        const Round& there,
+                        const Round& back) {
   ForeignPacketProof proof(settings);
-  proof.Run({.m_frozen = "entry-1",
-             .m_killed = "entry-2",
-             .m_moves = {{"portal-1", kArchive},
-                         {"portal-2", kArchive},
-                         {"archive-1", kPortal},
-                         {"archive-2", kPortal}}});
+  proof.Run(there);
   const std::uint64_t first = proof.CountForeignPackets();
-  proof.Run({.m_frozen = "entry-3",
-             .m_killed = "entry-4",
-             .m_moves = {{"portal-1", kPortal},
-                         {"portal-2", kPortal},
-                         {"archive-1", kArchive},
-                         {"archive-2", kArchive}}});
+  proof.Run(back);
   const std::uint64_t both = proof.CountForeignPackets();
   std::cout << "addresses swapped twice, " << name << ": seed " << kSeed
             << ", foreign packets " << first << " after the first swap, "
@@ -158,19 +211,45 @@
   return both;
 }
 
+// In each swap one balancer is frozen and another killed.
+std::uint64_t SwapWithOneFrozen(const std::string& name,
+                                const std::string& settings) {
+  return SwapTwice(
+      name, settings,
+      {.m_frozen = {"entry-1"}, .m_killed = "entry-2", .m_moves = kThere},
+      {.m_frozen = {"entry-3"}, .m_killed = "entry-4", .m_moves = kBack});
+}
+
+// In the first swap two balancers are frozen, in the second four; they thaw
+// together and hear only each other.
+std::uint64_t SwapWithSeveralFrozen(const std::string& name,
+                                    const std::string& settings) {
+  return SwapTwice(name, settings,
+                   {.m_frozen = {"entry-1", "entry-2"},
+                    .m_moves = kThere,
+                    .m_heard_at_first = HeardAtFirst::kEachOther},
+                   {.m_frozen = {"entry-3", "entry-4", "entry-5", "entry-6"},
+                    .m_moves = kBack,
+                    .m_heard_at_first = HeardAtFirst::kEachOther});
+}
+
 }  // namespace
 
 TEST_CASE("no packet reaches another service when addresses move") {
-  CHECK(SwapTwice("all mechanisms", "") == 0);
+  CHECK(SwapWithOneFrozen("all mechanisms", "") == 0);
+}
+
+TEST_CASE("balancers that thaw together do not renew each other's lease") {
+  CHECK(SwapWithSeveralFrozen("two, then four thaw together", "") == 0);
 }
 
 TEST_CASE("without lease and hold the same moves send packets astray") {
-  CHECK(SwapTwice("no lease, no hold",
-                  "mechanisms: {configuration_lease: false, "
-                  "address_hold: false}\n") > 0);
+  CHECK(SwapWithOneFrozen("no lease, no hold",
+                          "mechanisms: {configuration_lease: false, "
+                          "address_hold: false}\n") > 0);
 }
 
 TEST_CASE("without the lease alone a thawed balancer sends packets astray") {
-  CHECK(SwapTwice("no lease", "mechanisms: {configuration_lease: false}\n") >
-        0);
+  CHECK(SwapWithOneFrozen("no lease",
+                          "mechanisms: {configuration_lease: false}\n") > 0);
 }
--- /dev/null
+++ b/Tests/Services/test_lease_among_peers.cc
@@ -0,0 +1,182 @@
+// Leases of a whole data centre in simulated time. Everybody has one version in
+// force; whether that is still the newest is not known to who stood still.
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <vector>
+
+#include "LibMembership/simulated_network.h"
+#include "lease_evidence.h"
+#include "lease_keeper.h"
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kMembers = 6;
+constexpr base::ConfigurationVersion kVersion(3);
+constexpr base::Duration kRenewPeriod = milliseconds(50);
+constexpr std::uint64_t kSeeds = 20;
+
+class LeaseWorld {
+ public:
+  explicit LeaseWorld(std::uint64_t seed, std::size_t members = kMembers)
+      : m_network(seed), m_keepers(members, service::LeaseKeeper(seconds(2))) {
+    for (std::uint32_t address = 1; address <= members; ++address)
+      Member(m_network.Start(address)).Serve();
+    m_network.SendVmList(m_network.MakeVmList());
+    for (std::size_t index = 0; index < members; ++index)
+      Confirm(index);
+    Run(seconds(3));
+    for (std::size_t index = 0; index < members; ++index)
+      REQUIRE(Holds(index));
+  }
+
+  // Queries.
+  bool Holds(std::size_t index) { return m_network.Now() < m_expires[index]; }
+  std::size_t Holders(const std::vector<std::size_t>& indexes) {
+    std::size_t holders = 0;
+    for (const std::size_t index : indexes)
+      holders += Holds(index) ? 1 : 0;
+    return holders;
+  }
+
+  // Commands.
+  // The platform says that the version is the newest.
+  void Confirm(std::size_t index) {
+    Member(index).SetConfiguration(kVersion, m_network.Now());
+  }
+  void Kill(std::size_t index) { m_network.At(index).m_is_running = false; }
+  // Suspends members: what is sent to them meanwhile is lost.
+  void Suspend(const std::vector<std::size_t>& indexes) {
+    for (const std::size_t index : indexes) {
+      m_network.At(index).m_is_frozen = true;
+      m_network.At(index).m_side = kSuspended;
+    }
+  }
+  // Resumes members; `side` numbers those that hear one another.
+  void Resume(const std::vector<std::size_t>& indexes, int side = 0) {
+    for (const std::size_t index : indexes) {
+      m_network.At(index).m_is_frozen = false;
+      m_network.At(index).m_side = side;
+    }
+  }
+  void Run(base::Duration duration) {
+    for (auto end = m_network.Now() + duration; m_network.Now() < end;) {
+      m_network.Run(kRenewPeriod);
+      for (std::size_t index = 0; index < m_network.Size(); ++index)
+        Renew(index);
+    }
+  }
+
+ private:
+  static constexpr int kSuspended = 9;
+
+  membership::Membership& Member(std::size_t index) {
+    return *m_network.At(index).m_membership;
+  }
+
+  void Renew(std::size_t index) {
+    const auto& node = m_network.At(index);
+    if (node.m_is_frozen || !node.m_is_running)
+      return;
+    service::LeaseKeeper& keeper = m_keepers[index];
+    const base::TimePoint now = m_network.Now();
+    const auto expires = keeper.Renew(
+        service::GatherEvidence(Member(index), keeper.EvidenceBound(), now),
+        now);
+    if (!expires)
+      return;
+    m_expires[index] = *expires;
+    Member(index).SetLease(*expires);
+  }
+
+  SimulatedNetwork m_network;
+  std::vector<service::LeaseKeeper> m_keepers;
+  std::map<std::size_t, base::TimePoint> m_expires;
+};
+
+const std::vector<std::size_t> kAll = {0, 1, 2, 3, 4, 5};
+
+}  // namespace
+
+TEST_CASE("members that thaw together do not renew each other's lease") {
+  for (const std::vector<std::size_t>& thawed :
+       {std::vector<std::size_t>{1, 4}, {0, 2, 3}, {0, 1, 2, 3}}) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      LeaseWorld world(seed);
+
+      world.Suspend(thawed);
+      world.Run(seconds(10));
+      world.Resume(thawed, 1);
+      for (int step = 0; step < 600; ++step) {
+        world.Run(kRenewPeriod);
+        REQUIRE_MESSAGE(world.Holders(thawed) == 0, "seed ", seed);
+      }
+
+      world.Confirm(thawed.front());
+      world.Run(seconds(2));
+      CHECK_MESSAGE(world.Holders(thawed) == thawed.size(), "seed ", seed);
+    }
+  }
+}
+
+TEST_CASE("thawed members regain their leases from those that hold theirs") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LeaseWorld world(seed);
+
+    world.Suspend({1, 2, 3, 4, 5});
+    world.Run(milliseconds(1000));
+    world.Resume({1});
+    world.Run(seconds(10));
+    CHECK_MESSAGE(world.Holders({0, 1}) == 2, "seed ", seed);
+    world.Resume({2, 3, 4, 5});
+    world.Run(seconds(2));
+
+    CHECK_MESSAGE(world.Holders(kAll) == kMembers, "seed ", seed);
+  }
+}
+
+TEST_CASE("a data centre that stood still as a whole goes on by itself") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LeaseWorld world(seed);
+
+    world.Suspend(kAll);
+    world.Run(seconds(10));
+    world.Resume(kAll);
+    world.Run(seconds(3));
+
+    CHECK_MESSAGE(world.Holders(kAll) == kMembers, "seed ", seed);
+  }
+}
+
+TEST_CASE("deaths cost the survivors no lease, nor does a platform outage") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    LeaseWorld world(seed);
+
+    for (const std::size_t index : {0, 2, 4})
+      world.Kill(index);
+    for (int step = 0; step < 1200; ++step) {
+      world.Run(kRenewPeriod);
+      REQUIRE_MESSAGE(world.Holders({1, 3, 5}) == 3, "seed ", seed);
+    }
+  }
+}
+
+TEST_CASE("a lone balancer goes on, but after a pause asks the platform") {
+  LeaseWorld world(1, 1);
+  world.Run(seconds(60));
+  CHECK(world.Holds(0));
+
+  world.Suspend({0});
+  world.Run(seconds(10));
+  world.Resume({0});
+  world.Run(seconds(10));
+  CHECK_FALSE(world.Holds(0));
+  world.Confirm(0);
+  world.Run(kRenewPeriod);
+
+  CHECK(world.Holds(0));
+}
--- a/Tests/Services/test_lease_keeper.cc
+++ b/Tests/Services/test_lease_keeper.cc
@@ -31,6 +31,30 @@
   REQUIRE(keeper.Renew(kCurrent, start));
   const base::TimePoint thawed = start + seconds(5);
 
-  CHECK_FALSE(keeper.Renew(kBehind, thawed));
-  CHECK(keeper.Renew(kCurrent, thawed + milliseconds(50)));
+  CHECK_FALSE(
+      keeper.Renew({.m_confirmed_at = thawed, .m_is_behind = true}, thawed));
+  CHECK(keeper.Renew({.m_confirmed_at = thawed}, thawed + milliseconds(50)));
+}
+
+TEST_CASE("a lapsed lease is renewed by what was asked after the thaw only") {
+  const base::TimePoint start;
+  const base::TimePoint thawed = start + seconds(5);
+  const auto renew = [&](const service::LeaseEvidence& evidence) {
+    service::LeaseKeeper keeper(seconds(2));
+    REQUIRE(keeper.Renew(kCurrent, start));
+    return keeper.Renew(evidence, thawed + milliseconds(50)).has_value();
+  };
+  using Answers = membership::PeerAnswers;
+
+  CHECK_FALSE(renew({}));
+  CHECK_FALSE(renew({.m_confirmed_at = start}));
+  CHECK_FALSE(renew({.m_answers = Answers{.m_are_expected = true}}));
+  CHECK_FALSE(renew({.m_answers = Answers{.m_are_expected = true,
+                                          .m_from_holder = start,
+                                          .m_from_all = start}}));
+  CHECK(renew({.m_is_isolated = true, .m_confirmed_at = thawed}));
+  CHECK(renew(
+      {.m_answers = Answers{.m_are_expected = true, .m_from_holder = thawed}}));
+  CHECK(renew(
+      {.m_answers = Answers{.m_are_expected = true, .m_from_all = thawed}}));
 }
