Coltsfootdale: Try another port if TCP has the one chosen for UDP

Cause: with peer port 0 the system chooses a UDP port and the document server needs the same number of TCP. On a busy machine 12,000 connections in TIME-WAIT held such numbers, and balancers ended with "Address already in use" in 3 of 4 starts of test_no_foreign_packets. Change: up to eight choices. A given port is tried once as before.

--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -28,6 +28,9 @@
 constexpr auto kLeasePeriod = milliseconds(50);
 constexpr auto kPhasePeriod = milliseconds(100);
 constexpr auto kCountsPeriod = milliseconds(50);
+// Documents are pulled by TCP from the number of the UDP port. A number that
+// the system chose for UDP may be taken for TCP, so another one is tried.
+constexpr int kPortAttempts = 8;
 constexpr auto kVmListInterval = seconds(1);
 // A balancer serves without a VM list once it has waited so long for one.
 constexpr auto kJoinPatience = seconds(2);
@@ -97,18 +100,25 @@
                                     .m_flow = MakeFlowSettings(m_settings),
                                     .m_seed = m_random.Next()}));
   m_traffic = std::move(traffic);
+  auto bound = BindPeer();
+  const int attempts = m_settings.m_peer.m_port == 0 ? kPortAttempts : 1;
+  for (int attempt = 1; !bound && attempt < attempts; ++attempt)
+    bound = BindPeer();
+  BOOST_OUTCOME_TRYV(bound);
+  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
+                                  MakeAdminSources()));
+  m_admin = std::move(admin);
+  return base::Success();
+}
+
+base::Outcome<void> BalancerProcess::BindPeer() {
   TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
-  m_peer_link = std::move(link);
-  // Documents are pulled by TCP from the number of the UDP port.
-  TRY(server,
-      DocumentServer::Create(m_context, m_peer_link->LocalEndpoint(), [this] {
+  TRY(server, DocumentServer::Create(m_context, link->LocalEndpoint(), [this] {
         return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
                                                    m_configuration->body()});
       }));
+  m_peer_link = std::move(link);
   m_document_server = std::move(server);
-  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
-                                  MakeAdminSources()));
-  m_admin = std::move(admin);
   return base::Success();
 }
 
