Coltsfootdale: Log a pause as an event of its own

Cause: lease_lapsed was logged for a process that had stood still as well as for a lease that was not renewed, told apart by a field only. Change: pause_detected with paused_ms; Deployment::PauseBalancer waits for it.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -23,6 +23,7 @@
   kSubmissionUnknown,
   kLeaseLapsed,
   kLeaseRegained,
+  kPauseDetected,
   kPeerJoined,
   kPeerSuspected,
   kPeerLeft,
@@ -32,7 +33,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 19> kEventNames{{
+inline constexpr base::EnumTable<Event, 20> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
@@ -45,6 +46,7 @@
     {Event::kSubmissionUnknown, "submission_unknown"},
     {Event::kLeaseLapsed, "lease_lapsed"},
     {Event::kLeaseRegained, "lease_regained"},
+    {Event::kPauseDetected, "pause_detected"},
     {Event::kPeerJoined, "peer_joined"},
     {Event::kPeerSuspected, "peer_suspected"},
     {Event::kPeerLeft, "peer_left"},
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -73,7 +73,7 @@
       },
       [](const membership::LiveMembersChanged&) {},
       [](const membership::Paused& paused) {
-        WriteLog(Severity::kWarning, Event::kLeaseLapsed,
+        WriteLog(Severity::kWarning, Event::kPauseDetected,
                  {{"paused_ms",
                    std::chrono::duration_cast<milliseconds>(paused.m_duration)
                        .count()}});
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -260,7 +260,7 @@
   // and past the time after which a balancer tells of its own pause.
   std::this_thread::sleep_for(kPastLease);
   paused.Signal(SIGCONT);
-  paused.WaitForLater(lines_before[name], "lease_lapsed", kStartDeadline);
+  paused.WaitForLater(lines_before[name], "pause_detected", kStartDeadline);
 }
 
 std::unique_ptr<ChildProcess> Deployment::StartCaller(
