Coltsfootdale: Take a peer whose lease has lapsed for no home

Cause: a balancer without a lease left the fabric's rotation, but its peers went on to relay openings to it, which it drops. Change: such a peer, known by the flag in its messages, is treated like a suspected one. The harness can let the fabric poll /ready. Not covered: a cut of the peer link itself; the lease lapses here because a newer version is known and cannot be had.

--- a/Libraries/LibMembership/member_entry.h
+++ b/Libraries/LibMembership/member_entry.h
@@ -20,6 +20,8 @@
   // Set while it is suspected, also by this balancer alone.
   std::optional<base::TimePoint> m_suspected_since;
   base::TimePoint m_next_suspect_ping;
+  // As its latest message told.
+  bool m_holds_lease = true;
   bool m_has_served = false;
   // It left by plan or another run replaced it.
   bool m_has_left = false;
--- a/Libraries/LibMembership/member_table.cc
+++ b/Libraries/LibMembership/member_table.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibBase/hash.h"
+#include "LibPeer/sender_status.h"
 
 namespace membership {
 
@@ -88,16 +89,16 @@
   m_suspects.insert(id);
 }
 
-void MemberTable::Hear(base::BalancerId id,
-                       const peer::ConfigurationStatus& configuration,
-                       base::TimePoint now) {
-  const auto found = m_entries.find(id);
+void MemberTable::Hear(const peer::SenderStatus& sender, base::TimePoint now) {
+  const auto found = m_entries.find(sender.m_id);
   if (found == m_entries.end())
     return;
   MemberEntry& entry = found->second;
   entry.m_heard_at = now;
-  entry.m_record.m_configuration.m_version = std::max(
-      entry.m_record.m_configuration.m_version, configuration.m_version);
+  entry.m_holds_lease = sender.m_holds_lease;
+  entry.m_record.m_configuration.m_version =
+      std::max(entry.m_record.m_configuration.m_version,
+               sender.m_configuration.m_version);
   if (!entry.m_suspected_since)
     return;
   if (entry.m_record.m_state == MemberState::kSuspected) {
@@ -105,7 +106,7 @@
     return;
   }
   entry.m_suspected_since.reset();
-  m_suspects.erase(id);
+  m_suspects.erase(sender.m_id);
 }
 
 void MemberTable::TakeAnswer(base::BalancerId id, base::TimePoint sent_at) {
--- a/Libraries/LibMembership/member_table.h
+++ b/Libraries/LibMembership/member_table.h
@@ -17,6 +17,10 @@
 #include "LibMembership/member_entry.h"
 #include "LibMembership/record_change.h"
 
+namespace peer {
+struct SenderStatus;
+}  // namespace peer
+
 namespace membership {
 
 class MemberTable {
@@ -45,9 +49,7 @@
   // member's own and dead before suspected.
   RecordChange Apply(const peer::MemberRecord& record, base::TimePoint now);
   // Takes in that a message came straight from the member.
-  void Hear(base::BalancerId id,
-            const peer::ConfigurationStatus& configuration,
-            base::TimePoint now);
+  void Hear(const peer::SenderStatus& sender, base::TimePoint now);
   // Takes in that the member answered a ping that was sent at `sent_at`.
   void TakeAnswer(base::BalancerId id, base::TimePoint sent_at);
   // Suspects the member here without a change of its record.
--- a/Libraries/LibMembership/membership.cc
+++ b/Libraries/LibMembership/membership.cc
@@ -202,7 +202,7 @@
   effect.m_to = to;
   effect.m_message.m_sender = {m_self.m_id,          m_self.m_state,
                                m_self.m_incarnation, configuration,
-                               view_digest,          now < m_lease_expires};
+                               view_digest,          HoldsLease(now)};
   effect.m_message.m_body = std::move(body);
   effect.m_message.m_updates = std::move(records);
 }
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -65,6 +65,7 @@
   // so that answers that waited in a queue prove nothing fresh.
   bool IsIsolated(base::TimePoint now, base::Duration bound) const;
   PeerAnswers Answers() const;
+  bool HoldsLease(base::TimePoint now) const { return now < m_lease_expires; }
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
--- a/Libraries/LibMembership/membership_receive.cc
+++ b/Libraries/LibMembership/membership_receive.cc
@@ -122,7 +122,7 @@
     RequestRecord(from, now);
     return;
   }
-  m_table.Hear(sender.m_id, sender.m_configuration, now);
+  m_table.Hear(sender, now);
   if (sender.m_incarnation <= known->m_record.m_incarnation)
     return;
   peer::MemberRecord record = known->m_record;
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -34,8 +34,10 @@
     case peer::MemberState::kSuspected:
       if (!entry.m_has_served)
         return std::nullopt;
-      return entry.m_suspected_since ? flow::BalancerState::kSuspected
-                                     : flow::BalancerState::kServing;
+      // One without a lease forwards nothing that it may decide about.
+      return entry.m_suspected_since || !entry.m_holds_lease
+                 ? flow::BalancerState::kSuspected
+                 : flow::BalancerState::kServing;
     case peer::MemberState::kJoining:
     case peer::MemberState::kDead:
       break;
@@ -150,6 +152,7 @@
   message.m_sender.m_state = m_membership->Self().m_state;
   message.m_sender.m_incarnation = m_membership->Self().m_incarnation;
   message.m_sender.m_configuration.m_version = m_configuration->version();
+  message.m_sender.m_holds_lease = m_membership->HoldsLease(base::Clock::now());
   message.m_body = std::move(body);
   return message;
 }
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -143,7 +143,10 @@
   const JsonLine line = balancer.WaitFor("listening", kStartDeadline);
   balancer.WaitFor("ready", kStartDeadline);
   const base::Endpoint traffic = StartProxy(Endpoint(line, "traffic"));
-  m_fabric->Ask("balancer " + name + " " + base::ToString(traffic), "done");
+  std::string command = "balancer " + name + " " + base::ToString(traffic);
+  if (m_options.m_fabric_polls_readiness)
+    command += " " + line.get("admin", "");
+  m_fabric->Ask(command, "done");
 }
 
 base::Endpoint Deployment::StartProxy(base::Endpoint target) {
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -51,6 +51,9 @@
     bool m_has_fault_proxies = false;
     // Of each backend server.
     int m_server_slots = 3;
+    // The fabric asks the balancers themselves whether they are ready, instead
+    // of being told by the test.
+    bool m_fabric_polls_readiness = false;
   };
 
   Deployment(PlatformControl& platform,
@@ -103,6 +106,10 @@
   ChildProcess& Server(const std::string& name) { return *m_servers.at(name); }
   ChildProcess& Fabric() { return *m_fabric; }
   std::vector<std::string> BalancerNames() const;
+  // YAML lines of balancers that are started from now on.
+  void SetSettings(const std::string& settings) {
+    m_options.m_settings = settings;
+  }
   // Endpoint that balancers started from now on use for the platform.
   void SetPlatformEndpoint(base::Endpoint endpoint) {
     m_platform_endpoint = endpoint;
--- a/Tests/Integration/scenario.cc
+++ b/Tests/Integration/scenario.cc
@@ -7,12 +7,14 @@
 namespace integration {
 
 Scenario::Scenario(const Options& options)
-    : m_deployment(m_platform,
-                   m_document,
-                   {.m_seed = options.m_seed,
-                    .m_settings = options.m_settings,
-                    .m_server_connections = options.m_server_connections,
-                    .m_has_fault_proxies = options.m_has_fault_proxies}) {
+    : m_deployment(
+          m_platform,
+          m_document,
+          {.m_seed = options.m_seed,
+           .m_settings = options.m_settings,
+           .m_server_connections = options.m_server_connections,
+           .m_has_fault_proxies = options.m_has_fault_proxies,
+           .m_fabric_polls_readiness = options.m_fabric_polls_readiness}) {
   m_document.m_services[kPortal].m_address =
       *base::ParseEndpoint("127.48.0.1:443");
   m_document.m_services[kArchive].m_address =
