LibPlatform: Take back a document that was refused

Cause: the follower counted a document as in force once it had handed it on, also if ConfigurationKeeper could not read it. The platform's confirmations of the refused version then passed for those of the one in force, here and at peers, which so never asked for themselves. Also, the ProbePeer effect was a no-op. Change: the owner answers AdoptDocument with DocumentRefused; the former version stays with its own confirmation, and the refused one is neither asked for, pulled nor confirmed. A counter beside the log event. ProbePeer is wired to Membership::Ping. The test of Ping fails without it.

--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -84,6 +84,8 @@
   // older version is ignored; the same one takes the later confirmation.
   void SetConfiguration(base::ConfigurationVersion version,
                         std::optional<base::TimePoint> confirmed_at);
+  // Pings a member out of turn, for what it tells of its configuration.
+  void Ping(base::BalancerId id, base::TimePoint now);
   // Tells until when the lease on the version in force runs, for the peers.
   void SetLease(base::TimePoint expires) { m_lease_expires = expires; }
 
--- a/Libraries/LibMembership/membership_advance.cc
+++ b/Libraries/LibMembership/membership_advance.cc
@@ -175,6 +175,16 @@
   Send(to, peer::Ping{sequence, wants_record}, std::move(records), now);
 }
 
+void Membership::Ping(base::BalancerId id, base::TimePoint now) {
+  const MemberEntry* entry = m_table.Find(id);
+  if (!entry)
+    return;
+  const base::Endpoint endpoint = entry->m_record.m_peer;
+  SendPing(endpoint,
+           {PendingPing::Contact{}, endpoint, now, now + kContactLifetime}, {},
+           now);
+}
+
 // Endpoints where a balancer should be and none is known to be. Of a long list
 // a sample is looked at: every member does so, so that nobody stays missing.
 std::vector<base::Endpoint> Membership::MissingEndpoints(
--- a/Libraries/LibPlatform/configuration_follower.cc
+++ b/Libraries/LibPlatform/configuration_follower.cc
@@ -46,7 +46,11 @@
 }
 
 base::ConfigurationVersion ConfigurationFollower::HighestKnownVersion() const {
-  return std::max(m_version, m_peers.HighestVersion());
+  return std::max(SettledVersion(), m_peers.HighestVersion());
+}
+
+base::ConfigurationVersion ConfigurationFollower::SettledVersion() const {
+  return std::max(m_in_force.m_version, m_refused);
 }
 
 std::optional<base::TimePoint> ConfigurationFollower::NextDeadline() const {
@@ -70,7 +74,7 @@
 std::optional<base::TimePoint> ConfigurationFollower::NextPullTime() const {
   if (m_pull)
     return m_pull->m_deadline;
-  return m_peers.NextPullTime(m_version);
+  return m_peers.NextPullTime(SettledVersion());
 }
 
 std::optional<base::TimePoint> ConfigurationFollower::NextProbeTime() const {
@@ -110,6 +114,7 @@
           [&](const PlatformUnchanged& answer) {
             OnUnchanged(answer.m_ask, now);
           },
+          [&](const DocumentRefused& refusal) { OnRefused(refusal, now); },
           [&](const PlatformFailed& failure) {
             OnPlatformFailed(failure.m_ask, now);
           },
@@ -136,12 +141,12 @@
   if (digest.m_peer == m_self)
     return;
   m_peers.Learn(digest, now);
-  Confirm(m_peers.ConfirmedAt(m_version));
+  Confirm(m_peers.ConfirmedAt(m_in_force.m_version));
 }
 
 void ConfigurationFollower::OnConfirmed(const VersionConfirmed& confirmation,
                                         base::TimePoint now) {
-  if (confirmation.m_version == m_version)
+  if (confirmation.m_version == m_in_force.m_version)
     Confirm(std::min(confirmation.m_confirmed_at, now));
 }
 
@@ -149,7 +154,7 @@
                                            base::TimePoint now) {
   if (m_pull && m_pull->m_peer == document.m_peer)
     m_pull.reset();
-  if (document.m_version > m_version) {
+  if (document.m_version > SettledVersion()) {
     Adopt(document.m_version, document.m_body, now);
     return;
   }
@@ -167,12 +172,12 @@
 void ConfigurationFollower::OnPlatformDocument(const PlatformDocument& document,
                                                base::TimePoint now) {
   const auto ask = TakeAsk(document.m_ask);
-  const bool is_newer = document.m_version > m_version;
+  const bool is_newer = document.m_version > SettledVersion();
   if (is_newer)
     Adopt(document.m_version, document.m_body, now);
   if (!ask)
     return;
-  if (document.m_version == m_version)
+  if (document.m_version == m_in_force.m_version)
     Confirm(ask->m_asked_at);
   if (document.m_version > ask->m_newer_than)
     ScheduleAfterSuccess(*ask, now);
@@ -184,11 +189,20 @@
   const auto ask = TakeAsk(id);
   if (!ask)
     return;
-  if (ask->m_newer_than == m_version)
+  if (ask->m_newer_than == m_in_force.m_version)
     Confirm(ask->m_asked_at);
   ScheduleAfterSuccess(*ask, now);
 }
 
+void ConfigurationFollower::OnRefused(const DocumentRefused& refusal,
+                                      base::TimePoint now) {
+  m_refused = std::max(m_refused, refusal.m_version);
+  if (refusal.m_version != m_in_force.m_version)
+    return;
+  m_in_force = std::exchange(m_former, {});
+  m_quiet_since = now;
+}
+
 void ConfigurationFollower::OnPlatformFailed(AskId id, base::TimePoint now) {
   if (TakeAsk(id))
     ScheduleAfterFailure(now);
@@ -217,15 +231,14 @@
 void ConfigurationFollower::Adopt(base::ConfigurationVersion version,
                                   DocumentBody body,
                                   base::TimePoint now) {
-  m_version = version;
-  m_confirmed_at = m_peers.ConfirmedAt(version);
+  m_former = std::exchange(m_in_force, {version, m_peers.ConfirmedAt(version)});
   m_quiet_since = now;
   m_effects.emplace_back(AdoptDocument{version, std::move(body)});
 }
 
 void ConfigurationFollower::Confirm(std::optional<base::TimePoint> time) {
-  m_confirmed_at = std::max(m_confirmed_at, time);
-  m_quiet_since = std::max(m_quiet_since, m_confirmed_at);
+  m_in_force.m_confirmed_at = std::max(m_in_force.m_confirmed_at, time);
+  m_quiet_since = std::max(m_quiet_since, m_in_force.m_confirmed_at);
 }
 
 void ConfigurationFollower::AskIfDue(base::TimePoint now) {
@@ -235,8 +248,8 @@
   const bool is_watch = IsWatcher();
   const base::Duration wait =
       is_watch ? m_policy.m_watch_wait : base::Duration::zero();
-  m_ask = Ask{AskId(m_next_ask_id++), m_version, now, is_watch};
-  m_effects.emplace_back(AskPlatform{m_ask->m_id, m_version, wait});
+  m_ask = Ask{AskId(m_next_ask_id++), SettledVersion(), now, is_watch};
+  m_effects.emplace_back(AskPlatform{m_ask->m_id, m_ask->m_newer_than, wait});
 }
 
 void ConfigurationFollower::PullIfDue(base::TimePoint now) {
@@ -244,7 +257,7 @@
     OnPullFailed(m_pull->m_peer, now);
   if (m_pull)
     return;
-  const auto source = m_peers.PickSource(m_version, now, m_random);
+  const auto source = m_peers.PickSource(SettledVersion(), now, m_random);
   if (!source)
     return;
   m_pull = Pull{source->m_peer, now + m_policy.m_pull_timeout};
--- a/Libraries/LibPlatform/configuration_follower.h
+++ b/Libraries/LibPlatform/configuration_follower.h
@@ -6,7 +6,9 @@
 // others learn of a new version from the digests of their peers and pull it
 // from one of them. A balancer that has gone without a confirmation for too
 // long asks a watcher, and at last the platform itself. Versions only grow,
-// whatever a lagging read or an old peer says.
+// whatever a lagging read or an old peer says. A document that the owner
+// refuses to put in force is not asked for again, and what the platform says of
+// it confirms nothing.
 
 #ifndef LIBPLATFORM_CONFIGURATION_FOLLOWER_H_
 #define LIBPLATFORM_CONFIGURATION_FOLLOWER_H_
@@ -58,11 +60,13 @@
 
   // Queries.
   // The version in force; zero if none.
-  base::ConfigurationVersion Version() const { return m_version; }
+  base::ConfigurationVersion Version() const { return m_in_force.m_version; }
   // The latest time at which the platform is known to have confirmed the
   // version in force, to this balancer or to a peer. A read of the platform
   // may itself lag.
-  std::optional<base::TimePoint> ConfirmedAt() const { return m_confirmed_at; }
+  std::optional<base::TimePoint> ConfirmedAt() const {
+    return m_in_force.m_confirmed_at;
+  }
   // The highest version that is known to exist.
   base::ConfigurationVersion HighestKnownVersion() const;
   bool IsWatcher() const;
@@ -73,6 +77,10 @@
   FollowerEffects Handle(const FollowerEvent& event, base::TimePoint now);
 
  private:
+  struct ConfirmedVersion {
+    base::ConfigurationVersion m_version;
+    std::optional<base::TimePoint> m_confirmed_at;
+  };
   struct Ask {
     AskId m_id;
     base::ConfigurationVersion m_newer_than;
@@ -84,6 +92,8 @@
     base::TimePoint m_deadline;
   };
 
+  // The greatest version that need not be asked for: in force or refused.
+  base::ConfigurationVersion SettledVersion() const;
   std::optional<base::TimePoint> NextAskTime() const;
   std::optional<base::TimePoint> NextPullTime() const;
   std::optional<base::TimePoint> NextProbeTime() const;
@@ -98,6 +108,7 @@
   void OnPlatformDocument(const PlatformDocument& document,
                           base::TimePoint now);
   void OnUnchanged(AskId id, base::TimePoint now);
+  void OnRefused(const DocumentRefused& refusal, base::TimePoint now);
   void OnPlatformFailed(AskId id, base::TimePoint now);
 
   // Ends the question `id` and returns it, or nothing if it is not open.
@@ -120,8 +131,10 @@
   KnownPeers m_peers;
   std::vector<base::BalancerId> m_watchers;
 
-  base::ConfigurationVersion m_version;
-  std::optional<base::TimePoint> m_confirmed_at;
+  ConfirmedVersion m_in_force;
+  // What was in force before, for the case that the owner refuses.
+  ConfirmedVersion m_former;
+  base::ConfigurationVersion m_refused;
   // A balancer that does not watch counts staleness from here.
   std::optional<base::TimePoint> m_quiet_since;
 
--- a/Libraries/LibPlatform/follower_driver.cc
+++ b/Libraries/LibPlatform/follower_driver.cc
@@ -71,7 +71,8 @@
                  [&](const PullFromPeer& pull) { m_on_pull(pull); },
                  [&](const ProbePeer& probe) { m_on_probe(probe); },
                  [&](const AdoptDocument& document) {
-                   m_on_document(document.m_version, *document.m_body);
+                   if (!m_on_document(document.m_version, *document.m_body))
+                     Handle(DocumentRefused{document.m_version});
                  },
              },
              effect);
--- a/Libraries/LibPlatform/follower_driver.h
+++ b/Libraries/LibPlatform/follower_driver.h
@@ -19,12 +19,14 @@
 // Used on the thread that runs the io_context. The client must outlive it.
 class FollowerDriver {
  public:
+  // Whether the document was put in force.
   using DocumentCallback =
-      std::function<void(base::ConfigurationVersion, const std::string& body)>;
+      std::function<bool(base::ConfigurationVersion, const std::string& body)>;
   // Asks for a document of a peer, to be answered by Handle with PeerDocument
   // or PeerPullFailed.
   using PullCallback = std::function<void(const PullFromPeer&)>;
-  // Sends the peer a message that is answered by Handle with PeerDigest.
+  // Sends the peer a message that is answered by Handle with PeerDigest or
+  // VersionConfirmed.
   using ProbeCallback = std::function<void(const ProbePeer&)>;
 
   FollowerDriver(asio::io_context& context,
--- a/Libraries/LibPlatform/follower_messages.h
+++ b/Libraries/LibPlatform/follower_messages.h
@@ -76,6 +76,11 @@
 struct PlatformFailed {
   AskId m_ask;
 };
+// The owner could not put the document of AdoptDocument in force; the former
+// one stays.
+struct DocumentRefused {
+  base::ConfigurationVersion m_version;
+};
 struct TimerFired {};
 
 using FollowerEvent = std::variant<LivePeersChanged,
@@ -86,6 +91,7 @@
                                    PlatformDocument,
                                    PlatformUnchanged,
                                    PlatformFailed,
+                                   DocumentRefused,
                                    TimerFired>;
 
 // Effects.
@@ -108,7 +114,7 @@
 struct ProbePeer {
   base::BalancerId m_peer;
 };
-// Put this version in force.
+// Put this version in force, or answer with DocumentRefused.
 struct AdoptDocument {
   base::ConfigurationVersion m_version;
   DocumentBody m_body;
--- a/Services/Coltsfootdale/balancer_admin.cc
+++ b/Services/Coltsfootdale/balancer_admin.cc
@@ -55,6 +55,10 @@
                  "Bytes of peer datagrams with their IP and UDP headers.",
                  {{"direction", "received"}})
       .RaiseTo(peers.m_bytes_received);
+  m_metrics
+      .CounterOf("coltsfootdale_configuration_refused_total",
+                 "Documents that could not be put in force.", {})
+      .RaiseTo(m_configuration->refused());
   return m_metrics.RenderPrometheus();
 }
 
--- a/Services/Coltsfootdale/balancer_configuration.cc
+++ b/Services/Coltsfootdale/balancer_configuration.cc
@@ -45,14 +45,15 @@
       });
 }
 
-void BalancerProcess::OnDocument(base::ConfigurationVersion version,
+bool BalancerProcess::OnDocument(base::ConfigurationVersion version,
                                  const std::string& body) {
   if (!m_configuration->Adopt(version, body, base::Clock::now()))
-    return;
+    return false;
   m_load_poller->SetServers(m_configuration->PolledServers());
   m_burn.SetDocument(m_configuration->document());
   // Peers hear of the new version at once.
   m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
+  return true;
 }
 
 void BalancerProcess::TellFollower(base::TimePoint now) {
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -152,11 +152,13 @@
       platform::ConfigurationFollower(m_id, {}, base::Random(m_random.Next()),
                                       m_started_at),
       [this](base::ConfigurationVersion version, const std::string& body) {
-        OnDocument(version, body);
+        return OnDocument(version, body);
       },
       [this](const platform::PullFromPeer& pull) { OnPull(pull); },
-      // Membership pings every peer in turn and passes on what they tell.
-      [](const platform::ProbePeer&) {});
+      // What the answer confirms reaches the follower by TellFollower.
+      [this](const platform::ProbePeer& probe) {
+        m_membership->Ping(probe.m_peer, base::Clock::now());
+      });
   m_vm_poller = std::make_unique<platform::VmPoller>(
       m_context, m_platform, m_settings.m_data_centre, kVmListInterval,
       base::Random(m_random.Next()), [this](const auto& vms) { OnVms(vms); });
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -97,7 +97,8 @@
   void TellFollower(base::TimePoint now);
 
   // Configuration.
-  void OnDocument(base::ConfigurationVersion version, const std::string& body);
+  // Whether the document is in force now.
+  bool OnDocument(base::ConfigurationVersion version, const std::string& body);
   void OnPull(const platform::PullFromPeer& pull);
   peer::Message MakePeerMessage(peer::MessageBody body) const;
 
--- a/Services/Coltsfootdale/configuration_keeper.cc
+++ b/Services/Coltsfootdale/configuration_keeper.cc
@@ -45,6 +45,7 @@
     return false;
   auto reading = configuration::ReadDocument(body);
   if (const auto* problems = std::get_if<configuration::Problems>(&reading)) {
+    ++m_refused;
     observability::WriteLog(
         observability::Severity::kError,
         observability::Event::kConfigurationRefused,
--- a/Services/Coltsfootdale/configuration_keeper.h
+++ b/Services/Coltsfootdale/configuration_keeper.h
@@ -3,6 +3,7 @@
 #ifndef SERVICES_COLTSFOOTDALE_CONFIGURATION_KEEPER_H_
 #define SERVICES_COLTSFOOTDALE_CONFIGURATION_KEEPER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +31,8 @@
   // Queries.
   // Zero if no document is in force.
   base::ConfigurationVersion version() const { return m_version; }
+  // How many documents could not be read.
+  std::uint64_t refused() const { return m_refused; }
   const std::string& body() const { return m_body; }
   const configuration::Document& document() const { return m_document; }
   std::vector<PolledServer> PolledServers() const;
@@ -47,6 +50,7 @@
   base::Duration m_hold;
   TrafficLoop& m_traffic;
   base::ConfigurationVersion m_version;
+  std::uint64_t m_refused = 0;
   std::string m_body;
   configuration::Document m_document;
   std::shared_ptr<const flow::RoutingTable> m_routing;
--- a/Tests/LibMembership/test_membership.cc
+++ b/Tests/LibMembership/test_membership.cc
@@ -186,3 +186,25 @@
   CHECK(*member.NewestKnownConfiguration(thaw).m_confirmation_age ==
         milliseconds(60'100));
 }
+
+TEST_CASE("a ping out of turn brings in the confirmation of its member") {
+  SimulatedNetwork network(7);
+  for (std::uint32_t address : {1, 2}) {
+    auto& member = *network.At(network.Start(address)).m_membership;
+    member.Serve();
+    member.SetConfiguration(ConfigurationVersion(5), std::nullopt);
+  }
+  network.SendVmList(network.MakeVmList());
+  network.Run(seconds(2));
+  auto& asking = *network.At(0).m_membership;
+  auto& asked = *network.At(1).m_membership;
+  // No probe of its turn is due while it waits for one period.
+  while (*asking.Answers().m_from_all + milliseconds(20) < network.Now())
+    network.Run(milliseconds(10));
+  asked.SetConfiguration(ConfigurationVersion(5), network.Now());
+
+  asking.Ping(asked.Self().m_id, network.Now());
+  network.Run(milliseconds(30));
+
+  CHECK(asking.NewestKnownConfiguration(network.Now()).m_confirmation_age);
+}
--- a/Tests/LibPlatform/test_configuration_follower.cc
+++ b/Tests/LibPlatform/test_configuration_follower.cc
@@ -154,3 +154,50 @@
   REQUIRE(second);
   CHECK(second->m_peer == BalancerId(3));
 }
+
+TEST_CASE("a refused document is neither in force nor asked for again") {
+  auto follower = MakeFollower();
+  const auto document = [](std::uint64_t peer, std::uint64_t version) {
+    return platform::PeerDocument{BalancerId(peer),
+                                  ConfigurationVersion(version), Body("text")};
+  };
+  follower.Handle(document(2, 4), kStart);
+  follower.Handle(platform::VersionConfirmed{ConfigurationVersion(4), kStart},
+                  kStart);
+  REQUIRE(
+      Find<platform::AdoptDocument>(follower.Handle(document(2, 5), kStart)));
+
+  follower.Handle(platform::DocumentRefused{ConfigurationVersion(5)}, kStart);
+
+  CHECK(follower.Version() == ConfigurationVersion(4));
+  CHECK(follower.ConfirmedAt() == kStart);
+  const auto later = kStart + seconds(1);
+  CHECK_FALSE(
+      Find<platform::AdoptDocument>(follower.Handle(document(2, 5), later)));
+  CHECK_FALSE(Find<platform::PullFromPeer>(follower.Handle(
+      platform::PeerDigest{BalancerId(3), ConfigurationVersion(5),
+                           std::nullopt},
+      later)));
+  CHECK(Find<platform::AdoptDocument>(follower.Handle(document(2, 6), later)));
+}
+
+TEST_CASE("what the platform says of a refused document confirms nothing") {
+  auto follower = MakeFollower();
+  const auto first = Find<platform::AskPlatform>(
+      follower.Handle(platform::TimerFired{}, kStart));
+  REQUIRE(first);
+  follower.Handle(platform::PlatformDocument{first->m_ask,
+                                             ConfigurationVersion(5), Body("")},
+                  kStart);
+  follower.Handle(platform::DocumentRefused{ConfigurationVersion(5)}, kStart);
+
+  const auto later = kStart + seconds(5);
+  const auto second = Find<platform::AskPlatform>(
+      follower.Handle(platform::TimerFired{}, later));
+  REQUIRE(second);
+  CHECK(second->m_newer_than == ConfigurationVersion(5));
+  follower.Handle(platform::PlatformUnchanged{second->m_ask}, later);
+
+  CHECK(follower.Version() == ConfigurationVersion());
+  CHECK_FALSE(follower.ConfirmedAt());
+}
--- a/Tests/LibPlatform/test_drivers.cc
+++ b/Tests/LibPlatform/test_drivers.cc
@@ -91,6 +91,7 @@
                                       base::Clock::now()),
       [&](ConfigurationVersion version, const std::string&) {
         versions.push_back(version);
+        return true;
       },
       [](const platform::PullFromPeer&) {}, [](const platform::ProbePeer&) {});
   driver.Start();
