LibMembership: Forget the load of servers that left the document

Cause: LoadPublisher went on to repeat the counts of every server it had ever seen to all peers, and SharedLoad kept them, bounded only by 16,384 servers a member. Change: LoadSharer retains the servers of the document in force when they change, and each 5 s, as a peer with an older document may tell of others. Ruled out: refusing counts of unknown servers on receipt, which would lose those of a new server that a peer knows first. Both tests of test_load_sharer fail without the two Retain calls.

--- a/Libraries/LibMembership/load_key.h
+++ b/Libraries/LibMembership/load_key.h
@@ -4,6 +4,7 @@
 #define LIBMEMBERSHIP_LOAD_KEY_H_
 
 #include <cstdint>
+#include <unordered_set>
 
 #include "LibBase/ids.h"
 
@@ -15,6 +16,8 @@
   return static_cast<std::uint32_t>(server.value());
 }
 
+using LoadKeys = std::unordered_set<std::uint32_t>;
+
 }  // namespace membership
 
 #endif  // LIBMEMBERSHIP_LOAD_KEY_H_
--- a/Libraries/LibMembership/load_publisher.cc
+++ b/Libraries/LibMembership/load_publisher.cc
@@ -5,7 +5,6 @@
 #include <limits>
 #include <tuple>
 
-#include "LibMembership/load_key.h"
 #include "LibPeer/limits.h"
 
 namespace membership {
@@ -30,6 +29,12 @@
       static_cast<std::uint16_t>(std::min(open_flows, kGreatest));
 }
 
+void LoadPublisher::RetainServers(const LoadKeys& servers) {
+  std::erase_if(m_counts, [&servers](const auto& count) {
+    return !servers.contains(count.first);
+  });
+}
+
 void LoadPublisher::Refill(base::TimePoint now) {
   const std::chrono::duration<double> elapsed = now - m_refilled_at;
   m_refilled_at = now;
--- a/Libraries/LibMembership/load_publisher.h
+++ b/Libraries/LibMembership/load_publisher.h
@@ -14,6 +14,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibMembership/load_key.h"
 #include "LibPeer/load_digest.h"
 
 namespace membership {
@@ -43,10 +44,14 @@
   // Queries.
   // Whether a count differs from what was told of it last.
   bool HasChanges() const;
+  // The number of servers that counts are kept of.
+  std::size_t ServerCount() const { return m_counts.size(); }
 
   // Commands.
   // Sets the number of flows that this balancer has open on the server.
   void SetOpenFlows(base::BackendServerId server, std::uint64_t open_flows);
+  // Forgets the servers that are not among these.
+  void RetainServers(const LoadKeys& servers);
   // Returns the digest to send now to each of `recipients` members: what
   // changed most first, then what was told longest ago. Nothing if nothing is
   // due or the budget does not allow it. A change does not wait until the
--- a/Libraries/LibMembership/shared_load.cc
+++ b/Libraries/LibMembership/shared_load.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "LibMembership/load_key.h"
 #include "LibMembership/member_snapshot.h"
 
 namespace membership {
@@ -56,6 +55,15 @@
   }
 }
 
+void SharedLoad::RetainServers(const LoadKeys& servers) {
+  const auto is_gone = [&servers](const auto& count) {
+    return !servers.contains(count.first);
+  };
+  for (auto& [member, counts] : m_members)
+    std::erase_if(counts, is_gone);
+  std::erase_if(m_totals, is_gone);
+}
+
 void SharedLoad::Subtract(const Counts& counts) {
   for (const auto& [server, count] : counts) {
     const auto total = m_totals.find(server);
--- a/Libraries/LibMembership/shared_load.h
+++ b/Libraries/LibMembership/shared_load.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "LibBase/ids.h"
+#include "LibMembership/load_key.h"
 #include "LibPeer/load_digest.h"
 
 namespace membership {
@@ -26,6 +27,9 @@
   // The sum over the other members' latest counts.
   std::uint64_t OpenFlowsElsewhere(base::BackendServerId server) const;
 
+  // The number of servers of which a member told open flows.
+  std::size_t ServerCount() const { return m_totals.size(); }
+
   // Commands.
   // Takes in the counts of a member; servers that are left out keep theirs.
   void Receive(base::BalancerId member, const peer::LoadDigest& digest);
@@ -33,6 +37,8 @@
   void Drop(base::BalancerId member);
   // Drops the share of each member that is not among the live ones.
   void Retain(const MemberSnapshot& live);
+  // Forgets the servers that are not among these.
+  void RetainServers(const LoadKeys& servers);
 
  private:
   using Counts = std::unordered_map<std::uint32_t, std::uint16_t>;
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -200,7 +200,7 @@
                                  const LoadSharer::OpenFlows& open_flows) {
   const base::TimePoint now = base::Clock::now();
   m_burn.Take(counts, now);
-  m_load_sharer.SetOwn(open_flows);
+  m_load_sharer.SetOwn(open_flows, now);
   ShareLoad(now);
   m_traffic->Post(
       [elsewhere = m_load_sharer.Elsewhere(open_flows),
--- a/Services/Coltsfootdale/load_sharer.cc
+++ b/Services/Coltsfootdale/load_sharer.cc
@@ -1,5 +1,7 @@
 #include "load_sharer.h"
 
+#include <utility>
+
 namespace service {
 
 LoadSharer::OpenFlows LoadSharer::Elsewhere(const OpenFlows& own) const {
@@ -14,12 +16,22 @@
   return elsewhere;
 }
 
-void LoadSharer::SetOwn(const OpenFlows& own) {
+void LoadSharer::SetOwn(const OpenFlows& own, base::TimePoint now) {
+  membership::LoadKeys servers;
   for (const auto& [service, counts] : own) {
-    for (const placement::OpenCount& count : counts)
+    for (const placement::OpenCount& count : counts) {
+      servers.insert(membership::LoadKey(count.m_server));
       m_publisher.SetOpenFlows(count.m_server,
                                static_cast<std::uint64_t>(count.m_open_flows));
+    }
   }
+  const bool is_due = now - m_forgot_at >= kForgetPeriod;
+  if (servers == m_servers && !is_due)
+    return;
+  m_servers = std::move(servers);
+  m_forgot_at = now;
+  m_publisher.RetainServers(m_servers);
+  m_shared.RetainServers(m_servers);
 }
 
 void LoadSharer::Receive(base::BalancerId member,
--- a/Services/Coltsfootdale/load_sharer.h
+++ b/Services/Coltsfootdale/load_sharer.h
@@ -4,12 +4,15 @@
 #ifndef SERVICES_COLTSFOOTDALE_LOAD_SHARER_H_
 #define SERVICES_COLTSFOOTDALE_LOAD_SHARER_H_
 
+#include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibMembership/load_key.h"
 #include "LibMembership/load_publisher.h"
 #include "LibMembership/shared_load.h"
 #include "LibPeer/load_digest.h"
@@ -22,14 +25,22 @@
   using OpenFlows =
       std::map<base::ServiceId, std::vector<placement::OpenCount>>;
 
-  explicit LoadSharer(base::TimePoint now) : m_publisher(now) {}
+  static constexpr base::Duration kForgetPeriod = std::chrono::seconds(5);
+
+  explicit LoadSharer(base::TimePoint now)
+      : m_publisher(now), m_forgot_at(now) {}
 
   // Queries.
   // For each service of `own`, what the other balancers have open.
   OpenFlows Elsewhere(const OpenFlows& own) const;
+  // The number of servers that peers told open flows of.
+  std::size_t SharedServers() const { return m_shared.ServerCount(); }
 
   // Commands.
-  void SetOwn(const OpenFlows& own);
+  // Takes the open flows here on each server of the document in force, and
+  // forgets all other servers: at once, and again from time to time, as a peer
+  // with an older document may still tell of them.
+  void SetOwn(const OpenFlows& own, base::TimePoint now);
   void Receive(base::BalancerId member, const peer::LoadDigest& digest);
   void Retain(const membership::MemberSnapshot& live);
   // The digest to send to each of `recipients` members, if one is due.
@@ -39,6 +50,8 @@
  private:
   membership::LoadPublisher m_publisher;
   membership::SharedLoad m_shared;
+  membership::LoadKeys m_servers;
+  base::TimePoint m_forgot_at;
 };
 
 }  // namespace service
--- a/Tests/LibMembership/test_load.cc
+++ b/Tests/LibMembership/test_load.cc
@@ -158,3 +158,28 @@
   REQUIRE(digest);
   CHECK(digest->m_entries.front() == peer::LoadEntry{2, 9});
 }
+
+TEST_CASE("servers that are gone are forgotten and the others keep counts") {
+  membership::LoadPublisher publisher(kStart);
+  membership::SharedLoad load;
+  for (std::uint32_t server = 1; server <= 1'000; ++server) {
+    publisher.SetOpenFlows(BackendServerId(server), server);
+    load.Receive(BalancerId(1), {{{server, 5}}});
+    load.Receive(BalancerId(2), {{{server, 6}}});
+    publisher.RetainServers({server - 1, server});
+    load.RetainServers({server - 1, server});
+  }
+
+  CHECK(publisher.ServerCount() == 2);
+  CHECK(load.ServerCount() == 2);
+  CHECK(load.OpenFlowsElsewhere(BackendServerId(998)) == 0);
+  CHECK(load.OpenFlowsElsewhere(BackendServerId(999)) == 11);
+  const auto digest = publisher.Next(kPeers, kStart);
+  REQUIRE(digest);
+  CHECK(digest->m_entries ==
+        std::vector<peer::LoadEntry>{{1'000, 1'000}, {999, 999}});
+  load.Drop(BalancerId(1));
+  CHECK(load.OpenFlowsElsewhere(BackendServerId(999)) == 6);
+  load.Receive(BalancerId(2), {{{999, 0}, {1'000, 0}}});
+  CHECK(load.ServerCount() == 0);
+}
--- /dev/null
+++ b/Tests/Services/test_load_sharer.cc
@@ -0,0 +1,44 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "load_sharer.h"
+
+using base::BackendServerId;
+using service::LoadSharer;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr base::TimePoint kStart{std::chrono::hours(1)};
+constexpr base::BalancerId kPeer(1);
+
+LoadSharer::OpenFlows OpenOn(std::uint64_t server) {
+  return {{base::ServiceId(1), {{BackendServerId(server), 3}}}};
+}
+
+}  // namespace
+
+TEST_CASE("a server that left the document is forgotten at once") {
+  LoadSharer sharer(kStart);
+  sharer.SetOwn(OpenOn(7), kStart);
+  sharer.Receive(kPeer, {{{7, 20}, {8, 20}}});
+
+  sharer.SetOwn(OpenOn(8), kStart + milliseconds(50));
+
+  CHECK(sharer.SharedServers() == 1);
+  const auto digest = sharer.Next(1, kStart + milliseconds(50));
+  REQUIRE(digest);
+  CHECK(digest->m_entries == std::vector<peer::LoadEntry>{{8, 3}});
+}
+
+TEST_CASE("what a peer with an older document tells is forgotten later") {
+  LoadSharer sharer(kStart);
+  sharer.SetOwn(OpenOn(8), kStart);
+  sharer.Receive(kPeer, {{{7, 20}, {8, 20}}});
+  CHECK(sharer.SharedServers() == 2);
+
+  sharer.SetOwn(OpenOn(8), kStart + LoadSharer::kForgetPeriod);
+
+  CHECK(sharer.SharedServers() == 1);
+}
