Coltsfootdale: Find a free pair of peer ports and say what cannot be bound

Where the settings leave the peer port open, the system chooses it for UDP, and documents are pulled by TCP from the same number, which another process on the address may hold. All test programs that run side by side shared 127.0.1.1, so one's admin port met another's peer port. Ruled out: ports of former processes (the test that failed restarts none) and the admin port (it is chosen by the system for TCP itself).

Change: another pair is tried where the number was chosen by the system, at most 64 times; a given port still fails at once. The error is logged as bind_failed with the socket, its endpoint and the reason. ctest gives each test program network numbers of its own.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -12,6 +12,7 @@
 
 enum class Event {
   kListening,
+  kBindFailed,
   kReady,
   kShutdownStarted,
   kShutdownFinished,
@@ -32,8 +33,9 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 19> kEventNames{{
+inline constexpr base::EnumTable<Event, 20> kEventNames{{
     {Event::kListening, "listening"},
+    {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
     {Event::kShutdownFinished, "shutdown_finished"},
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -1,5 +1,6 @@
 #include "balancer_process.h"
 
+#include <asio/error.hpp>
 #include <asio/post.hpp>
 
 #include <chrono>
@@ -28,6 +29,7 @@
 constexpr auto kLeasePeriod = milliseconds(50);
 constexpr auto kPhasePeriod = milliseconds(100);
 constexpr auto kCountsPeriod = milliseconds(50);
+constexpr int kPortAttempts = 64;
 constexpr auto kVmListInterval = seconds(1);
 // A balancer serves without a VM list once it has waited so long for one.
 constexpr auto kJoinPatience = seconds(2);
@@ -49,6 +51,17 @@
       std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+// The reason why a socket of the process cannot be bound, for the log.
+std::error_code LogBindFailure(std::string_view socket,
+                               base::Endpoint endpoint,
+                               std::error_code reason) {
+  WriteLog(Severity::kError, Event::kBindFailed,
+           {{"socket", socket},
+            {"endpoint", base::ToString(endpoint)},
+            {"reason", reason.message()}});
+  return reason;
+}
+
 flow::FlowSettings MakeFlowSettings(const configuration::Settings& settings) {
   const configuration::MechanismSettings& mechanisms = settings.m_mechanisms;
   flow::FlowSettings flow;
@@ -91,27 +104,48 @@
 BalancerProcess::~BalancerProcess() = default;
 
 base::Outcome<void> BalancerProcess::Bind() {
-  TRY(traffic, TrafficLoop::Create({.m_self = m_id,
-                                    .m_listen = m_settings.m_traffic,
-                                    .m_gateway = m_settings.m_gateway,
-                                    .m_flow = MakeFlowSettings(m_settings),
-                                    .m_seed = m_random.Next()}));
-  m_traffic = std::move(traffic);
-  TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
-  m_peer_link = std::move(link);
-  // Documents are pulled by TCP from the number of the UDP port.
-  TRY(server,
-      DocumentServer::Create(m_context, m_peer_link->LocalEndpoint(), [this] {
-        return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
-                                                   m_configuration->body()});
-      }));
-  m_document_server = std::move(server);
-  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
-                                  MakeAdminSources()));
-  m_admin = std::move(admin);
+  auto traffic = TrafficLoop::Create({.m_self = m_id,
+                                      .m_listen = m_settings.m_traffic,
+                                      .m_gateway = m_settings.m_gateway,
+                                      .m_flow = MakeFlowSettings(m_settings),
+                                      .m_seed = m_random.Next()});
+  if (!traffic)
+    return LogBindFailure("traffic", m_settings.m_traffic, traffic.error());
+  m_traffic = std::move(traffic).value();
+  BOOST_OUTCOME_TRYV(BindPeerSockets());
+  auto admin = AdminConsole::Create(m_context, m_settings, m_platform,
+                                    MakeAdminSources());
+  if (!admin)
+    return LogBindFailure("admin", m_settings.m_admin, admin.error());
+  m_admin = std::move(admin).value();
   return base::Success();
 }
 
+base::Outcome<void> BalancerProcess::BindPeerSockets() {
+  // Documents are pulled by TCP from the number of the UDP port. Where the
+  // system chooses that number, another process may hold it for TCP.
+  for (int attempt = 1;; ++attempt) {
+    auto link = PeerLink::Create(m_context, m_settings.m_peer);
+    if (!link)
+      return LogBindFailure("peer", m_settings.m_peer, link.error());
+    auto server = DocumentServer::Create(
+        m_context, link.value()->LocalEndpoint(), [this] {
+          return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
+                                                     m_configuration->body()});
+        });
+    if (server) {
+      m_peer_link = std::move(link).value();
+      m_document_server = std::move(server).value();
+      return base::Success();
+    }
+    const bool should_retry = m_settings.m_peer.m_port == 0 &&
+                              attempt < kPortAttempts &&
+                              server.error() == asio::error::address_in_use;
+    if (!should_retry)
+      return LogBindFailure("document", m_settings.m_peer, server.error());
+  }
+}
+
 peer::MemberRecord BalancerProcess::MakeSelf() const {
   peer::MemberRecord self;
   self.m_id = m_id;
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -28,6 +28,13 @@
   return pattern;
 }
 
+// Test programs that run side by side get numbers of their own from ctest, so
+// that they take no ports from each other.
+int NetworkNumber() {
+  const char* number = std::getenv("COLTSFOOTDALE_TEST_NETWORK");
+  return number == nullptr ? 0 : std::atoi(number);
+}
+
 base::Endpoint Endpoint(const JsonLine& line, const std::string& field) {
   const auto endpoint = base::ParseEndpoint(line.get(field, ""));
   Require(endpoint.has_value(), "no endpoint in field " + field);
@@ -46,8 +53,8 @@
       m_folder(MakeFolder()) {
   m_fabric = std::make_unique<ChildProcess>(
       kStandInTraffic,
-      std::vector<std::string>{"fabric", "--address", Address(0, 1), "--seed",
-                               std::to_string(m_options.m_seed)});
+      std::vector<std::string>{"fabric", "--address", BalancerAddress(),
+                               "--seed", std::to_string(m_options.m_seed)});
   const JsonLine line = m_fabric->WaitFor("listening", kStartDeadline);
   m_fabric_callers = line.get("callers", "");
   m_fabric_servers = line.get("servers", "");
@@ -61,7 +68,8 @@
 
 std::string Deployment::Address(int block, int number) const {
   return "127." + std::to_string(block) + "." +
-         std::to_string(m_options.m_number) + "." + std::to_string(number);
+         std::to_string(NetworkNumber() + m_options.m_number) + "." +
+         std::to_string(number);
 }
 
 void Deployment::AddServer(const std::string& service,
@@ -103,7 +111,7 @@
 
 std::string Deployment::WriteSettings(const std::string& name) {
   std::string path = m_folder + "/" + name + ".yaml";
-  const std::string any_port = Address(0, 1) + ":0";
+  const std::string any_port = BalancerAddress() + ":0";
   const JsonLine& former = m_former_endpoints[name];
   std::ofstream(path) << "data_centre: " << m_options.m_data_centre
                       << "\nname: " << name
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -39,7 +39,8 @@
  public:
   struct Options {
     std::string m_data_centre = "a";
-    // The second-last number of all addresses; differs between data centres.
+    // Counts the data centres of one test program from 1 to 7; gives each
+    // addresses of its own.
     int m_number = 1;
     std::uint64_t m_seed = 1;
     // YAML lines added to each balancer's settings.
@@ -100,6 +101,8 @@
   ChildProcess& Server(const std::string& name) { return *m_servers.at(name); }
   ChildProcess& Fabric() { return *m_fabric; }
   std::vector<std::string> BalancerNames() const;
+  // The IP number that all balancers of the deployment share.
+  std::string BalancerAddress() const { return Address(0, 1); }
   // Endpoint that balancers started from now on use for the platform.
   void SetPlatformEndpoint(base::Endpoint endpoint) {
     m_platform_endpoint = endpoint;
--- a/Tests/Integration/test_thin_path.cc
+++ b/Tests/Integration/test_thin_path.cc
@@ -2,6 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <vector>
+
 #include "deployment.h"
 
 using std::chrono::seconds;
@@ -33,3 +38,24 @@
   for (const std::string& name : deployment.BalancerNames())
     CHECK(deployment.StopBalancer(name) == 0);
 }
+
+TEST_CASE("balancers start although half of the TCP ports are taken") {
+  integration::PlatformControl platform;
+  integration::DocumentModel document;
+  integration::Deployment deployment(platform, document, {.m_seed = 22});
+  asio::io_context context;
+  std::vector<asio::ip::tcp::socket> taken;
+  const auto address = asio::ip::make_address_v4(deployment.BalancerAddress());
+  // The range from which Linux takes ports by default.
+  for (unsigned short port = 32768; port < 61000; port += 2) {
+    std::error_code error;
+    taken.emplace_back(context, asio::ip::tcp::v4());
+    taken.back().bind({address, port}, error);
+  }
+  document.m_services["portal"].m_address =
+      *base::ParseEndpoint("127.48.0.1:443");
+  deployment.AddServer("portal", "portal-1");
+  REQUIRE(platform.PutDocument(document.Render("first"), 0) > 0);
+  for (int i = 1; i <= 6; ++i)
+    CHECK_NOTHROW(deployment.AddBalancer("entry-" + std::to_string(i)));
+}
