LibBalancer: Hold openings to their deadline; emulate the gate in use

Cause: found by reading. The document's opening_deadline_ms was checked, shown and written, and nothing used it. The overload and placement figures came from admission::OpeningAttempt, which only the emulator drove, while the product decides with ServiceGate and FlowDirector.

Change: a choice of a server takes an OpeningProgress (why, and how long after the first try). After the deadline an opening goes to no other server. An opening that a silent server has is no longer counted as refused. The retry budget's default is 9 %, so that a minute of overload with savings stays under 1.1 sent for each received.

Weighed: jittered back-off before the next server. So a refused opening goes on at once.

--- a/Benchmarks/ServiceEmulator/emulated_balancer.cc
+++ b/Benchmarks/ServiceEmulator/emulated_balancer.cc
@@ -1,102 +1,88 @@
 #include "ServiceEmulator/emulated_balancer.h"
 
+#include <algorithm>
 #include <utility>
-#include <variant>
 
-#include "LibBase/overloaded.h"
+#include "LibFlow/opening_table.h"
 
 namespace service_emulator {
 
-EmulatedBalancer::EmulatedBalancer(const EmulatorSettings& settings,
+EmulatedBalancer::EmulatedBalancer(const balancer::ServiceProfile& profile,
                                    std::uint64_t seed,
-                                   base::TimerService& timers,
-                                   World world)
-    : m_settings(settings),
+                                   World world,
+                                   base::TimePoint now)
+    : m_service(profile.m_id),
       m_random(seed),
-      m_timers(timers),
       m_world(std::move(world)),
-      m_view(settings.m_load),
-      m_policy(settings.m_policy),
-      m_admission(settings.m_admission) {}
+      m_gate(profile, now) {
+  RouteTo(profile);
+}
+
+void EmulatedBalancer::Update(const balancer::ServiceProfile& profile,
+                              base::TimePoint now) {
+  m_gate.Update(profile, now);
+  RouteTo(profile);
+}
+
+void EmulatedBalancer::RouteTo(const balancer::ServiceProfile& profile) {
+  for (const balancer::ServerProfile& server : profile.m_servers)
+    m_servers.insert({server.m_id, {server.m_id, {}}});
+}
 
 void EmulatedBalancer::Apply(const placement::LoadEvent& event,
                              base::TimePoint now) {
-  m_view.Apply(event, now);
+  m_gate.Apply(event, now);
 }
 
+// As flow::FlowDirector does it: an opening goes to another server as soon as
+// one has refused it.
 void EmulatedBalancer::Open(const FlowPointer& flow, base::TimePoint now) {
-  m_admission.RecordOpening();
-  const auto attempt = std::make_shared<Attempt>(
-      Attempt{flow, admission::OpeningAttempt(m_settings.m_opening, now)});
-  const bool is_admitted = m_admission.DecideForService(Occupancy()) ==
-                           admission::Admission::kAdmitted;
-  std::optional<base::BackendServerId> choice;
-  if (is_admitted)
-    choice = ChooseFor(*flow);
-  Handle(attempt, admission::OpeningReceived{choice}, now);
+  std::vector<base::BackendServerId> tried;
+  while (tried.size() < flow::kMaximumAttempts) {
+    const auto server = Choose(*flow, tried);
+    if (!server)
+      break;
+    Note(flow::FlowNoteKind::kOpeningSent, *server, {}, now);
+    if (m_world.m_offer(flow, *server)) {
+      Note(flow::FlowNoteKind::kAccepted, *server, {}, now);
+      m_world.m_placed(flow, *server);
+      return;
+    }
+    Note(flow::FlowNoteKind::kRefused, *server, {}, now);
+    tried.push_back(*server);
+  }
+  m_world.m_refused(flow);
 }
 
 void EmulatedBalancer::SeeAnswer(base::BackendServerId server,
                                  base::Duration delay,
                                  base::TimePoint now) {
-  Apply(placement::AnswerStarted{server, delay}, now);
-  m_admission.RecordAnswerDelay(delay, Occupancy(), now);
+  Note(flow::FlowNoteKind::kAnswered, server, delay, now);
 }
 
-std::optional<base::BackendServerId> EmulatedBalancer::ChooseFor(
-    const EmulatedFlow& flow) {
-  if (m_settings.m_knowledge == Knowledge::kPerfect)
+std::optional<base::BackendServerId> EmulatedBalancer::Choose(
+    const EmulatedFlow& flow,
+    const std::vector<base::BackendServerId>& tried) {
+  if (m_world.m_choose_perfectly)
     return m_world.m_choose_perfectly(flow);
-  return placement::Choose(m_policy, flow.m_order, m_view, m_random);
-}
-
-admission::ServiceOccupancy EmulatedBalancer::Occupancy() const {
-  const placement::ServiceLoad total = m_view.Total();
-  return {total.m_estimated_busy, static_cast<double>(total.m_slots),
-          total.m_connections};
-}
-
-void EmulatedBalancer::Handle(const AttemptPointer& attempt,
-                              const admission::OpeningEvent& event,
-                              base::TimePoint now) {
-  const admission::OpeningEffect effect = attempt->m_machine.Handle(
-      event, now, m_admission.MutableRetries(), m_random);
-  std::visit(base::Overloaded{
-                 [&](const admission::TryServer& effect) {
-                   Try(attempt, effect.m_server, now);
-                 },
-                 [&](const admission::WaitForRetry& effect) {
-                   WaitForRetry(attempt, effect.m_timer_at);
-                 },
-                 [&](const admission::PlaceFlow& effect) {
-                   m_world.m_placed(attempt->m_flow, effect.m_server);
-                 },
-                 [&](const admission::RefuseCaller&) {
-                   m_world.m_refused(attempt->m_flow);
-                 },
-                 [](const auto&) {},
-             },
-             effect);
-}
-
-void EmulatedBalancer::Try(const AttemptPointer& attempt,
-                           base::BackendServerId server,
-                           base::TimePoint now) {
-  Apply(placement::OpeningSent{server}, now);
-  if (m_world.m_offer(attempt->m_flow, server)) {
-    Apply(placement::OpeningAccepted{server}, now);
-    Handle(attempt, admission::ServerAccepted{server}, now);
-    return;
+  flow::ServerOrder order;
+  for (const base::BackendServerId id : flow.m_order) {
+    if (std::ranges::count(tried, id) == 0)
+      order.push_back(&m_servers.at(id));
   }
-  Apply(placement::OpeningRefused{server}, now);
-  Handle(attempt, admission::ServerRefused{server}, now);
+  const auto reason = tried.empty() ? flow::OpeningReason::kReceived
+                                    : flow::OpeningReason::kRefused;
+  const flow::RoutedServer* server = m_gate.Choose(order, {reason}, m_random);
+  if (server == nullptr)
+    return std::nullopt;
+  return server->m_id;
 }
 
-void EmulatedBalancer::WaitForRetry(const AttemptPointer& attempt,
-                                    base::TimePoint until) {
-  m_timers.SubscribeOnce(until, [this, attempt](base::TimePoint now) {
-    Handle(attempt, admission::TimerFired{ChooseFor(*attempt->m_flow)}, now);
-  });
+void EmulatedBalancer::Note(flow::FlowNoteKind kind,
+                            base::BackendServerId server,
+                            base::Duration elapsed,
+                            base::TimePoint now) {
+  m_gate.Observe({kind, m_service, server, elapsed}, now);
 }
 
 }  // namespace service_emulator
--- a/Benchmarks/ServiceEmulator/emulated_balancer.h
+++ b/Benchmarks/ServiceEmulator/emulated_balancer.h
@@ -1,4 +1,5 @@
-// An emulated balancer: the decision libraries, wired to emulated servers.
+// An emulated balancer: the gate that the product decides with, wired to
+// emulated servers.
 
 #ifndef SERVICE_EMULATOR_EMULATED_BALANCER_H_
 #define SERVICE_EMULATOR_EMULATED_BALANCER_H_
@@ -7,15 +8,14 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <unordered_map>
+#include <vector>
 
-#include "LibAdmission/admission_controller.h"
-#include "LibAdmission/opening_attempt.h"
+#include "LibBalancer/service_gate.h"
+#include "LibBalancer/service_profile.h"
 #include "LibBase/random.h"
-#include "LibBase/timer_service.h"
-#include "LibPlacement/load_view.h"
-#include "LibPlacement/placement_policy.h"
+#include "LibFlow/service_routing.h"
 #include "ServiceEmulator/emulated_flow.h"
-#include "ServiceEmulator/emulator_settings.h"
 
 namespace service_emulator {
 
@@ -27,24 +27,25 @@
   struct World {
     // Offers a flow to a server; false if the server refuses.
     std::function<bool(const FlowPointer&, base::BackendServerId)> m_offer;
-    // The best server by true load, for Knowledge::kPerfect.
-    std::function<std::optional<base::BackendServerId>(const EmulatedFlow&)>
+    // The best server by true load; empty if the gate is to choose.
+    std::function<base::BackendServerId(const EmulatedFlow&)>
         m_choose_perfectly;
     std::function<void(const FlowPointer&, base::BackendServerId)> m_placed;
     std::function<void(const FlowPointer&)> m_refused;
   };
 
-  EmulatedBalancer(const EmulatorSettings& settings,
+  EmulatedBalancer(const balancer::ServiceProfile& profile,
                    std::uint64_t seed,
-                   base::TimerService& timers,
-                   World world);
+                   World world,
+                   base::TimePoint now);
 
   // Queries.
-  const placement::LoadView& View() const { return m_view; }
+  const placement::LoadView& View() const { return m_gate.load(); }
 
   // Commands.
+  void Update(const balancer::ServiceProfile& profile, base::TimePoint now);
   void Apply(const placement::LoadEvent& event, base::TimePoint now);
-  void Advance(base::TimePoint now) { m_view.Advance(now, m_random); }
+  void Advance(base::TimePoint now) { m_gate.Advance(now, m_random); }
   void Open(const FlowPointer& flow, base::TimePoint now);
   // The answer to a flow that this balancer opened has passed it.
   void SeeAnswer(base::BackendServerId server,
@@ -52,29 +53,21 @@
                  base::TimePoint now);
 
  private:
-  struct Attempt {
-    FlowPointer m_flow;
-    admission::OpeningAttempt m_machine;
-  };
-  using AttemptPointer = std::shared_ptr<Attempt>;
-
-  std::optional<base::BackendServerId> ChooseFor(const EmulatedFlow& flow);
-  admission::ServiceOccupancy Occupancy() const;
-  void Handle(const AttemptPointer& attempt,
-              const admission::OpeningEvent& event,
-              base::TimePoint now);
-  void Try(const AttemptPointer& attempt,
-           base::BackendServerId server,
-           base::TimePoint now);
-  void WaitForRetry(const AttemptPointer& attempt, base::TimePoint until);
+  // The server for an opening that the servers in `tried` have refused.
+  std::optional<base::BackendServerId> Choose(
+      const EmulatedFlow& flow,
+      const std::vector<base::BackendServerId>& tried);
+  void Note(flow::FlowNoteKind kind,
+            base::BackendServerId server,
+            base::Duration elapsed,
+            base::TimePoint now);
+  void RouteTo(const balancer::ServiceProfile& profile);
 
-  const EmulatorSettings& m_settings;
+  base::ServiceId m_service;
   base::Random m_random;
-  base::TimerService& m_timers;
   World m_world;
-  placement::LoadView m_view;
-  placement::PlacementPolicy m_policy;
-  admission::AdmissionController m_admission;
+  balancer::ServiceGate m_gate;
+  std::unordered_map<base::BackendServerId, flow::RoutedServer> m_servers;
 };
 
 }  // namespace service_emulator
--- a/Benchmarks/ServiceEmulator/emulator_settings.h
+++ b/Benchmarks/ServiceEmulator/emulator_settings.h
@@ -10,7 +10,6 @@
 #include <optional>
 
 #include "LibAdmission/admission_controller.h"
-#include "LibAdmission/opening_attempt.h"
 #include "LibBase/time.h"
 #include "LibMembership/load_publisher.h"
 #include "LibPlacement/load_settings.h"
@@ -89,7 +88,6 @@
   placement::LoadSettings m_load;
   placement::PlacementPolicy m_policy;
   admission::AdmissionSettings m_admission;
-  admission::OpeningSettings m_opening;
 };
 
 }  // namespace service_emulator
--- a/Benchmarks/ServiceEmulator/service_emulator.cc
+++ b/Benchmarks/ServiceEmulator/service_emulator.cc
@@ -39,9 +39,12 @@
       m_end(m_start + m_settings.m_measured),
       m_workload(m_settings.m_seed),
       m_random(base::CombineHashes(m_settings.m_seed, 1)) {
-  AddBalancers();
+  m_profile.m_id = base::MakeServiceId("emulated");
+  m_profile.m_placement = {m_settings.m_load, m_settings.m_policy};
+  m_profile.m_admission = m_settings.m_admission;
   for (std::uint32_t server = 0; server < m_settings.m_servers; ++server)
-    AddServer(placement::ServerStart::kWarm, m_now);
+    AddServer();
+  AddBalancers();
   FindServer(m_active.front())->SetMisbehaviour(m_settings.m_misbehaviour);
 }
 
@@ -81,31 +84,30 @@
       m_results.m_sent += IsMeasured() ? 1 : 0;
       return FindServer(server)->Offer(flow, m_now);
     };
-    world.m_choose_perfectly = [this](const EmulatedFlow& flow) {
-      return ChoosePerfectly(flow);
-    };
+    if (m_settings.m_knowledge == Knowledge::kPerfect) {
+      world.m_choose_perfectly = [this](const EmulatedFlow& flow) {
+        return ChoosePerfectly(flow);
+      };
+    }
     world.m_placed = [this](const FlowPointer& flow,
                             base::BackendServerId server) {
       OnPlaced(flow, server);
     };
     world.m_refused = [this](const FlowPointer& flow) { OnRefused(flow); };
     m_balancers.push_back(std::make_unique<EmulatedBalancer>(
-        m_settings, m_random.Next(), m_timers, std::move(world)));
+        m_profile, m_random.Next(), std::move(world), m_now));
   }
 }
 
-void ServiceEmulator::AddServer(placement::ServerStart start,
-                                base::TimePoint now) {
+EmulatedServer& ServiceEmulator::AddServer() {
   const base::BackendServerId id(base::MixBits(++m_next_server));
   auto server = std::make_unique<EmulatedServer>(
       m_settings, id, m_timers,
       [this](const FlowPointer& flow, base::BackendServerId from,
              base::TimePoint at) { OnCompleted(flow, from, at); });
-  if (start == placement::ServerStart::kCold)
-    server->StartCold(now);
-  m_servers.emplace(id, std::move(server));
   m_active.push_back(id);
-  TellAll(placement::ServerAdded{id, m_settings.m_slots, 0, start}, now);
+  m_profile.m_servers.push_back({id, m_settings.m_slots});
+  return *m_servers.emplace(id, std::move(server)).first->second;
 }
 
 void ServiceEmulator::ScheduleArrival(base::TimePoint now) {
@@ -221,13 +223,19 @@
   for (int replaced = 0; replaced < kReplacedTogether; ++replaced) {
     const base::BackendServerId leaving = m_active.front();
     m_active.erase(m_active.begin());
-    TellAll(placement::ServerDraining{leaving}, now);
-    m_timers.SubscribeOnce(now + kRemovalDelay,
-                           [this, leaving](base::TimePoint at) {
-                             TellAll(placement::ServerRemoved{leaving}, at);
-                           });
-    AddServer(placement::ServerStart::kCold, now);
+    std::ranges::find(m_profile.m_servers, leaving,
+                      &balancer::ServerProfile::m_id)
+        ->m_is_draining = true;
+    m_timers.SubscribeOnce(
+        now + kRemovalDelay, [this, leaving](base::TimePoint at) {
+          std::erase_if(m_profile.m_servers, [leaving](const auto& server) {
+            return server.m_id == leaving;
+          });
+          UpdateBalancers(at);
+        });
+    AddServer().StartCold(now);
   }
+  UpdateBalancers(now);
 }
 
 void ServiceEmulator::ScheduleSamples() {
@@ -362,7 +370,7 @@
   return order;
 }
 
-std::optional<base::BackendServerId> ServiceEmulator::ChoosePerfectly(
+base::BackendServerId ServiceEmulator::ChoosePerfectly(
     const EmulatedFlow& flow) {
   const auto load = [this](base::BackendServerId id) {
     return FindServer(id)->Utilisation();
@@ -370,10 +378,9 @@
   return *std::ranges::min_element(flow.m_order, {}, load);
 }
 
-void ServiceEmulator::TellAll(const placement::LoadEvent& event,
-                              base::TimePoint now) {
+void ServiceEmulator::UpdateBalancers(base::TimePoint now) {
   for (const auto& balancer : m_balancers)
-    balancer->Apply(event, now);
+    balancer->Update(m_profile, now);
 }
 
 }  // namespace service_emulator
--- a/Benchmarks/ServiceEmulator/service_emulator.h
+++ b/Benchmarks/ServiceEmulator/service_emulator.h
@@ -33,7 +33,8 @@
   using FlowPointer = std::shared_ptr<EmulatedFlow>;
 
   void AddBalancers();
-  void AddServer(placement::ServerStart start, base::TimePoint now);
+  // A server that takes new flows as soon as the balancers know of it.
+  EmulatedServer& AddServer();
   void ScheduleArrival(base::TimePoint now);
   void ScheduleReports();
   void ScheduleFaults();
@@ -59,9 +60,8 @@
   double OfferedLoad() const;
   EmulatedServer* FindServer(base::BackendServerId server);
   std::vector<base::BackendServerId> RendezvousOrder(std::uint64_t key) const;
-  std::optional<base::BackendServerId> ChoosePerfectly(
-      const EmulatedFlow& flow);
-  void TellAll(const placement::LoadEvent& event, base::TimePoint now);
+  base::BackendServerId ChoosePerfectly(const EmulatedFlow& flow);
+  void UpdateBalancers(base::TimePoint now);
 
   EmulatorSettings m_settings;
   base::TimerService m_timers;
@@ -73,6 +73,8 @@
   base::Random m_workload;
   base::Random m_random;
   std::uint64_t m_next_server = 0;
+  // What the balancers are told of the servers.
+  balancer::ServiceProfile m_profile;
   // Servers that take new flows.
   std::vector<base::BackendServerId> m_active;
   std::unordered_map<base::BackendServerId, std::unique_ptr<EmulatedServer>>
--- a/Benchmarks/benchmark_flow.cc
+++ b/Benchmarks/benchmark_flow.cc
@@ -440,7 +440,7 @@
                           const auto order =
                               routing.OrderFor(base::MixBits(call));
                           const auto* server =
-                              gates[0]->Choose(order, 0, random);
+                              gates[0]->Choose(order, {}, random);
                           VERIFY(server != nullptr);
                           gates[0]->Observe({flow::FlowNoteKind::kOpeningSent,
                                              base::ServiceId(1),
--- a/Libraries/LibAdmission/retry_budget.h
+++ b/Libraries/LibAdmission/retry_budget.h
@@ -10,8 +10,9 @@
 namespace admission {
 
 struct RetryBudgetSettings {
-  // Retries allowed for each opening received.
-  double m_share = 0.1;
+  // Retries allowed for each opening received. With what may be saved up, the
+  // openings sent in a minute of overload stay under 1.1 for each received.
+  double m_share = 0.09;
   // Retries that may be saved up for a burst.
   double m_maximum_tokens = 10.0;
 };
--- a/Libraries/LibBalancer/service_gate.cc
+++ b/Libraries/LibBalancer/service_gate.cc
@@ -35,7 +35,8 @@
       m_policy(profile.m_placement.m_policy),
       m_admission(profile.m_admission),
       m_servers(profile.m_servers),
-      m_wait_bound(profile.m_wait_bound) {
+      m_wait_bound(profile.m_wait_bound),
+      m_opening_deadline(profile.m_opening_deadline) {
   for (const ServerProfile& server : m_servers)
     AddServer(server, placement::ServerStart::kWarm, now);
 }
@@ -68,6 +69,7 @@
   m_load.SetSettings(profile.m_placement.m_load, now);
   m_admission.SetSettings(profile.m_admission);
   m_wait_bound = profile.m_wait_bound;
+  m_opening_deadline = profile.m_opening_deadline;
 }
 
 void ServiceGate::UpdateServer(const ServerProfile& before,
@@ -101,9 +103,11 @@
   return {busy, slots, total.m_connections};
 }
 
-bool ServiceGate::IsAdmitted(std::size_t attempt) {
-  if (attempt > 0)
-    return m_admission.Retries().CanSpend();
+bool ServiceGate::IsAdmitted(flow::OpeningProgress progress) {
+  if (progress.m_reason != flow::OpeningReason::kReceived) {
+    return progress.m_elapsed < m_opening_deadline &&
+           m_admission.Retries().CanSpend();
+  }
   ++m_counts.m_openings;
   m_admission.RecordOpening();
   return m_admission.DecideForService(Occupancy()) ==
@@ -144,15 +148,17 @@
 }
 
 const flow::RoutedServer* ServiceGate::Choose(const flow::ServerOrder& order,
-                                              std::size_t attempt,
+                                              flow::OpeningProgress progress,
                                               base::Random& random) {
   const flow::RoutedServer* chosen =
-      IsAdmitted(attempt) ? ChooseBelowLimit(order, random) : nullptr;
+      IsAdmitted(progress) ? ChooseBelowLimit(order, random) : nullptr;
   if (chosen == nullptr) {
-    ++m_counts.m_refused;
+    // An opening without an answer stays with the server that has it.
+    if (progress.m_reason != flow::OpeningReason::kUnanswered)
+      ++m_counts.m_refused;
     return nullptr;
   }
-  if (attempt > 0)
+  if (progress.m_reason != flow::OpeningReason::kReceived)
     VERIFY(m_admission.MutableRetries().TrySpend());
   return chosen;
 }
--- a/Libraries/LibBalancer/service_gate.h
+++ b/Libraries/LibBalancer/service_gate.h
@@ -14,6 +14,7 @@
 #include "LibBase/random.h"
 #include "LibBase/time.h"
 #include "LibFlow/effect.h"
+#include "LibFlow/opening_progress.h"
 #include "LibFlow/service_routing.h"
 #include "LibPlacement/load_view.h"
 #include "LibPlacement/placement_policy.h"
@@ -37,11 +38,11 @@
   // Brings the servers into line with a later profile. Settings of placement
   // and admission take effect for openings from then on.
   void Update(const ServiceProfile& profile, base::TimePoint now);
-  // The server for an opening, or null to refuse it. `attempt` counts from
-  // zero; an attempt after the first spends the retry budget if a server is
-  // chosen.
+  // The server for an opening, or null if it may go to none. An attempt after
+  // the first spends the retry budget if a server is chosen, and none is chosen
+  // after the profile's deadline of an opening.
   const flow::RoutedServer* Choose(const flow::ServerOrder& order,
-                                   std::size_t attempt,
+                                   flow::OpeningProgress progress,
                                    base::Random& random);
   void Observe(const flow::FlowNote& note, base::TimePoint now);
   void Apply(const placement::LoadEvent& event, base::TimePoint now);
@@ -55,7 +56,7 @@
   void UpdateServer(const ServerProfile& before,
                     const ServerProfile& server,
                     base::TimePoint now);
-  bool IsAdmitted(std::size_t attempt);
+  bool IsAdmitted(flow::OpeningProgress progress);
   bool IsBelowLimit(base::BackendServerId server) const;
   // The policy's choice among those below their connection limits, or null.
   const flow::RoutedServer* ChooseBelowLimit(const flow::ServerOrder& order,
@@ -66,6 +67,7 @@
   admission::AdmissionController m_admission;
   std::vector<ServerProfile> m_servers;
   base::Duration m_wait_bound;
+  base::Duration m_opening_deadline;
   // Whether any server has ever reported its load.
   bool m_has_reports = false;
   ServiceCounts m_counts;
--- a/Libraries/LibBalancer/service_profile.h
+++ b/Libraries/LibBalancer/service_profile.h
@@ -28,6 +28,9 @@
   admission::AdmissionSettings m_admission;
   // A flow whose first answer takes longer counts as slow.
   base::Duration m_wait_bound = std::chrono::seconds(1);
+  // From the first packet of an opening to a server until it goes to no other
+  // server any more.
+  base::Duration m_opening_deadline = std::chrono::seconds(3);
   std::vector<ServerProfile> m_servers;
 };
 
--- a/Libraries/LibBalancer/traffic_core.cc
+++ b/Libraries/LibBalancer/traffic_core.cc
@@ -17,8 +17,8 @@
           settings,
           [this](const flow::ServiceRouting& service,
                  const flow::ServerOrder& order,
-                 std::size_t attempt) {
-            return Choose(service, order, attempt);
+                 flow::OpeningProgress progress) {
+            return Choose(service, order, progress);
           },
           now) {}
 
@@ -86,11 +86,11 @@
 const flow::RoutedServer* TrafficCore::Choose(
     const flow::ServiceRouting& service,
     const flow::ServerOrder& order,
-    std::size_t attempt) {
+    flow::OpeningProgress progress) {
   const auto gate = m_gates.find(service.id());
   if (gate == m_gates.end())
     return nullptr;
-  return gate->second.Choose(order, attempt, m_random);
+  return gate->second.Choose(order, progress, m_random);
 }
 
 void TrafficCore::Observe(const flow::FlowNote& note, base::TimePoint now) {
--- a/Libraries/LibBalancer/traffic_core.h
+++ b/Libraries/LibBalancer/traffic_core.h
@@ -62,7 +62,7 @@
  private:
   const flow::RoutedServer* Choose(const flow::ServiceRouting& service,
                                    const flow::ServerOrder& order,
-                                   std::size_t attempt);
+                                   flow::OpeningProgress progress);
   void Observe(const flow::FlowNote& note, base::TimePoint now);
   flow::Effects TakeNotes(flow::Effects effects, base::TimePoint now);
 
--- a/Libraries/LibConfiguration/service.h
+++ b/Libraries/LibConfiguration/service.h
@@ -39,7 +39,7 @@
 // Bounds on retries, under the key "limits".
 struct ServiceLimits {
   // Openings tried again, in percent of all openings.
-  std::uint64_t m_retry_budget_percent = 10;
+  std::uint64_t m_retry_budget_percent = 9;
   // An opening is not tried again after this time.
   std::chrono::milliseconds m_opening_deadline{3000};
 
--- a/Libraries/LibFlow/flow_director.h
+++ b/Libraries/LibFlow/flow_director.h
@@ -17,6 +17,7 @@
 #include "LibFlow/flow_event.h"
 #include "LibFlow/flow_settings.h"
 #include "LibFlow/flow_table.h"
+#include "LibFlow/opening_progress.h"
 #include "LibFlow/opening_table.h"
 #include "LibFlow/probe_table.h"
 #include "LibFlow/service_routing.h"
@@ -30,11 +31,11 @@
 class FlowDirector {
  public:
   // Chooses a server for an opening out of those that may take it, in the
-  // flow's order; null refuses the opening. `attempt` counts from zero.
+  // flow's order; null refuses the opening.
   using Chooser =
       std::function<const RoutedServer*(const ServiceRouting& service,
                                         const ServerOrder& order,
-                                        std::size_t attempt)>;
+                                        OpeningProgress progress)>;
 
   FlowDirector(FlowSettings settings, Chooser chooser, base::TimePoint now);
 
@@ -79,7 +80,8 @@
                         FlowEntry& entry);
   Effects PlaceOpening(const CallerPacket& packet, const Subject& subject);
   const RoutedServer* ChooseServer(const Subject& subject,
-                                   const PendingOpening* opening);
+                                   const PendingOpening* opening,
+                                   OpeningReason reason);
   Effects HandleClosing(const CallerPacket& packet, const Subject& subject);
   Effects HandleData(const CallerPacket& packet, const Subject& subject);
   Effects ForwardKnown(const CallerPacket& packet,
@@ -103,7 +105,8 @@
   Effects HandleAnswer(const ServerPacket& packet, const Subject& subject);
   Effects ResendElsewhere(const Subject& subject,
                           FlowEntry& entry,
-                          PendingOpening& opening);
+                          PendingOpening& opening,
+                          OpeningReason reason);
   void NoteFirstAnswer(const ServerPacket& packet,
                        const Subject& subject,
                        FlowEntry& entry,
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -68,7 +68,8 @@
   // Nothing but the opening was ever sent, so another server may have it: a
   // caller completes the handshake with one of them only.
   if (is_silent && m_settings.m_mechanisms.m_reopen_on_refusal) {
-    Effects effects = ResendElsewhere(subject, entry, *opening);
+    Effects effects =
+        ResendElsewhere(subject, entry, *opening, OpeningReason::kUnanswered);
     if (!effects.empty())
       return effects;
   }
@@ -85,7 +86,8 @@
     NoteEnd(*former, subject.m_service.id(), effects);
     m_flows.Erase(subject.m_key, subject.m_hash);
   }
-  const RoutedServer* server = ChooseServer(subject, nullptr);
+  const RoutedServer* server =
+      ChooseServer(subject, nullptr, OpeningReason::kReceived);
   if (server == nullptr) {
     effects.push_back(RefuseOpening{});
     return effects;
@@ -106,7 +108,8 @@
 }
 
 const RoutedServer* FlowDirector::ChooseServer(const Subject& subject,
-                                               const PendingOpening* opening) {
+                                               const PendingOpening* opening,
+                                               OpeningReason reason) {
   ServerOrder order;
   for (const RoutedServer* server :
        subject.m_service.OrderFor(subject.m_hash)) {
@@ -117,8 +120,10 @@
   }
   if (order.empty())
     return nullptr;
-  const std::size_t attempt = opening == nullptr ? 0 : opening->m_tried.size();
-  return m_chooser(subject.m_service, order, attempt);
+  const base::Duration elapsed = opening == nullptr
+                                     ? base::Duration::zero()
+                                     : subject.m_now - opening->m_first_sent;
+  return m_chooser(subject.m_service, order, {reason, elapsed});
 }
 
 Effects FlowDirector::HandleClosing(const CallerPacket& packet,
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -119,7 +119,8 @@
 
   PendingOpening* opening = m_openings.Find(subject.m_key);
   if (opening != nullptr && m_settings.m_mechanisms.m_reopen_on_refusal) {
-    Effects effects = ResendElsewhere(subject, *entry, *opening);
+    Effects effects =
+        ResendElsewhere(subject, *entry, *opening, OpeningReason::kRefused);
     if (!effects.empty())
       return effects;
   }
@@ -134,13 +135,14 @@
 // Empty if no other server may have the opening.
 Effects FlowDirector::ResendElsewhere(const Subject& subject,
                                       FlowEntry& entry,
-                                      PendingOpening& opening) {
+                                      PendingOpening& opening,
+                                      OpeningReason reason) {
   const bool can_resend = IsLeaseValid(subject.m_now) &&
                           !opening.m_bytes.empty() &&
                           opening.m_tried.size() < kMaximumAttempts;
   if (!can_resend)
     return {};
-  const RoutedServer* next = ChooseServer(subject, &opening);
+  const RoutedServer* next = ChooseServer(subject, &opening, reason);
   if (next == nullptr)
     return {};
   Effects effects;
--- a/Services/Coltsfootdale/configuration_mapping.cc
+++ b/Services/Coltsfootdale/configuration_mapping.cc
@@ -39,6 +39,7 @@
   balancer::ServiceProfile profile;
   profile.m_id = base::MakeServiceId(service.m_name);
   profile.m_wait_bound = service.m_objective.m_wait;
+  profile.m_opening_deadline = service.m_limits.m_opening_deadline;
   profile.m_placement.m_policy = MapPolicy(service.m_placement, placement);
   profile.m_admission.m_retry_budget.m_share =
       static_cast<double>(service.m_limits.m_retry_budget_percent) / kPercent;
--- a/Tests/LibAdmission/test_retry_budget.cc
+++ b/Tests/LibAdmission/test_retry_budget.cc
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <vector>
 
-#include "LibAdmission/back_off.h"
 #include "LibAdmission/retry_budget.h"
 #include "property.h"
 
@@ -27,7 +26,7 @@
                                      budget.Earn();
                                    received += 7.0;
                                  }
-                                 RC_ASSERT(retries <= 0.1 * received + 1e-9);
+                                 RC_ASSERT(retries <= 0.09 * received + 1e-9);
                                }
                              }));
 }
@@ -43,25 +42,3 @@
 
   CHECK(retries == 5);
 }
-
-TEST_CASE(
-    "waits are spread evenly under a ceiling that doubles up to a "
-    "maximum") {
-  const BackOff back_off{BackOffSettings{10ms, 100ms}};
-  base::Random random(7);
-
-  CHECK(back_off.Ceiling(1) == 10ms);
-  CHECK(back_off.Ceiling(3) == 40ms);
-  CHECK(back_off.Ceiling(40) == 100ms);
-
-  constexpr int kWaits = 1000;
-  int under_half = 0;
-  for (int wait = 0; wait < kWaits; ++wait) {
-    const base::Duration drawn = back_off.Wait(3, random);
-    REQUIRE(drawn >= 0ms);
-    REQUIRE(drawn < 40ms);
-    under_half += drawn < 20ms ? 1 : 0;
-  }
-  CHECK(under_half > kWaits / 2 - 100);
-  CHECK(under_half < kWaits / 2 + 100);
-}
--- a/Tests/LibBalancer/test_service_gate.cc
+++ b/Tests/LibBalancer/test_service_gate.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr base::TimePoint kNow{1h};
+constexpr flow::OpeningProgress kAfterRefusal{flow::OpeningReason::kRefused};
 
 base::BackendServerId ServerId(int number) {
   return base::MakeBackendServerId("a", std::to_string(number), 1);
@@ -37,8 +38,8 @@
       m_order.push_back(&server);
   }
 
-  const flow::RoutedServer* Choose(std::size_t attempt = 0) {
-    return m_gate.Choose(m_order, attempt, m_random);
+  const flow::RoutedServer* Choose(flow::OpeningProgress progress = {}) {
+    return m_gate.Choose(m_order, progress, m_random);
   }
   void Note(flow::FlowNoteKind kind, base::BackendServerId server) {
     m_gate.Observe({kind, base::MakeServiceId("a"), server, {}}, kNow);
@@ -117,7 +118,7 @@
   fixture.m_gate.Update(profile, kNow);
 
   CHECK(fixture.Open(10) == 4);
-  CHECK(fixture.Choose(1) == nullptr);
+  CHECK(fixture.Choose(kAfterRefusal) == nullptr);
 }
 
 TEST_CASE("an opening goes past servers that are at their connection limit") {
@@ -143,14 +144,33 @@
   auto profile = MakeProfile(1, 100);
   profile.m_servers[0].m_connection_limit = 10;
   Fixture fixture(profile);
-  // Eleven openings earn one retry, ten of them fill the server.
-  REQUIRE(fixture.Open(11) == 10);
-  REQUIRE(fixture.Choose(1) == nullptr);
+  // Twelve openings earn one retry, ten of them fill the server.
+  REQUIRE(fixture.Open(12) == 10);
+  REQUIRE(fixture.Choose(kAfterRefusal) == nullptr);
 
   fixture.Note(flow::FlowNoteKind::kEnded, ServerId(0));
 
-  CHECK(fixture.Choose(1) != nullptr);
-  CHECK(fixture.Choose(1) == nullptr);
+  CHECK(fixture.Choose(kAfterRefusal) != nullptr);
+  CHECK(fixture.Choose(kAfterRefusal) == nullptr);
+}
+
+TEST_CASE("no retry is sent after the deadline of an opening") {
+  auto profile = MakeProfile(1, 100);
+  profile.m_opening_deadline = 2s;
+  Fixture fixture(profile);
+  fixture.Open(20);
+
+  const auto refused = flow::OpeningReason::kRefused;
+  CHECK(fixture.Choose({refused, 1999ms}) != nullptr);
+  CHECK(fixture.Choose({refused, 2s}) == nullptr);
+}
+
+TEST_CASE("an opening without an answer is not counted as refused") {
+  Fixture fixture(MakeProfile(1, 100));
+  REQUIRE(fixture.Choose({flow::OpeningReason::kUnanswered}) == nullptr);
+  CHECK(fixture.m_gate.counts().m_refused == 0);
+  REQUIRE(fixture.Choose(kAfterRefusal) == nullptr);
+  CHECK(fixture.m_gate.counts().m_refused == 1);
 }
 
 TEST_CASE("counts of servers that are gone are dropped") {
--- a/Tests/LibFlow/flow_world.cc
+++ b/Tests/LibFlow/flow_world.cc
@@ -61,7 +61,7 @@
                                                          m_next_balancer)),
                      kTunnelPort};
   const auto chooser = [this](const ServiceRouting&, const ServerOrder& order,
-                              std::size_t) {
+                              OpeningProgress) {
     const std::size_t count = std::min(m_options.m_candidates, order.size());
     return *std::min_element(
         order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -32,7 +32,7 @@
 flow::FlowDirector MakeDirector(base::TimePoint now) {
   flow::FlowDirector director(
       {},
-      [](const auto&, const flow::ServerOrder& order, std::size_t) {
+      [](const auto&, const flow::ServerOrder& order, flow::OpeningProgress) {
         return order.front();
       },
       now);
