LibFlow: Look a known flow's server up once and copy effects as bytes

Cause: a data packet of a known flow looked its server up twice, each time over structs of 40 bytes, asked for the flow's home though nothing depended on it, and returned effects whose copies and destructors went through a visitor, because one kind held a vector.

Change: FindKnown gives the entry with its server; the home is asked for only for flows in doubt; a service keeps the hashes of its servers' ids side by side for the walks over all of them; effects are trivially copyable, and a packet that is sent again is a view, valid until the director's next call. HandleClosing marked an entry after a probe that ends might have erased it; it marks before.

--- a/Libraries/LibBase/hash.h
+++ b/Libraries/LibBase/hash.h
@@ -20,9 +20,15 @@
   return value ^ (value >> 31);
 }
 
+// CombineHashes of a second value that MixBits was applied to before.
+constexpr std::uint64_t CombineMixedHash(std::uint64_t first,
+                                         std::uint64_t mixed_second) {
+  return MixBits(first + 0x9e3779b97f4a7c15ULL + mixed_second);
+}
+
 constexpr std::uint64_t CombineHashes(std::uint64_t first,
                                       std::uint64_t second) {
-  return MixBits(first + 0x9e3779b97f4a7c15ULL + MixBits(second));
+  return CombineMixedHash(first, MixBits(second));
 }
 
 // FNV-1a over the bytes, followed by MixBits.
--- a/Libraries/LibFlow/effect.h
+++ b/Libraries/LibFlow/effect.h
@@ -4,8 +4,9 @@
 #define LIBFLOW_EFFECT_H_
 
 #include <cstdint>
+#include <span>
+#include <type_traits>
 #include <variant>
-#include <vector>
 
 #include <boost/container/static_vector.hpp>
 
@@ -50,7 +51,8 @@
 // Sends a kept packet to another backend server than before.
 struct ResendPacket {
   base::Endpoint m_tunnel;
-  std::vector<std::uint8_t> m_bytes;
+  // Valid until the next call of the director.
+  std::span<const std::uint8_t> m_bytes;
 };
 
 // Sends the packet at hand to another balancer.
@@ -101,6 +103,15 @@
 inline constexpr std::size_t kMaximumEffects = 4;
 using Effects = boost::container::static_vector<Effect, kMaximumEffects>;
 
+// Effects are copied for each packet.
+static_assert(std::is_trivially_copyable_v<Effect>);
+
+inline Effects OnlyEffect(const Effect& effect) {
+  Effects effects;
+  effects.push_back(effect);
+  return effects;
+}
+
 }  // namespace flow
 
 #endif  // LIBFLOW_EFFECT_H_
--- a/Libraries/LibFlow/flow_director.cc
+++ b/Libraries/LibFlow/flow_director.cc
@@ -77,8 +77,8 @@
 
 Effects FlowDirector::RelayHome(const Subject& subject,
                                 RelayContext relay) const {
-  return {
-      RelayToBalancer{m_balancers->HomeOf(subject.m_hash).m_traffic, relay}};
+  return OnlyEffect(
+      RelayToBalancer{m_balancers->HomeOf(subject.m_hash).m_traffic, relay});
 }
 
 bool FlowDirector::IsExpired(const FlowEntry& entry,
--- a/Libraries/LibFlow/flow_director.h
+++ b/Libraries/LibFlow/flow_director.h
@@ -64,6 +64,12 @@
     base::TimePoint m_now;
   };
 
+  // An entry with its server; both are null if the flow is not known.
+  struct KnownFlow {
+    FlowEntry* m_entry = nullptr;
+    const RoutedServer* m_server = nullptr;
+  };
+
   bool IsLeaseValid(base::TimePoint now) const;
   bool IsHome(const Subject& subject) const;
   FlowEntry& InsertEntry(const Subject& subject);
@@ -83,6 +89,10 @@
   Effects HandleClosing(const CallerPacket& packet, const Subject& subject);
   Effects HandleData(const CallerPacket& packet, const Subject& subject);
   Effects ForwardKnown(const CallerPacket& packet,
+                       const Subject& subject,
+                       KnownFlow known);
+  // Sends the next candidate of a probe what the former left unanswered.
+  Effects ForwardProbe(const CallerPacket& packet,
                        const Subject& subject,
                        FlowEntry& entry);
   Effects Search(const CallerPacket& packet, const Subject& subject);
@@ -91,7 +101,7 @@
   // flow, wrapping around; false if there is none.
   bool AdvanceProbe(const Subject& subject, FlowEntry& entry);
   // The entry, if its server can still get packets and the position fits.
-  FlowEntry* FindKnown(const Subject& subject, std::uint32_t position);
+  KnownFlow FindKnown(const Subject& subject, std::uint32_t position);
   const RoutedServer* FindUsableServer(const Subject& subject,
                                        base::BackendServerId id) const;
 
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -2,6 +2,7 @@
 // to the server that is known, asked for or found by probing.
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 
 #include "LibFlow/balancer_set.h"
@@ -26,11 +27,11 @@
 Effects FlowDirector::HandleCallerPacket(const CallerPacket& packet,
                                          base::TimePoint now) {
   if (!IsLeaseValid(now))
-    return {Drop{DropReason::kLeaseExpired}};
+    return OnlyEffect(Drop{DropReason::kLeaseExpired});
   const ServiceRouting* service =
       m_routing->FindService(packet.m_key.m_service);
   if (service == nullptr)
-    return {Drop{DropReason::kUnknownService}};
+    return OnlyEffect(Drop{DropReason::kUnknownService});
 
   const Subject subject{packet.m_key, HashFlow(packet.m_key), *service, now};
   switch (packet.m_kind) {
@@ -75,7 +76,7 @@
   const RoutedServer* server = FindUsableServer(subject, entry.m_server);
   if (server == nullptr)
     return PlaceOpening(packet, subject);
-  return {ForwardToServer{server->m_tunnel}};
+  return OnlyEffect(ForwardToServer{server->m_tunnel});
 }
 
 Effects FlowDirector::PlaceOpening(const CallerPacket& packet,
@@ -123,12 +124,12 @@
 
 Effects FlowDirector::HandleClosing(const CallerPacket& packet,
                                     const Subject& subject) {
-  FlowEntry* entry = FindKnown(subject, packet.m_position);
-  if (!IsHome(subject) && packet.m_relay.m_purpose == RelayPurpose::kNone) {
+  const KnownFlow known = FindKnown(subject, packet.m_position);
+  FlowEntry* entry = known.m_entry;
+  if (packet.m_relay.m_purpose == RelayPurpose::kNone && !IsHome(subject)) {
     RelayContext relay{RelayPurpose::kClosing, 0, {}};
     if (entry != nullptr) {
-      relay.m_hint =
-          FindUsableServer(subject, entry->m_server)->m_tunnel.m_address;
+      relay.m_hint = known.m_server->m_tunnel.m_address;
       entry->m_state = FlowState::kClosing;
     }
     return RelayHome(subject, relay);
@@ -136,26 +137,28 @@
   if (entry == nullptr)
     return HandleData(packet, subject);
 
-  Effects effects = ForwardKnown(packet, subject, *entry);
   entry->m_is_closed_by_caller = true;
-  if (entry->m_is_closed_by_server) {
+  const bool is_over = entry->m_is_closed_by_server;
+  if (is_over)
     entry->m_state = FlowState::kClosing;
+  // A probe that ends here erases its entry, which a closing flow keeps.
+  Effects effects = ForwardKnown(packet, subject, known);
+  if (is_over)
     NoteEnd(*entry, subject.m_service.id(), effects);
-  }
   return effects;
 }
 
 Effects FlowDirector::HandleData(const CallerPacket& packet,
                                  const Subject& subject) {
-  FlowEntry* entry = FindKnown(subject, packet.m_position);
+  const KnownFlow known = FindKnown(subject, packet.m_position);
   const bool is_direct = packet.m_relay.m_purpose == RelayPurpose::kNone;
-  const bool is_home = IsHome(subject);
-  const bool is_doubtful = entry != nullptr && is_direct && !is_home &&
-                           entry->m_unanswered >= m_settings.m_unanswered_limit;
-  if (entry != nullptr && !is_doubtful)
-    return ForwardKnown(packet, subject, *entry);
-  if (is_direct && !is_home)
+  const bool is_doubtful =
+      known.m_entry == nullptr ||
+      known.m_entry->m_unanswered >= m_settings.m_unanswered_limit;
+  if (is_direct && is_doubtful && !IsHome(subject))
     return RelayHome(subject, {RelayPurpose::kAsk, 0, {}});
+  if (known.m_entry != nullptr)
+    return ForwardKnown(packet, subject, known);
   if (packet.m_relay.m_purpose == RelayPurpose::kNotFound)
     return Probe(packet, subject);
 
@@ -164,16 +167,27 @@
   if (hinted != nullptr && hinted->m_service == subject.m_service.id()) {
     const RoutedServer* server = FindUsableServer(subject, hinted->m_server);
     if (server != nullptr)
-      return {ForwardToServer{server->m_tunnel}};
+      return OnlyEffect(ForwardToServer{server->m_tunnel});
   }
   return Search(packet, subject);
 }
 
 Effects FlowDirector::ForwardKnown(const CallerPacket& packet,
+                                   const Subject& subject,
+                                   KnownFlow known) {
+  FlowEntry& entry = *known.m_entry;
+  if (entry.m_state == FlowState::kProbing)
+    return ForwardProbe(packet, subject, entry);
+  CountUnanswered(entry);
+  entry.m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
+  entry.m_position = packet.m_position;
+  return OnlyEffect(ForwardToServer{known.m_server->m_tunnel});
+}
+
+Effects FlowDirector::ForwardProbe(const CallerPacket& packet,
                                    const Subject& subject,
                                    FlowEntry& entry) {
   const bool is_stuck =
-      entry.m_state == FlowState::kProbing &&
       entry.m_unanswered >= m_settings.m_unanswered_limit &&
       m_flows.Milliseconds(subject.m_now) - entry.m_last_seen_ms >
           std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -182,19 +196,17 @@
   // A probe that was given up is begun anew by the next search.
   if (is_stuck && !AdvanceProbe(subject, entry)) {
     m_flows.Erase(subject.m_key, subject.m_hash);
-    return {Drop{DropReason::kNoServer}};
+    return OnlyEffect(Drop{DropReason::kNoServer});
   }
   const RoutedServer* server = FindUsableServer(subject, entry.m_server);
   CountUnanswered(entry);
   // While a probe waits, the time it started is what counts.
-  if (entry.m_state != FlowState::kProbing) {
-    entry.m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
-  } else if (PendingProbe* probe = m_probes.Find(subject.m_key)) {
+  if (PendingProbe* probe = m_probes.Find(subject.m_key)) {
     probe->m_packet.assign(packet.m_bytes.begin(), packet.m_bytes.end());
     probe->m_acknowledged = packet.m_acknowledged;
   }
   entry.m_position = packet.m_position;
-  return {ForwardToServer{server->m_tunnel}};
+  return OnlyEffect(ForwardToServer{server->m_tunnel});
 }
 
 Effects FlowDirector::Search(const CallerPacket& packet,
@@ -203,7 +215,7 @@
     return Probe(packet, subject);
   const bool is_first = packet.m_relay.m_purpose != RelayPurpose::kSearch;
   if (is_first && !m_search_budget.Take(subject.m_now))
-    return {Drop{DropReason::kSearchBudget}};
+    return OnlyEffect(Drop{DropReason::kSearchBudget});
 
   const std::size_t hops =
       is_first ? 0 : packet.m_relay.m_hops + std::size_t{1};
@@ -211,9 +223,9 @@
                           ? m_balancers->SearchTarget(subject.m_hash, hops)
                           : std::nullopt;
   if (target && target->m_id != m_balancers->self())
-    return {RelayToBalancer{
+    return OnlyEffect(RelayToBalancer{
         target->m_traffic,
-        {RelayPurpose::kSearch, static_cast<std::uint8_t>(hops), {}}}};
+        {RelayPurpose::kSearch, static_cast<std::uint8_t>(hops), {}}});
   if (is_first || m_balancers->IsHome(subject.m_hash))
     return Probe(packet, subject);
   return RelayHome(subject, {RelayPurpose::kNotFound, 0, {}});
@@ -225,20 +237,20 @@
     const RoutedServer* server =
         subject.m_service.ExplainedServer(subject.m_hash);
     if (server == nullptr)
-      return {Drop{DropReason::kNoServer}};
-    return {ForwardToServer{server->m_tunnel}};
+      return OnlyEffect(Drop{DropReason::kNoServer});
+    return OnlyEffect(ForwardToServer{server->m_tunnel});
   }
   if (m_probes.Insert(subject.m_key, subject.m_now) == nullptr)
-    return {Drop{DropReason::kSearchBudget}};
+    return OnlyEffect(Drop{DropReason::kSearchBudget});
   FlowEntry& entry = InsertEntry(subject);
   entry.m_server = {};
   entry.m_state = FlowState::kProbing;
   entry.m_position = packet.m_position;
   if (!AdvanceProbe(subject, entry)) {
     m_flows.Erase(subject.m_key, subject.m_hash);
-    return {Drop{DropReason::kNoServer}};
+    return OnlyEffect(Drop{DropReason::kNoServer});
   }
-  return ForwardKnown(packet, subject, entry);
+  return ForwardProbe(packet, subject, entry);
 }
 
 bool FlowDirector::AdvanceProbe(const Subject& subject, FlowEntry& entry) {
@@ -266,24 +278,25 @@
   return false;
 }
 
-FlowEntry* FlowDirector::FindKnown(const Subject& subject,
-                                   std::uint32_t position) {
+FlowDirector::KnownFlow FlowDirector::FindKnown(const Subject& subject,
+                                                std::uint32_t position) {
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
   if (entry == nullptr)
-    return nullptr;
+    return {};
   // A candidate is no knowledge: once the flow has another home, that home's
   // probe is the one that counts.
   if (entry->m_state == FlowState::kProbing && !IsHome(subject))
-    return nullptr;
-  if (FindUsableServer(subject, entry->m_server) == nullptr) {
+    return {};
+  const RoutedServer* server = FindUsableServer(subject, entry->m_server);
+  if (server == nullptr) {
     // The server's address is another service's now.
     NoteEvicted(*entry);
     m_flows.Erase(subject.m_key, subject.m_hash);
-    return nullptr;
+    return {};
   }
   if (!IsPlausiblePosition(entry->m_position, position))
-    return nullptr;
-  return entry;
+    return {};
+  return {entry, server};
 }
 
 const RoutedServer* FlowDirector::FindUsableServer(
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -24,7 +24,7 @@
   const ServiceRouting* service =
       m_routing->FindService(packet.m_key.m_service);
   if (service == nullptr)
-    return {Drop{DropReason::kUnknownService}};
+    return OnlyEffect(Drop{DropReason::kUnknownService});
 
   const Subject subject{packet.m_key, HashFlow(packet.m_key), *service, now};
   if (packet.m_kind == ServerPacketKind::kData)
@@ -72,12 +72,12 @@
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
   if (entry == nullptr) {
     if (server == base::BackendServerId())
-      return {DeliverToCaller{}};
+      return OnlyEffect(DeliverToCaller{});
     FlowEntry& learned = InsertEntry(subject);
     learned.m_server = server;
     learned.m_state = FlowState::kAccepted;
     learned.m_position = packet.m_position;
-    return {DeliverToCaller{}};
+    return OnlyEffect(DeliverToCaller{});
   }
   // A candidate of a probe is no knowledge; the server that accepts is.
   if (entry->m_state == FlowState::kProbing &&
@@ -89,9 +89,9 @@
   // A server that was tried earlier and answers late: the caller hears only
   // of the one that the flow is now at.
   if (entry->m_server != server)
-    return {Drop{DropReason::kCrossedAnswer}};
+    return OnlyEffect(Drop{DropReason::kCrossedAnswer});
 
-  Effects effects{DeliverToCaller{}};
+  Effects effects = OnlyEffect(DeliverToCaller{});
   entry->m_unanswered = 0;
   entry->m_last_seen_ms = m_flows.Milliseconds(subject.m_now);
   if (entry->m_state != FlowState::kOpening)
@@ -113,9 +113,9 @@
   const auto server = IdentifyServer(packet, subject.m_service);
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
   if (entry == nullptr)
-    return {DeliverToCaller{}};
+    return OnlyEffect(DeliverToCaller{});
   if (entry->m_server != server || entry->m_state != FlowState::kOpening)
-    return {Drop{DropReason::kStaleRefusal}};
+    return OnlyEffect(Drop{DropReason::kStaleRefusal});
 
   PendingOpening* opening = m_openings.Find(subject.m_key);
   if (opening != nullptr && m_settings.m_mechanisms.m_reopen_on_refusal) {
@@ -123,7 +123,7 @@
     if (!effects.empty())
       return effects;
   }
-  Effects effects{DeliverToCaller{}};
+  Effects effects = OnlyEffect(DeliverToCaller{});
   effects.push_back(FlowNote{FlowNoteKind::kRefused, subject.m_service.id(),
                              entry->m_server, base::Duration::zero()});
   m_openings.Erase(subject.m_key);
@@ -160,9 +160,9 @@
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
   const auto server = IdentifyServer(packet, subject.m_service);
   if (!m_settings.m_mechanisms.m_probe)
-    return {DeliverToCaller{}};
+    return OnlyEffect(DeliverToCaller{});
   if (entry == nullptr)
-    return {Drop{DropReason::kSwallowedReset}};
+    return OnlyEffect(Drop{DropReason::kSwallowedReset});
 
   Effects effects;
   const bool is_opened_elsewhere =
@@ -182,7 +182,7 @@
   // candidate, after the others.
   if (is_probing && !is_opened_elsewhere) {
     if (probe->m_acknowledged != packet.m_position)
-      return {Drop{DropReason::kSwallowedReset}};
+      return OnlyEffect(Drop{DropReason::kSwallowedReset});
     probe->AddDenial(server);
   }
   if (entry->m_server != server) {
@@ -213,13 +213,13 @@
                                    const Subject& subject) {
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
   if (entry == nullptr)
-    return {DeliverToCaller{}};
+    return OnlyEffect(DeliverToCaller{});
   if (entry->m_server != IdentifyServer(packet, subject.m_service)) {
     if (IsSettled(*entry))
-      return {Drop{DropReason::kCrossedAnswer}};
-    return {DeliverToCaller{}};
+      return OnlyEffect(Drop{DropReason::kCrossedAnswer});
+    return OnlyEffect(DeliverToCaller{});
   }
-  Effects effects{DeliverToCaller{}};
+  Effects effects = OnlyEffect(DeliverToCaller{});
   entry->m_unanswered = 0;
   entry->m_is_closed_by_server = true;
   const bool is_over = packet.m_kind == ServerPacketKind::kAborted ||
@@ -235,7 +235,7 @@
                                    const Subject& subject) {
   const auto server = IdentifyServer(packet, subject.m_service);
   if (server == base::BackendServerId())
-    return {DeliverToCaller{}};
+    return OnlyEffect(DeliverToCaller{});
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
   const bool is_conflict = entry != nullptr && entry->m_server != server;
   const bool is_direct = packet.m_relay.m_purpose == RelayPurpose::kNone;
@@ -245,13 +245,13 @@
     return RelayHome(subject, {RelayPurpose::kAnswer, 0, packet.m_server});
   }
   if (is_conflict && IsSettled(*entry))
-    return {Drop{DropReason::kCrossedAnswer}};
+    return OnlyEffect(Drop{DropReason::kCrossedAnswer});
   if (entry == nullptr && !m_settings.m_mechanisms.m_learn_from_answers)
-    return {DeliverToCaller{}};
+    return OnlyEffect(DeliverToCaller{});
 
   if (entry == nullptr)
     entry = &InsertEntry(subject);
-  Effects effects{DeliverToCaller{}};
+  Effects effects = OnlyEffect(DeliverToCaller{});
   if (is_conflict)
     NoteEnd(*entry, subject.m_service.id(), effects);
   if (entry->m_state == FlowState::kProbing)
--- a/Libraries/LibFlow/service_routing.cc
+++ b/Libraries/LibFlow/service_routing.cc
@@ -16,15 +16,23 @@
 
 }  // namespace
 
+ServiceRouting::ServiceRouting(base::ServiceId id,
+                               std::vector<RoutedServer> servers)
+    : m_id(id), m_servers(std::move(servers)) {
+  m_hashes.reserve(m_servers.size());
+  for (const RoutedServer& server : m_servers)
+    m_hashes.push_back(base::MixBits(server.m_id.value()));
+}
+
 ServerOrder ServiceRouting::OrderFor(std::uint64_t flow_hash) const {
   boost::container::static_vector<WeightedServer, kMaximumOrder> weighted;
   const auto is_heavier = [](const WeightedServer& left,
                              const WeightedServer& right) {
     return left.m_weight > right.m_weight;
   };
-  for (const RoutedServer& server : m_servers) {
+  for (std::size_t index = 0; index < m_servers.size(); ++index) {
     const WeightedServer entry{
-        base::CombineHashes(flow_hash, server.m_id.value()), &server};
+        base::CombineMixedHash(flow_hash, m_hashes[index]), &m_servers[index]};
     if (weighted.size() < kMaximumOrder) {
       weighted.push_back(entry);
       continue;
@@ -47,26 +55,28 @@
 
 const RoutedServer* ServiceRouting::ExplainedServer(
     std::uint64_t flow_hash) const {
-  const RoutedServer* best = nullptr;
+  if (m_servers.empty())
+    return nullptr;
+  std::size_t best = 0;
   std::uint64_t best_weight = 0;
-  for (const RoutedServer& server : m_servers) {
+  for (std::size_t index = 0; index < m_hashes.size(); ++index) {
     const std::uint64_t weight =
-        base::CombineHashes(flow_hash, server.m_id.value());
-    if (best == nullptr || weight > best_weight) {
-      best = &server;
+        base::CombineMixedHash(flow_hash, m_hashes[index]);
+    if (weight > best_weight) {
+      best = index;
       best_weight = weight;
     }
   }
-  const bool is_explained =
-      best != nullptr && best->m_state == RoutedServerState::kActive;
-  return is_explained ? best : nullptr;
+  const RoutedServer& server = m_servers[best];
+  return server.m_state == RoutedServerState::kActive ? &server : nullptr;
 }
 
 const RoutedServer* ServiceRouting::FindServer(base::BackendServerId id) const {
-  const auto found = std::find_if(
-      m_servers.begin(), m_servers.end(),
-      [id](const RoutedServer& server) { return server.m_id == id; });
-  return found == m_servers.end() ? nullptr : &*found;
+  // MixBits is one to one.
+  const auto found = std::ranges::find(m_hashes, base::MixBits(id.value()));
+  if (found == m_hashes.end())
+    return nullptr;
+  return &m_servers[static_cast<std::size_t>(found - m_hashes.begin())];
 }
 
 }  // namespace flow
--- a/Libraries/LibFlow/service_routing.h
+++ b/Libraries/LibFlow/service_routing.h
@@ -41,6 +41,8 @@
   // No packet goes to the server before this: its address was another
   // service's, and a balancer may still believe so.
   base::TimePoint m_usable_from = base::TimePoint::min();
+  // When the server left the document; of retired servers only.
+  base::TimePoint m_retired_at = base::TimePoint::min();
 };
 
 // The most servers of one service that a probe or a placement walks.
@@ -50,8 +52,7 @@
 
 class ServiceRouting {
  public:
-  ServiceRouting(base::ServiceId id, std::vector<RoutedServer> servers)
-      : m_id(id), m_servers(std::move(servers)) {}
+  ServiceRouting(base::ServiceId id, std::vector<RoutedServer> servers);
 
   base::ServiceId id() const { return m_id; }
   std::span<const RoutedServer> servers() const { return m_servers; }
@@ -70,6 +71,8 @@
  private:
   base::ServiceId m_id;
   std::vector<RoutedServer> m_servers;
+  // MixBits of each server's id, side by side for the walks over all servers.
+  std::vector<std::uint64_t> m_hashes;
 };
 
 }  // namespace flow
--- a/Services/Coltsfootdale/traffic_loop.cc
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -159,11 +159,11 @@
         m_counters.Add(TrafficCounter::kPacketsToServers);
         Send(forward.m_tunnel, {}, packet.bytes());
       },
-      [&](flow::ResendPacket& resend) {
+      [&](const flow::ResendPacket& resend) {
         m_counters.Add(TrafficCounter::kPacketsResent);
         if (m_sending.IsFull())
           Flush();
-        m_kept.push_back(std::move(resend.m_bytes));
+        m_kept.emplace_back(resend.m_bytes.begin(), resend.m_bytes.end());
         Send(resend.m_tunnel, {}, m_kept.back());
       },
       [&](const flow::RelayToBalancer& relay) {
@@ -185,7 +185,7 @@
       },
       [&](const flow::Drop& drop) { m_counters.AddDrop(drop.m_reason); },
       [](const flow::FlowNote&) {}};
-  for (flow::Effect& effect : effects)
+  for (const flow::Effect& effect : effects)
     std::visit(visitor, effect);
 }
 
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 
@@ -92,7 +93,7 @@
     const auto* resent = FindEffect<flow::ResendPacket>(retried);
     REQUIRE(resent);
     CHECK(resent->m_tunnel != refusing);
-    CHECK(resent->m_bytes == bytes);
+    CHECK(std::ranges::equal(resent->m_bytes, bytes));
     refusing = resent->m_tunnel;
   }
   const auto last = director.HandleServerPacket(
@@ -214,7 +215,7 @@
     const auto* resent = FindEffect<flow::ResendPacket>(effects);
     REQUIRE(resent);
     CHECK(resent->m_tunnel != candidate);
-    CHECK(resent->m_bytes == bytes);
+    CHECK(std::ranges::equal(resent->m_bytes, bytes));
     CHECK_FALSE(FindEffect<flow::DeliverToCaller>(effects));
     candidate = resent->m_tunnel;
   }
