LibFlow: Rebuild only services that changed and forget retired servers

Change: tables share the services that did not change, and the maps of services and addresses share the parts that did not change. A retired server is forgotten 24 hours after it left the document, at the next version. Ruled out: a bound on the number of retired servers of a service, which a rolling replacement of all servers would exceed while their flows still live.

--- a/Libraries/LibFlow/routing_table.h
+++ b/Libraries/LibFlow/routing_table.h
@@ -1,18 +1,21 @@
 // All services of one data centre at one version of the configuration. It is
-// immutable: a new version is a new table, built from the one before.
+// immutable: a new version is a new table, built from the one before, with
+// which it shares the services that did not change.
 
 #ifndef LIBFLOW_ROUTING_TABLE_H_
 #define LIBFLOW_ROUTING_TABLE_H_
 
+#include <chrono>
+#include <cstddef>
 #include <memory>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 #include "LibBase/ids.h"
 #include "LibBase/ipv4.h"
 #include "LibBase/time.h"
 #include "LibFlow/service_routing.h"
+#include "LibFlow/shared_map.h"
 
 namespace flow {
 
@@ -29,12 +32,16 @@
   base::BackendServerId m_server;
 };
 
+// For how long a server that left the document keeps its flows. A flow that
+// lives longer on it is lost.
+inline constexpr base::Duration kRetiredRetention = std::chrono::hours(24);
+
 class RoutingTable {
  public:
   // The table of `version`. Servers that `previous` (may be null) had and the
-  // document no longer has stay on as retired, unless their address now is
-  // another server's. A server whose address was another server's is usable
-  // only from `now + hold`.
+  // document no longer has stay on as retired for kRetiredRetention, unless
+  // their address now is another server's. A server whose address was another
+  // server's is usable only from `now + hold`.
   static std::shared_ptr<const RoutingTable> Build(
       base::ConfigurationVersion version,
       std::span<const ServiceDefinition> services,
@@ -48,27 +55,22 @@
   const ServiceRouting* FindService(base::Endpoint address) const;
 
   // The server that holds an address, or null. A retired server holds its
-  // address until another server gets it.
-  const OwnedServer* FindServerAt(base::Ipv4Address address) const;
+  // address until another server gets it or it is forgotten.
+  const OwnedServer* FindServerAt(base::Ipv4Address address) const {
+    return m_owners.Find(address);
+  }
 
   std::size_t service_count() const { return m_services.size(); }
-  const std::unordered_map<base::Endpoint, ServiceRouting>& services() const {
-    return m_services;
-  }
 
  private:
-  RoutingTable() = default;
+  friend class RoutingTableBuilder;
 
-  void Retire(const RoutingTable& previous);
-  void Hold(const RoutingTable& previous,
-            base::TimePoint now,
-            base::Duration hold,
-            ServiceDefinition& service) const;
-  void IndexServers();
+  RoutingTable() = default;
+  RoutingTable(const RoutingTable&) = default;
 
   base::ConfigurationVersion m_version;
-  std::unordered_map<base::Endpoint, ServiceRouting> m_services;
-  std::unordered_map<base::Ipv4Address, OwnedServer> m_owners;
+  SharedMap<base::Endpoint, std::shared_ptr<const ServiceRouting>> m_services;
+  SharedMap<base::Ipv4Address, OwnedServer> m_owners;
 };
 
 }  // namespace flow
--- /dev/null
+++ b/Libraries/LibFlow/shared_map.h
@@ -0,0 +1,97 @@
+// A hash map in small parts that its copies share: a copy costs a pointer for
+// each part, and a change of the copy clones only the part that it touches
+// (Driscoll et al., "Making data structures persistent", JCSS 1989).
+
+#ifndef LIBFLOW_SHARED_MAP_H_
+#define LIBFLOW_SHARED_MAP_H_
+
+#include <algorithm>
+#include <bitset>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "LibBase/hash.h"
+
+namespace flow {
+
+template <typename Key, typename Value>
+class SharedMap {
+ public:
+  SharedMap() : m_parts(kParts) {}
+  SharedMap(const SharedMap& other)
+      : m_parts(other.m_parts), m_size(other.m_size) {}
+  SharedMap& operator=(const SharedMap&) = delete;
+
+  // Queries.
+  std::size_t size() const { return m_size; }
+
+  // Null if the key is not there. Valid until a change.
+  const Value* Find(const Key& key) const {
+    const auto& part = m_parts[PartOf(key)];
+    if (part == nullptr)
+      return nullptr;
+    const auto found = std::ranges::find(*part, key, &Item::first);
+    return found == part->end() ? nullptr : &found->second;
+  }
+
+  void ForEach(
+      const std::function<void(const Key&, const Value&)>& visit) const {
+    for (const auto& part : m_parts) {
+      if (part == nullptr)
+        continue;
+      for (const Item& item : *part)
+        visit(item.first, item.second);
+    }
+  }
+
+  // Commands.
+  void Set(const Key& key, Value value) {
+    Part& part = Edit(PartOf(key));
+    const auto found = std::ranges::find(part, key, &Item::first);
+    if (found != part.end()) {
+      found->second = std::move(value);
+      return;
+    }
+    part.emplace_back(key, std::move(value));
+    ++m_size;
+  }
+
+  void Erase(const Key& key) {
+    if (Find(key) == nullptr)
+      return;
+    std::erase_if(Edit(PartOf(key)),
+                  [&key](const Item& item) { return item.first == key; });
+    --m_size;
+  }
+
+ private:
+  static constexpr std::size_t kParts = 4096;
+  using Item = std::pair<Key, Value>;
+  using Part = std::vector<Item>;
+
+  static std::size_t PartOf(const Key& key) {
+    return base::MixBits(std::hash<Key>{}(key)) % kParts;
+  }
+
+  Part& Edit(std::size_t index) {
+    if (!m_is_own[index]) {
+      const auto& shared = m_parts[index];
+      m_parts[index] = shared == nullptr ? std::make_shared<Part>()
+                                         : std::make_shared<Part>(*shared);
+      m_is_own[index] = true;
+    }
+    return *m_parts[index];
+  }
+
+  std::vector<std::shared_ptr<Part>> m_parts;
+  // The parts that no other map had when this one was made.
+  std::bitset<kParts> m_is_own;
+  std::size_t m_size = 0;
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_SHARED_MAP_H_
