--- a/Libraries/LibFlow/effect.h
+++ b/Libraries/LibFlow/effect.h
@@ -106,9 +106,11 @@
 // Effects are copied for each packet.
 static_assert(std::is_trivially_copyable_v<Effect>);
 
-inline Effects OnlyEffect(const Effect& effect) {
+// Makes the effect in place: copying one just made stalls on its narrow writes.
+template <typename Kind>
+Effects OnlyEffect(const Kind& effect) {
   Effects effects;
-  effects.push_back(effect);
+  effects.emplace_back(effect);
   return effects;
 }
 
