--- a/Libraries/LibMembership/membership_receive.cc
+++ b/Libraries/LibMembership/membership_receive.cc
@@ -122,7 +122,7 @@
     RequestRecord(from, now);
     return;
   }
-  m_table.Hear(sender.m_id, sender.m_configuration, now);
+  m_table.Hear(sender, now);
   if (sender.m_incarnation <= known->m_record.m_incarnation)
     return;
   peer::MemberRecord record = known->m_record;
@@ -209,14 +209,19 @@
 // how old it is, however long it waited in a queue.
 void Membership::TakeEvidence(const peer::SenderStatus& sender,
                               base::TimePoint sent_at) {
-  if (m_table.Find(sender.m_id))
-    m_answered_ping_sent_at =
-        std::max(m_answered_ping_sent_at, std::optional(sent_at));
   const peer::ConfigurationStatus& status = sender.m_configuration;
-  const bool is_confirmed =
-      status.m_confirmation_age &&
+  const bool has_same_version =
       status.m_version == m_self.m_configuration.m_version &&
       status.m_version != base::ConfigurationVersion();
+  if (m_table.Find(sender.m_id)) {
+    m_table.TakeAnswer(sender.m_id, sent_at);
+    m_answered_ping_sent_at =
+        std::max(m_answered_ping_sent_at, std::optional(sent_at));
+    if (sender.m_holds_lease && has_same_version)
+      m_holder_ping_sent_at =
+          std::max(m_holder_ping_sent_at, std::optional(sent_at));
+  }
+  const bool is_confirmed = status.m_confirmation_age && has_same_version;
   if (is_confirmed)
     m_confirmed_at = std::max(
         m_confirmed_at, std::optional(sent_at - *status.m_confirmation_age));
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -1,4 +1,4 @@
-// What a balancer does with its peers: membership, pulls and load counts.
+// What a balancer does with its peers: membership and load counts.
 
 #include <algorithm>
 #include <chrono>
@@ -10,7 +10,6 @@
 #include "LibFlow/balancer_set.h"
 #include "LibMembership/vm_entry.h"
 #include "LibObservability/log.h"
-#include "LibPeer/document_request.h"
 #include "LibPlatform/configuration_follower.h"
 #include "LibPlatform/follower_driver.h"
 #include "LibPlatform/vm_poller.h"
@@ -35,8 +34,10 @@
     case peer::MemberState::kSuspected:
       if (!entry.m_has_served)
         return std::nullopt;
-      return entry.m_suspected_since ? flow::BalancerState::kSuspected
-                                     : flow::BalancerState::kServing;
+      // One without a lease forwards nothing that it may decide about.
+      return entry.m_suspected_since || !entry.m_holds_lease
+                 ? flow::BalancerState::kSuspected
+                 : flow::BalancerState::kServing;
     case peer::MemberState::kJoining:
     case peer::MemberState::kDead:
       break;
@@ -74,7 +75,7 @@
       },
       [](const membership::LiveMembersChanged&) {},
       [](const membership::Paused& paused) {
-        WriteLog(Severity::kWarning, Event::kLeaseLapsed,
+        WriteLog(Severity::kWarning, Event::kPauseDetected,
                  {{"paused_ms",
                    std::chrono::duration_cast<milliseconds>(paused.m_duration)
                        .count()}});
@@ -93,15 +94,6 @@
       std::nullopt});
 }
 
-void BalancerProcess::TellFollower(base::TimePoint now) {
-  const auto age =
-      m_membership->NewestKnownConfiguration(now).m_confirmation_age;
-  if (!age)
-    return;
-  m_follower->Handle(
-      platform::VersionConfirmed{m_configuration->version(), now - *age});
-}
-
 void BalancerProcess::OnVms(const std::vector<platform::VmRecord>& vms) {
   m_has_vm_list = true;
   std::vector<membership::VmEntry> entries;
@@ -164,32 +156,9 @@
   message.m_sender.m_state = m_membership->Self().m_state;
   message.m_sender.m_incarnation = m_membership->Self().m_incarnation;
   message.m_sender.m_configuration.m_version = m_configuration->version();
+  message.m_sender.m_holds_lease = m_membership->HoldsLease(base::Clock::now());
   message.m_body = std::move(body);
   return message;
 }
 
-void BalancerProcess::OnPull(const platform::PullFromPeer& pull) {
-  const membership::MemberEntry* entry =
-      m_membership->Peers().Find(pull.m_peer);
-  const auto source =
-      entry != nullptr
-          ? std::optional(entry->m_record.m_peer)
-          : m_membership->NewestKnownConfiguration(base::Clock::now()).m_source;
-  if (!source || !m_settings.m_mechanisms.m_pull_from_peers) {
-    m_follower->Handle(platform::PeerPullFailed{pull.m_peer});
-    return;
-  }
-  m_document_puller.Pull(
-      *source, MakePeerMessage(peer::DocumentRequest{pull.m_version}),
-      [this, peer = pull.m_peer](std::optional<peer::DocumentReply> reply) {
-        if (!reply || reply->m_version == base::ConfigurationVersion()) {
-          m_follower->Handle(platform::PeerPullFailed{peer});
-          return;
-        }
-        m_follower->Handle(platform::PeerDocument{
-            peer, reply->m_version,
-            std::make_shared<const std::string>(std::move(reply->m_body))});
-      });
-}
-
 }  // namespace service
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -52,6 +52,9 @@
     bool m_has_fault_proxies = false;
     // Of each backend server.
     int m_server_slots = 3;
+    // The fabric asks the balancers themselves whether they are ready, instead
+    // of being told by the test.
+    bool m_fabric_polls_readiness = false;
   };
 
   Deployment(PlatformControl& platform,
@@ -79,6 +82,9 @@
   void RestartBalancer(const std::string& name);
   // SIGSTOP: the balancer stands still and packets wait in its sockets.
   void FreezeBalancer(const std::string& name);
+  // Fills the peer socket of a frozen balancer, so that it gets nothing that
+  // peers send until it thaws, like a VM that was suspended.
+  void FillPeerSocket(const std::string& name);
   // SIGCONT.
   void ThawBalancer(const std::string& name);
   // SIGTERM: the fabric is told at once; returns the exit code.
@@ -103,6 +109,10 @@
   std::vector<std::string> BalancerNames() const;
   // The IP number that all balancers of the deployment share.
   std::string BalancerAddress() const { return Address(0, 1); }
+  // YAML lines of balancers that are started from now on.
+  void SetSettings(const std::string& settings) {
+    m_options.m_settings = settings;
+  }
   // Endpoint that balancers started from now on use for the platform.
   void SetPlatformEndpoint(base::Endpoint endpoint) {
     m_platform_endpoint = endpoint;
