Coltsfootdale: Try other peer ports while TCP has the number in use

Then ss -s counted 14,144 sockets in all, of which only 17 were listed as open: some other process of the shared machine held thousands of bound or closed TCP sockets in the range of the system's 28,232 ports. Which process is not known; they were gone later.

Ruled out: connections in TIME-WAIT (a bind to 127.0.1.1 succeeds beside them, 0 of 400 tries failed with 2,600 and more of them there); the own listeners (a bind failed at 36 of 102,851 random ports while a test ran, each a listener).

Change: if the port is 0, up to 64 ports are tried. A port that is set is tried once, as before.

--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -1,5 +1,6 @@
 #include "balancer_process.h"
 
+#include <asio/error.hpp>
 #include <asio/post.hpp>
 
 #include <chrono>
@@ -28,6 +29,7 @@
 constexpr auto kLeasePeriod = milliseconds(50);
 constexpr auto kPhasePeriod = milliseconds(100);
 constexpr auto kCountsPeriod = milliseconds(50);
+constexpr int kPortAttempts = 64;
 constexpr auto kVmListInterval = seconds(1);
 // A balancer serves without a VM list once it has waited so long for one.
 constexpr auto kJoinPatience = seconds(2);
@@ -97,21 +99,36 @@
                                     .m_flow = MakeFlowSettings(m_settings),
                                     .m_seed = m_random.Next()}));
   m_traffic = std::move(traffic);
-  TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
-  m_peer_link = std::move(link);
-  // Documents are pulled by TCP from the number of the UDP port.
-  TRY(server,
-      DocumentServer::Create(m_context, m_peer_link->LocalEndpoint(), [this] {
-        return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
-                                                   m_configuration->body()});
-      }));
-  m_document_server = std::move(server);
+  BOOST_OUTCOME_TRYV(BindPeerPorts());
   TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
                                   MakeAdminSources()));
   m_admin = std::move(admin);
   return base::Success();
 }
 
+// Documents are pulled by TCP from the number of the UDP port. If the system
+// chooses that, TCP may have it in use, even by a connection that was closed.
+base::Outcome<void> BalancerProcess::BindPeerPorts() {
+  int attempts = m_settings.m_peer.m_port == 0 ? kPortAttempts : 1;
+  for (;;) {
+    TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
+    auto server =
+        DocumentServer::Create(m_context, link->LocalEndpoint(), [this] {
+          return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
+                                                     m_configuration->body()});
+        });
+    --attempts;
+    if (!server && server.error() == asio::error::address_in_use &&
+        attempts > 0)
+      continue;
+    if (!server)
+      return server.error();
+    m_peer_link = std::move(link);
+    m_document_server = std::move(server).value();
+    return base::Success();
+  }
+}
+
 peer::MemberRecord BalancerProcess::MakeSelf() const {
   peer::MemberRecord self;
   self.m_id = m_id;
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -82,6 +82,7 @@
   BalancerProcess(const configuration::Settings& settings, std::uint64_t seed);
 
   base::Outcome<void> Bind();
+  base::Outcome<void> BindPeerPorts();
   void StartParts();
   void SubscribeTimers();
   void RenewLease(base::TimePoint now);
