LibConfiguration: Warn of a service that leaves its address

Cause: routing is by the service's address, and packets to an address that no service has are dropped, so a document that changes a service's address under load cuts its flows. Validation said nothing.

Change: a warning (drain_first) as for the removal of an active server, unless the old address is taken by another service, which is an error already.

--- a/Libraries/LibConfiguration/document_validation.cc
+++ b/Libraries/LibConfiguration/document_validation.cc
@@ -153,6 +153,7 @@
       CheckServers(index);
     }
     // Last, so that a full list never lacks an error.
+    WarnOfNewServiceAddresses();
     WarnOfRemovals();
     return std::move(m_problems);
   }
@@ -234,6 +235,25 @@
                      : fmt::format("it was {} and never decreases", least));
   }
 
+  // Packets to an address that no service has are dropped.
+  void WarnOfNewServiceAddresses() {
+    for (const Service& before : m_previous.m_services) {
+      const auto& services = m_next.m_services;
+      const bool is_kept =
+          std::ranges::find(services, before.m_name, &Service::m_name) !=
+          services.end();
+      const bool is_address_left =
+          std::ranges::find(services, before.m_address, &Service::m_address) ==
+          services.end();
+      if (!is_kept || !is_address_left)
+        continue;
+      Report(ProblemKind::kDrainFirst, PathInNext(before.m_name) + ".address",
+             fmt::format("service {} leaves the address {}, which cuts its "
+                         "flows",
+                         before.m_name, ToString(before.m_address)));
+    }
+  }
+
   void WarnOfRemovals() {
     std::set<base::Ipv4Address> kept;
     for (const Service& service : m_next.m_services) {
--- a/Tests/LibConfiguration/test_document.cc
+++ b/Tests/LibConfiguration/test_document.cc
@@ -137,6 +137,17 @@
         "address_conflict services[1].address\n");
 }
 
+TEST_CASE("a service that leaves its address is warned of") {
+  const Document previous = MakeDocument();
+  Document next = previous;
+  next.m_services[0].m_address = {base::Ipv4Address(0x7f400009U), 443};
+
+  const auto problems = ValidateReplacement(previous, next);
+
+  CHECK(Describe(problems) == "drain_first services[0].address\n");
+  CHECK_FALSE(configuration::HasError(problems));
+}
+
 TEST_CASE(
     "the removal of an active server is a warning, of a drained one not") {
   Document previous = MakeDocument();
