Coltsfootdale: Advertise other endpoints than the bound ones

Weighed: proxies only in the VM list of the platform stand-in. Ruled out: peers take the endpoints from membership records as soon as they know each other, and the VM list would then name endpoints where no member is known.

Change: the setting advertise, {traffic, peer}, goes into the membership record. The source of a datagram is then not where its sender can be asked, so a version that was heard from a member is pulled from the endpoint in its record, and one from another data centre preferably from an endpoint that was pinged and answered.

--- a/Libraries/LibConfiguration/settings.h
+++ b/Libraries/LibConfiguration/settings.h
@@ -59,6 +59,14 @@
   bool m_pull_from_peers = true;
 };
 
+// Where peers reach a process whose own endpoints are translated on the way,
+// under the key "advertise".
+struct AdvertisedEndpoints {
+  base::Endpoint m_traffic;
+  // Datagrams and, at the same port, TCP connections.
+  base::Endpoint m_peer;
+};
+
 struct Settings {
   base::DataCentreId m_data_centre;
   std::string m_name;
@@ -66,6 +74,8 @@
   base::Endpoint m_traffic;
   base::Endpoint m_peer;
   base::Endpoint m_admin;
+  // Peers are told the endpoints of the sockets if not set.
+  std::optional<AdvertisedEndpoints> m_advertised;
   // The fabric's endpoint for packets to callers.
   base::Endpoint m_gateway;
   base::Endpoint m_platform;
--- a/Libraries/LibConfiguration/settings_reader.cc
+++ b/Libraries/LibConfiguration/settings_reader.cc
@@ -56,6 +56,11 @@
   return mechanisms;
 }
 
+std::optional<AdvertisedEndpoints> ReadAdvertised(MapReader& map) {
+  return AdvertisedEndpoints{map.RequiredEndpoint("traffic", kRemotePort),
+                             map.RequiredEndpoint("peer", kRemotePort)};
+}
+
 // Reads the map under `key` with `read`, or returns the defaults.
 template <typename Group>
 Group ReadGroup(MapReader& parent,
@@ -78,6 +83,7 @@
   settings.m_traffic = map.RequiredEndpoint("traffic", kListeningPort);
   settings.m_peer = map.RequiredEndpoint("peer", kListeningPort);
   settings.m_admin = map.RequiredEndpoint("admin", kListeningPort);
+  settings.m_advertised = ReadGroup(map, "advertise", problems, ReadAdvertised);
   settings.m_gateway = map.RequiredEndpoint("gateway", kRemotePort);
   settings.m_platform = map.RequiredEndpoint("platform", kRemotePort);
   settings.m_operator_token = map.RequiredSecret("operator_token", kTokenBytes);
@@ -102,6 +108,9 @@
     report("control.hold_ms", "the hold must be longer than the lease");
   if (settings.m_peer.m_port != 0 && settings.m_peer == settings.m_traffic)
     report("peer", "peer and traffic are the same address and port");
+  const auto& advertised = settings.m_advertised;
+  if (advertised && advertised->m_peer == advertised->m_traffic)
+    report("advertise.peer", "peer and traffic are the same address and port");
 }
 
 }  // namespace
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -127,8 +127,8 @@
                   const peer::SenderStatus& sender,
                   base::TimePoint now);
   void RequestRecord(base::Endpoint from, base::TimePoint now);
-  void NoteConfiguration(base::Endpoint from,
-                         const peer::ConfigurationStatus& configuration);
+  void NoteConfiguration(base::Endpoint from, const peer::SenderStatus& sender);
+  bool HasReachableSource() const;
   Records RepliesAbout(const peer::SenderStatus& sender) const;
   void Receive(base::Endpoint from,
                const peer::Message& message,
--- a/Libraries/LibMembership/membership_receive.cc
+++ b/Libraries/LibMembership/membership_receive.cc
@@ -114,7 +114,7 @@
 void Membership::HearSender(base::Endpoint from,
                             const peer::SenderStatus& sender,
                             base::TimePoint now) {
-  NoteConfiguration(from, sender.m_configuration);
+  NoteConfiguration(from, sender);
   if (m_remote.Knows(sender.m_id))
     return;
   const MemberEntry* known = m_table.Find(sender.m_id);
@@ -142,17 +142,26 @@
            {m_self}, now);
 }
 
-void Membership::NoteConfiguration(
-    base::Endpoint from,
-    const peer::ConfigurationStatus& configuration) {
-  if (configuration.m_version < m_newest_version)
+// A sender whose endpoints are translated is heard from another endpoint than
+// the one where it can be asked. That of a member is in its record; of another
+// data centre only endpoints count that were pinged and answered.
+void Membership::NoteConfiguration(base::Endpoint from,
+                                   const peer::SenderStatus& sender) {
+  const base::ConfigurationVersion version = sender.m_configuration.m_version;
+  if (version < m_newest_version)
     return;
-  const bool is_newer = configuration.m_version > m_newest_version;
-  const bool is_in_own_data_centre = m_table.FindAt(from) != nullptr;
-  if (!is_newer && !is_in_own_data_centre)
+  const MemberEntry* member = m_table.Find(sender.m_id);
+  const bool is_better =
+      member != nullptr || (m_remote.HasLearned(from) && !HasReachableSource());
+  if (version == m_newest_version && !is_better)
     return;
-  m_newest_version = configuration.m_version;
-  m_newest_source = from;
+  m_newest_version = version;
+  m_newest_source = member != nullptr ? member->m_record.m_peer : from;
+}
+
+bool Membership::HasReachableSource() const {
+  return m_newest_source && (m_table.FindAt(*m_newest_source) != nullptr ||
+                             m_remote.HasLearned(*m_newest_source));
 }
 
 // The record of the sender if it does not know yet that it is suspected or
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -134,8 +134,11 @@
   self.m_id = m_id;
   self.m_name = m_settings.m_name;
   self.m_data_centre = m_settings.m_data_centre;
-  self.m_traffic = m_traffic->LocalEndpoint();
-  self.m_peer = m_peer_link->LocalEndpoint();
+  const auto advertised =
+      m_settings.m_advertised.value_or(configuration::AdvertisedEndpoints{
+          m_traffic->LocalEndpoint(), m_peer_link->LocalEndpoint()});
+  self.m_traffic = advertised.m_traffic;
+  self.m_peer = advertised.m_peer;
   self.m_admin = m_admin->endpoint();
   self.m_incarnation = WallClockMilliseconds();
   return self;
--- a/Tests/LibConfiguration/test_settings.cc
+++ b/Tests/LibConfiguration/test_settings.cc
@@ -32,6 +32,7 @@
   CHECK(settings.m_data_centre.value() == "uppsala");
   CHECK(base::ToString(settings.m_gateway) == "127.0.0.9:4000");
   CHECK_FALSE(settings.m_seed);
+  CHECK_FALSE(settings.m_advertised);
   CHECK(settings.m_control.m_hold == std::chrono::seconds(3));
   CHECK(settings.m_mechanisms.m_probe);
 }
@@ -41,11 +42,16 @@
                                  "seed: 18446744073709551615\n"
                                  "control: {lease_ms: 400, hold_ms: 900,"
                                  " placement: first_hash}\n"
+                                 "advertise: {traffic: 192.0.2.1:4000,"
+                                 " peer: 192.0.2.1:4001}\n"
                                  "mechanisms: {probe: false}\n");
 
   REQUIRE(std::holds_alternative<Settings>(read));
   const auto& settings = std::get<Settings>(read);
   CHECK(settings.m_seed == 18446744073709551615ULL);
+  REQUIRE(settings.m_advertised);
+  CHECK(base::ToString(settings.m_advertised->m_traffic) == "192.0.2.1:4000");
+  CHECK(base::ToString(settings.m_advertised->m_peer) == "192.0.2.1:4001");
   CHECK(settings.m_control.m_lease == std::chrono::milliseconds(400));
   CHECK(settings.m_control.m_placement ==
         configuration::PlacementPolicy::kFirstHash);
@@ -90,6 +96,19 @@
   CHECK(problems.size() == 9);
 }
 
+TEST_CASE("an advertised endpoint alone or without a port is refused") {
+  const auto read =
+      ReadSettings(kRequired + "advertise: {traffic: 192.0.2.1:0}\n");
+
+  REQUIRE(std::holds_alternative<Problems>(read));
+  const auto& problems = std::get<Problems>(read);
+  REQUIRE(problems.size() == 2);
+  CHECK(problems[0].m_path == "advertise.traffic");
+  CHECK(problems[0].m_kind == ProblemKind::kOutOfRange);
+  CHECK(problems[1].m_path == "advertise.peer");
+  CHECK(problems[1].m_kind == ProblemKind::kMissingKey);
+}
+
 TEST_CASE("settings that contradict each other are refused") {
   const auto read =
       ReadSettings(kRequired + "control: {lease_ms: 3000, hold_ms: 3000}\n");
