Coltsfootdale: Know the balancers of other data centres

Cause: membership has delegates that exchange versions with other data centres, but the process listed the VMs of its own data centre only, so there was nobody to contact: each data centre depended on the platform alone. The library's test gives the members a list of all data centres, which hid it.

Change: a second poll lists all VMs, every 5 s on a delegate or while no other data centre is known, else every 60 s.

--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -66,6 +66,9 @@
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
+  // Whether this member may have to contact other data centres, so that it
+  // should know which VMs they have.
+  bool NeedsRemoteVms() const;
 
   // The number of members about whom news waits to ride along.
   std::size_t WaitingNews() const { return m_updates.Size(); }
@@ -83,6 +86,7 @@
                         std::optional<base::TimePoint> confirmed_at);
 
   // Events.
+  // Takes the VMs of all data centres, this member's own among them.
   Effects ReceiveVmList(const std::vector<VmEntry>& list, base::TimePoint now);
   Effects ReceiveMessage(base::Endpoint from,
                          const peer::Message& message,
@@ -167,6 +171,7 @@
   std::vector<base::Endpoint> MissingEndpoints(base::Random& random) const;
   void ContactRemote(base::TimePoint now, base::Random& random);
   void RequestPage(base::TimePoint now);
+  bool IsDelegateFor(const base::DataCentreId& data_centre) const;
   void Announce(base::TimePoint now, base::Random& random);
   void PushNews(base::TimePoint now, base::Random& random);
   void ForgetDead(base::TimePoint now);
--- a/Libraries/LibMembership/membership_advance.cc
+++ b/Libraries/LibMembership/membership_advance.cc
@@ -223,18 +223,27 @@
   }
 }
 
+bool Membership::IsDelegateFor(const base::DataCentreId& data_centre) const {
+  const auto delegates =
+      RankMembers(base::HashString(data_centre.value()), kDelegates);
+  return std::any_of(delegates.begin(), delegates.end(),
+                     [&](const auto& one) { return one.m_id == m_self.m_id; });
+}
+
+bool Membership::NeedsRemoteVms() const {
+  const auto data_centres = m_remote.DataCentres();
+  return data_centres.empty() ||
+         std::any_of(data_centres.begin(), data_centres.end(),
+                     [this](const auto& each) { return IsDelegateFor(each); });
+}
+
 void Membership::ContactRemote(base::TimePoint now, base::Random& random) {
   if (now < m_next_remote)
     return;
   m_next_remote = now + m_settings.m_remote_period;
   for (const base::DataCentreId& data_centre : m_remote.DataCentres()) {
-    const auto delegates =
-        RankMembers(base::HashString(data_centre.value()), kDelegates);
-    const bool is_delegate =
-        std::any_of(delegates.begin(), delegates.end(),
-                    [&](const auto& one) { return one.m_id == m_self.m_id; });
     const auto endpoint = m_remote.Pick(data_centre, random);
-    if (!is_delegate || !endpoint)
+    if (!IsDelegateFor(data_centre) || !endpoint)
       continue;
     // These links are dear, so records are exchanged at the first contact only.
     const bool is_first = !m_remote.HasLearned(*endpoint);
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -8,7 +8,6 @@
 
 #include "LibBase/overloaded.h"
 #include "LibFlow/balancer_set.h"
-#include "LibMembership/vm_entry.h"
 #include "LibObservability/log.h"
 #include "LibPeer/document_request.h"
 #include "LibPlatform/configuration_follower.h"
@@ -25,6 +24,11 @@
 using observability::WriteLog;
 using std::chrono::milliseconds;
 
+// How often the VMs of all data centres are listed; few members contact other
+// data centres, and the others may become one of them.
+constexpr auto kDelegateAllVmsInterval = std::chrono::seconds(5);
+constexpr auto kAllVmsInterval = std::chrono::seconds(60);
+
 // How a peer takes part in traffic; nothing if it does not.
 std::optional<flow::BalancerState> RoutedStateOf(
     const membership::MemberEntry& entry) {
@@ -44,6 +48,17 @@
   return std::nullopt;
 }
 
+membership::VmEntry EntryOf(const platform::VmRecord& vm) {
+  return {vm.m_name,
+          vm.m_data_centre,
+          vm.m_state == platform::VmState::kLive
+              ? membership::VmState::kLive
+              : membership::VmState::kLeaving,
+          vm.m_traffic,
+          vm.m_peer,
+          vm.m_admin};
+}
+
 }  // namespace
 
 void BalancerProcess::AdvanceMembership(base::TimePoint now) {
@@ -102,17 +117,33 @@
       platform::VersionConfirmed{m_configuration->version(), now - *age});
 }
 
-void BalancerProcess::OnVms(const std::vector<platform::VmRecord>& vms) {
+void BalancerProcess::OnOwnVms(const std::vector<platform::VmRecord>& vms) {
   m_has_vm_list = true;
-  std::vector<membership::VmEntry> entries;
-  entries.reserve(vms.size());
+  m_own_vms.clear();
   for (const platform::VmRecord& vm : vms)
-    entries.push_back({vm.m_name, vm.m_data_centre,
-                       vm.m_state == platform::VmState::kLive
-                           ? membership::VmState::kLive
-                           : membership::VmState::kLeaving,
-                       vm.m_traffic, vm.m_peer, vm.m_admin});
+    m_own_vms.push_back(EntryOf(vm));
+  TellVms();
+}
+
+// FIXME: The list of all VMs grows with the whole system; the platform could
+// list a few of each data centre.
+void BalancerProcess::OnAllVms(const std::vector<platform::VmRecord>& vms) {
+  m_remote_vms.clear();
+  for (const platform::VmRecord& vm : vms) {
+    if (vm.m_data_centre != m_settings.m_data_centre)
+      m_remote_vms.push_back(EntryOf(vm));
+  }
+  if (m_has_vm_list)
+    TellVms();
+}
+
+void BalancerProcess::TellVms() {
+  std::vector<membership::VmEntry> entries = m_own_vms;
+  entries.insert(entries.end(), m_remote_vms.begin(), m_remote_vms.end());
   Take(m_membership->ReceiveVmList(entries, base::Clock::now()));
+  m_all_vms_poller->SetInterval(m_membership->NeedsRemoteVms()
+                                    ? kDelegateAllVmsInterval
+                                    : kAllVmsInterval);
 }
 
 void BalancerProcess::PublishBalancers() {
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -169,7 +169,12 @@
       [](const platform::ProbePeer&) {});
   m_vm_poller = std::make_unique<platform::VmPoller>(
       m_context, m_platform, m_settings.m_data_centre, kVmListInterval,
-      base::Random(m_random.Next()), [this](const auto& vms) { OnVms(vms); });
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnOwnVms(vms); });
+  m_all_vms_poller = std::make_unique<platform::VmPoller>(
+      m_context, m_platform, base::DataCentreId(), kVmListInterval,
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnAllVms(vms); });
 }
 
 void BalancerProcess::SubscribeTimers() {
@@ -262,6 +267,7 @@
   m_document_server->Start();
   m_follower->Start();
   m_vm_poller->Start();
+  m_all_vms_poller->Start();
   SubscribeTimers();
   m_traffic->Start();
   WriteLog(Severity::kInfo, Event::kListening,
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -18,6 +18,7 @@
 #include "LibConfiguration/settings.h"
 #include "LibFlow/balancer_set.h"
 #include "LibMembership/membership.h"
+#include "LibMembership/vm_entry.h"
 #include "LibObservability/metrics.h"
 #include "LibPeer/message.h"
 #include "LibPlatform/platform_client.h"
@@ -92,7 +93,9 @@
   void AdvanceMembership(base::TimePoint now);
   void Take(const membership::Effects& effects);
   void OnPeerMessage(base::Endpoint from, const peer::Message& message);
-  void OnVms(const std::vector<platform::VmRecord>& vms);
+  void OnOwnVms(const std::vector<platform::VmRecord>& vms);
+  void OnAllVms(const std::vector<platform::VmRecord>& vms);
+  void TellVms();
   void PublishBalancers();
   void TellFollower(base::TimePoint now);
 
@@ -124,6 +127,9 @@
   base::TimePoint m_started_at;
   ProcessPhase m_phase = ProcessPhase::kJoining;
   bool m_has_vm_list = false;
+  std::vector<membership::VmEntry> m_own_vms;
+  // Of the other data centres.
+  std::vector<membership::VmEntry> m_remote_vms;
   base::TimePoint m_leaving_since;
   base::TimePoint m_last_direct_packet;
   std::uint64_t m_direct_packets = 0;
@@ -139,7 +145,9 @@
   platform::PlatformClient m_platform;
   std::unique_ptr<membership::Membership> m_membership;
   std::unique_ptr<platform::FollowerDriver> m_follower;
+  // Of the own data centre, and of all.
   std::unique_ptr<platform::VmPoller> m_vm_poller;
+  std::unique_ptr<platform::VmPoller> m_all_vms_poller;
   std::unique_ptr<ConfigurationKeeper> m_configuration;
   std::unique_ptr<LoadPoller> m_load_poller;
   LeaseKeeper m_lease;
