--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -107,7 +107,7 @@
 }
 
 // Documents are pulled by TCP from the number of the UDP port. If the system
-// chooses that, TCP may have it in use, even by a connection that was closed.
+// chooses that, TCP may have it in use.
 base::Outcome<void> BalancerProcess::BindPeerPorts() {
   int attempts = m_settings.m_peer.m_port == 0 ? kPortAttempts : 1;
   for (;;) {
