StandIns: Move callers, drop connections, aim and exclude in proxies

The caller takes 'fabric ENDPOINT': new flows are opened in another data centre, open ones keep theirs. A TCP proxy takes 'drop': it resets open and new connections until it is healed, where 'cut' holds them. Proxies take 'target ENDPOINT', so that one can be named in the settings of a process before that has its ports; a UDP proxy takes 'exclude IP' and 'admit IP', for cuts between some peers only.

--- a/Tests/StandIns/Tests/test_proxy_and_poll.cc
+++ b/Tests/StandIns/Tests/test_proxy_and_poll.cc
@@ -77,6 +77,7 @@
 
   std::string m_text;
   bool m_ended = false;
+  bool m_reset = false;
 
  private:
   void Read() {
@@ -84,6 +85,7 @@
                              [this](std::error_code error, std::size_t size) {
                                m_text.append(m_buffer.data(), size);
                                m_ended = error == asio::error::eof;
+                               m_reset = error == asio::error::connection_reset;
                                if (!error)
                                  Read();
                              });
@@ -99,7 +101,7 @@
         m_plan(stand_ins::ProxyProtocol::kTcp, 1),
         m_proxy(&m_loop, &m_plan, m_server.Local()) {
     m_server.m_text = std::string(300'000, 'a') + "end";
-    m_plan.AddCommands(&m_commands, [this] { m_proxy.Resume(); });
+    m_plan.AddCommands(&m_commands, [this] { m_proxy.ObeyRules(); });
     REQUIRE(m_proxy.Open(kAnyPort));
   }
 
@@ -139,6 +141,24 @@
   }
 }
 
+TEST_CASE("a TCP proxy that drops resets open and new connections") {
+  ProxyFixture fixture;
+  fixture.m_commands.Answer("freeze");
+  TextClient open(&fixture.m_loop, fixture.m_proxy.LocalEndpoint());
+  const base::TimePoint start = EventLoop::Now();
+  RunUntil(&fixture.m_loop, [&] { return EventLoop::Now() > start + 50ms; });
+
+  fixture.m_commands.Answer("drop");
+  TextClient refused(&fixture.m_loop, fixture.m_proxy.LocalEndpoint());
+  CHECK(RunUntil(&fixture.m_loop,
+                 [&] { return open.m_reset && refused.m_reset; }));
+  fixture.m_commands.Answer("heal");
+  TextClient client(&fixture.m_loop, fixture.m_proxy.LocalEndpoint());
+
+  CHECK(RunUntil(&fixture.m_loop, [&] { return client.m_ended; }));
+  CHECK(client.m_text == fixture.m_server.m_text);
+}
+
 TEST_CASE("a balancer is in after 200 and out after any other answer") {
   EventLoop loop;
   TextServer server(&loop);
--- a/Tests/StandIns/caller.cc
+++ b/Tests/StandIns/caller.cc
@@ -93,6 +93,16 @@
     StopOpening(EventLoop::Now());
     return CommandDone{};
   });
+  commands->Add("fabric", [this](const auto& words) { return MoveTo(words); });
+}
+
+CommandResult Caller::MoveTo(const LineCommands::Words& words) {
+  const auto fabric =
+      words.size() == 1 ? base::ParseEndpoint(words[0]) : std::nullopt;
+  if (!fabric)
+    return CommandFailed{"expected an endpoint"};
+  m_options.m_fabric = *fabric;
+  return CommandDone{};
 }
 
 // Openings ------------------------------------------------------------------
@@ -149,7 +159,7 @@
   CallerFlow flow(attempt.m_request, m_options.m_service_address, limits,
                   static_cast<std::uint32_t>(m_random.Next()), now);
   auto open = std::make_unique<OpenFlow>(
-      std::move(flow), attempt, &m_loop->Timers(),
+      std::move(flow), attempt, m_options.m_fabric, &m_loop->Timers(),
       [this, port = *port](base::TimePoint time) { HandleTimer(port, time); });
   m_flows.emplace(*port, std::move(open));
   ++m_undecided;
@@ -185,7 +195,7 @@
     found->second->m_flow.Receive(packet->m_segment, now);
     Update(port, now);
   } else if (const auto reset = ResetForNoConnection(packet->m_segment)) {
-    SendSegment(*reset, port);
+    SendSegment(*reset, port, m_options.m_fabric);
   }
 }
 
@@ -206,7 +216,7 @@
   if (m_stopping)
     flow.FinishFeed(now);
   for (const TcpSegment& segment : flow.TakeSegments(now))
-    SendSegment(segment, port);
+    SendSegment(segment, port, open.m_fabric);
   if (flow.WasEstablished() && !open.m_established_counted) {
     open.m_established_counted = true;
     m_report.CountEstablished();
@@ -271,10 +281,12 @@
   m_print(ReportLine());
 }
 
-void Caller::SendSegment(const TcpSegment& segment, std::uint16_t port) {
+void Caller::SendSegment(const TcpSegment& segment,
+                         std::uint16_t port,
+                         base::Endpoint fabric) {
   const TcpPacket packet{
       {m_options.m_address, port}, m_options.m_service_address, segment};
-  m_socket->Send(AsBytes(BuildPacket(packet)), m_options.m_fabric);
+  m_socket->Send(AsBytes(BuildPacket(packet)), fabric);
 }
 
 }  // namespace stand_ins
--- a/Tests/StandIns/caller.h
+++ b/Tests/StandIns/caller.h
@@ -74,14 +74,18 @@
   struct OpenFlow {
     OpenFlow(CallerFlow flow,
              const Attempt& attempt,
+             base::Endpoint fabric,
              base::TimerService* timers,
              DeadlineTimer::Callback callback)
         : m_flow(std::move(flow)),
           m_attempt(attempt),
+          m_fabric(fabric),
           m_timer(timers, std::move(callback)) {}
 
     CallerFlow m_flow;
     Attempt m_attempt;
+    // Of the data centre that the flow was opened in.
+    base::Endpoint m_fabric;
     DeadlineTimer m_timer;
     bool m_established_counted = false;
     bool m_result_counted = false;
@@ -95,6 +99,8 @@
   // Returns whether there was a free source port.
   bool OpenFlowFor(const Attempt& attempt, base::TimePoint now);
   void StopOpening(base::TimePoint now);
+  // Opens flows in another data centre from now on.
+  CommandResult MoveTo(const LineCommands::Words& words);
   void HandleDatagram(UdpPort::Bytes datagram);
   void HandleTimer(std::uint16_t port, base::TimePoint now);
   // Counts what has been decided, sends what is due and forgets the flow if
@@ -106,7 +112,9 @@
              FlowResult last_result,
              base::TimePoint now);
   void ReportIfFinished();
-  void SendSegment(const TcpSegment& segment, std::uint16_t port);
+  void SendSegment(const TcpSegment& segment,
+                   std::uint16_t port,
+                   base::Endpoint fabric);
 
   EventLoop* m_loop;
   CallerOptions m_options;
--- a/Tests/StandIns/fault_plan.cc
+++ b/Tests/StandIns/fault_plan.cc
@@ -60,6 +60,7 @@
   AddProbability(commands, "reorder", &FaultRules::m_reorder);
   commands->Add("delay", [this](const Words& words) { return Delay(words); });
   commands->Add("cut", [this](const Words& words) { return Cut(words); });
+  commands->Add("drop", [this](const Words& words) { return Drop(words); });
   AddChange(commands, "freeze",
             [](FaultRules* rules) { rules->m_frozen = true; });
   AddChange(commands, "thaw",
@@ -108,6 +109,14 @@
   return Apply(words, [](FaultRules* rules) { rules->m_cut = true; });
 }
 
+CommandResult FaultPlan::Drop(const Words& words) {
+  if (m_protocol == ProxyProtocol::kUdp)
+    return CommandFailed{"only for TCP"};
+  if (!words.empty())
+    return CommandFailed{"too many words"};
+  return Apply(words, [](FaultRules* rules) { rules->m_dropped = true; });
+}
+
 CommandResult FaultPlan::Apply(const Words& rest, const Change& change) {
   if (rest.size() > 1)
     return CommandFailed{"too many words"};
--- a/Tests/StandIns/fault_plan.h
+++ b/Tests/StandIns/fault_plan.h
@@ -41,8 +41,9 @@
   double m_reorder = 0;      // probability of kReorderDelay on top
   std::chrono::milliseconds m_delay{};
   std::chrono::milliseconds m_jitter{};  // uniform, added to the delay
-  bool m_cut = false;     // UDP: everything is lost; TCP: nothing moves
-  bool m_frozen = false;  // everything waits
+  bool m_cut = false;      // UDP: everything is lost; TCP: nothing moves
+  bool m_frozen = false;   // everything waits
+  bool m_dropped = false;  // TCP: connections are reset, also new ones
 };
 
 class FaultPlan {
@@ -58,6 +59,12 @@
     return m_rules.at(static_cast<std::size_t>(direction));
   }
 
+  // Whether connections are reset; they have no direction.
+  bool DropsConnections() const {
+    return RulesOf(Direction::kForward).m_dropped ||
+           RulesOf(Direction::kBackward).m_dropped;
+  }
+
   // Commands.
   // The delays of the copies of a datagram that are to be delivered: none, one
   // or two.
@@ -78,6 +85,7 @@
                  const std::string& name,
                  const Change& change);
   CommandResult Cut(Words words);
+  CommandResult Drop(const Words& words);
   CommandResult Delay(Words words);
   CommandResult Apply(const Words& rest, const Change& change);
 
--- a/Tests/StandIns/proxy_command.cc
+++ b/Tests/StandIns/proxy_command.cc
@@ -61,10 +61,21 @@
                  options.m_seed);
   LineCommands commands;
   plan.AddCommands(&commands,
-                   [&] { is_udp ? udp.DeliverHeld() : tcp.Resume(); });
+                   [&] { is_udp ? udp.DeliverHeld() : tcp.ObeyRules(); });
   commands.Add("report", [&](const auto&) {
     return is_udp ? udp.ReportLine() : tcp.ReportLine();
   });
+  if (is_udp)
+    udp.AddCommands(&commands);
+  commands.Add("target", [&](const auto& words) -> CommandResult {
+    const auto target =
+        words.size() == 1 ? base::ParseEndpoint(words[0]) : std::nullopt;
+    if (!target)
+      return CommandFailed{"expected an endpoint"};
+    udp.SetTarget(*target);
+    tcp.SetTarget(*target);
+    return CommandDone{};
+  });
   const CommandInput input(&loop, &commands);
   loop.Run();
   return EXIT_SUCCESS;
--- a/Tests/StandIns/tcp_proxy.cc
+++ b/Tests/StandIns/tcp_proxy.cc
@@ -63,6 +63,10 @@
     return;
   const auto connection =
       std::make_shared<TcpProxyConnection>(m_loop, m_plan, std::move(socket));
+  if (m_plan->DropsConnections()) {
+    connection->Reset();
+    return;
+  }
   m_connections.push_back(connection);
   connection->Start(m_target);
 }
@@ -72,10 +76,14 @@
                 [](const auto& connection) { return connection->IsClosed(); });
 }
 
-void TcpProxy::Resume() {
+void TcpProxy::ObeyRules() {
   ForgetClosed();
-  for (const auto& connection : m_connections)
-    connection->Resume();
+  for (const auto& connection : m_connections) {
+    if (m_plan->DropsConnections())
+      connection->Reset();
+    else
+      connection->Resume();
+  }
 }
 
 }  // namespace stand_ins
--- a/Tests/StandIns/tcp_proxy.h
+++ b/Tests/StandIns/tcp_proxy.h
@@ -31,8 +31,11 @@
 
   // Commands.
   base::Outcome<void> Open(base::Endpoint listen);
-  // Goes on with what a rule held back that is gone.
-  void Resume();
+  // New connections go to `target` from now on.
+  void SetTarget(base::Endpoint target) { m_target = target; }
+  // Obeys the rules after a change: resets all connections, or goes on with
+  // what a rule held back that is gone.
+  void ObeyRules();
 
  private:
   static constexpr std::size_t kMaximumConnections = 4096;
--- a/Tests/StandIns/tcp_proxy_connection.cc
+++ b/Tests/StandIns/tcp_proxy_connection.cc
@@ -124,6 +124,15 @@
     Close();
 }
 
+void TcpProxyConnection::Reset() {
+  // A socket that does not linger resets its connection when it is closed.
+  const asio::socket_base::linger at_once(true, 0);
+  std::error_code ignored;
+  m_source.set_option(at_once, ignored);
+  m_target.set_option(at_once, ignored);
+  Close();
+}
+
 void TcpProxyConnection::Close() {
   m_closed = true;
   std::error_code ignored;
--- a/Tests/StandIns/tcp_proxy_connection.h
+++ b/Tests/StandIns/tcp_proxy_connection.h
@@ -34,6 +34,8 @@
   void Start(base::Endpoint target);
   // Goes on with what a rule held back that is gone.
   void Resume();
+  // Resets both sides.
+  void Reset();
 
  private:
   static constexpr std::size_t kReadBytes = 16'384;
--- a/Tests/StandIns/udp_proxy.cc
+++ b/Tests/StandIns/udp_proxy.cc
@@ -27,6 +27,22 @@
   return base::Success();
 }
 
+void UdpProxy::AddCommands(LineCommands* commands) {
+  const auto add = [this, commands](const std::string& name, auto change) {
+    commands->Add(name, [this, change](const auto& words) -> CommandResult {
+      const auto address =
+          words.size() == 1 ? base::ParseIpv4Address(words[0]) : std::nullopt;
+      if (!address)
+        return CommandFailed{"expected an IP number"};
+      change(&m_excluded, *address);
+      return CommandDone{};
+    });
+  };
+  add("exclude",
+      [](auto* excluded, auto address) { excluded->insert(address); });
+  add("admit", [](auto* excluded, auto address) { excluded->erase(address); });
+}
+
 JsonLine UdpProxy::ReportLine() const {
   JsonLine line("report");
   line.Add("received", m_counters.m_received)
@@ -54,6 +70,8 @@
 }
 
 void UdpProxy::Receive(const Datagram& datagram) {
+  if (m_excluded.contains(datagram.m_source.m_address))
+    return;
   ++m_counters.m_received;
   for (const base::Duration delay : m_plan->DrawCopies(datagram.m_direction))
     DeliverAfter(delay, datagram);
--- a/Tests/StandIns/udp_proxy.h
+++ b/Tests/StandIns/udp_proxy.h
@@ -10,11 +10,13 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
 #include "StandIns/fault_plan.h"
 #include "StandIns/json_line.h"
+#include "StandIns/line_commands.h"
 #include "StandIns/udp_port.h"
 
 namespace stand_ins {
@@ -33,6 +35,10 @@
 
   // Commands.
   base::Outcome<void> Open(base::Endpoint listen);
+  // exclude IP: nothing passes from or to sources of that address; admit IP.
+  void AddCommands(LineCommands* commands);
+  // From now on datagrams go to `target`.
+  void SetTarget(base::Endpoint target) { m_target = target; }
   // Delivers what was held by a freeze that is over.
   void DeliverHeld();
 
@@ -64,6 +70,7 @@
   // Each source has a socket bound to its own address, so that the target sees
   // it; what the target sends there goes back to the source.
   std::unordered_map<base::Endpoint, std::unique_ptr<UdpPort>> m_ports;
+  std::unordered_set<base::Ipv4Address> m_excluded;
   std::deque<Datagram> m_held;
   std::size_t m_delayed = 0;
   Counters m_counters;
