--- /dev/null
+++ b/Tests/Integration/callers.h
@@ -0,0 +1,25 @@
+// What tests do with several callers at once.
+
+#ifndef TESTS_INTEGRATION_CALLERS_H_
+#define TESTS_INTEGRATION_CALLERS_H_
+
+#include <chrono>
+#include <vector>
+
+#include "child_process.h"
+
+namespace integration {
+
+using CallerList = std::vector<ChildProcess*>;
+
+// Waits until each caller has established `count` flows more.
+void AwaitMoreOfAll(const CallerList& callers, int count);
+
+// Ends the flows of all callers; their final reports, in the order given.
+std::vector<JsonLine> StopAll(
+    const CallerList& callers,
+    std::chrono::milliseconds deadline = std::chrono::seconds(30));
+
+}  // namespace integration
+
+#endif  // TESTS_INTEGRATION_CALLERS_H_
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -64,6 +64,10 @@
          std::to_string(m_options.m_number) + "." + std::to_string(number);
 }
 
+std::string Deployment::BalancerAddress() const {
+  return Address(0, 1);
+}
+
 void Deployment::AddServer(const std::string& service,
                            const std::string& name,
                            const std::vector<std::string>& more) {
@@ -103,21 +107,28 @@
 
 std::string Deployment::WriteSettings(const std::string& name) {
   std::string path = m_folder + "/" + name + ".yaml";
-  const std::string any_port = Address(0, 1) + ":0";
+  const std::string any_port = BalancerAddress() + ":0";
   const JsonLine& former = m_former_endpoints[name];
-  std::ofstream(path) << "data_centre: " << m_options.m_data_centre
-                      << "\nname: " << name
-                      << "\ntraffic: " << former.get("traffic", any_port)
-                      << "\npeer: " << former.get("peer", any_port)
-                      << "\nadmin: " << former.get("admin", any_port)
-                      << "\ngateway: " << m_fabric_balancers
-                      << "\nplatform: " << base::ToString(m_platform_endpoint)
-                      << "\noperator_token: integration-test-token\n"
-                      << m_options.m_settings;
+  std::ofstream file(path);
+  file << "data_centre: " << m_options.m_data_centre << "\nname: " << name
+       << "\ntraffic: " << former.get("traffic", any_port)
+       << "\npeer: " << former.get("peer", any_port)
+       << "\nadmin: " << former.get("admin", any_port)
+       << "\ngateway: " << m_fabric_balancers
+       << "\nplatform: " << base::ToString(m_platform_endpoint)
+       << "\noperator_token: integration-test-token\n"
+       << m_options.m_settings;
+  if (const auto proxies = m_peer_proxies.find(name);
+      proxies != m_peer_proxies.end())
+    file << "advertise: {traffic: " << proxies->second->traffic()
+         << ", peer: " << proxies->second->peer() << "}\n";
   return path;
 }
 
 void Deployment::StartBalancer(const std::string& name) {
+  if (m_options.m_has_peer_proxies && !m_peer_proxies.contains(name))
+    m_peer_proxies[name] = std::make_unique<PeerProxies>(
+        BalancerAddress(), m_options.m_seed + 3 * m_peer_proxies.size());
   m_balancers[name] = std::make_unique<ChildProcess>(
       kColtsfootdale,
       std::vector<std::string>{"balancer", "--settings", WriteSettings(name)});
@@ -125,10 +136,17 @@
 
 void Deployment::AnnounceBalancer(const std::string& name) {
   const JsonLine line = Balancer(name).WaitFor("listening", kStartDeadline);
+  std::string traffic = line.get("traffic", "");
+  std::string peer = line.get("peer", "");
+  if (const auto proxies = m_peer_proxies.find(name);
+      proxies != m_peer_proxies.end()) {
+    proxies->second->Aim(traffic, peer);
+    traffic = proxies->second->traffic();
+    peer = proxies->second->peer();
+  }
   m_platform.Post("vm?name=" + name +
                   "&data_centre=" + m_options.m_data_centre +
-                  "&state=live&traffic=" + line.get("traffic", "") +
-                  "&peer=" + line.get("peer", "") +
+                  "&state=live&traffic=" + traffic + "&peer=" + peer +
                   "&admin=" + line.get("admin", "127.0.0.1:1"));
 }
 
@@ -160,6 +178,22 @@
     proxy->Ask(command, "done");
 }
 
+void Deployment::SetPeerFault(const std::string& command) {
+  Require(!m_peer_proxies.empty(), "no proxies between the balancers");
+  for (const auto& [name, proxies] : m_peer_proxies)
+    proxies->SetFault(command);
+}
+
+void Deployment::CutFrom(Deployment& other) {
+  SetPeerFault("exclude " + other.BalancerAddress());
+  other.SetPeerFault("exclude " + BalancerAddress());
+}
+
+void Deployment::HealFrom(Deployment& other) {
+  SetPeerFault("admit " + other.BalancerAddress());
+  other.SetPeerFault("admit " + BalancerAddress());
+}
+
 void Deployment::AddBalancer(const std::string& name) {
   StartBalancer(name);
   AnnounceBalancer(name);
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -15,6 +15,7 @@
 
 #include "child_process.h"
 #include "document_model.h"
+#include "peer_proxies.h"
 #include "platform_control.h"
 
 namespace integration {
@@ -51,6 +52,9 @@
     bool m_has_fault_proxies = false;
     // Of each backend server.
     int m_server_slots = 3;
+    // Puts fault proxies between the balancers: each is known to its peers by
+    // the endpoints of proxies.
+    bool m_has_peer_proxies = false;
   };
 
   Deployment(PlatformControl& platform,
@@ -91,6 +95,12 @@
   void PauseBalancer(const std::string& name);
   // Sends a command, as `loss 0.02`, to the fault proxies.
   void SetFault(const std::string& command);
+  // Sends a command to the proxies between the balancers.
+  void SetPeerFault(const std::string& command);
+  // Messages between the balancers of both deployments are lost from now on, or
+  // no more.
+  void CutFrom(Deployment& other);
+  void HealFrom(Deployment& other);
   std::unique_ptr<ChildProcess> StartCaller(const std::string& service,
                                             const CallerOptions& options);
 
@@ -99,6 +109,8 @@
   }
   ChildProcess& Server(const std::string& name) { return *m_servers.at(name); }
   ChildProcess& Fabric() { return *m_fabric; }
+  // The fabric's endpoint for callers.
+  const std::string& CallersEndpoint() const { return m_fabric_callers; }
   std::vector<std::string> BalancerNames() const;
   // Endpoint that balancers started from now on use for the platform.
   void SetPlatformEndpoint(base::Endpoint endpoint) {
@@ -121,6 +133,7 @@
 
  private:
   std::string Address(int block, int number) const;
+  std::string BalancerAddress() const;
   std::string WriteSettings(const std::string& name);
   // Endpoint of a new fault proxy before `target`, or `target` if there are
   // none. It has the address of `target`, by which balancers know servers.
@@ -138,6 +151,8 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_balancers;
   std::vector<std::unique_ptr<ChildProcess>> m_proxies;
+  // By name of the balancer.
+  std::map<std::string, std::unique_ptr<PeerProxies>> m_peer_proxies;
   // Processes that were killed or stopped; their logs are still read.
   std::vector<std::unique_ptr<ChildProcess>> m_former_balancers;
   // The `listening` lines of killed balancers, by name.
--- a/Tests/Integration/document_model.cc
+++ b/Tests/Integration/document_model.cc
@@ -11,8 +11,10 @@
   text << "services:\n";
   for (const auto& [name, service] : m_services) {
     text << "  - name: " << name
-         << "\n    address: " << base::ToString(service.m_address)
-         << "\n    backend_servers:"
+         << "\n    address: " << base::ToString(service.m_address);
+    for (const std::string& rule : service.m_rules)
+      text << "\n    " << rule;
+    text << "\n    backend_servers:"
          << (service.m_servers.empty() ? " []\n" : "\n");
     for (const auto& [server_name, server] : service.m_servers)
       text << "      - name: " << server_name
--- a/Tests/Integration/document_model.h
+++ b/Tests/Integration/document_model.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "LibBase/ipv4.h"
 
@@ -22,6 +23,9 @@
 
 struct ServiceModel {
   base::Endpoint m_address;
+  // YAML of the service's other keys, a map in braces for each, as
+  // `limits: {retry_budget_percent: 5}`.
+  std::vector<std::string> m_rules;
   // By name.
   std::map<std::string, ServerModel> m_servers;
 };
--- a/Tests/Integration/scenario.cc
+++ b/Tests/Integration/scenario.cc
@@ -12,7 +12,8 @@
                    {.m_seed = options.m_seed,
                     .m_settings = options.m_settings,
                     .m_server_connections = options.m_server_connections,
-                    .m_has_fault_proxies = options.m_has_fault_proxies}) {
+                    .m_has_fault_proxies = options.m_has_fault_proxies,
+                    .m_has_peer_proxies = options.m_has_peer_proxies}) {
   m_document.m_services[kPortal].m_address =
       *base::ParseEndpoint("127.48.0.1:443");
   m_document.m_services[kArchive].m_address =
--- a/Tests/Integration/scenario.h
+++ b/Tests/Integration/scenario.h
@@ -29,6 +29,7 @@
     std::vector<std::string> m_server_options;
     int m_server_connections = ServerModel().m_connections;
     bool m_has_fault_proxies = false;
+    bool m_has_peer_proxies = false;
   };
 
   // Starts all and waits until the first document is in force everywhere.
--- a/Tests/Integration/test_planned_change.cc
+++ b/Tests/Integration/test_planned_change.cc
@@ -90,3 +90,33 @@
 
   flows.CheckWhole("all balancers rolled");
 }
+
+TEST_CASE("flows live through changes of their service's own rules") {
+  integration::Scenario scenario({.m_seed = kSeed});
+  integration::ServiceModel& portal =
+      scenario.document().m_services.at(integration::kPortal);
+  LongFlows flows(scenario.deployment());
+
+  flows.AwaitMore(8);
+  // Twice to the narrowest rules and back, with more and fewer slots.
+  for (int round = 0; round < 2; ++round) {
+    portal.m_rules = {
+        "placement: {candidates: 1, imbalance_weight: 0}",
+        "objective: {broken_flows: 0.01, refused_openings: 0.1, wait_ms: 50}",
+        "limits: {retry_budget_percent: 0, opening_deadline_ms: 500}"};
+    for (auto& [name, server] : portal.m_servers)
+      server.m_slots = 2;
+    scenario.PublishAndAwait("narrow");
+    flows.AwaitMore(8);
+    portal.m_rules = {
+        "placement: {candidates: 64, imbalance_weight: 1}",
+        "limits: {retry_budget_percent: 100, opening_deadline_ms: 10000}"};
+    for (auto& [name, server] : portal.m_servers)
+      server.m_slots = 4;
+    scenario.PublishAndAwait("wide");
+    flows.AwaitMore(8);
+  }
+
+  flows.CheckWhole("rules of the service changed four times");
+  CHECK(scenario.deployment().AreVersionsMonotonic());
+}
