--- a/Tests/Integration/test_configuration_in_force.cc
+++ b/Tests/Integration/test_configuration_in_force.cc
@@ -10,10 +10,12 @@
 #include <iostream>
 #include <set>
 
+#include "data_centre.h"
 #include "programs.h"
 #include "scenario.h"
 
 using integration::ChildProcess;
+using integration::DataCentre;
 using integration::Deployment;
 using integration::kInForceDeadline;
 using integration::kPortal;
@@ -205,32 +207,77 @@
   return missing;
 }
 
-// A data centre of its own with servers, balancers and a caller.
-struct DataCentre {
-  DataCentre(integration::PlatformControl& platform,
-             integration::DocumentModel& document,
-             const std::string& name,
-             int number)
-      : m_name(name),
-        m_deployment(
-            platform,
-            document,
-            {.m_data_centre = name, .m_number = number, .m_seed = kSeed}) {
-    for (int i = 1; i <= 3; ++i)
-      m_deployment.AddServer(kPortal, name + "-portal-" + std::to_string(i));
-  }
+// A caller of the portal in each data centre.
+std::unique_ptr<ChildProcess> StartPortalCaller(DataCentre& centre) {
+  return centre.deployment().StartCaller(
+      kPortal, {.m_openings_per_second = 50, .m_duration = seconds(90)});
+}
+
+// A data centre is cut off from the other one, and from the platform by `cut`,
+// a command of the TCP proxy, twice, and healed.
+void CutOffTwice(const std::string& cut) {
+  integration::PlatformControl platform;
+  integration::DocumentModel document = integration::MakePortalDocument();
+  ChildProcess proxy(integration::kStandInTraffic,
+                     {"proxy", "--listen", "127.0.0.1:0", "--target",
+                      base::ToString(platform.endpoint()), "--protocol", "tcp",
+                      "--seed", std::to_string(kSeed)});
+  const auto proxied = base::ParseEndpoint(
+      proxy.WaitFor("listening", seconds(10)).get("listen", ""));
+  REQUIRE(proxied);
+  DataCentre near(platform, document,
+                  {.m_name = "a",
+                   .m_number = 1,
+                   .m_seed = kSeed,
+                   .m_has_peer_proxies = true});
+  DataCentre far(platform, document,
+                 {.m_name = "b",
+                  .m_number = 2,
+                  .m_seed = kSeed,
+                  .m_has_peer_proxies = true});
+  far.deployment().SetPlatformEndpoint(*proxied);
+  std::uint64_t version = platform.PutDocument(document.Render("first"), 0);
+  near.StartBalancers();
+  far.StartBalancers();
+  const auto near_caller = StartPortalCaller(near);
+  const auto far_caller = StartPortalCaller(far);
+  near.deployment().AwaitInForce(version);
+  far.deployment().AwaitInForce(version);
 
-  void Start() {
-    for (int i = 1; i <= 3; ++i)
-      m_deployment.AddBalancer(m_name + "-entry-" + std::to_string(i));
-    m_caller = m_deployment.StartCaller(
-        kPortal, {.m_openings_per_second = 50, .m_duration = seconds(90)});
+  auto& drained =
+      document.m_services.at(kPortal).m_servers.at("a-portal-1").m_is_draining;
+  for (const std::string name : {"b-entry-1", "b-entry-2"}) {
+    const std::uint64_t before = version;
+    far.deployment().CutFrom(near.deployment());
+    proxy.Ask(cut, "done");
+    for (int change = 0; change < 2; ++change) {
+      drained = !drained;
+      version = platform.PutDocument(document.Render("cut"), version);
+      REQUIRE(version > before);
+      near.deployment().AwaitInForce(version);
+    }
+    far.deployment().KillBalancer(name);
+    far.deployment().RestartBalancer(name);
+    CHECK(VersionAtReady(far.deployment(), name) == before);
+    AwaitMore(*near_caller, 50);
+    AwaitMore(*far_caller, 50);
+    CHECK(NewestInForce(far.deployment()) == before);
+    const auto start = Now();
+    far.deployment().HealFrom(near.deployment());
+    proxy.Ask("heal", "done");
+    AwaitAndPrint("data centre healed after " + cut, far.deployment(), version,
+                  start);
   }
 
-  std::string m_name;
-  Deployment m_deployment;
-  std::unique_ptr<ChildProcess> m_caller;
-};
+  CHECK(near.deployment().AreVersionsMonotonic());
+  CHECK(far.deployment().AreVersionsMonotonic());
+  for (ChildProcess* caller : {near_caller.get(), far_caller.get()}) {
+    const auto report = caller->Ask("stop", "report", seconds(20));
+    integration::PrintFigures("a data centre cut off by " + cut, kSeed, report);
+    CHECK(report.get<int>("whole") > 0);
+    CHECK(report.get<int>("wrong_bytes") == 0);
+  }
+}
 
 }  // namespace
 
@@ -304,54 +351,9 @@
 }
 
 TEST_CASE("a data centre that was cut off catches up and never goes back") {
-  integration::PlatformControl platform;
-  integration::DocumentModel document;
-  document.m_services[kPortal].m_address =
-      *base::ParseEndpoint("127.48.0.1:443");
-  ChildProcess proxy(integration::kStandInTraffic,
-                     {"proxy", "--listen", "127.0.0.1:0", "--target",
-                      base::ToString(platform.endpoint()), "--protocol", "tcp",
-                      "--seed", std::to_string(kSeed)});
-  const auto proxied = base::ParseEndpoint(
-      proxy.WaitFor("listening", seconds(10)).get("listen", ""));
-  REQUIRE(proxied);
-  DataCentre near(platform, document, "a", 1);
-  DataCentre far(platform, document, "b", 2);
-  far.m_deployment.SetPlatformEndpoint(*proxied);
-  std::uint64_t version = platform.PutDocument(document.Render("first"), 0);
-  near.Start();
-  far.Start();
-  near.m_deployment.AwaitInForce(version);
-  far.m_deployment.AwaitInForce(version);
-
-  auto& drained =
-      document.m_services.at(kPortal).m_servers.at("a-portal-1").m_is_draining;
-  for (const std::string name : {"b-entry-1", "b-entry-2"}) {
-    const std::uint64_t before = version;
-    proxy.Ask("cut both", "done");
-    for (int change = 0; change < 2; ++change) {
-      drained = !drained;
-      version = platform.PutDocument(document.Render("cut"), version);
-      REQUIRE(version > before);
-      near.m_deployment.AwaitInForce(version);
-    }
-    far.m_deployment.KillBalancer(name);
-    far.m_deployment.RestartBalancer(name);
-    CHECK(VersionAtReady(far.m_deployment, name) == before);
-    AwaitMore(*near.m_caller, 50);
-    AwaitMore(*far.m_caller, 50);
-    CHECK(NewestInForce(far.m_deployment) == before);
-    const auto start = Now();
-    proxy.Ask("heal", "done");
-    AwaitAndPrint("data centre healed", far.m_deployment, version, start);
-  }
+  CutOffTwice("cut both");
+}
 
-  CHECK(near.m_deployment.AreVersionsMonotonic());
-  CHECK(far.m_deployment.AreVersionsMonotonic());
-  for (DataCentre* centre : {&near, &far}) {
-    const auto report = centre->m_caller->Ask("stop", "report", seconds(20));
-    integration::PrintFigures("data centre " + centre->m_name, kSeed, report);
-    CHECK(report.get<int>("whole") > 0);
-    CHECK(report.get<int>("wrong_bytes") == 0);
-  }
+TEST_CASE("a data centre whose connections were reset catches up as well") {
+  CutOffTwice("drop");
 }
