--- a/Tests/Integration/test_whole_answers.cc
+++ b/Tests/Integration/test_whole_answers.cc
@@ -34,12 +34,17 @@
 // duplicates, reorders, delays and loses packets on every hop.
 Outcome RunThroughFaults(const std::string& proof,
                          const std::string& settings) {
-  integration::Scenario scenario(
-      {.m_seed = kSeed, .m_settings = settings, .m_has_fault_proxies = true});
+  integration::Scenario scenario({.m_seed = kSeed,
+                                  .m_settings = settings,
+                                  .m_has_fault_proxies = true,
+                                  .m_has_peer_proxies = true});
   integration::Deployment& deployment = scenario.deployment();
   for (const char* fault :
-       {"duplicate 0.05", "reorder 0.05", "delay 2 4", "loss 0.01"})
+       {"duplicate 0.05", "reorder 0.05", "delay 2 4", "loss 0.01"}) {
     deployment.SetFault(fault);
+    // Between the balancers too: their messages and the packets they relay.
+    deployment.SetPeerFault(fault);
+  }
   // Few ports, each used again as soon as its flow ends.
   const auto pulls = deployment.StartCaller(
       integration::kPortal, {.m_kind = "pull",
