--- a/Tests/Integration/test_at_most_once.cc
+++ b/Tests/Integration/test_at_most_once.cc
@@ -136,3 +136,47 @@
   CHECK(outcome.m_refused_for_limit > 0);
   CHECK(outcome.m_refused_ids > 0);
 }
+
+TEST_CASE("refusals are true while the platform is out and balancers restart") {
+  integration::Scenario scenario({.m_portal_servers = 3,
+                                  .m_balancers = 4,
+                                  .m_seed = kSeed,
+                                  .m_server_connections = 4,
+                                  .m_has_fault_proxies = true});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto caller = deployment.StartCaller(
+      integration::kPortal, {.m_kind = "declaration",
+                             .m_openings_per_second = 200,
+                             .m_duration = seconds(120),
+                             .m_service_time_ms = 50,
+                             .m_more = {"--retry-not-run", "3"}});
+  AwaitMore(*caller, 200);
+
+  // Twice: an outage of its own kind, loss, shedding, a death, a pause, and a
+  // restart without the platform.
+  deployment.SetFault(kLoss);
+  struct Round {
+    const char* m_outage;
+    const char* m_shedding;
+    const char* m_killed;
+    const char* m_paused;
+  };
+  for (const Round& round :
+       {Round{"outage?mode=silent", "portal-1", "entry-1", "entry-2"},
+        Round{"outage?mode=refuse", "portal-2", "entry-3", "entry-4"}}) {
+    scenario.platform().Post(round.m_outage);
+    ShedAt(deployment, round.m_shedding, "on");
+    deployment.KillBalancer(round.m_killed);
+    deployment.PauseBalancer(round.m_paused);
+    AwaitMore(*caller, 100);
+    ShedAt(deployment, round.m_shedding, "off");
+    deployment.RestartBalancer(round.m_killed);
+    AwaitMore(*caller, 100);
+    scenario.platform().Post("outage?mode=off");
+  }
+
+  const Outcome outcome = Compare(scenario, *caller);
+  CheckAtMostOnce("at the limit, platform out, 2 killed, 2 paused", outcome);
+  CHECK(outcome.m_refused_for_limit > 0);
+  CHECK(outcome.m_refused_ids > 0);
+}
