--- a/Tests/Integration/test_graceful_shutdown.cc
+++ b/Tests/Integration/test_graceful_shutdown.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "callers.h"
 #include "scenario.h"
 
 using std::chrono::seconds;
@@ -32,6 +33,28 @@
   CHECK(report.get<int>("wrong_bytes") == 0);
 }
 
+// Feeds, as they outlive the stay of a leaving balancer; servers at random, as
+// otherwise the hash order alone finds most of them again.
+int CountBrokenFeeds(const std::string& proof, const std::string& mechanisms) {
+  integration::Scenario scenario(
+      {.m_seed = kSeed,
+       .m_settings = "control: {placement: none}\n" + mechanisms});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto feeds = deployment.StartCaller(
+      integration::kPortal, {.m_kind = "feed",
+                             .m_openings_per_second = 50,
+                             .m_duration = seconds(60),
+                             .m_more = {"--feed-interval-ms", "200"}});
+  integration::AwaitMoreOfAll({feeds.get()}, 100);
+
+  CHECK(deployment.StopBalancers({"entry-1", "entry-2"}));
+  integration::AwaitMoreOfAll({feeds.get()}, 50);
+
+  const auto report = feeds->Ask("stop", "report", seconds(30));
+  integration::PrintFigures(proof, kSeed, report);
+  return report.get<int>("broken");
+}
+
 }  // namespace
 
 TEST_CASE("pulls live through two shutdowns at once, twice") {
@@ -45,6 +68,16 @@
   CheckWhole("2 of 6, then 2 of 4 shut down", *pulls);
 }
 
+TEST_CASE("feeds live through a shutdown when servers are random") {
+  CHECK(CountBrokenFeeds("2 of 6 shut down, random servers", "") == 0);
+}
+
+TEST_CASE("without learning and probes a shutdown breaks feeds") {
+  CHECK(CountBrokenFeeds(
+            "2 of 6 shut down without learning and probes",
+            "mechanisms: {learn_from_answers: false, probe: false}\n") > 0);
+}
+
 TEST_CASE("pulls live through shutdowns while the platform is out") {
   integration::Scenario scenario({.m_seed = kSeed});
   integration::Deployment& deployment = scenario.deployment();
--- a/Tests/Integration/test_leaving_server.cc
+++ b/Tests/Integration/test_leaving_server.cc
@@ -83,6 +83,24 @@
 
 }  // namespace
 
+// The health poll is the only news of a server that drains by itself.
+TEST_CASE("without timely health polls a server that drains gets openings") {
+  integration::Scenario scenario(
+      {.m_seed = kSeed,
+       .m_settings = "control: {health_interval_ms: 60000}\n"});
+  integration::Deployment& deployment = scenario.deployment();
+  Traffic traffic(deployment);
+
+  StartToCount(deployment, {"portal-1"});
+  traffic.AwaitMore(kOpeningsBeyondDeadline);
+  const auto report = deployment.Server("portal-1").Ask("report", "report");
+  const auto last = report.get<int>("last_accepted_after_drain_ms");
+  std::cout << "health polled once a minute: seed " << kSeed
+            << ", the last opening after " << last << " ms" << std::endl;
+
+  CHECK(last > integration::kDrainDeadline.count());
+}
+
 TEST_CASE("a server that drains by the document gets no opening after 3 s") {
   integration::Scenario scenario({.m_seed = kSeed});
   integration::Deployment& deployment = scenario.deployment();
