--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -69,6 +69,9 @@
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
+  // Whether this member may have to contact other data centres, so that it
+  // should know which VMs they have.
+  bool NeedsRemoteVms() const;
 
   // The number of members about whom news waits to ride along.
   std::size_t WaitingNews() const { return m_updates.Size(); }
@@ -88,6 +91,7 @@
   void SetLease(base::TimePoint expires) { m_lease_expires = expires; }
 
   // Events.
+  // Takes the VMs of all data centres, this member's own among them.
   Effects ReceiveVmList(const std::vector<VmEntry>& list, base::TimePoint now);
   Effects ReceiveMessage(base::Endpoint from,
                          const peer::Message& message,
@@ -132,8 +136,8 @@
                   const peer::SenderStatus& sender,
                   base::TimePoint now);
   void RequestRecord(base::Endpoint from, base::TimePoint now);
-  void NoteConfiguration(base::Endpoint from,
-                         const peer::ConfigurationStatus& configuration);
+  void NoteConfiguration(base::Endpoint from, const peer::SenderStatus& sender);
+  bool HasReachableSource() const;
   Records RepliesAbout(const peer::SenderStatus& sender) const;
   void Receive(base::Endpoint from,
                const peer::Message& message,
@@ -172,6 +176,7 @@
   std::vector<base::Endpoint> MissingEndpoints(base::Random& random) const;
   void ContactRemote(base::TimePoint now, base::Random& random);
   void RequestPage(base::TimePoint now);
+  bool IsDelegateFor(const base::DataCentreId& data_centre) const;
   void Announce(base::TimePoint now, base::Random& random);
   void PushNews(base::TimePoint now, base::Random& random);
   void ForgetDead(base::TimePoint now);
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -151,8 +151,11 @@
   self.m_id = m_id;
   self.m_name = m_settings.m_name;
   self.m_data_centre = m_settings.m_data_centre;
-  self.m_traffic = m_traffic->LocalEndpoint();
-  self.m_peer = m_peer_link->LocalEndpoint();
+  const auto advertised =
+      m_settings.m_advertised.value_or(configuration::AdvertisedEndpoints{
+          m_traffic->LocalEndpoint(), m_peer_link->LocalEndpoint()});
+  self.m_traffic = advertised.m_traffic;
+  self.m_peer = advertised.m_peer;
   self.m_admin = m_admin->endpoint();
   self.m_incarnation = WallClockMilliseconds();
   return self;
@@ -183,7 +186,12 @@
       [](const platform::ProbePeer&) {});
   m_vm_poller = std::make_unique<platform::VmPoller>(
       m_context, m_platform, m_settings.m_data_centre, kVmListInterval,
-      base::Random(m_random.Next()), [this](const auto& vms) { OnVms(vms); });
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnOwnVms(vms); });
+  m_all_vms_poller = std::make_unique<platform::VmPoller>(
+      m_context, m_platform, base::DataCentreId(), kVmListInterval,
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnAllVms(vms); });
 }
 
 void BalancerProcess::SubscribeTimers() {
@@ -253,6 +261,7 @@
   m_document_server->Start();
   m_follower->Start();
   m_vm_poller->Start();
+  m_all_vms_poller->Start();
   SubscribeTimers();
   m_traffic->Start();
   WriteLog(Severity::kInfo, Event::kListening,
--- a/Tests/Integration/scenario.h
+++ b/Tests/Integration/scenario.h
@@ -30,6 +30,7 @@
     int m_server_connections = ServerModel().m_connections;
     bool m_has_fault_proxies = false;
     bool m_fabric_polls_readiness = false;
+    bool m_has_peer_proxies = false;
   };
 
   // Starts all and waits until the first document is in force everywhere.
