Coltsfootdale: Sum the burn report over all balancers

The report of a balancer held its own counts only, so an operator had to add up the reports of all of them. Now the balancer that is asked pulls the counts of its data centre by TCP and asks one balancer of each other data centre for the sum there, 1 s at most; who is missing is named.

The lists of the data centres that the document names are read when somebody asks.

Also mended: a service that was removed and came back was counted with a difference below zero; a balancer ended at its start when the peer port that the system chose for UDP was taken for TCP (seen once in test_burn_report).

--- a/Libraries/LibConsole/backend.h
+++ b/Libraries/LibConsole/backend.h
@@ -9,13 +9,15 @@
 
 #include "LibBase/ids.h"
 #include "LibConfiguration/document.h"
+#include "LibConsole/burn_page.h"
 #include "LibConsole/document_in_force.h"
 #include "LibConsole/submit_outcome.h"
 
 namespace console {
 
 // Every function must be set. All are called on the thread that serves the
-// console, and only m_submit may answer later.
+// console, and only m_report and m_submit may answer
+// later.
 struct Backend {
   // Queries.
   std::function<bool()> m_is_ready;
@@ -23,10 +25,10 @@
   std::function<std::string()> m_status;
   // The Prometheus text format.
   std::function<std::string()> m_metrics;
-  // The report on service-level burn as plain text.
-  std::function<std::string()> m_report;
-  // The same as an <svg> element whose texts are escaped; may be empty.
-  std::function<std::string()> m_report_chart;
+  // Calls `answer` once, on the same thread, with the report on service-level
+  // burn of all balancers.
+  using ReportAnswer = std::function<void(const BurnPage&)>;
+  std::function<void(const ReportAnswer& answer)> m_report;
   std::function<DocumentInForce()> m_document_in_force;
 
   // Commands.
--- a/Libraries/LibConsole/console.cc
+++ b/Libraries/LibConsole/console.cc
@@ -52,7 +52,10 @@
 void Console::Handle(const Request& request, const Reply& reply) {
   switch (request.m_method) {
     case Method::kGet:
-      reply(Get(request));
+      if (request.m_path == "/report")
+        GetReport(request, reply);
+      else
+        reply(Get(request));
       return;
     case Method::kPost:
       Post(request, reply);
@@ -71,8 +74,6 @@
     return {Status::kOk, std::string(kJsonType), m_backend.m_status() + "\n"};
   if (path == "/metrics")
     return {Status::kOk, std::string(kMetricsType), m_backend.m_metrics()};
-  if (path == "/report")
-    return GetReport(request);
   if (path == "/")
     return Page(RenderOverview(m_backend.m_document_in_force()));
   if (path == "/edit")
@@ -90,11 +91,15 @@
   return TextResponse(Status::kUnavailable, "not ready");
 }
 
-Response Console::GetReport(const Request& request) const {
-  const std::string report = m_backend.m_report();
-  if (request.m_query == "format=text")
-    return {Status::kOk, std::string(kTextType), report};
-  return Page(RenderReport(report, m_backend.m_report_chart()));
+void Console::GetReport(const Request& request, const Reply& reply) const {
+  const bool is_text = request.m_query == "format=text";
+  m_backend.m_report([is_text, reply](const BurnPage& report) {
+    if (is_text)
+      reply({Status::kOk, std::string(kTextType),
+             report.m_coverage + "\n" + report.m_text});
+    else
+      reply(Page(RenderReport(report)));
+  });
 }
 
 Response Console::GetSubmission(const Request& request) const {
--- a/Libraries/LibConsole/console.h
+++ b/Libraries/LibConsole/console.h
@@ -28,12 +28,12 @@
   // Queries.
   Response Get(const Request& request) const;
   Response GetReady() const;
-  Response GetReport(const Request& request) const;
   Response GetSubmission(const Request& request) const;
   Response PostEdit(const Draft& draft, const FormFields& fields) const;
   Response Review(const Draft& draft) const;
 
   // Commands.
+  void GetReport(const Request& request, const Reply& reply) const;
   void Post(const Request& request, const Reply& reply);
   void Submit(const Draft& draft, std::string_view token, const Reply& reply);
   Response Refuse(Status status, std::string_view reason);
--- a/Libraries/LibConsole/overview_page.cc
+++ b/Libraries/LibConsole/overview_page.cc
@@ -73,10 +73,13 @@
       fmt::format("Version {} in force", document.m_version.value()), content);
 }
 
-std::string RenderReport(std::string_view report, const std::string& chart) {
-  Html content = Element("pre", {}, Text(report));
-  if (!chart.empty())
-    content += Element("section", {}, TrustedMarkup(chart));
+std::string RenderReport(const BurnPage& report) {
+  Html content =
+      Notice(report.m_is_complete ? NoticeKind::kSuccess : NoticeKind::kWarning,
+             report.m_coverage);
+  if (!report.m_chart.empty())
+    content += Element("section", {}, TrustedMarkup(report.m_chart));
+  content += Element("pre", {}, Text(report.m_text));
   return RenderPage("Service-level burn", content);
 }
 
--- a/Libraries/LibConsole/overview_page.h
+++ b/Libraries/LibConsole/overview_page.h
@@ -4,8 +4,8 @@
 #define LIBCONSOLE_OVERVIEW_PAGE_H_
 
 #include <string>
-#include <string_view>
 
+#include "LibConsole/burn_page.h"
 #include "LibConsole/document_in_force.h"
 
 namespace console {
@@ -13,8 +13,8 @@
 // Services, rules and backend servers by data centre.
 std::string RenderOverview(const DocumentInForce& document);
 
-// `report` is plain text, `chart` an <svg> element or empty.
-std::string RenderReport(std::string_view report, const std::string& chart);
+// The report on service-level burn.
+std::string RenderReport(const BurnPage& report);
 
 }  // namespace console
 
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -64,6 +64,9 @@
   // so that answers that waited in a queue prove nothing fresh.
   bool IsIsolated(base::TimePoint now, base::Duration bound) const;
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
+  // Whether a balancer of the own data centre should be there: it has served
+  // and has not left, and if it is dead its VM is still listed as live.
+  bool IsExpected(const MemberEntry& entry) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
 
@@ -99,7 +102,6 @@
       base::TimePoint now) const;
   std::size_t TransmitLimit() const;
   base::Duration SuspicionTimeout() const;
-  bool IsExpected(const MemberEntry& entry) const;
   void DeclareState(peer::MemberState state);
   void AddNews(base::BalancerId id);
   std::optional<peer::MemberRecord> NewsAbout(base::BalancerId id) const;
--- a/Libraries/LibPeer/archive.h
+++ b/Libraries/LibPeer/archive.h
@@ -184,13 +184,48 @@
 }
 
 template <typename Archive>
-void serialize(Archive& archive, BurnCounter& counter) {
-  archive(counter.m_key, counter.m_value);
+void serialize(Archive& archive, BurnRequest& request) {
+  auto scope = static_cast<std::uint8_t>(request.m_scope);
+  archive(scope);
+  if (scope > static_cast<std::uint8_t>(BurnScope::kDataCentre))
+    throw cereal::Exception("unknown scope of a burn request");
+  request.m_scope = static_cast<BurnScope>(scope);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, BurnCounters& counters) {
-  archive(MakeBounded<std::uint8_t, kMaximumBurnCounters>(counters.m_counters));
+void serialize(Archive& archive, ServiceBurn& service) {
+  archive(MakeBounded<std::uint8_t, kMaximumNameBytes>(service.m_service),
+          MakeBounded<std::uint8_t, kMaximumBurnCounts>(service.m_counts));
+}
+
+// A name in a list.
+struct BoundedName {
+  std::string m_name;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(MakeBounded<std::uint8_t, kMaximumNameBytes>(m_name));
+  }
+};
+
+template <typename Archive>
+void serialize(Archive& archive, BurnReply& reply) {
+  auto shortest_ms = static_cast<std::uint64_t>(
+      std::clamp<std::int64_t>(reply.m_shortest_count.count(), 0,
+                               std::numeric_limits<std::int64_t>::max()));
+  std::vector<BoundedName> missing;
+  missing.reserve(reply.m_missing.size());
+  for (const std::string& name : reply.m_missing)
+    missing.push_back({name});
+  archive(reply.m_expected, reply.m_answered, shortest_ms,
+          MakeBounded<std::uint8_t, kMaximumMissingBalancers>(missing),
+          MakeBounded<std::uint16_t, kMaximumBurnServices>(reply.m_services));
+  if (shortest_ms > std::numeric_limits<std::int64_t>::max())
+    throw cereal::Exception("a duration is out of range");
+  reply.m_shortest_count = std::chrono::milliseconds(shortest_ms);
+  reply.m_missing.clear();
+  for (BoundedName& name : missing)
+    reply.m_missing.push_back(std::move(name.m_name));
 }
 
 }  // namespace peer
--- /dev/null
+++ b/Libraries/LibPeer/burn_reply.h
@@ -0,0 +1,33 @@
+// The counts of the service-level burn report of one balancer, or their sum
+// over a data centre; stream only.
+
+#ifndef LIBPEER_BURN_REPLY_H_
+#define LIBPEER_BURN_REPLY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "LibPeer/service_burn.h"
+
+namespace peer {
+
+struct BurnReply {
+  // How many balancers should be in the sum, and how many are.
+  std::uint32_t m_expected = 0;
+  std::uint32_t m_answered = 0;
+  // Since when the balancer that was started last counts.
+  std::chrono::milliseconds m_shortest_count{0};
+  // Names of balancers that are not in the sum; at most
+  // kMaximumMissingBalancers of at most kMaximumNameBytes.
+  std::vector<std::string> m_missing;
+  // At most kMaximumBurnServices.
+  std::vector<ServiceBurn> m_services;
+
+  friend bool operator==(const BurnReply&, const BurnReply&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_BURN_REPLY_H_
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -38,7 +38,9 @@
 
 bool IsStreamOnly(const MessageBody& body) {
   return std::holds_alternative<DocumentRequest>(body) ||
-         std::holds_alternative<DocumentReply>(body);
+         std::holds_alternative<DocumentReply>(body) ||
+         std::holds_alternative<BurnRequest>(body) ||
+         std::holds_alternative<BurnReply>(body);
 }
 
 std::uint8_t ByteAt(std::string_view bytes, std::size_t position) {
--- a/Libraries/LibPeer/limits.h
+++ b/Libraries/LibPeer/limits.h
@@ -16,7 +16,9 @@
 inline constexpr std::size_t kMaximumNameBytes = 64;
 inline constexpr std::size_t kMaximumUpdates = 12;
 inline constexpr std::size_t kMaximumLoadEntries = 150;
-inline constexpr std::size_t kMaximumBurnCounters = 60;
+inline constexpr std::size_t kMaximumBurnServices = 256;
+inline constexpr std::size_t kMaximumBurnCounts = 64;
+inline constexpr std::size_t kMaximumMissingBalancers = 64;
 
 }  // namespace peer
 
--- a/Libraries/LibPeer/message.h
+++ b/Libraries/LibPeer/message.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 #include "LibPeer/ack.h"
-#include "LibPeer/burn_counters.h"
+#include "LibPeer/burn_reply.h"
+#include "LibPeer/burn_request.h"
 #include "LibPeer/document_reply.h"
 #include "LibPeer/document_request.h"
 #include "LibPeer/heartbeat.h"
@@ -34,7 +35,8 @@
                                  LoadDigest,
                                  DocumentRequest,
                                  DocumentReply,
-                                 BurnCounters>;
+                                 BurnRequest,
+                                 BurnReply>;
 
 struct Message {
   SenderStatus m_sender;
--- a/Services/Coltsfootdale/admin_console.cc
+++ b/Services/Coltsfootdale/admin_console.cc
@@ -78,7 +78,6 @@
   backend.m_status = [status = sources.m_status] { return ToJson(status()); };
   backend.m_metrics = sources.m_metrics;
   backend.m_report = sources.m_report;
-  backend.m_report_chart = sources.m_report_chart;
   backend.m_document_in_force = sources.m_document_in_force;
   backend.m_submit = [this](base::ConfigurationVersion base,
                             const configuration::Document& document,
--- a/Services/Coltsfootdale/admin_console.h
+++ b/Services/Coltsfootdale/admin_console.h
@@ -33,9 +33,8 @@
     std::function<StatusView()> m_status;
     // The Prometheus text format.
     std::function<std::string()> m_metrics;
-    // The burn report as text and as an <svg> element.
-    std::function<std::string()> m_report;
-    std::function<std::string()> m_report_chart;
+    // The burn report; may answer later.
+    std::function<void(const console::Backend::ReportAnswer&)> m_report;
     std::function<console::DocumentInForce()> m_document_in_force;
   };
 
--- a/Services/Coltsfootdale/balancer_admin.cc
+++ b/Services/Coltsfootdale/balancer_admin.cc
@@ -1,6 +1,5 @@
 // What a balancer shows on its admin address.
 
-#include "LibObservability/burn_render.h"
 #include "balancer_process.h"
 #include "traffic_metrics.h"
 
@@ -10,11 +9,11 @@
   AdminConsole::Sources sources;
   sources.m_status = [this] { return MakeStatus(); };
   sources.m_metrics = [this] { return RenderMetrics(); };
-  sources.m_report = [this] {
-    return observability::RenderBurnText(m_burn.Statuses(base::Clock::now()));
-  };
-  sources.m_report_chart = [this] {
-    return observability::RenderBurnSvg(m_burn.Statuses(base::Clock::now()));
+  sources.m_report = [this](const console::Backend::ReportAnswer& answer) {
+    m_burn_collector.CollectAll(
+        [this, answer](const observability::CombinedBurn& burn) {
+          answer(MakeBurnPage(burn));
+        });
   };
   sources.m_document_in_force = [this] {
     return console::DocumentInForce{m_configuration->version(),
--- /dev/null
+++ b/Services/Coltsfootdale/balancer_burn.cc
@@ -0,0 +1,94 @@
+// The burn report of a balancer: its own counts for peers that ask, and the sum
+// over all balancers for operators.
+
+#include <set>
+#include <utility>
+
+#include "LibObservability/burn_render.h"
+#include "balancer_process.h"
+#include "burn_messages.h"
+
+namespace service {
+
+static_assert(RemoteBalancers::kPatience <= BurnCollector::kListDeadline);
+
+void BalancerProcess::SetBurnDocument(const configuration::Document& document) {
+  m_burn.SetDocument(document);
+  std::set<base::DataCentreId> data_centres;
+  for (const configuration::Service& service : document.m_services) {
+    for (const configuration::BackendServer& server : service.m_backend_servers)
+      data_centres.insert(server.m_data_centre);
+  }
+  data_centres.erase(m_settings.m_data_centre);
+  m_remote_balancers.SetDataCentres(data_centres);
+}
+
+BurnCollector::Sources BalancerProcess::MakeBurnSources() {
+  BurnCollector::Sources sources;
+  sources.m_data_centre = m_settings.m_data_centre.value();
+  sources.m_own = [this] { return m_burn.Own(base::Clock::now()); };
+  sources.m_members = [this] { return BurnMembers(); };
+  sources.m_data_centres =
+      [this](const BurnCollector::Sources::PartsAnswer& answer) {
+        m_remote_balancers.Refresh(
+            [this, answer] { answer(BurnDataCentres()); });
+      };
+  sources.m_make_request = [this](const peer::BurnRequest& request) {
+    return MakePeerMessage(request);
+  };
+  return sources;
+}
+
+std::vector<BurnPart> BalancerProcess::BurnMembers() const {
+  std::vector<BurnPart> members;
+  for (const auto& [id, entry] : m_membership->Peers().Entries()) {
+    const peer::MemberRecord& record = entry.m_record;
+    if (record.m_state == peer::MemberState::kLeaving)
+      members.push_back({record.m_name, {record.m_peer}});
+    else if (m_membership->IsExpected(entry))
+      members.push_back(
+          {record.m_name, record.m_state == peer::MemberState::kDead
+                              ? std::vector<base::Endpoint>()
+                              : std::vector{record.m_peer}});
+  }
+  return members;
+}
+
+std::vector<BurnPart> BalancerProcess::BurnDataCentres() {
+  std::vector<BurnPart> data_centres;
+  for (const auto& [name, endpoints] : m_remote_balancers.endpoints()) {
+    BurnPart part{name.value(), endpoints};
+    // Different balancers are asked each time.
+    for (std::size_t left = part.m_endpoints.size(); left > 1; --left)
+      std::swap(part.m_endpoints[left - 1],
+                part.m_endpoints[m_random.Below(left)]);
+    data_centres.push_back(std::move(part));
+  }
+  return data_centres;
+}
+
+void BalancerProcess::AnswerBurnRequest(const peer::BurnRequest& request,
+                                        const PeerServer::Answer& answer) {
+  const auto reply = [this, answer](const observability::CombinedBurn& burn) {
+    answer(MakePeerMessage(ToBurnReply(burn)));
+  };
+  switch (request.m_scope) {
+    case peer::BurnScope::kBalancer:
+      reply(m_burn.Own(base::Clock::now()));
+      return;
+    case peer::BurnScope::kDataCentre:
+      m_burn_collector.CollectDataCentre(reply);
+      return;
+  }
+}
+
+console::BurnPage BalancerProcess::MakeBurnPage(
+    const observability::CombinedBurn& burn) const {
+  const auto statuses = m_burn.Statuses(burn.report());
+  return {.m_coverage = observability::RenderCoverage(burn),
+          .m_is_complete = burn.IsComplete(),
+          .m_text = observability::RenderBurnText(statuses),
+          .m_chart = observability::RenderBurnSvg(statuses)};
+}
+
+}  // namespace service
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -164,6 +164,15 @@
   return message;
 }
 
+void BalancerProcess::OnPeerRequest(const peer::Message& request,
+                                    const PeerServer::Answer& answer) {
+  if (std::holds_alternative<peer::DocumentRequest>(request.m_body))
+    answer(MakePeerMessage(peer::DocumentReply{m_configuration->version(),
+                                               m_configuration->body()}));
+  else if (const auto* burn = std::get_if<peer::BurnRequest>(&request.m_body))
+    AnswerBurnRequest(*burn, answer);
+}
+
 void BalancerProcess::OnPull(const platform::PullFromPeer& pull) {
   const membership::MemberEntry* entry =
       m_membership->Peers().Find(pull.m_peer);
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -28,6 +28,9 @@
 constexpr auto kLeasePeriod = milliseconds(50);
 constexpr auto kPhasePeriod = milliseconds(100);
 constexpr auto kCountsPeriod = milliseconds(50);
+// How often another port is tried when the one that the system chose for UDP is
+// taken for TCP.
+constexpr int kPortRetries = 8;
 constexpr auto kVmListInterval = seconds(1);
 // A balancer serves without a VM list once it has waited so long for one.
 constexpr auto kJoinPatience = seconds(2);
@@ -86,7 +89,10 @@
       m_started_at(base::Clock::now()),
       m_platform(m_context, settings.m_platform),
       m_lease(settings.m_control.m_lease),
-      m_load_sharer(m_started_at) {}
+      m_load_sharer(m_started_at),
+      m_burn(m_started_at),
+      m_remote_balancers(m_context, m_platform),
+      m_burn_collector(m_context, MakeBurnSources()) {}
 
 BalancerProcess::~BalancerProcess() = default;
 
@@ -97,21 +103,34 @@
                                     .m_flow = MakeFlowSettings(m_settings),
                                     .m_seed = m_random.Next()}));
   m_traffic = std::move(traffic);
-  TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
-  m_peer_link = std::move(link);
-  // Documents are pulled by TCP from the number of the UDP port.
-  TRY(server,
-      DocumentServer::Create(m_context, m_peer_link->LocalEndpoint(), [this] {
-        return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
-                                                   m_configuration->body()});
-      }));
-  m_document_server = std::move(server);
+  BOOST_OUTCOME_TRYV(m_settings.m_peer.m_port == 0 ? BindPeerAtAnyPort()
+                                                   : BindPeer());
   TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
                                   MakeAdminSources()));
   m_admin = std::move(admin);
   return base::Success();
 }
 
+base::Outcome<void> BalancerProcess::BindPeer() {
+  TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
+  m_peer_link = std::move(link);
+  // Requests come by TCP to the number of the UDP port.
+  TRY(server, PeerServer::Create(m_context, m_peer_link->LocalEndpoint(),
+                                 [this](const peer::Message& request,
+                                        const PeerServer::Answer& answer) {
+                                   OnPeerRequest(request, answer);
+                                 }));
+  m_peer_server = std::move(server);
+  return base::Success();
+}
+
+base::Outcome<void> BalancerProcess::BindPeerAtAnyPort() {
+  base::Outcome<void> bound = BindPeer();
+  for (int retry = 0; !bound && retry < kPortRetries; ++retry)
+    bound = BindPeer();
+  return bound;
+}
+
 peer::MemberRecord BalancerProcess::MakeSelf() const {
   peer::MemberRecord self;
   self.m_id = m_id;
@@ -239,7 +258,7 @@
             Severity::kWarning, Event::kPeerMessageRefused,
             {{"from", base::ToString(from)}, {"reason", reason.message()}});
       });
-  m_document_server->Start();
+  m_peer_server->Start();
   m_follower->Start();
   m_vm_poller->Start();
   SubscribeTimers();
@@ -260,7 +279,7 @@
   if (!m_configuration->Adopt(version, body, base::Clock::now()))
     return;
   m_load_poller->SetServers(m_configuration->PolledServers());
-  m_burn.SetDocument(m_configuration->document());
+  SetBurnDocument(m_configuration->document());
   // Peers hear of the new version at once.
   m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
 }
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -22,14 +22,16 @@
 #include "LibPeer/message.h"
 #include "LibPlatform/platform_client.h"
 #include "admin_console.h"
+#include "burn_collector.h"
 #include "burn_keeper.h"
 #include "configuration_keeper.h"
 #include "document_puller.h"
-#include "document_server.h"
 #include "lease_keeper.h"
 #include "load_poller.h"
 #include "load_sharer.h"
 #include "peer_link.h"
+#include "peer_server.h"
+#include "remote_balancers.h"
 #include "timer_driver.h"
 #include "traffic_loop.h"
 
@@ -82,6 +84,8 @@
   BalancerProcess(const configuration::Settings& settings, std::uint64_t seed);
 
   base::Outcome<void> Bind();
+  base::Outcome<void> BindPeer();
+  base::Outcome<void> BindPeerAtAnyPort();
   void StartParts();
   void SubscribeTimers();
   void RenewLease(base::TimePoint now);
@@ -100,6 +104,17 @@
   void OnPull(const platform::PullFromPeer& pull);
   peer::Message MakePeerMessage(peer::MessageBody body) const;
 
+  // Burn report.
+  void SetBurnDocument(const configuration::Document& document);
+  BurnCollector::Sources MakeBurnSources();
+  std::vector<BurnPart> BurnMembers() const;
+  std::vector<BurnPart> BurnDataCentres();
+  void OnPeerRequest(const peer::Message& request,
+                     const PeerServer::Answer& answer);
+  void AnswerBurnRequest(const peer::BurnRequest& request,
+                         const PeerServer::Answer& answer);
+  console::BurnPage MakeBurnPage(const observability::CombinedBurn& burn) const;
+
   // What the traffic thread knows and others need.
   void CollectCounts();
   void TakeCounts(const BurnKeeper::Counts& counts,
@@ -133,7 +148,7 @@
   TimerDriver m_timers{m_context};
   std::unique_ptr<TrafficLoop> m_traffic;
   std::unique_ptr<PeerLink> m_peer_link;
-  std::unique_ptr<DocumentServer> m_document_server;
+  std::unique_ptr<PeerServer> m_peer_server;
   DocumentPuller m_document_puller{m_context};
   platform::PlatformClient m_platform;
   std::unique_ptr<membership::Membership> m_membership;
@@ -145,6 +160,8 @@
   bool m_has_lease = true;
   LoadSharer m_load_sharer;
   BurnKeeper m_burn;
+  RemoteBalancers m_remote_balancers;
+  BurnCollector m_burn_collector;
   observability::MetricsRegistry m_metrics;
   std::unique_ptr<AdminConsole> m_admin;
 };
--- a/Services/Coltsfootdale/burn_keeper.cc
+++ b/Services/Coltsfootdale/burn_keeper.cc
@@ -1,9 +1,9 @@
 #include "burn_keeper.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "LibBase/hash.h"
-#include "LibObservability/burn_report.h"
 
 namespace service {
 
@@ -16,13 +16,23 @@
 
 }  // namespace
 
+observability::CombinedBurn BurnKeeper::Own(base::TimePoint now) const {
+  return {m_recorder.Report(now), now - m_started_at};
+}
+
 std::vector<observability::BurnStatus> BurnKeeper::Statuses(
-    base::TimePoint now) const {
-  return observability::EvaluateBurn(m_recorder.Report(now), m_budgets);
+    const observability::BurnReport& report) const {
+  return observability::EvaluateBurn(report, m_budgets);
 }
 
 void BurnKeeper::SetDocument(const configuration::Document& document) {
-  m_names.clear();
+  for (const auto& [id, name] : std::exchange(m_names, {})) {
+    const bool is_kept = std::ranges::find(document.m_services, name,
+                                           &configuration::Service::m_name) !=
+                         document.m_services.end();
+    if (!is_kept)
+      m_recorder.Remove(name);
+  }
   m_budgets.clear();
   for (const configuration::Service& service : document.m_services) {
     m_names.emplace(base::MakeServiceId(service.m_name), service.m_name);
@@ -37,6 +47,9 @@
 
 void BurnKeeper::Take(const Counts& counts, base::TimePoint now) {
   using observability::Objective;
+  std::erase_if(m_taken, [&counts](const auto& taken) {
+    return !counts.contains(taken.first);
+  });
   for (const auto& [id, current] : counts) {
     const auto name = m_names.find(id);
     if (name == m_names.end())
--- a/Services/Coltsfootdale/burn_keeper.h
+++ b/Services/Coltsfootdale/burn_keeper.h
@@ -12,24 +12,34 @@
 #include "LibBase/time.h"
 #include "LibConfiguration/document.h"
 #include "LibObservability/burn_recorder.h"
+#include "LibObservability/burn_report.h"
 #include "LibObservability/burn_status.h"
+#include "LibObservability/combined_burn.h"
 
 namespace service {
 
 class BurnKeeper {
  public:
+  explicit BurnKeeper(base::TimePoint started_at) : m_started_at(started_at) {}
+
   using Counts = std::map<base::ServiceId, balancer::ServiceCounts>;
 
   // Queries.
-  std::vector<observability::BurnStatus> Statuses(base::TimePoint now) const;
+  // What this balancer has counted.
+  observability::CombinedBurn Own(base::TimePoint now) const;
+  // Judges counts by the objectives in force.
+  std::vector<observability::BurnStatus> Statuses(
+      const observability::BurnReport& report) const;
 
   // Commands.
   // Takes the names and objectives of the services in force.
   void SetDocument(const configuration::Document& document);
-  // Takes counts that only grow and records what was added.
+  // Takes counts that only grow and records what was added. A service that is
+  // absent begins again at zero when it comes back.
   void Take(const Counts& counts, base::TimePoint now);
 
  private:
+  base::TimePoint m_started_at;
   std::map<base::ServiceId, std::string> m_names;
   observability::ServiceErrorBudgets m_budgets;
   Counts m_taken;
--- /dev/null
+++ b/Services/Coltsfootdale/peer_exchange.cc
@@ -0,0 +1,118 @@
+#include "peer_exchange.h"
+
+#include <asio/buffer.hpp>
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "LibPeer/codec.h"
+#include "asio_endpoint.h"
+
+namespace service {
+
+namespace {
+
+// One exchange. It keeps itself alive by the handlers that refer to it.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(asio::io_context& context, std::string request, PeerAnswer answer)
+      : m_socket(context),
+        m_deadline(context),
+        m_request(std::move(request)),
+        m_answer(std::move(answer)) {}
+
+  void Run(base::Endpoint peer, base::Duration timeout) {
+    m_deadline.expires_after(timeout);
+    m_deadline.async_wait(
+        [self = shared_from_this()](const std::error_code& error) {
+          if (!error)
+            self->Finish(std::nullopt);
+        });
+    m_socket.async_connect(
+        ToAsio<asio::ip::tcp>(peer),
+        [self = shared_from_this()](const std::error_code& error) {
+          if (error)
+            return self->Finish(std::nullopt);
+          self->SendRequest();
+        });
+  }
+
+ private:
+  void SendRequest() {
+    asio::async_write(m_socket, asio::buffer(m_request),
+                      [self = shared_from_this()](const std::error_code& error,
+                                                  std::size_t /*sent*/) {
+                        if (error)
+                          return self->Finish(std::nullopt);
+                        self->ReadHeader();
+                      });
+  }
+
+  void ReadHeader() {
+    m_reply.resize(peer::kFrameHeaderBytes);
+    asio::async_read(m_socket, asio::buffer(m_reply),
+                     [self = shared_from_this()](const std::error_code& error,
+                                                 std::size_t /*size*/) {
+                       const auto size = peer::FrameSize(
+                           peer::Transport::kStream, self->m_reply);
+                       if (error || !size)
+                         return self->Finish(std::nullopt);
+                       self->ReadBody(size.value());
+                     });
+  }
+
+  void ReadBody(std::size_t size) {
+    m_reply.resize(size);
+    asio::async_read(m_socket,
+                     asio::buffer(m_reply.data() + peer::kFrameHeaderBytes,
+                                  size - peer::kFrameHeaderBytes),
+                     [self = shared_from_this()](const std::error_code& error,
+                                                 std::size_t /*size*/) {
+                       auto message = peer::Decode(peer::Transport::kStream,
+                                                   self->m_reply);
+                       if (error || !message)
+                         return self->Finish(std::nullopt);
+                       self->Finish(std::move(message).value());
+                     });
+  }
+
+  void Finish(std::optional<peer::Message> reply) {
+    std::error_code ignored;
+    m_socket.close(ignored);
+    m_deadline.cancel();
+    if (const auto answer = std::exchange(m_answer, nullptr))
+      answer(std::move(reply));
+  }
+
+  asio::ip::tcp::socket m_socket;
+  asio::steady_timer m_deadline;
+  std::string m_request;
+  std::string m_reply;
+  PeerAnswer m_answer;
+};
+
+}  // namespace
+
+void AskPeer(asio::io_context& context,
+             base::Endpoint peer,
+             const peer::Message& request,
+             base::Duration timeout,
+             PeerAnswer answer) {
+  auto frame = peer::Encode(peer::Transport::kStream, request);
+  if (!frame) {
+    asio::post(context, [answer = std::move(answer)] { answer(std::nullopt); });
+    return;
+  }
+  std::make_shared<Exchange>(context, std::move(frame.value()),
+                             std::move(answer))
+      ->Run(peer, timeout);
+}
+
+}  // namespace service
--- a/Services/Coltsfootdale/document_server.cc
+++ b/Services/Coltsfootdale/peer_server.cc
@@ -1,4 +1,4 @@
-#include "document_server.h"
+#include "peer_server.h"
 
 #include <asio/buffer.hpp>
 #include <asio/read.hpp>
@@ -8,10 +8,8 @@
 #include <chrono>
 #include <string>
 #include <utility>
-#include <variant>
 
 #include "LibPeer/codec.h"
-#include "LibPeer/document_request.h"
 #include "asio_endpoint.h"
 
 namespace service {
@@ -25,7 +23,7 @@
 }  // namespace
 
 // One connection; the timer closes it however far it has come.
-struct DocumentServer::Session {
+struct PeerServer::Session {
   Session(asio::ip::tcp::socket socket, std::shared_ptr<std::size_t> sessions)
       : m_socket(std::move(socket)),
         m_deadline(m_socket.get_executor()),
@@ -43,12 +41,12 @@
   std::string m_reply;
 };
 
-base::Outcome<std::unique_ptr<DocumentServer>> DocumentServer::Create(
+base::Outcome<std::unique_ptr<PeerServer>> PeerServer::Create(
     asio::io_context& context,
     base::Endpoint listen,
-    Provider provider) {
-  std::unique_ptr<DocumentServer> server(
-      new DocumentServer(context, std::move(provider)));
+    Handler handler) {
+  std::unique_ptr<PeerServer> server(
+      new PeerServer(context, std::move(handler)));
   std::error_code error;
   server->m_acceptor.open(asio::ip::tcp::v4(), error);
   if (!error)
@@ -63,21 +61,19 @@
   return server;
 }
 
-DocumentServer::DocumentServer(asio::io_context& context, Provider provider)
-    : m_context(context),
-      m_acceptor(context),
-      m_provider(std::move(provider)) {}
+PeerServer::PeerServer(asio::io_context& context, Handler handler)
+    : m_context(context), m_acceptor(context), m_handler(std::move(handler)) {}
 
-void DocumentServer::Start() {
+void PeerServer::Start() {
   Accept();
 }
 
-void DocumentServer::Stop() {
+void PeerServer::Stop() {
   std::error_code ignored;
   m_acceptor.close(ignored);
 }
 
-void DocumentServer::Accept() {
+void PeerServer::Accept() {
   m_acceptor.async_accept(m_context, [this](const std::error_code& error,
                                             asio::ip::tcp::socket socket) {
     if (!m_acceptor.is_open())
@@ -88,7 +84,7 @@
   });
 }
 
-void DocumentServer::Serve(const std::shared_ptr<Session>& session) {
+void PeerServer::Serve(const std::shared_ptr<Session>& session) {
   session->m_deadline.expires_after(kSessionTimeout);
   session->m_deadline.async_wait(
       [weak = std::weak_ptr(session)](const std::error_code& error) {
@@ -105,32 +101,37 @@
             peer::FrameSize(peer::Transport::kStream, session->m_request);
         if (error || !size || size.value() > kMaximumRequestBytes)
           return;
-        Answer(session, size.value());
+        Read(session, size.value());
       });
 }
 
-void DocumentServer::Answer(const std::shared_ptr<Session>& session,
-                            std::size_t size) {
+void PeerServer::Read(const std::shared_ptr<Session>& session,
+                      std::size_t size) {
   session->m_request.resize(size);
   asio::async_read(
       session->m_socket,
       asio::buffer(session->m_request.data() + peer::kFrameHeaderBytes,
                    size - peer::kFrameHeaderBytes),
       [this, session](const std::error_code& error, std::size_t /*read*/) {
-        const auto message =
+        const auto request =
             peer::Decode(peer::Transport::kStream, session->m_request);
-        if (error || !message ||
-            !std::holds_alternative<peer::DocumentRequest>(
-                message.value().m_body))
+        if (error || !request)
           return;
-        auto reply = peer::Encode(peer::Transport::kStream, m_provider());
-        if (!reply)
-          return;
-        session->m_reply = std::move(reply.value());
-        asio::async_write(session->m_socket, asio::buffer(session->m_reply),
-                          [session](const std::error_code& /*error*/,
-                                    std::size_t /*sent*/) {});
+        m_handler(request.value(), [session](const peer::Message& message) {
+          Reply(session, message);
+        });
       });
 }
 
+void PeerServer::Reply(const std::shared_ptr<Session>& session,
+                       const peer::Message& message) {
+  auto reply = peer::Encode(peer::Transport::kStream, message);
+  if (!reply)
+    return;
+  session->m_reply = std::move(reply.value());
+  asio::async_write(
+      session->m_socket, asio::buffer(session->m_reply),
+      [session](const std::error_code& /*error*/, std::size_t /*sent*/) {});
+}
+
 }  // namespace service
--- /dev/null
+++ b/Services/Coltsfootdale/peer_server.h
@@ -0,0 +1,54 @@
+// Answers what peers ask by TCP: for the configuration document in force and
+// for the counts of the burn report.
+
+#ifndef SERVICES_COLTSFOOTDALE_PEER_SERVER_H_
+#define SERVICES_COLTSFOOTDALE_PEER_SERVER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibPeer/message.h"
+
+namespace service {
+
+class PeerServer {
+ public:
+  using Answer = std::function<void(const peer::Message&)>;
+  // Calls `answer` at once or later, on the same thread, or drops it, which
+  // closes the connection without an answer.
+  using Handler =
+      std::function<void(const peer::Message& request, const Answer& answer)>;
+
+  // Binds the socket; errors are those of the system.
+  static base::Outcome<std::unique_ptr<PeerServer>>
+  Create(asio::io_context& context, base::Endpoint listen, Handler handler);
+
+  void Start();
+  void Stop();
+
+ private:
+  struct Session;
+
+  PeerServer(asio::io_context& context, Handler handler);
+
+  void Accept();
+  void Serve(const std::shared_ptr<Session>& session);
+  void Read(const std::shared_ptr<Session>& session, std::size_t size);
+  static void Reply(const std::shared_ptr<Session>& session,
+                    const peer::Message& message);
+
+  asio::io_context& m_context;
+  asio::ip::tcp::acceptor m_acceptor;
+  Handler m_handler;
+  std::shared_ptr<std::size_t> m_sessions = std::make_shared<std::size_t>(0);
+};
+
+}  // namespace service
+
+#endif  // SERVICES_COLTSFOOTDALE_PEER_SERVER_H_
--- /dev/null
+++ b/Services/Coltsfootdale/remote_balancers.cc
@@ -0,0 +1,93 @@
+#include "remote_balancers.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <utility>
+#include <variant>
+
+namespace service {
+
+namespace {
+
+// Calls its callback once: when all that it waits for has come, or at its
+// deadline.
+class Barrier : public std::enable_shared_from_this<Barrier> {
+ public:
+  Barrier(asio::io_context& context,
+          std::size_t count,
+          std::function<void()> done)
+      : m_timer(context), m_count(count), m_done(std::move(done)) {}
+
+  void Start(base::Duration deadline) {
+    m_timer.expires_after(deadline);
+    m_timer.async_wait([self = shared_from_this()](const std::error_code&) {
+      if (const auto done = std::exchange(self->m_done, nullptr))
+        done();
+    });
+  }
+
+  void Arrive() {
+    if (--m_count == 0)
+      m_timer.cancel();
+  }
+
+ private:
+  asio::steady_timer m_timer;
+  std::size_t m_count;
+  std::function<void()> m_done;
+};
+
+}  // namespace
+
+void RemoteBalancers::SetDataCentres(
+    const std::set<base::DataCentreId>& data_centres) {
+  const auto is_gone = [&data_centres](const auto& item) {
+    return !data_centres.contains(item.first);
+  };
+  std::erase_if(m_endpoints, is_gone);
+  std::erase_if(m_read_at, is_gone);
+  for (const base::DataCentreId& data_centre : data_centres) {
+    if (m_endpoints.try_emplace(data_centre).second)
+      Read(data_centre, [] {});
+  }
+}
+
+void RemoteBalancers::Refresh(std::function<void()> done) {
+  const base::TimePoint now = base::Clock::now();
+  std::vector<base::DataCentreId> old;
+  for (const auto& [data_centre, endpoints] : m_endpoints) {
+    const auto read_at = m_read_at.find(data_centre);
+    if (read_at == m_read_at.end() || now - read_at->second > kLifetime)
+      old.push_back(data_centre);
+  }
+  if (old.empty())
+    return done();
+  const auto barrier =
+      std::make_shared<Barrier>(m_context, old.size(), std::move(done));
+  barrier->Start(kPatience);
+  for (const base::DataCentreId& data_centre : old)
+    Read(data_centre, [barrier] { barrier->Arrive(); });
+}
+
+void RemoteBalancers::Read(const base::DataCentreId& data_centre,
+                           std::function<void()> on_answer) {
+  m_client.ListVms(
+      data_centre, [this, data_centre, on_answer = std::move(on_answer),
+                    lifetime = std::weak_ptr(m_lifetime)](
+                       const platform::VmsResult& result) {
+        if (lifetime.expired())
+          return;
+        const auto* vms = std::get_if<std::vector<platform::VmRecord>>(&result);
+        const auto known = m_endpoints.find(data_centre);
+        if (vms != nullptr && known != m_endpoints.end()) {
+          known->second.clear();
+          for (const platform::VmRecord& vm : *vms)
+            known->second.push_back(vm.m_peer);
+          m_read_at[data_centre] = base::Clock::now();
+        }
+        on_answer();
+      });
+}
+
+}  // namespace service
--- a/Tests/LibConsole/fake_backend.h
+++ b/Tests/LibConsole/fake_backend.h
@@ -25,8 +25,12 @@
     backend.m_is_ready = [this] { return m_is_ready; };
     backend.m_status = [] { return std::string("{}"); };
     backend.m_metrics = [] { return std::string("up 1\n"); };
-    backend.m_report = [] { return std::string("burn <1>\n"); };
-    backend.m_report_chart = [] { return std::string("<svg></svg>"); };
+    backend.m_report = [](const Backend::ReportAnswer& answer) {
+      answer({.m_coverage = "1 of <2>",
+              .m_is_complete = false,
+              .m_text = "burn <1>\n",
+              .m_chart = "<svg></svg>"});
+    };
     backend.m_document_in_force = [this] { return m_in_force; };
     backend.m_submit = [this](base::ConfigurationVersion,
                               const configuration::Document& document,
--- a/Tests/LibConsole/test_console.cc
+++ b/Tests/LibConsole/test_console.cc
@@ -72,7 +72,9 @@
   CHECK(Get(backend, "/ready").m_status == Status::kOk);
   CHECK(Get(backend, "/status").m_body == "{}\n");
   CHECK(Get(backend, "/metrics").m_body == "up 1\n");
-  CHECK(Get(backend, "/report", "format=text").m_body == "burn <1>\n");
+  CHECK(Get(backend, "/report", "format=text").m_body ==
+        "1 of <2>\nburn <1>\n");
+  CHECK(Has(Get(backend, "/report"), "notice warning\">1 of &lt;2&gt;"));
   CHECK(Has(Get(backend, "/report"), "burn &lt;1&gt;"));
   CHECK(Has(Get(backend, "/report"), "<svg></svg>"));
   CHECK(Has(Get(backend, "/"), "Data centre uppsala"));
--- a/Tests/LibObservability/test_burn.cc
+++ b/Tests/LibObservability/test_burn.cc
@@ -5,11 +5,13 @@
 #include "LibObservability/burn_recorder.h"
 #include "LibObservability/burn_render.h"
 #include "LibObservability/burn_status.h"
+#include "LibObservability/combined_burn.h"
 
 using namespace std::chrono_literals;
 using observability::BurnRecorder;
 using observability::BurnStatus;
 using observability::BurnWindow;
+using observability::CombinedBurn;
 using observability::EventCounts;
 using observability::Objective;
 
@@ -137,3 +139,35 @@
   CHECK(svg.find("&lt;portal&gt;: broken flows, page") != std::string::npos);
   CHECK(svg.find("<portal>") == std::string::npos);
 }
+
+TEST_CASE("a sum over data centres names whom it lacks") {
+  BurnRecorder recorder;
+  recorder.Record("portal", Objective::kRefusedOpenings, {1, 100}, kStart);
+  const CombinedBurn one(recorder.Report(kStart), 90s);
+  CombinedBurn remote(recorder.Report(kStart), 10s);
+  remote.AddMissing("entry-3");
+
+  CombinedBurn sum = one;
+  sum.Merge(one, "");
+  CHECK(sum.IsComplete());
+  sum.Merge(remote, "kiruna");
+  CHECK_FALSE(sum.IsComplete());
+  sum.AddMissingDataCentre("lund");
+
+  const auto statuses = observability::EvaluateBurn(sum.report(), {});
+  CHECK(statuses[1].m_counts.front() == EventCounts{3, 300});
+  CHECK(statuses[1].m_counts.back() == EventCounts{3, 300});
+  CHECK(RenderCoverage(sum) ==
+        "Counts of 3 of 4 balancers, missing: kiruna/entry-3; no answer from "
+        "data centres: lund; the one started last has counted for 10 s.");
+}
+
+TEST_CASE("many missing balancers are counted and not all named") {
+  CombinedBurn sum;
+  for (std::size_t index = 0; index < CombinedBurn::kMaximumMissing + 5;
+       ++index)
+    sum.AddMissing("b");
+
+  CHECK(sum.missing().size() == CombinedBurn::kMaximumMissing);
+  CHECK(RenderCoverage(sum).find(" and 5 more") != std::string::npos);
+}
--- a/Tests/LibPeer/test_codec.cc
+++ b/Tests/LibPeer/test_codec.cc
@@ -62,9 +62,12 @@
   std::vector<peer::LoadEntry> load(
       *rc::gen::inRange<std::size_t>(0, peer::kMaximumLoadEntries + 1),
       peer::LoadEntry{sequence, 7});
-  std::vector<peer::BurnCounter> counters(
-      *rc::gen::inRange<std::size_t>(0, peer::kMaximumBurnCounters + 1),
-      peer::BurnCounter{MakeNumber(), MakeNumber()});
+  const auto scope = static_cast<peer::BurnScope>(*rc::gen::inRange(0, 2));
+  std::vector<peer::ServiceBurn> burn(
+      *rc::gen::inRange<std::size_t>(0, peer::kMaximumBurnServices + 1),
+      peer::ServiceBurn{MakeText(peer::kMaximumNameBytes),
+                        {MakeNumber(), MakeNumber()}});
+  const std::chrono::milliseconds counting(*rc::gen::inRange(0, 100'000));
   const std::vector<peer::MessageBody> bodies{
       peer::Heartbeat{},
       peer::Ping{sequence, *rc::gen::arbitrary<bool>()},
@@ -76,7 +79,12 @@
       peer::LoadDigest{std::move(load)},
       peer::DocumentRequest{version},
       peer::DocumentReply{version, MakeText(300)},
-      peer::BurnCounters{std::move(counters)}};
+      peer::BurnRequest{scope},
+      peer::BurnReply{sequence,
+                      7,
+                      counting,
+                      {MakeText(peer::kMaximumNameBytes)},
+                      std::move(burn)}};
   return *rc::gen::elementOf(bodies);
 }
 
