LibConsole: Carry an operator's changes over a conflict

After a conflict the console offered the whole draft against the new version, so that a second operator who did not read the review closely undid the first one's change. Seen in a browser: a change of slots listed the other's drain as 'draining -> active'. The draft is now merged three ways by the names of services and backend servers.

--- /dev/null
+++ b/Libraries/LibConsole/draft_rebase.cc
@@ -0,0 +1,137 @@
+#include "LibConsole/draft_rebase.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibConfiguration/yaml_node.h"
+
+namespace console {
+
+namespace {
+
+using configuration::YamlNode;
+
+constexpr std::string_view kNameKey = "name";
+
+// Positions and quoting do not count.
+bool IsSame(const YamlNode& left, const YamlNode& right) {
+  return left.m_kind == right.m_kind && left.m_text == right.m_text &&
+         std::ranges::equal(left.m_keys, right.m_keys, {},
+                            &configuration::YamlKey::m_text,
+                            &configuration::YamlKey::m_text) &&
+         std::ranges::equal(left.m_items, right.m_items, IsSame);
+}
+
+// The same of nodes of which each may be absent.
+bool IsSame(const YamlNode* left, const YamlNode* right) {
+  if (left == nullptr || right == nullptr)
+    return left == right;
+  return IsSame(*left, *right);
+}
+
+std::optional<YamlNode> CopyOf(const YamlNode* node) {
+  return node == nullptr ? std::nullopt : std::optional(*node);
+}
+
+struct NamedNode {
+  std::string m_name;
+  const YamlNode* m_node = nullptr;
+};
+using NamedNodes = std::vector<NamedNode>;
+
+// The values of a map by their keys, or the items of a list by their names.
+NamedNodes ChildrenOf(const YamlNode& node) {
+  NamedNodes children;
+  for (std::size_t index = 0; index < node.m_items.size(); ++index) {
+    const YamlNode& child = node.m_items[index];
+    if (node.m_kind == YamlNode::Kind::kMap) {
+      children.push_back({node.m_keys[index].m_text, &child});
+      continue;
+    }
+    const YamlNode* name = configuration::FindValue(child, kNameKey);
+    children.push_back({name == nullptr ? "" : name->m_text, &child});
+  }
+  return children;
+}
+
+bool AreNamesUnique(const NamedNodes& children) {
+  std::vector<std::string> names;
+  for (const NamedNode& child : children)
+    names.push_back(child.m_name);
+  std::ranges::sort(names);
+  const bool has_unnamed = !names.empty() && names.front().empty();
+  return !has_unnamed && std::ranges::adjacent_find(names) == names.end();
+}
+
+const YamlNode* Find(const NamedNodes& children, const std::string& name) {
+  const auto found = std::ranges::find(children, name, &NamedNode::m_name);
+  return found == children.end() ? nullptr : found->m_node;
+}
+
+std::optional<YamlNode> Merge(const YamlNode* base,
+                              const YamlNode* mine,
+                              const YamlNode* theirs);
+
+// Merges two maps or two lists, in the order of `theirs`.
+YamlNode MergeChildren(const YamlNode* base,
+                       const YamlNode& mine,
+                       const YamlNode& theirs) {
+  const NamedNodes base_children =
+      base == nullptr ? NamedNodes() : ChildrenOf(*base);
+  const NamedNodes my_children = ChildrenOf(mine);
+  const NamedNodes their_children = ChildrenOf(theirs);
+  if (!AreNamesUnique(my_children) || !AreNamesUnique(their_children))
+    return mine;
+  NamedNodes all = their_children;
+  for (const NamedNode& child : my_children) {
+    if (Find(their_children, child.m_name) == nullptr)
+      all.push_back(child);
+  }
+  YamlNode merged;
+  merged.m_kind = mine.m_kind;
+  for (const NamedNode& child : all) {
+    auto value = Merge(Find(base_children, child.m_name),
+                       Find(my_children, child.m_name),
+                       Find(their_children, child.m_name));
+    if (!value)
+      continue;
+    if (merged.m_kind == YamlNode::Kind::kMap)
+      merged.m_keys.push_back({child.m_name, {}});
+    merged.m_items.push_back(std::move(*value));
+  }
+  return merged;
+}
+
+// Each node may be absent, and so may the result.
+std::optional<YamlNode> Merge(const YamlNode* base,
+                              const YamlNode* mine,
+                              const YamlNode* theirs) {
+  if (IsSame(base, mine))
+    return CopyOf(theirs);
+  const bool is_mine_alone =
+      theirs == nullptr || mine == nullptr || IsSame(base, theirs) ||
+      mine->m_kind != theirs->m_kind || mine->m_kind == YamlNode::Kind::kScalar;
+  if (is_mine_alone)
+    return CopyOf(mine);
+  return MergeChildren(base, *mine, *theirs);
+}
+
+}  // namespace
+
+Draft RebaseDraft(const Draft& draft, const DocumentInForce& current) {
+  Draft rebased = StartDraft(current);
+  const auto base = BaseDocumentOf(draft);
+  if (!base) {
+    rebased.m_root = draft.m_root;
+    return rebased;
+  }
+  const Draft started = StartDraft({draft.m_base_version, *base});
+  rebased.m_root = MergeChildren(&started.m_root, draft.m_root, rebased.m_root);
+  return rebased;
+}
+
+}  // namespace console
--- a/Libraries/LibConsole/page.cc
+++ b/Libraries/LibConsole/page.cc
@@ -12,7 +12,7 @@
 body { font: 15px/1.45 system-ui, sans-serif; color: #1d2733;
   background: #f4f6f8; margin: 0; }
 header { background: #17344f; padding: .7rem 1.5rem; display: flex;
-  gap: 1.5rem; align-items: baseline; }
+  gap: .3rem 1.5rem; align-items: baseline; flex-wrap: wrap; }
 header a { color: #dbe7f2; text-decoration: none; }
 header a:hover { text-decoration: underline; }
 header a.brand { color: #fff; font-weight: 600; font-size: 1.1rem; }
@@ -31,6 +31,7 @@
   background: #fdf1f0; }
 .error { color: #b3261e; font-size: .82rem; display: block; }
 .scroll { overflow-x: auto; }
+svg { max-width: 100%; height: auto; }
 table { border-collapse: collapse; width: 100%; }
 th { text-align: left; font-size: .82rem; color: #4a5b6c; font-weight: 600; }
 th, td { padding: .25rem .5rem .25rem 0; vertical-align: top; }
--- a/Libraries/LibConsole/session_pages.cc
+++ b/Libraries/LibConsole/session_pages.cc
@@ -9,6 +9,7 @@
 #include "LibBase/overloaded.h"
 #include "LibConfiguration/difference.h"
 #include "LibConsole/draft_action.h"
+#include "LibConsole/draft_rebase.h"
 #include "LibConsole/page.h"
 
 namespace console {
@@ -168,18 +169,14 @@
   if (base)
     content += DifferenceSection("What the other operator changed", *base,
                                  current.m_document);
-  Draft rebased = draft;
-  const Draft fresh = StartDraft(current);
-  rebased.m_base_version = fresh.m_base_version;
-  rebased.m_base_document = fresh.m_base_document;
   content += StartAgain();
   content += Element(
       "p", {},
-      Text("Or keep your values and review them against the new version. "
-           "Whatever the other operator changed is then listed as a change "
-           "back to your values, unless you edit it."));
-  content += BackToEditor(rebased, ShowReview{},
-                          "Review my document against the new version");
+      Text("Or carry your changes over to the new version. Where both of you "
+           "changed the same value, yours is kept; the review lists all that "
+           "would change."));
+  content += BackToEditor(RebaseDraft(draft, current), ShowReview{},
+                          "Review my changes on the new version");
   return RenderPage("Conflict", content);
 }
 
--- a/Libraries/LibObservability/burn_render.cc
+++ b/Libraries/LibObservability/burn_render.cc
@@ -1,25 +1,31 @@
 #include "LibObservability/burn_render.h"
 
-#include "LibBase/escape_markup.h"
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <iomanip>
 #include <sstream>
 #include <string_view>
 
+#include "LibBase/escape_markup.h"
+
 namespace observability {
 
 namespace {
 
 // Lengths in user units of the SVG, one a pixel.
-constexpr int kBarHeight = 8;
-constexpr int kTitleHeight = 18;
-constexpr int kGroupGap = 12;
-constexpr int kGroupHeight =
-    kTitleHeight + kBarHeight * static_cast<int>(kBurnWindowCount) + kGroupGap;
-constexpr int kLabelWidth = 60;
-constexpr int kChartWidth = 400;
-constexpr int kValueWidth = 60;
+constexpr int kFontSize = 12;
+constexpr int kRowHeight = 16;
+constexpr int kBarHeight = 11;
+constexpr int kHeadHeight = 40;
+constexpr int kTitleHeight = 22;
+constexpr int kGroupGap = 14;
+constexpr int kRowsHeight = kRowHeight * static_cast<int>(kBurnWindowCount);
+constexpr int kGroupHeight = kTitleHeight + kRowsHeight + kGroupGap;
+constexpr int kLabelWidth = 56;
+constexpr int kChartWidth = 560;
+constexpr int kValueWidth = 180;
+constexpr int kValueGap = 8;
 constexpr int kPictureWidth = kLabelWidth + kChartWidth + kValueWidth;
 constexpr double kGreatestBurnRate = 20;
 
@@ -47,23 +53,65 @@
                                                             : "#c08020";
 }
 
-void AppendText(std::ostringstream& svg, int x, int y, std::string_view text) {
-  svg << "<text x=\"" << x << "\" y=\"" << y << "\">"
-      << base::EscapeMarkup(text) << "</text>";
+std::string FormatWindow(const BurnStatus& status, std::size_t window) {
+  const EventCounts& counts = status.m_counts[window];
+  return fmt::format("{}x ({}/{})", FormatRate(status.m_burn_rates[window]),
+                     counts.m_bad, counts.m_total);
+}
+
+enum class TextStyle { kPlain, kBold, kMiddle };
+
+void AppendText(std::ostringstream& svg,
+                int x,
+                int y,
+                std::string_view text,
+                TextStyle style = TextStyle::kPlain) {
+  svg << "<text x=\"" << x << "\" y=\"" << y << '"';
+  if (style == TextStyle::kBold)
+    svg << " font-weight=\"bold\"";
+  if (style == TextStyle::kMiddle)
+    svg << " text-anchor=\"middle\"";
+  svg << '>' << base::EscapeMarkup(text) << "</text>";
+}
+
+void AppendRectangle(std::ostringstream& svg,
+                     int top,
+                     int width,
+                     std::string_view colour) {
+  svg << "<rect x=\"" << kLabelWidth << "\" y=\"" << top << "\" width=\""
+      << width << "\" height=\"" << kBarHeight << "\" fill=\"" << colour
+      << "\"/>";
 }
 
 void AppendBar(std::ostringstream& svg,
                const BurnStatus& status,
                std::size_t window,
                int top) {
-  const double rate = status.m_burn_rates[window];
-  const int width = BarWidth(rate);
-  AppendText(svg, 0, top + kBarHeight - 1, kBurnWindowNames[window].m_name);
-  svg << "<rect x=\"" << kLabelWidth << "\" y=\"" << top << "\" width=\""
-      << width << "\" height=\"" << kBarHeight - 1 << "\" fill=\""
-      << BarColour(status) << "\"/>";
-  AppendText(svg, kLabelWidth + kChartWidth + 4, top + kBarHeight - 1,
-             FormatRate(rate));
+  const int baseline = top + kBarHeight - 1;
+  AppendText(svg, 0, baseline, kBurnWindowNames[window].m_name);
+  AppendRectangle(svg, top, kChartWidth, "#eef2f5");
+  AppendRectangle(svg, top, BarWidth(status.m_burn_rates[window]),
+                  BarColour(status));
+  AppendText(svg, kLabelWidth + kChartWidth + kValueGap, baseline,
+             FormatWindow(status, window));
+}
+
+void AppendThresholds(std::ostringstream& svg, int top) {
+  for (const BurnRule& rule : kBurnRules) {
+    const int x = kLabelWidth + BarWidth(rule.m_burn_rate);
+    svg << "<line x1=\"" << x << "\" y1=\"" << top << "\" x2=\"" << x
+        << "\" y2=\"" << top + kRowsHeight
+        << "\" stroke=\"#5d6d7d\" stroke-dasharray=\"2 3\"/>";
+  }
+}
+
+void AppendHead(std::ostringstream& svg) {
+  AppendText(svg, 0, kFontSize,
+             "Burn rate: how many times faster than allowed the error budget "
+             "is used (bad/all events). Lines: alert rules.");
+  for (const BurnRule& rule : kBurnRules)
+    AppendText(svg, kLabelWidth + BarWidth(rule.m_burn_rate), kHeadHeight - 4,
+               fmt::format("{}x", rule.m_burn_rate), TextStyle::kMiddle);
 }
 
 void AppendGroup(std::ostringstream& svg, const BurnStatus& status, int top) {
@@ -71,55 +119,80 @@
       status.m_service + ": " +
       std::string(base::NameOf(kObjectiveNames, status.m_objective)) +
       (status.m_alert ? ", " + std::string(AlertName(status)) : "");
-  AppendText(svg, 0, top + kTitleHeight - 4, title);
-  for (std::size_t window = 0; window < kBurnWindowCount; ++window) {
+  AppendText(svg, 0, top + kTitleHeight - 8, title, TextStyle::kBold);
+  const int rows_top = top + kTitleHeight;
+  for (std::size_t window = 0; window < kBurnWindowCount; ++window)
     AppendBar(svg, status, window,
-              top + kTitleHeight + static_cast<int>(window) * kBarHeight);
-  }
+              rows_top + static_cast<int>(window) * kRowHeight);
+  AppendThresholds(svg, rows_top);
 }
 
-void AppendThresholds(std::ostringstream& svg, int height) {
-  for (const BurnRule& rule : kBurnRules) {
-    const int x = kLabelWidth + BarWidth(rule.m_burn_rate);
-    svg << "<line x1=\"" << x << "\" y1=\"0\" x2=\"" << x << "\" y2=\""
-        << height << "\" stroke=\"#888\" stroke-dasharray=\"2 3\"/>";
+// The cells of one line of the text.
+using Line = std::vector<std::string>;
+
+Line HeadLine() {
+  Line line{"service", "objective", "budget"};
+  for (const auto& window : kBurnWindowNames)
+    line.emplace_back(window.m_name);
+  line.emplace_back("alert");
+  return line;
+}
+
+Line LineOf(const BurnStatus& status) {
+  Line line{
+      status.m_service,
+      std::string(base::NameOf(kObjectiveNames, status.m_objective)),
+      fmt::format("{:g}", status.m_error_budget),
+  };
+  for (std::size_t window = 0; window < kBurnWindowCount; ++window)
+    line.push_back(FormatWindow(status, window));
+  line.emplace_back(AlertName(status));
+  return line;
+}
+
+// Pads the cells of each column to one width.
+std::string AlignColumns(const std::vector<Line>& lines) {
+  std::vector<std::size_t> widths(lines.front().size());
+  for (const Line& line : lines) {
+    for (std::size_t column = 0; column < line.size(); ++column)
+      widths[column] = std::max(widths[column], line[column].size());
   }
+  std::string text;
+  for (const Line& line : lines) {
+    for (std::size_t column = 0; column + 1 < line.size(); ++column)
+      text += fmt::format("{:<{}}  ", line[column], widths[column]);
+    text += line.back() + "\n";
+  }
+  return text;
 }
 
 }  // namespace
 
 std::string RenderBurnText(const std::vector<BurnStatus>& statuses) {
-  std::ostringstream text;
-  for (const BurnStatus& status : statuses) {
-    text << status.m_service << ", "
-         << base::NameOf(kObjectiveNames, status.m_objective) << " (budget "
-         << status.m_error_budget << "):";
-    for (std::size_t window = 0; window < kBurnWindowCount; ++window) {
-      const EventCounts& counts = status.m_counts[window];
-      text << ' ' << kBurnWindowNames[window].m_name << ' '
-           << FormatRate(status.m_burn_rates[window]) << "x (" << counts.m_bad
-           << '/' << counts.m_total << ");";
-    }
-    text << " alert " << AlertName(status) << '\n';
-  }
-  return text.str();
+  std::vector<Line> lines{HeadLine()};
+  for (const BurnStatus& status : statuses)
+    lines.push_back(LineOf(status));
+  return AlignColumns(lines);
 }
 
 std::string RenderBurnSvg(const std::vector<BurnStatus>& statuses) {
-  const int height = std::max<int>(
-      kGroupHeight * static_cast<int>(statuses.size()), kTitleHeight);
+  const int height =
+      kHeadHeight +
+      std::max<int>(kGroupHeight * static_cast<int>(statuses.size()),
+                    kTitleHeight);
   std::ostringstream svg;
   svg << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << kPictureWidth
       << "\" height=\"" << height << "\" viewBox=\"0 0 " << kPictureWidth << ' '
-      << height << "\" font-family=\"sans-serif\" font-size=\"9\">";
-  AppendThresholds(svg, height);
-  int top = 0;
+      << height << "\" font-family=\"sans-serif\" font-size=\"" << kFontSize
+      << "\" fill=\"#1d2733\">";
+  AppendHead(svg);
+  int top = kHeadHeight;
   for (const BurnStatus& status : statuses) {
     AppendGroup(svg, status, top);
     top += kGroupHeight;
   }
   if (statuses.empty())
-    AppendText(svg, 0, kTitleHeight - 4, "no services");
+    AppendText(svg, 0, top + kFontSize, "no services");
   svg << "</svg>";
   return svg.str();
 }
--- a/Libraries/LibObservability/burn_render.h
+++ b/Libraries/LibObservability/burn_render.h
@@ -10,7 +10,8 @@
 
 namespace observability {
 
-// One line for each status, with the burn rate over each window and the alert.
+// A head line, and one line for each status with the burn rate and the counts
+// (bad/all) over each window and the alert, in aligned columns.
 std::string RenderBurnText(const std::vector<BurnStatus>& statuses);
 
 // An <svg> element with a bar for each window of each status, and lines at the
--- a/Libraries/LibObservability/combined_burn.cc
+++ b/Libraries/LibObservability/combined_burn.cc
@@ -12,15 +12,17 @@
 namespace {
 
 std::string FormatDuration(base::Duration duration) {
-  const auto seconds =
-      std::chrono::duration_cast<std::chrono::seconds>(duration).count();
-  constexpr int kSecondsPerMinute = 60;
-  constexpr int kSecondsPerHour = 3600;
-  if (seconds < 2 * kSecondsPerMinute)
-    return fmt::format("{} s", seconds);
-  if (seconds < 2 * kSecondsPerHour)
-    return fmt::format("{} min", seconds / kSecondsPerMinute);
-  return fmt::format("{} h", seconds / kSecondsPerHour);
+  using std::chrono::duration_cast;
+  constexpr std::chrono::minutes kSecondsUpTo(2);
+  constexpr std::chrono::hours kMinutesUpTo(2);
+  if (duration < kSecondsUpTo)
+    return fmt::format("{} s",
+                       duration_cast<std::chrono::seconds>(duration).count());
+  if (duration < kMinutesUpTo)
+    return fmt::format("{} min",
+                       duration_cast<std::chrono::minutes>(duration).count());
+  return fmt::format("{} h",
+                     duration_cast<std::chrono::hours>(duration).count());
 }
 
 }  // namespace
@@ -49,7 +51,8 @@
         std::min(m_shortest_count.value_or(base::Duration::max()),
                  *other.m_shortest_count);
   for (const std::string& name : other.m_missing)
-    AddMissingName(data_centre.empty() ? name : data_centre + "/" + name);
+    AddMissingName(
+        data_centre.empty() ? name : fmt::format("{}/{}", data_centre, name));
   for (const std::string& name : other.m_missing_data_centres)
     AddMissingDataCentre(name);
 }
