LibConsole: Tell where an error is by names

The list of errors gave paths as services[0].backend_servers[3].slots, so an operator had to count servers in the form. It now names service, server and field, and links to the field.

--- a/Libraries/LibConsole/editor_page.cc
+++ b/Libraries/LibConsole/editor_page.cc
@@ -10,6 +10,7 @@
 #include "LibConfiguration/backend_server.h"
 #include "LibConsole/draft_action.h"
 #include "LibConsole/page.h"
+#include "LibConsole/problem_place.h"
 
 namespace console {
 
@@ -196,8 +197,10 @@
   Html Input(const std::string& name,
              const std::string& text,
              std::string_view label) const {
-    Attributes attributes{
-        {"name", name}, {"value", text}, {"aria-label", std::string(label)}};
+    Attributes attributes{{"name", name},
+                          {"id", name},
+                          {"value", text},
+                          {"aria-label", std::string(label)}};
     if (m_messages.contains(name))
       attributes.emplace_back("aria-invalid", "true");
     return VoidElement("input", attributes);
@@ -211,7 +214,8 @@
         attributes.emplace_back("selected", "");
       choices += Element("option", attributes, Text(entry.m_name));
     }
-    return Element("select", {{"name", name}, {"aria-label", "State"}},
+    return Element("select",
+                   {{"name", name}, {"id", name}, {"aria-label", "State"}},
                    choices);
   }
 
@@ -226,6 +230,18 @@
   std::map<std::string, std::string> m_messages;
 };
 
+// A list of the problems, each with a link to its field.
+Html LinkedProblems(const Draft& draft, const Problems& problems) {
+  Html items;
+  for (const configuration::Problem& problem : problems) {
+    const Html place =
+        Element("a", {{"href", "#" + problem.m_path}},
+                Text(DescribePlace(draft.m_root, problem.m_path)));
+    items += Element("li", {}, place + Text(": " + problem.m_message));
+  }
+  return Element("ul", {{"class", "problems"}}, items);
+}
+
 }  // namespace
 
 std::string RenderEditor(const Draft& draft, const Problems& problems) {
@@ -233,7 +249,7 @@
   if (!problems.empty()) {
     content += Notice(NoticeKind::kError,
                       "The document is refused; nothing has been submitted.");
-    content += ProblemList(problems);
+    content += LinkedProblems(draft, problems);
   }
   content += Editor(draft, problems).Render();
   const std::string title =
--- a/Tests/LibConsole/test_console.cc
+++ b/Tests/LibConsole/test_console.cc
@@ -115,8 +115,13 @@
   const auto refused = Post(backend, "/submit", fields);
 
   CHECK(refused.m_status == Status::kUnprocessable);
-  CHECK(Has(refused, "services[0].backend_servers[0].slots</code>"));
-  CHECK(Has(refused, "services[1].backend_servers[0].slots</code>"));
+  CHECK(Has(refused,
+            "<a href=\"#services[0].backend_servers[0].slots\">service "
+            "licence, backend server tap-1, slots</a>"));
+  CHECK(Has(refused,
+            "<a href=\"#services[1].backend_servers[0].slots\">service "
+            "dossier, backend server file-1, slots</a>"));
+  CHECK(Has(refused, "id=\"services[1].backend_servers[0].slots\""));
   CHECK(Has(refused, "value=\"&lt;many&gt;\""));
   CHECK_FALSE(Has(refused, "<many>"));
   CHECK(backend.m_submitted.empty());
--- /dev/null
+++ b/Tests/LibConsole/test_problem_place.cc
@@ -0,0 +1,26 @@
+#include <doctest/doctest.h>
+
+#include "LibConfiguration/example_document.h"
+#include "LibConsole/draft.h"
+#include "LibConsole/problem_place.h"
+
+TEST_CASE("a problem's place is told by names") {
+  const auto root = console::StartDraft({base::ConfigurationVersion(1),
+                                         configuration::MakeDocument()})
+                        .m_root;
+  const auto place = [&root](std::string_view path) {
+    return console::DescribePlace(root, path);
+  };
+
+  CHECK(place("services[0].address") == "service licence, address");
+  CHECK(place("services[0].backend_servers[1].slots") ==
+        "service licence, backend server tap-2, slots");
+  CHECK(place("services[1].limits.retry_budget_percent") ==
+        "service dossier, limits, retry_budget_percent");
+  CHECK(place("services[7]") == "service number 8");
+  CHECK(place("services[0].backend_servers[9].name") ==
+        "service licence, backend server number 10, name");
+  CHECK(place("services[") == "services[");
+  CHECK(place("services[0]x.name") == "services[0]x.name");
+  CHECK(place("") == "");
+}
