--- a/Libraries/LibConsole/console.cc
+++ b/Libraries/LibConsole/console.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "LibConfiguration/document_reader.h"
+#include "LibConfiguration/document_writer.h"
 #include "LibConsole/draft_action.h"
 #include "LibConsole/editor_page.h"
 #include "LibConsole/overview_page.h"
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr std::string_view kJsonType = "application/json";
+constexpr std::string_view kYamlType = "text/plain; charset=utf-8";
 constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
 constexpr std::string_view kStyleType = "text/css; charset=utf-8";
 
@@ -74,6 +76,10 @@
     return {Status::kOk, std::string(kJsonType), m_backend.m_status() + "\n"};
   if (path == "/metrics")
     return {Status::kOk, std::string(kMetricsType), m_backend.m_metrics()};
+  if (path == "/document")
+    return {Status::kOk, std::string(kYamlType),
+            configuration::WriteDocument(
+                m_backend.m_document_in_force().m_document)};
   if (path == "/")
     return Page(RenderOverview(m_backend.m_document_in_force()));
   if (path == "/edit")
--- a/Libraries/LibConsole/page.cc
+++ b/Libraries/LibConsole/page.cc
@@ -83,8 +83,9 @@
   return Element(
       "header", {},
       Element("a", {{"href", "/"}, {"class", "brand"}}, Text("coltsfootdale")) +
-          Link("/edit", "Edit") + Link("/report", "Report") +
-          Link("/status", "Status") + Link("/metrics", "Metrics"));
+          Link("/edit", "Edit") + Link("/document", "Document") +
+          Link("/report", "Report") + Link("/status", "Status") +
+          Link("/metrics", "Metrics"));
 }
 
 }  // namespace
--- a/Tests/LibConsole/test_console.cc
+++ b/Tests/LibConsole/test_console.cc
@@ -2,7 +2,9 @@
 
 #include <string>
 #include <utility>
+#include <variant>
 
+#include "LibConfiguration/document_reader.h"
 #include "LibConsole/console.h"
 #include "LibConsole/fake_backend.h"
 #include "LibHttp/request.h"
@@ -78,6 +80,9 @@
   CHECK(Has(Get(backend, "/report"), "burn &lt;1&gt;"));
   CHECK(Has(Get(backend, "/report"), "<svg></svg>"));
   CHECK(Has(Get(backend, "/"), "Data centre uppsala"));
+  CHECK(std::get<configuration::Document>(
+            configuration::ReadDocument(Get(backend, "/document").m_body)) ==
+        backend.m_in_force.m_document);
   CHECK(Has(Get(backend, "/edit"), "services[1].backend_servers[0].name"));
   CHECK(Get(backend, "/style.css").m_content_type == "text/css; charset=utf-8");
   CHECK(Get(backend, "/absent").m_status == Status::kNotFound);
--- a/Utilities/LocalDeployment/main.cc
+++ b/Utilities/LocalDeployment/main.cc
@@ -70,6 +70,8 @@
     for (std::size_t i = 0; i < names.size(); ++i)
       std::cout << "  " << names[i] << "  http://" << deployment->ConsoleOf(i)
                 << "/\n";
+    std::cout << "  platform of " << deployment->profile().m_name << "  "
+              << deployment->PlatformEndpoint() << "\n";
   }
   std::cout << std::flush;
 }
--- a/Utilities/LocalDeployment/user_deployment.h
+++ b/Utilities/LocalDeployment/user_deployment.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "LibBase/ipv4.h"
 #include "document_model.h"
 #include "load_figures.h"
 #include "platform_control.h"
@@ -33,6 +34,10 @@
   const UserProfile& profile() const { return m_profile; }
   // Admin address of the first balancer of a data centre, IP:PORT.
   std::string ConsoleOf(std::size_t data_centre);
+  // Where the platform's object API listens, IP:PORT.
+  std::string PlatformEndpoint() const {
+    return base::ToString(m_platform.endpoint());
+  }
 
   // Commands.
   void StartLoad();
