--- a/Services/Coltsfootdale/balancer_command.cc
+++ b/Services/Coltsfootdale/balancer_command.cc
@@ -45,7 +45,11 @@
 
 int RunBalancer(const std::vector<std::string>& arguments) {
   options::options_description description(
-      "coltsfootdale balancer --settings FILE");
+      "coltsfootdale balancer --settings FILE\n"
+      "Runs a balancer until SIGTERM or SIGINT, which start a graceful\n"
+      "shutdown.\n"
+      "Exit codes: 0 stopped, 1 the settings are refused, 2 usage,\n"
+      "4 a socket cannot be bound.\n\nOptions");
   description.add_options()("help", "print this text")(
       "settings", options::value<std::string>(),
       "the YAML file with the settings of this process");
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -28,9 +28,9 @@
 constexpr auto kLeasePeriod = milliseconds(50);
 constexpr auto kPhasePeriod = milliseconds(100);
 constexpr auto kCountsPeriod = milliseconds(50);
-// How often another port is tried when the one that the system chose for UDP is
-// taken for TCP.
-constexpr int kPortRetries = 8;
+// Requests come by TCP to the number of the UDP port. A number that the system
+// chose for UDP may be taken for TCP, so another one is tried.
+constexpr int kPortAttempts = 64;
 constexpr auto kVmListInterval = seconds(1);
 // A balancer serves without a VM list once it has waited so long for one.
 constexpr auto kJoinPatience = seconds(2);
@@ -103,8 +103,11 @@
                                     .m_flow = MakeFlowSettings(m_settings),
                                     .m_seed = m_random.Next()}));
   m_traffic = std::move(traffic);
-  BOOST_OUTCOME_TRYV(m_settings.m_peer.m_port == 0 ? BindPeerAtAnyPort()
-                                                   : BindPeer());
+  auto bound = BindPeer();
+  const int attempts = m_settings.m_peer.m_port == 0 ? kPortAttempts : 1;
+  for (int attempt = 1; !bound && attempt < attempts; ++attempt)
+    bound = BindPeer();
+  BOOST_OUTCOME_TRYV(bound);
   TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
                                   MakeAdminSources()));
   m_admin = std::move(admin);
@@ -114,7 +117,6 @@
 base::Outcome<void> BalancerProcess::BindPeer() {
   TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
   m_peer_link = std::move(link);
-  // Requests come by TCP to the number of the UDP port.
   TRY(server, PeerServer::Create(m_context, m_peer_link->LocalEndpoint(),
                                  [this](const peer::Message& request,
                                         const PeerServer::Answer& answer) {
@@ -124,13 +126,6 @@
   return base::Success();
 }
 
-base::Outcome<void> BalancerProcess::BindPeerAtAnyPort() {
-  base::Outcome<void> bound = BindPeer();
-  for (int retry = 0; !bound && retry < kPortRetries; ++retry)
-    bound = BindPeer();
-  return bound;
-}
-
 peer::MemberRecord BalancerProcess::MakeSelf() const {
   peer::MemberRecord self;
   self.m_id = m_id;
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -85,7 +85,6 @@
 
   base::Outcome<void> Bind();
   base::Outcome<void> BindPeer();
-  base::Outcome<void> BindPeerAtAnyPort();
   void StartParts();
   void SubscribeTimers();
   void RenewLease(base::TimePoint now);
--- a/Services/Coltsfootdale/main.cc
+++ b/Services/Coltsfootdale/main.cc
@@ -24,8 +24,8 @@
 constexpr std::array kSubcommands = {
     Subcommand{"balancer", "run a balancer", service::RunBalancer},
     Subcommand{"check", "validate settings and documents", service::RunCheck},
-    Subcommand{"submit", "submit a configuration document", service::RunSubmit},
-    Subcommand{"submit", "put a document in force", service::RunSubmit},
+    Subcommand{"submit", "put a configuration document in force",
+               service::RunSubmit},
     Subcommand{"status", "print a balancer's status", service::RunStatus},
     Subcommand{"report", "print the report on service-level burn",
                service::RunReport},
