--- a/Libraries/LibConsole/console.cc
+++ b/Libraries/LibConsole/console.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "LibConfiguration/document_reader.h"
+#include "LibConfiguration/document_writer.h"
 #include "LibConsole/draft_action.h"
 #include "LibConsole/editor_page.h"
 #include "LibConsole/overview_page.h"
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr std::string_view kJsonType = "application/json";
+constexpr std::string_view kYamlType = "text/plain; charset=utf-8";
 constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";
 constexpr std::string_view kStyleType = "text/css; charset=utf-8";
 
@@ -52,7 +54,10 @@
 void Console::Handle(const Request& request, const Reply& reply) {
   switch (request.m_method) {
     case Method::kGet:
-      reply(Get(request));
+      if (request.m_path == "/report")
+        GetReport(request, reply);
+      else
+        reply(Get(request));
       return;
     case Method::kPost:
       Post(request, reply);
@@ -71,8 +76,10 @@
     return {Status::kOk, std::string(kJsonType), m_backend.m_status() + "\n"};
   if (path == "/metrics")
     return {Status::kOk, std::string(kMetricsType), m_backend.m_metrics()};
-  if (path == "/report")
-    return GetReport(request);
+  if (path == "/document")
+    return {Status::kOk, std::string(kYamlType),
+            configuration::WriteDocument(
+                m_backend.m_document_in_force().m_document)};
   if (path == "/")
     return Page(RenderOverview(m_backend.m_document_in_force()));
   if (path == "/edit")
@@ -90,11 +97,15 @@
   return TextResponse(Status::kUnavailable, "not ready");
 }
 
-Response Console::GetReport(const Request& request) const {
-  const std::string report = m_backend.m_report();
-  if (request.m_query == "format=text")
-    return {Status::kOk, std::string(kTextType), report};
-  return Page(RenderReport(report, m_backend.m_report_chart()));
+void Console::GetReport(const Request& request, const Reply& reply) const {
+  const bool is_text = request.m_query == "format=text";
+  m_backend.m_report([is_text, reply](const BurnPage& report) {
+    if (is_text)
+      reply({Status::kOk, std::string(kTextType),
+             report.m_coverage + "\n" + report.m_text});
+    else
+      reply(Page(RenderReport(report)));
+  });
 }
 
 Response Console::GetSubmission(const Request& request) const {
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -67,6 +67,9 @@
   PeerAnswers Answers() const;
   bool HoldsLease(base::TimePoint now) const { return now < m_lease_expires; }
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
+  // Whether a balancer of the own data centre should be there: it has served
+  // and has not left, and if it is dead its VM is still listed as live.
+  bool IsExpected(const MemberEntry& entry) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
   // Whether this member may have to contact other data centres, so that it
@@ -108,7 +111,6 @@
       base::TimePoint now) const;
   std::size_t TransmitLimit() const;
   base::Duration SuspicionTimeout() const;
-  bool IsExpected(const MemberEntry& entry) const;
   void DeclareState(peer::MemberState state);
   void AddNews(base::BalancerId id);
   std::optional<peer::MemberRecord> NewsAbout(base::BalancerId id) const;
--- a/Services/Coltsfootdale/balancer_configuration.cc
+++ b/Services/Coltsfootdale/balancer_configuration.cc
@@ -50,7 +50,7 @@
   if (!m_configuration->Adopt(version, body, base::Clock::now()))
     return;
   m_load_poller->SetServers(m_configuration->PolledServers());
-  m_burn.SetDocument(m_configuration->document());
+  SetBurnDocument(m_configuration->document());
   // Peers hear of the new version at once.
   m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
 }
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -99,7 +99,10 @@
       m_started_at(base::Clock::now()),
       m_platform(m_context, settings.m_platform),
       m_lease(settings.m_control.m_lease),
-      m_load_sharer(m_started_at) {}
+      m_load_sharer(m_started_at),
+      m_burn(m_started_at),
+      m_remote_balancers(m_context, m_platform),
+      m_burn_collector(m_context, MakeBurnSources()) {}
 
 BalancerProcess::~BalancerProcess() = default;
 
@@ -122,20 +125,20 @@
 }
 
 base::Outcome<void> BalancerProcess::BindPeerSockets() {
-  // Documents are pulled by TCP from the number of the UDP port. Where the
+  // Peers ask by TCP at the number of the UDP port. Where the
   // system chooses that number, another process may hold it for TCP.
   for (int attempt = 1;; ++attempt) {
     auto link = PeerLink::Create(m_context, m_settings.m_peer);
     if (!link)
       return LogBindFailure("peer", m_settings.m_peer, link.error());
-    auto server = DocumentServer::Create(
-        m_context, link.value()->LocalEndpoint(), [this] {
-          return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
-                                                     m_configuration->body()});
+    auto server = PeerServer::Create(
+        m_context, link.value()->LocalEndpoint(),
+        [this](const peer::Message& request, const PeerServer::Answer& answer) {
+          OnPeerRequest(request, answer);
         });
     if (server) {
       m_peer_link = std::move(link).value();
-      m_document_server = std::move(server).value();
+      m_peer_server = std::move(server).value();
       return base::Success();
     }
     const bool should_retry = m_settings.m_peer.m_port == 0 &&
@@ -258,7 +261,7 @@
             Severity::kWarning, Event::kPeerMessageRefused,
             {{"from", base::ToString(from)}, {"reason", reason.message()}});
       });
-  m_document_server->Start();
+  m_peer_server->Start();
   m_follower->Start();
   m_vm_poller->Start();
   m_all_vms_poller->Start();
--- a/Tests/LibConsole/test_console.cc
+++ b/Tests/LibConsole/test_console.cc
@@ -2,7 +2,9 @@
 
 #include <string>
 #include <utility>
+#include <variant>
 
+#include "LibConfiguration/document_reader.h"
 #include "LibConsole/console.h"
 #include "LibConsole/fake_backend.h"
 #include "LibHttp/request.h"
@@ -72,10 +74,15 @@
   CHECK(Get(backend, "/ready").m_status == Status::kOk);
   CHECK(Get(backend, "/status").m_body == "{}\n");
   CHECK(Get(backend, "/metrics").m_body == "up 1\n");
-  CHECK(Get(backend, "/report", "format=text").m_body == "burn <1>\n");
+  CHECK(Get(backend, "/report", "format=text").m_body ==
+        "1 of <2>\nburn <1>\n");
+  CHECK(Has(Get(backend, "/report"), "notice warning\">1 of &lt;2&gt;"));
   CHECK(Has(Get(backend, "/report"), "burn &lt;1&gt;"));
   CHECK(Has(Get(backend, "/report"), "<svg></svg>"));
   CHECK(Has(Get(backend, "/"), "Data centre uppsala"));
+  CHECK(std::get<configuration::Document>(
+            configuration::ReadDocument(Get(backend, "/document").m_body)) ==
+        backend.m_in_force.m_document);
   CHECK(Has(Get(backend, "/edit"), "services[1].backend_servers[0].name"));
   CHECK(Get(backend, "/style.css").m_content_type == "text/css; charset=utf-8");
   CHECK(Get(backend, "/absent").m_status == Status::kNotFound);
@@ -113,8 +120,13 @@
   const auto refused = Post(backend, "/submit", fields);
 
   CHECK(refused.m_status == Status::kUnprocessable);
-  CHECK(Has(refused, "services[0].backend_servers[0].slots</code>"));
-  CHECK(Has(refused, "services[1].backend_servers[0].slots</code>"));
+  CHECK(Has(refused,
+            "<a href=\"#services[0].backend_servers[0].slots\">service "
+            "licence, backend server tap-1, slots</a>"));
+  CHECK(Has(refused,
+            "<a href=\"#services[1].backend_servers[0].slots\">service "
+            "dossier, backend server file-1, slots</a>"));
+  CHECK(Has(refused, "id=\"services[1].backend_servers[0].slots\""));
   CHECK(Has(refused, "value=\"&lt;many&gt;\""));
   CHECK_FALSE(Has(refused, "<many>"));
   CHECK(backend.m_submitted.empty());
