--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -51,6 +51,17 @@
       std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+// The reason why a socket of the process cannot be bound, for the log.
+std::error_code LogBindFailure(std::string_view socket,
+                               base::Endpoint endpoint,
+                               std::error_code reason) {
+  WriteLog(Severity::kError, Event::kBindFailed,
+           {{"socket", socket},
+            {"endpoint", base::ToString(endpoint)},
+            {"reason", reason.message()}});
+  return reason;
+}
+
 flow::FlowSettings MakeFlowSettings(const configuration::Settings& settings) {
   const configuration::MechanismSettings& mechanisms = settings.m_mechanisms;
   flow::FlowSettings flow;
@@ -93,39 +104,45 @@
 BalancerProcess::~BalancerProcess() = default;
 
 base::Outcome<void> BalancerProcess::Bind() {
-  TRY(traffic, TrafficLoop::Create({.m_self = m_id,
-                                    .m_listen = m_settings.m_traffic,
-                                    .m_gateway = m_settings.m_gateway,
-                                    .m_flow = MakeFlowSettings(m_settings),
-                                    .m_seed = m_random.Next()}));
-  m_traffic = std::move(traffic);
-  BOOST_OUTCOME_TRYV(BindPeerPorts());
-  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
-                                  MakeAdminSources()));
-  m_admin = std::move(admin);
+  auto traffic = TrafficLoop::Create({.m_self = m_id,
+                                      .m_listen = m_settings.m_traffic,
+                                      .m_gateway = m_settings.m_gateway,
+                                      .m_flow = MakeFlowSettings(m_settings),
+                                      .m_seed = m_random.Next()});
+  if (!traffic)
+    return LogBindFailure("traffic", m_settings.m_traffic, traffic.error());
+  m_traffic = std::move(traffic).value();
+  BOOST_OUTCOME_TRYV(BindPeerSockets());
+  auto admin = AdminConsole::Create(m_context, m_settings, m_platform,
+                                    MakeAdminSources());
+  if (!admin)
+    return LogBindFailure("admin", m_settings.m_admin, admin.error());
+  m_admin = std::move(admin).value();
   return base::Success();
 }
 
-// Documents are pulled by TCP from the number of the UDP port. If the system
-// chooses that, TCP may have it in use.
-base::Outcome<void> BalancerProcess::BindPeerPorts() {
-  int attempts = m_settings.m_peer.m_port == 0 ? kPortAttempts : 1;
-  for (;;) {
-    TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
-    auto server =
-        DocumentServer::Create(m_context, link->LocalEndpoint(), [this] {
+base::Outcome<void> BalancerProcess::BindPeerSockets() {
+  // Documents are pulled by TCP from the number of the UDP port. Where the
+  // system chooses that number, another process may hold it for TCP.
+  for (int attempt = 1;; ++attempt) {
+    auto link = PeerLink::Create(m_context, m_settings.m_peer);
+    if (!link)
+      return LogBindFailure("peer", m_settings.m_peer, link.error());
+    auto server = DocumentServer::Create(
+        m_context, link.value()->LocalEndpoint(), [this] {
           return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
                                                      m_configuration->body()});
         });
-    --attempts;
-    if (!server && server.error() == asio::error::address_in_use &&
-        attempts > 0)
-      continue;
-    if (!server)
-      return server.error();
-    m_peer_link = std::move(link);
-    m_document_server = std::move(server).value();
-    return base::Success();
+    if (server) {
+      m_peer_link = std::move(link).value();
+      m_document_server = std::move(server).value();
+      return base::Success();
+    }
+    const bool should_retry = m_settings.m_peer.m_port == 0 &&
+                              attempt < kPortAttempts &&
+                              server.error() == asio::error::address_in_use;
+    if (!should_retry)
+      return LogBindFailure("document", m_settings.m_peer, server.error());
   }
 }
 
@@ -238,13 +255,13 @@
   m_burn.Take(counts, now);
   m_load_sharer.SetOwn(open_flows);
   ShareLoad(now);
-  m_traffic->Post(
-      [elsewhere = m_load_sharer.Elsewhere(open_flows),
-       peers = static_cast<std::uint32_t>(m_published_balancers.size() - 1)](
-          balancer::TrafficCore& core, base::TimePoint at) {
-        for (const auto& [service, others] : elsewhere)
-          core.ApplyLoad(service, placement::PeerOpenCounts{others, peers}, at);
-      });
+  m_traffic->Post([elsewhere = m_load_sharer.Elsewhere(open_flows),
+                   peers = static_cast<std::uint32_t>(
+                       m_published_balancers->balancers().size() - 1)](
+                      balancer::TrafficCore& core, base::TimePoint at) {
+    for (const auto& [service, others] : elsewhere)
+      core.ApplyLoad(service, placement::PeerOpenCounts{others, peers}, at);
+  });
 }
 
 void BalancerProcess::Run() {
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -40,7 +40,8 @@
  public:
   struct Options {
     std::string m_data_centre = "a";
-    // The second-last number of all addresses; differs between data centres.
+    // Counts the data centres of one test program from 1 to 7; gives each
+    // addresses of its own.
     int m_number = 1;
     std::uint64_t m_seed = 1;
     // YAML lines added to each balancer's settings.
@@ -112,6 +113,8 @@
   // The fabric's endpoint for callers.
   const std::string& CallersEndpoint() const { return m_fabric_callers; }
   std::vector<std::string> BalancerNames() const;
+  // The IP number that all balancers of the deployment share.
+  std::string BalancerAddress() const { return Address(0, 1); }
   // Endpoint that balancers started from now on use for the platform.
   void SetPlatformEndpoint(base::Endpoint endpoint) {
     m_platform_endpoint = endpoint;
@@ -133,7 +136,6 @@
 
  private:
   std::string Address(int block, int number) const;
-  std::string BalancerAddress() const;
   std::string WriteSettings(const std::string& name);
   // Endpoint of a new fault proxy before `target`, or `target` if there are
   // none. It has the address of `target`, by which balancers know servers.
