--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -34,7 +34,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 20> kEventNames{{
+inline constexpr base::EnumTable<Event, 21> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
