--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -146,7 +146,6 @@
 
  private:
   std::string Address(int block, int number) const;
-  std::string BalancerAddress() const;
   std::string WriteSettings(const std::string& name);
   // Endpoint of a new fault proxy before `target`, or `target` if there are
   // none. It has the address of `target`, by which balancers know servers.
