--- a/Benchmarks/benchmark_flow.cc
+++ b/Benchmarks/benchmark_flow.cc
@@ -133,7 +133,9 @@
       : m_balancers(MakeBalancers(balancers)),
         m_director(
             settings,
-            [](const auto&, const flow::ServerOrder& order, std::size_t) {
+            [](const auto&,
+               const flow::ServerOrder& order,
+               flow::OpeningProgress) {
               return order[order.size() > 1 ? 1 : 0];
             },
             kNow) {
