--- a/Services/Coltsfootdale/traffic_loop.cc
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -151,7 +151,7 @@
           packet, server);
 }
 
-void TrafficLoop::Execute(flow::Effects effects,
+void TrafficLoop::Execute(const flow::Effects& effects,
                           const wire::PacketView& packet,
                           base::Ipv4Address server) {
   const base::Overloaded visitor{
--- a/Services/Coltsfootdale/traffic_loop.h
+++ b/Services/Coltsfootdale/traffic_loop.h
@@ -68,7 +68,7 @@
                     base::Ipv4Address server,
                     flow::RelayContext relay,
                     base::TimePoint now);
-  void Execute(flow::Effects effects,
+  void Execute(const flow::Effects& effects,
                const wire::PacketView& packet,
                base::Ipv4Address server);
   void Send(base::Endpoint destination,
