LibFlow: Keep the denials of a probe outside its entry

Cause: each probe held room for 64 denials, 512 bytes of new memory for the first packet of a flow that nobody knows.

--- a/Libraries/LibFlow/probe_table.cc
+++ b/Libraries/LibFlow/probe_table.cc
@@ -10,7 +10,7 @@
 }
 
 void PendingProbe::AddDenial(base::BackendServerId server) {
-  if (!HasDenied(server) && m_denials.size() < m_denials.capacity())
+  if (!HasDenied(server) && m_denials.size() < kMaximumOrder)
     m_denials.push_back(server);
 }
 
--- a/Libraries/LibFlow/probe_table.h
+++ b/Libraries/LibFlow/probe_table.h
@@ -11,8 +11,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include <boost/container/static_vector.hpp>
-
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
@@ -30,8 +28,7 @@
   // A reset that does not repeat it answers something else, as a late packet
   // of an earlier flow with the same key, and denies nothing.
   std::optional<std::uint32_t> m_acknowledged;
-  boost::container::static_vector<base::BackendServerId, kMaximumOrder>
-      m_denials;
+  std::vector<base::BackendServerId> m_denials;
 
   bool HasDenied(base::BackendServerId server) const;
   void AddDenial(base::BackendServerId server);
