--- a/Libraries/LibMembership/membership_receive.cc
+++ b/Libraries/LibMembership/membership_receive.cc
@@ -114,7 +114,7 @@
 void Membership::HearSender(base::Endpoint from,
                             const peer::SenderStatus& sender,
                             base::TimePoint now) {
-  NoteConfiguration(from, sender.m_configuration);
+  NoteConfiguration(from, sender);
   if (m_remote.Knows(sender.m_id))
     return;
   const MemberEntry* known = m_table.Find(sender.m_id);
@@ -122,7 +122,7 @@
     RequestRecord(from, now);
     return;
   }
-  m_table.Hear(sender.m_id, sender.m_configuration, now);
+  m_table.Hear(sender, now);
   if (sender.m_incarnation <= known->m_record.m_incarnation)
     return;
   peer::MemberRecord record = known->m_record;
@@ -142,17 +142,26 @@
            {m_self}, now);
 }
 
-void Membership::NoteConfiguration(
-    base::Endpoint from,
-    const peer::ConfigurationStatus& configuration) {
-  if (configuration.m_version < m_newest_version)
+// A sender whose endpoints are translated is heard from another endpoint than
+// the one where it can be asked. That of a member is in its record; of another
+// data centre only endpoints count that were pinged and answered.
+void Membership::NoteConfiguration(base::Endpoint from,
+                                   const peer::SenderStatus& sender) {
+  const base::ConfigurationVersion version = sender.m_configuration.m_version;
+  if (version < m_newest_version)
     return;
-  const bool is_newer = configuration.m_version > m_newest_version;
-  const bool is_in_own_data_centre = m_table.FindAt(from) != nullptr;
-  if (!is_newer && !is_in_own_data_centre)
+  const MemberEntry* member = m_table.Find(sender.m_id);
+  const bool is_better =
+      member != nullptr || (m_remote.HasLearned(from) && !HasReachableSource());
+  if (version == m_newest_version && !is_better)
     return;
-  m_newest_version = configuration.m_version;
-  m_newest_source = from;
+  m_newest_version = version;
+  m_newest_source = member != nullptr ? member->m_record.m_peer : from;
+}
+
+bool Membership::HasReachableSource() const {
+  return m_newest_source && (m_table.FindAt(*m_newest_source) != nullptr ||
+                             m_remote.HasLearned(*m_newest_source));
 }
 
 // The record of the sender if it does not know yet that it is suspected or
@@ -209,14 +218,19 @@
 // how old it is, however long it waited in a queue.
 void Membership::TakeEvidence(const peer::SenderStatus& sender,
                               base::TimePoint sent_at) {
-  if (m_table.Find(sender.m_id))
-    m_answered_ping_sent_at =
-        std::max(m_answered_ping_sent_at, std::optional(sent_at));
   const peer::ConfigurationStatus& status = sender.m_configuration;
-  const bool is_confirmed =
-      status.m_confirmation_age &&
+  const bool has_same_version =
       status.m_version == m_self.m_configuration.m_version &&
       status.m_version != base::ConfigurationVersion();
+  if (m_table.Find(sender.m_id)) {
+    m_table.TakeAnswer(sender.m_id, sent_at);
+    m_answered_ping_sent_at =
+        std::max(m_answered_ping_sent_at, std::optional(sent_at));
+    if (sender.m_holds_lease && has_same_version)
+      m_holder_ping_sent_at =
+          std::max(m_holder_ping_sent_at, std::optional(sent_at));
+  }
+  const bool is_confirmed = status.m_confirmation_age && has_same_version;
   if (is_confirmed)
     m_confirmed_at = std::max(
         m_confirmed_at, std::optional(sent_at - *status.m_confirmation_age));
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -12,6 +12,7 @@
 
 enum class Event {
   kListening,
+  kBindFailed,
   kReady,
   kShutdownStarted,
   kShutdownFinished,
@@ -23,6 +24,7 @@
   kSubmissionUnknown,
   kLeaseLapsed,
   kLeaseRegained,
+  kPauseDetected,
   kPeerJoined,
   kPeerSuspected,
   kPeerLeft,
@@ -32,8 +34,9 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 19> kEventNames{{
+inline constexpr base::EnumTable<Event, 20> kEventNames{{
     {Event::kListening, "listening"},
+    {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
     {Event::kShutdownFinished, "shutdown_finished"},
@@ -45,6 +48,7 @@
     {Event::kSubmissionUnknown, "submission_unknown"},
     {Event::kLeaseLapsed, "lease_lapsed"},
     {Event::kLeaseRegained, "lease_regained"},
+    {Event::kPauseDetected, "pause_detected"},
     {Event::kPeerJoined, "peer_joined"},
     {Event::kPeerSuspected, "peer_suspected"},
     {Event::kPeerLeft, "peer_left"},
