Coltsfootdale: Leave replaced balancers out of the burn report

Cause: a balancer that is started again after its former run was confirmed dead is another member at the same endpoint. Ruled out: the age of a sum, as the test asks for 5 s. A dead member at whose endpoint another one runs is left out now.

--- a/Services/Coltsfootdale/balancer_burn.cc
+++ b/Services/Coltsfootdale/balancer_burn.cc
@@ -39,17 +39,25 @@
   return sources;
 }
 
+bool BalancerProcess::IsReplaced(const peer::MemberRecord& dead) const {
+  return dead.m_peer == m_membership->Self().m_peer ||
+         m_membership->Peers().FindAt(dead.m_peer) != nullptr;
+}
+
 std::vector<BurnPart> BalancerProcess::BurnMembers() const {
   std::vector<BurnPart> members;
   for (const auto& [id, entry] : m_membership->Peers().Entries()) {
     const peer::MemberRecord& record = entry.m_record;
-    if (record.m_state == peer::MemberState::kLeaving)
-      members.push_back({record.m_name, {record.m_peer}});
-    else if (m_membership->IsExpected(entry))
-      members.push_back(
-          {record.m_name, record.m_state == peer::MemberState::kDead
-                              ? std::vector<base::Endpoint>()
-                              : std::vector{record.m_peer}});
+    const bool is_dead = record.m_state == peer::MemberState::kDead;
+    const bool is_leaving = record.m_state == peer::MemberState::kLeaving;
+    if (is_dead && IsReplaced(record))
+      continue;
+    if (!is_leaving && !m_membership->IsExpected(entry))
+      continue;
+    BurnPart part{record.m_name, {}};
+    if (!is_dead)
+      part.m_endpoints.push_back(record.m_peer);
+    members.push_back(std::move(part));
   }
   return members;
 }
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -106,6 +106,8 @@
   // Burn report.
   void SetBurnDocument(const configuration::Document& document);
   BurnCollector::Sources MakeBurnSources();
+  // Whether another balancer runs where a dead one did.
+  bool IsReplaced(const peer::MemberRecord& dead) const;
   std::vector<BurnPart> BurnMembers() const;
   std::vector<BurnPart> BurnDataCentres();
   void OnPeerRequest(const peer::Message& request,
