--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -24,6 +24,7 @@
   kSubmissionUnknown,
   kLeaseLapsed,
   kLeaseRegained,
+  kPauseDetected,
   kPeerJoined,
   kPeerSuspected,
   kPeerLeft,
@@ -33,7 +34,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 20> kEventNames{{
+inline constexpr base::EnumTable<Event, 21> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -47,6 +48,7 @@
     {Event::kSubmissionUnknown, "submission_unknown"},
     {Event::kLeaseLapsed, "lease_lapsed"},
     {Event::kLeaseRegained, "lease_regained"},
+    {Event::kPauseDetected, "pause_detected"},
     {Event::kPeerJoined, "peer_joined"},
     {Event::kPeerSuspected, "peer_suspected"},
     {Event::kPeerLeft, "peer_left"},
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -1,4 +1,4 @@
-// What a balancer does with its peers: membership, pulls and load counts.
+// What a balancer does with its peers: membership and load counts.
 
 #include <algorithm>
 #include <chrono>
@@ -8,9 +8,7 @@
 
 #include "LibBase/overloaded.h"
 #include "LibFlow/balancer_set.h"
-#include "LibMembership/vm_entry.h"
 #include "LibObservability/log.h"
-#include "LibPeer/document_request.h"
 #include "LibPlatform/configuration_follower.h"
 #include "LibPlatform/follower_driver.h"
 #include "LibPlatform/vm_poller.h"
@@ -25,6 +23,11 @@
 using observability::WriteLog;
 using std::chrono::milliseconds;
 
+// How often the VMs of all data centres are listed; few members contact other
+// data centres, and the others may become one of them.
+constexpr auto kDelegateAllVmsInterval = std::chrono::seconds(5);
+constexpr auto kAllVmsInterval = std::chrono::seconds(60);
+
 // How a peer takes part in traffic; nothing if it does not.
 std::optional<flow::BalancerState> RoutedStateOf(
     const membership::MemberEntry& entry) {
@@ -35,8 +38,10 @@
     case peer::MemberState::kSuspected:
       if (!entry.m_has_served)
         return std::nullopt;
-      return entry.m_suspected_since ? flow::BalancerState::kSuspected
-                                     : flow::BalancerState::kServing;
+      // One without a lease forwards nothing that it may decide about.
+      return entry.m_suspected_since || !entry.m_holds_lease
+                 ? flow::BalancerState::kSuspected
+                 : flow::BalancerState::kServing;
     case peer::MemberState::kJoining:
     case peer::MemberState::kDead:
       break;
@@ -44,6 +49,17 @@
   return std::nullopt;
 }
 
+membership::VmEntry EntryOf(const platform::VmRecord& vm) {
+  return {vm.m_name,
+          vm.m_data_centre,
+          vm.m_state == platform::VmState::kLive
+              ? membership::VmState::kLive
+              : membership::VmState::kLeaving,
+          vm.m_traffic,
+          vm.m_peer,
+          vm.m_admin};
+}
+
 }  // namespace
 
 void BalancerProcess::AdvanceMembership(base::TimePoint now) {
@@ -74,7 +90,7 @@
       },
       [](const membership::LiveMembersChanged&) {},
       [](const membership::Paused& paused) {
-        WriteLog(Severity::kWarning, Event::kLeaseLapsed,
+        WriteLog(Severity::kWarning, Event::kPauseDetected,
                  {{"paused_ms",
                    std::chrono::duration_cast<milliseconds>(paused.m_duration)
                        .count()}});
@@ -93,26 +109,33 @@
       std::nullopt});
 }
 
-void BalancerProcess::TellFollower(base::TimePoint now) {
-  const auto age =
-      m_membership->NewestKnownConfiguration(now).m_confirmation_age;
-  if (!age)
-    return;
-  m_follower->Handle(
-      platform::VersionConfirmed{m_configuration->version(), now - *age});
-}
-
-void BalancerProcess::OnVms(const std::vector<platform::VmRecord>& vms) {
+void BalancerProcess::OnOwnVms(const std::vector<platform::VmRecord>& vms) {
   m_has_vm_list = true;
-  std::vector<membership::VmEntry> entries;
-  entries.reserve(vms.size());
+  m_own_vms.clear();
   for (const platform::VmRecord& vm : vms)
-    entries.push_back({vm.m_name, vm.m_data_centre,
-                       vm.m_state == platform::VmState::kLive
-                           ? membership::VmState::kLive
-                           : membership::VmState::kLeaving,
-                       vm.m_traffic, vm.m_peer, vm.m_admin});
+    m_own_vms.push_back(EntryOf(vm));
+  TellVms();
+}
+
+// FIXME: The list of all VMs grows with the whole system; the platform could
+// list a few of each data centre.
+void BalancerProcess::OnAllVms(const std::vector<platform::VmRecord>& vms) {
+  m_remote_vms.clear();
+  for (const platform::VmRecord& vm : vms) {
+    if (vm.m_data_centre != m_settings.m_data_centre)
+      m_remote_vms.push_back(EntryOf(vm));
+  }
+  if (m_has_vm_list)
+    TellVms();
+}
+
+void BalancerProcess::TellVms() {
+  std::vector<membership::VmEntry> entries = m_own_vms;
+  entries.insert(entries.end(), m_remote_vms.begin(), m_remote_vms.end());
   Take(m_membership->ReceiveVmList(entries, base::Clock::now()));
+  m_all_vms_poller->SetInterval(m_membership->NeedsRemoteVms()
+                                    ? kDelegateAllVmsInterval
+                                    : kAllVmsInterval);
 }
 
 void BalancerProcess::PublishBalancers() {
@@ -129,16 +152,20 @@
     if (*state == flow::BalancerState::kServing)
       peers.m_peers.push_back(id);
   }
-  if (balancers == m_published_balancers)
+  if (m_published_balancers != nullptr &&
+      std::ranges::equal(balancers, m_published_balancers->balancers()))
     return;
-  m_published_balancers = balancers;
+  m_published_balancers =
+      m_published_balancers == nullptr
+          ? std::make_shared<flow::BalancerSet>(m_id, std::move(balancers))
+          : std::make_shared<flow::BalancerSet>(m_id, std::move(balancers),
+                                                *m_published_balancers);
   m_load_sharer.Retain(*m_membership->Snapshot());
   m_follower->Handle(peers);
-  m_traffic->Post(
-      [set = std::make_shared<flow::BalancerSet>(m_id, std::move(balancers))](
-          balancer::TrafficCore& core, base::TimePoint) {
-        core.SetBalancers(set);
-      });
+  m_traffic->Post([set = m_published_balancers](balancer::TrafficCore& core,
+                                                base::TimePoint) {
+    core.SetBalancers(set);
+  });
 }
 
 void BalancerProcess::ShareLoad(base::TimePoint now) {
@@ -160,6 +187,7 @@
   message.m_sender.m_state = m_membership->Self().m_state;
   message.m_sender.m_incarnation = m_membership->Self().m_incarnation;
   message.m_sender.m_configuration.m_version = m_configuration->version();
+  message.m_sender.m_holds_lease = m_membership->HoldsLease(base::Clock::now());
   message.m_body = std::move(body);
   return message;
 }
@@ -173,28 +201,4 @@
     AnswerBurnRequest(*burn, answer);
 }
 
-void BalancerProcess::OnPull(const platform::PullFromPeer& pull) {
-  const membership::MemberEntry* entry =
-      m_membership->Peers().Find(pull.m_peer);
-  const auto source =
-      entry != nullptr
-          ? std::optional(entry->m_record.m_peer)
-          : m_membership->NewestKnownConfiguration(base::Clock::now()).m_source;
-  if (!source || !m_settings.m_mechanisms.m_pull_from_peers) {
-    m_follower->Handle(platform::PeerPullFailed{pull.m_peer});
-    return;
-  }
-  m_document_puller.Pull(
-      *source, MakePeerMessage(peer::DocumentRequest{pull.m_version}),
-      [this, peer = pull.m_peer](std::optional<peer::DocumentReply> reply) {
-        if (!reply || reply->m_version == base::ConfigurationVersion()) {
-          m_follower->Handle(platform::PeerPullFailed{peer});
-          return;
-        }
-        m_follower->Handle(platform::PeerDocument{
-            peer, reply->m_version,
-            std::make_shared<const std::string>(std::move(reply->m_body))});
-      });
-}
-
 }  // namespace service
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -154,8 +154,11 @@
   self.m_id = m_id;
   self.m_name = m_settings.m_name;
   self.m_data_centre = m_settings.m_data_centre;
-  self.m_traffic = m_traffic->LocalEndpoint();
-  self.m_peer = m_peer_link->LocalEndpoint();
+  const auto advertised =
+      m_settings.m_advertised.value_or(configuration::AdvertisedEndpoints{
+          m_traffic->LocalEndpoint(), m_peer_link->LocalEndpoint()});
+  self.m_traffic = advertised.m_traffic;
+  self.m_peer = advertised.m_peer;
   self.m_admin = m_admin->endpoint();
   self.m_incarnation = WallClockMilliseconds();
   return self;
@@ -186,7 +189,12 @@
       [](const platform::ProbePeer&) {});
   m_vm_poller = std::make_unique<platform::VmPoller>(
       m_context, m_platform, m_settings.m_data_centre, kVmListInterval,
-      base::Random(m_random.Next()), [this](const auto& vms) { OnVms(vms); });
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnOwnVms(vms); });
+  m_all_vms_poller = std::make_unique<platform::VmPoller>(
+      m_context, m_platform, base::DataCentreId(), kVmListInterval,
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnAllVms(vms); });
 }
 
 void BalancerProcess::SubscribeTimers() {
@@ -208,29 +216,6 @@
   m_timers.Rearm();
 }
 
-void BalancerProcess::RenewLease(base::TimePoint now) {
-  const membership::NewestConfiguration newest =
-      m_membership->NewestKnownConfiguration(now);
-  const auto expires = m_lease.Renew(
-      {.m_is_isolated = m_membership->IsIsolated(now, m_lease.EvidenceBound()),
-       .m_confirmed_at = m_follower->follower().ConfirmedAt(),
-       .m_is_behind = newest.m_version > m_configuration->version()},
-      now);
-  if (expires.has_value() != m_has_lease) {
-    m_has_lease = expires.has_value();
-    WriteLog(m_has_lease ? Severity::kInfo : Severity::kWarning,
-             m_has_lease ? Event::kLeaseRegained : Event::kLeaseLapsed,
-             {{"version", m_configuration->version().value()},
-              {"newest_known_version", newest.m_version.value()}});
-  }
-  if (!expires)
-    return;
-  m_traffic->Post(
-      [until = *expires](balancer::TrafficCore& core, base::TimePoint) {
-        core.SetLease(until);
-      });
-}
-
 void BalancerProcess::CollectCounts() {
   m_traffic->Post([this](balancer::TrafficCore& core, base::TimePoint) {
     BurnKeeper::Counts counts;
@@ -250,13 +235,13 @@
   m_burn.Take(counts, now);
   m_load_sharer.SetOwn(open_flows);
   ShareLoad(now);
-  m_traffic->Post(
-      [elsewhere = m_load_sharer.Elsewhere(open_flows),
-       peers = static_cast<std::uint32_t>(m_published_balancers.size() - 1)](
-          balancer::TrafficCore& core, base::TimePoint at) {
-        for (const auto& [service, others] : elsewhere)
-          core.ApplyLoad(service, placement::PeerOpenCounts{others, peers}, at);
-      });
+  m_traffic->Post([elsewhere = m_load_sharer.Elsewhere(open_flows),
+                   peers = static_cast<std::uint32_t>(
+                       m_published_balancers->balancers().size() - 1)](
+                      balancer::TrafficCore& core, base::TimePoint at) {
+    for (const auto& [service, others] : elsewhere)
+      core.ApplyLoad(service, placement::PeerOpenCounts{others, peers}, at);
+  });
 }
 
 void BalancerProcess::Run() {
@@ -279,6 +264,7 @@
   m_peer_server->Start();
   m_follower->Start();
   m_vm_poller->Start();
+  m_all_vms_poller->Start();
   SubscribeTimers();
   m_traffic->Start();
   WriteLog(Severity::kInfo, Event::kListening,
@@ -292,16 +278,6 @@
   m_context.run();
 }
 
-void BalancerProcess::OnDocument(base::ConfigurationVersion version,
-                                 const std::string& body) {
-  if (!m_configuration->Adopt(version, body, base::Clock::now()))
-    return;
-  m_load_poller->SetServers(m_configuration->PolledServers());
-  SetBurnDocument(m_configuration->document());
-  // Peers hear of the new version at once.
-  m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
-}
-
 void BalancerProcess::ServeIfJoined(base::TimePoint now) {
   if (m_phase != ProcessPhase::kJoining ||
       m_configuration->version() == base::ConfigurationVersion())
