--- a/Libraries/LibFlow/flow_director.h
+++ b/Libraries/LibFlow/flow_director.h
@@ -17,6 +17,7 @@
 #include "LibFlow/flow_event.h"
 #include "LibFlow/flow_settings.h"
 #include "LibFlow/flow_table.h"
+#include "LibFlow/opening_progress.h"
 #include "LibFlow/opening_table.h"
 #include "LibFlow/probe_table.h"
 #include "LibFlow/service_routing.h"
@@ -30,11 +31,11 @@
 class FlowDirector {
  public:
   // Chooses a server for an opening out of those that may take it, in the
-  // flow's order; null refuses the opening. `attempt` counts from zero.
+  // flow's order; null refuses the opening.
   using Chooser =
       std::function<const RoutedServer*(const ServiceRouting& service,
                                         const ServerOrder& order,
-                                        std::size_t attempt)>;
+                                        OpeningProgress progress)>;
 
   FlowDirector(FlowSettings settings, Chooser chooser, base::TimePoint now);
 
@@ -64,12 +65,20 @@
     base::TimePoint m_now;
   };
 
+  // An entry with its server; both are null if the flow is not known.
+  struct KnownFlow {
+    FlowEntry* m_entry = nullptr;
+    const RoutedServer* m_server = nullptr;
+  };
+
   bool IsLeaseValid(base::TimePoint now) const;
   bool IsHome(const Subject& subject) const;
   FlowEntry& InsertEntry(const Subject& subject);
   // Records the end of a counted flow once.
   void NoteEnd(FlowEntry& entry, base::ServiceId service, Effects& effects);
   void NoteEvicted(const FlowEntry& entry);
+  // Whether a probe would find the entry's server at its first try.
+  bool IsExplained(const FlowEntry& entry) const;
   Effects RelayHome(const Subject& subject, RelayContext relay) const;
 
   // Packets from callers.
@@ -79,10 +88,15 @@
                         FlowEntry& entry);
   Effects PlaceOpening(const CallerPacket& packet, const Subject& subject);
   const RoutedServer* ChooseServer(const Subject& subject,
-                                   const PendingOpening* opening);
+                                   const PendingOpening* opening,
+                                   OpeningReason reason);
   Effects HandleClosing(const CallerPacket& packet, const Subject& subject);
   Effects HandleData(const CallerPacket& packet, const Subject& subject);
   Effects ForwardKnown(const CallerPacket& packet,
+                       const Subject& subject,
+                       KnownFlow known);
+  // Sends the next candidate of a probe what the former left unanswered.
+  Effects ForwardProbe(const CallerPacket& packet,
                        const Subject& subject,
                        FlowEntry& entry);
   Effects Search(const CallerPacket& packet, const Subject& subject);
@@ -91,7 +105,7 @@
   // flow, wrapping around; false if there is none.
   bool AdvanceProbe(const Subject& subject, FlowEntry& entry);
   // The entry, if its server can still get packets and the position fits.
-  FlowEntry* FindKnown(const Subject& subject, std::uint32_t position);
+  KnownFlow FindKnown(const Subject& subject, std::uint32_t position);
   const RoutedServer* FindUsableServer(const Subject& subject,
                                        base::BackendServerId id) const;
 
@@ -103,7 +117,8 @@
   Effects HandleAnswer(const ServerPacket& packet, const Subject& subject);
   Effects ResendElsewhere(const Subject& subject,
                           FlowEntry& entry,
-                          PendingOpening& opening);
+                          PendingOpening& opening,
+                          OpeningReason reason);
   void NoteFirstAnswer(const ServerPacket& packet,
                        const Subject& subject,
                        FlowEntry& entry,
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -67,8 +67,14 @@
   PeerAnswers Answers() const;
   bool HoldsLease(base::TimePoint now) const { return now < m_lease_expires; }
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
+  // Whether a balancer of the own data centre should be there: it has served
+  // and has not left, and if it is dead its VM is still listed as live.
+  bool IsExpected(const MemberEntry& entry) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
+  // Whether this member may have to contact other data centres, so that it
+  // should know which VMs they have.
+  bool NeedsRemoteVms() const;
 
   // The number of members about whom news waits to ride along.
   std::size_t WaitingNews() const { return m_updates.Size(); }
@@ -90,6 +96,7 @@
   void SetLease(base::TimePoint expires) { m_lease_expires = expires; }
 
   // Events.
+  // Takes the VMs of all data centres, this member's own among them.
   Effects ReceiveVmList(const std::vector<VmEntry>& list, base::TimePoint now);
   Effects ReceiveMessage(base::Endpoint from,
                          const peer::Message& message,
@@ -106,7 +113,6 @@
       base::TimePoint now) const;
   std::size_t TransmitLimit() const;
   base::Duration SuspicionTimeout() const;
-  bool IsExpected(const MemberEntry& entry) const;
   void DeclareState(peer::MemberState state);
   void AddNews(base::BalancerId id);
   std::optional<peer::MemberRecord> NewsAbout(base::BalancerId id) const;
@@ -134,8 +140,8 @@
                   const peer::SenderStatus& sender,
                   base::TimePoint now);
   void RequestRecord(base::Endpoint from, base::TimePoint now);
-  void NoteConfiguration(base::Endpoint from,
-                         const peer::ConfigurationStatus& configuration);
+  void NoteConfiguration(base::Endpoint from, const peer::SenderStatus& sender);
+  bool HasReachableSource() const;
   Records RepliesAbout(const peer::SenderStatus& sender) const;
   void Receive(base::Endpoint from,
                const peer::Message& message,
@@ -174,6 +180,7 @@
   std::vector<base::Endpoint> MissingEndpoints(base::Random& random) const;
   void ContactRemote(base::TimePoint now, base::Random& random);
   void RequestPage(base::TimePoint now);
+  bool IsDelegateFor(const base::DataCentreId& data_centre) const;
   void Announce(base::TimePoint now, base::Random& random);
   void PushNews(base::TimePoint now, base::Random& random);
   void ForgetDead(base::TimePoint now);
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -12,6 +12,7 @@
 
 enum class Event {
   kListening,
+  kBindFailed,
   kReady,
   kShutdownStarted,
   kShutdownFinished,
@@ -33,8 +34,9 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 20> kEventNames{{
+inline constexpr base::EnumTable<Event, 21> kEventNames{{
     {Event::kListening, "listening"},
+    {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
     {Event::kShutdownFinished, "shutdown_finished"},
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -34,6 +34,13 @@
   return pattern;
 }
 
+// Test programs that run side by side get numbers of their own from ctest, so
+// that they take no ports from each other.
+int NetworkNumber() {
+  const char* number = std::getenv("COLTSFOOTDALE_TEST_NETWORK");
+  return number == nullptr ? 0 : std::atoi(number);
+}
+
 base::Endpoint Endpoint(const JsonLine& line, const std::string& field) {
   const auto endpoint = base::ParseEndpoint(line.get(field, ""));
   Require(endpoint.has_value(), "no endpoint in field " + field);
@@ -52,8 +59,8 @@
       m_folder(MakeFolder()) {
   m_fabric = std::make_unique<ChildProcess>(
       kStandInTraffic,
-      std::vector<std::string>{"fabric", "--address", Address(0, 1), "--seed",
-                               std::to_string(m_options.m_seed)});
+      std::vector<std::string>{"fabric", "--address", BalancerAddress(),
+                               "--seed", std::to_string(m_options.m_seed)});
   const JsonLine line = m_fabric->WaitFor("listening", kStartDeadline);
   m_fabric_callers = line.get("callers", "");
   m_fabric_servers = line.get("servers", "");
@@ -67,7 +74,8 @@
 
 std::string Deployment::Address(int block, int number) const {
   return "127." + std::to_string(block) + "." +
-         std::to_string(m_options.m_number) + "." + std::to_string(number);
+         std::to_string(NetworkNumber() + m_options.m_number) + "." +
+         std::to_string(number);
 }
 
 void Deployment::AddServer(const std::string& service,
@@ -109,21 +117,28 @@
 
 std::string Deployment::WriteSettings(const std::string& name) {
   std::string path = m_folder + "/" + name + ".yaml";
-  const std::string any_port = Address(0, 1) + ":0";
+  const std::string any_port = BalancerAddress() + ":0";
   const JsonLine& former = m_former_endpoints[name];
-  std::ofstream(path) << "data_centre: " << m_options.m_data_centre
-                      << "\nname: " << name
-                      << "\ntraffic: " << former.get("traffic", any_port)
-                      << "\npeer: " << former.get("peer", any_port)
-                      << "\nadmin: " << former.get("admin", any_port)
-                      << "\ngateway: " << m_fabric_balancers
-                      << "\nplatform: " << base::ToString(m_platform_endpoint)
-                      << "\noperator_token: integration-test-token\n"
-                      << m_options.m_settings;
+  std::ofstream file(path);
+  file << "data_centre: " << m_options.m_data_centre << "\nname: " << name
+       << "\ntraffic: " << former.get("traffic", any_port)
+       << "\npeer: " << former.get("peer", any_port)
+       << "\nadmin: " << former.get("admin", any_port)
+       << "\ngateway: " << m_fabric_balancers
+       << "\nplatform: " << base::ToString(m_platform_endpoint)
+       << "\noperator_token: integration-test-token\n"
+       << m_options.m_settings;
+  if (const auto proxies = m_peer_proxies.find(name);
+      proxies != m_peer_proxies.end())
+    file << "advertise: {traffic: " << proxies->second->traffic()
+         << ", peer: " << proxies->second->peer() << "}\n";
   return path;
 }
 
 void Deployment::StartBalancer(const std::string& name) {
+  if (m_options.m_has_peer_proxies && !m_peer_proxies.contains(name))
+    m_peer_proxies[name] = std::make_unique<PeerProxies>(
+        BalancerAddress(), m_options.m_seed + 3 * m_peer_proxies.size());
   m_balancers[name] = std::make_unique<ChildProcess>(
       kColtsfootdale,
       std::vector<std::string>{"balancer", "--settings", WriteSettings(name)});
@@ -131,10 +146,17 @@
 
 void Deployment::AnnounceBalancer(const std::string& name) {
   const JsonLine line = Balancer(name).WaitFor("listening", kStartDeadline);
+  std::string traffic = line.get("traffic", "");
+  std::string peer = line.get("peer", "");
+  if (const auto proxies = m_peer_proxies.find(name);
+      proxies != m_peer_proxies.end()) {
+    proxies->second->Aim(traffic, peer);
+    traffic = proxies->second->traffic();
+    peer = proxies->second->peer();
+  }
   m_platform.Post("vm?name=" + name +
                   "&data_centre=" + m_options.m_data_centre +
-                  "&state=live&traffic=" + line.get("traffic", "") +
-                  "&peer=" + line.get("peer", "") +
+                  "&state=live&traffic=" + traffic + "&peer=" + peer +
                   "&admin=" + line.get("admin", "127.0.0.1:1"));
 }
 
@@ -169,6 +191,22 @@
     proxy->Ask(command, "done");
 }
 
+void Deployment::SetPeerFault(const std::string& command) {
+  Require(!m_peer_proxies.empty(), "no proxies between the balancers");
+  for (const auto& [name, proxies] : m_peer_proxies)
+    proxies->SetFault(command);
+}
+
+void Deployment::CutFrom(Deployment& other) {
+  SetPeerFault("exclude " + other.BalancerAddress());
+  other.SetPeerFault("exclude " + BalancerAddress());
+}
+
+void Deployment::HealFrom(Deployment& other) {
+  SetPeerFault("admit " + other.BalancerAddress());
+  other.SetPeerFault("admit " + BalancerAddress());
+}
+
 void Deployment::AddBalancer(const std::string& name) {
   StartBalancer(name);
   AnnounceBalancer(name);
