LibPeer: Send the lease flag in the byte of the member state

Change: the flag takes the high bit of the state; a watcher is asked after 2.5 s, 0.5 s before the platform is.

--- a/Libraries/LibPeer/archive.h
+++ b/Libraries/LibPeer/archive.h
@@ -120,16 +120,21 @@
   record.m_data_centre = base::DataCentreId(std::move(data_centre));
 }
 
+// The flag shares a byte with the state, as this is part of every message.
 template <typename Archive>
 void serialize(Archive& archive, SenderStatus& status) {
+  constexpr std::uint8_t kHoldsLease = 0x80;
   archive(status.m_id);
-  ArchiveState(archive, status.m_state);
-  auto holds_lease = static_cast<std::uint8_t>(status.m_holds_lease);
-  archive(status.m_incarnation, status.m_configuration, status.m_view_digest,
-          holds_lease);
-  if (holds_lease > 1)
-    throw cereal::Exception("a flag is neither 0 nor 1");
-  status.m_holds_lease = holds_lease == 1;
+  auto bits = static_cast<std::uint8_t>(status.m_state);
+  if (status.m_holds_lease)
+    bits |= kHoldsLease;
+  archive(bits);
+  status.m_holds_lease = (bits & kHoldsLease) != 0;
+  bits &= static_cast<std::uint8_t>(~kHoldsLease);
+  if (bits > static_cast<std::uint8_t>(MemberState::kDead))
+    throw cereal::Exception("unknown member state");
+  status.m_state = static_cast<MemberState>(bits);
+  archive(status.m_incarnation, status.m_configuration, status.m_view_digest);
 }
 
 template <typename Archive>
--- a/Libraries/LibPlatform/configuration_follower.h
+++ b/Libraries/LibPlatform/configuration_follower.h
@@ -35,7 +35,7 @@
   base::Duration m_watch_wait = std::chrono::seconds(1);
   // A balancer that does not watch asks a watcher after this time without a
   // confirmation, and again every m_probe_interval.
-  base::Duration m_probe_after = std::chrono::milliseconds(1500);
+  base::Duration m_probe_after = std::chrono::milliseconds(2500);
   base::Duration m_probe_interval = std::chrono::milliseconds(500);
   // It asks the platform after this time without a confirmation, and again
   // every m_poll_interval.
