--- a/Tests/Integration/test_burn_report.cc
+++ b/Tests/Integration/test_burn_report.cc
@@ -190,6 +190,11 @@
   CHECK(killed.Has("Counts of 5 of 6 balancers, missing: a/entry-3"));
   CHECK(killed.m_short < flows);
 
+  // Its former run is confirmed dead before it comes back as another member.
+  for (const std::string& name : scenario.near().BalancerNames())
+    scenario.near().Balancer(name).WaitFor(
+        "peer_left", kNoticeDeadline,
+        [](const auto& line) { return line.get("peer", "") == "entry-3"; });
   scenario.near().RestartBalancer("entry-3");
   const Report restarted = FetchUntil(
       scenario.far(), "entry-6",
