--- a/Libraries/LibBalancer/packet_classifier.cc
+++ b/Libraries/LibBalancer/packet_classifier.cc
@@ -7,7 +7,9 @@
 namespace {
 
 flow::CallerPacketKind CallerKindOf(wire::TcpFlags flags) {
-  if (flags.m_reset || flags.m_finish)
+  if (flags.m_reset)
+    return flow::CallerPacketKind::kAborted;
+  if (flags.m_finish)
     return flow::CallerPacketKind::kClosing;
   if (flags.m_synchronise && !flags.m_acknowledge)
     return flow::CallerPacketKind::kOpening;
@@ -42,7 +44,9 @@
           .m_position = packet.sequence(),
           .m_relay = relay,
           .m_bytes = packet.bytes(),
-          .m_acknowledged = packet.acknowledgement()};
+          .m_acknowledged = packet.acknowledgement(),
+          .m_payload_bytes = static_cast<std::uint32_t>(packet.payload_bytes()),
+          .m_is_window_closed = packet.window() == 0};
 }
 
 flow::ServerPacket ClassifyServerPacket(const wire::PacketView& packet,
@@ -57,7 +61,9 @@
           .m_server = server,
           .m_relay = relay,
           .m_has_payload = packet.payload_bytes() > 0,
-          .m_server_position = packet.sequence()};
+          .m_server_position = packet.sequence(),
+          .m_payload_bytes = static_cast<std::uint32_t>(packet.payload_bytes()),
+          .m_is_window_closed = packet.window() == 0};
 }
 
 }  // namespace balancer
--- a/Libraries/LibBalancer/traffic_core.cc
+++ b/Libraries/LibBalancer/traffic_core.cc
@@ -20,7 +20,13 @@
                  std::size_t attempt) {
             return Choose(service, order, attempt);
           },
-          now) {}
+          now),
+      m_lease_expires(settings.m_mechanisms.m_configuration_lease
+                          ? base::TimePoint::min()
+                          : base::TimePoint::max()) {
+  if (settings.m_mechanisms.m_detect_silence)
+    m_silence.emplace(settings.m_silence, now);
+}
 
 bool TrafficCore::HasService(base::Endpoint address) const {
   return m_routing != nullptr && m_routing->FindService(address) != nullptr;
@@ -47,10 +53,16 @@
 
 void TrafficCore::SetBalancers(
     std::shared_ptr<const flow::BalancerSet> balancers) {
+  m_peers.clear();
+  for (const flow::Balancer& balancer : balancers->balancers()) {
+    if (balancer.m_id != balancers->self())
+      m_peers.push_back(balancer.m_id);
+  }
   m_director.SetBalancers(std::move(balancers));
 }
 
 void TrafficCore::SetLease(base::TimePoint expires) {
+  m_lease_expires = std::max(m_lease_expires, expires);
   m_director.SetLease(expires);
 }
 
@@ -66,21 +78,74 @@
                                               base::TimePoint now) {
   if (m_routing == nullptr)
     return {flow::Drop{flow::DropReason::kUnknownService}};
-  return TakeNotes(m_director.HandleCallerPacket(packet, now), now);
+  flow::Effects effects =
+      TakeNotes(m_director.HandleCallerPacket(packet, now), now);
+  if (m_silence)
+    Watch(flow::MakeStreamPacket(packet), packet.m_relay.m_purpose, effects,
+          now);
+  return effects;
 }
 
 flow::Effects TrafficCore::HandleServerPacket(const flow::ServerPacket& packet,
                                               base::TimePoint now) {
   if (m_routing == nullptr)
     return {flow::Drop{flow::DropReason::kUnknownService}};
-  return TakeNotes(m_director.HandleServerPacket(packet, now), now);
+  flow::Effects effects =
+      TakeNotes(m_director.HandleServerPacket(packet, now), now);
+  if (m_silence)
+    Watch(flow::MakeStreamPacket(packet), packet.m_relay.m_purpose, effects,
+          now);
+  return effects;
+}
+
+// A relayed packet was seen by the balancer that relayed it, and one that is
+// dropped here cannot be answered.
+void TrafficCore::Watch(const flow::StreamPacket& packet,
+                        flow::RelayPurpose purpose,
+                        const flow::Effects& effects,
+                        base::TimePoint now) {
+  const bool is_dropped = std::ranges::any_of(effects, [](const auto& effect) {
+    return std::holds_alternative<flow::Drop>(effect);
+  });
+  if (purpose == flow::RelayPurpose::kNone && !is_dropped)
+    m_silence->Observe(packet, now);
+}
+
+void TrafficCore::HandleWatchRequest(base::BalancerId from,
+                                     const flow::WatchRequest& request,
+                                     base::TimePoint now) {
+  if (m_silence)
+    m_silence->HandleRequest(from, request, now);
+}
+
+void TrafficCore::HandleWatchReply(base::BalancerId from,
+                                   const flow::WatchReply& reply) {
+  if (m_silence)
+    m_silence->HandleReply(from, reply);
 }
 
-void TrafficCore::Advance(base::TimePoint now) {
+flow::SilenceActions TrafficCore::Advance(base::TimePoint now) {
   for (const flow::FlowNote& note : m_director.Expire(now))
     Observe(note, now);
   for (auto& [service, gate] : m_gates)
     gate.Advance(now, m_random);
+  if (!m_silence)
+    return {};
+  // What passes while this balancer forwards nothing proves nothing.
+  if (now >= m_lease_expires)
+    m_silence->Forget();
+  flow::SilenceActions actions = m_silence->Advance(now, m_peers);
+  for (const flow::SilentFlow& silent : actions.m_silent)
+    NoteSilent(silent, now);
+  return actions;
+}
+
+void TrafficCore::NoteSilent(const flow::SilentFlow& silent,
+                             base::TimePoint now) {
+  const flow::ServiceRouting* service =
+      m_routing->FindService(silent.m_repetition.m_key.m_service);
+  if (service != nullptr)
+    Observe({flow::FlowNoteKind::kBroken, service->id(), {}, {}}, now);
 }
 
 const flow::RoutedServer* TrafficCore::Choose(
--- a/Libraries/LibBalancer/traffic_core.h
+++ b/Libraries/LibBalancer/traffic_core.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "LibBase/random.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_director.h"
+#include "LibFlow/silence_detector.h"
 
 namespace flow {
 class BalancerSet;
@@ -56,20 +58,36 @@
                                    base::TimePoint now);
   flow::Effects HandleServerPacket(const flow::ServerPacket& packet,
                                    base::TimePoint now);
-  // Call it every 100 to 250 ms.
-  void Advance(base::TimePoint now);
+  // What other balancers ask and reply about flows that may be silent.
+  void HandleWatchRequest(base::BalancerId from,
+                          const flow::WatchRequest& request,
+                          base::TimePoint now);
+  void HandleWatchReply(base::BalancerId from, const flow::WatchReply& reply);
+  // Call it every 100 to 250 ms. The silent flows that it returns are counted
+  // as broken; the caller of this function resets both their ends.
+  flow::SilenceActions Advance(base::TimePoint now);
 
  private:
   const flow::RoutedServer* Choose(const flow::ServiceRouting& service,
                                    const flow::ServerOrder& order,
                                    std::size_t attempt);
   void Observe(const flow::FlowNote& note, base::TimePoint now);
+  // Lets the detection of silent flows see a packet.
+  void Watch(const flow::StreamPacket& packet,
+             flow::RelayPurpose purpose,
+             const flow::Effects& effects,
+             base::TimePoint now);
+  void NoteSilent(const flow::SilentFlow& silent, base::TimePoint now);
   flow::Effects TakeNotes(flow::Effects effects, base::TimePoint now);
 
   base::Random m_random;
   std::unordered_map<base::ServiceId, ServiceGate> m_gates;
   std::shared_ptr<const flow::RoutingTable> m_routing;
   flow::FlowDirector m_director;
+  // Nothing if the mechanism is switched off.
+  std::optional<flow::SilenceDetector> m_silence;
+  std::vector<base::BalancerId> m_peers;
+  base::TimePoint m_lease_expires;
 };
 
 }  // namespace balancer
--- a/Libraries/LibConfiguration/settings.h
+++ b/Libraries/LibConfiguration/settings.h
@@ -45,6 +45,10 @@
   // Probes and relays in search of unknown flows.
   std::uint64_t m_search_budget_per_second = 1000;
   PlacementPolicy m_placement = PlacementPolicy::kBoundedWalk;
+  // How long all balancers watch a flow in which one end repeats itself, and
+  // how often it must do so unanswered in that time to be reset.
+  std::chrono::milliseconds m_silence_watch{5000};
+  std::uint64_t m_silence_repetitions = 7;
 };
 
 // Switches by which a test turns one mechanism off to show what it is for,
@@ -57,6 +61,7 @@
   bool m_configuration_lease = true;
   bool m_address_hold = true;
   bool m_pull_from_peers = true;
+  bool m_detect_silence = true;
 };
 
 struct Settings {
--- a/Libraries/LibConfiguration/settings_reader.cc
+++ b/Libraries/LibConfiguration/settings_reader.cc
@@ -17,6 +17,8 @@
 constexpr IntegerRange kIdleSeconds{1, 604'800};
 constexpr IntegerRange kFlowTableMegabytes{1, 16'384};
 constexpr IntegerRange kSearchBudget{0, 1'000'000};
+constexpr IntegerRange kSilenceWatchMilliseconds{2'000, 60'000};
+constexpr IntegerRange kSilenceRepetitions{4, 100};
 
 ControlSettings ReadControl(MapReader& map) {
   ControlSettings control;
@@ -35,6 +37,11 @@
                     control.m_search_budget_per_second, kSearchBudget);
   control.m_placement =
       map.EnumOr("placement", control.m_placement, kPlacementPolicyNames);
+  control.m_silence_watch = map.DurationOr(
+      "silence_watch_ms", control.m_silence_watch, kSilenceWatchMilliseconds);
+  control.m_silence_repetitions =
+      map.IntegerOr("silence_repetitions", control.m_silence_repetitions,
+                    kSilenceRepetitions);
   return control;
 }
 
@@ -53,6 +60,8 @@
       map.BooleanOr("address_hold", mechanisms.m_address_hold);
   mechanisms.m_pull_from_peers =
       map.BooleanOr("pull_from_peers", mechanisms.m_pull_from_peers);
+  mechanisms.m_detect_silence =
+      map.BooleanOr("detect_silence", mechanisms.m_detect_silence);
   return mechanisms;
 }
 
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -37,6 +37,7 @@
     case CallerPacketKind::kOpening:
       return DecideOpening(packet, subject);
     case CallerPacketKind::kClosing:
+    case CallerPacketKind::kAborted:
       return HandleClosing(packet, subject);
     case CallerPacketKind::kData:
       break;
@@ -138,7 +139,9 @@
 
   Effects effects = ForwardKnown(packet, subject, *entry);
   entry->m_is_closed_by_caller = true;
-  if (entry->m_is_closed_by_server) {
+  const bool is_over = packet.m_kind == CallerPacketKind::kAborted ||
+                       entry->m_is_closed_by_server;
+  if (is_over) {
     entry->m_state = FlowState::kClosing;
     NoteEnd(*entry, subject.m_service.id(), effects);
   }
--- a/Libraries/LibFlow/flow_event.h
+++ b/Libraries/LibFlow/flow_event.h
@@ -16,6 +16,8 @@
   kOpening,
   kData,
   kClosing,
+  // The caller aborted the flow: it is over at both ends.
+  kAborted,
 };
 
 enum class ServerPacketKind : std::uint8_t {
@@ -79,6 +81,9 @@
   // acknowledgement number. A server that does not have the flow repeats it
   // (RFC 9293 section 3.10.7.1).
   std::uint32_t m_acknowledged = 0;
+  std::uint32_t m_payload_bytes = 0;
+  // The caller takes no more data for now: TCP's window is zero.
+  bool m_is_window_closed = false;
 };
 
 struct ServerPacket {
@@ -93,6 +98,9 @@
   bool m_has_payload = false;
   // Where in the server's byte stream the packet starts: TCP's sequence number.
   std::uint32_t m_server_position = 0;
+  std::uint32_t m_payload_bytes = 0;
+  // The server takes no more data for now: TCP's window is zero.
+  bool m_is_window_closed = false;
 };
 
 }  // namespace flow
--- a/Libraries/LibFlow/flow_settings.h
+++ b/Libraries/LibFlow/flow_settings.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 
 #include "LibBase/time.h"
+#include "LibFlow/silence_settings.h"
 
 namespace flow {
 
@@ -17,10 +18,12 @@
   bool m_probe = true;
   bool m_reopen_on_refusal = true;
   bool m_configuration_lease = true;
+  bool m_detect_silence = true;
 };
 
 struct FlowSettings {
   Mechanisms m_mechanisms;
+  SilenceSettings m_silence;
   std::size_t m_table_bytes = std::size_t{48} << 20;
   std::size_t m_maximum_openings = 65536;
   // Each keeps one packet.
--- /dev/null
+++ b/Libraries/LibFlow/sighting_table.cc
@@ -0,0 +1,98 @@
+#include "LibFlow/sighting_table.h"
+
+#include <algorithm>
+#include <bit>
+#include <chrono>
+#include <limits>
+
+#include "LibBase/verify.h"
+
+namespace flow {
+
+namespace {
+
+constexpr std::uint32_t kTagBits = 24;
+constexpr std::uint32_t kMaximumCount = 255;
+
+std::uint64_t HashStream(std::uint64_t flow_hash, StreamEnd sender) {
+  return sender == StreamEnd::kServer ? ~flow_hash : flow_hash;
+}
+
+// Never zero, which marks a free slot.
+std::uint32_t TagOf(std::uint64_t hash) {
+  return static_cast<std::uint32_t>(hash >> (64 - kTagBits)) | 1U;
+}
+
+std::uint32_t EndOf(const StreamPacket& packet) {
+  return packet.m_position + packet.m_payload_bytes;
+}
+
+}  // namespace
+
+SightingTable::SightingTable(base::TimePoint epoch, std::size_t slots)
+    : m_epoch(epoch), m_slots(slots) {
+  VERIFY(std::has_single_bit(slots));
+}
+
+const SightingTable::Sighting* SightingTable::Find(
+    const WatchedStream& stream) const {
+  const std::uint64_t hash = HashStream(stream.m_flow_hash, stream.m_sender);
+  const Sighting& sighting = m_slots[hash & (m_slots.size() - 1)];
+  return sighting.m_tag == TagOf(hash) ? &sighting : nullptr;
+}
+
+std::uint8_t SightingTable::CountOf(const WatchedStream& stream) const {
+  const Sighting* sighting = Find(stream);
+  if (sighting == nullptr || sighting->m_position != stream.m_position)
+    return 0;
+  return static_cast<std::uint8_t>(sighting->m_count);
+}
+
+std::uint16_t SightingTable::ExtentOf(const WatchedStream& stream) const {
+  constexpr std::uint32_t kGreatest = std::numeric_limits<std::uint16_t>::max();
+  const Sighting* sighting = Find(stream);
+  if (sighting == nullptr || !IsPast(sighting->m_end, stream.m_position))
+    return 0;
+  return static_cast<std::uint16_t>(
+      std::min(sighting->m_end - stream.m_position, kGreatest));
+}
+
+base::Duration SightingTable::Note(const StreamPacket& packet,
+                                   base::TimePoint now) {
+  using std::chrono::milliseconds;
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(now - m_epoch);
+  const auto now_ms = static_cast<std::uint32_t>(elapsed.count());
+  const std::uint64_t hash = HashStream(packet.m_hash, packet.m_sender);
+
+  Sighting& sighting = m_slots[hash & (m_slots.size() - 1)];
+  if (sighting.m_tag != TagOf(hash)) {
+    sighting = {TagOf(hash), 1, packet.m_position, EndOf(packet), now_ms};
+    return base::Duration::zero();
+  }
+  const bool is_new_data = !IsPast(sighting.m_end, packet.m_position);
+  if (is_new_data) {
+    sighting.m_end = EndOf(packet);
+    sighting.m_advanced_ms = now_ms;
+    // New data does not prove that what was repeated has arrived.
+    if (sighting.m_count > 1)
+      return base::Duration::zero();
+    sighting.m_position = packet.m_position;
+    return base::Duration::zero();
+  }
+  CountRepetition(packet, sighting);
+  return milliseconds(now_ms - sighting.m_advanced_ms);
+}
+
+void SightingTable::CountRepetition(const StreamPacket& packet,
+                                    Sighting& sighting) {
+  if (IsPast(EndOf(packet), sighting.m_end))
+    sighting.m_end = EndOf(packet);
+  if (sighting.m_position != packet.m_position) {
+    sighting.m_position = packet.m_position;
+    sighting.m_count = 1;
+  }
+  if (sighting.m_count < kMaximumCount)
+    ++sighting.m_count;
+}
+
+}  // namespace flow
--- /dev/null
+++ b/Libraries/LibFlow/silence_detector.cc
@@ -0,0 +1,238 @@
+#include "LibFlow/silence_detector.h"
+
+#include <algorithm>
+
+namespace flow {
+
+namespace {
+
+// Suspicions that come within this time share a request.
+constexpr auto kRequestPeriod = std::chrono::seconds(1);
+// A suspicion that could not be asked about for so long is dropped; the next
+// repetition renews it.
+constexpr auto kSuspectLifetime = std::chrono::seconds(5);
+// How long a reply may take beyond the watch.
+constexpr auto kReplyPatience = std::chrono::seconds(1);
+// A longer time between two calls of Advance is a pause of the process.
+constexpr auto kLongestGap = std::chrono::seconds(1);
+// How often one flow is asked about in a row.
+constexpr std::uint32_t kMaximumWatches = 20;
+// A payload that passed so often is asked about again, even if it did not pass
+// during a watch.
+constexpr std::uint32_t kManySightings = 6;
+
+}  // namespace
+
+SilenceDetector::SilenceDetector(const SilenceSettings& settings,
+                                 base::TimePoint now)
+    : m_settings(settings),
+      m_sightings(now, settings.m_sighting_slots),
+      m_watches(settings.m_maximum_watched),
+      m_budget(settings.m_bytes_per_second, settings.m_burst_bytes, now),
+      m_next_request(now),
+      m_last_advance(now) {}
+
+void SilenceDetector::Observe(const StreamPacket& packet, base::TimePoint now) {
+  m_watches.Observe(packet);
+  if (packet.m_payload_bytes == 0 || packet.m_is_control)
+    return;
+  const base::Duration silent_for = m_sightings.Note(packet, now);
+  if (silent_for >= m_settings.m_suspect_after)
+    AddSuspect(packet, silent_for, now);
+}
+
+void SilenceDetector::AddSuspect(const StreamPacket& packet,
+                                 base::Duration silent_for,
+                                 base::TimePoint now) {
+  // One balancer asks about a stream, whoever it is.
+  if (m_watches.IsWatched(packet) ||
+      m_suspects.size() >= m_settings.m_maximum_suspects)
+    return;
+  const bool is_known = std::ranges::any_of(m_suspects, [&](const auto& other) {
+    return other.m_packet.m_hash == packet.m_hash &&
+           other.m_packet.m_sender == packet.m_sender;
+  });
+  if (is_known)
+    return;
+  ++m_suspicions;
+  m_suspects.push_back({.m_packet = packet,
+                        .m_silent_since = now - silent_for,
+                        .m_suspected_at = now});
+}
+
+void SilenceDetector::HandleRequest(base::BalancerId from,
+                                    const WatchRequest& request,
+                                    base::TimePoint now) {
+  if (request.m_streams.size() > kMaximumWatchedStreams)
+    return;
+  const WatchId id = NextId();
+  if (m_watches.Add(id, request.m_streams))
+    m_for_peers.push_back({id, now, from, request.m_number});
+}
+
+void SilenceDetector::HandleReply(base::BalancerId from,
+                                  const WatchReply& reply) {
+  const auto own = m_own.find(reply.m_number);
+  if (own == m_own.end() ||
+      reply.m_reports.size() != own->second.m_suspects.size())
+    return;
+  own->second.m_replies.try_emplace(from, reply);
+}
+
+SilenceActions SilenceDetector::Advance(
+    base::TimePoint now,
+    std::span<const base::BalancerId> peers) {
+  if (now - m_last_advance > kLongestGap)
+    Forget();
+  m_last_advance = now;
+  m_budget.Refill(now);
+  SilenceActions actions;
+  AnswerPeers(now, actions);
+  JudgeOwn(now, peers, actions);
+  Ask(now, peers, actions);
+  return actions;
+}
+
+void SilenceDetector::Forget() {
+  m_watches.Clear();
+  m_suspects.clear();
+  m_own.clear();
+  m_for_peers.clear();
+}
+
+void SilenceDetector::AnswerPeers(base::TimePoint now,
+                                  SilenceActions& actions) {
+  std::erase_if(m_for_peers, [&](const PeerWatch& watch) {
+    if (now - watch.m_started < m_settings.m_watch)
+      return false;
+    WatchReply reply{watch.m_number, TakeReports(watch.m_id)};
+    const std::size_t streams = reply.m_reports.size();
+    if (m_budget.CanReply(streams)) {
+      m_budget.TakeReply(streams);
+      actions.m_replies.push_back({watch.m_from, std::move(reply)});
+    }
+    return true;
+  });
+}
+
+std::vector<StreamReport> SilenceDetector::TakeReports(WatchId id) {
+  std::vector<StreamReport> reports;
+  for (const WatchTable::Watched& watched : m_watches.Take(id)) {
+    reports.push_back(watched.m_report);
+    reports.back().m_sightings = m_sightings.CountOf(watched.m_stream);
+    reports.back().m_extent_bytes = m_sightings.ExtentOf(watched.m_stream);
+  }
+  return reports;
+}
+
+void SilenceDetector::JudgeOwn(base::TimePoint now,
+                               std::span<const base::BalancerId> peers,
+                               SilenceActions& actions) {
+  std::erase_if(m_own, [&](const auto& entry) {
+    const OwnWatch& watch = entry.second;
+    const base::Duration watched = now - watch.m_started;
+    if (watched < m_settings.m_watch)
+      return false;
+    if (watch.HasReplyOfAll(watch.m_asked) && watch.HasReplyOfAll(peers))
+      Judge(watch, now, actions);
+    else if (watched < m_settings.m_watch + kReplyPatience)
+      return false;
+    // Without all replies nothing is known. The next repetition renews the
+    // suspicion.
+    m_watches.Take(watch.m_id);
+    return true;
+  });
+}
+
+bool SilenceDetector::OwnWatch::HasReplyOfAll(
+    std::span<const base::BalancerId> peers) const {
+  return std::ranges::all_of(peers, [this](base::BalancerId peer) {
+    return m_replies.contains(peer);
+  });
+}
+
+// What all balancers saw of one of the streams.
+SilenceDetector::Total SilenceDetector::TotalOf(const OwnWatch& watch,
+                                                const StreamReport& own,
+                                                std::size_t stream) {
+  Total total{own.m_is_answered, own.m_repetitions, own.m_sightings,
+              own.m_extent_bytes};
+  for (const auto& [peer, reply] : watch.m_replies) {
+    const StreamReport& report = reply.m_reports[stream];
+    total.m_is_answered = total.m_is_answered || report.m_is_answered;
+    total.m_repetitions += report.m_repetitions;
+    total.m_sightings += report.m_sightings;
+    total.m_extent_bytes =
+        std::max<std::uint32_t>(total.m_extent_bytes, report.m_extent_bytes);
+  }
+  return total;
+}
+
+void SilenceDetector::Judge(const OwnWatch& watch,
+                            base::TimePoint now,
+                            SilenceActions& actions) {
+  const std::vector<StreamReport> own = TakeReports(watch.m_id);
+  for (std::size_t i = 0; i < watch.m_suspects.size(); ++i) {
+    const Total total = TotalOf(watch, own[i], i);
+    if (total.m_is_answered)
+      continue;
+    Suspect suspect = watch.m_suspects[i];
+    suspect.m_suspected_at = now;
+    suspect.m_watched_repetitions += total.m_repetitions;
+    ++suspect.m_watches;
+    if (total.m_sightings >= m_settings.m_repetitions &&
+        suspect.m_watched_repetitions >= m_settings.m_watched_repetitions)
+      actions.m_silent.push_back({suspect.m_packet, total.m_extent_bytes,
+                                  now - suspect.m_silent_since});
+    else if (IsWorthAnotherWatch(suspect, total))
+      m_suspects.push_back(suspect);
+  }
+}
+
+// An end that doubles its timeout without a bound may repeat itself less often
+// than once a watch.
+bool SilenceDetector::IsWorthAnotherWatch(const Suspect& suspect,
+                                          const Total& total) const {
+  if (suspect.m_watches >= kMaximumWatches ||
+      m_suspects.size() >= m_settings.m_maximum_suspects)
+    return false;
+  return total.m_repetitions > 0 || total.m_sightings >= kManySightings;
+}
+
+void SilenceDetector::Ask(base::TimePoint now,
+                          std::span<const base::BalancerId> peers,
+                          SilenceActions& actions) {
+  std::erase_if(m_suspects, [&](const Suspect& suspect) {
+    return m_watches.IsWatched(suspect.m_packet) ||
+           now - suspect.m_suspected_at > kSuspectLifetime;
+  });
+  if (m_suspects.empty() || now < m_next_request)
+    return;
+  const std::size_t wanted =
+      std::min(m_suspects.size(), kMaximumWatchedStreams);
+  const std::size_t count = m_budget.AffordableStreams(wanted, peers.size());
+  if (count == 0)
+    return;
+  // What is silent for longest comes first.
+  std::ranges::stable_sort(m_suspects, {}, &Suspect::m_silent_since);
+  const auto last = m_suspects.begin() + static_cast<std::ptrdiff_t>(count);
+  OwnWatch watch{NextId(),
+                 now,
+                 {m_suspects.begin(), last},
+                 {peers.begin(), peers.end()},
+                 {}};
+  WatchRequest request{++m_last_number, {}};
+  for (const Suspect& suspect : watch.m_suspects)
+    request.m_streams.push_back({suspect.m_packet.m_hash,
+                                 suspect.m_packet.m_position,
+                                 suspect.m_packet.m_sender});
+  if (!m_watches.Add(watch.m_id, request.m_streams))
+    return;
+  m_suspects.erase(m_suspects.begin(), last);
+  m_budget.TakeRequest(count, peers.size());
+  m_next_request = now + kRequestPeriod;
+  m_own.emplace(request.m_number, std::move(watch));
+  actions.m_request = std::move(request);
+}
+
+}  // namespace flow
--- /dev/null
+++ b/Libraries/LibFlow/silence_settings.h
@@ -0,0 +1,35 @@
+// The settings of the detection of silent flows.
+
+#ifndef LIBFLOW_SILENCE_SETTINGS_H_
+#define LIBFLOW_SILENCE_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "LibBase/time.h"
+
+namespace flow {
+
+struct SilenceSettings {
+  // A retransmission so long after the last new data is suspicious.
+  base::Duration m_suspect_after = std::chrono::milliseconds(500);
+  // How long all balancers watch a suspicious stream.
+  base::Duration m_watch = std::chrono::seconds(5);
+  // How often the payload must have passed all balancers together, the first
+  // time included.
+  std::uint32_t m_repetitions = 7;
+  // How many of these must have passed unanswered while all watched.
+  std::uint32_t m_watched_repetitions = 3;
+  // Mean bytes a second sent to all other balancers together, headers of IP
+  // and UDP included, and bytes that may be sent ahead of it.
+  double m_bytes_per_second = 500;
+  double m_burst_bytes = 6'000;
+  std::size_t m_sighting_slots = std::size_t{1} << 17;
+  std::size_t m_maximum_suspects = 1024;
+  std::size_t m_maximum_watched = 8192;
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_SILENCE_SETTINGS_H_
--- /dev/null
+++ b/Libraries/LibFlow/watch_table.h
@@ -0,0 +1,59 @@
+// The streams that a balancer watches for itself and for others, and what has
+// passed of them. While nothing is watched a packet costs one comparison.
+
+#ifndef LIBFLOW_WATCH_TABLE_H_
+#define LIBFLOW_WATCH_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBase/strong_id.h"
+#include "LibFlow/watch_message.h"
+
+namespace flow {
+
+using WatchId = base::StrongId<struct WatchIdTag, std::uint64_t>;
+
+class WatchTable {
+ public:
+  struct Watched {
+    WatchedStream m_stream;
+    StreamReport m_report;
+  };
+
+  explicit WatchTable(std::size_t maximum_streams)
+      : m_maximum_streams(maximum_streams) {}
+
+  // Queries.
+  std::size_t stream_count() const { return m_index.size(); }
+  bool IsWatched(const StreamPacket& packet) const;
+
+  // Commands.
+  // Starts to watch; false, and nothing is watched, over the bound.
+  bool Add(WatchId id, std::span<const WatchedStream> streams);
+  // Notes what a packet tells about the watched streams.
+  void Observe(const StreamPacket& packet);
+  // Ends the watch; empty if there is none of this id.
+  std::vector<Watched> Take(WatchId id);
+  void Clear();
+
+ private:
+  struct Place {
+    WatchId m_id;
+    std::size_t m_position = 0;
+  };
+
+  static void Note(const StreamPacket& packet, Watched& watched);
+
+  std::size_t m_maximum_streams;
+  std::unordered_map<WatchId, std::vector<Watched>> m_watches;
+  // By the hash of the flow.
+  std::unordered_multimap<std::uint64_t, Place> m_index;
+};
+
+}  // namespace flow
+
+#endif  // LIBFLOW_WATCH_TABLE_H_
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -29,10 +29,11 @@
   kPeerMessageRefused,
   kPlatformUnreachable,
   kConsoleRequestRefused,
+  kFlowsSilent,
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 19> kEventNames{{
+inline constexpr base::EnumTable<Event, 20> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
@@ -51,6 +52,7 @@
     {Event::kPeerMessageRefused, "peer_message_refused"},
     {Event::kPlatformUnreachable, "platform_unreachable"},
     {Event::kConsoleRequestRefused, "console_request_refused"},
+    {Event::kFlowsSilent, "flows_silent"},
     {Event::kEventsSuppressed, "events_suppressed"},
 }};
 
--- a/Libraries/LibPeer/archive.h
+++ b/Libraries/LibPeer/archive.h
@@ -193,6 +193,28 @@
   archive(MakeBounded<std::uint8_t, kMaximumBurnCounters>(counters.m_counters));
 }
 
+template <typename Archive>
+void serialize(Archive& archive, WatchedStream& stream) {
+  archive(stream.m_flow_hash, stream.m_position, stream.m_sender);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, FlowWatch& watch) {
+  archive(watch.m_number,
+          MakeBounded<std::uint8_t, kMaximumWatchedStreams>(watch.m_streams));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, StreamReport& report) {
+  archive(report.m_repetitions, report.m_sightings, report.m_extent_bytes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, FlowWatchReply& reply) {
+  archive(reply.m_number,
+          MakeBounded<std::uint8_t, kMaximumWatchedStreams>(reply.m_reports));
+}
+
 }  // namespace peer
 
 #endif  // LIBPEER_ARCHIVE_H_
--- /dev/null
+++ b/Libraries/LibPeer/flow_watch.h
@@ -0,0 +1,25 @@
+// Asks the receiver to watch streams that may have gone silent and to report
+// what it saw of them.
+
+#ifndef LIBPEER_FLOW_WATCH_H_
+#define LIBPEER_FLOW_WATCH_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "LibPeer/watched_stream.h"
+
+namespace peer {
+
+struct FlowWatch {
+  // The sender's number of the request.
+  std::uint32_t m_number = 0;
+  // At most kMaximumWatchedStreams.
+  std::vector<WatchedStream> m_streams;
+
+  friend bool operator==(const FlowWatch&, const FlowWatch&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_FLOW_WATCH_H_
--- a/Libraries/LibPeer/limits.h
+++ b/Libraries/LibPeer/limits.h
@@ -17,6 +17,7 @@
 inline constexpr std::size_t kMaximumUpdates = 12;
 inline constexpr std::size_t kMaximumLoadEntries = 150;
 inline constexpr std::size_t kMaximumBurnCounters = 60;
+inline constexpr std::size_t kMaximumWatchedStreams = 60;
 
 }  // namespace peer
 
--- a/Libraries/LibPeer/message.h
+++ b/Libraries/LibPeer/message.h
@@ -11,6 +11,8 @@
 #include "LibPeer/burn_counters.h"
 #include "LibPeer/document_reply.h"
 #include "LibPeer/document_request.h"
+#include "LibPeer/flow_watch.h"
+#include "LibPeer/flow_watch_reply.h"
 #include "LibPeer/heartbeat.h"
 #include "LibPeer/leave.h"
 #include "LibPeer/load_digest.h"
@@ -34,7 +36,9 @@
                                  LoadDigest,
                                  DocumentRequest,
                                  DocumentReply,
-                                 BurnCounters>;
+                                 BurnCounters,
+                                 FlowWatch,
+                                 FlowWatchReply>;
 
 struct Message {
   SenderStatus m_sender;
--- /dev/null
+++ b/Libraries/LibPeer/stream_report.h
@@ -0,0 +1,23 @@
+// What a balancer saw of one watched stream.
+
+#ifndef LIBPEER_STREAM_REPORT_H_
+#define LIBPEER_STREAM_REPORT_H_
+
+#include <cstdint>
+
+namespace peer {
+
+struct StreamReport {
+  // The number of repetitions, at most 127; plus 128 if the other end answered.
+  std::uint8_t m_repetitions = 0;
+  // The number of sightings before and during the watch.
+  std::uint8_t m_sightings = 0;
+  // From the watched place to the end of the newest payload.
+  std::uint16_t m_extent_bytes = 0;
+
+  friend bool operator==(const StreamReport&, const StreamReport&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_STREAM_REPORT_H_
--- /dev/null
+++ b/Libraries/LibPeer/watched_stream.h
@@ -0,0 +1,21 @@
+// One direction of a flow, and the place from which its payload is repeated.
+
+#ifndef LIBPEER_WATCHED_STREAM_H_
+#define LIBPEER_WATCHED_STREAM_H_
+
+#include <cstdint>
+
+namespace peer {
+
+struct WatchedStream {
+  std::uint64_t m_flow_hash = 0;
+  std::uint32_t m_position = 0;
+  // LibFlow's StreamEnd.
+  std::uint8_t m_sender = 0;
+
+  friend bool operator==(const WatchedStream&, const WatchedStream&) = default;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_WATCHED_STREAM_H_
--- a/Libraries/LibWire/packet_view.cc
+++ b/Libraries/LibWire/packet_view.cc
@@ -71,6 +71,7 @@
                   .m_acknowledge = (tcp.th_flags & TH_ACK) != 0};
   view.m_sequence = ntohl(tcp.th_seq);
   view.m_acknowledgement = ntohl(tcp.th_ack);
+  view.m_window = ntohs(tcp.th_win);
   view.m_payload_bytes = segment.size() - tcp_header_bytes;
   return view;
 }
--- a/Libraries/LibWire/packet_view.h
+++ b/Libraries/LibWire/packet_view.h
@@ -34,6 +34,8 @@
   TcpFlags flags() const { return m_flags; }
   std::uint32_t sequence() const { return m_sequence; }
   std::uint32_t acknowledgement() const { return m_acknowledgement; }
+  // As sent, without the window scale option (RFC 7323).
+  std::uint16_t window() const { return m_window; }
   std::size_t payload_bytes() const { return m_payload_bytes; }
   // The packet without any padding behind it.
   std::span<const std::uint8_t> bytes() const { return m_bytes; }
@@ -47,6 +49,7 @@
   TcpFlags m_flags;
   std::uint32_t m_sequence = 0;
   std::uint32_t m_acknowledgement = 0;
+  std::uint16_t m_window = 0;
   std::size_t m_payload_bytes = 0;
 };
 
--- a/Libraries/LibWire/reset_builder.cc
+++ b/Libraries/LibWire/reset_builder.cc
@@ -17,49 +17,40 @@
 constexpr std::uint8_t kHeaderWords = 5;
 
 // The sum over the pseudo header of RFC 9293 section 3.1.
-std::uint32_t PseudoHeaderSum(const PacketView& packet) {
-  const std::uint32_t source = packet.source().m_address.value();
-  const std::uint32_t destination = packet.destination().m_address.value();
+std::uint32_t PseudoHeaderSum(base::Endpoint from, base::Endpoint to) {
+  const std::uint32_t source = from.m_address.value();
+  const std::uint32_t destination = to.m_address.value();
   return (source >> 16) + (source & 0xffff) + (destination >> 16) +
          (destination & 0xffff) + IPPROTO_TCP + sizeof(tcphdr);
 }
 
-ip BuildIpHeader(const PacketView& packet) {
+ip BuildIpHeader(base::Endpoint from, base::Endpoint to) {
   ip header{};
   header.ip_v = IPVERSION;
   header.ip_hl = kHeaderWords;
   header.ip_len = htons(kResetBytes);
   header.ip_ttl = kTimeToLive;
   header.ip_p = IPPROTO_TCP;
-  header.ip_src.s_addr = htonl(packet.destination().m_address.value());
-  header.ip_dst.s_addr = htonl(packet.source().m_address.value());
+  header.ip_src.s_addr = htonl(from.m_address.value());
+  header.ip_dst.s_addr = htonl(to.m_address.value());
   return header;
 }
 
-tcphdr BuildTcpHeader(const PacketView& packet) {
+tcphdr BuildTcpHeader(base::Endpoint from, base::Endpoint to) {
   tcphdr header{};
-  header.th_sport = htons(packet.destination().m_port);
-  header.th_dport = htons(packet.source().m_port);
+  header.th_sport = htons(from.m_port);
+  header.th_dport = htons(to.m_port);
   header.th_off = kHeaderWords;
   header.th_flags = TH_RST;
-  if (packet.flags().m_acknowledge) {
-    header.th_seq = htonl(packet.acknowledgement());
-    return header;
-  }
-  const auto segment_length = static_cast<std::uint32_t>(
-      packet.payload_bytes() + (packet.flags().m_synchronise ? 1 : 0) +
-      (packet.flags().m_finish ? 1 : 0));
-  header.th_flags |= TH_ACK;
-  header.th_ack = htonl(packet.sequence() + segment_length);
   return header;
 }
 
-}  // namespace
-
-ResetPacket BuildReset(const PacketView& packet) {
+// Puts the headers together and fills in their checksums.
+ResetPacket Assemble(base::Endpoint from,
+                     base::Endpoint to,
+                     tcphdr tcp_header) {
   ResetPacket bytes{};
-  ip ip_header = BuildIpHeader(packet);
-  tcphdr tcp_header = BuildTcpHeader(packet);
+  ip ip_header = BuildIpHeader(from, to);
   std::memcpy(bytes.data(), &ip_header, sizeof(ip_header));
   std::memcpy(bytes.data() + sizeof(ip_header), &tcp_header,
               sizeof(tcp_header));
@@ -67,11 +58,37 @@
   const std::span<const std::uint8_t> view(bytes);
   ip_header.ip_sum = htons(InternetChecksum(view.first(sizeof(ip_header))));
   tcp_header.th_sum = htons(InternetChecksum(view.subspan(sizeof(ip_header)),
-                                             PseudoHeaderSum(packet)));
+                                             PseudoHeaderSum(from, to)));
   std::memcpy(bytes.data(), &ip_header, sizeof(ip_header));
   std::memcpy(bytes.data() + sizeof(ip_header), &tcp_header,
               sizeof(tcp_header));
   return bytes;
 }
 
+}  // namespace
+
+ResetPacket BuildReset(const PacketView& packet) {
+  const base::Endpoint from = packet.destination();
+  const base::Endpoint to = packet.source();
+  tcphdr header = BuildTcpHeader(from, to);
+  if (packet.flags().m_acknowledge) {
+    header.th_seq = htonl(packet.acknowledgement());
+    return Assemble(from, to, header);
+  }
+  const auto segment_length = static_cast<std::uint32_t>(
+      packet.payload_bytes() + (packet.flags().m_synchronise ? 1 : 0) +
+      (packet.flags().m_finish ? 1 : 0));
+  header.th_flags |= TH_ACK;
+  header.th_ack = htonl(packet.sequence() + segment_length);
+  return Assemble(from, to, header);
+}
+
+ResetPacket BuildAbort(const Abort& abort) {
+  tcphdr header = BuildTcpHeader(abort.m_source, abort.m_destination);
+  header.th_flags |= TH_ACK;
+  header.th_seq = htonl(abort.m_sequence);
+  header.th_ack = htonl(abort.m_acknowledgement);
+  return Assemble(abort.m_source, abort.m_destination, header);
+}
+
 }  // namespace wire
--- a/Services/Coltsfootdale/balancer_peers.cc
+++ b/Services/Coltsfootdale/balancer_peers.cc
@@ -88,6 +88,10 @@
   Take(m_membership->ReceiveMessage(from, message, base::Clock::now()));
   if (const auto* digest = std::get_if<peer::LoadDigest>(&message.m_body))
     m_load_sharer.Receive(message.m_sender.m_id, *digest);
+  if (const auto* watch = std::get_if<peer::FlowWatch>(&message.m_body))
+    OnFlowWatch(message.m_sender.m_id, *watch);
+  if (const auto* reply = std::get_if<peer::FlowWatchReply>(&message.m_body))
+    OnFlowWatchReply(message.m_sender.m_id, *reply);
   m_follower->Handle(platform::PeerDigest{
       message.m_sender.m_id, message.m_sender.m_configuration.m_version,
       std::nullopt});
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -37,6 +37,8 @@
 constexpr auto kLeavingMinimum = seconds(3);
 constexpr auto kLeavingQuiet = seconds(1);
 constexpr auto kLeavingLimit = seconds(20);
+// The system chooses a free UDP port, whose number TCP may have in use.
+constexpr int kPeerPortAttempts = 32;
 
 std::uint64_t DrawSeed() {
   std::random_device device;
@@ -57,7 +59,11 @@
       .m_relay_to_home = mechanisms.m_relay_to_home,
       .m_probe = mechanisms.m_probe,
       .m_reopen_on_refusal = mechanisms.m_reopen_on_refusal,
-      .m_configuration_lease = mechanisms.m_configuration_lease};
+      .m_configuration_lease = mechanisms.m_configuration_lease,
+      .m_detect_silence = mechanisms.m_detect_silence};
+  flow.m_silence.m_watch = settings.m_control.m_silence_watch;
+  flow.m_silence.m_repetitions =
+      static_cast<std::uint32_t>(settings.m_control.m_silence_repetitions);
   flow.m_table_bytes = settings.m_control.m_flow_table_mb << 20;
   flow.m_searches_per_second =
       static_cast<double>(settings.m_control.m_search_budget_per_second);
@@ -97,6 +103,19 @@
                                     .m_flow = MakeFlowSettings(m_settings),
                                     .m_seed = m_random.Next()}));
   m_traffic = std::move(traffic);
+  base::Outcome<void> bound = BindPeer();
+  for (int attempt = 1;
+       !bound && m_settings.m_peer.m_port == 0 && attempt < kPeerPortAttempts;
+       ++attempt)
+    bound = BindPeer();
+  BOOST_OUTCOME_TRYV(std::move(bound));
+  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
+                                  MakeAdminSources()));
+  m_admin = std::move(admin);
+  return base::Success();
+}
+
+base::Outcome<void> BalancerProcess::BindPeer() {
   TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
   m_peer_link = std::move(link);
   // Documents are pulled by TCP from the number of the UDP port.
@@ -106,9 +125,6 @@
                                                    m_configuration->body()});
       }));
   m_document_server = std::move(server);
-  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
-                                  MakeAdminSources()));
-  m_admin = std::move(admin);
   return base::Success();
 }
 
@@ -243,7 +259,10 @@
   m_follower->Start();
   m_vm_poller->Start();
   SubscribeTimers();
-  m_traffic->Start();
+  m_traffic->Start([this](flow::SilenceActions actions) {
+    asio::post(m_context,
+               [this, actions = std::move(actions)] { TakeSilence(actions); });
+  });
   WriteLog(Severity::kInfo, Event::kListening,
            {{"traffic", base::ToString(m_traffic->LocalEndpoint())},
             {"peer", base::ToString(m_peer_link->LocalEndpoint())},
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -17,8 +17,10 @@
 #include "LibBase/random.h"
 #include "LibConfiguration/settings.h"
 #include "LibFlow/balancer_set.h"
+#include "LibFlow/silence_detector.h"
 #include "LibMembership/membership.h"
 #include "LibObservability/metrics.h"
+#include "LibObservability/rate_limiter.h"
 #include "LibPeer/message.h"
 #include "LibPlatform/platform_client.h"
 #include "admin_console.h"
@@ -82,6 +84,8 @@
   BalancerProcess(const configuration::Settings& settings, std::uint64_t seed);
 
   base::Outcome<void> Bind();
+  // Binds UDP and TCP to one port number.
+  base::Outcome<void> BindPeer();
   void StartParts();
   void SubscribeTimers();
   void RenewLease(base::TimePoint now);
@@ -106,6 +110,13 @@
                   const LoadSharer::OpenFlows& open_flows);
   void ShareLoad(base::TimePoint now);
 
+  // Flows that went silent.
+  void TakeSilence(const flow::SilenceActions& actions);
+  void LogSilent(const flow::SilentFlow& silent, base::TimePoint now);
+  void OnFlowWatch(base::BalancerId from, const peer::FlowWatch& watch);
+  void OnFlowWatchReply(base::BalancerId from,
+                        const peer::FlowWatchReply& reply);
+
   // Admin server.
   AdminConsole::Sources MakeAdminSources();
   StatusView MakeStatus() const;
@@ -146,6 +157,7 @@
   LoadSharer m_load_sharer;
   BurnKeeper m_burn;
   observability::MetricsRegistry m_metrics;
+  observability::RateLimiter m_log_limiter;
   std::unique_ptr<AdminConsole> m_admin;
 };
 
--- a/Services/Coltsfootdale/traffic_counters.h
+++ b/Services/Coltsfootdale/traffic_counters.h
@@ -26,9 +26,11 @@
   kPacketsResent,
   kPacketsMalformed,
   kSendFailures,
+  // Flows that went silent and were reset at both ends.
+  kFlowsReset,
 };
 
-inline constexpr base::EnumTable<TrafficCounter, 11> kTrafficCounterNames = {{
+inline constexpr base::EnumTable<TrafficCounter, 12> kTrafficCounterNames = {{
     {TrafficCounter::kPacketsFromCallers, "packets_from_callers"},
     {TrafficCounter::kPacketsFromServers, "packets_from_servers"},
     {TrafficCounter::kPacketsFromFabric, "packets_from_fabric"},
@@ -40,6 +42,7 @@
     {TrafficCounter::kPacketsResent, "packets_resent"},
     {TrafficCounter::kPacketsMalformed, "packets_malformed"},
     {TrafficCounter::kSendFailures, "send_failures"},
+    {TrafficCounter::kFlowsReset, "silent_flows_reset"},
 }};
 
 class TrafficCounters {
--- a/Services/Coltsfootdale/traffic_loop.cc
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -55,7 +55,8 @@
     m_thread.join();
 }
 
-void TrafficLoop::Start() {
+void TrafficLoop::Start(SilenceHandler on_silence) {
+  m_on_silence = std::move(on_silence);
   WaitForPackets();
   ScheduleAdvance();
   m_thread = std::thread([this] { m_context.run(); });
@@ -72,11 +73,56 @@
   m_advance_timer.async_wait([this](const std::error_code& error) {
     if (error)
       return;
-    m_core.Advance(base::Clock::now());
+    Advance(base::Clock::now());
     ScheduleAdvance();
   });
 }
 
+void TrafficLoop::Advance(base::TimePoint now) {
+  flow::SilenceActions actions = m_core.Advance(now);
+  for (const flow::SilentFlow& silent : actions.m_silent)
+    ResetFlow(silent, now);
+  Flush();
+  if (actions.m_request || !actions.m_replies.empty() ||
+      !actions.m_silent.empty())
+    m_on_silence(std::move(actions));
+}
+
+// The unanswered end has acknowledged all that it expects, so its reset is
+// exact. The other end has either not got the repeated payload, or its
+// acknowledgement was lost: it expects the start of it or the end of all data.
+void TrafficLoop::ResetFlow(const flow::SilentFlow& silent,
+                            base::TimePoint now) {
+  m_counters.Add(TrafficCounter::kFlowsReset);
+  const flow::StreamPacket& repetition = silent.m_repetition;
+  const bool is_caller = repetition.m_sender == flow::StreamEnd::kCaller;
+  const base::Endpoint sender =
+      is_caller ? repetition.m_key.m_caller : repetition.m_key.m_service;
+  const base::Endpoint other =
+      is_caller ? repetition.m_key.m_service : repetition.m_key.m_caller;
+  const std::uint32_t start = repetition.m_position;
+  const std::uint32_t end = start + silent.m_extent_bytes;
+  SendAbort({other, sender, repetition.m_acknowledged, end},
+            repetition.m_sender, now);
+  for (const std::uint32_t position : {start, end})
+    SendAbort({sender, other, position, repetition.m_acknowledged},
+              flow::OtherEnd(repetition.m_sender), now);
+}
+
+void TrafficLoop::SendAbort(const wire::Abort& abort,
+                            flow::StreamEnd receiver,
+                            base::TimePoint now) {
+  const wire::ResetPacket packet = wire::BuildAbort(abort);
+  if (receiver == flow::StreamEnd::kCaller) {
+    Send(m_gateway, packet, {});
+    return;
+  }
+  if (m_sending.IsFull())
+    Flush();
+  m_kept.emplace_back(packet.begin(), packet.end());
+  HandlePacket(m_kept.back(), {}, {}, now);
+}
+
 void TrafficLoop::WaitForPackets() {
   m_socket.async_wait(asio::ip::udp::socket::wait_read,
                       [this](const std::error_code& error) {
--- a/Services/Coltsfootdale/traffic_loop.h
+++ b/Services/Coltsfootdale/traffic_loop.h
@@ -20,9 +20,15 @@
 #include "LibBase/ids.h"
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
+#include "LibFlow/silence_detector.h"
 #include "datagram_batch.h"
 #include "traffic_counters.h"
 
+namespace wire {
+class PacketView;
+struct Abort;
+}  // namespace wire
+
 namespace service {
 
 struct TrafficLoopOptions {
@@ -36,6 +42,8 @@
 
 class TrafficLoop {
  public:
+  // Runs on the traffic thread.
+  using SilenceHandler = std::function<void(flow::SilenceActions actions)>;
   using Task =
       std::function<void(balancer::TrafficCore& core, base::TimePoint now)>;
 
@@ -52,7 +60,9 @@
   const TrafficCounters& counters() const { return m_counters; }
 
   // Commands.
-  void Start();
+  // `on_silence` gets what is to be told to the other balancers and logged; the
+  // silent flows are reset already.
+  void Start(SilenceHandler on_silence);
   // Runs `task` on the traffic thread.
   void Post(Task task);
 
@@ -76,6 +86,13 @@
             std::span<const std::uint8_t> bytes);
   void Flush();
   void ScheduleAdvance();
+  void Advance(base::TimePoint now);
+  // Tells both ends that the flow is over, the server by way of the flow's
+  // home, which stops counting it.
+  void ResetFlow(const flow::SilentFlow& silent, base::TimePoint now);
+  void SendAbort(const wire::Abort& abort,
+                 flow::StreamEnd receiver,
+                 base::TimePoint now);
 
   base::BalancerId m_self;
   base::Endpoint m_gateway;
@@ -90,6 +107,7 @@
   asio::io_context m_context{1};
   asio::ip::udp::socket m_socket{m_context};
   asio::steady_timer m_advance_timer{m_context};
+  SilenceHandler m_on_silence;
   std::thread m_thread;
 };
 
--- /dev/null
+++ b/Tests/Integration/test_silent_flows.cc
@@ -0,0 +1,175 @@
+// Unplanned: something between the two ends of a flow loses track of it. Both
+// ends must hear of it, and no flow that lives may be taken for a lost one.
+
+#include <doctest/doctest.h>
+
+#include <iostream>
+#include <optional>
+#include <thread>
+
+#include "http_call.h"
+#include "scenario.h"
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 121;
+constexpr int kFlows = 40;
+// Both ends are told in this time, counted from the loss: it comes before the
+// first retransmission that nothing answers.
+constexpr auto kTarget = seconds(15);
+// Longer than the target, shorter than the timeouts of both ends.
+constexpr auto kWithoutMechanism = seconds(20);
+// The callers and servers have timeouts of 30 s and more of their own.
+constexpr const char* kPatience = "60000";
+
+// Feeds whose readers upload too, so that both ends send all the time.
+std::unique_ptr<integration::ChildProcess> StartFeeds(
+    integration::Deployment& deployment) {
+  return deployment.StartCaller(
+      integration::kPortal,
+      {.m_kind = "feed",
+       .m_openings_per_second = 80,
+       .m_duration = seconds(120),
+       .m_more = {"--flows", std::to_string(kFlows), "--feed-interval-ms",
+                  "300", "--upload-interval-ms", "300", "--silence-ms",
+                  kPatience, "--deadline-ms", kPatience}});
+}
+
+void AwaitFeeds(integration::ChildProcess& caller) {
+  caller.WaitFor("progress", seconds(20), [](const auto& line) {
+    return line.get("established", 0) == kFlows &&
+           line.get("feed_events", 0) > 2 * kFlows;
+  });
+}
+
+std::string AddressOf(const integration::ChildProcess& caller) {
+  const auto line = caller.LastLine("listening");
+  REQUIRE(line);
+  const std::string endpoint = line->get("caller", "");
+  return endpoint.substr(0, endpoint.find(':'));
+}
+
+int Resets(integration::ChildProcess& caller) {
+  return caller.Ask("report", "report").get("resets", 0);
+}
+
+// Flows that the balancers say they reset.
+std::uint64_t CountReset(integration::Deployment& deployment) {
+  const std::string name =
+      "coltsfootdale_traffic_total{event=\"silent_flows_reset\"} ";
+  std::uint64_t sum = 0;
+  for (const auto& balancer : deployment.BalancerNames()) {
+    const auto listening = deployment.Balancer(balancer).LastLine("listening");
+    const auto admin = base::ParseEndpoint(listening->get("admin", ""));
+    const auto page =
+        integration::CallHttp(*admin, http::Method::kGet, "/metrics", {}, "");
+    const std::size_t at = page.m_body.find(name);
+    REQUIRE(at != std::string::npos);
+    sum += std::stoull(page.m_body.substr(at + name.size()));
+  }
+  return sum;
+}
+
+struct Told {
+  // From the loss until every caller, or every server, knew of its flows.
+  std::optional<milliseconds> m_callers;
+  std::optional<milliseconds> m_servers;
+};
+
+// Loses the flows of one caller in the direction from callers, those of the
+// other in the direction from servers, while later flows pass.
+Told LoseFlows(const std::string& settings, milliseconds patience) {
+  integration::Scenario scenario({.m_seed = kSeed, .m_settings = settings});
+  integration::Deployment& deployment = scenario.deployment();
+  const auto unheard_callers = StartFeeds(deployment);
+  const auto unheard_servers = StartFeeds(deployment);
+  AwaitFeeds(*unheard_callers);
+  AwaitFeeds(*unheard_servers);
+
+  deployment.Fabric().Ask("lose callers " + AddressOf(*unheard_callers),
+                          "done");
+  deployment.Fabric().Ask("lose servers " + AddressOf(*unheard_servers),
+                          "done");
+  const auto start = std::chrono::steady_clock::now();
+  const auto elapsed = [&start] {
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - start);
+  };
+  Told told;
+  while (elapsed() < patience && !(told.m_callers && told.m_servers)) {
+    std::this_thread::sleep_for(milliseconds(100));
+    if (!told.m_callers && Resets(*unheard_callers) == kFlows &&
+        Resets(*unheard_servers) == kFlows)
+      told.m_callers = elapsed();
+    if (!told.m_servers && deployment.SumOverServers("connections") == 0)
+      told.m_servers = elapsed();
+  }
+  std::cout << "lost in one direction each, 2 x " << kFlows << " flows, seed "
+            << kSeed << ": resets " << Resets(*unheard_callers) << " and "
+            << Resets(*unheard_servers) << ", open at servers "
+            << deployment.SumOverServers("connections") << ", callers told in "
+            << (told.m_callers ? told.m_callers->count() : -1)
+            << " ms, servers in "
+            << (told.m_servers ? told.m_servers->count() : -1)
+            << " ms, reset by balancers " << CountReset(deployment)
+            << std::endl;
+  const auto later =
+      deployment.StartCaller(integration::kPortal, {.m_duration = seconds(1)});
+  const auto report = later->WaitFor("report", seconds(10));
+  CHECK(report.get("whole", 0) == report.get("flows", 0));
+  return told;
+}
+
+}  // namespace
+
+TEST_CASE("both ends of flows that went silent are told in 15 s") {
+  const Told told = LoseFlows("", kTarget);
+
+  CHECK(told.m_callers);
+  CHECK(told.m_servers);
+}
+
+TEST_CASE("without the detection neither end is told in 20 s") {
+  const Told told =
+      LoseFlows("mechanisms: {detect_silence: false}\n", kWithoutMechanism);
+
+  CHECK_FALSE(told.m_callers);
+  CHECK_FALSE(told.m_servers);
+}
+
+TEST_CASE("loss, delay, slow servers and a paused balancer silence no flow") {
+  integration::Scenario scenario(
+      {.m_seed = kSeed, .m_has_fault_proxies = true});
+  integration::Deployment& deployment = scenario.deployment();
+  for (const char* fault : {"loss 0.05", "reorder 0.05", "delay 5 5"})
+    deployment.SetFault(fault);
+  const auto feeds = StartFeeds(deployment);
+  const auto slow = deployment.StartCaller(
+      integration::kPortal,
+      {.m_openings_per_second = 2,
+       .m_duration = seconds(10),
+       .m_service_time_ms = 8000,
+       .m_more = {"--silence-ms", kPatience, "--deadline-ms", kPatience}});
+  const auto pulls = deployment.StartCaller(
+      integration::kPortal, {.m_kind = "pull",
+                             .m_openings_per_second = 10,
+                             .m_duration = seconds(10),
+                             .m_answer_bytes = 100000,
+                             .m_more = {"--silence-ms", kPatience}});
+  AwaitFeeds(*feeds);
+  deployment.PauseBalancer("entry-1");
+  feeds->WaitFor("progress", seconds(30), [](const auto& line) {
+    return line.get("feed_events", 0) > 50 * kFlows;
+  });
+
+  CHECK(CountReset(deployment) == 0);
+  for (const auto* caller : {&feeds, &slow, &pulls}) {
+    const auto report = (*caller)->Ask("report", "report");
+    integration::PrintFigures("faults without silence", kSeed, report);
+    CHECK(report.get("resets", 0) == 0);
+    CHECK(report.get("established", 0) > 0);
+  }
+}
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -119,6 +119,21 @@
   CHECK(drop->m_reason == flow::DropReason::kStaleRefusal);
 }
 
+TEST_CASE("a caller's abort ends the flow at its home") {
+  const base::TimePoint now;
+  auto director = MakeDirector(now);
+  const std::vector<std::uint8_t> bytes(40);
+  director.HandleCallerPacket(Opening(bytes), now);
+
+  const auto effects = director.HandleCallerPacket(
+      {kKey, flow::CallerPacketKind::kAborted, kPosition + 1, {}, bytes}, now);
+
+  CHECK(FindEffect<flow::ForwardToServer>(effects));
+  const auto* note = FindEffect<flow::FlowNote>(effects);
+  REQUIRE(note);
+  CHECK(note->m_kind == flow::FlowNoteKind::kEnded);
+}
+
 TEST_CASE("nothing is forwarded after the lease has expired") {
   const base::TimePoint now;
   auto director = MakeDirector(now);
--- a/Tests/LibPeer/test_codec.cc
+++ b/Tests/LibPeer/test_codec.cc
@@ -65,6 +65,11 @@
   std::vector<peer::BurnCounter> counters(
       *rc::gen::inRange<std::size_t>(0, peer::kMaximumBurnCounters + 1),
       peer::BurnCounter{MakeNumber(), MakeNumber()});
+  std::vector<peer::WatchedStream> streams(
+      *rc::gen::inRange<std::size_t>(0, peer::kMaximumWatchedStreams + 1),
+      peer::WatchedStream{MakeNumber(), sequence, 1});
+  std::vector<peer::StreamReport> reports(streams.size(),
+                                          peer::StreamReport{0x83, 9, 1400});
   const std::vector<peer::MessageBody> bodies{
       peer::Heartbeat{},
       peer::Ping{sequence, *rc::gen::arbitrary<bool>()},
@@ -76,7 +81,9 @@
       peer::LoadDigest{std::move(load)},
       peer::DocumentRequest{version},
       peer::DocumentReply{version, MakeText(300)},
-      peer::BurnCounters{std::move(counters)}};
+      peer::BurnCounters{std::move(counters)},
+      peer::FlowWatch{sequence, std::move(streams)},
+      peer::FlowWatchReply{sequence, std::move(reports)}};
   return *rc::gen::elementOf(bodies);
 }
 
--- a/Tests/LibWire/test_packet_view.cc
+++ b/Tests/LibWire/test_packet_view.cc
@@ -92,6 +92,22 @@
   CHECK(reset[kFlagsOffset] == 0x04);
 }
 
+TEST_CASE("an abort carries the numbers that its receiver expects") {
+  const base::Endpoint caller{base::Ipv4Address(9), 1000};
+  const base::Endpoint service{base::Ipv4Address(200), 443};
+
+  const auto abort = wire::BuildAbort({service, caller, 0xfffffff0U, 7});
+
+  const auto parsed = wire::PacketView::Parse(abort);
+  REQUIRE(parsed);
+  CHECK(parsed.value().source() == service);
+  CHECK(parsed.value().destination() == caller);
+  CHECK(parsed.value().flags().m_reset);
+  CHECK(parsed.value().flags().m_acknowledge);
+  CHECK(parsed.value().sequence() == 0xfffffff0U);
+  CHECK(parsed.value().acknowledgement() == 7);
+}
+
 TEST_CASE("no bytes at all make the packet reader fail") {
   CHECK(rc::check([](const std::vector<std::uint8_t>& bytes) {
     const auto packet = wire::PacketView::Parse(bytes);
--- a/Tests/StandIns/caller.cc
+++ b/Tests/StandIns/caller.cc
@@ -144,6 +144,7 @@
   limits.m_requested = attempt.m_requested;
   limits.m_deadline = attempt.m_requested + m_options.m_deadline;
   limits.m_silence = m_options.m_silence;
+  limits.m_upload_interval = m_options.m_upload_interval;
   if (m_options.m_port_reuse == PortReuse::kShortestFree)
     limits.m_tcp.m_time_wait = base::Duration::zero();
   CallerFlow flow(attempt.m_request, m_options.m_service_address, limits,
--- a/Tests/StandIns/caller.h
+++ b/Tests/StandIns/caller.h
@@ -38,6 +38,7 @@
   RequestSourceOptions m_requests;
   std::chrono::milliseconds m_deadline{};
   std::chrono::milliseconds m_silence{};
+  std::chrono::milliseconds m_upload_interval{};
   std::uint16_t m_low_port = 1024;
   std::uint16_t m_high_port = 65535;
   PortReuse m_port_reuse = PortReuse::kLongestFree;
--- a/Tests/StandIns/caller_command.cc
+++ b/Tests/StandIns/caller_command.cc
@@ -20,6 +20,7 @@
   std::int64_t m_duration_ms = 0;
   std::int64_t m_service_time_ms = 0;
   std::int64_t m_feed_interval_ms = 1000;
+  std::int64_t m_upload_interval_ms = 0;
   std::int64_t m_deadline_ms = 30000;
   std::int64_t m_silence_ms = 5000;
   std::string m_kind;
@@ -51,6 +52,8 @@
       "length of an answer");
   add("feed-interval-ms", options::value(&raw->m_feed_interval_ms),
       "time between the events of a feed");
+  add("upload-interval-ms", options::value(&raw->m_upload_interval_ms),
+      "time between the uploads of a feed's reader; 0: none");
   add("deadline-ms", options::value(&raw->m_deadline_ms),
       "time until an answer must have begun");
   add("silence-ms", options::value(&raw->m_silence_ms),
@@ -82,6 +85,7 @@
   caller->m_duration = milliseconds(raw.m_duration_ms);
   caller->m_deadline = milliseconds(raw.m_deadline_ms);
   caller->m_silence = milliseconds(raw.m_silence_ms);
+  caller->m_upload_interval = milliseconds(raw.m_upload_interval_ms);
   caller->m_requests.m_mean_service_time = milliseconds(raw.m_service_time_ms);
   caller->m_requests.m_feed_interval = milliseconds(raw.m_feed_interval_ms);
   caller->m_requests.m_kind = base::ValueOf(kRequestKindNames, raw.m_kind);
--- a/Tests/StandIns/caller_flow.cc
+++ b/Tests/StandIns/caller_flow.cc
@@ -10,6 +10,7 @@
 // A feed may miss this many events before it counts as silent, however short
 // the limit of silence is.
 constexpr int kSilentFeedIntervals = 3;
+constexpr std::size_t kUploadBytes = 200;
 
 }  // namespace
 
@@ -71,6 +72,8 @@
     include(*deadline);
   if (WasEstablished())
     include(SilenceDeadline());
+  if (const auto upload = UploadDeadline())
+    include(*upload);
   return next;
 }
 
@@ -96,6 +99,24 @@
   m_tcp.Advance(now);
   DecideAfterClose();
   GiveUpIfDue(now);
+  UploadIfDue(now);
+}
+
+// Uploads start once the feed has, so that they follow the request.
+std::optional<base::TimePoint> CallerFlow::UploadDeadline() const {
+  const bool uploads = IsFeed() && m_first_answer &&
+                       m_limits.m_upload_interval > base::Duration::zero();
+  if (!uploads || m_result != FlowResult::kOpen || m_tcp.IsClosed())
+    return std::nullopt;
+  return std::max(m_next_upload, *m_first_answer);
+}
+
+void CallerFlow::UploadIfDue(base::TimePoint now) {
+  const auto due = UploadDeadline();
+  if (!due || *due > now)
+    return;
+  m_tcp.Send(std::string(kUploadBytes, 'u'));
+  m_next_upload = now + m_limits.m_upload_interval;
 }
 
 void CallerFlow::SendRequest(base::TimePoint now) {
--- a/Tests/StandIns/caller_flow.h
+++ b/Tests/StandIns/caller_flow.h
@@ -62,6 +62,8 @@
   base::TimePoint m_deadline;
   // The longest time without progress of an established flow.
   base::Duration m_silence = std::chrono::seconds(5);
+  // The reader of a feed uploads some bytes each time; zero for never.
+  base::Duration m_upload_interval{};
   TcpOptions m_tcp;
 };
 
@@ -104,6 +106,8 @@
   bool IsAnswerRight() const;
 
   void SendRequest(base::TimePoint now);
+  void UploadIfDue(base::TimePoint now);
+  std::optional<base::TimePoint> UploadDeadline() const;
   void ReadAnswer(base::TimePoint now);
   void DecideAfterClose();
   void GiveUpIfDue(base::TimePoint now);
@@ -116,6 +120,7 @@
   std::optional<base::TimePoint> m_first_answer;
   base::TimePoint m_last_answer;
   base::Duration m_longest_event_gap{};
+  base::TimePoint m_next_upload;
   bool m_request_sent = false;
   FlowResult m_result = FlowResult::kOpen;
 };
--- a/Tests/StandIns/fabric.cc
+++ b/Tests/StandIns/fabric.cc
@@ -48,6 +48,7 @@
                 [this](const auto& words) { return AddBalancer(words); });
   commands->Add("remove",
                 [this](const auto& words) { return RemoveBalancer(words); });
+  commands->Add("lose", [this](const auto& words) { return LoseFlows(words); });
   commands->Add("list", [this](const auto&) { return ListLine(); });
   commands->Add("report", [this](const auto&) { return ReportLine(); });
 }
@@ -77,7 +78,11 @@
 
 JsonLine Fabric::ReportLine() const {
   JsonLine line("report");
+  std::uint64_t lost = 0;
+  for (const LostFlows& flows : m_lost)
+    lost += flows.dropped();
   line.Add("from_callers", m_counters.m_from_callers)
+      .Add("lost", lost)
       .Add("from_servers", m_counters.m_from_servers)
       .Add("from_balancers", m_counters.m_from_balancers)
       .Add("no_balancer", m_counters.m_no_balancer)
@@ -121,6 +126,24 @@
   return CommandDone{};
 }
 
+CommandResult Fabric::LoseFlows(const LineCommands::Words& words) {
+  if (words.size() != 2)
+    return CommandFailed{"expected callers|servers CALLER_IP"};
+  const auto direction = base::ValueOf(kLostDirectionNames, words[0]);
+  const auto caller = base::ParseIpv4Address(words[1]);
+  if (!direction || !caller)
+    return CommandFailed{"expected callers|servers CALLER_IP"};
+  m_lost.emplace_back(*direction, *caller);
+  return CommandDone{};
+}
+
+bool Fabric::IsLost(LostDirection from, UdpPort::Bytes packet) {
+  bool is_lost = false;
+  for (LostFlows& lost : m_lost)
+    is_lost = lost.Drops(from, packet) || is_lost;
+  return is_lost;
+}
+
 void Fabric::SetReady(const std::string& name, bool ready) {
   const auto found = m_balancers.find(name);
   if (found == m_balancers.end())
@@ -145,11 +168,15 @@
   if (m_caller_endpoints.size() < kMaximumCallers ||
       m_caller_endpoints.contains(source.m_address))
     m_caller_endpoints[source.m_address] = source;
+  if (IsLost(LostDirection::kCallers, packet))
+    return;
   SendToBalancer(packet, source.m_address);
 }
 
 void Fabric::HandleFromServer(UdpPort::Bytes packet, base::Endpoint source) {
   ++m_counters.m_from_servers;
+  if (IsLost(LostDirection::kServers, packet))
+    return;
   SendToBalancer(packet, source.m_address);
 }
 
--- /dev/null
+++ b/Tests/StandIns/lost_flows.h
@@ -0,0 +1,54 @@
+// A middlebox that has lost track of the flows it knew: it drops their packets
+// in one direction without a word, while flows that open later pass.
+
+#ifndef STANDINS_LOST_FLOWS_H_
+#define STANDINS_LOST_FLOWS_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/ipv4.h"
+
+namespace stand_ins {
+
+// Where the packets are dropped.
+enum class LostDirection : std::uint8_t {
+  // From callers, before the balancers.
+  kCallers,
+  // From backend servers, before the balancers.
+  kServers,
+};
+
+inline constexpr base::EnumTable<LostDirection, 2> kLostDirectionNames{{
+    {LostDirection::kCallers, "callers"},
+    {LostDirection::kServers, "servers"},
+}};
+
+class LostFlows {
+ public:
+  using Bytes = std::span<const std::uint8_t>;
+
+  LostFlows(LostDirection direction, base::Ipv4Address caller)
+      : m_direction(direction), m_caller(caller) {}
+
+  // Queries.
+  std::uint64_t dropped() const { return m_dropped; }
+
+  // Commands.
+  // Whether the packet, which came from the given side, is dropped.
+  bool Drops(LostDirection from, Bytes packet);
+
+ private:
+  LostDirection m_direction;
+  base::Ipv4Address m_caller;
+  // The callers' ports that opened a flow since.
+  std::set<std::uint16_t> m_opened_since;
+  std::uint64_t m_dropped = 0;
+};
+
+}  // namespace stand_ins
+
+#endif  // STANDINS_LOST_FLOWS_H_
--- a/Tests/StandIns/server_connection.cc
+++ b/Tests/StandIns/server_connection.cc
@@ -41,6 +41,9 @@
 
 void ServerConnection::ReadRequest() {
   m_received += m_tcp.TakeReceived();
+  // The reader of a feed may upload meanwhile; nothing is done with it.
+  if (m_phase == Phase::kFeeding)
+    m_received.clear();
   if (m_received.empty() || m_malformed)
     return;
   if (m_phase == Phase::kReading && m_received.size() < kRequestBytes)
