--- a/Libraries/LibBalancer/traffic_core.h
+++ b/Libraries/LibBalancer/traffic_core.h
@@ -70,7 +70,7 @@
  private:
   const flow::RoutedServer* Choose(const flow::ServiceRouting& service,
                                    const flow::ServerOrder& order,
-                                   std::size_t attempt);
+                                   flow::OpeningProgress progress);
   void Observe(const flow::FlowNote& note, base::TimePoint now);
   // Lets the detection of silent flows see a packet.
   void Watch(const flow::StreamPacket& packet,
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -27,6 +27,7 @@
 #include "LibMembership/member_snapshot.h"
 #include "LibMembership/member_table.h"
 #include "LibMembership/newest_configuration.h"
+#include "LibMembership/peer_answers.h"
 #include "LibMembership/pending_ping.h"
 #include "LibMembership/remote_contacts.h"
 #include "LibMembership/settings.h"
@@ -63,9 +64,17 @@
   // answered a ping that was sent within `bound`. The time of the ping counts,
   // so that answers that waited in a queue prove nothing fresh.
   bool IsIsolated(base::TimePoint now, base::Duration bound) const;
+  PeerAnswers Answers() const;
+  bool HoldsLease(base::TimePoint now) const { return now < m_lease_expires; }
   NewestConfiguration NewestKnownConfiguration(base::TimePoint now) const;
+  // Whether a balancer of the own data centre should be there: it has served
+  // and has not left, and if it is dead its VM is still listed as live.
+  bool IsExpected(const MemberEntry& entry) const;
   // The time since the last Advance: how long this process may have stood.
   base::Duration PausedFor(base::TimePoint now) const;
+  // Whether this member may have to contact other data centres, so that it
+  // should know which VMs they have.
+  bool NeedsRemoteVms() const;
 
   // The number of members about whom news waits to ride along.
   std::size_t WaitingNews() const { return m_updates.Size(); }
@@ -81,8 +90,11 @@
   // older version is ignored; the same one takes the later confirmation.
   void SetConfiguration(base::ConfigurationVersion version,
                         std::optional<base::TimePoint> confirmed_at);
+  // Tells until when the lease on the version in force runs, for the peers.
+  void SetLease(base::TimePoint expires) { m_lease_expires = expires; }
 
   // Events.
+  // Takes the VMs of all data centres, this member's own among them.
   Effects ReceiveVmList(const std::vector<VmEntry>& list, base::TimePoint now);
   Effects ReceiveMessage(base::Endpoint from,
                          const peer::Message& message,
@@ -99,7 +111,6 @@
       base::TimePoint now) const;
   std::size_t TransmitLimit() const;
   base::Duration SuspicionTimeout() const;
-  bool IsExpected(const MemberEntry& entry) const;
   void DeclareState(peer::MemberState state);
   void AddNews(base::BalancerId id);
   std::optional<peer::MemberRecord> NewsAbout(base::BalancerId id) const;
@@ -127,8 +138,8 @@
                   const peer::SenderStatus& sender,
                   base::TimePoint now);
   void RequestRecord(base::Endpoint from, base::TimePoint now);
-  void NoteConfiguration(base::Endpoint from,
-                         const peer::ConfigurationStatus& configuration);
+  void NoteConfiguration(base::Endpoint from, const peer::SenderStatus& sender);
+  bool HasReachableSource() const;
   Records RepliesAbout(const peer::SenderStatus& sender) const;
   void Receive(base::Endpoint from,
                const peer::Message& message,
@@ -167,6 +178,7 @@
   std::vector<base::Endpoint> MissingEndpoints(base::Random& random) const;
   void ContactRemote(base::TimePoint now, base::Random& random);
   void RequestPage(base::TimePoint now);
+  bool IsDelegateFor(const base::DataCentreId& data_centre) const;
   void Announce(base::TimePoint now, base::Random& random);
   void PushNews(base::TimePoint now, base::Random& random);
   void ForgetDead(base::TimePoint now);
@@ -197,6 +209,8 @@
   std::uint32_t m_last_sequence = 0;
   std::vector<base::BalancerId> m_probe_order;
   std::optional<base::TimePoint> m_answered_ping_sent_at;
+  std::optional<base::TimePoint> m_holder_ping_sent_at;
+  std::optional<base::TimePoint> m_lease_expires;
   ViewSync m_sync;
 
   UpdateQueue m_updates;
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -15,7 +15,7 @@
 
 constexpr std::uint8_t kMagicFirst = 0xCF;
 constexpr std::uint8_t kMagicSecond = 0x1D;
-constexpr std::uint8_t kProtocolVersion = 1;
+constexpr std::uint8_t kProtocolVersion = 2;
 constexpr std::size_t kVersionPosition = 2;
 constexpr std::size_t kLengthPosition = 3;
 
@@ -38,7 +38,9 @@
 
 bool IsStreamOnly(const MessageBody& body) {
   return std::holds_alternative<DocumentRequest>(body) ||
-         std::holds_alternative<DocumentReply>(body);
+         std::holds_alternative<DocumentReply>(body) ||
+         std::holds_alternative<BurnRequest>(body) ||
+         std::holds_alternative<BurnReply>(body);
 }
 
 std::uint8_t ByteAt(std::string_view bytes, std::size_t position) {
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -1,5 +1,6 @@
 #include "balancer_process.h"
 
+#include <asio/error.hpp>
 #include <asio/post.hpp>
 
 #include <chrono>
@@ -28,6 +29,7 @@
 constexpr auto kLeasePeriod = milliseconds(50);
 constexpr auto kPhasePeriod = milliseconds(100);
 constexpr auto kCountsPeriod = milliseconds(50);
+constexpr int kPortAttempts = 64;
 constexpr auto kVmListInterval = seconds(1);
 // A balancer serves without a VM list once it has waited so long for one.
 constexpr auto kJoinPatience = seconds(2);
@@ -37,8 +39,6 @@
 constexpr auto kLeavingMinimum = seconds(3);
 constexpr auto kLeavingQuiet = seconds(1);
 constexpr auto kLeavingLimit = seconds(20);
-// The system chooses a free UDP port, whose number TCP may have in use.
-constexpr int kPeerPortAttempts = 32;
 
 std::uint64_t DrawSeed() {
   std::random_device device;
@@ -51,6 +51,17 @@
       std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+// The reason why a socket of the process cannot be bound, for the log.
+std::error_code LogBindFailure(std::string_view socket,
+                               base::Endpoint endpoint,
+                               std::error_code reason) {
+  WriteLog(Severity::kError, Event::kBindFailed,
+           {{"socket", socket},
+            {"endpoint", base::ToString(endpoint)},
+            {"reason", reason.message()}});
+  return reason;
+}
+
 flow::FlowSettings MakeFlowSettings(const configuration::Settings& settings) {
   const configuration::MechanismSettings& mechanisms = settings.m_mechanisms;
   flow::FlowSettings flow;
@@ -92,40 +103,54 @@
       m_started_at(base::Clock::now()),
       m_platform(m_context, settings.m_platform),
       m_lease(settings.m_control.m_lease),
-      m_load_sharer(m_started_at) {}
+      m_load_sharer(m_started_at),
+      m_burn(m_started_at),
+      m_remote_balancers(m_context, m_platform),
+      m_burn_collector(m_context, MakeBurnSources()) {}
 
 BalancerProcess::~BalancerProcess() = default;
 
 base::Outcome<void> BalancerProcess::Bind() {
-  TRY(traffic, TrafficLoop::Create({.m_self = m_id,
-                                    .m_listen = m_settings.m_traffic,
-                                    .m_gateway = m_settings.m_gateway,
-                                    .m_flow = MakeFlowSettings(m_settings),
-                                    .m_seed = m_random.Next()}));
-  m_traffic = std::move(traffic);
-  base::Outcome<void> bound = BindPeer();
-  for (int attempt = 1;
-       !bound && m_settings.m_peer.m_port == 0 && attempt < kPeerPortAttempts;
-       ++attempt)
-    bound = BindPeer();
-  BOOST_OUTCOME_TRYV(std::move(bound));
-  TRY(admin, AdminConsole::Create(m_context, m_settings, m_platform,
-                                  MakeAdminSources()));
-  m_admin = std::move(admin);
+  auto traffic = TrafficLoop::Create({.m_self = m_id,
+                                      .m_listen = m_settings.m_traffic,
+                                      .m_gateway = m_settings.m_gateway,
+                                      .m_flow = MakeFlowSettings(m_settings),
+                                      .m_seed = m_random.Next()});
+  if (!traffic)
+    return LogBindFailure("traffic", m_settings.m_traffic, traffic.error());
+  m_traffic = std::move(traffic).value();
+  BOOST_OUTCOME_TRYV(BindPeerSockets());
+  auto admin = AdminConsole::Create(m_context, m_settings, m_platform,
+                                    MakeAdminSources());
+  if (!admin)
+    return LogBindFailure("admin", m_settings.m_admin, admin.error());
+  m_admin = std::move(admin).value();
   return base::Success();
 }
 
-base::Outcome<void> BalancerProcess::BindPeer() {
-  TRY(link, PeerLink::Create(m_context, m_settings.m_peer));
-  m_peer_link = std::move(link);
-  // Documents are pulled by TCP from the number of the UDP port.
-  TRY(server,
-      DocumentServer::Create(m_context, m_peer_link->LocalEndpoint(), [this] {
-        return MakePeerMessage(peer::DocumentReply{m_configuration->version(),
-                                                   m_configuration->body()});
-      }));
-  m_document_server = std::move(server);
-  return base::Success();
+base::Outcome<void> BalancerProcess::BindPeerSockets() {
+  // Peers ask by TCP at the number of the UDP port. Where the
+  // system chooses that number, another process may hold it for TCP.
+  for (int attempt = 1;; ++attempt) {
+    auto link = PeerLink::Create(m_context, m_settings.m_peer);
+    if (!link)
+      return LogBindFailure("peer", m_settings.m_peer, link.error());
+    auto server = PeerServer::Create(
+        m_context, link.value()->LocalEndpoint(),
+        [this](const peer::Message& request, const PeerServer::Answer& answer) {
+          OnPeerRequest(request, answer);
+        });
+    if (server) {
+      m_peer_link = std::move(link).value();
+      m_peer_server = std::move(server).value();
+      return base::Success();
+    }
+    const bool should_retry = m_settings.m_peer.m_port == 0 &&
+                              attempt < kPortAttempts &&
+                              server.error() == asio::error::address_in_use;
+    if (!should_retry)
+      return LogBindFailure("document", m_settings.m_peer, server.error());
+  }
 }
 
 peer::MemberRecord BalancerProcess::MakeSelf() const {
@@ -133,8 +158,11 @@
   self.m_id = m_id;
   self.m_name = m_settings.m_name;
   self.m_data_centre = m_settings.m_data_centre;
-  self.m_traffic = m_traffic->LocalEndpoint();
-  self.m_peer = m_peer_link->LocalEndpoint();
+  const auto advertised =
+      m_settings.m_advertised.value_or(configuration::AdvertisedEndpoints{
+          m_traffic->LocalEndpoint(), m_peer_link->LocalEndpoint()});
+  self.m_traffic = advertised.m_traffic;
+  self.m_peer = advertised.m_peer;
   self.m_admin = m_admin->endpoint();
   self.m_incarnation = WallClockMilliseconds();
   return self;
@@ -165,7 +193,12 @@
       [](const platform::ProbePeer&) {});
   m_vm_poller = std::make_unique<platform::VmPoller>(
       m_context, m_platform, m_settings.m_data_centre, kVmListInterval,
-      base::Random(m_random.Next()), [this](const auto& vms) { OnVms(vms); });
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnOwnVms(vms); });
+  m_all_vms_poller = std::make_unique<platform::VmPoller>(
+      m_context, m_platform, base::DataCentreId(), kVmListInterval,
+      base::Random(m_random.Next()),
+      [this](const auto& vms) { OnAllVms(vms); });
 }
 
 void BalancerProcess::SubscribeTimers() {
@@ -187,29 +220,6 @@
   m_timers.Rearm();
 }
 
-void BalancerProcess::RenewLease(base::TimePoint now) {
-  const membership::NewestConfiguration newest =
-      m_membership->NewestKnownConfiguration(now);
-  const auto expires = m_lease.Renew(
-      {.m_is_isolated = m_membership->IsIsolated(now, m_lease.EvidenceBound()),
-       .m_confirmed_at = m_follower->follower().ConfirmedAt(),
-       .m_is_behind = newest.m_version > m_configuration->version()},
-      now);
-  if (expires.has_value() != m_has_lease) {
-    m_has_lease = expires.has_value();
-    WriteLog(m_has_lease ? Severity::kInfo : Severity::kWarning,
-             m_has_lease ? Event::kLeaseRegained : Event::kLeaseLapsed,
-             {{"version", m_configuration->version().value()},
-              {"newest_known_version", newest.m_version.value()}});
-  }
-  if (!expires)
-    return;
-  m_traffic->Post(
-      [until = *expires](balancer::TrafficCore& core, base::TimePoint) {
-        core.SetLease(until);
-      });
-}
-
 void BalancerProcess::CollectCounts() {
   m_traffic->Post([this](balancer::TrafficCore& core, base::TimePoint) {
     BurnKeeper::Counts counts;
@@ -229,13 +239,13 @@
   m_burn.Take(counts, now);
   m_load_sharer.SetOwn(open_flows);
   ShareLoad(now);
-  m_traffic->Post(
-      [elsewhere = m_load_sharer.Elsewhere(open_flows),
-       peers = static_cast<std::uint32_t>(m_published_balancers.size() - 1)](
-          balancer::TrafficCore& core, base::TimePoint at) {
-        for (const auto& [service, others] : elsewhere)
-          core.ApplyLoad(service, placement::PeerOpenCounts{others, peers}, at);
-      });
+  m_traffic->Post([elsewhere = m_load_sharer.Elsewhere(open_flows),
+                   peers = static_cast<std::uint32_t>(
+                       m_published_balancers->balancers().size() - 1)](
+                      balancer::TrafficCore& core, base::TimePoint at) {
+    for (const auto& [service, others] : elsewhere)
+      core.ApplyLoad(service, placement::PeerOpenCounts{others, peers}, at);
+  });
 }
 
 void BalancerProcess::Run() {
@@ -255,9 +265,10 @@
             Severity::kWarning, Event::kPeerMessageRefused,
             {{"from", base::ToString(from)}, {"reason", reason.message()}});
       });
-  m_document_server->Start();
+  m_peer_server->Start();
   m_follower->Start();
   m_vm_poller->Start();
+  m_all_vms_poller->Start();
   SubscribeTimers();
   m_traffic->Start([this](flow::SilenceActions actions) {
     asio::post(m_context,
@@ -274,16 +285,6 @@
   m_context.run();
 }
 
-void BalancerProcess::OnDocument(base::ConfigurationVersion version,
-                                 const std::string& body) {
-  if (!m_configuration->Adopt(version, body, base::Clock::now()))
-    return;
-  m_load_poller->SetServers(m_configuration->PolledServers());
-  m_burn.SetDocument(m_configuration->document());
-  // Peers hear of the new version at once.
-  m_membership->SetConfiguration(version, m_follower->follower().ConfirmedAt());
-}
-
 void BalancerProcess::ServeIfJoined(base::TimePoint now) {
   if (m_phase != ProcessPhase::kJoining ||
       m_configuration->version() == base::ConfigurationVersion())
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -19,19 +19,22 @@
 #include "LibFlow/balancer_set.h"
 #include "LibFlow/silence_detector.h"
 #include "LibMembership/membership.h"
+#include "LibMembership/vm_entry.h"
 #include "LibObservability/metrics.h"
 #include "LibObservability/rate_limiter.h"
 #include "LibPeer/message.h"
 #include "LibPlatform/platform_client.h"
 #include "admin_console.h"
+#include "burn_collector.h"
 #include "burn_keeper.h"
 #include "configuration_keeper.h"
 #include "document_puller.h"
-#include "document_server.h"
 #include "lease_keeper.h"
 #include "load_poller.h"
 #include "load_sharer.h"
 #include "peer_link.h"
+#include "peer_server.h"
+#include "remote_balancers.h"
 #include "timer_driver.h"
 #include "traffic_loop.h"
 
@@ -84,8 +87,7 @@
   BalancerProcess(const configuration::Settings& settings, std::uint64_t seed);
 
   base::Outcome<void> Bind();
-  // Binds UDP and TCP to one port number.
-  base::Outcome<void> BindPeer();
+  base::Outcome<void> BindPeerSockets();
   void StartParts();
   void SubscribeTimers();
   void RenewLease(base::TimePoint now);
@@ -95,7 +97,9 @@
   void AdvanceMembership(base::TimePoint now);
   void Take(const membership::Effects& effects);
   void OnPeerMessage(base::Endpoint from, const peer::Message& message);
-  void OnVms(const std::vector<platform::VmRecord>& vms);
+  void OnOwnVms(const std::vector<platform::VmRecord>& vms);
+  void OnAllVms(const std::vector<platform::VmRecord>& vms);
+  void TellVms();
   void PublishBalancers();
   void TellFollower(base::TimePoint now);
 
@@ -104,6 +108,17 @@
   void OnPull(const platform::PullFromPeer& pull);
   peer::Message MakePeerMessage(peer::MessageBody body) const;
 
+  // Burn report.
+  void SetBurnDocument(const configuration::Document& document);
+  BurnCollector::Sources MakeBurnSources();
+  std::vector<BurnPart> BurnMembers() const;
+  std::vector<BurnPart> BurnDataCentres();
+  void OnPeerRequest(const peer::Message& request,
+                     const PeerServer::Answer& answer);
+  void AnswerBurnRequest(const peer::BurnRequest& request,
+                         const PeerServer::Answer& answer);
+  console::BurnPage MakeBurnPage(const observability::CombinedBurn& burn) const;
+
   // What the traffic thread knows and others need.
   void CollectCounts();
   void TakeCounts(const BurnKeeper::Counts& counts,
@@ -134,28 +149,35 @@
   base::TimePoint m_started_at;
   ProcessPhase m_phase = ProcessPhase::kJoining;
   bool m_has_vm_list = false;
+  std::vector<membership::VmEntry> m_own_vms;
+  // Of the other data centres.
+  std::vector<membership::VmEntry> m_remote_vms;
   base::TimePoint m_leaving_since;
   base::TimePoint m_last_direct_packet;
   std::uint64_t m_direct_packets = 0;
-  std::vector<flow::Balancer> m_published_balancers;
+  std::shared_ptr<const flow::BalancerSet> m_published_balancers;
 
   asio::io_context m_context{1};
   asio::signal_set m_signals{m_context};
   TimerDriver m_timers{m_context};
   std::unique_ptr<TrafficLoop> m_traffic;
   std::unique_ptr<PeerLink> m_peer_link;
-  std::unique_ptr<DocumentServer> m_document_server;
+  std::unique_ptr<PeerServer> m_peer_server;
   DocumentPuller m_document_puller{m_context};
   platform::PlatformClient m_platform;
   std::unique_ptr<membership::Membership> m_membership;
   std::unique_ptr<platform::FollowerDriver> m_follower;
+  // Of the own data centre, and of all.
   std::unique_ptr<platform::VmPoller> m_vm_poller;
+  std::unique_ptr<platform::VmPoller> m_all_vms_poller;
   std::unique_ptr<ConfigurationKeeper> m_configuration;
   std::unique_ptr<LoadPoller> m_load_poller;
   LeaseKeeper m_lease;
   bool m_has_lease = true;
   LoadSharer m_load_sharer;
   BurnKeeper m_burn;
+  RemoteBalancers m_remote_balancers;
+  BurnCollector m_burn_collector;
   observability::MetricsRegistry m_metrics;
   observability::RateLimiter m_log_limiter;
   std::unique_ptr<AdminConsole> m_admin;
--- a/Services/Coltsfootdale/balancer_silence.cc
+++ b/Services/Coltsfootdale/balancer_silence.cc
@@ -25,7 +25,7 @@
 void BalancerProcess::TakeSilence(const flow::SilenceActions& actions) {
   const base::TimePoint now = base::Clock::now();
   if (actions.m_request) {
-    for (const flow::Balancer& balancer : m_published_balancers) {
+    for (const flow::Balancer& balancer : m_published_balancers->balancers()) {
       const auto* entry = m_membership->Peers().Find(balancer.m_id);
       if (entry != nullptr)
         m_peer_link->Send(entry->m_record.m_peer,
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -3,6 +3,9 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+
 #include <filesystem>
 #include <fstream>
 #include <utility>
@@ -17,6 +20,9 @@
 constexpr auto kStartDeadline = std::chrono::seconds(10);
 constexpr auto kPastLease = std::chrono::milliseconds(2500);
 constexpr auto kStopDeadline = std::chrono::seconds(25);
+// More than the receive buffer of a socket holds.
+constexpr std::size_t kFillBytes = 4 << 20;
+constexpr std::size_t kFillDatagramBytes = 1024;
 constexpr int kServerBlock = 16;
 constexpr int kCallerBlock = 32;
 
@@ -28,6 +34,13 @@
   return pattern;
 }
 
+// Test programs that run side by side get numbers of their own from ctest, so
+// that they take no ports from each other.
+int NetworkNumber() {
+  const char* number = std::getenv("COLTSFOOTDALE_TEST_NETWORK");
+  return number == nullptr ? 0 : std::atoi(number);
+}
+
 base::Endpoint Endpoint(const JsonLine& line, const std::string& field) {
   const auto endpoint = base::ParseEndpoint(line.get(field, ""));
   Require(endpoint.has_value(), "no endpoint in field " + field);
@@ -46,8 +59,8 @@
       m_folder(MakeFolder()) {
   m_fabric = std::make_unique<ChildProcess>(
       kStandInTraffic,
-      std::vector<std::string>{"fabric", "--address", Address(0, 1), "--seed",
-                               std::to_string(m_options.m_seed)});
+      std::vector<std::string>{"fabric", "--address", BalancerAddress(),
+                               "--seed", std::to_string(m_options.m_seed)});
   const JsonLine line = m_fabric->WaitFor("listening", kStartDeadline);
   m_fabric_callers = line.get("callers", "");
   m_fabric_servers = line.get("servers", "");
@@ -61,7 +74,12 @@
 
 std::string Deployment::Address(int block, int number) const {
   return "127." + std::to_string(block) + "." +
-         std::to_string(m_options.m_number) + "." + std::to_string(number);
+         std::to_string(NetworkNumber() + m_options.m_number) + "." +
+         std::to_string(number);
+}
+
+std::string Deployment::BalancerAddress() const {
+  return Address(0, 1);
 }
 
 void Deployment::AddServer(const std::string& service,
@@ -103,21 +121,28 @@
 
 std::string Deployment::WriteSettings(const std::string& name) {
   std::string path = m_folder + "/" + name + ".yaml";
-  const std::string any_port = Address(0, 1) + ":0";
+  const std::string any_port = BalancerAddress() + ":0";
   const JsonLine& former = m_former_endpoints[name];
-  std::ofstream(path) << "data_centre: " << m_options.m_data_centre
-                      << "\nname: " << name
-                      << "\ntraffic: " << former.get("traffic", any_port)
-                      << "\npeer: " << former.get("peer", any_port)
-                      << "\nadmin: " << former.get("admin", any_port)
-                      << "\ngateway: " << m_fabric_balancers
-                      << "\nplatform: " << base::ToString(m_platform_endpoint)
-                      << "\noperator_token: integration-test-token\n"
-                      << m_options.m_settings;
+  std::ofstream file(path);
+  file << "data_centre: " << m_options.m_data_centre << "\nname: " << name
+       << "\ntraffic: " << former.get("traffic", any_port)
+       << "\npeer: " << former.get("peer", any_port)
+       << "\nadmin: " << former.get("admin", any_port)
+       << "\ngateway: " << m_fabric_balancers
+       << "\nplatform: " << base::ToString(m_platform_endpoint)
+       << "\noperator_token: integration-test-token\n"
+       << m_options.m_settings;
+  if (const auto proxies = m_peer_proxies.find(name);
+      proxies != m_peer_proxies.end())
+    file << "advertise: {traffic: " << proxies->second->traffic()
+         << ", peer: " << proxies->second->peer() << "}\n";
   return path;
 }
 
 void Deployment::StartBalancer(const std::string& name) {
+  if (m_options.m_has_peer_proxies && !m_peer_proxies.contains(name))
+    m_peer_proxies[name] = std::make_unique<PeerProxies>(
+        BalancerAddress(), m_options.m_seed + 3 * m_peer_proxies.size());
   m_balancers[name] = std::make_unique<ChildProcess>(
       kColtsfootdale,
       std::vector<std::string>{"balancer", "--settings", WriteSettings(name)});
@@ -125,10 +150,17 @@
 
 void Deployment::AnnounceBalancer(const std::string& name) {
   const JsonLine line = Balancer(name).WaitFor("listening", kStartDeadline);
+  std::string traffic = line.get("traffic", "");
+  std::string peer = line.get("peer", "");
+  if (const auto proxies = m_peer_proxies.find(name);
+      proxies != m_peer_proxies.end()) {
+    proxies->second->Aim(traffic, peer);
+    traffic = proxies->second->traffic();
+    peer = proxies->second->peer();
+  }
   m_platform.Post("vm?name=" + name +
                   "&data_centre=" + m_options.m_data_centre +
-                  "&state=live&traffic=" + line.get("traffic", "") +
-                  "&peer=" + line.get("peer", "") +
+                  "&state=live&traffic=" + traffic + "&peer=" + peer +
                   "&admin=" + line.get("admin", "127.0.0.1:1"));
 }
 
@@ -137,7 +169,10 @@
   const JsonLine line = balancer.WaitFor("listening", kStartDeadline);
   balancer.WaitFor("ready", kStartDeadline);
   const base::Endpoint traffic = StartProxy(Endpoint(line, "traffic"));
-  m_fabric->Ask("balancer " + name + " " + base::ToString(traffic), "done");
+  std::string command = "balancer " + name + " " + base::ToString(traffic);
+  if (m_options.m_fabric_polls_readiness)
+    command += " " + line.get("admin", "");
+  m_fabric->Ask(command, "done");
 }
 
 base::Endpoint Deployment::StartProxy(base::Endpoint target) {
@@ -160,6 +195,22 @@
     proxy->Ask(command, "done");
 }
 
+void Deployment::SetPeerFault(const std::string& command) {
+  Require(!m_peer_proxies.empty(), "no proxies between the balancers");
+  for (const auto& [name, proxies] : m_peer_proxies)
+    proxies->SetFault(command);
+}
+
+void Deployment::CutFrom(Deployment& other) {
+  SetPeerFault("exclude " + other.BalancerAddress());
+  other.SetPeerFault("exclude " + BalancerAddress());
+}
+
+void Deployment::HealFrom(Deployment& other) {
+  SetPeerFault("admit " + other.BalancerAddress());
+  other.SetPeerFault("admit " + BalancerAddress());
+}
+
 void Deployment::AddBalancer(const std::string& name) {
   StartBalancer(name);
   AnnounceBalancer(name);
@@ -188,6 +239,18 @@
   m_frozen.insert(name);
 }
 
+void Deployment::FillPeerSocket(const std::string& name) {
+  const JsonLine line = Balancer(name).WaitFor("listening", kStartDeadline);
+  const base::Endpoint peer = Endpoint(line, "peer");
+  const asio::ip::udp::endpoint target(
+      asio::ip::address_v4(peer.m_address.value()), peer.m_port);
+  asio::io_context context;
+  asio::ip::udp::socket socket(context, asio::ip::udp::v4());
+  const std::string datagram(kFillDatagramBytes, 'x');
+  for (std::size_t sent = 0; sent < kFillBytes; sent += datagram.size())
+    socket.send_to(asio::buffer(datagram), target);
+}
+
 void Deployment::ThawBalancer(const std::string& name) {
   Balancer(name).Signal(SIGCONT);
   m_frozen.erase(name);
@@ -242,7 +305,7 @@
   // and past the time after which a balancer tells of its own pause.
   std::this_thread::sleep_for(kPastLease);
   paused.Signal(SIGCONT);
-  paused.WaitForLater(lines_before[name], "lease_lapsed", kStartDeadline);
+  paused.WaitForLater(lines_before[name], "pause_detected", kStartDeadline);
 }
 
 std::unique_ptr<ChildProcess> Deployment::StartCaller(
--- a/Tests/Integration/deployment.h
+++ b/Tests/Integration/deployment.h
@@ -15,6 +15,7 @@
 
 #include "child_process.h"
 #include "document_model.h"
+#include "peer_proxies.h"
 #include "platform_control.h"
 
 namespace integration {
@@ -39,7 +40,8 @@
  public:
   struct Options {
     std::string m_data_centre = "a";
-    // The second-last number of all addresses; differs between data centres.
+    // Counts the data centres of one test program from 1 to 7; gives each
+    // addresses of its own.
     int m_number = 1;
     std::uint64_t m_seed = 1;
     // YAML lines added to each balancer's settings.
@@ -51,6 +53,12 @@
     bool m_has_fault_proxies = false;
     // Of each backend server.
     int m_server_slots = 3;
+    // The fabric asks the balancers themselves whether they are ready, instead
+    // of being told by the test.
+    bool m_fabric_polls_readiness = false;
+    // Puts fault proxies between the balancers: each is known to its peers by
+    // the endpoints of proxies.
+    bool m_has_peer_proxies = false;
   };
 
   Deployment(PlatformControl& platform,
@@ -78,6 +86,9 @@
   void RestartBalancer(const std::string& name);
   // SIGSTOP: the balancer stands still and packets wait in its sockets.
   void FreezeBalancer(const std::string& name);
+  // Fills the peer socket of a frozen balancer, so that it gets nothing that
+  // peers send until it thaws, like a VM that was suspended.
+  void FillPeerSocket(const std::string& name);
   // SIGCONT.
   void ThawBalancer(const std::string& name);
   // SIGTERM: the fabric is told at once; returns the exit code.
@@ -91,6 +102,12 @@
   void PauseBalancer(const std::string& name);
   // Sends a command, as `loss 0.02`, to the fault proxies.
   void SetFault(const std::string& command);
+  // Sends a command to the proxies between the balancers.
+  void SetPeerFault(const std::string& command);
+  // Messages between the balancers of both deployments are lost from now on, or
+  // no more.
+  void CutFrom(Deployment& other);
+  void HealFrom(Deployment& other);
   std::unique_ptr<ChildProcess> StartCaller(const std::string& service,
                                             const CallerOptions& options);
 
@@ -99,7 +116,15 @@
   }
   ChildProcess& Server(const std::string& name) { return *m_servers.at(name); }
   ChildProcess& Fabric() { return *m_fabric; }
+  // The fabric's endpoint for callers.
+  const std::string& CallersEndpoint() const { return m_fabric_callers; }
   std::vector<std::string> BalancerNames() const;
+  // The IP number that all balancers of the deployment share.
+  std::string BalancerAddress() const { return Address(0, 1); }
+  // YAML lines of balancers that are started from now on.
+  void SetSettings(const std::string& settings) {
+    m_options.m_settings = settings;
+  }
   // Endpoint that balancers started from now on use for the platform.
   void SetPlatformEndpoint(base::Endpoint endpoint) {
     m_platform_endpoint = endpoint;
@@ -121,6 +146,7 @@
 
  private:
   std::string Address(int block, int number) const;
+  std::string BalancerAddress() const;
   std::string WriteSettings(const std::string& name);
   // Endpoint of a new fault proxy before `target`, or `target` if there are
   // none. It has the address of `target`, by which balancers know servers.
@@ -138,6 +164,8 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> m_servers;
   std::map<std::string, std::unique_ptr<ChildProcess>> m_balancers;
   std::vector<std::unique_ptr<ChildProcess>> m_proxies;
+  // By name of the balancer.
+  std::map<std::string, std::unique_ptr<PeerProxies>> m_peer_proxies;
   // Processes that were killed or stopped; their logs are still read.
   std::vector<std::unique_ptr<ChildProcess>> m_former_balancers;
   // The `listening` lines of killed balancers, by name.
--- a/Tests/LibPeer/test_codec.cc
+++ b/Tests/LibPeer/test_codec.cc
@@ -62,9 +62,12 @@
   std::vector<peer::LoadEntry> load(
       *rc::gen::inRange<std::size_t>(0, peer::kMaximumLoadEntries + 1),
       peer::LoadEntry{sequence, 7});
-  std::vector<peer::BurnCounter> counters(
-      *rc::gen::inRange<std::size_t>(0, peer::kMaximumBurnCounters + 1),
-      peer::BurnCounter{MakeNumber(), MakeNumber()});
+  const auto scope = static_cast<peer::BurnScope>(*rc::gen::inRange(0, 2));
+  std::vector<peer::ServiceBurn> burn(
+      *rc::gen::inRange<std::size_t>(0, peer::kMaximumBurnServices + 1),
+      peer::ServiceBurn{MakeText(peer::kMaximumNameBytes),
+                        {MakeNumber(), MakeNumber()}});
+  const std::chrono::milliseconds counting(*rc::gen::inRange(0, 100'000));
   std::vector<peer::WatchedStream> streams(
       *rc::gen::inRange<std::size_t>(0, peer::kMaximumWatchedStreams + 1),
       peer::WatchedStream{MakeNumber(), sequence, 1});
@@ -81,7 +84,12 @@
       peer::LoadDigest{std::move(load)},
       peer::DocumentRequest{version},
       peer::DocumentReply{version, MakeText(300)},
-      peer::BurnCounters{std::move(counters)},
+      peer::BurnRequest{scope},
+      peer::BurnReply{sequence,
+                      7,
+                      counting,
+                      {MakeText(peer::kMaximumNameBytes)},
+                      std::move(burn)},
       peer::FlowWatch{sequence, std::move(streams)},
       peer::FlowWatchReply{sequence, std::move(reports)}};
   return *rc::gen::elementOf(bodies);
