--- a/Libraries/LibBalancer/traffic_core.cc
+++ b/Libraries/LibBalancer/traffic_core.cc
@@ -167,11 +167,11 @@
 flow::Effects TrafficCore::TakeNotes(flow::Effects effects,
                                      base::TimePoint now) {
   flow::Effects others;
-  for (flow::Effect& effect : effects) {
+  for (const flow::Effect& effect : effects) {
     if (const auto* note = std::get_if<flow::FlowNote>(&effect))
       Observe(*note, now);
     else
-      others.push_back(std::move(effect));
+      others.push_back(effect);
   }
   return others;
 }
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -104,13 +104,16 @@
   void TellFollower(base::TimePoint now);
 
   // Configuration.
-  void OnDocument(base::ConfigurationVersion version, const std::string& body);
+  // Whether the document is in force now.
+  bool OnDocument(base::ConfigurationVersion version, const std::string& body);
   void OnPull(const platform::PullFromPeer& pull);
   peer::Message MakePeerMessage(peer::MessageBody body) const;
 
   // Burn report.
   void SetBurnDocument(const configuration::Document& document);
   BurnCollector::Sources MakeBurnSources();
+  // Whether another balancer runs where a dead one did.
+  bool IsReplaced(const peer::MemberRecord& dead) const;
   std::vector<BurnPart> BurnMembers() const;
   std::vector<BurnPart> BurnDataCentres();
   void OnPeerRequest(const peer::Message& request,
--- a/Tests/Integration/deployment.cc
+++ b/Tests/Integration/deployment.cc
@@ -78,10 +78,6 @@
          std::to_string(number);
 }
 
-std::string Deployment::BalancerAddress() const {
-  return Address(0, 1);
-}
-
 void Deployment::AddServer(const std::string& service,
                            const std::string& name,
                            const std::vector<std::string>& more) {
