--- a/Libraries/LibBalancer/traffic_core.cc
+++ b/Libraries/LibBalancer/traffic_core.cc
@@ -164,7 +164,7 @@
     gate->second.Observe(note, now);
 }
 
-flow::Effects TrafficCore::TakeNotes(flow::Effects effects,
+flow::Effects TrafficCore::TakeNotes(const flow::Effects& effects,
                                      base::TimePoint now) {
   flow::Effects others;
   for (const flow::Effect& effect : effects) {
--- a/Libraries/LibBalancer/traffic_core.h
+++ b/Libraries/LibBalancer/traffic_core.h
@@ -78,7 +78,7 @@
              const flow::Effects& effects,
              base::TimePoint now);
   void NoteSilent(const flow::SilentFlow& silent, base::TimePoint now);
-  flow::Effects TakeNotes(flow::Effects effects, base::TimePoint now);
+  flow::Effects TakeNotes(const flow::Effects& effects, base::TimePoint now);
 
   base::Random m_random;
   std::unordered_map<base::ServiceId, ServiceGate> m_gates;
--- a/Libraries/LibFlow/sighting_table.cc
+++ b/Libraries/LibFlow/sighting_table.cc
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include "LibBase/verify.h"
+#include "LibFlow/flow_entry.h"
 
 namespace flow {
 
@@ -65,7 +66,9 @@
   const std::uint64_t hash = HashStream(packet.m_hash, packet.m_sender);
 
   Sighting& sighting = m_slots[hash & (m_slots.size() - 1)];
-  if (sighting.m_tag != TagOf(hash)) {
+  // A flow that uses the ports of a former one again starts anywhere.
+  if (sighting.m_tag != TagOf(hash) ||
+      !IsPlausiblePosition(sighting.m_end, packet.m_position)) {
     sighting = {TagOf(hash), 1, packet.m_position, EndOf(packet), now_ms};
     return base::Duration::zero();
   }
--- a/Tests/LibFlow/test_silence_detector.cc
+++ b/Tests/LibFlow/test_silence_detector.cc
@@ -140,3 +140,18 @@
   CHECK(table.Note(packet, base::TimePoint(seconds(3))) ==
         base::Duration::zero());
 }
+
+TEST_CASE("a flow that uses the ports of a former one does not repeat it") {
+  const flow::SilenceSettings settings;
+  flow::SightingTable table(base::TimePoint(), settings.m_sighting_slots);
+  flow::StreamPacket packet;
+  packet.m_hash = 7;
+  packet.m_payload_bytes = 10;
+  packet.m_position = 0x40000000U;
+  table.Note(packet, base::TimePoint());
+
+  packet.m_position = 0x30000000U;
+
+  CHECK(table.Note(packet, base::TimePoint(seconds(2))) ==
+        base::Duration::zero());
+}
