--- a/Libraries/LibMembership/load_publisher.h
+++ b/Libraries/LibMembership/load_publisher.h
@@ -47,6 +47,8 @@
   // Commands.
   // Sets the number of flows that this balancer has open on the server.
   void SetOpenFlows(base::BackendServerId server, std::uint64_t open_flows);
+  // Spends budget on other messages, so that digests make room for them.
+  void Charge(double bytes) { m_tokens_bytes -= bytes; }
   // Returns the digest to send now to each of `recipients` members: what
   // changed most first, then what was told longest ago. Nothing if nothing is
   // due or the budget does not allow it. A change does not wait until the
--- a/Services/Coltsfootdale/balancer_silence.cc
+++ b/Services/Coltsfootdale/balancer_silence.cc
@@ -24,6 +24,7 @@
 
 void BalancerProcess::TakeSilence(const flow::SilenceActions& actions) {
   const base::TimePoint now = base::Clock::now();
+  const std::uint64_t sent_before = m_peer_link->counters().m_bytes_sent;
   if (actions.m_request) {
     for (const flow::Balancer& balancer : m_published_balancers->balancers()) {
       const auto* entry = m_membership->Peers().Find(balancer.m_id);
@@ -38,6 +39,7 @@
       m_peer_link->Send(entry->m_record.m_peer,
                         MakePeerMessage(MakeFlowWatchReply(reply.m_reply)));
   }
+  m_load_sharer.Charge(m_peer_link->counters().m_bytes_sent - sent_before);
   for (const flow::SilentFlow& silent : actions.m_silent)
     LogSilent(silent, now);
   for (const auto& summary : m_log_limiter.TakeSummaries(now))
--- a/Services/Coltsfootdale/load_sharer.h
+++ b/Services/Coltsfootdale/load_sharer.h
@@ -4,6 +4,7 @@
 #ifndef SERVICES_COLTSFOOTDALE_LOAD_SHARER_H_
 #define SERVICES_COLTSFOOTDALE_LOAD_SHARER_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -32,6 +33,10 @@
   void SetOwn(const OpenFlows& own);
   void Receive(base::BalancerId member, const peer::LoadDigest& digest);
   void Retain(const membership::MemberSnapshot& live);
+  // Bytes of other messages that the digests make room for.
+  void Charge(std::uint64_t bytes) {
+    m_publisher.Charge(static_cast<double>(bytes));
+  }
   // The digest to send to each of `recipients` members, if one is due.
   std::optional<peer::LoadDigest> Next(std::size_t recipients,
                                        base::TimePoint now);
--- a/Tests/LibMembership/test_load.cc
+++ b/Tests/LibMembership/test_load.cc
@@ -158,3 +158,14 @@
   REQUIRE(digest);
   CHECK(digest->m_entries.front() == peer::LoadEntry{2, 9});
 }
+
+TEST_CASE("load digests make room for the messages of others") {
+  const membership::LoadPublisherSettings settings;
+  membership::LoadPublisher publisher(kStart);
+  publisher.SetOpenFlows(BackendServerId(1), 1);
+  publisher.Charge(settings.m_burst_bytes + settings.m_bytes_per_second);
+
+  CHECK_FALSE(publisher.Next(kPeers, kStart));
+  CHECK_FALSE(publisher.Next(kPeers, kStart + seconds(1)));
+  CHECK(publisher.Next(kPeers, kStart + seconds(2)));
+}
