--- a/Libraries/LibMembership/load_publisher.cc
+++ b/Libraries/LibMembership/load_publisher.cc
@@ -5,7 +5,6 @@
 #include <limits>
 #include <tuple>
 
-#include "LibMembership/load_key.h"
 #include "LibPeer/limits.h"
 
 namespace membership {
@@ -30,6 +29,17 @@
       static_cast<std::uint16_t>(std::min(open_flows, kGreatest));
 }
 
+void LoadPublisher::RetainServers(const LoadKeys& servers) {
+  std::erase_if(m_counts, [&servers](const auto& count) {
+    return !servers.contains(count.first);
+  });
+}
+
+void LoadPublisher::CountOtherBytes(std::uint64_t bytes) {
+  m_tokens_bytes = std::max(-m_settings.m_burst_bytes,
+                            m_tokens_bytes - static_cast<double>(bytes));
+}
+
 void LoadPublisher::Refill(base::TimePoint now) {
   const std::chrono::duration<double> elapsed = now - m_refilled_at;
   m_refilled_at = now;
--- a/Services/Coltsfootdale/load_sharer.cc
+++ b/Services/Coltsfootdale/load_sharer.cc
@@ -1,7 +1,21 @@
 #include "load_sharer.h"
 
+#include <utility>
+
 namespace service {
 
+namespace {
+
+// Of the 4 KB a second that a balancer may send to its peers; the rest is room
+// for what is sent when many members change at once.
+constexpr double kControlBytesPerSecond = 3'700;
+
+}  // namespace
+
+LoadSharer::LoadSharer(base::TimePoint now)
+    : m_publisher(now, {.m_bytes_per_second = kControlBytesPerSecond}),
+      m_forgot_at(now) {}
+
 LoadSharer::OpenFlows LoadSharer::Elsewhere(const OpenFlows& own) const {
   OpenFlows elsewhere;
   for (const auto& [service, counts] : own) {
@@ -14,12 +28,22 @@
   return elsewhere;
 }
 
-void LoadSharer::SetOwn(const OpenFlows& own) {
+void LoadSharer::SetOwn(const OpenFlows& own, base::TimePoint now) {
+  membership::LoadKeys servers;
   for (const auto& [service, counts] : own) {
-    for (const placement::OpenCount& count : counts)
+    for (const placement::OpenCount& count : counts) {
+      servers.insert(membership::LoadKey(count.m_server));
       m_publisher.SetOpenFlows(count.m_server,
                                static_cast<std::uint64_t>(count.m_open_flows));
+    }
   }
+  const bool is_due = now - m_forgot_at >= kForgetPeriod;
+  if (servers == m_servers && !is_due)
+    return;
+  m_servers = std::move(servers);
+  m_forgot_at = now;
+  m_publisher.RetainServers(m_servers);
+  m_shared.RetainServers(m_servers);
 }
 
 void LoadSharer::Receive(base::BalancerId member,
@@ -32,7 +56,10 @@
 }
 
 std::optional<peer::LoadDigest> LoadSharer::Next(std::size_t recipients,
+                                                 std::uint64_t sent_bytes,
                                                  base::TimePoint now) {
+  m_publisher.CountOtherBytes(sent_bytes - m_sent_bytes);
+  m_sent_bytes = sent_bytes;
   return m_publisher.Next(recipients, now);
 }
 
--- a/Services/Coltsfootdale/load_sharer.h
+++ b/Services/Coltsfootdale/load_sharer.h
@@ -4,6 +4,8 @@
 #ifndef SERVICES_COLTSFOOTDALE_LOAD_SHARER_H_
 #define SERVICES_COLTSFOOTDALE_LOAD_SHARER_H_
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +13,7 @@
 
 #include "LibBase/ids.h"
 #include "LibBase/time.h"
+#include "LibMembership/load_key.h"
 #include "LibMembership/load_publisher.h"
 #include "LibMembership/shared_load.h"
 #include "LibPeer/load_digest.h"
@@ -23,27 +26,38 @@
   using OpenFlows =
       std::map<base::ServiceId, std::vector<placement::OpenCount>>;
 
-  explicit LoadSharer(base::TimePoint now) : m_publisher(now) {}
+  static constexpr base::Duration kForgetPeriod = std::chrono::seconds(5);
+
+  explicit LoadSharer(base::TimePoint now);
 
   // Queries.
   // For each service of `own`, what the other balancers have open.
   OpenFlows Elsewhere(const OpenFlows& own) const;
+  // The number of servers that peers told open flows of.
+  std::size_t SharedServers() const { return m_shared.ServerCount(); }
 
   // Commands.
-  void SetOwn(const OpenFlows& own);
+  // Takes the open flows here on each server of the document in force, and
+  // forgets all other servers: at once, and again from time to time, as a peer
+  // with an older document may still tell of them.
+  void SetOwn(const OpenFlows& own, base::TimePoint now);
   void Receive(base::BalancerId member, const peer::LoadDigest& digest);
   void Retain(const membership::MemberSnapshot& live);
-  // Bytes of other messages that the digests make room for.
-  void Charge(std::uint64_t bytes) {
-    m_publisher.Charge(static_cast<double>(bytes));
-  }
   // The digest to send to each of `recipients` members, if one is due.
+  // `sent_bytes` counts all that was ever sent to peers by datagram.
   std::optional<peer::LoadDigest> Next(std::size_t recipients,
+                                       std::uint64_t sent_bytes,
                                        base::TimePoint now);
+  // Tells that the digest was sent; `sent_bytes` as above.
+  void NoteSent(std::uint64_t sent_bytes) { m_sent_bytes = sent_bytes; }
 
  private:
   membership::LoadPublisher m_publisher;
   membership::SharedLoad m_shared;
+  membership::LoadKeys m_servers;
+  base::TimePoint m_forgot_at;
+  // What was sent until the last digest was due.
+  std::uint64_t m_sent_bytes = 0;
 };
 
 }  // namespace service
--- a/Tests/LibMembership/test_load.cc
+++ b/Tests/LibMembership/test_load.cc
@@ -136,6 +136,32 @@
   CHECK(bytes >= 0.9 * budget);
 }
 
+TEST_CASE("what is sent besides digests comes out of the budget") {
+  constexpr double kBytesPerSecond = 3'700;
+  constexpr std::uint64_t kOtherBytes = 24;
+  constexpr int kSeconds = 60;
+  membership::LoadPublisher publisher(
+      kStart, {.m_bytes_per_second = kBytesPerSecond, .m_burst_bytes = 3'000});
+  base::Random random(9);
+  double sent = 0;
+  for (milliseconds at{0}; at < seconds(kSeconds); at += milliseconds(20)) {
+    publisher.CountOtherBytes(kOtherBytes);
+    sent += kOtherBytes;
+    for (std::uint32_t server = 1; server <= 19; ++server)
+      publisher.SetOpenFlows(BackendServerId(server), random.Below(1000));
+    const auto digest = publisher.Next(kPeers, kStart + at);
+    if (!digest)
+      continue;
+    const auto frame =
+        peer::Encode(peer::Transport::kDatagram, {{}, *digest, {}});
+    REQUIRE(frame);
+    sent += static_cast<double>(kPeers *
+                                (frame.value().size() + kIpAndUdpHeaderBytes));
+  }
+  CHECK(sent <= kBytesPerSecond * kSeconds + 3'000);
+  CHECK(sent >= 0.9 * kBytesPerSecond * kSeconds);
+}
+
 TEST_CASE("a change does not wait for the budget of repetitions") {
   membership::LoadPublisher publisher(kStart);
   const membership::LoadPublisherSettings settings;
@@ -159,13 +185,27 @@
   CHECK(digest->m_entries.front() == peer::LoadEntry{2, 9});
 }
 
-TEST_CASE("load digests make room for the messages of others") {
-  const membership::LoadPublisherSettings settings;
+TEST_CASE("servers that are gone are forgotten and the others keep counts") {
   membership::LoadPublisher publisher(kStart);
-  publisher.SetOpenFlows(BackendServerId(1), 1);
-  publisher.Charge(settings.m_burst_bytes + settings.m_bytes_per_second);
+  membership::SharedLoad load;
+  for (std::uint32_t server = 1; server <= 1'000; ++server) {
+    publisher.SetOpenFlows(BackendServerId(server), server);
+    load.Receive(BalancerId(1), {{{server, 5}}});
+    load.Receive(BalancerId(2), {{{server, 6}}});
+    publisher.RetainServers({server - 1, server});
+    load.RetainServers({server - 1, server});
+  }
 
-  CHECK_FALSE(publisher.Next(kPeers, kStart));
-  CHECK_FALSE(publisher.Next(kPeers, kStart + seconds(1)));
-  CHECK(publisher.Next(kPeers, kStart + seconds(2)));
+  CHECK(publisher.ServerCount() == 2);
+  CHECK(load.ServerCount() == 2);
+  CHECK(load.OpenFlowsElsewhere(BackendServerId(998)) == 0);
+  CHECK(load.OpenFlowsElsewhere(BackendServerId(999)) == 11);
+  const auto digest = publisher.Next(kPeers, kStart);
+  REQUIRE(digest);
+  CHECK(digest->m_entries ==
+        std::vector<peer::LoadEntry>{{1'000, 1'000}, {999, 999}});
+  load.Drop(BalancerId(1));
+  CHECK(load.OpenFlowsElsewhere(BackendServerId(999)) == 6);
+  load.Receive(BalancerId(2), {{{999, 0}, {1'000, 0}}});
+  CHECK(load.ServerCount() == 0);
 }
