--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -38,6 +38,7 @@
     case CallerPacketKind::kOpening:
       return DecideOpening(packet, subject);
     case CallerPacketKind::kClosing:
+    case CallerPacketKind::kAborted:
       return HandleClosing(packet, subject);
     case CallerPacketKind::kData:
       break;
@@ -143,7 +144,8 @@
     return HandleData(packet, subject);
 
   entry->m_is_closed_by_caller = true;
-  const bool is_over = entry->m_is_closed_by_server;
+  const bool is_over = packet.m_kind == CallerPacketKind::kAborted ||
+                       entry->m_is_closed_by_server;
   if (is_over)
     entry->m_state = FlowState::kClosing;
   // A probe that ends here erases its entry, which a closing flow keeps.
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -31,10 +31,11 @@
   kPeerMessageRefused,
   kPlatformUnreachable,
   kConsoleRequestRefused,
+  kFlowsSilent,
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 21> kEventNames{{
+inline constexpr base::EnumTable<Event, 22> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -55,6 +56,7 @@
     {Event::kPeerMessageRefused, "peer_message_refused"},
     {Event::kPlatformUnreachable, "platform_unreachable"},
     {Event::kConsoleRequestRefused, "console_request_refused"},
+    {Event::kFlowsSilent, "flows_silent"},
     {Event::kEventsSuppressed, "events_suppressed"},
 }};
 
--- a/Libraries/LibPeer/limits.h
+++ b/Libraries/LibPeer/limits.h
@@ -19,6 +19,7 @@
 inline constexpr std::size_t kMaximumBurnServices = 256;
 inline constexpr std::size_t kMaximumBurnCounts = 64;
 inline constexpr std::size_t kMaximumMissingBalancers = 64;
+inline constexpr std::size_t kMaximumWatchedStreams = 60;
 
 }  // namespace peer
 
--- a/Libraries/LibPeer/message.h
+++ b/Libraries/LibPeer/message.h
@@ -12,6 +12,8 @@
 #include "LibPeer/burn_request.h"
 #include "LibPeer/document_reply.h"
 #include "LibPeer/document_request.h"
+#include "LibPeer/flow_watch.h"
+#include "LibPeer/flow_watch_reply.h"
 #include "LibPeer/heartbeat.h"
 #include "LibPeer/leave.h"
 #include "LibPeer/load_digest.h"
@@ -36,7 +38,9 @@
                                  DocumentRequest,
                                  DocumentReply,
                                  BurnRequest,
-                                 BurnReply>;
+                                 BurnReply,
+                                 FlowWatch,
+                                 FlowWatchReply>;
 
 struct Message {
   SenderStatus m_sender;
--- a/Services/Coltsfootdale/balancer_process.cc
+++ b/Services/Coltsfootdale/balancer_process.cc
@@ -70,7 +70,11 @@
       .m_relay_to_home = mechanisms.m_relay_to_home,
       .m_probe = mechanisms.m_probe,
       .m_reopen_on_refusal = mechanisms.m_reopen_on_refusal,
-      .m_configuration_lease = mechanisms.m_configuration_lease};
+      .m_configuration_lease = mechanisms.m_configuration_lease,
+      .m_detect_silence = mechanisms.m_detect_silence};
+  flow.m_silence.m_watch = settings.m_control.m_silence_watch;
+  flow.m_silence.m_repetitions =
+      static_cast<std::uint32_t>(settings.m_control.m_silence_repetitions);
   flow.m_table_bytes = settings.m_control.m_flow_table_mb << 20;
   flow.m_searches_per_second =
       static_cast<double>(settings.m_control.m_search_budget_per_second);
@@ -268,7 +272,10 @@
   m_vm_poller->Start();
   m_all_vms_poller->Start();
   SubscribeTimers();
-  m_traffic->Start();
+  m_traffic->Start([this](flow::SilenceActions actions) {
+    asio::post(m_context,
+               [this, actions = std::move(actions)] { TakeSilence(actions); });
+  });
   WriteLog(Severity::kInfo, Event::kListening,
            {{"traffic", base::ToString(m_traffic->LocalEndpoint())},
             {"peer", base::ToString(m_peer_link->LocalEndpoint())},
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -17,9 +17,11 @@
 #include "LibBase/random.h"
 #include "LibConfiguration/settings.h"
 #include "LibFlow/balancer_set.h"
+#include "LibFlow/silence_detector.h"
 #include "LibMembership/membership.h"
 #include "LibMembership/vm_entry.h"
 #include "LibObservability/metrics.h"
+#include "LibObservability/rate_limiter.h"
 #include "LibPeer/message.h"
 #include "LibPlatform/platform_client.h"
 #include "admin_console.h"
@@ -126,6 +128,13 @@
                   const LoadSharer::OpenFlows& open_flows);
   void ShareLoad(base::TimePoint now);
 
+  // Flows that went silent.
+  void TakeSilence(const flow::SilenceActions& actions);
+  void LogSilent(const flow::SilentFlow& silent, base::TimePoint now);
+  void OnFlowWatch(base::BalancerId from, const peer::FlowWatch& watch);
+  void OnFlowWatchReply(base::BalancerId from,
+                        const peer::FlowWatchReply& reply);
+
   // Admin server.
   AdminConsole::Sources MakeAdminSources();
   StatusView MakeStatus() const;
@@ -173,6 +182,7 @@
   RemoteBalancers m_remote_balancers;
   BurnCollector m_burn_collector;
   observability::MetricsRegistry m_metrics;
+  observability::RateLimiter m_log_limiter;
   std::unique_ptr<AdminConsole> m_admin;
 };
 
--- a/Tests/LibPeer/test_codec.cc
+++ b/Tests/LibPeer/test_codec.cc
@@ -68,6 +68,11 @@
       peer::ServiceBurn{MakeText(peer::kMaximumNameBytes),
                         {MakeNumber(), MakeNumber()}});
   const std::chrono::milliseconds counting(*rc::gen::inRange(0, 100'000));
+  std::vector<peer::WatchedStream> streams(
+      *rc::gen::inRange<std::size_t>(0, peer::kMaximumWatchedStreams + 1),
+      peer::WatchedStream{MakeNumber(), sequence, 1});
+  std::vector<peer::StreamReport> reports(streams.size(),
+                                          peer::StreamReport{0x83, 9, 1400});
   const std::vector<peer::MessageBody> bodies{
       peer::Heartbeat{},
       peer::Ping{sequence, *rc::gen::arbitrary<bool>()},
@@ -84,7 +89,9 @@
                       7,
                       counting,
                       {MakeText(peer::kMaximumNameBytes)},
-                      std::move(burn)}};
+                      std::move(burn)},
+      peer::FlowWatch{sequence, std::move(streams)},
+      peer::FlowWatchReply{sequence, std::move(reports)}};
   return *rc::gen::elementOf(bodies);
 }
 
