LibFlow: Keep late segments of a port's earlier flow from the next flow

Change: a home believes no answer far from what the caller has sent while it decides; a late segment beside a flow opened here lately is dropped and counted (earlier_flow); a denial by a learned server starts a probe; a balancer that is not the home forgets an entry that its server denies; places are plausible within 1 MiB, not 16. Each has a test of the director that failed before.

--- a/Libraries/LibFlow/effect.h
+++ b/Libraries/LibFlow/effect.h
@@ -29,9 +29,11 @@
   kSearchBudget,
   kNotHome,
   kStaleRefusal,
+  // A segment of a flow that had the caller's port before.
+  kEarlierFlow,
 };
 
-inline constexpr base::EnumTable<DropReason, 9> kDropReasonNames = {{
+inline constexpr base::EnumTable<DropReason, 10> kDropReasonNames = {{
     {DropReason::kUnknownService, "unknown_service"},
     {DropReason::kUnknownServer, "unknown_server"},
     {DropReason::kLeaseExpired, "lease_expired"},
@@ -41,6 +43,7 @@
     {DropReason::kSearchBudget, "search_budget"},
     {DropReason::kNotHome, "not_home"},
     {DropReason::kStaleRefusal, "stale_refusal"},
+    {DropReason::kEarlierFlow, "earlier_flow"},
 }};
 
 // Sends the packet at hand to a backend server.
--- a/Libraries/LibFlow/flow_director.h
+++ b/Libraries/LibFlow/flow_director.h
@@ -115,6 +115,10 @@
   Effects HandleNoSuchFlow(const ServerPacket& packet, const Subject& subject);
   Effects HandleEnding(const ServerPacket& packet, const Subject& subject);
   Effects HandleAnswer(const ServerPacket& packet, const Subject& subject);
+  void NoteEndElsewhere(const ServerPacket& packet, const Subject& subject);
+  bool WasOpenedHereLately(const Subject& subject);
+  // Null if too many searches or probes are under way.
+  PendingProbe* StartProbe(const Subject& subject);
   Effects ResendElsewhere(const Subject& subject,
                           FlowEntry& entry,
                           PendingOpening& opening,
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -17,6 +17,10 @@
 // home before the one that has it decides.
 constexpr std::uint8_t kMaximumOpeningHops = 1;
 
+// For how long segments of a flow may arrive after the next flow of its port
+// was opened.
+constexpr auto kLateSegmentLifetime = std::chrono::seconds(10);
+
 void CountUnanswered(FlowEntry& entry) {
   if (entry.m_unanswered < std::numeric_limits<std::uint8_t>::max())
     ++entry.m_unanswered;
@@ -218,6 +222,8 @@
 
 Effects FlowDirector::Search(const CallerPacket& packet,
                              const Subject& subject) {
+  if (IsHome(subject) && WasOpenedHereLately(subject))
+    return OnlyEffect(Drop{DropReason::kEarlierFlow});
   if (!m_settings.m_mechanisms.m_relay_to_home)
     return Probe(packet, subject);
   const bool is_first = packet.m_relay.m_purpose != RelayPurpose::kSearch;
@@ -260,6 +266,24 @@
   return ForwardProbe(packet, subject, entry);
 }
 
+// Whether the caller's port has a flow that was opened here and heard of since
+// segments of an earlier flow may be on the way: what does not fit that flow is
+// such a segment, and a probe for it would displace the entry.
+bool FlowDirector::WasOpenedHereLately(const Subject& subject) {
+  const FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  if (entry == nullptr || !entry->m_is_counted)
+    return false;
+  const std::chrono::milliseconds since_seen(
+      m_flows.Milliseconds(subject.m_now) - entry->m_last_seen_ms);
+  return since_seen < kLateSegmentLifetime;
+}
+
+PendingProbe* FlowDirector::StartProbe(const Subject& subject) {
+  if (!m_search_budget.Take(subject.m_now))
+    return nullptr;
+  return m_probes.Insert(subject.m_key, subject.m_now);
+}
+
 bool FlowDirector::AdvanceProbe(const Subject& subject, FlowEntry& entry) {
   const PendingProbe* probe = m_probes.Find(subject.m_key);
   if (probe == nullptr)
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -11,6 +11,35 @@
 
 namespace {
 
+// Whether a denial by the server of the entry may mean that another server has
+// the flow: the caller completed the handshake with one tried earlier, or the
+// entry was learned from an earlier flow of the caller's port.
+bool IsInDoubt(const FlowEntry& entry) {
+  switch (entry.m_state) {
+    case FlowState::kOpening:
+    case FlowState::kAccepted:
+    case FlowState::kClosing:
+      return true;
+    case FlowState::kEstablished:
+      return !entry.m_is_counted;
+    case FlowState::kFree:
+    case FlowState::kProbing:
+      break;
+  }
+  return false;
+}
+
+// Whether the answer can only be a late one of an earlier flow of the caller's
+// port: the entry's place comes from the caller, who has sent nothing near the
+// place that is acknowledged.
+bool IsOfEarlierFlow(const FlowEntry& entry, const ServerPacket& packet) {
+  const bool is_undecided = entry.m_state == FlowState::kOpening ||
+                            entry.m_state == FlowState::kAccepted ||
+                            entry.m_state == FlowState::kProbing;
+  return is_undecided &&
+         !IsPlausiblePosition(entry.m_position, packet.m_position);
+}
+
 bool IsSettled(const FlowEntry& entry) {
   return entry.m_state == FlowState::kAccepted ||
          entry.m_state == FlowState::kEstablished ||
@@ -32,11 +61,7 @@
 
   // All else is seen by the home, which counts the flow.
   if (!IsHome(subject) && packet.m_relay.m_purpose == RelayPurpose::kNone) {
-    FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
-    const bool is_over = packet.m_kind != ServerPacketKind::kAccepted;
-    if (entry != nullptr && is_over &&
-        entry->m_server == IdentifyServer(packet, *service))
-      entry->m_state = FlowState::kClosing;
+    NoteEndElsewhere(packet, subject);
     return RelayHome(subject, {RelayPurpose::kAnswer, 0, packet.m_server});
   }
   switch (packet.m_kind) {
@@ -55,6 +80,30 @@
   return HandleAnswer(packet, subject);
 }
 
+// What a balancer that is not the home learns from the end of a flow.
+void FlowDirector::NoteEndElsewhere(const ServerPacket& packet,
+                                    const Subject& subject) {
+  FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
+  if (entry == nullptr ||
+      entry->m_server != IdentifyServer(packet, subject.m_service))
+    return;
+  switch (packet.m_kind) {
+    case ServerPacketKind::kNoSuchFlow:
+      // The entry may be of an earlier flow of the caller's port; the home is
+      // asked about the next packet.
+      m_flows.Erase(subject.m_key, subject.m_hash);
+      break;
+    case ServerPacketKind::kRefused:
+    case ServerPacketKind::kClosing:
+    case ServerPacketKind::kAborted:
+      entry->m_state = FlowState::kClosing;
+      break;
+    case ServerPacketKind::kAccepted:
+    case ServerPacketKind::kData:
+      break;
+  }
+}
+
 // The null id if this balancer's configuration does not give the server to the
 // service: its answers are then delivered, but nothing is learned from them.
 base::BackendServerId FlowDirector::IdentifyServer(
@@ -79,6 +128,8 @@
     learned.m_position = packet.m_position;
     return OnlyEffect(DeliverToCaller{});
   }
+  if (IsOfEarlierFlow(*entry, packet))
+    return OnlyEffect(DeliverToCaller{});
   // A candidate of a probe is no knowledge; the server that accepts is.
   if (entry->m_state == FlowState::kProbing &&
       server != base::BackendServerId()) {
@@ -167,22 +218,22 @@
     return OnlyEffect(Drop{DropReason::kSwallowedReset});
 
   Effects effects;
-  const bool is_opened_elsewhere =
-      entry->m_server == server && (entry->m_state == FlowState::kOpening ||
-                                    entry->m_state == FlowState::kAccepted);
-  if (is_opened_elsewhere) {
-    // The caller completed the handshake with a server tried earlier.
+  const bool is_in_doubt = entry->m_server == server && IsInDoubt(*entry);
+  if (is_in_doubt) {
+    PendingProbe* probe = StartProbe(subject);
+    if (probe == nullptr)
+      return OnlyEffect(Drop{DropReason::kSearchBudget});
+    probe->m_is_after_end = entry->m_state == FlowState::kClosing;
     NoteEnd(*entry, subject.m_service.id(), effects);
     entry->m_state = FlowState::kProbing;
     m_openings.Erase(subject.m_key);
-    m_probes.Insert(subject.m_key, subject.m_now);
   }
   PendingProbe* probe = m_probes.Find(subject.m_key);
   const bool is_probing =
       entry->m_state == FlowState::kProbing && probe != nullptr;
   // The reset that starts a probe may be a late one: the server stays a
   // candidate, after the others.
-  if (is_probing && !is_opened_elsewhere) {
+  if (is_probing && !is_in_doubt) {
     if (probe->m_acknowledged != packet.m_position)
       return OnlyEffect(Drop{DropReason::kSwallowedReset});
     probe->AddDenial(server);
@@ -200,7 +251,7 @@
   }
   // No server has the flow: the caller learns it from this reset.
   // After the end of a flow this only answers a late segment of the caller.
-  const bool is_broken = entry->m_state != FlowState::kClosing;
+  const bool is_broken = probe == nullptr || !probe->m_is_after_end;
   NoteEnd(*entry, subject.m_service.id(), effects);
   if (is_broken)
     effects.push_back(FlowNote{FlowNoteKind::kBroken, subject.m_service.id(),
@@ -248,6 +299,8 @@
   }
   if (is_conflict && IsSettled(*entry))
     return OnlyEffect(Drop{DropReason::kCrossedAnswer});
+  if (entry != nullptr && IsOfEarlierFlow(*entry, packet))
+    return OnlyEffect(DeliverToCaller{});
   if (entry == nullptr && !m_settings.m_mechanisms.m_learn_from_answers)
     return OnlyEffect(DeliverToCaller{});
 
--- a/Libraries/LibFlow/flow_entry.h
+++ b/Libraries/LibFlow/flow_entry.h
@@ -86,7 +86,7 @@
 // that reuse a caller's port start at random places (RFC 6528), so a place
 // farther off than this belongs to another one.
 constexpr bool IsPlausiblePosition(std::uint32_t known, std::uint32_t seen) {
-  constexpr std::uint32_t kMaximumDistance = 1u << 24;
+  constexpr std::uint32_t kMaximumDistance = 1u << 20;
   return seen - known + kMaximumDistance < 2 * kMaximumDistance;
 }
 
--- a/Libraries/LibFlow/probe_table.h
+++ b/Libraries/LibFlow/probe_table.h
@@ -29,6 +29,9 @@
   // of an earlier flow with the same key, and denies nothing.
   std::optional<std::uint32_t> m_acknowledged;
   std::vector<base::BackendServerId> m_denials;
+  // Whether the flow had ended as far as was known: that no server has it is
+  // then no loss.
+  bool m_is_after_end = false;
 
   bool HasDenied(base::BackendServerId server) const;
   void AddDenial(base::BackendServerId server);
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -241,6 +241,96 @@
   CHECK(FindEffect<flow::DeliverToCaller>(last));
 }
 
+TEST_CASE("a denial of what was learned from an earlier flow starts a probe") {
+  constexpr std::uint32_t kAcknowledged = 500;
+  for (const auto last_heard :
+       {flow::ServerPacketKind::kData, flow::ServerPacketKind::kClosing}) {
+    const base::TimePoint now;
+    auto director = MakeDirector(now);
+    const base::Ipv4Address earlier(2);
+    // The earlier flow's server, at a place that fits the new flow by chance.
+    for (const auto kind : {flow::ServerPacketKind::kData, last_heard})
+      director.HandleServerPacket({.m_key = kKey,
+                                   .m_kind = kind,
+                                   .m_position = kPosition,
+                                   .m_server = earlier},
+                                  now);
+    const std::vector<std::uint8_t> bytes(60, 7);
+    const flow::CallerPacket data{kKey,          flow::CallerPacketKind::kData,
+                                  kPosition + 1, {},
+                                  bytes,         kAcknowledged};
+    const flow::ServerPacket denial{
+        .m_key = kKey,
+        .m_kind = flow::ServerPacketKind::kNoSuchFlow,
+        .m_position = kAcknowledged,
+        .m_server = earlier};
+    const auto first = director.HandleCallerPacket(data, now);
+    REQUIRE(FindEffect<flow::ForwardToServer>(first)->m_tunnel.m_address ==
+            earlier);
+
+    const auto denied = director.HandleServerPacket(denial, now);
+    const auto second = director.HandleCallerPacket(data, now);
+
+    CHECK_FALSE(FindEffect<flow::DeliverToCaller>(denied));
+    CHECK_FALSE(FindEffect<flow::FlowNote>(denied));
+    REQUIRE(FindEffect<flow::ForwardToServer>(second));
+    CHECK(FindEffect<flow::ForwardToServer>(second)->m_tunnel.m_address !=
+          earlier);
+  }
+}
+
+TEST_CASE("a segment of an earlier flow does not displace the next one") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  auto director = MakeDirector(now);
+  const auto opened = director.HandleCallerPacket(Opening(bytes), now);
+  const auto server = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
+
+  const flow::CallerPacket late{
+      kKey, flow::CallerPacketKind::kData, kPosition + (1u << 23), {}, bytes,
+      500};
+  const auto dropped = director.HandleCallerPacket(late, now);
+  const flow::CallerPacket data{
+      kKey, flow::CallerPacketKind::kData, kPosition + 1, {}, bytes, 700};
+  const auto sent = director.HandleCallerPacket(data, now);
+  const auto accepted =
+      director.HandleServerPacket({.m_key = kKey,
+                                   .m_kind = flow::ServerPacketKind::kAccepted,
+                                   .m_position = kPosition + 1,
+                                   .m_server = server.m_address},
+                                  now);
+
+  REQUIRE(FindEffect<flow::Drop>(dropped));
+  CHECK(FindEffect<flow::Drop>(dropped)->m_reason ==
+        flow::DropReason::kEarlierFlow);
+  CHECK(FindEffect<flow::ForwardToServer>(sent)->m_tunnel == server);
+  CHECK(FindEffect<flow::DeliverToCaller>(accepted));
+}
+
+TEST_CASE("an answer of an earlier flow settles neither opening nor probe") {
+  constexpr std::uint32_t kEarlierPosition = kPosition + (1u << 23);
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  const flow::CallerPacket data{
+      kKey, flow::CallerPacketKind::kData, kPosition + 1, {}, bytes, 500};
+  for (const flow::CallerPacket& packet : {Opening(bytes), data}) {
+    auto director = MakeDirector(now);
+    const auto first = director.HandleCallerPacket(packet, now);
+    const auto server = FindEffect<flow::ForwardToServer>(first)->m_tunnel;
+    const base::Ipv4Address earlier(server.m_address.value() == 3 ? 2 : 3);
+
+    director.HandleServerPacket({.m_key = kKey,
+                                 .m_kind = flow::ServerPacketKind::kData,
+                                 .m_position = kEarlierPosition,
+                                 .m_server = earlier},
+                                now);
+
+    const auto repeated = director.HandleCallerPacket(packet, now);
+    REQUIRE(FindEffect<flow::ForwardToServer>(repeated));
+    CHECK(FindEffect<flow::ForwardToServer>(repeated)->m_tunnel == server);
+  }
+}
+
 TEST_CASE("only the start of an answer tells how long the caller waited") {
   const base::TimePoint now;
   const std::vector<std::uint8_t> bytes(40);
