--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -19,6 +19,6 @@
   exec "${run_tests[@]}" "${parallel[@]}"
 fi
 pattern="^($(IFS='|'; echo "${known_red[*]}"))\$"
-"${run_tests[@]}" -R "$pattern" ||
+"${run_tests[@]}" "${parallel[@]}" -R "$pattern" ||
   echo "known red, see KNOWN-RED.txt: ${known_red[*]}"
 "${run_tests[@]}" "${parallel[@]}" -E "$pattern"
