--- a/Libraries/LibFlow/silence_detector.h
+++ b/Libraries/LibFlow/silence_detector.h
@@ -2,7 +2,7 @@
 // and no balancer sees the other end acknowledge it. A balancer sees a share
 // of a flow's packets only, so what it notices is a suspicion; it asks all
 // others to watch the stream with it and judges when each has replied.
-// docs/DESIGN.md section 10 explains the rules.
+// docs/DESIGN.md section 11 explains the rules.
 
 #ifndef LIBFLOW_SILENCE_DETECTOR_H_
 #define LIBFLOW_SILENCE_DETECTOR_H_
