--- a/Tests/Integration/test_balancer_death.cc
+++ b/Tests/Integration/test_balancer_death.cc
@@ -2,7 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <iostream>
 #include "scenario.h"
 
 using std::chrono::seconds;
@@ -32,21 +31,11 @@
     caller->WaitFor("progress", seconds(10), [kill](const auto& line) {
       return line.get("established", 0) > 60 * kill;
     });
-    std::cout << "DBG kill at "
-              << std::chrono::system_clock::now().time_since_epoch().count() /
-                     1000000 % 1000000
-              << std::endl;
     scenario.deployment().KillBalancer("entry-" + std::to_string(kill));
   }
   const auto report = caller->WaitFor("report", seconds(40));
   integration::PrintFigures(std::to_string(kills) + " of 6 killed, " + kind,
                             kSeed, report);
-  for (const auto& name : scenario.deployment().BalancerNames())
-    for (const char* ev :
-         {"peer_suspected", "peer_left", "packet_refused", "lease_lapsed"})
-      for (const auto& line : scenario.deployment().Balancer(name).Lines(ev))
-        std::cout << "DBG " << name << " " << ev << " " << line.get("time", "")
-                  << " " << line.get("peer", "") << std::endl;
   CHECK(report.get<int>("established") > 200);
   CHECK(report.get<int>("wrong_bytes") == 0);
   return report;
