LibBase: Convert Asio's endpoints in one place

asio_endpoint.h stood in Services and in the stand-ins, the same but for the namespace; both now include LibBase's. It is header only, so LibBase does not depend on Asio. test_at_most_once set up its two cases at the connection limit, and checked them, twice in the same words; one piece serves both, with the same options, bounds and assertions.

Behaviour is unchanged.

--- a/Services/Coltsfootdale/peer_exchange.cc
+++ b/Services/Coltsfootdale/peer_exchange.cc
@@ -12,8 +12,8 @@
 #include <string>
 #include <utility>
 
+#include "LibBase/asio_endpoint.h"
 #include "LibPeer/codec.h"
-#include "asio_endpoint.h"
 
 namespace service {
 
@@ -36,7 +36,7 @@
             self->Finish(std::nullopt);
         });
     m_socket.async_connect(
-        ToAsio<asio::ip::tcp>(peer),
+        base::ToAsio<asio::ip::tcp>(peer),
         [self = shared_from_this()](const std::error_code& error) {
           if (error)
             return self->Finish(std::nullopt);
--- a/Services/Coltsfootdale/peer_link.cc
+++ b/Services/Coltsfootdale/peer_link.cc
@@ -6,8 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "LibBase/asio_endpoint.h"
 #include "LibPeer/codec.h"
-#include "asio_endpoint.h"
 
 namespace service {
 
@@ -24,7 +24,7 @@
   std::error_code error;
   link->m_socket.open(asio::ip::udp::v4(), error);
   if (!error)
-    link->m_socket.bind(ToAsio<asio::ip::udp>(listen), error);
+    link->m_socket.bind(base::ToAsio<asio::ip::udp>(listen), error);
   if (!error)
     link->m_socket.non_blocking(true, error);
   if (error)
@@ -33,7 +33,7 @@
 }
 
 base::Endpoint PeerLink::LocalEndpoint() const {
-  return FromAsio(m_socket.local_endpoint());
+  return base::FromAsio(m_socket.local_endpoint());
 }
 
 void PeerLink::Start(MessageHandler on_message, RefusalHandler on_refusal) {
@@ -52,8 +52,8 @@
   if (!frame)
     return;
   std::error_code ignored;
-  m_socket.send_to(asio::buffer(frame.value()), ToAsio<asio::ip::udp>(to), 0,
-                   ignored);
+  m_socket.send_to(asio::buffer(frame.value()), base::ToAsio<asio::ip::udp>(to),
+                   0, ignored);
   m_counters.m_bytes_sent += frame.value().size() + kIpAndUdpHeaderBytes;
 }
 
@@ -74,11 +74,11 @@
   const auto message = peer::Decode(peer::Transport::kDatagram,
                                     std::string_view(m_buffer.data(), size));
   if (message) {
-    m_on_message(FromAsio(m_sender), message.value());
+    m_on_message(base::FromAsio(m_sender), message.value());
     return;
   }
   ++m_counters.m_messages_refused;
-  m_on_refusal(FromAsio(m_sender), message.error());
+  m_on_refusal(base::FromAsio(m_sender), message.error());
 }
 
 }  // namespace service
--- a/Services/Coltsfootdale/peer_server.cc
+++ b/Services/Coltsfootdale/peer_server.cc
@@ -9,8 +9,8 @@
 #include <string>
 #include <utility>
 
+#include "LibBase/asio_endpoint.h"
 #include "LibPeer/codec.h"
-#include "asio_endpoint.h"
 
 namespace service {
 
@@ -53,7 +53,7 @@
     server->m_acceptor.set_option(asio::socket_base::reuse_address(true),
                                   error);
   if (!error)
-    server->m_acceptor.bind(ToAsio<asio::ip::tcp>(listen), error);
+    server->m_acceptor.bind(base::ToAsio<asio::ip::tcp>(listen), error);
   if (!error)
     server->m_acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error)
--- a/Services/Coltsfootdale/traffic_loop.cc
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -6,11 +6,11 @@
 #include <utility>
 
 #include "LibBalancer/packet_classifier.h"
+#include "LibBase/asio_endpoint.h"
 #include "LibBase/overloaded.h"
 #include "LibFlow/routing_table.h"
 #include "LibWire/relay_header.h"
 #include "LibWire/reset_builder.h"
-#include "asio_endpoint.h"
 
 namespace service {
 
@@ -29,7 +29,7 @@
   std::error_code error;
   loop->m_socket.open(asio::ip::udp::v4(), error);
   if (!error)
-    loop->m_socket.bind(ToAsio<asio::ip::udp>(options.m_listen), error);
+    loop->m_socket.bind(base::ToAsio<asio::ip::udp>(options.m_listen), error);
   if (!error)
     loop->m_socket.non_blocking(true, error);
   if (error)
@@ -40,7 +40,7 @@
       asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
   loop->m_socket.set_option(
       asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
-  loop->m_local = FromAsio(loop->m_socket.local_endpoint());
+  loop->m_local = base::FromAsio(loop->m_socket.local_endpoint());
   return loop;
 }
 
--- a/Tests/Integration/test_at_most_once.cc
+++ b/Tests/Integration/test_at_most_once.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <iostream>
+#include <memory>
 
 #include "scenario.h"
 
@@ -77,6 +78,32 @@
   CHECK(outcome.m_report.get<int>("crossed_answers") == 0);
 }
 
+// So few connections that openings are refused for the limit all the time.
+const integration::Scenario::Options kFewConnections{
+    .m_portal_servers = 3,
+    .m_balancers = 4,
+    .m_seed = kSeed,
+    .m_server_connections = 4,
+    .m_has_fault_proxies = true};
+
+std::unique_ptr<integration::ChildProcess> StartCallerAtLimit(
+    integration::Deployment& deployment) {
+  auto caller = deployment.StartCaller(integration::kPortal,
+                                       {.m_kind = "declaration",
+                                        .m_openings_per_second = 200,
+                                        .m_duration = seconds(120),
+                                        .m_service_time_ms = 50,
+                                        .m_more = {"--retry-not-run", "3"}});
+  AwaitMore(*caller, 200);
+  return caller;
+}
+
+void CheckAtLimit(const std::string& proof, const Outcome& outcome) {
+  CheckAtMostOnce(proof, outcome);
+  CHECK(outcome.m_refused_for_limit > 0);
+  CHECK(outcome.m_refused_ids > 0);
+}
+
 }  // namespace
 
 TEST_CASE("declarations run at most once when balancers die and stop") {
@@ -108,19 +135,9 @@
 }
 
 TEST_CASE("declarations run at most once when all servers are at their limit") {
-  integration::Scenario scenario({.m_portal_servers = 3,
-                                  .m_balancers = 4,
-                                  .m_seed = kSeed,
-                                  .m_server_connections = 4,
-                                  .m_has_fault_proxies = true});
+  integration::Scenario scenario(kFewConnections);
   integration::Deployment& deployment = scenario.deployment();
-  const auto caller = deployment.StartCaller(
-      integration::kPortal, {.m_kind = "declaration",
-                             .m_openings_per_second = 200,
-                             .m_duration = seconds(120),
-                             .m_service_time_ms = 50,
-                             .m_more = {"--retry-not-run", "3"}});
-  AwaitMore(*caller, 200);
+  const auto caller = StartCallerAtLimit(deployment);
 
   deployment.SetFault(kLoss);
   ShedAt(deployment, "portal-1", "on");
@@ -131,26 +148,14 @@
   deployment.KillBalancer("entry-2");
   AwaitMore(*caller, 200);
 
-  const Outcome outcome = Compare(scenario, *caller);
-  CheckAtMostOnce("at the connection limit, 2 killed, shedding, loss", outcome);
-  CHECK(outcome.m_refused_for_limit > 0);
-  CHECK(outcome.m_refused_ids > 0);
+  CheckAtLimit("at the connection limit, 2 killed, shedding, loss",
+               Compare(scenario, *caller));
 }
 
 TEST_CASE("refusals are true while the platform is out and balancers restart") {
-  integration::Scenario scenario({.m_portal_servers = 3,
-                                  .m_balancers = 4,
-                                  .m_seed = kSeed,
-                                  .m_server_connections = 4,
-                                  .m_has_fault_proxies = true});
+  integration::Scenario scenario(kFewConnections);
   integration::Deployment& deployment = scenario.deployment();
-  const auto caller = deployment.StartCaller(
-      integration::kPortal, {.m_kind = "declaration",
-                             .m_openings_per_second = 200,
-                             .m_duration = seconds(120),
-                             .m_service_time_ms = 50,
-                             .m_more = {"--retry-not-run", "3"}});
-  AwaitMore(*caller, 200);
+  const auto caller = StartCallerAtLimit(deployment);
 
   // Twice: an outage of its own kind, loss, shedding, a death, a pause, and a
   // restart without the platform.
@@ -175,8 +180,6 @@
     scenario.platform().Post("outage?mode=off");
   }
 
-  const Outcome outcome = Compare(scenario, *caller);
-  CheckAtMostOnce("at the limit, platform out, 2 killed, 2 paused", outcome);
-  CHECK(outcome.m_refused_for_limit > 0);
-  CHECK(outcome.m_refused_ids > 0);
+  CheckAtLimit("at the limit, platform out, 2 killed, 2 paused",
+               Compare(scenario, *caller));
 }
--- a/Tests/StandIns/Tests/test_proxy_and_poll.cc
+++ b/Tests/StandIns/Tests/test_proxy_and_poll.cc
@@ -11,7 +11,7 @@
 
 #include <asio.hpp>
 
-#include "StandIns/asio_endpoint.h"
+#include "LibBase/asio_endpoint.h"
 #include "StandIns/event_loop.h"
 #include "StandIns/fault_plan.h"
 #include "StandIns/readiness_poll.h"
@@ -43,12 +43,12 @@
 class TextServer {
  public:
   explicit TextServer(EventLoop* loop)
-      : m_acceptor(loop->Context(), stand_ins::ToAsio<tcp>(kAnyPort)) {
+      : m_acceptor(loop->Context(), base::ToAsio<tcp>(kAnyPort)) {
     Accept();
   }
 
   base::Endpoint Local() const {
-    return stand_ins::FromAsio(m_acceptor.local_endpoint());
+    return base::FromAsio(m_acceptor.local_endpoint());
   }
 
   std::string m_text;
@@ -71,7 +71,7 @@
  public:
   TextClient(EventLoop* loop, base::Endpoint server)
       : m_socket(loop->Context()) {
-    m_socket.connect(stand_ins::ToAsio<tcp>(server));
+    m_socket.connect(base::ToAsio<tcp>(server));
     Read();
   }
 
--- a/Tests/StandIns/health_server.cc
+++ b/Tests/StandIns/health_server.cc
@@ -7,7 +7,7 @@
 
 #include <restinio/all.hpp>
 
-#include "StandIns/asio_endpoint.h"
+#include "LibBase/asio_endpoint.h"
 #include "StandIns/event_loop.h"
 
 namespace stand_ins {
@@ -79,7 +79,7 @@
     settings.address(base::ToString(address))
         .port(0)
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
-          m_local = FromAsio(acceptor.local_endpoint());
+          m_local = base::FromAsio(acceptor.local_endpoint());
         })
         .request_handler([handlers = std::move(handlers)](const auto& request) {
           return HandleRequest(request, handlers);
--- a/Tests/StandIns/readiness_poll.cc
+++ b/Tests/StandIns/readiness_poll.cc
@@ -4,7 +4,7 @@
 #include <system_error>
 #include <utility>
 
-#include "StandIns/asio_endpoint.h"
+#include "LibBase/asio_endpoint.h"
 #include "StandIns/event_loop.h"
 
 namespace stand_ins {
@@ -24,7 +24,7 @@
                              base::Endpoint admin,
                              Handler handler)
     : m_loop(loop),
-      m_admin(ToAsio<asio::ip::tcp>(admin)),
+      m_admin(base::ToAsio<asio::ip::tcp>(admin)),
       m_handler(std::move(handler)),
       m_socket(loop->Context()) {}
 
--- a/Tests/StandIns/tcp_proxy.cc
+++ b/Tests/StandIns/tcp_proxy.cc
@@ -3,7 +3,7 @@
 #include <system_error>
 #include <utility>
 
-#include "StandIns/asio_endpoint.h"
+#include "LibBase/asio_endpoint.h"
 #include "StandIns/event_loop.h"
 #include "StandIns/tcp_proxy_connection.h"
 
@@ -18,7 +18,7 @@
 base::Endpoint TcpProxy::LocalEndpoint() const {
   std::error_code error;
   const auto local = m_acceptor.local_endpoint(error);
-  return error ? base::Endpoint{} : FromAsio(local);
+  return error ? base::Endpoint{} : base::FromAsio(local);
 }
 
 JsonLine TcpProxy::ReportLine() const {
@@ -36,7 +36,7 @@
   if (!error)
     m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
   if (!error)
-    m_acceptor.bind(ToAsio<asio::ip::tcp>(listen), error);
+    m_acceptor.bind(base::ToAsio<asio::ip::tcp>(listen), error);
   if (!error)
     m_acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error)
--- a/Tests/StandIns/tcp_proxy_connection.cc
+++ b/Tests/StandIns/tcp_proxy_connection.cc
@@ -4,7 +4,7 @@
 #include <system_error>
 #include <utility>
 
-#include "StandIns/asio_endpoint.h"
+#include "LibBase/asio_endpoint.h"
 #include "StandIns/event_loop.h"
 
 namespace stand_ins {
@@ -21,7 +21,7 @@
 
 void TcpProxyConnection::Start(base::Endpoint target) {
   m_target.async_connect(
-      ToAsio<asio::ip::tcp>(target),
+      base::ToAsio<asio::ip::tcp>(target),
       [this, self = shared_from_this()](std::error_code error) {
         if (error) {
           Close();
--- a/Tests/StandIns/udp_port.cc
+++ b/Tests/StandIns/udp_port.cc
@@ -3,7 +3,7 @@
 #include <system_error>
 #include <utility>
 
-#include "StandIns/asio_endpoint.h"
+#include "LibBase/asio_endpoint.h"
 
 namespace stand_ins {
 
@@ -29,7 +29,7 @@
       asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
   port->m_socket.set_option(
       asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
-  port->m_socket.bind(ToAsio<asio::ip::udp>(endpoint), error);
+  port->m_socket.bind(base::ToAsio<asio::ip::udp>(endpoint), error);
   if (!error)
     port->m_socket.non_blocking(true, error);
   if (error)
@@ -37,7 +37,7 @@
   const auto local = port->m_socket.local_endpoint(error);
   if (error)
     return error;
-  port->m_local = FromAsio(local);
+  port->m_local = base::FromAsio(local);
   return port;
 }
 
@@ -49,7 +49,7 @@
 void UdpPort::Send(Bytes datagram, base::Endpoint destination) {
   std::error_code dropped;
   m_socket.send_to(asio::buffer(datagram.data(), datagram.size()),
-                   ToAsio<asio::ip::udp>(destination), 0, dropped);
+                   base::ToAsio<asio::ip::udp>(destination), 0, dropped);
 }
 
 void UdpPort::WaitForDatagrams() {
@@ -70,7 +70,7 @@
         m_socket.receive_from(asio::buffer(m_buffer), source, 0, error);
     if (error)
       return;
-    m_handler(Bytes(m_buffer).first(size), FromAsio(source));
+    m_handler(Bytes(m_buffer).first(size), base::FromAsio(source));
   }
 }
 
