--- /dev/null
+++ b/Libraries/LibCatalog/collection_follower.cc
@@ -0,0 +1,131 @@
+#include "LibCatalog/collection_follower.h"
+
+#include <variant>
+
+#include "LibBase/overloaded.h"
+
+namespace catalog {
+
+CollectionFollower::CollectionFollower(FollowerPolicy policy,
+                                       base::Random random,
+                                       base::TimePoint now)
+    : m_policy(policy),
+      m_random(random),
+      m_back_off(policy.m_initial_back_off, policy.m_maximum_back_off),
+      m_next_call_at(now) {}
+
+void CollectionFollower::SetPolicy(const FollowerPolicy& policy) {
+  m_policy = policy;
+  m_back_off = platform::BackOff(policy.m_initial_back_off,
+                                 policy.m_maximum_back_off);
+}
+
+std::optional<CollectionCall> CollectionFollower::TakeCall(
+    base::TimePoint now) {
+  if (m_is_call_open || now < m_next_call_at)
+    return std::nullopt;
+  m_is_call_open = true;
+  m_call_started_at = now;
+  if (m_is_listing)
+    return ListCall{m_list_after};
+  return WatchCall{m_revision, m_policy.m_watch_wait};
+}
+
+CollectionFollower::Outcome CollectionFollower::HandleResult(
+    const CallResult& result,
+    base::TimePoint now) {
+  const bool was_watching = IsWatching();
+  m_is_call_open = false;
+  const bool was_failing = m_failing_since.has_value();
+  Outcome outcome;
+  outcome.m_step = std::visit(
+      base::Overloaded{
+          [&](const PageAnswer& page) { return HandlePage(page, now); },
+          [&](const ChangesAnswer& changes) {
+            return HandleChanges(changes, now);
+          },
+          [&](CallFailure failure) {
+            HandleFailure(failure, now);
+            return FollowerStep::kNone;
+          },
+      },
+      result);
+  const bool is_failing = m_failing_since.has_value();
+  const base::Duration wait =
+      was_watching ? m_policy.m_watch_wait : base::Duration::zero();
+  const bool is_late =
+      now - m_call_started_at > wait + m_policy.m_late_answer;
+  outcome.m_is_lost = !was_failing && (is_failing || is_late);
+  outcome.m_is_regained = !is_failing && (was_failing || is_late);
+  return outcome;
+}
+
+bool CollectionFollower::AdoptRevision(Revision revision) {
+  if (revision <= m_revision)
+    return false;
+  m_revision = revision;
+  // A watch from there goes on where the other reader was.
+  if (!m_is_call_open) {
+    m_is_listing = false;
+    m_list_revision.reset();
+    m_list_after.clear();
+  }
+  return true;
+}
+
+FollowerStep CollectionFollower::HandlePage(const PageAnswer& page,
+                                            base::TimePoint now) {
+  m_failing_since.reset();
+  m_back_off.Reset();
+  m_next_call_at = now;
+  if (!m_list_revision)
+    m_list_revision = page.m_store_revision;
+  if (page.m_has_more) {
+    m_list_after = page.m_last_name;
+    return FollowerStep::kNone;
+  }
+  const Revision listed = *m_list_revision;
+  StartListing();
+  // A list that lags behind what is known would bring servers back.
+  if (listed < m_revision) {
+    m_next_call_at = now + m_back_off.Next(m_random);
+    return FollowerStep::kNone;
+  }
+  m_is_listing = false;
+  m_revision = listed;
+  m_confirmed_at = m_call_started_at;
+  return FollowerStep::kListed;
+}
+
+FollowerStep CollectionFollower::HandleChanges(const ChangesAnswer& changes,
+                                               base::TimePoint now) {
+  m_failing_since.reset();
+  m_back_off.Reset();
+  m_confirmed_at = m_call_started_at;
+  if (changes.m_store_revision > m_revision)
+    m_revision = changes.m_store_revision;
+  // A watch that waited in vain has used its pause already.
+  const bool has_waited = now - m_call_started_at >= m_policy.m_pause;
+  m_next_call_at = has_waited ? now : now + m_policy.m_pause;
+  return FollowerStep::kChanged;
+}
+
+void CollectionFollower::HandleFailure(CallFailure failure,
+                                       base::TimePoint now) {
+  if (failure == CallFailure::kHistoryGone) {
+    StartListing();
+    m_is_listing = true;
+    m_next_call_at = now;
+    return;
+  }
+  if (!m_failing_since)
+    m_failing_since = now;
+  m_next_call_at = now + m_back_off.Next(m_random);
+}
+
+void CollectionFollower::StartListing() {
+  m_list_revision.reset();
+  m_list_after.clear();
+}
+
+}  // namespace catalog
--- /dev/null
+++ b/Libraries/LibCatalog/lapse_guard.h
@@ -0,0 +1,50 @@
+// Holds back the removal of backend servers whose records lapsed while the
+// store was away.
+//
+// A server that could not renew its record loses it, though it lives; it
+// registers again soon after the store is back. So a removal that is seen
+// during an outage or shortly after takes effect only at the end of that time.
+
+#ifndef LIBCATALOG_LAPSE_GUARD_H_
+#define LIBCATALOG_LAPSE_GUARD_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibSteering/ids.h"
+
+namespace catalog {
+
+class LapseGuard {
+ public:
+  // From the return of the store. Servers are back within about 2 s of it; the
+  // rest is a balancer's delay in noticing the return.
+  static constexpr base::Duration kReturnTime = std::chrono::milliseconds(2300);
+  // Queries.
+  bool IsHoldingBack(base::TimePoint now) const;
+  std::optional<base::TimePoint> NextRemoval() const;
+
+  // Commands.
+  void OnLost() { m_is_lost = true; }
+  void OnRegained(base::TimePoint now);
+  // `names` lost their records at once. Returns those to be removed now.
+  std::vector<steering::ServerName> OnRemoved(
+      const std::vector<steering::ServerName>& names,
+      base::TimePoint now);
+  // The record is back.
+  void OnRegistered(const steering::ServerName& name) { m_held.erase(name); }
+  // The removals that are due.
+  std::vector<steering::ServerName> TakeDue(base::TimePoint now);
+
+ private:
+  bool m_is_lost = false;
+  std::optional<base::TimePoint> m_regained_at;
+  std::map<steering::ServerName, base::TimePoint> m_held;
+};
+
+}  // namespace catalog
+
+#endif  // LIBCATALOG_LAPSE_GUARD_H_
--- /dev/null
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -0,0 +1,134 @@
+#include "LibCatalog/snapshot_codec.h"
+
+#include <chrono>
+#include <cstdint>
+#include <sstream>
+#include <system_error>
+#include <utility>
+
+#include "LibCatalog/snapshot.h"
+#include "LibPeer/archive.h"
+
+namespace base {
+
+template <typename Archive, typename Tag>
+void serialize(Archive& archive, StrongId<Tag, std::string>& id) {
+  std::string value = id.value();
+  archive(peer::MakeBounded<std::uint8_t, peer::kMaximumNameBytes>(value));
+  id = StrongId<Tag, std::string>(std::move(value));
+}
+
+}  // namespace base
+
+namespace steering {
+
+namespace {
+
+template <typename Archive>
+void SerializeDuration(Archive& archive, base::Duration& duration) {
+  using std::chrono::milliseconds;
+  auto value_ms = std::chrono::duration_cast<milliseconds>(duration).count();
+  archive(value_ms);
+  duration = milliseconds(value_ms);
+}
+
+// `last` is the greatest value of the enum, whose first is 0.
+template <typename Archive, typename Enum>
+void SerializeEnum(Archive& archive, Enum& value, Enum last) {
+  auto byte = static_cast<std::uint8_t>(value);
+  archive(byte);
+  if (byte > static_cast<std::uint8_t>(last))
+    throw cereal::Exception("a value is not one of its enumeration");
+  value = static_cast<Enum>(byte);
+}
+
+template <typename Archive>
+void SerializeName(Archive& archive, std::string& name) {
+  archive(peer::MakeBounded<std::uint8_t, peer::kMaximumNameBytes>(name));
+}
+
+}  // namespace
+
+template <typename Archive>
+void serialize(Archive& archive, ServerRecord& record) {
+  archive(record.m_name, record.m_identity);
+  SerializeName(archive, record.m_service);
+  archive(record.m_endpoint, record.m_data_centre);
+  SerializeEnum(archive, record.m_state, ServerState::kDraining);
+  archive(record.m_slots);
+  SerializeDuration(archive, record.m_warm_up_left);
+  archive(record.m_incarnation, record.m_revision);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, WeightedService& service) {
+  SerializeName(archive, service.m_name);
+  archive(service.m_weight);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Route& route) {
+  SerializeName(archive, route.m_name);
+  archive(route.m_address);
+  archive(peer::MakeBounded<std::uint8_t, catalog::kMaximumServicesOfRoute>(
+      route.m_services));
+  if (route.m_services.empty())
+    throw cereal::Exception("a route has no service");
+  SerializeEnum(archive, route.m_kind, RequestKind::kDownload);
+  SerializeDuration(archive, route.m_timeout);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Manifest& manifest) {
+  archive(manifest.m_version);
+  archive(peer::MakeBounded<std::uint32_t, catalog::kMaximumRoutes>(
+      manifest.m_routes));
+  SerializeDuration(archive, manifest.m_idle_timeout);
+}
+
+}  // namespace steering
+
+namespace catalog {
+
+namespace {
+
+constexpr std::string_view kMark = "CFS\x01";
+
+template <typename Archive>
+void SerializeAll(Archive& archive, Snapshot& snapshot) {
+  archive(snapshot.m_servers_revision);
+  archive(
+      peer::MakeBounded<std::uint32_t, kMaximumServers>(snapshot.m_servers));
+  archive(snapshot.m_manifest_revision, snapshot.m_manifest);
+}
+
+}  // namespace
+
+std::string EncodeSnapshot(const Snapshot& snapshot) {
+  std::ostringstream stream;
+  stream << kMark;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  Snapshot copy = snapshot;
+  SerializeAll(archive, copy);
+  return std::move(stream).str();
+}
+
+base::Outcome<Snapshot> DecodeSnapshot(std::string_view bytes) {
+  if (bytes.size() > kMaximumSnapshotBytes)
+    return std::make_error_code(std::errc::message_size);
+  if (!bytes.starts_with(kMark))
+    return std::make_error_code(std::errc::bad_message);
+  std::istringstream stream{std::string(bytes.substr(kMark.size()))};
+  try {
+    Snapshot snapshot;
+    cereal::PortableBinaryInputArchive archive(stream);
+    SerializeAll(archive, snapshot);
+    if (stream.peek() == std::istringstream::traits_type::eof())
+      return snapshot;
+  } catch (const std::exception&) {
+    // Reported as the error below.
+  }
+  return std::make_error_code(std::errc::bad_message);
+}
+
+}  // namespace catalog
--- /dev/null
+++ b/Libraries/LibEdge/belief.h
@@ -0,0 +1,71 @@
+// Turns what the store, or another balancer, says into the steering's belief.
+// Free of I/O; every change of belief is returned for the log.
+
+#ifndef LIBEDGE_BELIEF_H_
+#define LIBEDGE_BELIEF_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibCatalog/lapse_guard.h"
+#include "LibCatalog/revision.h"
+#include "LibCatalog/snapshot.h"
+#include "LibSteering/manifest.h"
+#include "LibSteering/server_directory.h"
+#include "LibSteering/steering.h"
+
+namespace edge {
+
+struct ServerChange {
+  steering::ServerRecord m_record;
+  steering::DirectoryChange m_change = steering::DirectoryChange::kNone;
+};
+using ServerChanges = std::vector<ServerChange>;
+
+// A server record as it is, or the name of one that was removed.
+struct ServerEvent {
+  steering::ServerName m_name;
+  std::optional<steering::ServerRecord> m_record;
+};
+
+class Belief {
+ public:
+  explicit Belief(steering::Steering& steering) : m_steering(steering) {}
+
+  // Queries.
+  const catalog::LapseGuard& guard() const { return m_guard; }
+  catalog::Snapshot MakeSnapshot(catalog::Revision servers,
+                                 catalog::Revision manifest) const;
+
+  // Commands.
+  void OnStoreLost() { m_guard.OnLost(); }
+  void OnStoreRegained(base::TimePoint now) { m_guard.OnRegained(now); }
+  // Takes a whole list of servers: those that are missing are removed.
+  ServerChanges TakeServers(const std::vector<steering::ServerRecord>& records,
+                            base::TimePoint now);
+  ServerChanges TakeEvents(const std::vector<ServerEvent>& events,
+                           base::TimePoint now);
+  // Whether `manifest` was put in force: it must be newer.
+  bool TakeManifest(steering::Manifest manifest) {
+    return m_steering.PutInForce(std::move(manifest));
+  }
+  // Carries out removals that were held back.
+  ServerChanges TakeDueRemovals(base::TimePoint now);
+
+ private:
+  void Apply(const steering::ServerRecord& record,
+             base::TimePoint now,
+             ServerChanges& changes);
+  void Remove(const std::vector<steering::ServerName>& names,
+              base::TimePoint now,
+              ServerChanges& changes);
+
+  steering::Steering& m_steering;
+  catalog::LapseGuard m_guard;
+};
+
+}  // namespace edge
+
+#endif  // LIBEDGE_BELIEF_H_
--- /dev/null
+++ b/Libraries/LibEdge/pause_detector.h
@@ -0,0 +1,36 @@
+// Finds out that the process stood still, from two clocks: the steady clock
+// stops while a VM is suspended, the boot-time clock goes on.
+
+#ifndef LIBEDGE_PAUSE_DETECTOR_H_
+#define LIBEDGE_PAUSE_DETECTOR_H_
+
+#include <chrono>
+#include <optional>
+
+#include "LibBase/time.h"
+
+namespace edge {
+
+class PauseDetector {
+ public:
+  // A loop that sweeps every 100 ms and takes this long between two looks has
+  // not merely been slow.
+  static constexpr base::Duration kPause = std::chrono::milliseconds(1000);
+
+  // The time that passed unnoticed since the last look, if it was a pause.
+  // `boot_time` is the time since the machine's start, suspension included.
+  std::optional<base::Duration> Look(base::Duration boot_time) {
+    const auto former = m_last;
+    m_last = boot_time;
+    if (!former || boot_time - *former < kPause)
+      return std::nullopt;
+    return boot_time - *former;
+  }
+
+ private:
+  std::optional<base::Duration> m_last;
+};
+
+}  // namespace edge
+
+#endif  // LIBEDGE_PAUSE_DETECTOR_H_
--- /dev/null
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -0,0 +1,43 @@
+#include "LibEdge/store_pacing.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "LibEdge/edge_settings.h"
+
+namespace edge {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// One call that is lost and found out (1 s), one that succeeds and the longest
+// back-off between them.
+constexpr base::Duration kCallsAndRetry = milliseconds(2000);
+// The rest is left for the balancer's own delays: a slow processor, a full link.
+constexpr double kUsableShare = 0.9;
+constexpr base::Duration kMinimumPause = milliseconds(200);
+// Servers lapse after three heartbeats without one.
+constexpr double kHeartbeatsToLapse = 3.0;
+constexpr double kWatchShareOfLapse = 0.8;
+
+base::Duration Scale(base::Duration duration, double factor) {
+  return std::chrono::duration_cast<base::Duration>(duration * factor);
+}
+
+}  // namespace
+
+catalog::FollowerPolicy MakeFollowerPolicy(const EdgeSettings& settings) {
+  const base::Duration bound =
+      std::min(settings.m_drain_bound, settings.m_configuration_bound);
+  catalog::FollowerPolicy policy;
+  policy.m_pause =
+      std::max(Scale(bound, kUsableShare) - kCallsAndRetry, kMinimumPause);
+  policy.m_watch_wait =
+      std::min(settings.m_settling_time,
+               Scale(settings.m_server_heartbeat,
+                     kHeartbeatsToLapse * kWatchShareOfLapse));
+  return policy;
+}
+
+}  // namespace edge
--- a/Services/Coltsfootdale/datagram_batch.cc
+++ b/Libraries/LibEventLoop/datagram_batch.cc
@@ -1,4 +1,4 @@
-#include "datagram_batch.h"
+#include "LibEventLoop/datagram_batch.h"
 
 #include <arpa/inet.h>
 
@@ -6,7 +6,7 @@
 
 #include "LibBase/verify.h"
 
-namespace service {
+namespace event_loop {
 
 namespace {
 
@@ -84,4 +84,4 @@
   return failed;
 }
 
-}  // namespace service
+}  // namespace event_loop
--- a/Services/Coltsfootdale/datagram_batch.h
+++ b/Libraries/LibEventLoop/datagram_batch.h
@@ -1,7 +1,7 @@
 // Receives and sends UDP datagrams many at a time (recvmmsg, sendmmsg).
 
-#ifndef SERVICES_COLTSFOOTDALE_DATAGRAM_BATCH_H_
-#define SERVICES_COLTSFOOTDALE_DATAGRAM_BATCH_H_
+#ifndef LIBEVENTLOOP_DATAGRAM_BATCH_H_
+#define LIBEVENTLOOP_DATAGRAM_BATCH_H_
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -17,7 +17,7 @@
 #include "LibWire/packet_view.h"
 #include "LibWire/relay_header.h"
 
-namespace service {
+namespace event_loop {
 
 inline constexpr std::size_t kBatchSize = 64;
 inline constexpr std::size_t kMaximumDatagramBytes =
@@ -79,6 +79,6 @@
   std::size_t m_size = 0;
 };
 
-}  // namespace service
+}  // namespace event_loop
 
-#endif  // SERVICES_COLTSFOOTDALE_DATAGRAM_BATCH_H_
+#endif  // LIBEVENTLOOP_DATAGRAM_BATCH_H_
--- /dev/null
+++ b/Libraries/LibEventLoop/text_server.h
@@ -0,0 +1,58 @@
+// Answers GET requests with short texts over HTTP/1.1: readiness, metrics,
+// status. Bounds connections, sizes and the time that a client may take.
+
+#ifndef LIBEVENTLOOP_TEXT_SERVER_H_
+#define LIBEVENTLOOP_TEXT_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+
+namespace asio {
+class io_context;
+}  // namespace asio
+
+namespace event_loop {
+
+struct TextAnswer {
+  std::uint16_t m_status = 200;
+  std::string m_body;
+  std::string_view m_content_type = "text/plain; charset=utf-8";
+};
+
+// Must be used and destroyed on the thread that runs the io_context.
+class TextServer {
+ public:
+  // Answers a GET of `path`, which has no query.
+  using Handler = std::function<TextAnswer(std::string_view path)>;
+
+  // Listens on `endpoint`; port 0 lets the system choose. Errors are those of
+  // the system.
+  static base::Outcome<std::unique_ptr<TextServer>> Create(
+      asio::io_context& context,
+      base::Endpoint endpoint,
+      Handler handler);
+  // Closes all connections.
+  ~TextServer();
+  TextServer(const TextServer&) = delete;
+  TextServer& operator=(const TextServer&) = delete;
+
+  // Queries.
+  base::Endpoint endpoint() const;
+
+ private:
+  struct Server;
+
+  explicit TextServer(std::unique_ptr<Server> server);
+
+  std::unique_ptr<Server> m_server;
+};
+
+}  // namespace event_loop
+
+#endif  // LIBEVENTLOOP_TEXT_SERVER_H_
--- a/Services/Coltsfootdale/timer_driver.cc
+++ b/Libraries/LibEventLoop/timer_driver.cc
@@ -1,6 +1,6 @@
-#include "timer_driver.h"
+#include "LibEventLoop/timer_driver.h"
 
-namespace service {
+namespace event_loop {
 
 void TimerDriver::Rearm() {
   const auto deadline = m_timers.NextDeadline();
@@ -15,4 +15,4 @@
   });
 }
 
-}  // namespace service
+}  // namespace event_loop
--- a/Services/Coltsfootdale/timer_driver.h
+++ b/Libraries/LibEventLoop/timer_driver.h
@@ -1,14 +1,14 @@
 // Drives the timer service of the control thread by one Asio timer.
 
-#ifndef SERVICES_COLTSFOOTDALE_TIMER_DRIVER_H_
-#define SERVICES_COLTSFOOTDALE_TIMER_DRIVER_H_
+#ifndef LIBEVENTLOOP_TIMER_DRIVER_H_
+#define LIBEVENTLOOP_TIMER_DRIVER_H_
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
 #include "LibBase/timer_service.h"
 
-namespace service {
+namespace event_loop {
 
 class TimerDriver {
  public:
@@ -24,6 +24,6 @@
   asio::steady_timer m_timer;
 };
 
-}  // namespace service
+}  // namespace event_loop
 
-#endif  // SERVICES_COLTSFOOTDALE_TIMER_DRIVER_H_
+#endif  // LIBEVENTLOOP_TIMER_DRIVER_H_
--- /dev/null
+++ b/Libraries/LibObservability/line_log.cc
@@ -0,0 +1,56 @@
+#include "LibObservability/line_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <span>
+
+namespace observability {
+
+namespace {
+
+bool IsWritable(int descriptor) {
+  pollfd entry{descriptor, POLLOUT, 0};
+  return poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+}
+
+}  // namespace
+
+LineLog::LineLog(int descriptor, std::uint64_t lines_per_second)
+    : m_descriptor(descriptor),
+      m_limiter({lines_per_second, std::chrono::seconds(1)}) {}
+
+bool LineLog::Admit(Event event, base::TimePoint now) {
+  return m_limiter.Admit(event, {}, now);
+}
+
+void LineLog::Write(Severity severity,
+                    Event event,
+                    std::initializer_list<LogField> fields) {
+  std::string line = FormatLogLine(std::chrono::system_clock::now(), severity,
+                                   event, std::span(fields));
+  line += '\n';
+  const bool is_taken =
+      line.size() <= kMaximumLineBytes && IsWritable(m_descriptor) &&
+      write(m_descriptor, line.data(), line.size()) ==
+          static_cast<ssize_t>(line.size());
+  if (!is_taken)
+    ++m_dropped;
+}
+
+void LineLog::WriteSummaries(base::TimePoint now) {
+  for (const RateLimiter::Summary& summary : m_limiter.TakeSummaries(now)) {
+    Write(Severity::kInfo, Event::kEventsSuppressed,
+          {{"of", NameOf(kEventNames, summary.m_event)},
+           {"lines", summary.m_suppressed}});
+  }
+  if (m_dropped == m_reported_dropped)
+    return;
+  const std::uint64_t dropped = m_dropped;
+  Write(Severity::kWarning, Event::kLogLinesDropped,
+        {{"lines", dropped - m_reported_dropped}});
+  m_reported_dropped = dropped;
+}
+
+}  // namespace observability
--- /dev/null
+++ b/Libraries/LibObservability/line_log.h
@@ -0,0 +1,54 @@
+// A log for small processes that must never wait: JSON lines straight to a
+// file descriptor. A line that the descriptor can't take at once is dropped
+// and counted, and each event is limited to a number of lines a second.
+
+#ifndef LIBOBSERVABILITY_LINE_LOG_H_
+#define LIBOBSERVABILITY_LINE_LOG_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+
+#include "LibBase/time.h"
+#include "LibObservability/event.h"
+#include "LibObservability/log_field.h"
+#include "LibObservability/log_format.h"
+#include "LibObservability/rate_limiter.h"
+
+namespace observability {
+
+class LineLog {
+ public:
+  // A line up to this length goes into a pipe whole, and without waiting
+  // where poll(2) says that it is writable (POSIX: PIPE_BUF). Longer ones are
+  // dropped.
+  static constexpr std::size_t kMaximumLineBytes = 4096;
+
+  // `lines_per_second` holds for each event by itself.
+  LineLog(int descriptor, std::uint64_t lines_per_second);
+
+  // Queries.
+  std::uint64_t DroppedLines() const { return m_dropped; }
+
+  // Commands.
+  // Whether a line of `event` may be written now; counts it if not. Lets the
+  // caller spare the work of gathering the fields.
+  bool Admit(Event event, base::TimePoint now);
+  // Writes without asking Admit.
+  void Write(Severity severity,
+             Event event,
+             std::initializer_list<LogField> fields);
+  // Writes what was left out since the last summary. Called every second or
+  // so.
+  void WriteSummaries(base::TimePoint now);
+
+ private:
+  int m_descriptor;
+  RateLimiter m_limiter;
+  std::uint64_t m_dropped = 0;
+  std::uint64_t m_reported_dropped = 0;
+};
+
+}  // namespace observability
+
+#endif  // LIBOBSERVABILITY_LINE_LOG_H_
--- a/Libraries/LibPeer/archive.h
+++ b/Libraries/LibPeer/archive.h
@@ -1,6 +1,6 @@
 // How the parts of a message are written to and read from a cereal archive.
 // Reading checks every bound before it allocates and throws cereal::Exception
-// on a breach; only codec.cc includes this header and catches it.
+// on a breach; the codecs that include this header catch it.
 
 #ifndef LIBPEER_ARCHIVE_H_
 #define LIBPEER_ARCHIVE_H_
--- /dev/null
+++ b/Libraries/LibSteering/caller_packet.h
@@ -0,0 +1,29 @@
+// A caller's packet as the decisions see it.
+
+#ifndef LIBSTEERING_CALLER_PACKET_H_
+#define LIBSTEERING_CALLER_PACKET_H_
+
+#include <cstdint>
+
+#include "LibFlow/flow_key.h"
+#include "LibSteering/ids.h"
+
+namespace steering {
+
+struct CallerPacket {
+  flow::FlowKey m_flow;
+  FlowToken m_token;
+  bool m_is_opening = false;
+  bool m_has_acknowledgement = false;
+  bool m_is_end = false;
+  bool m_is_reset = false;
+  // The place of the first payload byte in the caller's stream, modulo 2^32.
+  std::uint32_t m_sequence = 0;
+  // The next byte that the caller expects, modulo 2^32.
+  std::uint32_t m_acknowledgement = 0;
+  std::uint16_t m_payload_bytes = 0;
+};
+
+}  // namespace steering
+
+#endif  // LIBSTEERING_CALLER_PACKET_H_
--- /dev/null
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -0,0 +1,158 @@
+#include "LibSteering/flow_tracker.h"
+
+namespace steering {
+
+namespace {
+
+// Serial number arithmetic (RFC 1982): whether `next` lies after `former`.
+bool IsAfter(std::uint32_t next, std::uint32_t former) {
+  return static_cast<std::int32_t>(next - former) > 0;
+}
+
+}  // namespace
+
+FlowRecord* FlowTracker::Find(const flow::FlowKey& key) {
+  const auto found = m_flows.find(key);
+  return found == m_flows.end() ? nullptr : &found->second;
+}
+
+FlowRecord* FlowTracker::Open(const flow::FlowKey& key,
+                              KnownServer& server,
+                              base::Duration timeout,
+                              base::TimePoint now) {
+  Forget(key);
+  FlowRecord* record = Insert(key, server, now);
+  if (record == nullptr)
+    return nullptr;
+  record->m_request_at = now;
+  record->m_give_up_at = now + timeout;
+  SetInProgress(*record, true);
+  return record;
+}
+
+Progress FlowTracker::Observe(const CallerPacket& packet,
+                              KnownServer& server,
+                              base::Duration timeout,
+                              base::TimePoint now) {
+  FlowRecord* record = Find(packet.m_flow);
+  if (record == nullptr)
+    record = Insert(packet.m_flow, server, now);
+  if (record == nullptr)
+    return Progress::kNothingNew;
+  if (packet.m_is_end || packet.m_is_reset) {
+    Forget(packet.m_flow);
+    return Progress::kEnd;
+  }
+  MoveTo(*record, server);
+  record->m_last_seen = now;
+  SetActive(*record, true);
+
+  const bool was_established = record->m_is_established;
+  record->m_is_established = true;
+  record->m_resend_at.reset();
+  const std::uint32_t end = packet.m_sequence + packet.m_payload_bytes;
+  const bool is_new_data =
+      packet.m_payload_bytes > 0 &&
+      (!record->m_sent_end || IsAfter(end, *record->m_sent_end));
+  const bool is_repeat = packet.m_payload_bytes > 0 && !is_new_data;
+  const bool has_progress =
+      packet.m_has_acknowledgement &&
+      (!was_established || (record->m_acknowledged &&
+                            IsAfter(packet.m_acknowledgement,
+                                    *record->m_acknowledged)));
+  if (packet.m_has_acknowledgement &&
+      (!record->m_acknowledged ||
+       IsAfter(packet.m_acknowledgement, *record->m_acknowledged)))
+    record->m_acknowledged = packet.m_acknowledgement;
+  if (has_progress) {
+    record->m_repeats = 0;
+    SetInProgress(*record, false);
+  }
+  if (is_new_data) {
+    record->m_sent_end = end;
+    if (!record->m_is_request_in_progress) {
+      record->m_request_at = now;
+      record->m_give_up_at = now + timeout;
+    }
+    SetInProgress(*record, true);
+    return has_progress ? Progress::kAnswer : Progress::kRequest;
+  }
+  if (has_progress)
+    return Progress::kAnswer;
+  if (is_repeat) {
+    ++record->m_repeats;
+    return Progress::kRepeat;
+  }
+  return Progress::kNothingNew;
+}
+
+void FlowTracker::MoveTo(FlowRecord& record, KnownServer& server) {
+  if (record.m_server == server.m_slot)
+    return;
+  const bool was_active = record.m_is_active;
+  const bool was_in_progress = record.m_is_request_in_progress;
+  SetActive(record, false);
+  SetInProgress(record, false);
+  record.m_server = server.m_slot;
+  SetActive(record, was_active);
+  SetInProgress(record, was_in_progress);
+}
+
+void FlowTracker::Forget(const flow::FlowKey& key) {
+  const auto found = m_flows.find(key);
+  if (found == m_flows.end())
+    return;
+  SetActive(found->second, false);
+  SetInProgress(found->second, false);
+  m_flows.erase(found);
+}
+
+void FlowTracker::Sweep(base::Duration idle_timeout, base::TimePoint now) {
+  for (auto entry = m_flows.begin(); entry != m_flows.end();) {
+    FlowRecord& record = entry->second;
+    if (record.m_is_request_in_progress && now >= record.m_give_up_at)
+      SetInProgress(record, false);
+    const base::Duration idle = now - record.m_last_seen;
+    if (idle >= kActiveFor)
+      SetActive(record, false);
+    if (idle < idle_timeout) {
+      ++entry;
+      continue;
+    }
+    SetInProgress(record, false);
+    entry = m_flows.erase(entry);
+  }
+}
+
+FlowRecord* FlowTracker::Insert(const flow::FlowKey& key,
+                                KnownServer& server,
+                                base::TimePoint now) {
+  if (m_flows.size() >= kMaximumFlows)
+    return nullptr;
+  FlowRecord& record = m_flows[key];
+  record.m_server = server.m_slot;
+  record.m_opened_at = now;
+  record.m_last_seen = now;
+  SetActive(record, true);
+  return &record;
+}
+
+void FlowTracker::SetActive(FlowRecord& record, bool is_active) {
+  if (record.m_is_active == is_active)
+    return;
+  record.m_is_active = is_active;
+  KnownServer* server = m_directory.FindBySlot(record.m_server);
+  if (server != nullptr)
+    server->m_flows += is_active ? 1 : -1;
+}
+
+void FlowTracker::SetInProgress(FlowRecord& record, bool is_in_progress) {
+  if (record.m_is_request_in_progress == is_in_progress)
+    return;
+  record.m_is_request_in_progress = is_in_progress;
+  KnownServer* server = m_directory.FindBySlot(record.m_server);
+  if (server != nullptr)
+    server->m_requests_in_progress += is_in_progress ? 1 : -1;
+}
+
+}  // namespace steering
--- /dev/null
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -0,0 +1,94 @@
+// The flows that a balancer has seen of late, and their load on the servers.
+
+#ifndef LIBSTEERING_FLOW_TRACKER_H_
+#define LIBSTEERING_FLOW_TRACKER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/time.h"
+#include "LibFlow/flow_key.h"
+#include "LibSteering/caller_packet.h"
+#include "LibSteering/flow_record.h"
+#include "LibSteering/server_directory.h"
+
+namespace steering {
+
+// What a packet of an open flow shows.
+enum class Progress {
+  // The caller has sent something new.
+  kRequest,
+  // The caller has got something new from the server.
+  kAnswer,
+  // The caller repeats what it has sent.
+  kRepeat,
+  kNothingNew,
+  kEnd,
+};
+
+inline constexpr base::EnumTable<Progress, 5> kProgressNames{{
+    {Progress::kRequest, "request"},
+    {Progress::kAnswer, "answer"},
+    {Progress::kRepeat, "repeat"},
+    {Progress::kNothingNew, "nothing_new"},
+    {Progress::kEnd, "end"},
+}};
+
+class FlowTracker {
+ public:
+  // Flows beyond this number are steered without a record: 96 bytes each, so
+  // 6 MB at most.
+  static constexpr std::size_t kMaximumFlows = 65'536;
+  // A flow without a packet for this long is no load: callers of long flows
+  // pause about a second between requests.
+  static constexpr base::Duration kActiveFor = std::chrono::seconds(3);
+
+  struct FlowHash {
+    std::size_t operator()(const flow::FlowKey& key) const noexcept {
+      return flow::HashFlow(key);
+    }
+  };
+  using Flows = std::unordered_map<flow::FlowKey, FlowRecord, FlowHash>;
+
+  explicit FlowTracker(ServerDirectory& directory) : m_directory(directory) {}
+
+  // Queries.
+  std::size_t size() const { return m_flows.size(); }
+  const Flows& flows() const { return m_flows; }
+
+  // Commands.
+  FlowRecord* Find(const flow::FlowKey& key);
+  // Notes an opening that goes to `server`; null if the table is full.
+  FlowRecord* Open(const flow::FlowKey& key,
+                   KnownServer& server,
+                   base::Duration timeout,
+                   base::TimePoint now);
+  // Notes a packet of an open flow of `server`, also of a flow that was opened
+  // by another balancer.
+  Progress Observe(const CallerPacket& packet,
+                   KnownServer& server,
+                   base::Duration timeout,
+                   base::TimePoint now);
+  // Moves an opening to another server.
+  void MoveTo(FlowRecord& record, KnownServer& server);
+  void Forget(const flow::FlowKey& key);
+  // Stops counting flows at rest and forgets those idle for `idle_timeout`.
+  void Sweep(base::Duration idle_timeout, base::TimePoint now);
+
+ private:
+  FlowRecord* Insert(const flow::FlowKey& key,
+                     KnownServer& server,
+                     base::TimePoint now);
+  void SetActive(FlowRecord& record, bool is_active);
+  void SetInProgress(FlowRecord& record, bool is_in_progress);
+
+  ServerDirectory& m_directory;
+  Flows m_flows;
+};
+
+}  // namespace steering
+
+#endif  // LIBSTEERING_FLOW_TRACKER_H_
--- /dev/null
+++ b/Libraries/LibSteering/request_kind.h
@@ -0,0 +1,20 @@
+// What may be done with the requests of a route when their outcome is unknown.
+
+#ifndef LIBSTEERING_REQUEST_KIND_H_
+#define LIBSTEERING_REQUEST_KIND_H_
+
+#include "LibBase/enum_table.h"
+
+namespace steering {
+
+enum class RequestKind { kIdempotent, kNonIdempotent, kDownload };
+
+inline constexpr base::EnumTable<RequestKind, 3> kRequestKindNames{{
+    {RequestKind::kIdempotent, "idempotent"},
+    {RequestKind::kNonIdempotent, "non_idempotent"},
+    {RequestKind::kDownload, "download"},
+}};
+
+}  // namespace steering
+
+#endif  // LIBSTEERING_REQUEST_KIND_H_
--- /dev/null
+++ b/Libraries/LibSteering/route_table.cc
@@ -0,0 +1,24 @@
+#include "LibSteering/route_table.h"
+
+#include <utility>
+
+namespace steering {
+
+const Route* RouteTable::Find(base::Endpoint address) const {
+  const auto found = m_by_address.find(address);
+  return found == m_by_address.end() ? nullptr
+                                     : &m_manifest.m_routes[found->second];
+}
+
+bool RouteTable::Replace(Manifest manifest) {
+  if (manifest.m_version <= m_manifest.m_version)
+    return false;
+  m_manifest = std::move(manifest);
+  m_by_address.clear();
+  m_by_address.reserve(m_manifest.m_routes.size());
+  for (std::size_t index = 0; index < m_manifest.m_routes.size(); ++index)
+    m_by_address.emplace(m_manifest.m_routes[index].m_address, index);
+  return true;
+}
+
+}  // namespace steering
--- /dev/null
+++ b/Libraries/LibSteering/server_directory.cc
@@ -0,0 +1,155 @@
+#include "LibSteering/server_directory.h"
+
+#include <algorithm>
+
+namespace steering {
+
+KnownServer* ServerDirectory::FindByToken(FlowToken token) const {
+  const auto [begin, end] = m_by_token.equal_range(token.value());
+  if (begin == end || std::next(begin) != end)
+    return nullptr;
+  return begin->second;
+}
+
+KnownServer* ServerDirectory::FindByName(const ServerName& name) const {
+  const auto found = m_servers.find(name);
+  return found == m_servers.end() ? nullptr : found->second.get();
+}
+
+KnownServer* ServerDirectory::FindBySlot(ServerSlot slot) const {
+  const auto found = m_by_slot.find(slot.value());
+  return found == m_by_slot.end() ? nullptr : found->second;
+}
+
+const std::vector<KnownServer*>& ServerDirectory::ServersOf(
+    std::string_view service) const {
+  static const std::vector<KnownServer*> kNone;
+  const auto found = m_by_service.find(service);
+  return found == m_by_service.end() ? kNone : found->second;
+}
+
+std::optional<FlowToken> ServerDirectory::UniqueTokenOf(
+    const KnownServer& server) const {
+  for (const FlowToken token : server.m_tokens) {
+    if (m_by_token.count(token.value()) == 1)
+      return token;
+  }
+  return std::nullopt;
+}
+
+std::vector<ServerName> ServerDirectory::RegisteredNames() const {
+  std::vector<ServerName> names;
+  for (const auto& [name, server] : m_servers) {
+    if (!server->IsGone())
+      names.push_back(name);
+  }
+  return names;
+}
+
+std::vector<ServerRecord> ServerDirectory::RegisteredRecords() const {
+  std::vector<ServerRecord> records;
+  for (const auto& [name, server] : m_servers) {
+    if (!server->IsGone())
+      records.push_back(server->m_record);
+  }
+  return records;
+}
+
+std::size_t ServerDirectory::Count(ServerState state) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_servers.begin(), m_servers.end(), [state](const auto& entry) {
+        return !entry.second->IsGone() &&
+               entry.second->m_record.m_state == state;
+      }));
+}
+
+DirectoryChange ServerDirectory::Apply(const ServerRecord& record,
+                                       base::TimePoint now) {
+  KnownServer* server = FindByName(record.m_name);
+  const bool is_new = server == nullptr;
+  if (is_new)
+    server = &Insert(record);
+  const ServerRecord former = server->m_record;
+  const bool was_gone = server->IsGone();
+  if (!is_new && record.m_revision < former.m_revision)
+    return DirectoryChange::kNone;
+
+  UnlistFromService(*server);
+  server->m_record = record;
+  server->m_warm_at = now + record.m_warm_up_left;
+  server->m_gone_since.reset();
+  ListUnderService(*server);
+  if (is_new || was_gone)
+    return DirectoryChange::kAdded;
+  if (former.m_incarnation != record.m_incarnation) {
+    server->m_sight = ServerSight();
+    return DirectoryChange::kRestarted;
+  }
+  if (former.m_state == record.m_state)
+    return DirectoryChange::kNone;
+  return record.m_state == ServerState::kDraining ? DirectoryChange::kDraining
+                                                  : DirectoryChange::kReady;
+}
+
+DirectoryChange ServerDirectory::Remove(const ServerName& name,
+                                        base::TimePoint now) {
+  KnownServer* server = FindByName(name);
+  if (server == nullptr || server->IsGone())
+    return DirectoryChange::kNone;
+  server->m_gone_since = now;
+  UnlistFromService(*server);
+  return DirectoryChange::kGone;
+}
+
+void ServerDirectory::Expire(base::TimePoint now) {
+  for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+    const KnownServer& server = *entry->second;
+    if (!server.IsGone() || now - *server.m_gone_since < kKeepGone) {
+      ++entry;
+      continue;
+    }
+    RemoveTokens(server);
+    m_by_slot.erase(server.m_slot.value());
+    entry = m_servers.erase(entry);
+  }
+}
+
+KnownServer& ServerDirectory::Insert(const ServerRecord& record) {
+  auto owned = std::make_unique<KnownServer>();
+  KnownServer& server = *owned;
+  server.m_slot = ServerSlot(m_next_slot++);
+  server.m_record = record;
+  server.m_tokens = TokensOf(record.m_name);
+  for (const FlowToken token : server.m_tokens)
+    m_by_token.emplace(token.value(), &server);
+  m_by_slot.emplace(server.m_slot.value(), &server);
+  m_servers.emplace(record.m_name, std::move(owned));
+  return server;
+}
+
+void ServerDirectory::ListUnderService(KnownServer& server) {
+  std::vector<KnownServer*>& listed = m_by_service[server.m_record.m_service];
+  const auto place = std::lower_bound(
+      listed.begin(), listed.end(), server.m_record.m_name,
+      [](const KnownServer* other, const ServerName& name) {
+        return other->m_record.m_name < name;
+      });
+  listed.insert(place, &server);
+}
+
+void ServerDirectory::UnlistFromService(const KnownServer& server) {
+  const auto found = m_by_service.find(server.m_record.m_service);
+  if (found == m_by_service.end())
+    return;
+  std::erase(found->second, &server);
+  if (found->second.empty())
+    m_by_service.erase(found);
+}
+
+void ServerDirectory::RemoveTokens(const KnownServer& server) {
+  std::erase_if(m_by_token, [&server](const auto& entry) {
+    return entry.second == &server;
+  });
+}
+
+}  // namespace steering
--- /dev/null
+++ b/Libraries/LibSteering/server_record.h
@@ -0,0 +1,47 @@
+// What a backend server has registered about itself.
+
+#ifndef LIBSTEERING_SERVER_RECORD_H_
+#define LIBSTEERING_SERVER_RECORD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/ids.h"
+#include "LibBase/ipv4.h"
+#include "LibBase/time.h"
+#include "LibSteering/ids.h"
+
+namespace steering {
+
+enum class ServerState { kReady, kDraining };
+
+inline constexpr base::EnumTable<ServerState, 2> kServerStateNames{{
+    {ServerState::kReady, "ready"},
+    {ServerState::kDraining, "draining"},
+}};
+
+struct ServerRecord {
+  ServerName m_name;
+  WireIdentity m_identity;
+  std::string m_service;
+  base::Endpoint m_endpoint;
+  base::DataCentreId m_data_centre;
+  ServerState m_state = ServerState::kReady;
+  // How many requests it works on at once.
+  std::uint32_t m_slots = 1;
+  // How much longer it is slow after its start, at the time of the record.
+  base::Duration m_warm_up_left{};
+  // When it started, in milliseconds of the Unix epoch by its own clock. Two
+  // values under one name are two incarnations; nothing else is read from it.
+  std::int64_t m_incarnation = 0;
+  // The store's revision of the record.
+  std::uint64_t m_revision = 0;
+
+  friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
+};
+
+}  // namespace steering
+
+#endif  // LIBSTEERING_SERVER_RECORD_H_
--- /dev/null
+++ b/Libraries/LibSteering/steering.cc
@@ -0,0 +1,191 @@
+#include "LibSteering/steering.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace steering {
+
+Steering::Steering(SteeringSettings settings, std::uint64_t seed)
+    : m_settings(std::move(settings)),
+      m_random(seed),
+      m_placer(m_settings.m_placement, m_settings.m_data_centre) {}
+
+bool Steering::IsReady() const {
+  return m_routes.Version() != base::ConfigurationVersion() &&
+         m_directory.Count(ServerState::kReady) > 0;
+}
+
+std::optional<base::TimePoint> Steering::NextResend() const {
+  if (m_resends.empty())
+    return std::nullopt;
+  return m_resends.front().first;
+}
+
+Decision Steering::Handle(const CallerPacket& packet, base::TimePoint now) {
+  const Route* route = m_routes.Find(packet.m_flow.m_service);
+  if (!packet.m_is_opening)
+    return Follow(packet, route, now);
+  if (m_routes.Version() == base::ConfigurationVersion())
+    return {Drop{}, Reason::kNotReady};
+  if (route == nullptr && !m_are_routes_current)
+    return {Drop{}, Reason::kRouteNotYetKnown};
+  if (route == nullptr)
+    return Refuse(packet, Reason::kNoRoute);
+  return HandleOpening(packet, *route, now);
+}
+
+std::vector<OpeningResend> Steering::TakeResends(base::TimePoint now) {
+  std::vector<OpeningResend> resends;
+  while (!m_resends.empty() && m_resends.front().first <= now) {
+    const flow::FlowKey key = m_resends.front().second;
+    m_resends.erase(m_resends.begin());
+    FlowRecord* record = m_tracker.Find(key);
+    if (record == nullptr || !record->m_resend_at ||
+        *record->m_resend_at > now)
+      continue;
+    record->m_resend_at.reset();
+    const Route* route = m_routes.Find(key.m_service);
+    KnownServer* former = m_directory.FindBySlot(record->m_server);
+    if (route == nullptr || former == nullptr)
+      continue;
+    const bool is_sight_changed =
+        former->m_sight.RecordSilence(record->m_request_at, now);
+    CallerPacket opening;
+    opening.m_flow = key;
+    opening.m_is_opening = true;
+    Decision decision = PlaceOpening(opening, *route, former, now);
+    if (!std::holds_alternative<Forward>(decision.m_action))
+      continue;
+    decision.m_judged = is_sight_changed ? former : nullptr;
+    resends.push_back({key, decision});
+  }
+  return resends;
+}
+
+void Steering::Sweep(base::TimePoint now) {
+  m_tracker.Sweep(m_routes.manifest().m_idle_timeout, now);
+  m_directory.Expire(now);
+}
+
+Decision Steering::Refuse(const CallerPacket& packet, Reason reason) const {
+  Decision decision;
+  decision.m_action = Reset{packet.m_acknowledgement};
+  decision.m_reason = reason;
+  return decision;
+}
+
+Decision Steering::HandleOpening(const CallerPacket& packet,
+                                 const Route& route,
+                                 base::TimePoint now) {
+  const FlowRecord* record = m_tracker.Find(packet.m_flow);
+  KnownServer* former =
+      record == nullptr ? nullptr : m_directory.FindBySlot(record->m_server);
+  // A caller that repeats an opening got no answer to the first.
+  const bool is_copy = former != nullptr && !record->m_is_established;
+  return PlaceOpening(packet, route, is_copy ? former : nullptr, now);
+}
+
+Decision Steering::PlaceOpening(const CallerPacket& packet,
+                                const Route& route,
+                                KnownServer* former,
+                                base::TimePoint now) {
+  const auto& servers = m_directory.ServersOf(
+      route.ServiceFor(flow::HashFlow(packet.m_flow)));
+  auto placement = m_placer.Place(servers, former, m_random, now);
+  if (!placement && former != nullptr)
+    placement = m_placer.Place(servers, nullptr, m_random, now);
+  if (!placement) {
+    Decision refusal = Refuse(packet, Reason::kNoServer);
+    refusal.m_route = &route;
+    return refusal;
+  }
+  KnownServer& server = *placement->m_server;
+  if (placement->m_is_probe)
+    server.m_sight.RecordProbe(now);
+  FlowRecord* record = m_tracker.Find(packet.m_flow);
+  if (former != nullptr && record != nullptr) {
+    m_tracker.MoveTo(*record, server);
+    record->m_last_seen = now;
+    ++record->m_resends;
+  } else {
+    record = m_tracker.Open(packet.m_flow, server, route.m_timeout, now);
+  }
+  if (record != nullptr && record->m_resends < m_settings.m_maximum_resends) {
+    record->m_request_at = now;
+    record->m_resend_at = now + m_settings.m_resend_after;
+    m_resends.emplace_back(*record->m_resend_at, packet.m_flow);
+  }
+
+  Decision decision;
+  // Zero leaves the choice of the token's server to the datagram's identity.
+  const auto token = m_directory.UniqueTokenOf(server);
+  if (!token) {
+    decision = Refuse(packet, Reason::kNoServer);
+  } else {
+    decision.m_action = Forward{&server, *token};
+    decision.m_reason = former == nullptr ? Reason::kPlaced
+                        : former == &server ? Reason::kPlacedAgain
+                                            : Reason::kPlacedElsewhere;
+  }
+  decision.m_route = &route;
+  decision.m_server = &server;
+  decision.m_candidates = placement->m_candidates;
+  decision.m_cost = placement->m_cost;
+  return decision;
+}
+
+Decision Steering::Follow(const CallerPacket& packet,
+                          const Route* route,
+                          base::TimePoint now) {
+  Decision decision;
+  decision.m_action = Drop{};
+  decision.m_route = route;
+  KnownServer* server = m_directory.FindByToken(packet.m_token);
+  if (server == nullptr) {
+    decision.m_reason = Reason::kUnknownToken;
+    return decision;
+  }
+  decision.m_server = server;
+  if (route == nullptr) {
+    // The answer in progress still gets through; a new request does not.
+    if (m_are_routes_current && packet.m_payload_bytes > 0) {
+      decision.m_action = Reset{packet.m_acknowledgement};
+      decision.m_reason = Reason::kNoRoute;
+      return decision;
+    }
+    decision.m_action = Forward{server, packet.m_token};
+    return decision;
+  }
+  const FlowRecord* former = m_tracker.Find(packet.m_flow);
+  const base::TimePoint waiting_since =
+      former == nullptr ? now : former->m_request_at;
+  decision.m_progress =
+      m_tracker.Observe(packet, *server, route->m_timeout, now);
+  decision.m_waited = now - waiting_since;
+  if (decision.m_progress == Progress::kAnswer &&
+      server->m_sight.RecordProgress(now))
+    decision.m_judged = server;
+  const bool is_waiting = packet.m_payload_bytes > 0;
+  if (is_waiting && HasEnded(*server, now)) {
+    decision.m_action = Reset{packet.m_acknowledgement};
+    decision.m_reason = Reason::kServerGone;
+    m_tracker.Forget(packet.m_flow);
+    return decision;
+  }
+  decision.m_action = Forward{server, packet.m_token};
+  return decision;
+}
+
+bool Steering::HasEnded(const KnownServer& server, base::TimePoint now) const {
+  if (!server.IsGone())
+    return false;
+  const auto progress = server.m_sight.LastProgress();
+  if (progress && *progress > *server.m_gone_since)
+    return false;
+  const bool left_in_order =
+      server.m_record.m_state == ServerState::kDraining;
+  return left_in_order ||
+         now - *server.m_gone_since >= m_settings.m_lapse_grace;
+}
+
+}  // namespace steering
--- /dev/null
+++ b/Libraries/LibSteering/steering.h
@@ -0,0 +1,98 @@
+// Decides where the packets of callers go when each packet carries a token
+// that names its flow's backend server. No sockets, clocks or globals.
+//
+// The token makes routing a function of the packet and the server directory:
+// any balancer, also one that started a moment ago, forwards any packet of any
+// flow. What is kept of flows serves placement and finding silent servers, and
+// losing it breaks nothing.
+
+#ifndef LIBSTEERING_STEERING_H_
+#define LIBSTEERING_STEERING_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "LibBase/ids.h"
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibSteering/caller_packet.h"
+#include "LibSteering/decision.h"
+#include "LibSteering/flow_tracker.h"
+#include "LibSteering/opening_placer.h"
+#include "LibSteering/route_table.h"
+#include "LibSteering/server_directory.h"
+
+namespace steering {
+
+struct SteeringSettings {
+  base::DataCentreId m_data_centre;
+  PlacementPolicy m_placement;
+  // An opening that its caller has not confirmed after this time goes to
+  // another server too. Several round trips between data centres, and well
+  // under the 200 ms after which the caller repeats it.
+  base::Duration m_resend_after = std::chrono::milliseconds(40);
+  // How often one opening is sent to a further server.
+  std::uint32_t m_maximum_resends = 3;
+  // A server whose record is gone without notice is taken to have ended after
+  // this time, in which a living server registers again.
+  base::Duration m_lapse_grace = std::chrono::milliseconds(2500);
+};
+
+class Steering {
+ public:
+  Steering(SteeringSettings settings, std::uint64_t seed);
+
+  // Queries.
+  const RouteTable& routes() const { return m_routes; }
+  const ServerDirectory& directory() const { return m_directory; }
+  const FlowTracker& tracker() const { return m_tracker; }
+  // Whether both routes and servers are known.
+  bool IsReady() const;
+  // When Advance is due because of an opening without an answer.
+  std::optional<base::TimePoint> NextResend() const;
+
+  // Commands.
+  ServerDirectory& directory() { return m_directory; }
+  bool PutInForce(Manifest manifest) {
+    return m_routes.Replace(std::move(manifest));
+  }
+  // Whether the routes in force are known to be the newest. Without it, a
+  // missing route may be one not heard of yet.
+  void SetRoutesCurrent(bool is_current) { m_are_routes_current = is_current; }
+  Decision Handle(const CallerPacket& packet, base::TimePoint now);
+  // The openings that go to a further server now.
+  std::vector<OpeningResend> TakeResends(base::TimePoint now);
+  // Forgets what is old. Called a few times a second.
+  void Sweep(base::TimePoint now);
+
+ private:
+  Decision Refuse(const CallerPacket& packet, Reason reason) const;
+  Decision HandleOpening(const CallerPacket& packet,
+                         const Route& route,
+                         base::TimePoint now);
+  Decision PlaceOpening(const CallerPacket& packet,
+                        const Route& route,
+                        KnownServer* former,
+                        base::TimePoint now);
+  Decision Follow(const CallerPacket& packet,
+                  const Route* route,
+                  base::TimePoint now);
+  // A server that will never answer again.
+  bool HasEnded(const KnownServer& server, base::TimePoint now) const;
+
+  SteeringSettings m_settings;
+  base::Random m_random;
+  RouteTable m_routes;
+  ServerDirectory m_directory;
+  FlowTracker m_tracker{m_directory};
+  OpeningPlacer m_placer;
+  bool m_are_routes_current = false;
+  // Openings by the time at which they go to a further server, oldest first.
+  std::vector<std::pair<base::TimePoint, flow::FlowKey>> m_resends;
+};
+
+}  // namespace steering
+
+#endif  // LIBSTEERING_STEERING_H_
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -35,7 +35,7 @@
 #include "peer_link.h"
 #include "peer_server.h"
 #include "remote_balancers.h"
-#include "timer_driver.h"
+#include "LibEventLoop/timer_driver.h"
 #include "traffic_loop.h"
 
 namespace platform {
@@ -162,7 +162,7 @@
 
   asio::io_context m_context{1};
   asio::signal_set m_signals{m_context};
-  TimerDriver m_timers{m_context};
+  event_loop::TimerDriver m_timers{m_context};
   std::unique_ptr<TrafficLoop> m_traffic;
   std::unique_ptr<PeerLink> m_peer_link;
   std::unique_ptr<PeerServer> m_peer_server;
--- a/Services/Coltsfootdale/traffic_loop.h
+++ b/Services/Coltsfootdale/traffic_loop.h
@@ -21,7 +21,7 @@
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
 #include "LibFlow/silence_detector.h"
-#include "datagram_batch.h"
+#include "LibEventLoop/datagram_batch.h"
 #include "traffic_counters.h"
 
 namespace wire {
@@ -99,8 +99,8 @@
   base::Endpoint m_local;
   balancer::TrafficCore m_core;
   TrafficCounters m_counters;
-  ReceivedBatch m_received;
-  SendBatch m_sending;
+  event_loop::ReceivedBatch m_received;
+  event_loop::SendBatch m_sending;
   // Packets that m_sending refers to and no receive buffer holds. A deque, so
   // that they stay in place.
   std::deque<std::vector<std::uint8_t>> m_kept;
--- /dev/null
+++ b/Services/Edge/decision_log.cc
@@ -0,0 +1,152 @@
+#include "decision_log.h"
+
+#include <chrono>
+#include <string>
+#include <variant>
+
+namespace edge {
+
+namespace {
+
+using observability::Event;
+using observability::Severity;
+
+std::int64_t Milliseconds(base::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+std::string ServerOf(const steering::Decision& decision) {
+  return decision.m_server == nullptr
+             ? std::string()
+             : decision.m_server->m_record.m_name.value();
+}
+
+std::string DataCentreOf(const steering::Decision& decision) {
+  return decision.m_server == nullptr
+             ? std::string()
+             : decision.m_server->m_record.m_data_centre.value();
+}
+
+std::string RouteOf(const steering::Decision& decision) {
+  return decision.m_route == nullptr ? std::string()
+                                     : decision.m_route->m_name;
+}
+
+std::uint32_t InProgressAt(const steering::Decision& decision) {
+  return decision.m_server == nullptr
+             ? 0
+             : decision.m_server->m_requests_in_progress;
+}
+
+// -1 stands for never.
+std::int64_t AgeOf(const BeliefAge& belief) {
+  return belief.m_servers_age ? Milliseconds(*belief.m_servers_age) : -1;
+}
+
+Event EventOf(const steering::Decision& decision) {
+  if (std::holds_alternative<steering::Reset>(decision.m_action))
+    return Event::kOpeningRefused;
+  if (std::holds_alternative<steering::Drop>(decision.m_action))
+    return Event::kPacketDropped;
+  return decision.m_reason == steering::Reason::kPlaced ? Event::kOpeningPlaced
+                                                        : Event::kOpeningMoved;
+}
+
+}  // namespace
+
+void DecisionLog::Write(const steering::CallerPacket& packet,
+                        std::string_view request_id,
+                        const steering::Decision& decision,
+                        const BeliefAge& belief,
+                        base::TimePoint now) {
+  WriteSight(decision, now);
+  if (packet.m_is_opening)
+    WriteOpening(packet.m_flow, decision, belief, now);
+  else
+    WriteFollowed(packet, request_id, decision, belief, now);
+}
+
+void DecisionLog::WriteResend(const steering::OpeningResend& resend,
+                              const BeliefAge& belief,
+                              base::TimePoint now) {
+  WriteSight(resend.m_decision, now);
+  WriteOpening(resend.m_flow, resend.m_decision, belief, now);
+}
+
+void DecisionLog::WriteOpening(const flow::FlowKey& flow,
+                               const steering::Decision& decision,
+                               const BeliefAge& belief,
+                               base::TimePoint now) {
+  const Event event = EventOf(decision);
+  if (!m_log.Admit(event, now))
+    return;
+  m_log.Write(Severity::kInfo, event,
+              {{"caller", ToString(flow.m_caller)},
+               {"address", ToString(flow.m_service)},
+               {"route", RouteOf(decision)},
+               {"reason", NameOf(steering::kReasonNames, decision.m_reason)},
+               {"server", ServerOf(decision)},
+               {"data_centre", DataCentreOf(decision)},
+               {"candidates", std::uint64_t{decision.m_candidates}},
+               {"cost", decision.m_cost},
+               {"in_progress", InProgressAt(decision)},
+               {"servers_revision", belief.m_servers_revision},
+               {"servers_age_ms", AgeOf(belief)},
+               {"manifest", belief.m_manifest_version}});
+}
+
+void DecisionLog::WriteFollowed(const steering::CallerPacket& packet,
+                                std::string_view request_id,
+                                const steering::Decision& decision,
+                                const BeliefAge& belief,
+                                base::TimePoint now) {
+  const bool is_forwarded =
+      std::holds_alternative<steering::Forward>(decision.m_action);
+  const bool is_repeat = decision.m_progress == steering::Progress::kRepeat;
+  if (is_forwarded && !is_repeat && request_id.empty())
+    return;
+  const Event event =
+      std::holds_alternative<steering::Reset>(decision.m_action)
+          ? Event::kFlowReset
+      : !is_forwarded ? Event::kPacketDropped
+      : is_repeat     ? Event::kRequestRepeated
+                      : Event::kRequestForwarded;
+  if (!m_log.Admit(event, now))
+    return;
+  m_log.Write(
+      is_forwarded ? Severity::kInfo : Severity::kWarning, event,
+      {{"request", request_id},
+       {"caller", ToString(packet.m_flow.m_caller)},
+       {"address", ToString(packet.m_flow.m_service)},
+       {"route", RouteOf(decision)},
+       {"reason", NameOf(steering::kReasonNames, decision.m_reason)},
+       {"server", ServerOf(decision)},
+       {"data_centre", DataCentreOf(decision)},
+       {"token", packet.m_token.value()},
+       {"waited_ms", Milliseconds(decision.m_waited)},
+       {"in_progress", InProgressAt(decision)},
+       {"servers_revision", belief.m_servers_revision},
+       {"servers_age_ms", AgeOf(belief)},
+       {"manifest", belief.m_manifest_version}});
+}
+
+void DecisionLog::WriteSight(const steering::Decision& decision,
+                             base::TimePoint now) {
+  const steering::KnownServer* judged = decision.m_judged;
+  if (judged == nullptr)
+    return;
+  const Event event = judged->m_sight.IsSuspect() ? Event::kServerSuspected
+                                                  : Event::kServerReachable;
+  if (!m_log.Admit(event, now))
+    return;
+  const auto progress = judged->m_sight.LastProgress();
+  m_log.Write(Severity::kWarning, event,
+              {{"server", judged->m_record.m_name.value()},
+               {"data_centre", judged->m_record.m_data_centre.value()},
+               {"silent_flows", judged->m_sight.SilentFlows()},
+               {"last_progress_ms",
+                progress ? Milliseconds(now - *progress) : std::int64_t{-1}}});
+}
+
+}  // namespace edge
--- /dev/null
+++ b/Services/Edge/decision_log.h
@@ -0,0 +1,62 @@
+// Writes the decisions on packets as log lines: one for each opening and each
+// request, and for everything out of the ordinary.
+
+#ifndef SERVICES_EDGE_DECISION_LOG_H_
+#define SERVICES_EDGE_DECISION_LOG_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "LibBase/time.h"
+#include "LibFlow/flow_key.h"
+#include "LibObservability/line_log.h"
+#include "LibSteering/caller_packet.h"
+#include "LibSteering/decision.h"
+#include "LibSteering/steering.h"
+
+namespace edge {
+
+// What is known of the belief that decided.
+struct BeliefAge {
+  std::uint64_t m_servers_revision = 0;
+  // Since the store last confirmed it; nothing if it never did.
+  std::optional<base::Duration> m_servers_age;
+  std::uint64_t m_manifest_version = 0;
+};
+
+class DecisionLog {
+ public:
+  DecisionLog(observability::LineLog& log, const steering::Steering& steering)
+      : m_log(log), m_steering(steering) {}
+
+  // Commands.
+  // `request_id` is empty if no request begins in the packet.
+  void Write(const steering::CallerPacket& packet,
+             std::string_view request_id,
+             const steering::Decision& decision,
+             const BeliefAge& belief,
+             base::TimePoint now);
+  void WriteResend(const steering::OpeningResend& resend,
+                   const BeliefAge& belief,
+                   base::TimePoint now);
+
+ private:
+  void WriteOpening(const flow::FlowKey& flow,
+                    const steering::Decision& decision,
+                    const BeliefAge& belief,
+                    base::TimePoint now);
+  void WriteFollowed(const steering::CallerPacket& packet,
+                     std::string_view request_id,
+                     const steering::Decision& decision,
+                     const BeliefAge& belief,
+                     base::TimePoint now);
+  void WriteSight(const steering::Decision& decision, base::TimePoint now);
+
+  observability::LineLog& m_log;
+  const steering::Steering& m_steering;
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_DECISION_LOG_H_
--- /dev/null
+++ b/Services/Edge/edge_metrics.cc
@@ -0,0 +1,100 @@
+#include "edge_metrics.h"
+
+#include <chrono>
+#include <vector>
+
+namespace edge {
+
+namespace {
+
+// From a tenth of the usual work of a request to the longest time limit.
+const std::vector<double> kAnswerSeconds = {0.005, 0.01, 0.025, 0.05, 0.1,
+                                            0.25,  0.5,  1,     2,    5};
+// From a store's usual answer to the longest watch.
+const std::vector<double> kCallSeconds = {0.005, 0.01, 0.05, 0.1, 0.5,
+                                          1,     2,    4,    10};
+const std::vector<double> kDecisionSeconds = {1e-6, 2e-6, 5e-6, 1e-5,
+                                              5e-5, 1e-4, 1e-3};
+
+double Seconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+template <typename Enum>
+std::size_t IndexOf(Enum value) {
+  return static_cast<std::size_t>(value);
+}
+
+}  // namespace
+
+EdgeMetrics::EdgeMetrics() {
+  for (const auto& [reason, name] : steering::kReasonNames)
+    m_packets[IndexOf(reason)] = &m_registry.CounterOf(
+        "coltsfootdale_packets_total",
+        "Packets of callers by what decided about them",
+        {{"reason", std::string(name)}});
+  for (const auto& [kind, name] : steering::kRequestKindNames) {
+    const observability::Labels labels = {{"kind", std::string(name)}};
+    m_repeats[IndexOf(kind)] = &m_registry.CounterOf(
+        "coltsfootdale_repeats_total",
+        "Packets that callers repeated on open flows", labels);
+    m_answers[IndexOf(kind)] = &m_registry.HistogramOf(
+        "coltsfootdale_answer_seconds",
+        "From what a caller sent to the first sign of an answer",
+        kAnswerSeconds, labels);
+  }
+  m_packet_time = &m_registry.HistogramOf(
+      "coltsfootdale_packet_seconds",
+      "Processor time of one packet, from receipt to sending",
+      kDecisionSeconds);
+}
+
+void EdgeMetrics::CountDecision(const steering::Decision& decision) {
+  m_packets[IndexOf(decision.m_reason)]->Add();
+  if (decision.m_route == nullptr)
+    return;
+  const std::size_t kind = IndexOf(decision.m_route->m_kind);
+  if (decision.m_progress == steering::Progress::kAnswer)
+    m_answers[kind]->Record(Seconds(decision.m_waited));
+  if (decision.m_progress == steering::Progress::kRepeat)
+    m_repeats[kind]->Add();
+}
+
+void EdgeMetrics::CountDiscarded(std::string_view reason) {
+  m_registry
+      .CounterOf("coltsfootdale_datagrams_discarded_total",
+                 "Datagrams that are no packets of callers",
+                 {{"reason", std::string(reason)}})
+      .Add();
+}
+
+void EdgeMetrics::CountStoreCall(std::string_view collection,
+                                 std::string_view result,
+                                 base::Duration call_time) {
+  m_registry
+      .CounterOf("coltsfootdale_store_calls_total",
+                 "Calls to the store by their results",
+                 {{"collection", std::string(collection)},
+                  {"result", std::string(result)}})
+      .Add();
+  m_registry
+      .HistogramOf("coltsfootdale_store_call_seconds",
+                   "Time of calls to the store, the wait of watches included",
+                   kCallSeconds)
+      .Record(Seconds(call_time));
+}
+
+void EdgeMetrics::CountServerChange(std::string_view change) {
+  m_registry
+      .CounterOf("coltsfootdale_server_changes_total",
+                 "Changes of belief about backend servers",
+                 {{"change", std::string(change)}})
+      .Add();
+}
+
+void EdgeMetrics::RecordDecisionTime(base::Duration per_batch,
+                                     std::size_t packets) {
+  m_packet_time->Record(Seconds(per_batch) / static_cast<double>(packets));
+}
+
+}  // namespace edge
--- /dev/null
+++ b/Services/Edge/edge_metrics.h
@@ -0,0 +1,50 @@
+// The counters, gauges and histograms of an edge balancer.
+
+#ifndef SERVICES_EDGE_EDGE_METRICS_H_
+#define SERVICES_EDGE_EDGE_METRICS_H_
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "LibBase/time.h"
+#include "LibObservability/metrics.h"
+#include "LibSteering/decision.h"
+
+namespace edge {
+
+class EdgeMetrics {
+ public:
+  EdgeMetrics();
+
+  // Queries.
+  std::string Render() const { return m_registry.RenderPrometheus(); }
+
+  // Commands.
+  void CountDecision(const steering::Decision& decision);
+  void CountDiscarded(std::string_view reason);
+  void CountStoreCall(std::string_view collection,
+                      std::string_view result,
+                      base::Duration call_time);
+  void CountServerChange(std::string_view change);
+  void RecordDecisionTime(base::Duration per_batch, std::size_t packets);
+  void SetGauge(std::string_view name, std::string_view help, double value) {
+    m_registry.GaugeOf(name, help).Set(value);
+  }
+
+ private:
+  static constexpr std::size_t kReasons = steering::kReasonNames.size();
+  static constexpr std::size_t kKinds = steering::kRequestKindNames.size();
+
+  observability::MetricsRegistry m_registry;
+  // Found once: a look-up for each packet would cost more than its decision.
+  std::array<observability::Counter*, kReasons> m_packets{};
+  std::array<observability::Counter*, kKinds> m_repeats{};
+  std::array<observability::Histogram*, kKinds> m_answers{};
+  observability::Histogram* m_packet_time = nullptr;
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_EDGE_METRICS_H_
--- /dev/null
+++ b/Services/Edge/edge_process.cc
@@ -0,0 +1,489 @@
+#include "edge_process.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "LibCatalog/snapshot_codec.h"
+#include "LibEdge/store_pacing.h"
+#include "check_settings.h"
+#include "platform/names.h"
+
+namespace edge {
+
+namespace {
+
+using observability::Event;
+using observability::Severity;
+using std::chrono::milliseconds;
+
+// Lines a second of one event. The busiest VM of the deployments seen gets
+// fewer than 100 requests a second.
+constexpr std::uint64_t kLinesPerSecond = 100;
+constexpr base::Duration kSweepPeriod = milliseconds(100);
+constexpr base::Duration kSecond = milliseconds(1000);
+// Belief of this age without a word from the store is completed from peers.
+constexpr base::Duration kBlindAfter = milliseconds(500);
+constexpr base::Duration kPeerPeriod = milliseconds(500);
+// Routes that the store confirmed this long ago still tell a caller that there
+// is no route.
+constexpr base::Duration kRoutesCurrentFor = milliseconds(1500);
+constexpr std::string_view kMetricsPath = "/metrics";
+constexpr std::string_view kStatusPath = "/status";
+constexpr std::string_view kJsonType = "application/json";
+constexpr std::string_view kBinaryType = "application/octet-stream";
+
+std::uint64_t DrawSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+base::Duration BootTime() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+std::int64_t Milliseconds(base::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+base::Outcome<std::unique_ptr<EdgeProcess>> EdgeProcess::Create(
+    const EdgeSettings& settings,
+    const std::string& settings_path) {
+  std::unique_ptr<EdgeProcess> process(
+      new EdgeProcess(settings, settings_path));
+  if (auto listening = process->Listen(); !listening)
+    return listening.error();
+  return process;
+}
+
+EdgeProcess::EdgeProcess(const EdgeSettings& settings,
+                         const std::string& settings_path)
+    : m_settings(settings),
+      m_settings_path(settings_path),
+      m_log(STDOUT_FILENO, kLinesPerSecond),
+      m_steering({settings.m_data_centre}, DrawSeed()),
+      m_servers(m_context,
+                settings.m_store,
+                adapter::Collection::kServers,
+                MakeFollowerPolicy(settings),
+                DrawSeed(),
+                [this](const StoreNews& news) { OnNews(m_servers, news); }),
+      m_manifests(m_context,
+                  settings.m_store,
+                  adapter::Collection::kManifests,
+                  MakeFollowerPolicy(settings),
+                  DrawSeed(),
+                  [this](const StoreNews& news) { OnNews(m_manifests, news); }),
+      m_peers(m_context,
+              [this](base::Endpoint peer,
+                     const base::Outcome<catalog::Snapshot>& snapshot) {
+                OnSnapshot(peer, snapshot);
+              }),
+      m_started_at(base::Clock::now()) {
+  std::vector<base::Endpoint> peers = settings.m_seeds;
+  std::erase_if(peers, [&settings](base::Endpoint peer) {
+    return settings.m_control && peer == *settings.m_control;
+  });
+  m_peers.SetPeers(std::move(peers));
+  if (const auto text = ReadSettingsFile(settings_path))
+    m_settings_text = text.value();
+}
+
+base::Outcome<void> EdgeProcess::Listen() {
+  TRY(packets, PacketLoop::Create(
+                   m_context, m_settings.m_packets, m_settings.m_caller_port,
+                   m_steering, m_decision_log, m_metrics,
+                   [this] { return AgeOfBelief(); }));
+  m_packets = std::move(packets);
+  TRY(readiness,
+      event_loop::TextServer::Create(
+          m_context, m_settings.m_readiness,
+          [this](std::string_view path) { return AnswerReadiness(path); }));
+  m_readiness = std::move(readiness);
+  TRY(metrics,
+      event_loop::TextServer::Create(
+          m_context, m_settings.m_metrics,
+          [this](std::string_view path) { return AnswerMetrics(path); }));
+  m_metrics_server = std::move(metrics);
+  if (!m_settings.m_control)
+    return base::Success();
+  TRY(control,
+      event_loop::TextServer::Create(
+          m_context, *m_settings.m_control,
+          [this](std::string_view path) { return AnswerControl(path); }));
+  m_control = std::move(control);
+  return base::Success();
+}
+
+void EdgeProcess::Run() {
+  signal(SIGPIPE, SIG_IGN);
+  m_signals.add(SIGTERM);
+  m_signals.add(SIGINT);
+  m_signals.add(SIGHUP);
+  WaitForSignal();
+  m_log.Write(Severity::kInfo, Event::kListening,
+              {{"vm", m_settings.m_vm},
+               {"data_centre", m_settings.m_data_centre.value()},
+               {"packets", ToString(m_settings.m_packets)},
+               {"metrics", ToString(m_settings.m_metrics)},
+               {"store", ToString(m_settings.m_store)}});
+  const base::TimePoint now = base::Clock::now();
+  m_timers.timers().SubscribeEvery(
+      now + kSweepPeriod, kSweepPeriod,
+      [this](base::TimePoint time) { Sweep(time); });
+  m_timers.timers().SubscribeEvery(now + kPeerPeriod, kPeerPeriod,
+                                   [this](base::TimePoint time) {
+                                     AskPeersIfBlind(time);
+                                   });
+  m_timers.timers().SubscribeEvery(now + kSecond, kSecond,
+                                   [this](base::TimePoint time) {
+                                     m_log.WriteSummaries(time);
+                                     UpdateGauges(time);
+                                     ReloadIfChanged();
+                                   });
+  m_timers.Rearm();
+  m_packets->Start();
+  m_servers.Start();
+  m_manifests.Start();
+  m_context.run();
+  m_log.Write(Severity::kInfo, Event::kShutdownFinished,
+              {{"vm", m_settings.m_vm}});
+}
+
+event_loop::TextAnswer EdgeProcess::AnswerReadiness(
+    std::string_view path) const {
+  if (path != adapter::kReadinessPath)
+    return {404, "unknown path\n"};
+  if (m_shutdown)
+    return {503, "shutting down\n"};
+  if (!m_steering.IsReady())
+    return {503, "no servers or no routes known\n"};
+  return {200, "ready\n"};
+}
+
+event_loop::TextAnswer EdgeProcess::AnswerMetrics(std::string_view path) {
+  if (path == kMetricsPath)
+    return {200, m_metrics.Render()};
+  if (path == kStatusPath)
+    return {200, RenderStatus(), kJsonType};
+  return {404, "unknown path\n"};
+}
+
+event_loop::TextAnswer EdgeProcess::AnswerControl(std::string_view path) const {
+  if (path != kSnapshotPath)
+    return {404, "unknown path\n"};
+  const auto servers = m_servers.follower().KnownRevision();
+  const auto manifest = m_manifests.follower().KnownRevision();
+  if (servers == catalog::Revision() && manifest == catalog::Revision())
+    return {503, "nothing known\n"};
+  return {200,
+          catalog::EncodeSnapshot(m_belief.MakeSnapshot(servers, manifest)),
+          kBinaryType};
+}
+
+std::string EdgeProcess::RenderStatus() const {
+  const BeliefAge age = AgeOfBelief();
+  const auto& directory = m_steering.directory();
+  return fmt::format(
+      R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
+      R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
+      R"("servers_revision":{},"servers_age_ms":{},"flows":{},)"
+      R"("store_calls":{}}})"
+      "\n",
+      observability::QuoteJson(m_settings.m_vm),
+      observability::QuoteJson(m_settings.m_data_centre.value()),
+      m_steering.IsReady(), m_shutdown.has_value(), age.m_manifest_version,
+      m_steering.routes().size(),
+      directory.Count(steering::ServerState::kReady),
+      directory.Count(steering::ServerState::kDraining),
+      age.m_servers_revision,
+      age.m_servers_age ? Milliseconds(*age.m_servers_age) : -1,
+      m_steering.tracker().size(), m_servers.Calls() + m_manifests.Calls());
+}
+
+BeliefAge EdgeProcess::AgeOfBelief() const {
+  BeliefAge age;
+  age.m_servers_revision = m_servers.follower().KnownRevision().value();
+  if (const auto confirmed = m_servers.follower().ConfirmedAt())
+    age.m_servers_age = base::Clock::now() - *confirmed;
+  age.m_manifest_version = m_steering.routes().Version().value();
+  return age;
+}
+
+bool EdgeProcess::AreRoutesCurrent(base::TimePoint now) const {
+  const auto& follower = m_manifests.follower();
+  if (follower.FailingSince())
+    return false;
+  const auto confirmed = follower.ConfirmedAt();
+  return follower.IsWatching() ||
+         (confirmed && now - *confirmed < kRoutesCurrentFor);
+}
+
+void EdgeProcess::OnNews(const StoreReader& reader, const StoreNews& news) {
+  const base::TimePoint now = base::Clock::now();
+  const std::string_view collection =
+      NameOf(adapter::kCollectionNames, reader.collection());
+  const std::string_view result =
+      news.m_failure ? NameOf(catalog::kCallFailureNames, *news.m_failure)
+                     : "done";
+  m_metrics.CountStoreCall(collection, result, news.m_call_time);
+  if (news.m_failure && m_log.Admit(Event::kStoreCallFailed, now))
+    m_log.Write(Severity::kWarning, Event::kStoreCallFailed,
+                {{"collection", collection},
+                 {"reason", result},
+                 {"call_ms", Milliseconds(news.m_call_time)},
+                 {"revision", reader.follower().KnownRevision().value()}});
+  if (news.m_outcome.m_is_lost) {
+    m_belief.OnStoreLost();
+    m_log.Write(Severity::kWarning, Event::kStoreLost,
+                {{"collection", collection},
+                 {"reason", news.m_failure ? result : "late_answer"}});
+  }
+  if (news.m_outcome.m_is_regained) {
+    m_belief.OnStoreRegained(now);
+    m_log.Write(Severity::kInfo, Event::kStoreRegained,
+                {{"collection", collection},
+                 {"revision", reader.follower().KnownRevision().value()}});
+  }
+  if (news.m_objects.m_ignored > 0 && m_log.Admit(Event::kObjectsIgnored, now))
+    m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
+                {{"collection", collection},
+                 {"objects", std::uint64_t{news.m_objects.m_ignored}},
+                 {"reason", "not an object of a known form"}});
+  if (reader.collection() == adapter::Collection::kServers)
+    OnServers(news, now);
+  else
+    OnManifests(news);
+  LogReadiness();
+}
+
+void EdgeProcess::OnServers(const StoreNews& news, base::TimePoint now) {
+  if (news.m_outcome.m_step == catalog::FollowerStep::kChanged) {
+    LogServerChanges(m_belief.TakeEvents(news.m_objects.m_servers, now),
+                     "store");
+    return;
+  }
+  if (news.m_outcome.m_step != catalog::FollowerStep::kListed)
+    return;
+  std::vector<steering::ServerRecord> records;
+  for (const ServerEvent& event : news.m_objects.m_servers) {
+    if (event.m_record)
+      records.push_back(*event.m_record);
+  }
+  m_log.Write(Severity::kInfo, Event::kServersListed,
+              {{"servers", std::uint64_t{records.size()}},
+               {"revision", m_servers.follower().KnownRevision().value()}});
+  LogServerChanges(m_belief.TakeServers(records, now), "store");
+}
+
+void EdgeProcess::OnManifests(const StoreNews& news) {
+  for (const steering::Manifest& manifest : news.m_objects.m_manifests)
+    PutInForce(manifest, "store");
+}
+
+void EdgeProcess::OnSnapshot(base::Endpoint peer,
+                             const base::Outcome<catalog::Snapshot>& snapshot) {
+  const base::TimePoint now = base::Clock::now();
+  if (!snapshot) {
+    if (m_log.Admit(Event::kSnapshotFailed, now))
+      m_log.Write(Severity::kWarning, Event::kSnapshotFailed,
+                  {{"peer", ToString(peer)},
+                   {"reason", snapshot.error().message()}});
+    return;
+  }
+  const catalog::Snapshot& taken = snapshot.value();
+  if (m_servers.AdoptRevision(taken.m_servers_revision)) {
+    m_log.Write(Severity::kInfo, Event::kSnapshotTaken,
+                {{"peer", ToString(peer)},
+                 {"servers", std::uint64_t{taken.m_servers.size()}},
+                 {"revision", taken.m_servers_revision.value()}});
+    LogServerChanges(m_belief.TakeServers(taken.m_servers, now), "peer");
+  }
+  m_manifests.AdoptRevision(taken.m_manifest_revision);
+  if (taken.m_manifest.m_version != base::ConfigurationVersion())
+    PutInForce(taken.m_manifest, "peer");
+  LogReadiness();
+}
+
+void EdgeProcess::PutInForce(const steering::Manifest& manifest,
+                             std::string_view source) {
+  const auto former = m_steering.routes().Version();
+  if (!m_belief.TakeManifest(manifest))
+    return;
+  m_log.Write(Severity::kInfo, Event::kConfigurationInForce,
+              {{"manifest", manifest.m_version.value()},
+               {"former", former.value()},
+               {"routes", std::uint64_t{manifest.m_routes.size()}},
+               {"source", source}});
+}
+
+void EdgeProcess::LogServerChanges(const ServerChanges& changes,
+                                   std::string_view source) {
+  const base::TimePoint now = base::Clock::now();
+  for (const ServerChange& change : changes) {
+    const std::string_view name =
+        NameOf(steering::kDirectoryChangeNames, change.m_change);
+    m_metrics.CountServerChange(name);
+    if (!m_log.Admit(Event::kServerChanged, now))
+      continue;
+    m_log.Write(
+        Severity::kInfo, Event::kServerChanged,
+        {{"change", name},
+         {"server", change.m_record.m_name.value()},
+         {"service", change.m_record.m_service},
+         {"endpoint", ToString(change.m_record.m_endpoint)},
+         {"data_centre", change.m_record.m_data_centre.value()},
+         {"incarnation", change.m_record.m_incarnation},
+         {"record_revision", change.m_record.m_revision},
+         {"revision", m_servers.follower().KnownRevision().value()},
+         {"source", source}});
+  }
+}
+
+void EdgeProcess::LogReadiness() {
+  if (m_was_ready || !m_steering.IsReady())
+    return;
+  m_was_ready = true;
+  m_log.Write(
+      Severity::kInfo, Event::kReady,
+      {{"after_ms", Milliseconds(base::Clock::now() - m_started_at)},
+       {"manifest", m_steering.routes().Version().value()},
+       {"servers", std::uint64_t{m_steering.directory().Count(
+                       steering::ServerState::kReady)}}});
+}
+
+void EdgeProcess::WaitForSignal() {
+  m_signals.async_wait([this](const std::error_code& error, int signal) {
+    if (error)
+      return;
+    OnSignal(signal);
+    WaitForSignal();
+  });
+}
+
+void EdgeProcess::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    ReloadSettings("signal");
+    return;
+  }
+  if (m_shutdown)
+    return;
+  m_shutdown.emplace(base::Clock::now(), m_settings.m_stop_grace);
+  m_log.Write(Severity::kInfo, Event::kShutdownStarted,
+              {{"signal", signal},
+               {"grace_ms", Milliseconds(m_settings.m_stop_grace)},
+               {"flows", std::uint64_t{m_steering.tracker().size()}}});
+}
+
+void EdgeProcess::Sweep(base::TimePoint now) {
+  LookForPause(now);
+  m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
+  LogServerChanges(m_belief.TakeDueRemovals(now), "lapse");
+  m_steering.Sweep(now);
+  m_packets->Sweep();
+  StopIfDone(now);
+}
+
+void EdgeProcess::AskPeersIfBlind(base::TimePoint now) {
+  const auto is_blind = [now](const StoreReader& reader) {
+    const auto failing = reader.follower().FailingSince();
+    return failing && now - *failing >= kBlindAfter;
+  };
+  const bool is_slow_start =
+      !m_steering.IsReady() && now - m_started_at >= kBlindAfter;
+  if (is_slow_start || is_blind(m_servers) || is_blind(m_manifests))
+    m_peers.Ask();
+}
+
+void EdgeProcess::LookForPause(base::TimePoint now) {
+  const auto pause = m_pauses.Look(BootTime());
+  if (!pause)
+    return;
+  if (m_log.Admit(Event::kPauseDetected, now))
+    m_log.Write(Severity::kWarning, Event::kPauseDetected,
+                {{"pause_ms", Milliseconds(*pause)}});
+  // What was believed before may be old, and open calls may be dead.
+  m_servers.AskAnew();
+  m_manifests.AskAnew();
+}
+
+void EdgeProcess::ReloadSettings(std::string_view cause) {
+  if (const auto text = ReadSettingsFile(m_settings_path))
+    m_settings_text = text.value();
+  const auto reading = LoadSettings(m_settings_path);
+  if (const auto* problems = std::get_if<configuration::Problems>(&reading)) {
+    for (const configuration::Problem& problem : *problems) {
+      if (m_log.Admit(Event::kSettingsRefused, base::Clock::now()))
+        m_log.Write(Severity::kError, Event::kSettingsRefused,
+                    {{"cause", cause}, {"problem", ToString(problem)}});
+    }
+    return;
+  }
+  const EdgeSettings& settings = std::get<EdgeSettings>(reading);
+  // Sockets stay where they are: an address changes only with a new start.
+  const bool needs_restart = settings.m_packets != m_settings.m_packets ||
+                             settings.m_readiness != m_settings.m_readiness ||
+                             settings.m_control != m_settings.m_control ||
+                             settings.m_metrics != m_settings.m_metrics;
+  m_log.Write(Severity::kInfo, Event::kSettingsReloaded,
+              {{"cause", cause},
+               {"changed", settings != m_settings},
+               {"needs_restart", needs_restart}});
+  m_settings = settings;
+  m_servers.Reconfigure(settings.m_store, MakeFollowerPolicy(settings));
+  m_manifests.Reconfigure(settings.m_store, MakeFollowerPolicy(settings));
+  std::vector<base::Endpoint> peers = settings.m_seeds;
+  std::erase_if(peers, [&settings](base::Endpoint peer) {
+    return settings.m_control && peer == *settings.m_control;
+  });
+  m_peers.SetPeers(std::move(peers));
+}
+
+void EdgeProcess::ReloadIfChanged() {
+  const auto text = ReadSettingsFile(m_settings_path);
+  if (text && text.value() != m_settings_text)
+    ReloadSettings("file");
+}
+
+void EdgeProcess::UpdateGauges(base::TimePoint now) {
+  const BeliefAge age = AgeOfBelief();
+  m_metrics.SetGauge("coltsfootdale_servers_age_seconds",
+                     "Since the store confirmed the servers; -1: never",
+                     age.m_servers_age ? std::chrono::duration<double>(
+                                             *age.m_servers_age)
+                                             .count()
+                                       : -1.0);
+  m_metrics.SetGauge("coltsfootdale_manifest_version",
+                     "The manifest in force; 0: none",
+                     static_cast<double>(age.m_manifest_version));
+  m_metrics.SetGauge("coltsfootdale_servers_ready",
+                     "Backend servers that take openings",
+                     static_cast<double>(m_steering.directory().Count(
+                         steering::ServerState::kReady)));
+  m_metrics.SetGauge("coltsfootdale_flows", "Flows seen of late",
+                     static_cast<double>(m_steering.tracker().size()));
+  m_metrics.SetGauge("coltsfootdale_log_lines_dropped",
+                     "Log lines that standard output did not take",
+                     static_cast<double>(m_log.DroppedLines()));
+  m_metrics.SetGauge(
+      "coltsfootdale_uptime_seconds", "Since the start of the process",
+      std::chrono::duration<double>(now - m_started_at).count());
+}
+
+void EdgeProcess::StopIfDone(base::TimePoint now) {
+  if (m_shutdown && m_shutdown->IsDone(m_packets->LastPacket(), now))
+    m_context.stop();
+}
+
+}  // namespace edge
--- /dev/null
+++ b/Services/Edge/edge_process.h
@@ -0,0 +1,106 @@
+// One edge balancer process: sockets, timers and signals around the steering.
+//
+// Everything runs on one thread. The decisions on packets take a few
+// microseconds each and share all state with the belief; on a VM with a few
+// hundredths of a core a second thread would only add switches and locks.
+
+#ifndef SERVICES_EDGE_EDGE_PROCESS_H_
+#define SERVICES_EDGE_EDGE_PROCESS_H_
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibBase/outcome.h"
+#include "LibBase/time.h"
+#include "LibEdge/belief.h"
+#include "LibEdge/edge_settings.h"
+#include "LibEdge/pause_detector.h"
+#include "LibEdge/shutdown_plan.h"
+#include "LibEventLoop/text_server.h"
+#include "LibEventLoop/timer_driver.h"
+#include "LibObservability/line_log.h"
+#include "LibSteering/steering.h"
+#include "decision_log.h"
+#include "edge_metrics.h"
+#include "packet_loop.h"
+#include "peer_reader.h"
+#include "store_reader.h"
+
+namespace edge {
+
+class EdgeProcess {
+ public:
+  // Binds the sockets; errors are those of the system. `settings_path` is read
+  // again on SIGHUP and when its content changes.
+  static base::Outcome<std::unique_ptr<EdgeProcess>> Create(
+      const EdgeSettings& settings,
+      const std::string& settings_path);
+  EdgeProcess(const EdgeProcess&) = delete;
+  EdgeProcess& operator=(const EdgeProcess&) = delete;
+
+  // Commands.
+  // Returns after SIGTERM or SIGINT and a graceful shutdown.
+  void Run();
+
+ private:
+  EdgeProcess(const EdgeSettings& settings, const std::string& settings_path);
+
+  base::Outcome<void> Listen();
+  event_loop::TextAnswer AnswerReadiness(std::string_view path) const;
+  event_loop::TextAnswer AnswerMetrics(std::string_view path);
+  event_loop::TextAnswer AnswerControl(std::string_view path) const;
+  std::string RenderStatus() const;
+  BeliefAge AgeOfBelief() const;
+  bool AreRoutesCurrent(base::TimePoint now) const;
+
+  void OnNews(const StoreReader& reader, const StoreNews& news);
+  void OnServers(const StoreNews& news, base::TimePoint now);
+  void OnManifests(const StoreNews& news);
+  void OnSnapshot(base::Endpoint peer,
+                  const base::Outcome<catalog::Snapshot>& snapshot);
+  void PutInForce(const steering::Manifest& manifest, std::string_view source);
+  void LogServerChanges(const ServerChanges& changes, std::string_view source);
+  void LogReadiness();
+
+  void WaitForSignal();
+  void OnSignal(int signal);
+  void Sweep(base::TimePoint now);
+  void AskPeersIfBlind(base::TimePoint now);
+  void LookForPause(base::TimePoint now);
+  void ReloadSettings(std::string_view cause);
+  void ReloadIfChanged();
+  void UpdateGauges(base::TimePoint now);
+  void StopIfDone(base::TimePoint now);
+
+  EdgeSettings m_settings;
+  std::string m_settings_path;
+  std::string m_settings_text;
+  observability::LineLog m_log;
+  EdgeMetrics m_metrics;
+  asio::io_context m_context{1};
+  event_loop::TimerDriver m_timers{m_context};
+  asio::signal_set m_signals{m_context};
+  steering::Steering m_steering;
+  Belief m_belief{m_steering};
+  DecisionLog m_decision_log{m_log, m_steering};
+  StoreReader m_servers;
+  StoreReader m_manifests;
+  PeerReader m_peers;
+  std::unique_ptr<PacketLoop> m_packets;
+  std::unique_ptr<event_loop::TextServer> m_readiness;
+  std::unique_ptr<event_loop::TextServer> m_metrics_server;
+  std::unique_ptr<event_loop::TextServer> m_control;
+  PauseDetector m_pauses;
+  std::optional<ShutdownPlan> m_shutdown;
+  bool m_was_ready = false;
+  base::TimePoint m_started_at;
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_EDGE_PROCESS_H_
--- /dev/null
+++ b/Services/Edge/packet_loop.cc
@@ -0,0 +1,199 @@
+#include "packet_loop.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "LibBase/asio_endpoint.h"
+#include "LibBase/overloaded.h"
+#include "platform/request_head.h"
+
+namespace edge {
+
+namespace {
+
+// Packets of a few hundred milliseconds at the rates that one VM serves. They
+// count as memory of the process.
+constexpr int kSocketBufferBytes = 1 << 20;
+// Batches handled before timers and answers get their turn.
+constexpr int kMaximumBatches = 8;
+// Openings kept for a further server; more go to one server only.
+constexpr std::size_t kMaximumOpenings = 4096;
+
+}  // namespace
+
+base::Outcome<std::unique_ptr<PacketLoop>> PacketLoop::Create(
+    asio::io_context& context,
+    base::Endpoint listen,
+    std::uint16_t caller_port,
+    steering::Steering& steering,
+    DecisionLog& log,
+    EdgeMetrics& metrics,
+    BeliefQuery belief) {
+  std::unique_ptr<PacketLoop> loop(new PacketLoop(
+      context, caller_port, steering, log, metrics, std::move(belief)));
+  std::error_code error;
+  loop->m_socket.open(asio::ip::udp::v4(), error);
+  if (!error)
+    loop->m_socket.bind(base::ToAsio<asio::ip::udp>(listen), error);
+  if (!error)
+    loop->m_socket.non_blocking(true, error);
+  if (error)
+    return error;
+  // The system may grant less; that is no failure.
+  std::error_code ignored;
+  loop->m_socket.set_option(
+      asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+  return loop;
+}
+
+PacketLoop::PacketLoop(asio::io_context& context,
+                       std::uint16_t caller_port,
+                       steering::Steering& steering,
+                       DecisionLog& log,
+                       EdgeMetrics& metrics,
+                       BeliefQuery belief)
+    : m_socket(context),
+      m_resend_timer(context),
+      m_caller_port(caller_port),
+      m_steering(steering),
+      m_log(log),
+      m_metrics(metrics),
+      m_belief(std::move(belief)) {}
+
+base::Endpoint PacketLoop::LocalEndpoint() const {
+  return base::FromAsio(m_socket.local_endpoint());
+}
+
+void PacketLoop::SendDueResends() {
+  const base::TimePoint now = base::Clock::now();
+  const BeliefAge belief = m_belief();
+  for (const steering::OpeningResend& resend : m_steering.TakeResends(now)) {
+    const auto kept = m_openings.find(resend.m_flow);
+    if (kept == m_openings.end())
+      continue;
+    m_metrics.CountDecision(resend.m_decision);
+    m_log.WriteResend(resend, belief, now);
+    if (m_sending.IsFull())
+      Flush();
+    Forward(std::get<steering::Forward>(resend.m_decision.m_action),
+            kept->second);
+  }
+  Flush();
+  ArmResendTimer();
+}
+
+void PacketLoop::Sweep() {
+  std::erase_if(m_openings, [this](const auto& entry) {
+    const auto& flows = m_steering.tracker().flows();
+    const auto found = flows.find(entry.first);
+    return found == flows.end() || !found->second.m_resend_at;
+  });
+}
+
+void PacketLoop::WaitForPackets() {
+  m_socket.async_wait(asio::ip::udp::socket::wait_read,
+                      [this](const std::error_code& error) {
+                        if (error)
+                          return;
+                        ReceivePackets();
+                        WaitForPackets();
+                      });
+}
+
+void PacketLoop::ReceivePackets() {
+  const BeliefAge belief = m_belief();
+  for (int batch = 0; batch < kMaximumBatches; ++batch) {
+    if (!m_received.Receive(m_socket.native_handle()))
+      break;
+    const base::TimePoint now = base::Clock::now();
+    m_last_packet = now;
+    for (std::size_t index = 0; index < m_received.size(); ++index) {
+      if (m_sending.IsFull())
+        Flush();
+      HandleDatagram(m_received.Bytes(index), belief, now);
+    }
+    // What is sent refers to the received bytes.
+    Flush();
+    m_metrics.RecordDecisionTime(base::Clock::now() - now, m_received.size());
+    if (m_received.size() < event_loop::kBatchSize)
+      break;
+  }
+  ArmResendTimer();
+}
+
+void PacketLoop::HandleDatagram(std::span<const std::uint8_t> datagram,
+                                const BeliefAge& belief,
+                                base::TimePoint now) {
+  const auto packet = adapter::DecodePacket(datagram);
+  if (!packet) {
+    m_metrics.CountDiscarded(packet.error().message());
+    return;
+  }
+  const steering::Decision decision = m_steering.Handle(packet.value(), now);
+  m_metrics.CountDecision(decision);
+  m_log.Write(packet.value(),
+              adapter::FindRequestId(adapter::PayloadOf(datagram)), decision,
+              belief, now);
+  std::visit(base::Overloaded{
+                 [&](const steering::Forward& forward) {
+                   if (packet.value().m_is_opening)
+                     KeepOpening(packet.value().m_flow, datagram);
+                   Forward(forward, datagram);
+                 },
+                 [&](const steering::Reset& reset) {
+                   Reset(packet.value().m_flow, reset);
+                 },
+                 [](const steering::Drop&) {},
+             },
+             decision.m_action);
+}
+
+void PacketLoop::KeepOpening(const flow::FlowKey& flow,
+                             std::span<const std::uint8_t> datagram) {
+  if (datagram.size() != adapter::kPacketHeadBytes ||
+      m_openings.size() >= kMaximumOpenings)
+    return;
+  adapter::PacketHead& head = m_openings[flow];
+  std::copy(datagram.begin(), datagram.end(), head.begin());
+}
+
+void PacketLoop::Forward(const steering::Forward& forward,
+                         std::span<const std::uint8_t> datagram) {
+  const steering::ServerRecord& server = forward.m_server->m_record;
+  const adapter::IdentityPrefix identity =
+      adapter::EncodeIdentity(server.m_identity);
+  const adapter::PacketHead head =
+      adapter::HeadWithToken(datagram, forward.m_token);
+  std::array<std::uint8_t, adapter::kIdentityBytes + adapter::kPacketHeadBytes>
+      prefix{};
+  std::copy(head.begin(), head.end(),
+            std::copy(identity.begin(), identity.end(), prefix.begin()));
+  m_sending.Add(server.m_endpoint, prefix, adapter::PayloadOf(datagram));
+}
+
+void PacketLoop::Reset(const flow::FlowKey& flow,
+                       const steering::Reset& reset) {
+  const adapter::PacketHead head =
+      adapter::EncodeReset(flow, reset.m_sequence);
+  m_sending.Add({flow.m_caller.m_address, m_caller_port}, head, {});
+}
+
+void PacketLoop::Flush() {
+  const std::size_t failed = m_sending.Flush(m_socket.native_handle());
+  for (std::size_t i = 0; i < failed; ++i)
+    m_metrics.CountDiscarded("send_failed");
+}
+
+void PacketLoop::ArmResendTimer() {
+  const auto next = m_steering.NextResend();
+  if (!next || m_resend_timer.expiry() == *next)
+    return;
+  m_resend_timer.expires_at(*next);
+  m_resend_timer.async_wait([this](const std::error_code& error) {
+    if (!error)
+      SendDueResends();
+  });
+}
+
+}  // namespace edge
--- /dev/null
+++ b/Services/Edge/packet_loop.h
@@ -0,0 +1,98 @@
+// Takes callers' packets from the socket, asks the steering, and sends.
+
+#ifndef SERVICES_EDGE_PACKET_LOOP_H_
+#define SERVICES_EDGE_PACKET_LOOP_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <unordered_map>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibBase/time.h"
+#include "LibEventLoop/datagram_batch.h"
+#include "LibSteering/flow_tracker.h"
+#include "LibSteering/steering.h"
+#include "decision_log.h"
+#include "edge_metrics.h"
+#include "platform/packet_codec.h"
+
+namespace edge {
+
+class PacketLoop {
+ public:
+  using BeliefQuery = std::function<BeliefAge()>;
+
+  // Binds the socket; errors are those of the system. The references must
+  // outlive the loop.
+  static base::Outcome<std::unique_ptr<PacketLoop>> Create(
+      asio::io_context& context,
+      base::Endpoint listen,
+      std::uint16_t caller_port,
+      steering::Steering& steering,
+      DecisionLog& log,
+      EdgeMetrics& metrics,
+      BeliefQuery belief);
+  PacketLoop(const PacketLoop&) = delete;
+  PacketLoop& operator=(const PacketLoop&) = delete;
+
+  // Queries.
+  base::TimePoint LastPacket() const { return m_last_packet; }
+  base::Endpoint LocalEndpoint() const;
+
+  // Commands.
+  void Start() { WaitForPackets(); }
+  // Sends the openings that are due to a further server.
+  void SendDueResends();
+  // Forgets openings that wait no more.
+  void Sweep();
+
+ private:
+  PacketLoop(asio::io_context& context,
+             std::uint16_t caller_port,
+             steering::Steering& steering,
+             DecisionLog& log,
+             EdgeMetrics& metrics,
+             BeliefQuery belief);
+
+  using Openings = std::unordered_map<flow::FlowKey,
+                                      adapter::PacketHead,
+                                      steering::FlowTracker::FlowHash>;
+
+  void WaitForPackets();
+  void ReceivePackets();
+  void HandleDatagram(std::span<const std::uint8_t> datagram,
+                      const BeliefAge& belief,
+                      base::TimePoint now);
+  void KeepOpening(const flow::FlowKey& flow,
+                   std::span<const std::uint8_t> datagram);
+  void Forward(const steering::Forward& forward,
+               std::span<const std::uint8_t> datagram);
+  void Reset(const flow::FlowKey& flow, const steering::Reset& reset);
+  void Flush();
+  void ArmResendTimer();
+
+  asio::ip::udp::socket m_socket;
+  asio::steady_timer m_resend_timer;
+  std::uint16_t m_caller_port;
+  steering::Steering& m_steering;
+  DecisionLog& m_log;
+  EdgeMetrics& m_metrics;
+  BeliefQuery m_belief;
+  event_loop::ReceivedBatch m_received;
+  event_loop::SendBatch m_sending;
+  // Openings that may go to a further server.
+  Openings m_openings;
+  base::TimePoint m_last_packet;
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_PACKET_LOOP_H_
--- /dev/null
+++ b/Services/Edge/peer_reader.cc
@@ -0,0 +1,48 @@
+#include "peer_reader.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "LibCatalog/snapshot_codec.h"
+
+namespace edge {
+
+namespace {
+
+// A peer answers from memory; one that takes longer is down or cut off, and
+// the next one is asked.
+constexpr base::Duration kAnswerTimeout = std::chrono::milliseconds(400);
+constexpr std::uint16_t kOk = 200;
+
+}  // namespace
+
+void PeerReader::SetPeers(std::vector<base::Endpoint> peers) {
+  m_peers = std::move(peers);
+  m_next = 0;
+}
+
+void PeerReader::Ask() {
+  if (m_peers.empty() || m_client.OpenRequests() > 0)
+    return;
+  const base::Endpoint peer = m_peers[m_next++ % m_peers.size()];
+  http::Request request;
+  request.m_endpoint = peer;
+  request.m_path = std::string(kSnapshotPath);
+  request.m_timeout = kAnswerTimeout;
+  request.m_connect_timeout = kAnswerTimeout;
+  request.m_answer_limit_bytes = catalog::kMaximumSnapshotBytes;
+  m_client.Send(request,
+                [this, peer](const base::Outcome<http::Response>& answer) {
+                  if (!answer)
+                    m_callback(peer, answer.error());
+                  else if (answer.value().m_status != kOk)
+                    m_callback(peer, std::make_error_code(
+                                         std::errc::resource_unavailable_try_again));
+                  else
+                    m_callback(peer,
+                               catalog::DecodeSnapshot(answer.value().m_body));
+                });
+}
+
+}  // namespace edge
--- /dev/null
+++ b/Services/Edge/peer_reader.h
@@ -0,0 +1,47 @@
+// Reads what other balancers believe while this one can't read the store.
+
+#ifndef SERVICES_EDGE_PEER_READER_H_
+#define SERVICES_EDGE_PEER_READER_H_
+
+#include <asio/io_context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibCatalog/snapshot.h"
+#include "LibHttp/client.h"
+
+namespace edge {
+
+// Where a balancer's control endpoint serves its snapshot.
+inline constexpr std::string_view kSnapshotPath = "/snapshot";
+
+class PeerReader {
+ public:
+  using Callback = std::function<void(base::Endpoint peer,
+                                      base::Outcome<catalog::Snapshot>)>;
+
+  PeerReader(asio::io_context& context, Callback callback)
+      : m_client(context), m_callback(std::move(callback)) {}
+  PeerReader(const PeerReader&) = delete;
+  PeerReader& operator=(const PeerReader&) = delete;
+
+  // Commands.
+  void SetPeers(std::vector<base::Endpoint> peers);
+  // Asks the next peer in turn, unless a question is open.
+  void Ask();
+
+ private:
+  http::Client m_client;
+  Callback m_callback;
+  std::vector<base::Endpoint> m_peers;
+  std::size_t m_next = 0;
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_PEER_READER_H_
--- /dev/null
+++ b/Services/Edge/store_reader.h
@@ -0,0 +1,80 @@
+// Runs a CollectionFollower on an io_context: sends its calls to the store and
+// hands on what they bring.
+
+#ifndef SERVICES_EDGE_STORE_READER_H_
+#define SERVICES_EDGE_STORE_READER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/time.h"
+#include "LibCatalog/collection_follower.h"
+#include "LibHttp/client.h"
+#include "platform/store_calls.h"
+
+namespace edge {
+
+// What one answer of the store brought.
+struct StoreNews {
+  catalog::CollectionFollower::Outcome m_outcome;
+  // Set if the call failed.
+  std::optional<catalog::CallFailure> m_failure;
+  // Of all pages, once a list is whole.
+  adapter::CollectionObjects m_objects;
+  base::Duration m_call_time{};
+};
+
+class StoreReader {
+ public:
+  using Callback = std::function<void(const StoreNews& news)>;
+
+  StoreReader(asio::io_context& context,
+              base::Endpoint store,
+              adapter::Collection collection,
+              const catalog::FollowerPolicy& policy,
+              std::uint64_t seed,
+              Callback callback);
+  StoreReader(const StoreReader&) = delete;
+  StoreReader& operator=(const StoreReader&) = delete;
+
+  // Queries.
+  const catalog::CollectionFollower& follower() const { return m_follower; }
+  adapter::Collection collection() const { return m_collection; }
+  std::uint64_t Calls() const { return m_calls; }
+
+  // Commands.
+  void Start() { Continue(); }
+  void Reconfigure(base::Endpoint store, const catalog::FollowerPolicy& policy);
+  // Ends a call that waits and asks anew, as after a pause of the process.
+  void AskAnew();
+  bool AdoptRevision(catalog::Revision revision) {
+    return m_follower.AdoptRevision(revision);
+  }
+
+ private:
+  void Continue();
+  void Send(const catalog::CollectionCall& call, base::TimePoint now);
+  void OnAnswer(const catalog::CollectionCall& call,
+                base::TimePoint sent_at,
+                const base::Outcome<http::Response>& answer);
+
+  http::Client m_client;
+  asio::steady_timer m_timer;
+  base::Endpoint m_store;
+  adapter::Collection m_collection;
+  catalog::CollectionFollower m_follower;
+  Callback m_callback;
+  std::optional<http::RequestId> m_open_call;
+  adapter::CollectionObjects m_pages;
+  std::uint64_t m_calls = 0;
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_STORE_READER_H_
