Edge: Probe doubtful servers, hold packets until ready

Ruled out: repetition as evidence; a server with a queue makes callers repeat at 200 ms too. Change: repetition raises a doubt, a TCP connect settles it, flows of repeatable requests at an unreachable server are reset; held packets are replayed.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -41,7 +41,7 @@
   kRequestRepeated,
   kFlowReset,
   kServerChanged,
-  kServerSuspected,
+  kServerUnreachable,
   kServerReachable,
   kStoreLost,
   kStoreRegained,
@@ -53,9 +53,10 @@
   kSettingsReloaded,
   kSettingsRefused,
   kLogLinesDropped,
+  kPacketsHeld,
 };
 
-inline constexpr base::EnumTable<Event, 42> kEventNames{{
+inline constexpr base::EnumTable<Event, 43> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -86,7 +87,7 @@
     {Event::kRequestRepeated, "request_repeated"},
     {Event::kFlowReset, "flow_reset"},
     {Event::kServerChanged, "server_changed"},
-    {Event::kServerSuspected, "server_suspected"},
+    {Event::kServerUnreachable, "server_unreachable"},
     {Event::kServerReachable, "server_reachable"},
     {Event::kStoreLost, "store_lost"},
     {Event::kStoreRegained, "store_regained"},
@@ -98,6 +99,7 @@
     {Event::kSettingsReloaded, "settings_reloaded"},
     {Event::kSettingsRefused, "settings_refused"},
     {Event::kLogLinesDropped, "log_lines_dropped"},
+    {Event::kPacketsHeld, "packets_held"},
 }};
 
 }  // namespace observability
--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -28,10 +28,11 @@
   kNoServer,
   kUnknownToken,
   kServerGone,
+  kServerUnreachable,
   kNotReady,
 };
 
-inline constexpr base::EnumTable<Reason, 10> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 11> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
@@ -41,6 +42,7 @@
     {Reason::kNoServer, "no_server"},
     {Reason::kUnknownToken, "unknown_token"},
     {Reason::kServerGone, "server_gone"},
+    {Reason::kServerUnreachable, "server_unreachable"},
     {Reason::kNotReady, "not_ready"},
 }};
 
--- a/Libraries/LibSteering/opening_placer.cc
+++ b/Libraries/LibSteering/opening_placer.cc
@@ -30,37 +30,28 @@
     base::Random& random,
     base::TimePoint now) const {
   Placement best;
-  Placement best_suspect;
+  bool is_best_doubtful = true;
   std::size_t equals = 0;
   for (KnownServer* server : servers) {
-    if (server == excluded || !server->TakesOpenings())
+    if (server == excluded || !server->TakesOpenings() ||
+        server->m_sight.IsUnreachable())
       continue;
-    const double cost = CostOf(*server, now);
-    if (server->m_sight.IsSuspect()) {
-      const bool is_due = server->m_sight.IsProbeDue(now);
-      if (best_suspect.m_server == nullptr ||
-          (is_due && !best_suspect.m_is_probe) || cost < best_suspect.m_cost)
-        best_suspect = {server, 0, cost, is_due};
-      continue;
-    }
     ++best.m_candidates;
+    const bool is_doubtful = server->m_sight.IsDoubtful();
+    const double cost = CostOf(*server, now);
     const bool is_better =
-        best.m_server == nullptr || cost < best.m_cost - kEqualCost;
-    const bool is_equal = !is_better && cost <= best.m_cost + kEqualCost;
+        best.m_server == nullptr || is_doubtful < is_best_doubtful ||
+        (is_doubtful == is_best_doubtful && cost < best.m_cost - kEqualCost);
+    const bool is_equal = !is_better && is_doubtful == is_best_doubtful &&
+                          cost <= best.m_cost + kEqualCost;
     equals = is_better ? 1 : equals + (is_equal ? 1 : 0);
     // Reservoir sampling: each of the equal ones is as likely.
     if (is_better || (is_equal && random.Below(equals) == 0)) {
       best.m_server = server;
       best.m_cost = cost;
+      is_best_doubtful = is_doubtful;
     }
   }
-  const bool wants_suspect =
-      best_suspect.m_server != nullptr &&
-      (best.m_server == nullptr || best_suspect.m_is_probe);
-  if (wants_suspect) {
-    best_suspect.m_candidates = best.m_candidates + 1;
-    return best_suspect;
-  }
   if (best.m_server == nullptr)
     return std::nullopt;
   return best;
--- a/Libraries/LibSteering/opening_placer.h
+++ b/Libraries/LibSteering/opening_placer.h
@@ -34,8 +34,6 @@
   // How many servers were weighed, and the cost of the one chosen.
   std::size_t m_candidates = 0;
   double m_cost = 0;
-  // The server is suspected and gets this opening so that its return shows.
-  bool m_is_probe = false;
 };
 
 class OpeningPlacer {
@@ -48,8 +46,8 @@
   double CostOf(const KnownServer& server, base::TimePoint now) const;
 
   // Commands.
-  // The best of `servers` but `excluded`; suspected servers only if there is
-  // no other, or if one is due for a probe. Equal costs are drawn by `random`.
+  // The best of `servers` but `excluded`; doubtful servers only if there is no
+  // other, and unreachable ones never. Equal costs are drawn by `random`.
   std::optional<Placement> Place(std::span<KnownServer* const> servers,
                                  const KnownServer* excluded,
                                  base::Random& random,
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -63,6 +63,22 @@
       }));
 }
 
+bool ServerDirectory::HasReachableServer() const {
+  return std::any_of(m_servers.begin(), m_servers.end(),
+                     [](const auto& entry) {
+                       return entry.second->TakesOpenings() &&
+                              !entry.second->m_sight.IsUnreachable();
+                     });
+}
+
+void ServerDirectory::ForEachRegistered(
+    const std::function<void(KnownServer& server)>& visit) {
+  for (const auto& [name, server] : m_servers) {
+    if (!server->IsGone())
+      visit(*server);
+  }
+}
+
 DirectoryChange ServerDirectory::Apply(const ServerRecord& record,
                                        base::TimePoint now) {
   KnownServer* server = FindByName(record.m_name);
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,8 +61,13 @@
   std::vector<ServerName> RegisteredNames() const;
   std::vector<ServerRecord> RegisteredRecords() const;
   std::size_t Count(ServerState state) const;
+  // Whether a server that takes openings is not known to be unreachable.
+  bool HasReachableServer() const;
 
   // Commands.
+  // Calls `visit` with each registered server.
+  void ForEachRegistered(
+      const std::function<void(KnownServer& server)>& visit);
   // Takes a record unless a newer one of the same server is known.
   DirectoryChange Apply(const ServerRecord& record, base::TimePoint now);
   DirectoryChange Remove(const ServerName& name, base::TimePoint now);
--- a/Libraries/LibSteering/server_sight.h
+++ b/Libraries/LibSteering/server_sight.h
@@ -1,9 +1,9 @@
-// Whether a backend server, or a whole data centre, can be reached from this
-// balancer, judged from what callers acknowledge.
+// Whether a backend server can be reached from this balancer.
 //
-// Answers go from server to caller directly, so silence shows as callers that
-// repeat themselves. One caller may be at fault itself; several in a row
-// without any progress are evidence against the server.
+// Answers go from server to caller directly, so a server that died or was cut
+// off shows only as callers that repeat themselves, as they also do while a
+// living server is slow. Repetition therefore only raises a doubt; a probe of
+// the server settles it, and any progress of a flow settles it too.
 
 #ifndef LIBSTEERING_SERVER_SIGHT_H_
 #define LIBSTEERING_SERVER_SIGHT_H_
@@ -18,47 +18,64 @@
 
 class ServerSight {
  public:
-  // Flows in a row that were silent before a server is suspected. With 0.1% of
-  // packets lost, two losses in a row at one server are one in a million.
-  static constexpr std::uint32_t kSilentFlows = 2;
-  // A suspected server gets one opening in this time, so that its return
-  // shows.
-  static constexpr base::Duration kProbeInterval =
-      std::chrono::milliseconds(500);
+  // Probes in a row that fail before a server counts as unreachable: one may
+  // be lost on the way (0.1% to 2.5% of packets on the links seen).
+  static constexpr std::uint32_t kFailedProbes = 2;
+  // After a probe that succeeded, doubts wait this long for the next one.
+  // Probes have a price, and a slow server raises many doubts.
+  static constexpr base::Duration kTrust = std::chrono::milliseconds(1000);
+  // How often an unreachable server is probed, so that its return shows.
+  static constexpr base::Duration kRetry = std::chrono::milliseconds(400);
 
   // Queries.
-  bool IsSuspect() const { return m_silent_flows >= kSilentFlows; }
-  bool IsProbeDue(base::TimePoint now) const {
-    return !m_probed_at || now - *m_probed_at >= kProbeInterval;
+  bool IsUnreachable() const { return m_failed_probes >= kFailedProbes; }
+  // A probe failed or is due: no place for an opening if there is another.
+  bool IsDoubtful() const { return m_failed_probes > 0; }
+  bool WantsProbe(base::TimePoint now) const {
+    const bool has_reason = m_is_in_doubt || m_failed_probes > 0;
+    return has_reason && !m_is_probe_open && now >= m_next_probe_at;
   }
   std::optional<base::TimePoint> LastProgress() const { return m_progress_at; }
-  std::uint32_t SilentFlows() const { return m_silent_flows; }
+  std::uint32_t FailedProbes() const { return m_failed_probes; }
 
-  // Commands.
-  // Return whether the judgement changed.
+  // Commands. They return whether IsUnreachable changed.
+  // A caller got something from the server that it had waited for.
   bool RecordProgress(base::TimePoint now) {
-    const bool was_suspect = IsSuspect();
     m_progress_at = now;
-    m_silent_flows = 0;
-    return was_suspect;
+    return SettleReachable();
   }
-  // `waiting_since` is when the flow sent what stayed without an answer;
-  // silence older than the last progress says nothing.
-  bool RecordSilence(base::TimePoint waiting_since, base::TimePoint now) {
-    if (m_progress_at && *m_progress_at > waiting_since)
-      return false;
-    const bool was_suspect = IsSuspect();
-    ++m_silent_flows;
-    if (!was_suspect)
-      m_probed_at = now;
-    return !was_suspect && IsSuspect();
+  // A caller waits in vain since `waiting_since`. Silence that began before
+  // the last progress says nothing.
+  void RecordDoubt(base::TimePoint waiting_since) {
+    if (!m_progress_at || *m_progress_at <= waiting_since)
+      m_is_in_doubt = true;
+  }
+  void RecordProbeStart() { m_is_probe_open = true; }
+  bool RecordProbe(bool is_answered, base::TimePoint now) {
+    m_is_probe_open = false;
+    if (is_answered) {
+      m_next_probe_at = now + kTrust;
+      return SettleReachable();
+    }
+    ++m_failed_probes;
+    if (IsUnreachable())
+      m_next_probe_at = now + kRetry;
+    return m_failed_probes == kFailedProbes;
   }
-  void RecordProbe(base::TimePoint now) { m_probed_at = now; }
 
  private:
-  std::uint32_t m_silent_flows = 0;
+  bool SettleReachable() {
+    const bool was_unreachable = IsUnreachable();
+    m_is_in_doubt = false;
+    m_failed_probes = 0;
+    return was_unreachable;
+  }
+
+  bool m_is_in_doubt = false;
+  bool m_is_probe_open = false;
+  std::uint32_t m_failed_probes = 0;
+  base::TimePoint m_next_probe_at;
   std::optional<base::TimePoint> m_progress_at;
-  std::optional<base::TimePoint> m_probed_at;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -48,20 +48,38 @@
     KnownServer* former = m_directory.FindBySlot(record->m_server);
     if (route == nullptr || former == nullptr)
       continue;
-    const bool is_sight_changed =
-        former->m_sight.RecordSilence(record->m_request_at, now);
+    former->m_sight.RecordDoubt(record->m_request_at);
     CallerPacket opening;
     opening.m_flow = key;
     opening.m_is_opening = true;
     Decision decision = PlaceOpening(opening, *route, former, now);
     if (!std::holds_alternative<Forward>(decision.m_action))
       continue;
-    decision.m_judged = is_sight_changed ? former : nullptr;
     resends.push_back({key, decision});
   }
   return resends;
 }
 
+std::vector<const KnownServer*> Steering::TakeProbes(base::TimePoint now) {
+  std::vector<const KnownServer*> due;
+  m_directory.ForEachRegistered([&](KnownServer& server) {
+    if (!server.m_sight.WantsProbe(now))
+      return;
+    server.m_sight.RecordProbeStart();
+    due.push_back(&server);
+  });
+  return due;
+}
+
+const KnownServer* Steering::RecordProbe(ServerSlot slot,
+                                         bool is_answered,
+                                         base::TimePoint now) {
+  KnownServer* server = m_directory.FindBySlot(slot);
+  if (server == nullptr || !server->m_sight.RecordProbe(is_answered, now))
+    return nullptr;
+  return server;
+}
+
 void Steering::Sweep(base::TimePoint now) {
   m_tracker.Sweep(m_routes.manifest().m_idle_timeout, now);
   m_directory.Expire(now);
@@ -100,8 +118,6 @@
     return refusal;
   }
   KnownServer& server = *placement->m_server;
-  if (placement->m_is_probe)
-    server.m_sight.RecordProbe(now);
   FlowRecord* record = m_tracker.Find(packet.m_flow);
   if (former != nullptr && record != nullptr) {
     m_tracker.MoveTo(*record, server);
@@ -161,14 +177,11 @@
       former == nullptr ? now : former->m_request_at;
   decision.m_progress =
       m_tracker.Observe(packet, *server, route->m_timeout, now);
-  decision.m_waited = now - waiting_since;
-  if (decision.m_progress == Progress::kAnswer &&
-      server->m_sight.RecordProgress(now))
-    decision.m_judged = server;
-  const bool is_waiting = packet.m_payload_bytes > 0;
-  if (is_waiting && HasEnded(*server, now)) {
+  Judge(*server, waiting_since, decision, now);
+  const auto hopeless = HopelessReason(*server, *route, now);
+  if (packet.m_payload_bytes > 0 && hopeless) {
     decision.m_action = Reset{packet.m_acknowledgement};
-    decision.m_reason = Reason::kServerGone;
+    decision.m_reason = *hopeless;
     m_tracker.Forget(packet.m_flow);
     return decision;
   }
@@ -176,6 +189,37 @@
   return decision;
 }
 
+void Steering::Judge(KnownServer& server,
+                     base::TimePoint waiting_since,
+                     Decision& decision,
+                     base::TimePoint now) {
+  if (decision.m_progress == Progress::kRepeat) {
+    decision.m_waited = now - waiting_since;
+    // A copy that overtook its original says nothing yet.
+    if (decision.m_waited >= m_settings.m_doubt_after)
+      server.m_sight.RecordDoubt(waiting_since);
+  }
+  if (decision.m_progress != Progress::kAnswer)
+    return;
+  decision.m_waited = now - waiting_since;
+  if (server.m_sight.RecordProgress(now))
+    decision.m_judged = &server;
+}
+
+std::optional<Reason> Steering::HopelessReason(const KnownServer& server,
+                                               const Route& route,
+                                               base::TimePoint now) const {
+  if (HasEnded(server, now))
+    return Reason::kServerGone;
+  // A cut may heal within the caller's time limit, and a caller never repeats
+  // a request of this kind once its flow is open.
+  if (route.m_kind == RequestKind::kNonIdempotent)
+    return std::nullopt;
+  if (server.m_sight.IsUnreachable())
+    return Reason::kServerUnreachable;
+  return std::nullopt;
+}
+
 bool Steering::HasEnded(const KnownServer& server, base::TimePoint now) const {
   if (!server.IsGone())
     return false;
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -35,6 +35,9 @@
   base::Duration m_resend_after = std::chrono::milliseconds(40);
   // How often one opening is sent to a further server.
   std::uint32_t m_maximum_resends = 3;
+  // A caller that repeats itself after less than this has not waited for an
+  // answer: ends repeat after 200 ms.
+  base::Duration m_doubt_after = std::chrono::milliseconds(150);
   // A server whose record is gone without notice is taken to have ended after
   // this time, in which a living server registers again.
   base::Duration m_lapse_grace = std::chrono::milliseconds(2500);
@@ -48,8 +51,10 @@
   const RouteTable& routes() const { return m_routes; }
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
-  // Whether both routes and servers are known.
+  // Whether routes and servers are known.
   bool IsReady() const;
+  // Whether any server that takes openings can be reached.
+  bool HasReachableServer() const { return m_directory.HasReachableServer(); }
   // When Advance is due because of an opening without an answer.
   std::optional<base::TimePoint> NextResend() const;
 
@@ -64,6 +69,12 @@
   Decision Handle(const CallerPacket& packet, base::TimePoint now);
   // The openings that go to a further server now.
   std::vector<OpeningResend> TakeResends(base::TimePoint now);
+  // The servers that are to be probed now; each is answered by RecordProbe.
+  std::vector<const KnownServer*> TakeProbes(base::TimePoint now);
+  // Returns the server if the judgement of its reachability changed.
+  const KnownServer* RecordProbe(ServerSlot server,
+                                 bool is_answered,
+                                 base::TimePoint now);
   // Forgets what is old. Called a few times a second.
   void Sweep(base::TimePoint now);
 
@@ -79,6 +90,15 @@
   Decision Follow(const CallerPacket& packet,
                   const Route* route,
                   base::TimePoint now);
+  // Notes what the packet says about the server's reachability.
+  void Judge(KnownServer& server,
+             base::TimePoint waiting_since,
+             Decision& decision,
+             base::TimePoint now);
+  // Why no answer can come, if so.
+  std::optional<Reason> HopelessReason(const KnownServer& server,
+                                       const Route& route,
+                                       base::TimePoint now) const;
   // A server that will never answer again.
   bool HasEnded(const KnownServer& server, base::TimePoint now) const;
 
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -60,7 +60,8 @@
                         const steering::Decision& decision,
                         const BeliefAge& belief,
                         base::TimePoint now) {
-  WriteSight(decision, now);
+  if (decision.m_judged != nullptr)
+    WriteSight(*decision.m_judged, now);
   if (packet.m_is_opening)
     WriteOpening(packet.m_flow, decision, belief, now);
   else
@@ -70,7 +71,6 @@
 void DecisionLog::WriteResend(const steering::OpeningResend& resend,
                               const BeliefAge& belief,
                               base::TimePoint now) {
-  WriteSight(resend.m_decision, now);
   WriteOpening(resend.m_flow, resend.m_decision, belief, now);
 }
 
@@ -131,22 +131,20 @@
        {"manifest", belief.m_manifest_version}});
 }
 
-void DecisionLog::WriteSight(const steering::Decision& decision,
+void DecisionLog::WriteSight(const steering::KnownServer& server,
                              base::TimePoint now) {
-  const steering::KnownServer* judged = decision.m_judged;
-  if (judged == nullptr)
-    return;
-  const Event event = judged->m_sight.IsSuspect() ? Event::kServerSuspected
-                                                  : Event::kServerReachable;
+  const Event event = server.m_sight.IsUnreachable() ? Event::kServerUnreachable
+                                                     : Event::kServerReachable;
   if (!m_log.Admit(event, now))
     return;
-  const auto progress = judged->m_sight.LastProgress();
+  const auto progress = server.m_sight.LastProgress();
   m_log.Write(Severity::kWarning, event,
-              {{"server", judged->m_record.m_name.value()},
-               {"data_centre", judged->m_record.m_data_centre.value()},
-               {"silent_flows", judged->m_sight.SilentFlows()},
+              {{"server", server.m_record.m_name.value()},
+               {"data_centre", server.m_record.m_data_centre.value()},
+               {"failed_probes", server.m_sight.FailedProbes()},
                {"last_progress_ms",
-                progress ? Milliseconds(now - *progress) : std::int64_t{-1}}});
+                progress ? Milliseconds(now - *progress) : std::int64_t{-1}},
+               {"in_progress", server.m_requests_in_progress}});
 }
 
 }  // namespace edge
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -40,6 +40,8 @@
   void WriteResend(const steering::OpeningResend& resend,
                    const BeliefAge& belief,
                    base::TimePoint now);
+  // `server` was judged reachable or unreachable.
+  void WriteSight(const steering::KnownServer& server, base::TimePoint now);
 
  private:
   void WriteOpening(const flow::FlowKey& flow,
@@ -51,7 +53,6 @@
                      const steering::Decision& decision,
                      const BeliefAge& belief,
                      base::TimePoint now);
-  void WriteSight(const steering::Decision& decision, base::TimePoint now);
 
   observability::LineLog& m_log;
   const steering::Steering& m_steering;
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -25,7 +25,8 @@
 // Lines a second of one event. The busiest VM of the deployments seen gets
 // fewer than 100 requests a second.
 constexpr std::uint64_t kLinesPerSecond = 100;
-constexpr base::Duration kSweepPeriod = milliseconds(100);
+// Also how soon a doubt about a server is looked into.
+constexpr base::Duration kSweepPeriod = milliseconds(50);
 constexpr base::Duration kSecond = milliseconds(1000);
 // Belief of this age without a word from the store is completed from peers.
 constexpr base::Duration kBlindAfter = milliseconds(500);
@@ -90,6 +91,10 @@
                      const base::Outcome<catalog::Snapshot>& snapshot) {
                 OnSnapshot(peer, snapshot);
               }),
+      m_prober(m_context,
+               [this](steering::ServerSlot server, bool is_answered) {
+                 OnProbe(server, is_answered);
+               }),
       m_started_at(base::Clock::now()) {
   std::vector<base::Endpoint> peers = settings.m_seeds;
   std::erase_if(peers, [&settings](base::Endpoint peer) {
@@ -169,6 +174,8 @@
     return {503, "shutting down\n"};
   if (!m_steering.IsReady())
     return {503, "no servers or no routes known\n"};
+  if (!m_steering.HasReachableServer())
+    return {503, "no server can be reached\n"};
   return {200, "ready\n"};
 }
 
@@ -265,7 +272,7 @@
     OnServers(news, now);
   else
     OnManifests(news);
-  LogReadiness();
+  NoteReadiness();
 }
 
 void EdgeProcess::OnServers(const StoreNews& news, base::TimePoint now) {
@@ -313,7 +320,7 @@
   m_manifests.AdoptRevision(taken.m_manifest_revision);
   if (taken.m_manifest.m_version != base::ConfigurationVersion())
     PutInForce(taken.m_manifest, "peer");
-  LogReadiness();
+  NoteReadiness();
 }
 
 void EdgeProcess::PutInForce(const steering::Manifest& manifest,
@@ -351,7 +358,7 @@
   }
 }
 
-void EdgeProcess::LogReadiness() {
+void EdgeProcess::NoteReadiness() {
   if (m_was_ready || !m_steering.IsReady())
     return;
   m_was_ready = true;
@@ -361,6 +368,25 @@
        {"manifest", m_steering.routes().Version().value()},
        {"servers", std::uint64_t{m_steering.directory().Count(
                        steering::ServerState::kReady)}}});
+  const std::size_t held = m_packets->ReleaseHeld();
+  if (held > 0)
+    m_log.Write(Severity::kInfo, Event::kPacketsHeld,
+                {{"packets", std::uint64_t{held}},
+                 {"reason", "arrived before routes and servers were known"}});
+}
+
+void EdgeProcess::ProbeServers(base::TimePoint now) {
+  for (const steering::KnownServer* server : m_steering.TakeProbes(now))
+    m_prober.Probe(server->m_slot, server->m_record.m_endpoint);
+}
+
+void EdgeProcess::OnProbe(steering::ServerSlot slot, bool is_answered) {
+  const base::TimePoint now = base::Clock::now();
+  const steering::KnownServer* judged =
+      m_steering.RecordProbe(slot, is_answered, now);
+  if (judged != nullptr)
+    m_decision_log.WriteSight(*judged, now);
+  ProbeServers(now);
 }
 
 void EdgeProcess::WaitForSignal() {
@@ -391,6 +417,7 @@
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
   LogServerChanges(m_belief.TakeDueRemovals(now), "lapse");
   m_steering.Sweep(now);
+  ProbeServers(now);
   m_packets->Sweep();
   StopIfDone(now);
 }
@@ -471,6 +498,9 @@
                      "Backend servers that take openings",
                      static_cast<double>(m_steering.directory().Count(
                          steering::ServerState::kReady)));
+  m_metrics.SetGauge("coltsfootdale_probes",
+                     "Probes of servers since the start",
+                     static_cast<double>(m_prober.Probes()));
   m_metrics.SetGauge("coltsfootdale_flows", "Flows seen of late",
                      static_cast<double>(m_steering.tracker().size()));
   m_metrics.SetGauge("coltsfootdale_log_lines_dropped",
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -29,6 +29,7 @@
 #include "edge_metrics.h"
 #include "packet_loop.h"
 #include "peer_reader.h"
+#include "server_prober.h"
 #include "store_reader.h"
 
 namespace edge {
@@ -65,7 +66,9 @@
                   const base::Outcome<catalog::Snapshot>& snapshot);
   void PutInForce(const steering::Manifest& manifest, std::string_view source);
   void LogServerChanges(const ServerChanges& changes, std::string_view source);
-  void LogReadiness();
+  void NoteReadiness();
+  void ProbeServers(base::TimePoint now);
+  void OnProbe(steering::ServerSlot server, bool is_answered);
 
   void WaitForSignal();
   void OnSignal(int signal);
@@ -91,6 +94,7 @@
   StoreReader m_servers;
   StoreReader m_manifests;
   PeerReader m_peers;
+  ServerProber m_prober;
   std::unique_ptr<PacketLoop> m_packets;
   std::unique_ptr<event_loop::TextServer> m_readiness;
   std::unique_ptr<event_loop::TextServer> m_metrics_server;
--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -83,6 +83,20 @@
   ArmResendTimer();
 }
 
+std::size_t PacketLoop::ReleaseHeld() {
+  const base::TimePoint now = base::Clock::now();
+  const BeliefAge belief = m_belief();
+  const auto held = m_held.Take(now);
+  for (const steering::HeldPackets::Packet& packet : held) {
+    if (m_sending.IsFull())
+      Flush();
+    HandleDatagram(packet.m_bytes, belief, now);
+  }
+  Flush();
+  ArmResendTimer();
+  return held.size();
+}
+
 void PacketLoop::Sweep() {
   std::erase_if(m_openings, [this](const auto& entry) {
     const auto& flows = m_steering.tracker().flows();
@@ -130,6 +144,10 @@
     m_metrics.CountDiscarded(packet.error().message());
     return;
   }
+  if (!m_steering.IsReady()) {
+    m_held.Hold(datagram, now);
+    return;
+  }
   const steering::Decision decision = m_steering.Handle(packet.value(), now);
   m_metrics.CountDecision(decision);
   m_log.Write(packet.value(),
--- a/Services/Edge/packet_loop.h
+++ b/Services/Edge/packet_loop.h
@@ -19,6 +19,7 @@
 #include "LibBase/time.h"
 #include "LibEventLoop/datagram_batch.h"
 #include "LibSteering/flow_tracker.h"
+#include "LibSteering/held_packets.h"
 #include "LibSteering/steering.h"
 #include "decision_log.h"
 #include "edge_metrics.h"
@@ -51,6 +52,9 @@
   void Start() { WaitForPackets(); }
   // Sends the openings that are due to a further server.
   void SendDueResends();
+  // Handles the packets that came before routes and servers were known.
+  // Returns how many.
+  std::size_t ReleaseHeld();
   // Forgets openings that wait no more.
   void Sweep();
 
@@ -90,6 +94,7 @@
   event_loop::SendBatch m_sending;
   // Openings that may go to a further server.
   Openings m_openings;
+  steering::HeldPackets m_held;
   base::TimePoint m_last_packet;
 };
 
