--- a/Libraries/LibEdge/pause_detector.h
+++ b/Libraries/LibEdge/pause_detector.h
@@ -13,7 +13,7 @@
 
 class PauseDetector {
  public:
-  // A loop that sweeps every 50 ms and takes this long between two looks has
+  // A loop that sweeps every 100 ms and takes this long between two looks has
   // not merely been slow.
   static constexpr base::Duration kPause = std::chrono::milliseconds(1000);
 
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -32,7 +32,6 @@
   kPlatformUnreachable,
   kConsoleRequestRefused,
   kFlowsSilent,
-  kEventsSuppressed,
   kOpeningPlaced,
   kOpeningMoved,
   kOpeningRefused,
@@ -54,6 +53,7 @@
   kSettingsRefused,
   kLogLinesDropped,
   kPacketsHeld,
+  kEventsSuppressed,
 };
 
 inline constexpr base::EnumTable<Event, 43> kEventNames{{
@@ -78,7 +78,6 @@
     {Event::kPlatformUnreachable, "platform_unreachable"},
     {Event::kConsoleRequestRefused, "console_request_refused"},
     {Event::kFlowsSilent, "flows_silent"},
-    {Event::kEventsSuppressed, "events_suppressed"},
     {Event::kOpeningPlaced, "opening_placed"},
     {Event::kOpeningMoved, "opening_moved"},
     {Event::kOpeningRefused, "opening_refused"},
@@ -100,6 +99,7 @@
     {Event::kSettingsRefused, "settings_refused"},
     {Event::kLogLinesDropped, "log_lines_dropped"},
     {Event::kPacketsHeld, "packets_held"},
+    {Event::kEventsSuppressed, "events_suppressed"},
 }};
 
 }  // namespace observability
--- a/Libraries/LibObservability/line_log.cc
+++ b/Libraries/LibObservability/line_log.cc
@@ -31,12 +31,27 @@
   std::string line = FormatLogLine(std::chrono::system_clock::now(), severity,
                                    event, std::span(fields));
   line += '\n';
+  if (line.size() > kMaximumWriteBytes) {
+    ++m_dropped;
+    return;
+  }
+  if (m_gathered.size() + line.size() > kMaximumWriteBytes)
+    Flush();
+  m_gathered += line;
+  ++m_gathered_lines;
+}
+
+void LineLog::Flush() {
+  if (m_gathered.empty())
+    return;
   const bool is_taken =
-      line.size() <= kMaximumLineBytes && IsWritable(m_descriptor) &&
-      write(m_descriptor, line.data(), line.size()) ==
-          static_cast<ssize_t>(line.size());
+      IsWritable(m_descriptor) &&
+      write(m_descriptor, m_gathered.data(), m_gathered.size()) ==
+          static_cast<ssize_t>(m_gathered.size());
   if (!is_taken)
-    ++m_dropped;
+    m_dropped += m_gathered_lines;
+  m_gathered.clear();
+  m_gathered_lines = 0;
 }
 
 void LineLog::WriteSummaries(base::TimePoint now) {
--- a/Libraries/LibObservability/line_log.h
+++ b/Libraries/LibObservability/line_log.h
@@ -1,6 +1,7 @@
 // A log for small processes that must never wait: JSON lines straight to a
-// file descriptor. A line that the descriptor can't take at once is dropped
-// and counted, and each event is limited to a number of lines a second.
+// file descriptor. Lines are gathered for a moment, as each write has a price;
+// what the descriptor can't take at once is dropped and counted, and each event
+// is limited to a number of lines a second.
 
 #ifndef LIBOBSERVABILITY_LINE_LOG_H_
 #define LIBOBSERVABILITY_LINE_LOG_H_
@@ -19,13 +20,16 @@
 
 class LineLog {
  public:
-  // A line up to this length goes into a pipe whole, and without waiting
-  // where poll(2) says that it is writable (POSIX: PIPE_BUF). Longer ones are
+  // Bytes up to this number go into a pipe whole, and without waiting where
+  // poll(2) says that it is writable (POSIX: PIPE_BUF). Longer lines are
   // dropped.
-  static constexpr std::size_t kMaximumLineBytes = 4096;
+  static constexpr std::size_t kMaximumWriteBytes = 4096;
 
   // `lines_per_second` holds for each event by itself.
   LineLog(int descriptor, std::uint64_t lines_per_second);
+  ~LineLog() { Flush(); }
+  LineLog(const LineLog&) = delete;
+  LineLog& operator=(const LineLog&) = delete;
 
   // Queries.
   std::uint64_t DroppedLines() const { return m_dropped; }
@@ -34,17 +38,23 @@
   // Whether a line of `event` may be written now; counts it if not. Lets the
   // caller spare the work of gathering the fields.
   bool Admit(Event event, base::TimePoint now);
-  // Writes without asking Admit.
+  // Adds a line without asking Admit. It is written with the next Flush, or
+  // with the next line that does not fit beside it.
   void Write(Severity severity,
              Event event,
              std::initializer_list<LogField> fields);
-  // Writes what was left out since the last summary. Called every second or
+  // Writes the lines gathered. Called several times a second.
+  void Flush();
+  // Adds what was left out since the last summary. Called every second or
   // so.
   void WriteSummaries(base::TimePoint now);
 
  private:
   int m_descriptor;
   RateLimiter m_limiter;
+  // Whole lines of kMaximumWriteBytes at most.
+  std::string m_gathered;
+  std::uint64_t m_gathered_lines = 0;
   std::uint64_t m_dropped = 0;
   std::uint64_t m_reported_dropped = 0;
 };
--- a/Libraries/LibObservability/log_format.cc
+++ b/Libraries/LibObservability/log_format.cc
@@ -1,10 +1,10 @@
 #include "LibObservability/log_format.h"
 
-#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include <cmath>
 #include <cstdint>
+#include <ctime>
 #include <optional>
 
 #include "LibBase/overloaded.h"
@@ -87,15 +87,22 @@
     json += character;
 }
 
+// fmt's own formats of calendar times go through the locale, which costs more
+// than the rest of a line.
 std::string FormatTime(std::chrono::system_clock::time_point time) {
   using std::chrono::milliseconds;
   using std::chrono::seconds;
+  constexpr int kFirstYear = 1900;
   const auto whole = std::chrono::floor<seconds>(time);
   const auto fraction =
       std::chrono::duration_cast<milliseconds>(time - whole).count();
-  const auto calendar =
-      fmt::gmtime(std::chrono::system_clock::to_time_t(whole));
-  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", calendar, fraction);
+  const std::time_t since_epoch = std::chrono::system_clock::to_time_t(whole);
+  std::tm calendar{};
+  gmtime_r(&since_epoch, &calendar);
+  return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z",
+                     calendar.tm_year + kFirstYear, calendar.tm_mon + 1,
+                     calendar.tm_mday, calendar.tm_hour, calendar.tm_min,
+                     calendar.tm_sec, fraction);
 }
 
 }  // namespace
@@ -139,9 +146,12 @@
   std::string line = fmt::format(
       R"({{"time":"{}","severity":"{}","event":"{}")", FormatTime(time),
       NameOf(kSeverityNames, severity), NameOf(kEventNames, event));
-  for (const LogField& field : fields)
-    line +=
-        fmt::format(",{}:{}", QuoteJson(field.m_name), ToJson(field.m_value));
+  for (const LogField& field : fields) {
+    line += ',';
+    line += QuoteJson(field.m_name);
+    line += ':';
+    line += ToJson(field.m_value);
+  }
   line += '}';
   return line;
 }
--- a/Libraries/LibSteering/opening_placer.cc
+++ b/Libraries/LibSteering/opening_placer.cc
@@ -18,9 +18,8 @@
                       m_policy.m_flow_weight * server.m_flows;
   const double factor =
       now < server.m_warm_at ? m_policy.m_warm_up_factor : 1.0;
-  const double penalty = server.m_record.m_data_centre == m_own
-                             ? 0.0
-                             : m_policy.m_remote_penalty;
+  const double penalty =
+      server.m_record.m_data_centre == m_own ? 0.0 : m_policy.m_remote_penalty;
   return load * factor / slots + penalty;
 }
 
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -64,19 +64,10 @@
 }
 
 bool ServerDirectory::HasReachableServer() const {
-  return std::any_of(m_servers.begin(), m_servers.end(),
-                     [](const auto& entry) {
-                       return entry.second->TakesOpenings() &&
-                              !entry.second->m_sight.IsUnreachable();
-                     });
-}
-
-void ServerDirectory::ForEachRegistered(
-    const std::function<void(KnownServer& server)>& visit) {
-  for (const auto& [name, server] : m_servers) {
-    if (!server->IsGone())
-      visit(*server);
-  }
+  return std::any_of(m_servers.begin(), m_servers.end(), [](const auto& entry) {
+    return entry.second->TakesOpenings() &&
+           !entry.second->m_sight.IsUnreachable();
+  });
 }
 
 DirectoryChange ServerDirectory::Apply(const ServerRecord& record,
@@ -145,11 +136,11 @@
 
 void ServerDirectory::ListUnderService(KnownServer& server) {
   std::vector<KnownServer*>& listed = m_by_service[server.m_record.m_service];
-  const auto place = std::lower_bound(
-      listed.begin(), listed.end(), server.m_record.m_name,
-      [](const KnownServer* other, const ServerName& name) {
-        return other->m_record.m_name < name;
-      });
+  const auto place =
+      std::lower_bound(listed.begin(), listed.end(), server.m_record.m_name,
+                       [](const KnownServer* other, const ServerName& name) {
+                         return other->m_record.m_name < name;
+                       });
   listed.insert(place, &server);
 }
 
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -8,7 +8,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -65,9 +64,6 @@
   bool HasReachableServer() const;
 
   // Commands.
-  // Calls `visit` with each registered server.
-  void ForEachRegistered(
-      const std::function<void(KnownServer& server)>& visit);
   // Takes a record unless a newer one of the same server is known.
   DirectoryChange Apply(const ServerRecord& record, base::TimePoint now);
   DirectoryChange Remove(const ServerName& name, base::TimePoint now);
--- a/Libraries/LibSteering/server_sight.h
+++ b/Libraries/LibSteering/server_sight.h
@@ -31,6 +31,10 @@
   bool IsUnreachable() const { return m_failed_probes >= kFailedProbes; }
   // A probe failed or is due: no place for an opening if there is another.
   bool IsDoubtful() const { return m_failed_probes > 0; }
+  // A probe is open or still to come.
+  bool IsUnsettled() const {
+    return m_is_in_doubt || m_is_probe_open || m_failed_probes > 0;
+  }
   bool WantsProbe(base::TimePoint now) const {
     const bool has_reason = m_is_in_doubt || m_failed_probes > 0;
     return has_reason && !m_is_probe_open && now >= m_next_probe_at;
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -40,15 +40,14 @@
     const flow::FlowKey key = m_resends.front().second;
     m_resends.erase(m_resends.begin());
     FlowRecord* record = m_tracker.Find(key);
-    if (record == nullptr || !record->m_resend_at ||
-        *record->m_resend_at > now)
+    if (record == nullptr || !record->m_resend_at || *record->m_resend_at > now)
       continue;
     record->m_resend_at.reset();
     const Route* route = m_routes.Find(key.m_service);
     KnownServer* former = m_directory.FindBySlot(record->m_server);
     if (route == nullptr || former == nullptr)
       continue;
-    former->m_sight.RecordDoubt(record->m_request_at);
+    RaiseDoubt(*former, record->m_request_at);
     CallerPacket opening;
     opening.m_flow = key;
     opening.m_is_opening = true;
@@ -62,11 +61,15 @@
 
 std::vector<const KnownServer*> Steering::TakeProbes(base::TimePoint now) {
   std::vector<const KnownServer*> due;
-  m_directory.ForEachRegistered([&](KnownServer& server) {
-    if (!server.m_sight.WantsProbe(now))
-      return;
-    server.m_sight.RecordProbeStart();
-    due.push_back(&server);
+  std::erase_if(m_doubtful, [&](ServerSlot slot) {
+    KnownServer* server = m_directory.FindBySlot(slot);
+    if (server == nullptr || server->IsGone() || !server->m_sight.IsUnsettled())
+      return true;
+    if (server->m_sight.WantsProbe(now)) {
+      server->m_sight.RecordProbeStart();
+      due.push_back(server);
+    }
+    return false;
   });
   return due;
 }
@@ -107,8 +110,8 @@
                                 const Route& route,
                                 KnownServer* former,
                                 base::TimePoint now) {
-  const auto& servers = m_directory.ServersOf(
-      route.ServiceFor(flow::HashFlow(packet.m_flow)));
+  const auto& servers =
+      m_directory.ServersOf(route.ServiceFor(flow::HashFlow(packet.m_flow)));
   auto placement = m_placer.Place(servers, former, m_random, now);
   if (!placement && former != nullptr)
     placement = m_placer.Place(servers, nullptr, m_random, now);
@@ -139,7 +142,7 @@
     decision = Refuse(packet, Reason::kNoServer);
   } else {
     decision.m_action = Forward{&server, *token};
-    decision.m_reason = former == nullptr ? Reason::kPlaced
+    decision.m_reason = former == nullptr   ? Reason::kPlaced
                         : former == &server ? Reason::kPlacedAgain
                                             : Reason::kPlacedElsewhere;
   }
@@ -189,6 +192,13 @@
   return decision;
 }
 
+void Steering::RaiseDoubt(KnownServer& server, base::TimePoint waiting_since) {
+  const bool was_unsettled = server.m_sight.IsUnsettled();
+  server.m_sight.RecordDoubt(waiting_since);
+  if (!was_unsettled && server.m_sight.IsUnsettled())
+    m_doubtful.push_back(server.m_slot);
+}
+
 void Steering::Judge(KnownServer& server,
                      base::TimePoint waiting_since,
                      Decision& decision,
@@ -197,7 +207,7 @@
     decision.m_waited = now - waiting_since;
     // A copy that overtook its original says nothing yet.
     if (decision.m_waited >= m_settings.m_doubt_after)
-      server.m_sight.RecordDoubt(waiting_since);
+      RaiseDoubt(server, waiting_since);
   }
   if (decision.m_progress != Progress::kAnswer)
     return;
@@ -226,8 +236,7 @@
   const auto progress = server.m_sight.LastProgress();
   if (progress && *progress > *server.m_gone_since)
     return false;
-  const bool left_in_order =
-      server.m_record.m_state == ServerState::kDraining;
+  const bool left_in_order = server.m_record.m_state == ServerState::kDraining;
   return left_in_order ||
          now - *server.m_gone_since >= m_settings.m_lapse_grace;
 }
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -46,6 +46,8 @@
 class Steering {
  public:
   Steering(SteeringSettings settings, std::uint64_t seed);
+  Steering(const Steering&) = delete;
+  Steering& operator=(const Steering&) = delete;
 
   // Queries.
   const RouteTable& routes() const { return m_routes; }
@@ -90,6 +92,7 @@
   Decision Follow(const CallerPacket& packet,
                   const Route* route,
                   base::TimePoint now);
+  void RaiseDoubt(KnownServer& server, base::TimePoint waiting_since);
   // Notes what the packet says about the server's reachability.
   void Judge(KnownServer& server,
              base::TimePoint waiting_since,
@@ -108,6 +111,8 @@
   ServerDirectory m_directory;
   FlowTracker m_tracker{m_directory};
   OpeningPlacer m_placer;
+  // Servers in doubt or unreachable, so that few are looked at.
+  std::vector<ServerSlot> m_doubtful;
   bool m_are_routes_current = false;
   // Openings by the time at which they go to a further server, oldest first.
   std::vector<std::pair<base::TimePoint, flow::FlowKey>> m_resends;
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -29,8 +29,7 @@
 }
 
 std::string RouteOf(const steering::Decision& decision) {
-  return decision.m_route == nullptr ? std::string()
-                                     : decision.m_route->m_name;
+  return decision.m_route == nullptr ? std::string() : decision.m_route->m_name;
 }
 
 std::uint32_t InProgressAt(const steering::Decision& decision) {
@@ -106,29 +105,27 @@
   const bool is_repeat = decision.m_progress == steering::Progress::kRepeat;
   if (is_forwarded && !is_repeat && request_id.empty())
     return;
-  const Event event =
-      std::holds_alternative<steering::Reset>(decision.m_action)
-          ? Event::kFlowReset
-      : !is_forwarded ? Event::kPacketDropped
-      : is_repeat     ? Event::kRequestRepeated
-                      : Event::kRequestForwarded;
+  const Event event = std::holds_alternative<steering::Reset>(decision.m_action)
+                          ? Event::kFlowReset
+                      : !is_forwarded ? Event::kPacketDropped
+                      : is_repeat     ? Event::kRequestRepeated
+                                      : Event::kRequestForwarded;
   if (!m_log.Admit(event, now))
     return;
-  m_log.Write(
-      is_forwarded ? Severity::kInfo : Severity::kWarning, event,
-      {{"request", request_id},
-       {"caller", ToString(packet.m_flow.m_caller)},
-       {"address", ToString(packet.m_flow.m_service)},
-       {"route", RouteOf(decision)},
-       {"reason", NameOf(steering::kReasonNames, decision.m_reason)},
-       {"server", ServerOf(decision)},
-       {"data_centre", DataCentreOf(decision)},
-       {"token", packet.m_token.value()},
-       {"waited_ms", Milliseconds(decision.m_waited)},
-       {"in_progress", InProgressAt(decision)},
-       {"servers_revision", belief.m_servers_revision},
-       {"servers_age_ms", AgeOf(belief)},
-       {"manifest", belief.m_manifest_version}});
+  m_log.Write(is_forwarded ? Severity::kInfo : Severity::kWarning, event,
+              {{"request", request_id},
+               {"caller", ToString(packet.m_flow.m_caller)},
+               {"address", ToString(packet.m_flow.m_service)},
+               {"route", RouteOf(decision)},
+               {"reason", NameOf(steering::kReasonNames, decision.m_reason)},
+               {"server", ServerOf(decision)},
+               {"data_centre", DataCentreOf(decision)},
+               {"token", packet.m_token.value()},
+               {"waited_ms", Milliseconds(decision.m_waited)},
+               {"in_progress", InProgressAt(decision)},
+               {"servers_revision", belief.m_servers_revision},
+               {"servers_age_ms", AgeOf(belief)},
+               {"manifest", belief.m_manifest_version}});
 }
 
 void DecisionLog::WriteSight(const steering::KnownServer& server,
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -25,8 +25,8 @@
 // Lines a second of one event. The busiest VM of the deployments seen gets
 // fewer than 100 requests a second.
 constexpr std::uint64_t kLinesPerSecond = 100;
-// Also how soon a doubt about a server is looked into.
-constexpr base::Duration kSweepPeriod = milliseconds(50);
+// Also how long a log line is held back at most.
+constexpr base::Duration kSweepPeriod = milliseconds(100);
 constexpr base::Duration kSecond = milliseconds(1000);
 // Belief of this age without a word from the store is completed from peers.
 constexpr base::Duration kBlindAfter = milliseconds(500);
@@ -60,17 +60,20 @@
 
 base::Outcome<std::unique_ptr<EdgeProcess>> EdgeProcess::Create(
     const EdgeSettings& settings,
-    const std::string& settings_path) {
+    const std::string& settings_path,
+    std::optional<std::uint16_t> metrics_port) {
   std::unique_ptr<EdgeProcess> process(
-      new EdgeProcess(settings, settings_path));
+      new EdgeProcess(settings, settings_path, metrics_port));
   if (auto listening = process->Listen(); !listening)
     return listening.error();
   return process;
 }
 
 EdgeProcess::EdgeProcess(const EdgeSettings& settings,
-                         const std::string& settings_path)
-    : m_settings(settings),
+                         const std::string& settings_path,
+                         std::optional<std::uint16_t> metrics_port)
+    : m_metrics_port(metrics_port),
+      m_settings(Adjust(settings)),
       m_settings_path(settings_path),
       m_log(STDOUT_FILENO, kLinesPerSecond),
       m_steering({settings.m_data_centre}, DrawSeed()),
@@ -96,37 +99,44 @@
                  OnProbe(server, is_answered);
                }),
       m_started_at(base::Clock::now()) {
-  std::vector<base::Endpoint> peers = settings.m_seeds;
-  std::erase_if(peers, [&settings](base::Endpoint peer) {
-    return settings.m_control && peer == *settings.m_control;
-  });
-  m_peers.SetPeers(std::move(peers));
+  m_peers.SetPeers(m_settings.m_seeds);
   if (const auto text = ReadSettingsFile(settings_path))
     m_settings_text = text.value();
 }
 
+EdgeSettings EdgeProcess::Adjust(EdgeSettings settings) const {
+  if (m_metrics_port)
+    settings.m_metrics.m_port = *m_metrics_port;
+  // The process does not ask itself.
+  std::erase_if(settings.m_seeds, [&settings](base::Endpoint peer) {
+    return settings.m_control && peer == *settings.m_control;
+  });
+  return settings;
+}
+
 base::Outcome<void> EdgeProcess::Listen() {
-  TRY(packets, PacketLoop::Create(
-                   m_context, m_settings.m_packets, m_settings.m_caller_port,
-                   m_steering, m_decision_log, m_metrics,
-                   [this] { return AgeOfBelief(); }));
+  TRY(packets,
+      PacketLoop::Create(
+          m_context, m_settings.m_packets, m_settings.m_caller_port, m_steering,
+          m_decision_log, m_metrics, [this] { return AgeOfBelief(); },
+          [this](base::TimePoint now) { ProbeServers(now); }));
   m_packets = std::move(packets);
   TRY(readiness,
       event_loop::TextServer::Create(
           m_context, m_settings.m_readiness,
           [this](std::string_view path) { return AnswerReadiness(path); }));
   m_readiness = std::move(readiness);
-  TRY(metrics,
-      event_loop::TextServer::Create(
-          m_context, m_settings.m_metrics,
-          [this](std::string_view path) { return AnswerMetrics(path); }));
+  TRY(metrics, event_loop::TextServer::Create(m_context, m_settings.m_metrics,
+                                              [this](std::string_view path) {
+                                                return AnswerMetrics(path);
+                                              }));
   m_metrics_server = std::move(metrics);
   if (!m_settings.m_control)
     return base::Success();
-  TRY(control,
-      event_loop::TextServer::Create(
-          m_context, *m_settings.m_control,
-          [this](std::string_view path) { return AnswerControl(path); }));
+  TRY(control, event_loop::TextServer::Create(m_context, *m_settings.m_control,
+                                              [this](std::string_view path) {
+                                                return AnswerControl(path);
+                                              }));
   m_control = std::move(control);
   return base::Success();
 }
@@ -147,10 +157,9 @@
   m_timers.timers().SubscribeEvery(
       now + kSweepPeriod, kSweepPeriod,
       [this](base::TimePoint time) { Sweep(time); });
-  m_timers.timers().SubscribeEvery(now + kPeerPeriod, kPeerPeriod,
-                                   [this](base::TimePoint time) {
-                                     AskPeersIfBlind(time);
-                                   });
+  m_timers.timers().SubscribeEvery(
+      now + kPeerPeriod, kPeerPeriod,
+      [this](base::TimePoint time) { AskPeersIfBlind(time); });
   m_timers.timers().SubscribeEvery(now + kSecond, kSecond,
                                    [this](base::TimePoint time) {
                                      m_log.WriteSummaries(time);
@@ -213,8 +222,7 @@
       m_steering.IsReady(), m_shutdown.has_value(), age.m_manifest_version,
       m_steering.routes().size(),
       directory.Count(steering::ServerState::kReady),
-      directory.Count(steering::ServerState::kDraining),
-      age.m_servers_revision,
+      directory.Count(steering::ServerState::kDraining), age.m_servers_revision,
       age.m_servers_age ? Milliseconds(*age.m_servers_age) : -1,
       m_steering.tracker().size(), m_servers.Calls() + m_manifests.Calls());
 }
@@ -304,9 +312,9 @@
   const base::TimePoint now = base::Clock::now();
   if (!snapshot) {
     if (m_log.Admit(Event::kSnapshotFailed, now))
-      m_log.Write(Severity::kWarning, Event::kSnapshotFailed,
-                  {{"peer", ToString(peer)},
-                   {"reason", snapshot.error().message()}});
+      m_log.Write(
+          Severity::kWarning, Event::kSnapshotFailed,
+          {{"peer", ToString(peer)}, {"reason", snapshot.error().message()}});
     return;
   }
   const catalog::Snapshot& taken = snapshot.value();
@@ -344,17 +352,16 @@
     m_metrics.CountServerChange(name);
     if (!m_log.Admit(Event::kServerChanged, now))
       continue;
-    m_log.Write(
-        Severity::kInfo, Event::kServerChanged,
-        {{"change", name},
-         {"server", change.m_record.m_name.value()},
-         {"service", change.m_record.m_service},
-         {"endpoint", ToString(change.m_record.m_endpoint)},
-         {"data_centre", change.m_record.m_data_centre.value()},
-         {"incarnation", change.m_record.m_incarnation},
-         {"record_revision", change.m_record.m_revision},
-         {"revision", m_servers.follower().KnownRevision().value()},
-         {"source", source}});
+    m_log.Write(Severity::kInfo, Event::kServerChanged,
+                {{"change", name},
+                 {"server", change.m_record.m_name.value()},
+                 {"service", change.m_record.m_service},
+                 {"endpoint", ToString(change.m_record.m_endpoint)},
+                 {"data_centre", change.m_record.m_data_centre.value()},
+                 {"incarnation", change.m_record.m_incarnation},
+                 {"record_revision", change.m_record.m_revision},
+                 {"revision", m_servers.follower().KnownRevision().value()},
+                 {"source", source}});
   }
 }
 
@@ -362,12 +369,11 @@
   if (m_was_ready || !m_steering.IsReady())
     return;
   m_was_ready = true;
-  m_log.Write(
-      Severity::kInfo, Event::kReady,
-      {{"after_ms", Milliseconds(base::Clock::now() - m_started_at)},
-       {"manifest", m_steering.routes().Version().value()},
-       {"servers", std::uint64_t{m_steering.directory().Count(
-                       steering::ServerState::kReady)}}});
+  m_log.Write(Severity::kInfo, Event::kReady,
+              {{"after_ms", Milliseconds(base::Clock::now() - m_started_at)},
+               {"manifest", m_steering.routes().Version().value()},
+               {"servers", std::uint64_t{m_steering.directory().Count(
+                               steering::ServerState::kReady)}}});
   const std::size_t held = m_packets->ReleaseHeld();
   if (held > 0)
     m_log.Write(Severity::kInfo, Event::kPacketsHeld,
@@ -420,6 +426,7 @@
   ProbeServers(now);
   m_packets->Sweep();
   StopIfDone(now);
+  m_log.Flush();
 }
 
 void EdgeProcess::AskPeersIfBlind(base::TimePoint now) {
@@ -457,7 +464,7 @@
     }
     return;
   }
-  const EdgeSettings& settings = std::get<EdgeSettings>(reading);
+  const EdgeSettings settings = Adjust(std::get<EdgeSettings>(reading));
   // Sockets stay where they are: an address changes only with a new start.
   const bool needs_restart = settings.m_packets != m_settings.m_packets ||
                              settings.m_readiness != m_settings.m_readiness ||
@@ -470,11 +477,7 @@
   m_settings = settings;
   m_servers.Reconfigure(settings.m_store, MakeFollowerPolicy(settings));
   m_manifests.Reconfigure(settings.m_store, MakeFollowerPolicy(settings));
-  std::vector<base::Endpoint> peers = settings.m_seeds;
-  std::erase_if(peers, [&settings](base::Endpoint peer) {
-    return settings.m_control && peer == *settings.m_control;
-  });
-  m_peers.SetPeers(std::move(peers));
+  m_peers.SetPeers(settings.m_seeds);
 }
 
 void EdgeProcess::ReloadIfChanged() {
@@ -485,19 +488,19 @@
 
 void EdgeProcess::UpdateGauges(base::TimePoint now) {
   const BeliefAge age = AgeOfBelief();
-  m_metrics.SetGauge("coltsfootdale_servers_age_seconds",
-                     "Since the store confirmed the servers; -1: never",
-                     age.m_servers_age ? std::chrono::duration<double>(
-                                             *age.m_servers_age)
-                                             .count()
-                                       : -1.0);
+  m_metrics.SetGauge(
+      "coltsfootdale_servers_age_seconds",
+      "Since the store confirmed the servers; -1: never",
+      age.m_servers_age
+          ? std::chrono::duration<double>(*age.m_servers_age).count()
+          : -1.0);
   m_metrics.SetGauge("coltsfootdale_manifest_version",
                      "The manifest in force; 0: none",
                      static_cast<double>(age.m_manifest_version));
-  m_metrics.SetGauge("coltsfootdale_servers_ready",
-                     "Backend servers that take openings",
-                     static_cast<double>(m_steering.directory().Count(
-                         steering::ServerState::kReady)));
+  m_metrics.SetGauge(
+      "coltsfootdale_servers_ready", "Backend servers that take openings",
+      static_cast<double>(
+          m_steering.directory().Count(steering::ServerState::kReady)));
   m_metrics.SetGauge("coltsfootdale_probes",
                      "Probes of servers since the start",
                      static_cast<double>(m_prober.Probes()));
@@ -506,9 +509,9 @@
   m_metrics.SetGauge("coltsfootdale_log_lines_dropped",
                      "Log lines that standard output did not take",
                      static_cast<double>(m_log.DroppedLines()));
-  m_metrics.SetGauge(
-      "coltsfootdale_uptime_seconds", "Since the start of the process",
-      std::chrono::duration<double>(now - m_started_at).count());
+  m_metrics.SetGauge("coltsfootdale_uptime_seconds",
+                     "Since the start of the process",
+                     std::chrono::duration<double>(now - m_started_at).count());
 }
 
 void EdgeProcess::StopIfDone(base::TimePoint now) {
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,10 +38,12 @@
 class EdgeProcess {
  public:
   // Binds the sockets; errors are those of the system. `settings_path` is read
-  // again on SIGHUP and when its content changes.
+  // again on SIGHUP and when its content changes. `metrics_port` goes before
+  // the port of the settings.
   static base::Outcome<std::unique_ptr<EdgeProcess>> Create(
       const EdgeSettings& settings,
-      const std::string& settings_path);
+      const std::string& settings_path,
+      std::optional<std::uint16_t> metrics_port);
   EdgeProcess(const EdgeProcess&) = delete;
   EdgeProcess& operator=(const EdgeProcess&) = delete;
 
@@ -49,8 +52,12 @@
   void Run();
 
  private:
-  EdgeProcess(const EdgeSettings& settings, const std::string& settings_path);
+  EdgeProcess(const EdgeSettings& settings,
+              const std::string& settings_path,
+              std::optional<std::uint16_t> metrics_port);
 
+  // The settings as this process uses them.
+  EdgeSettings Adjust(EdgeSettings settings) const;
   base::Outcome<void> Listen();
   event_loop::TextAnswer AnswerReadiness(std::string_view path) const;
   event_loop::TextAnswer AnswerMetrics(std::string_view path);
@@ -80,6 +87,7 @@
   void UpdateGauges(base::TimePoint now);
   void StopIfDone(base::TimePoint now);
 
+  std::optional<std::uint16_t> m_metrics_port;
   EdgeSettings m_settings;
   std::string m_settings_path;
   std::string m_settings_text;
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -2,8 +2,10 @@
 
 #include <boost/program_options.hpp>
 
+#include <cstdint>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -29,12 +31,15 @@
       "  check  prints every problem of the settings\n"
       "Exit codes: 0 done, 1 the settings are refused, 2 usage,\n"
       "4 a socket cannot be bound.\n\nOptions");
-  description.add_options()("help", "print this text")(
-      "version", "print the version")(
+  description.add_options()("help", "print this text")("version",
+                                                       "print the version")(
       "settings", options::value<std::string>(),
       "the settings file; without it the environment variable\n"
       "COLTSFOOTDALE_CONFIG names it")(
-      "command", options::value<std::string>(), "run or check");
+      "metrics-port", options::value<std::uint16_t>(),
+      "the TCP port of metrics and status; without it the first of\n"
+      "the settings' internal ports")("command", options::value<std::string>(),
+                                      "run or check");
   return description;
 }
 
@@ -55,11 +60,14 @@
   return kSettingsRefused;
 }
 
-int Run(const std::string& path) {
+int Run(const std::string& path, const options::variables_map& values) {
   if (Check(path) != kDone)
     return kSettingsRefused;
   const auto settings = std::get<edge::EdgeSettings>(edge::LoadSettings(path));
-  auto process = edge::EdgeProcess::Create(settings, path);
+  std::optional<std::uint16_t> metrics_port;
+  if (values.contains("metrics-port"))
+    metrics_port = values["metrics-port"].as<std::uint16_t>();
+  auto process = edge::EdgeProcess::Create(settings, path, metrics_port);
   if (!process) {
     std::cerr << "cannot start: " << process.error().message() << "\n";
     return kCannotListen;
@@ -84,7 +92,7 @@
   if (path.empty())
     std::cerr << "no settings file given\n";
   else if (command == "run")
-    return Run(path);
+    return Run(path, values);
   else if (command == "check")
     return Check(path);
   std::cerr << description;
--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -29,9 +29,11 @@
     steering::Steering& steering,
     DecisionLog& log,
     EdgeMetrics& metrics,
-    BeliefQuery belief) {
-  std::unique_ptr<PacketLoop> loop(new PacketLoop(
-      context, caller_port, steering, log, metrics, std::move(belief)));
+    BeliefQuery belief,
+    BatchHandler on_batch) {
+  std::unique_ptr<PacketLoop> loop(
+      new PacketLoop(context, caller_port, steering, log, metrics,
+                     std::move(belief), std::move(on_batch)));
   std::error_code error;
   loop->m_socket.open(asio::ip::udp::v4(), error);
   if (!error)
@@ -52,20 +54,24 @@
                        steering::Steering& steering,
                        DecisionLog& log,
                        EdgeMetrics& metrics,
-                       BeliefQuery belief)
+                       BeliefQuery belief,
+                       BatchHandler on_batch)
     : m_socket(context),
       m_resend_timer(context),
       m_caller_port(caller_port),
       m_steering(steering),
       m_log(log),
       m_metrics(metrics),
-      m_belief(std::move(belief)) {}
+      m_belief(std::move(belief)),
+      m_on_batch(std::move(on_batch)) {}
 
 base::Endpoint PacketLoop::LocalEndpoint() const {
   return base::FromAsio(m_socket.local_endpoint());
 }
 
 void PacketLoop::SendDueResends() {
+  // On a busy processor the answers may wait in the socket.
+  ReceivePackets();
   const base::TimePoint now = base::Clock::now();
   const BeliefAge belief = m_belief();
   for (const steering::OpeningResend& resend : m_steering.TakeResends(now)) {
@@ -133,6 +139,7 @@
     if (m_received.size() < event_loop::kBatchSize)
       break;
   }
+  m_on_batch(base::Clock::now());
   ArmResendTimer();
 }
 
@@ -192,8 +199,7 @@
 
 void PacketLoop::Reset(const flow::FlowKey& flow,
                        const steering::Reset& reset) {
-  const adapter::PacketHead head =
-      adapter::EncodeReset(flow, reset.m_sequence);
+  const adapter::PacketHead head = adapter::EncodeReset(flow, reset.m_sequence);
   m_sending.Add({flow.m_caller.m_address, m_caller_port}, head, {});
 }
 
--- a/Services/Edge/packet_loop.h
+++ b/Services/Edge/packet_loop.h
@@ -30,6 +30,8 @@
 class PacketLoop {
  public:
   using BeliefQuery = std::function<BeliefAge()>;
+  // Called after packets were handled, which may have raised doubts.
+  using BatchHandler = std::function<void(base::TimePoint now)>;
 
   // Binds the socket; errors are those of the system. The references must
   // outlive the loop.
@@ -40,7 +42,8 @@
       steering::Steering& steering,
       DecisionLog& log,
       EdgeMetrics& metrics,
-      BeliefQuery belief);
+      BeliefQuery belief,
+      BatchHandler on_batch);
   PacketLoop(const PacketLoop&) = delete;
   PacketLoop& operator=(const PacketLoop&) = delete;
 
@@ -64,7 +67,8 @@
              steering::Steering& steering,
              DecisionLog& log,
              EdgeMetrics& metrics,
-             BeliefQuery belief);
+             BeliefQuery belief,
+             BatchHandler on_batch);
 
   using Openings = std::unordered_map<flow::FlowKey,
                                       adapter::PacketHead,
@@ -90,6 +94,7 @@
   DecisionLog& m_log;
   EdgeMetrics& m_metrics;
   BeliefQuery m_belief;
+  BatchHandler m_on_batch;
   event_loop::ReceivedBatch m_received;
   event_loop::SendBatch m_sending;
   // Openings that may go to a further server.
--- /dev/null
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -0,0 +1,76 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "LibCatalog/snapshot.h"
+#include "LibCatalog/snapshot_codec.h"
+
+namespace catalog {
+
+namespace {
+
+Snapshot MakeSnapshot() {
+  Snapshot snapshot;
+  snapshot.m_servers_revision = Revision(42);
+  steering::ServerRecord server;
+  server.m_name = steering::ServerName("i-7f3a91c2");
+  server.m_identity = steering::WireIdentity(0x7f3a91c2);
+  server.m_service = "portal";
+  server.m_endpoint = {base::Ipv4Address(0x0A800009), 8080};
+  server.m_data_centre = base::DataCentreId("hall-1");
+  server.m_state = steering::ServerState::kDraining;
+  server.m_slots = 3;
+  server.m_warm_up_left = std::chrono::milliseconds(1200);
+  server.m_incarnation = 1787859612135;
+  server.m_revision = 40;
+  snapshot.m_servers = {server};
+  snapshot.m_manifest_revision = Revision(41);
+  snapshot.m_manifest.m_version = base::ConfigurationVersion(7);
+  snapshot.m_manifest.m_routes = {{"feed",
+                                   {base::Ipv4Address(0xC6120001), 8443},
+                                   {{"portal", 90}, {"archive", 10}},
+                                   steering::RequestKind::kDownload,
+                                   std::chrono::milliseconds(1500)}};
+  return snapshot;
+}
+
+}  // namespace
+
+TEST_CASE("a snapshot survives its way to another balancer") {
+  const Snapshot snapshot = MakeSnapshot();
+
+  const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot));
+
+  REQUIRE(decoded);
+  CHECK(decoded.value().m_servers == snapshot.m_servers);
+  CHECK(decoded.value().m_servers_revision == Revision(42));
+  CHECK(decoded.value().m_manifest_revision == Revision(41));
+  CHECK(decoded.value().m_manifest.m_routes == snapshot.m_manifest.m_routes);
+  CHECK(decoded.value().m_manifest.m_idle_timeout ==
+        snapshot.m_manifest.m_idle_timeout);
+}
+
+TEST_CASE("bytes that are cut, longer or foreign are no snapshot") {
+  const std::string bytes = EncodeSnapshot(MakeSnapshot());
+
+  for (std::size_t length = 0; length < bytes.size(); ++length)
+    CHECK_FALSE(DecodeSnapshot(std::string_view(bytes).substr(0, length)));
+  CHECK_FALSE(DecodeSnapshot(bytes + "x"));
+  CHECK_FALSE(DecodeSnapshot("GET / HTTP/1.1\r\n\r\n"));
+}
+
+TEST_CASE("a changed byte is an error or another snapshot, never a crash") {
+  const std::string bytes = EncodeSnapshot(MakeSnapshot());
+
+  for (std::size_t place = 0; place < bytes.size(); ++place) {
+    for (const char value : {'\x00', '\x7f', '\xff'}) {
+      std::string changed = bytes;
+      changed[place] = value;
+      const auto decoded = DecodeSnapshot(changed);
+      if (decoded)
+        CHECK(decoded.value().m_servers.size() <= kMaximumServers);
+    }
+  }
+}
+
+}  // namespace catalog
--- /dev/null
+++ b/Tests/LibEdge/test_store_pacing.cc
@@ -0,0 +1,38 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "LibEdge/edge_settings.h"
+#include "LibEdge/store_pacing.h"
+
+namespace edge {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a change is known within its bound also after one lost call") {
+  // A call that is lost shows after its time limit; the next one answers.
+  constexpr base::Duration kLostCall = milliseconds(1000);
+  for (const int bound_ms : {3000, 5000, 8000}) {
+    EdgeSettings settings;
+    settings.m_drain_bound = milliseconds(bound_ms);
+    settings.m_configuration_bound = milliseconds(bound_ms + 500);
+
+    const catalog::FollowerPolicy policy = MakeFollowerPolicy(settings);
+
+    CHECK(policy.m_pause + kLostCall + policy.m_initial_back_off <
+          settings.m_drain_bound);
+    CHECK(policy.m_pause > milliseconds(0));
+  }
+}
+
+TEST_CASE("a watch is shorter than it takes a record to lapse") {
+  EdgeSettings settings;
+  settings.m_server_heartbeat = milliseconds(1200);
+  settings.m_settling_time = milliseconds(4000);
+
+  const catalog::FollowerPolicy policy = MakeFollowerPolicy(settings);
+
+  CHECK(policy.m_watch_wait + policy.m_late_answer < milliseconds(3600));
+}
+
+}  // namespace edge
--- /dev/null
+++ b/Tests/LibEventLoop/test_text_server.cc
@@ -0,0 +1,75 @@
+#include <doctest/doctest.h>
+
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "LibBase/asio_endpoint.h"
+#include "LibEventLoop/text_server.h"
+#include "LibHttp/client.h"
+
+namespace event_loop {
+
+namespace {
+
+constexpr std::chrono::seconds kPatience{5};
+
+struct ServerWorld {
+  ServerWorld() {
+    auto server =
+        TextServer::Create(m_context, {base::Ipv4Address(0x7F000001), 0},
+                           [](std::string_view path) {
+                             return path == "/there" ? TextAnswer{200, "yes\n"}
+                                                     : TextAnswer{404, "no\n"};
+                           });
+    REQUIRE(server);
+    m_server = std::move(server.value());
+  }
+
+  http::Response Get(const std::string& path) {
+    http::Request request;
+    request.m_endpoint = m_server->endpoint();
+    request.m_path = path;
+    std::optional<http::Response> response;
+    m_client.Send(request, [&](const base::Outcome<http::Response>& answer) {
+      REQUIRE(answer);
+      response = answer.value();
+    });
+    const auto deadline = std::chrono::steady_clock::now() + kPatience;
+    while (!response && std::chrono::steady_clock::now() < deadline)
+      m_context.run_one_until(deadline);
+    REQUIRE(response);
+    return *response;
+  }
+
+  asio::io_context m_context{1};
+  std::unique_ptr<TextServer> m_server;
+  http::Client m_client{m_context};
+};
+
+}  // namespace
+
+TEST_CASE("a known path is answered, an unknown one is not found") {
+  ServerWorld world;
+
+  CHECK(world.Get("/there").m_body == "yes\n");
+  CHECK(world.Get("/elsewhere").m_status == 404);
+}
+
+TEST_CASE(
+    "a client that sends garbage does not keep others from their "
+    "answers") {
+  ServerWorld world;
+  asio::ip::tcp::socket garbage(world.m_context);
+  garbage.connect(base::ToAsio<asio::ip::tcp>(world.m_server->endpoint()));
+  asio::write(garbage, asio::buffer(std::string("\x00\x01garbage\r\n\r\n")));
+
+  CHECK(world.Get("/there").m_status == 200);
+}
+
+}  // namespace event_loop
--- /dev/null
+++ b/Tests/LibSteering/steering_world.h
@@ -0,0 +1,55 @@
+// Servers, routes and callers' packets for the tests of LibSteering.
+
+#ifndef TESTS_LIBSTEERING_STEERING_WORLD_H_
+#define TESTS_LIBSTEERING_STEERING_WORLD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "LibBase/time.h"
+#include "LibSteering/caller_packet.h"
+#include "LibSteering/manifest.h"
+#include "LibSteering/server_record.h"
+#include "LibSteering/steering.h"
+
+namespace steering {
+
+inline constexpr std::uint16_t kFeedPort = 443;
+inline constexpr std::uint16_t kDeclarationPort = 444;
+
+base::TimePoint At(int milliseconds);
+
+// A server of the service "portal" in the data centre "here".
+ServerRecord MakeServer(const std::string& name, std::uint64_t revision = 1);
+
+// Routes for kFeedPort (idempotent) and kDeclarationPort (non-idempotent) to
+// "portal".
+Manifest MakeManifest(std::uint64_t version);
+
+CallerPacket MakeOpening(std::uint16_t caller_port,
+                         std::uint16_t service_port = kFeedPort);
+CallerPacket MakeData(std::uint16_t caller_port,
+                      FlowToken token,
+                      std::uint32_t sequence,
+                      std::uint32_t acknowledgement,
+                      std::uint16_t payload_bytes,
+                      std::uint16_t service_port = kFeedPort);
+
+// A steering in "here" with MakeManifest(1) in force and known to be current.
+class CurrentSteering : public Steering {
+ public:
+  CurrentSteering();
+};
+
+// The server that a decision forwards to; null if it does not forward.
+const KnownServer* ServerOf(const Decision& decision);
+FlowToken TokenOf(const Decision& decision);
+bool IsReset(const Decision& decision);
+bool IsDrop(const Decision& decision);
+
+// Fails the server's probes until it counts as unreachable.
+void FailProbes(Steering& steering, const std::string& name, int from_ms);
+
+}  // namespace steering
+
+#endif  // TESTS_LIBSTEERING_STEERING_WORLD_H_
--- /dev/null
+++ b/Tests/LibSteering/test_route.cc
@@ -0,0 +1,35 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "LibSteering/route_table.h"
+#include "LibSteering/steering_world.h"
+
+namespace steering {
+
+TEST_CASE("a route shares its flows among services by their weights") {
+  Route route;
+  route.m_services = {{"a", 90}, {"b", 10}};
+
+  std::map<std::string, int> counts;
+  for (std::uint64_t hash = 0; hash < 10'000; ++hash)
+    ++counts[route.ServiceFor(hash)];
+
+  CHECK(counts["a"] > 8'700);
+  CHECK(counts["a"] < 9'300);
+  CHECK(route.ServiceFor(17) == route.ServiceFor(17));
+}
+
+TEST_CASE("an older manifest never replaces a newer one") {
+  RouteTable routes;
+  REQUIRE(routes.Replace(MakeManifest(7)));
+  Manifest older = MakeManifest(6);
+  older.m_routes.clear();
+
+  CHECK_FALSE(routes.Replace(older));
+  CHECK_FALSE(routes.Replace(MakeManifest(7)));
+  CHECK(routes.Version() == base::ConfigurationVersion(7));
+  CHECK(routes.size() == 2);
+}
+
+}  // namespace steering
--- /dev/null
+++ b/Tests/LibSteering/test_steering.cc
@@ -0,0 +1,240 @@
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "LibSteering/steering.h"
+#include "LibSteering/steering_world.h"
+
+namespace steering {
+
+namespace {
+
+// Opens a flow of `port` and completes its handshake; returns its token.
+FlowToken OpenFlow(Steering& steering,
+                   std::uint16_t port,
+                   int at,
+                   std::uint16_t service_port = kFeedPort) {
+  const Decision opening =
+      steering.Handle(MakeOpening(port, service_port), At(at));
+  const FlowToken token = TokenOf(opening);
+  steering.Handle(MakeData(port, token, 101, 500, 0, service_port), At(at + 3));
+  return token;
+}
+
+}  // namespace
+
+TEST_CASE("a flow's packets follow its token on any balancer") {
+  CurrentSteering first;
+  CurrentSteering second;
+  for (const char* name : {"i-1", "i-2", "i-3"}) {
+    first.directory().Apply(MakeServer(name), At(0));
+    second.directory().Apply(MakeServer(name), At(0));
+  }
+  const Decision opening = first.Handle(MakeOpening(1), At(0));
+
+  const Decision followed =
+      second.Handle(MakeData(1, TokenOf(opening), 101, 500, 80), At(5));
+
+  REQUIRE(ServerOf(followed) != nullptr);
+  CHECK(ServerOf(followed)->m_record.m_name ==
+        ServerOf(opening)->m_record.m_name);
+  CHECK(TokenOf(followed) == TokenOf(opening));
+}
+
+TEST_CASE("an unknown token is neither guessed nor reset") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+
+  const Decision decision =
+      steering.Handle(MakeData(1, FlowToken(77), 101, 500, 80), At(0));
+
+  CHECK(IsDrop(decision));
+  CHECK(decision.m_reason == Reason::kUnknownToken);
+}
+
+TEST_CASE(
+    "an opening without a route is refused only if the routes are "
+    "current") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  CHECK(IsReset(steering.Handle(MakeOpening(1, 999), At(0))));
+
+  steering.SetRoutesCurrent(false);
+  const Decision unsure = steering.Handle(MakeOpening(1, 999), At(0));
+  CHECK(IsDrop(unsure));
+  CHECK(unsure.m_reason == Reason::kRouteNotYetKnown);
+}
+
+TEST_CASE("a draining server keeps its flows and takes no opening") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1", 1), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  ServerRecord draining = MakeServer("i-1", 2);
+  draining.m_state = ServerState::kDraining;
+  steering.directory().Apply(draining, At(10));
+
+  CHECK(ServerOf(steering.Handle(MakeData(1, token, 101, 500, 80), At(20))) !=
+        nullptr);
+  const Decision opening = steering.Handle(MakeOpening(2), At(20));
+  CHECK(IsReset(opening));
+  CHECK(opening.m_reason == Reason::kNoServer);
+}
+
+TEST_CASE(
+    "a copy of an opening goes to another server, as the first is "
+    "silent") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  steering.directory().Apply(MakeServer("i-2"), At(0));
+  const Decision first = steering.Handle(MakeOpening(1), At(0));
+
+  const Decision copy = steering.Handle(MakeOpening(1), At(200));
+
+  CHECK(ServerOf(copy) != ServerOf(first));
+  CHECK(copy.m_reason == Reason::kPlacedElsewhere);
+}
+
+TEST_CASE("an opening without a sign of life goes to another server in time") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  steering.directory().Apply(MakeServer("i-2"), At(0));
+  const Decision first = steering.Handle(MakeOpening(1), At(0));
+
+  CHECK(steering.TakeResends(At(39)).empty());
+  const auto resends = steering.TakeResends(At(40));
+
+  REQUIRE(resends.size() == 1);
+  CHECK(ServerOf(resends[0].m_decision) != ServerOf(first));
+  CHECK_FALSE(steering.TakeProbes(At(40)).empty());
+}
+
+TEST_CASE("an opening that its caller confirmed goes nowhere else") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  steering.directory().Apply(MakeServer("i-2"), At(0));
+  OpenFlow(steering, 1, 0);
+
+  CHECK(steering.TakeResends(At(500)).empty());
+  CHECK(steering.TakeProbes(At(500)).empty());
+}
+
+TEST_CASE("callers of a dark server are reset once probes fail, not before") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  steering.Handle(MakeData(1, token, 101, 500, 80), At(100));
+
+  CHECK(ServerOf(steering.Handle(MakeData(1, token, 101, 500, 80), At(300))) !=
+        nullptr);
+  CHECK(steering.TakeProbes(At(300)).size() == 1);
+  FailProbes(steering, "i-1", 400);
+  const Decision repeated =
+      steering.Handle(MakeData(1, token, 101, 500, 80), At(700));
+
+  REQUIRE(IsReset(repeated));
+  CHECK(repeated.m_reason == Reason::kServerUnreachable);
+  CHECK(std::get<Reset>(repeated.m_action).m_sequence == 500);
+}
+
+TEST_CASE(
+    "a request that runs once at most is not cut at a server that may "
+    "come back") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0, kDeclarationPort);
+  FailProbes(steering, "i-1", 10);
+
+  const Decision decision = steering.Handle(
+      MakeData(1, token, 101, 500, 80, kDeclarationPort), At(20));
+
+  CHECK(ServerOf(decision) != nullptr);
+}
+
+TEST_CASE("a busy server makes callers repeat without being given up") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  const FlowToken other = OpenFlow(steering, 2, 0);
+  steering.Handle(MakeData(1, token, 101, 500, 80), At(100));
+  steering.Handle(MakeData(2, other, 101, 500, 80), At(100));
+  // The other flow gets its answer while the first one waits in the queue.
+  steering.Handle(MakeData(2, other, 181, 900, 0), At(250));
+
+  steering.Handle(MakeData(1, token, 101, 500, 80), At(300));
+
+  CHECK(steering.TakeProbes(At(300)).empty());
+}
+
+TEST_CASE("flows of a server that left in order are reset at once") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1", 1), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  ServerRecord draining = MakeServer("i-1", 2);
+  draining.m_state = ServerState::kDraining;
+  steering.directory().Apply(draining, At(10));
+  steering.directory().Remove(ServerName("i-1"), At(5000));
+
+  const Decision decision =
+      steering.Handle(MakeData(1, token, 101, 500, 80), At(5010));
+
+  REQUIRE(IsReset(decision));
+  CHECK(decision.m_reason == Reason::kServerGone);
+}
+
+TEST_CASE("flows of a server whose record lapsed go on while it answers") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  steering.directory().Remove(ServerName("i-1"), At(100));
+
+  // Within the time in which it registers again.
+  CHECK(ServerOf(steering.Handle(MakeData(1, token, 101, 500, 80), At(1000))) !=
+        nullptr);
+  // It answered after its record was gone, so it lives.
+  steering.Handle(MakeData(1, token, 181, 900, 0), At(1060));
+  CHECK(ServerOf(steering.Handle(MakeData(1, token, 181, 900, 80), At(9000))) !=
+        nullptr);
+}
+
+TEST_CASE("flows of a server that lapsed and is silent are reset in the end") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  steering.directory().Remove(ServerName("i-1"), At(100));
+
+  CHECK(IsReset(steering.Handle(MakeData(1, token, 101, 500, 80), At(2700))));
+}
+
+TEST_CASE(
+    "a dropped route ends its flows at the next request, not during an "
+    "answer") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  Manifest without = MakeManifest(2);
+  without.m_routes.clear();
+  REQUIRE(steering.PutInForce(without));
+
+  CHECK(ServerOf(steering.Handle(MakeData(1, token, 181, 700, 0), At(50))) !=
+        nullptr);
+  CHECK(IsReset(steering.Handle(MakeData(1, token, 181, 900, 80), At(90))));
+}
+
+TEST_CASE("nothing is decided before routes are known") {
+  Steering steering(SteeringSettings(), 1);
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+
+  CHECK_FALSE(steering.IsReady());
+  CHECK(IsDrop(steering.Handle(MakeOpening(1), At(0))));
+}
+
+TEST_CASE("an opening for which no server can be reached is refused at once") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  FailProbes(steering, "i-1", 0);
+
+  CHECK(IsReset(steering.Handle(MakeOpening(1), At(10))));
+  CHECK_FALSE(steering.HasReachableServer());
+}
+
+}  // namespace steering
--- /dev/null
+++ b/Tests/Platform/test_object_decoder.cc
@@ -0,0 +1,118 @@
+#include <doctest/doctest.h>
+#include <rapidjson/document.h>
+
+#include <string>
+#include <variant>
+
+#include "platform/object_decoder.h"
+
+namespace adapter {
+
+namespace {
+
+rapidjson::Document Parse(const std::string& text) {
+  rapidjson::Document document;
+  document.Parse(text.c_str());
+  REQUIRE_FALSE(document.HasParseError());
+  return document;
+}
+
+std::string ServerObject(const std::string& name, const std::string& spec) {
+  return R"({"meta":{"name":")" + name + R"(","revision":7},"spec":)" + spec +
+         "}";
+}
+
+const std::string kSpec =
+    R"({"backend":"huvo11a","address":"10.128.0.9:8080","zone":"hall-1",)"
+    R"("version":"v1","max_concurrency":3,"state":"ready",)"
+    R"("warmup_left_ms":1500,"seq":4,"born":1787859612135})";
+
+}  // namespace
+
+TEST_CASE("a server's entry becomes a record") {
+  const auto record = DecodeServer(Parse(ServerObject("i-7f3a91c2", kSpec)));
+
+  REQUIRE(record);
+  CHECK(record->m_name == steering::ServerName("i-7f3a91c2"));
+  CHECK(record->m_identity == steering::WireIdentity(0x7f3a91c2));
+  CHECK(record->m_service == "huvo11a");
+  CHECK(ToString(record->m_endpoint) == "10.128.0.9:8080");
+  CHECK(record->m_slots == 3);
+  CHECK(record->m_incarnation == 1787859612135);
+  CHECK(record->m_revision == 7);
+}
+
+TEST_CASE("an entry of another writer names no server, and the others hold") {
+  const std::string broken[] = {
+      "7",
+      "null",
+      R"("text")",
+      R"({"backend":"a"})",
+      R"({"backend":"a","address":"x","zone":"z","max_concurrency":3,)"
+      R"("state":"ready","warmup_left_ms":0})",
+      R"({"backend":7,"address":"1.2.3.4:5","zone":"z","max_concurrency":3,)"
+      R"("state":"ready","warmup_left_ms":0})",
+      R"({"backend":"a","address":"1.2.3.4:5","zone":"z","max_concurrency":3,)"
+      R"("state":"asleep","warmup_left_ms":0})",
+      R"({"backend":"a","address":"1.2.3.4:5","zone":"z",)"
+      R"("max_concurrency":0,"state":"ready","warmup_left_ms":0})",
+  };
+  std::string items = ServerObject("i-1a", kSpec);
+  for (const std::string& spec : broken)
+    items += "," + ServerObject("i-2b", spec);
+  items += ",17," + ServerObject("zzz", kSpec);
+
+  const CollectionAnswer answer = DecodePage(
+      Collection::kServers,
+      Parse(R"({"items":[)" + items + R"(],"more":false,"store_revision":9})"));
+
+  CHECK(answer.m_objects.m_servers.size() == 1);
+  CHECK(answer.m_objects.m_ignored == std::size(broken) + 2);
+  CHECK(std::holds_alternative<catalog::PageAnswer>(answer.m_result));
+}
+
+TEST_CASE("an event with an unusable entry takes the server out") {
+  const CollectionAnswer answer = DecodeChanges(
+      Collection::kServers,
+      Parse(R"({"events":[{"deleted":false,"object":)" +
+            ServerObject("i-1", "{}") + R"(},{"deleted":true,"object":)" +
+            ServerObject("i-2", kSpec) + R"(}],"store_revision":12})"));
+
+  REQUIRE(answer.m_objects.m_servers.size() == 2);
+  CHECK_FALSE(answer.m_objects.m_servers[0].m_record);
+  CHECK_FALSE(answer.m_objects.m_servers[1].m_record);
+}
+
+TEST_CASE("a page without a name to go on from is malformed") {
+  const CollectionAnswer answer =
+      DecodePage(Collection::kServers,
+                 Parse(R"({"items":[],"more":true,"store_revision":9})"));
+
+  CHECK(std::get<catalog::CallFailure>(answer.m_result) ==
+        catalog::CallFailure::kMalformed);
+}
+
+TEST_CASE("a manifest keeps its usable routes, shared ones too") {
+  std::size_t ignored = 0;
+  const auto manifest = DecodeManifest(
+      Parse(R"({"meta":{"name":"main","revision":3},"spec":{"version":7,)"
+            R"("routes":[{"name":"r-1","host":"198.18.0.1","prefix":"/8443/",)"
+            R"("route_type":"idempotent","timeout_ms":1500,)"
+            R"("weighted_backends":[{"backend":"a","weight":90},)"
+            R"({"backend":"b","weight":10},{"backend":"c","weight":0}]},)"
+            R"({"name":"r-2","host":"198.18.0.2","prefix":"/8443/",)"
+            R"("route_type":"download","timeout_ms":3000,"backend":"b"},)"
+            R"({"name":"r-3","host":"nowhere","prefix":"/1/",)"
+            R"("route_type":"download","timeout_ms":3000,"backend":"b"}],)"
+            R"("limits":{"idle_timeout_ms":15000}}})"),
+      ignored);
+
+  REQUIRE(manifest);
+  CHECK(ignored == 1);
+  REQUIRE(manifest->m_routes.size() == 2);
+  CHECK(ToString(manifest->m_routes[0].m_address) == "198.18.0.1:8443");
+  CHECK(manifest->m_routes[0].m_services.size() == 2);
+  CHECK(manifest->m_routes[1].m_kind == steering::RequestKind::kDownload);
+}
+
+}  // namespace adapter
--- /dev/null
+++ b/Tests/Platform/test_packet_codec.cc
@@ -0,0 +1,103 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <ostream>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "platform/packet_codec.h"
+
+namespace adapter {
+
+namespace {
+
+// The examples of the platform's pages.
+const std::vector<std::uint8_t> kOpening = {
+    0x41, 0x9c, 0x07, 0x00, 0x40, 0x64, 0xbb, 0x01, 0x01, 0x00, 0x12,
+    0xc6, 0xd5, 0xc3, 0xb2, 0xa1, 0x00, 0x00, 0x00, 0x00, 0x01, 0x00,
+    0x00, 0x44, 0x33, 0x22, 0x11, 0x00, 0x00, 0x00, 0x00};
+const std::vector<std::uint8_t> kReset = {
+    0xbb, 0x01, 0x01, 0x00, 0x12, 0xc6, 0x41, 0x9c, 0x07, 0x00, 0x40,
+    0x64, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x08, 0x00,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00};
+
+}  // namespace
+
+TEST_CASE("the example of an opening is read") {
+  const auto packet = DecodePacket(kOpening);
+
+  REQUIRE(packet);
+  CHECK(ToString(packet.value().m_flow.m_caller) == "100.64.0.7:40001");
+  CHECK(ToString(packet.value().m_flow.m_service) == "198.18.0.1:443");
+  CHECK(packet.value().m_is_opening);
+  CHECK(packet.value().m_sequence == 0x11223344);
+  CHECK(packet.value().m_token == steering::FlowToken(0));
+}
+
+TEST_CASE("the reset of the example's flow is written as the example") {
+  const auto packet = DecodePacket(kOpening);
+  REQUIRE(packet);
+
+  const PacketHead reset = EncodeReset(packet.value().m_flow, 0);
+
+  CHECK(std::equal(reset.begin(), reset.end(), kReset.begin(), kReset.end()));
+}
+
+TEST_CASE("writing a token changes nothing else") {
+  const PacketHead head =
+      HeadWithToken(kOpening, steering::FlowToken(0xA1B2C3D4));
+
+  for (std::size_t place = 0; place < kPacketHeadBytes; ++place) {
+    if (place < 16 || place >= 20)
+      CHECK(head[place] == kOpening[place]);
+  }
+  const auto packet = DecodePacket(head);
+  REQUIRE(packet);
+  CHECK(packet.value().m_token == steering::FlowToken(0xA1B2C3D4));
+}
+
+TEST_CASE("a server's identity precedes a packet most significant byte first") {
+  CHECK(EncodeIdentity(steering::WireIdentity(0x7f3a91c2)) ==
+        IdentityPrefix{0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2});
+}
+
+TEST_CASE("datagrams that are no packet are refused with their reason") {
+  std::vector<std::uint8_t> bytes = kOpening;
+  bytes.pop_back();
+  CHECK(DecodePacket(bytes).error() == PacketError::kTruncated);
+
+  bytes = kOpening;
+  bytes.push_back(0);
+  CHECK(DecodePacket(bytes).error() == PacketError::kWrongLength);
+
+  bytes = kOpening;
+  bytes[20] = 0x20;
+  CHECK(DecodePacket(bytes).error() == PacketError::kUnknownFlags);
+
+  bytes.assign(kPacketHeadBytes + kMaximumPayloadBytes + 1, 0);
+  CHECK(DecodePacket(bytes).error() == PacketError::kOversized);
+}
+
+TEST_CASE("a reply to an opening is no opening") {
+  std::vector<std::uint8_t> bytes = kOpening;
+  bytes[20] = 3;
+
+  const auto packet = DecodePacket(bytes);
+
+  REQUIRE(packet);
+  CHECK_FALSE(packet.value().m_is_opening);
+}
+
+TEST_CASE("random datagrams are read within their bounds or refused") {
+  base::Random random(5);
+  for (int round = 0; round < 20'000; ++round) {
+    std::vector<std::uint8_t> bytes(random.Below(80));
+    for (std::uint8_t& byte : bytes)
+      byte = static_cast<std::uint8_t>(random.Next());
+    const auto packet = DecodePacket(bytes);
+    if (packet)
+      CHECK(packet.value().m_payload_bytes + kPacketHeadBytes == bytes.size());
+  }
+}
+
+}  // namespace adapter
--- /dev/null
+++ b/Tests/Platform/test_settings_decoder.cc
@@ -0,0 +1,76 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <variant>
+
+#include "platform/settings_decoder.h"
+
+namespace adapter {
+
+namespace {
+
+const std::string kSettings = R"({
+  "node_name": "front-hall-1-1", "zone": "hall-1",
+  "listen": {"datagram_addr": "10.1.0.10:8172", "ready_addr": "10.1.0.10:8167",
+             "control": "10.1.0.10:8166"},
+  "internal_ports": [7720, 7735],
+  "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+  "heartbeat_ms": 1200, "forward_mode": "echo", "unknown": {"a": [1]},
+  "bounds": {"drain_ms": 2500, "grace_s": 6, "config_apply_ms": 3000,
+             "stable_window_ms": 4000},
+  "platform": {"address": "10.200.1.7:8169", "forward_mode": "objects"}})";
+
+std::string Replace(std::string text,
+                    const std::string& from,
+                    const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("the platform's settings become the product's") {
+  const auto reading = DecodeSettings(kSettings);
+
+  const auto* settings = std::get_if<edge::EdgeSettings>(&reading);
+  REQUIRE(settings != nullptr);
+  CHECK(settings->m_vm == "front-hall-1-1");
+  CHECK(settings->m_data_centre == base::DataCentreId("hall-1"));
+  CHECK(settings->m_caller_port == 8172);
+  CHECK(ToString(settings->m_metrics) == "10.1.0.10:7720");
+  CHECK(settings->m_seeds.size() == 2);
+  CHECK(settings->m_drain_bound == std::chrono::milliseconds(2500));
+  CHECK(settings->m_stop_grace == std::chrono::seconds(6));
+}
+
+TEST_CASE("every problem of the settings is reported with its place") {
+  std::string text = Replace(kSettings, "\"10.200.1.7:8169\"", "7");
+  text = Replace(text, "\"zone\": \"hall-1\",", "");
+  text = Replace(text, "2500", "-1");
+  text = Replace(text, "\"10.2.0.40:8166\"", "\"nowhere\"");
+
+  const auto reading = DecodeSettings(text);
+
+  const auto* problems = std::get_if<configuration::Problems>(&reading);
+  REQUIRE(problems != nullptr);
+  REQUIRE(problems->size() == 4);
+  CHECK((*problems)[0].m_path == "zone");
+  CHECK((*problems)[1].m_path == "platform.address");
+  CHECK((*problems)[2].m_path == "seeds[1]");
+  CHECK((*problems)[3].m_path == "bounds.drain_ms");
+}
+
+TEST_CASE("another way of forwarding is refused, not misunderstood") {
+  const auto reading =
+      DecodeSettings(Replace(kSettings, "\"echo\"", "\"relay\""));
+
+  CHECK(std::holds_alternative<configuration::Problems>(reading));
+}
+
+TEST_CASE("text that is no JSON object is refused") {
+  for (const char* text : {"", "{", "[]", "7", "{\"a\":}"})
+    CHECK(
+        std::holds_alternative<configuration::Problems>(DecodeSettings(text)));
+}
+
+}  // namespace adapter
