--- a/Libraries/LibCatalog/collection_follower.cc
+++ b/Libraries/LibCatalog/collection_follower.cc
@@ -16,8 +16,8 @@
 
 void CollectionFollower::SetPolicy(const FollowerPolicy& policy) {
   m_policy = policy;
-  m_back_off = platform::BackOff(policy.m_initial_back_off,
-                                 policy.m_maximum_back_off);
+  m_back_off =
+      platform::BackOff(policy.m_initial_back_off, policy.m_maximum_back_off);
 }
 
 std::optional<CollectionCall> CollectionFollower::TakeCall(
@@ -53,8 +53,7 @@
   const bool is_failing = m_failing_since.has_value();
   const base::Duration wait =
       was_watching ? m_policy.m_watch_wait : base::Duration::zero();
-  const bool is_late =
-      now - m_call_started_at > wait + m_policy.m_late_answer;
+  const bool is_late = now - m_call_started_at > wait + m_policy.m_late_answer;
   outcome.m_is_lost = !was_failing && (is_failing || is_late);
   outcome.m_is_regained = !is_failing && (was_failing || is_late);
   return outcome;
--- a/Libraries/LibEdge/belief.cc
+++ b/Libraries/LibEdge/belief.cc
@@ -63,9 +63,8 @@
     if (m_steering.directory().Remove(name, now) ==
         steering::DirectoryChange::kNone)
       continue;
-    changes.push_back(
-        {m_steering.directory().FindByName(name)->m_record,
-         steering::DirectoryChange::kGone});
+    changes.push_back({m_steering.directory().FindByName(name)->m_record,
+                       steering::DirectoryChange::kGone});
   }
 }
 
--- a/Libraries/LibEdge/store_pacing.cc
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -14,7 +14,8 @@
 // One call that is lost and found out (1 s), one that succeeds and the longest
 // back-off between them.
 constexpr base::Duration kCallsAndRetry = milliseconds(2000);
-// The rest is left for the balancer's own delays: a slow processor, a full link.
+// The rest is left for the balancer's own delays: a slow processor, a full
+// link.
 constexpr double kUsableShare = 0.9;
 constexpr base::Duration kMinimumPause = milliseconds(200);
 // Servers lapse after three heartbeats without one.
@@ -33,10 +34,9 @@
   catalog::FollowerPolicy policy;
   policy.m_pause =
       std::max(Scale(bound, kUsableShare) - kCallsAndRetry, kMinimumPause);
-  policy.m_watch_wait =
-      std::min(settings.m_settling_time,
-               Scale(settings.m_server_heartbeat,
-                     kHeartbeatsToLapse * kWatchShareOfLapse));
+  policy.m_watch_wait = std::min(
+      settings.m_settling_time, Scale(settings.m_server_heartbeat,
+                                      kHeartbeatsToLapse * kWatchShareOfLapse));
   return policy;
 }
 
--- a/Libraries/LibEventLoop/text_server.cc
+++ b/Libraries/LibEventLoop/text_server.cc
@@ -57,13 +57,12 @@
       const restinio::request_handle_t& request) const {
     const bool is_get =
         request->header().method() == restinio::http_method_get();
-    TextAnswer answer =
-        is_get ? m_handler(std::string(request->header().path()))
-               : TextAnswer{405, "only GET is served\n"};
+    TextAnswer answer = is_get
+                            ? m_handler(std::string(request->header().path()))
+                            : TextAnswer{405, "only GET is served\n"};
     request
-        ->create_response(
-            {restinio::http_status_code_t(answer.m_status),
-             answer.m_status == 200 ? "OK" : "Not Served"})
+        ->create_response({restinio::http_status_code_t(answer.m_status),
+                           answer.m_status == 200 ? "OK" : "Not Served"})
         .append_header(restinio::http_field::content_type,
                        std::string(answer.m_content_type))
         .set_body(std::move(answer.m_body))
--- a/Libraries/LibEventLoop/text_server.h
+++ b/Libraries/LibEventLoop/text_server.h
@@ -33,10 +33,8 @@
 
   // Listens on `endpoint`; port 0 lets the system choose. Errors are those of
   // the system.
-  static base::Outcome<std::unique_ptr<TextServer>> Create(
-      asio::io_context& context,
-      base::Endpoint endpoint,
-      Handler handler);
+  static base::Outcome<std::unique_ptr<TextServer>>
+  Create(asio::io_context& context, base::Endpoint endpoint, Handler handler);
   // Closes all connections.
   ~TextServer();
   TextServer(const TextServer&) = delete;
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -57,9 +57,9 @@
   const bool is_repeat = packet.m_payload_bytes > 0 && !is_new_data;
   const bool has_progress =
       packet.m_has_acknowledgement &&
-      (!was_established || (record->m_acknowledged &&
-                            IsAfter(packet.m_acknowledgement,
-                                    *record->m_acknowledged)));
+      (!was_established ||
+       (record->m_acknowledged &&
+        IsAfter(packet.m_acknowledgement, *record->m_acknowledged)));
   if (packet.m_has_acknowledgement &&
       (!record->m_acknowledged ||
        IsAfter(packet.m_acknowledgement, *record->m_acknowledged)))
--- a/Services/Coltsfootdale/balancer_process.h
+++ b/Services/Coltsfootdale/balancer_process.h
@@ -16,6 +16,7 @@
 #include "LibBase/outcome.h"
 #include "LibBase/random.h"
 #include "LibConfiguration/settings.h"
+#include "LibEventLoop/timer_driver.h"
 #include "LibFlow/balancer_set.h"
 #include "LibFlow/silence_detector.h"
 #include "LibMembership/membership.h"
@@ -35,7 +36,6 @@
 #include "peer_link.h"
 #include "peer_server.h"
 #include "remote_balancers.h"
-#include "LibEventLoop/timer_driver.h"
 #include "traffic_loop.h"
 
 namespace platform {
--- a/Services/Coltsfootdale/traffic_loop.h
+++ b/Services/Coltsfootdale/traffic_loop.h
@@ -20,8 +20,8 @@
 #include "LibBase/ids.h"
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
-#include "LibFlow/silence_detector.h"
 #include "LibEventLoop/datagram_batch.h"
+#include "LibFlow/silence_detector.h"
 #include "traffic_counters.h"
 
 namespace wire {
--- a/Services/Edge/check_settings.cc
+++ b/Services/Edge/check_settings.cc
@@ -29,9 +29,10 @@
 configuration::Reading<EdgeSettings> LoadSettings(const std::string& path) {
   const auto text = ReadSettingsFile(path);
   if (!text)
-    return configuration::Problems{
-        {configuration::ProblemKind::kSyntax, "",
-         "cannot be read: " + text.error().message(), {}}};
+    return configuration::Problems{{configuration::ProblemKind::kSyntax,
+                                    "",
+                                    "cannot be read: " + text.error().message(),
+                                    {}}};
   return adapter::DecodeSettings(text.value());
 }
 
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -29,10 +29,10 @@
 
 EdgeMetrics::EdgeMetrics() {
   for (const auto& [reason, name] : steering::kReasonNames)
-    m_packets[IndexOf(reason)] = &m_registry.CounterOf(
-        "coltsfootdale_packets_total",
-        "Packets of callers by what decided about them",
-        {{"reason", std::string(name)}});
+    m_packets[IndexOf(reason)] =
+        &m_registry.CounterOf("coltsfootdale_packets_total",
+                              "Packets of callers by what decided about them",
+                              {{"reason", std::string(name)}});
   for (const auto& [kind, name] : steering::kRequestKindNames) {
     const observability::Labels labels = {{"kind", std::string(name)}};
     m_repeats[IndexOf(kind)] = &m_registry.CounterOf(
--- a/Services/Edge/peer_reader.cc
+++ b/Services/Edge/peer_reader.cc
@@ -32,17 +32,16 @@
   request.m_timeout = kAnswerTimeout;
   request.m_connect_timeout = kAnswerTimeout;
   request.m_answer_limit_bytes = catalog::kMaximumSnapshotBytes;
-  m_client.Send(request,
-                [this, peer](const base::Outcome<http::Response>& answer) {
-                  if (!answer)
-                    m_callback(peer, answer.error());
-                  else if (answer.value().m_status != kOk)
-                    m_callback(peer, std::make_error_code(
-                                         std::errc::resource_unavailable_try_again));
-                  else
-                    m_callback(peer,
-                               catalog::DecodeSnapshot(answer.value().m_body));
-                });
+  m_client.Send(
+      request, [this, peer](const base::Outcome<http::Response>& answer) {
+        if (!answer)
+          m_callback(peer, answer.error());
+        else if (answer.value().m_status != kOk)
+          m_callback(peer, std::make_error_code(
+                               std::errc::resource_unavailable_try_again));
+        else
+          m_callback(peer, catalog::DecodeSnapshot(answer.value().m_body));
+      });
 }
 
 }  // namespace edge
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -13,10 +13,9 @@
   pages.m_servers.insert(pages.m_servers.end(),
                          std::make_move_iterator(objects.m_servers.begin()),
                          std::make_move_iterator(objects.m_servers.end()));
-  pages.m_manifests.insert(
-      pages.m_manifests.end(),
-      std::make_move_iterator(objects.m_manifests.begin()),
-      std::make_move_iterator(objects.m_manifests.end()));
+  pages.m_manifests.insert(pages.m_manifests.end(),
+                           std::make_move_iterator(objects.m_manifests.begin()),
+                           std::make_move_iterator(objects.m_manifests.end()));
   pages.m_ignored += objects.m_ignored;
 }
 
--- /dev/null
+++ b/Tests/Soak/edge_fleet.cc
@@ -0,0 +1,183 @@
+#include "edge_fleet.h"
+
+#include <signal.h>
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <stdexcept>
+
+#include "judge.h"
+
+namespace soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The routers' rule: asked twice a second, out after two misses.
+constexpr base::Duration kPollPeriod = milliseconds(500);
+constexpr base::Duration kPollTimeout = milliseconds(400);
+constexpr int kMissesToLeave = 2;
+constexpr base::Duration kWatchPeriod = milliseconds(20);
+constexpr int kUsualDrainMs = 3000;
+
+}  // namespace
+
+EdgeFleet::EdgeFleet(stand_ins::EventLoop* loop,
+                     Judge* judge,
+                     Network network,
+                     std::uint32_t edges,
+                     std::string directory)
+    : m_loop(loop),
+      m_judge(judge),
+      m_network(network),
+      m_network_size(edges),
+      m_directory(std::move(directory)),
+      m_client(loop->Context()) {
+  for (std::uint32_t index = 0; index < edges; ++index) {
+    auto edge = std::make_unique<Edge>();
+    edge->m_index = index;
+    edge->m_plan = std::make_unique<stand_ins::FaultPlan>(
+        stand_ins::ProxyProtocol::kTcp, index);
+    edge->m_store_path = std::make_unique<stand_ins::TcpProxy>(
+        loop, edge->m_plan.get(), m_network.Store());
+    stand_ins::TcpProxy* proxy = edge->m_store_path.get();
+    edge->m_plan->AddCommands(&edge->m_rules, [proxy] { proxy->ObeyRules(); });
+    if (!proxy->Open(m_network.StoreFor(index)))
+      throw std::runtime_error("cannot open a proxy to the store");
+    ChangeSettings(index, kUsualDrainMs);
+    Start(*edge);
+    m_edges.push_back(std::move(edge));
+  }
+  const base::TimePoint now = stand_ins::EventLoop::Now();
+  loop->Timers().SubscribeEvery(now, kPollPeriod,
+                                [this](base::TimePoint) { Poll(); });
+  loop->Timers().SubscribeEvery(now, kWatchPeriod,
+                                [this](base::TimePoint) { Watch(); });
+}
+
+std::optional<base::Endpoint> EdgeFleet::Route(
+    const flow::FlowKey& flow) const {
+  std::vector<std::uint32_t> in_rotation;
+  for (const auto& edge : m_edges) {
+    if (edge->m_missed_polls < kMissesToLeave)
+      in_rotation.push_back(edge->m_index);
+  }
+  if (in_rotation.empty())
+    return std::nullopt;
+  const std::uint32_t chosen =
+      in_rotation[flow::HashFlow(flow) % in_rotation.size()];
+  return base::Endpoint{m_network.Edge(chosen), kPacketPort};
+}
+
+bool EdgeFleet::AreAllReady() const {
+  for (const auto& edge : m_edges) {
+    if (edge->m_missed_polls > 0)
+      return false;
+  }
+  return true;
+}
+
+void EdgeFleet::Signal(std::uint32_t index,
+                       int signal,
+                       base::Duration restart_after) {
+  Edge& edge = *m_edges[index];
+  if (edge.m_is_end_expected)
+    return;
+  edge.m_program->Signal(signal);
+  if (signal != SIGKILL && signal != SIGTERM)
+    return;
+  edge.m_is_end_expected = true;
+  m_loop->Timers().SubscribeOnce(
+      stand_ins::EventLoop::Now() + restart_after,
+      [this, index](base::TimePoint) { Start(*m_edges[index]); });
+}
+
+void EdgeFleet::Pause(std::uint32_t index, base::Duration length) {
+  const Edge& edge = *m_edges[index];
+  edge.m_program->Signal(SIGSTOP);
+  m_loop->Timers().SubscribeOnce(stand_ins::EventLoop::Now() + length,
+                                 [this, index](base::TimePoint) {
+                                   m_edges[index]->m_program->Signal(SIGCONT);
+                                 });
+}
+
+void EdgeFleet::HarmStorePath(std::uint32_t index,
+                              const std::string& rule,
+                              base::Duration length) {
+  m_edges[index]->m_rules.Answer(rule);
+  m_loop->Timers().SubscribeOnce(stand_ins::EventLoop::Now() + length,
+                                 [this, index](base::TimePoint) {
+                                   m_edges[index]->m_rules.Answer("heal");
+                                 });
+}
+
+void EdgeFleet::ChangeSettings(std::uint32_t index, int drain_ms) {
+  const std::string ip = ToString(m_network.Edge(index));
+  const auto at = [&ip](std::uint16_t port) {
+    return "\"" + ip + ":" + std::to_string(port) + "\"";
+  };
+  std::string seeds;
+  for (std::uint32_t other = 0; other < m_network_size && other < 3; ++other)
+    seeds += std::string(other == 0 ? "" : ",") + "\"" +
+             ToString(base::Endpoint{m_network.Edge(other), kControlPort}) +
+             "\"";
+  const std::string path = SettingsPath(index);
+  // A reader never sees half a file.
+  std::ofstream(path + ".new")
+      << R"({"node_name":"edge-)" << index << R"(","zone":"hall-)" << index % 2
+      << R"(","listen":{"datagram_addr":)" << at(kPacketPort)
+      << R"(,"ready_addr":)" << at(kReadinessPort) << R"(,"control":)"
+      << at(kControlPort) << R"(},"internal_ports":[)" << kMetricsPort
+      << R"(,17735],"seeds":[)" << seeds
+      << R"(],"heartbeat_ms":1200,"forward_mode":"echo","bounds":{"drain_ms":)"
+      << drain_ms
+      << R"(,"config_apply_ms":3000,"stable_window_ms":4000,"grace_s":6},)"
+      << R"("platform":{"address":")" << ToString(m_network.StoreFor(index))
+      << R"(","forward_mode":"objects"}})";
+  std::rename((path + ".new").c_str(), path.c_str());
+}
+
+std::string EdgeFleet::SettingsPath(std::uint32_t edge) const {
+  return m_directory + "/edge-" + std::to_string(edge) + ".json";
+}
+
+// Ends what is left of the former process, whose grace is over.
+void EdgeFleet::Start(Edge& edge) {
+  const std::string log =
+      m_directory + "/edge-" + std::to_string(edge.m_index) + ".log";
+  edge.m_program.reset();
+  edge.m_program = std::make_unique<EdgeProgram>(
+      std::vector<std::string>{"run", "--settings", SettingsPath(edge.m_index)},
+      log);
+  edge.m_is_end_expected = false;
+}
+
+// A process that nobody ended must not end.
+void EdgeFleet::Watch() {
+  for (const auto& edge : m_edges) {
+    const auto status = edge->m_program->EndStatus();
+    if (edge->m_is_end_expected || !status)
+      continue;
+    m_judge->OnExit("edge-" + std::to_string(edge->m_index) +
+                    " ended by itself with status " + std::to_string(*status));
+    Start(*edge);
+  }
+}
+
+void EdgeFleet::Poll() {
+  for (const auto& edge : m_edges) {
+    http::Request request;
+    request.m_endpoint = {m_network.Edge(edge->m_index), kReadinessPort};
+    request.m_path = "/-/ready";
+    request.m_timeout = kPollTimeout;
+    m_client.Send(
+        request, [&edge = *edge](const base::Outcome<http::Response>& answer) {
+          const bool is_ready = answer && answer.value().m_status == 200;
+          edge.m_missed_polls = is_ready ? 0 : edge.m_missed_polls + 1;
+        });
+  }
+}
+
+}  // namespace soak
--- /dev/null
+++ b/Tests/Soak/edge_program.cc
@@ -0,0 +1,61 @@
+#include "edge_program.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <system_error>
+
+extern char** environ;  // NOLINT(readability-identifier-naming)
+
+namespace soak {
+
+EdgeProgram::EdgeProgram(const std::vector<std::string>& arguments,
+                         const std::string& log) {
+  std::vector<std::string> words = {EDGE_PROGRAM};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<char*> pointers;
+  for (std::string& word : words)
+    pointers.push_back(word.data());
+  pointers.push_back(nullptr);
+
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int error = posix_spawn(&m_id, EDGE_PROGRAM, &actions, nullptr,
+                                pointers.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0)
+    throw std::system_error(error, std::generic_category(), EDGE_PROGRAM);
+}
+
+EdgeProgram::~EdgeProgram() {
+  End();
+}
+
+std::optional<int> EdgeProgram::EndStatus() {
+  int status = 0;
+  if (!m_end_status && waitpid(m_id, &status, WNOHANG) == m_id)
+    m_end_status = status;
+  return m_end_status;
+}
+
+void EdgeProgram::Signal(int signal) {
+  if (!EndStatus())
+    ::kill(m_id, signal);
+}
+
+void EdgeProgram::End() {
+  if (EndStatus())
+    return;
+  ::kill(m_id, SIGKILL);
+  int status = 0;
+  if (waitpid(m_id, &status, 0) == m_id)
+    m_end_status = status;
+}
+
+}  // namespace soak
--- /dev/null
+++ b/Tests/Soak/edge_program.h
@@ -0,0 +1,43 @@
+// One run of the edge balancer's program, as a child process.
+
+#ifndef TESTS_SOAK_EDGE_PROGRAM_H_
+#define TESTS_SOAK_EDGE_PROGRAM_H_
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace soak {
+
+class EdgeProgram {
+ public:
+  // Starts the program; what it prints is appended to the file `log`. Throws
+  // if it cannot be started.
+  EdgeProgram(const std::vector<std::string>& arguments,
+              const std::string& log);
+  // Kills the process if it still runs.
+  ~EdgeProgram();
+  EdgeProgram(const EdgeProgram&) = delete;
+  EdgeProgram& operator=(const EdgeProgram&) = delete;
+
+  // Queries.
+  pid_t Id() const { return m_id; }
+
+  // Commands.
+  // The status of waitpid(2), once the process has ended.
+  std::optional<int> EndStatus();
+  // Nothing happens to a process that has ended.
+  void Signal(int signal);
+  // Kills the process and waits for its end.
+  void End();
+
+ private:
+  pid_t m_id = -1;
+  std::optional<int> m_end_status;
+};
+
+}  // namespace soak
+
+#endif  // TESTS_SOAK_EDGE_PROGRAM_H_
--- /dev/null
+++ b/Tests/Soak/edge_store.cc
@@ -0,0 +1,215 @@
+#include "edge_store.h"
+
+#include <charconv>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <restinio/all.hpp>
+#include <string_view>
+
+#include "LibBase/time.h"
+#include "StandIns/event_loop.h"
+
+namespace soak {
+
+namespace {
+
+using HttpServer =
+    restinio::http_server_t<restinio::default_single_thread_traits_t>;
+using Handle = restinio::request_handle_t;
+
+constexpr std::string_view kObjectsPath = "/-/objects/";
+// Small, so that lists have several pages.
+constexpr std::size_t kPageObjects = 5;
+constexpr std::chrono::seconds kLongestWait{40};
+
+struct Object {
+  std::uint64_t m_revision = 0;
+  std::string m_spec;
+};
+
+struct Event {
+  std::uint64_t m_revision = 0;
+  std::string m_kind;
+  std::string m_json;
+};
+
+struct Watch {
+  Handle m_handle;
+  std::string m_kind;
+  std::uint64_t m_since = 0;
+  base::TimePoint m_deadline;
+};
+
+std::string ToJson(const std::string& name, const Object& object) {
+  return R"({"meta":{"name":")" + name + R"(","revision":)" +
+         std::to_string(object.m_revision) +
+         R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" +
+         object.m_spec + R"(,"status":null})";
+}
+
+std::uint64_t ToNumber(std::string_view text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+void Respond(const Handle& handle, std::uint16_t status, std::string body) {
+  handle->create_response({restinio::http_status_code_t(status), "Status"})
+      .append_header(restinio::http_field::content_type, "application/json")
+      .set_body(std::move(body))
+      .done();
+}
+
+}  // namespace
+
+struct EdgeStore::Implementation {
+  Implementation(stand_ins::EventLoop* loop, base::Endpoint endpoint)
+      : m_loop(loop),
+        m_server(restinio::external_io_context(loop->Context()),
+                 [&](auto& settings) {
+                   settings.address(ToString(endpoint.m_address))
+                       .port(endpoint.m_port)
+                       .handle_request_timeout(kLongestWait)
+                       .read_next_http_message_timelimit(kLongestWait)
+                       .request_handler([this](const Handle& handle) {
+                         Answer(handle);
+                         return restinio::request_accepted();
+                       });
+                 }) {
+    m_server.open_sync();
+  }
+  ~Implementation() { m_server.close_sync(); }
+  Implementation(const Implementation&) = delete;
+  Implementation& operator=(const Implementation&) = delete;
+
+  void Answer(const Handle& handle) {
+    const std::string path(handle->header().path());
+    if (m_fault == StoreFault::kSilent || !path.starts_with(kObjectsPath)) {
+      m_silenced.push_back(handle);
+      return;
+    }
+    if (m_fault != StoreFault::kNone) {
+      Respond(handle, m_fault == StoreFault::kBusy ? 503 : 429, "{}");
+      return;
+    }
+    const std::string kind = path.substr(kObjectsPath.size());
+    const auto query = restinio::parse_query(handle->header().query());
+    if (query.has("watch")) {
+      const auto wait = std::chrono::milliseconds(ToNumber(
+          std::string_view(query["wait_ms"].data(), query["wait_ms"].size())));
+      m_watches.push_back({handle, kind,
+                           ToNumber(std::string_view(query["watch"].data(),
+                                                     query["watch"].size())),
+                           stand_ins::EventLoop::Now() + wait});
+      PollWatches();
+      return;
+    }
+    List(handle, kind,
+         query.has("after") ? std::string(query["after"]) : std::string());
+  }
+
+  void List(const Handle& handle,
+            const std::string& kind,
+            const std::string& after) {
+    std::string items;
+    std::size_t count = 0;
+    const auto& objects = m_objects[kind];
+    auto object = objects.upper_bound(after);
+    for (; object != objects.end() && count < kPageObjects; ++object, ++count)
+      items += (count == 0 ? "" : ",") + ToJson(object->first, object->second);
+    Respond(handle, 200,
+            R"({"items":[)" + items + R"(],"more":)" +
+                (object == objects.end() ? "false" : "true") +
+                R"(,"store_revision":)" + std::to_string(m_revision) + "}");
+  }
+
+  void PollWatches() {
+    if (m_fault != StoreFault::kNone)
+      return;
+    const base::TimePoint now = stand_ins::EventLoop::Now();
+    std::erase_if(m_watches, [&](const Watch& watch) {
+      if (watch.m_since < m_history_begins) {
+        Respond(watch.m_handle, 410, "{}");
+        return true;
+      }
+      std::string events;
+      for (const Event& event : m_events) {
+        if (event.m_kind == watch.m_kind && event.m_revision > watch.m_since)
+          events += (events.empty() ? "" : ",") + event.m_json;
+      }
+      if (events.empty() && now < watch.m_deadline)
+        return false;
+      Respond(watch.m_handle, 200,
+              R"({"events":[)" + events + R"(],"store_revision":)" +
+                  std::to_string(m_revision) + "}");
+      return true;
+    });
+  }
+
+  void AddEvent(const std::string& kind,
+                const std::string& object,
+                bool is_deleted) {
+    m_events.push_back({m_revision, kind,
+                        std::string(R"({"deleted":)") +
+                            (is_deleted ? "true" : "false") + R"(,"object":)" +
+                            object + "}"});
+    PollWatches();
+  }
+
+  stand_ins::EventLoop* m_loop;
+  std::uint64_t m_revision = 1;
+  std::uint64_t m_history_begins = 0;
+  std::map<std::string, std::map<std::string, Object>> m_objects;
+  std::deque<Event> m_events;
+  std::list<Watch> m_watches;
+  // Calls that never get an answer.
+  std::list<Handle> m_silenced;
+  StoreFault m_fault = StoreFault::kNone;
+  HttpServer m_server;
+};
+
+EdgeStore::EdgeStore(stand_ins::EventLoop* loop, base::Endpoint endpoint)
+    : m_implementation(std::make_unique<Implementation>(loop, endpoint)) {
+  constexpr auto kPollPeriod = std::chrono::milliseconds(20);
+  loop->Timers().SubscribeEvery(
+      stand_ins::EventLoop::Now(), kPollPeriod,
+      [this](base::TimePoint) { m_implementation->PollWatches(); });
+}
+
+EdgeStore::~EdgeStore() = default;
+
+void EdgeStore::Put(const std::string& kind,
+                    const std::string& name,
+                    const std::string& spec) {
+  Object& object = m_implementation->m_objects[kind][name];
+  if (object.m_spec == spec)
+    return;
+  object = {++m_implementation->m_revision, spec};
+  m_implementation->AddEvent(kind, ToJson(name, object), false);
+}
+
+void EdgeStore::Remove(const std::string& kind, const std::string& name) {
+  auto& objects = m_implementation->m_objects[kind];
+  const auto found = objects.find(name);
+  if (found == objects.end())
+    return;
+  found->second.m_revision = ++m_implementation->m_revision;
+  const std::string json = ToJson(name, found->second);
+  objects.erase(found);
+  m_implementation->AddEvent(kind, json, true);
+}
+
+void EdgeStore::SetFault(StoreFault fault) {
+  m_implementation->m_fault = fault;
+  m_implementation->PollWatches();
+}
+
+void EdgeStore::Compact() {
+  m_implementation->m_events.clear();
+  m_implementation->m_history_begins = ++m_implementation->m_revision;
+  m_implementation->PollWatches();
+}
+
+}  // namespace soak
--- /dev/null
+++ b/Tests/Soak/edge_store.h
@@ -0,0 +1,47 @@
+// A stand-in of the platform's store: objects by kind, revisions, pages and
+// watches over HTTP, and its faults.
+
+#ifndef TESTS_SOAK_EDGE_STORE_H_
+#define TESTS_SOAK_EDGE_STORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "LibBase/ipv4.h"
+
+namespace stand_ins {
+class EventLoop;
+}  // namespace stand_ins
+
+namespace soak {
+
+enum class StoreFault { kNone, kSilent, kBusy, kOverRate };
+
+class EdgeStore {
+ public:
+  // Throws if it cannot listen on `endpoint`.
+  EdgeStore(stand_ins::EventLoop* loop, base::Endpoint endpoint);
+  ~EdgeStore();
+  EdgeStore(const EdgeStore&) = delete;
+  EdgeStore& operator=(const EdgeStore&) = delete;
+
+  // Commands.
+  // Writes an object; `spec` is JSON. No change if it is as it was.
+  void Put(const std::string& kind,
+           const std::string& name,
+           const std::string& spec);
+  void Remove(const std::string& kind, const std::string& name);
+  void SetFault(StoreFault fault);
+  // Watches from before now get 410.
+  void Compact();
+
+ private:
+  struct Implementation;
+
+  std::unique_ptr<Implementation> m_implementation;
+};
+
+}  // namespace soak
+
+#endif  // TESTS_SOAK_EDGE_STORE_H_
--- /dev/null
+++ b/Tests/Soak/fault_schedule.h
@@ -0,0 +1,87 @@
+// The faults of one seed: which, when and where.
+
+#ifndef TESTS_SOAK_FAULT_SCHEDULE_H_
+#define TESTS_SOAK_FAULT_SCHEDULE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "LibBase/enum_table.h"
+#include "LibBase/time.h"
+
+namespace soak {
+
+class SoakWorld;
+
+enum class FaultKind {
+  kKillEdge,
+  kStopEdge,
+  kPauseEdge,
+  kKillAllEdges,
+  kStoreSilent,
+  kStoreBusy,
+  kStoreOverRate,
+  kStoreLapse,
+  kStoreCompact,
+  kCutStorePath,
+  kCutStoreAnswers,
+  kFreezeStorePath,
+  kResetStorePath,
+  kDrainServer,
+  kCrashServer,
+  kRestartServer,
+  kAddRoute,
+  kDropRoute,
+  kHangUp,
+  kChangeSettings,
+  kForeignEntry,
+  kGarbage,
+};
+
+inline constexpr base::EnumTable<FaultKind, 22> kFaultKindNames{{
+    {FaultKind::kKillEdge, "kill_edge"},
+    {FaultKind::kStopEdge, "stop_edge"},
+    {FaultKind::kPauseEdge, "pause_edge"},
+    {FaultKind::kKillAllEdges, "kill_all_edges"},
+    {FaultKind::kStoreSilent, "store_silent"},
+    {FaultKind::kStoreBusy, "store_busy"},
+    {FaultKind::kStoreOverRate, "store_over_rate"},
+    {FaultKind::kStoreLapse, "store_lapse"},
+    {FaultKind::kStoreCompact, "store_compact"},
+    {FaultKind::kCutStorePath, "cut_store_path"},
+    {FaultKind::kCutStoreAnswers, "cut_store_answers"},
+    {FaultKind::kFreezeStorePath, "freeze_store_path"},
+    {FaultKind::kResetStorePath, "reset_store_path"},
+    {FaultKind::kDrainServer, "drain_server"},
+    {FaultKind::kCrashServer, "crash_server"},
+    {FaultKind::kRestartServer, "restart_server"},
+    {FaultKind::kAddRoute, "add_route"},
+    {FaultKind::kDropRoute, "drop_route"},
+    {FaultKind::kHangUp, "hang_up"},
+    {FaultKind::kChangeSettings, "change_settings"},
+    {FaultKind::kForeignEntry, "foreign_entry"},
+    {FaultKind::kGarbage, "garbage"},
+}};
+
+struct Fault {
+  FaultKind m_kind = FaultKind::kGarbage;
+  base::Duration m_at{};
+  base::Duration m_length{};
+  // The balancer or the server.
+  std::uint32_t m_place = 0;
+};
+
+// Several faults, which may overlap, within `length`.
+std::vector<Fault> DrawFaults(std::uint64_t seed,
+                              base::Duration length,
+                              std::uint32_t edges,
+                              std::uint32_t servers);
+
+std::string ToString(const Fault& fault);
+
+void Inject(const Fault& fault, SoakWorld& world);
+
+}  // namespace soak
+
+#endif  // TESTS_SOAK_FAULT_SCHEDULE_H_
--- /dev/null
+++ b/Tests/Soak/judge.cc
@@ -0,0 +1,151 @@
+#include "judge.h"
+
+#include <algorithm>
+
+namespace soak {
+
+namespace {
+
+// Packets of a flow that may stray: one burst that was on its way.
+constexpr int kStraysAllowed = 2;
+constexpr std::size_t kMaximumViolations = 50;
+
+void Extend(std::map<std::string, base::TimePoint>& until,
+            const std::string& name,
+            base::TimePoint end) {
+  base::TimePoint& entry = until[name];
+  entry = std::max(entry, end);
+}
+
+}  // namespace
+
+std::pair<std::uint64_t, std::uint64_t> Judge::ServedSince(
+    base::TimePoint since) const {
+  std::pair<std::uint64_t, std::uint64_t> counts{0, 0};
+  for (const auto& [sent_at, is_served] : m_answers) {
+    if (sent_at < since)
+      continue;
+    counts.first += is_served ? 1 : 0;
+    ++counts.second;
+  }
+  return counts;
+}
+
+void Judge::DisturbStore(base::TimePoint now, base::Duration length) {
+  m_store_disturbed_until = std::max(m_store_disturbed_until, now + length);
+}
+
+void Judge::DisturbEdge(base::Ipv4Address edge,
+                        base::TimePoint now,
+                        base::Duration length) {
+  Extend(m_edges_disturbed_until, ToString(edge), now + length);
+}
+
+void Judge::DisturbServer(const std::string& server,
+                          base::TimePoint now,
+                          base::Duration length) {
+  Extend(m_servers_disturbed_until, server, now + length);
+}
+
+void Judge::OnDrainAcknowledged(const std::string& server,
+                                base::TimePoint now) {
+  if (now >= m_store_disturbed_until + kSettlingTime)
+    m_draining.emplace(server, now);
+}
+
+void Judge::OnRouteAdded(base::Endpoint address,
+                         const std::string& service,
+                         base::TimePoint now) {
+  RouteLife& route = m_routes[address];
+  route.m_services.insert(service);
+  route.m_added_at = now;
+  route.m_dropped_at.reset();
+}
+
+void Judge::OnRouteDropped(base::Endpoint address, base::TimePoint now) {
+  m_routes[address].m_dropped_at = now;
+}
+
+void Judge::OnForged(const std::string& place) {
+  Report("UNASKED", "a packet was changed on its way to " + place);
+}
+
+void Judge::OnOpeningTaken(const std::string& server,
+                           const std::string& service,
+                           base::Ipv4Address edge,
+                           const flow::FlowKey& flow,
+                           base::TimePoint now) {
+  const auto route = m_routes.find(flow.m_service);
+  const std::string what = ToString(flow.m_caller) + " to " +
+                           ToString(flow.m_service) + " at " + server + " by " +
+                           ToString(edge);
+  if (route == m_routes.end() || !route->second.m_services.contains(service)) {
+    Report("ROUTE", what);
+    return;
+  }
+  if (!IsInTouch(edge, now))
+    return;
+  if (route->second.m_dropped_at &&
+      now > *route->second.m_dropped_at + kChangeBound)
+    Report("CONFIG", "a dropped route was used: " + what);
+  const auto draining = m_draining.find(server);
+  if (draining != m_draining.end() && now > draining->second + kChangeBound)
+    Report("DRAIN", what);
+}
+
+void Judge::OnFlowOpened(const std::string& server, const flow::FlowKey& flow) {
+  m_open[flow] = {server};
+}
+
+void Judge::OnStray(const std::string& server, const flow::FlowKey& flow) {
+  const auto open = m_open.find(flow);
+  if (open == m_open.end() || open->second.m_server == server)
+    return;
+  if (++open->second.m_strays > kStraysAllowed)
+    Report("FLOW", "packets of " + ToString(flow.m_caller) + " reach " +
+                       server + " in place of " + open->second.m_server);
+}
+
+void Judge::OnRun(const std::string& request) {
+  if (!m_run.insert(request).second)
+    Report("TWICE", "request " + request + " ran twice");
+}
+
+void Judge::OnReset(const flow::FlowKey& flow,
+                    base::Ipv4Address edge,
+                    bool is_open,
+                    base::TimePoint now) {
+  const auto route = m_routes.find(flow.m_service);
+  const bool has_route = route != m_routes.end() && !route->second.m_dropped_at;
+  if (!IsInTouch(edge, now) || !has_route)
+    return;
+  const auto open = m_open.find(flow);
+  if (is_open && open != m_open.end() &&
+      IsSettled(m_servers_disturbed_until, open->second.m_server, now))
+    Report("FLOW", ToString(flow.m_caller) + " was reset by " + ToString(edge) +
+                       " while " + open->second.m_server + " lives");
+}
+
+void Judge::OnAnswer(bool is_served, base::TimePoint sent_at) {
+  ++(is_served ? m_served : m_failed);
+  m_answers.emplace_back(sent_at, is_served);
+}
+
+bool Judge::IsInTouch(base::Ipv4Address edge, base::TimePoint now) const {
+  return now >= m_store_disturbed_until + kSettlingTime &&
+         IsSettled(m_edges_disturbed_until, ToString(edge), now);
+}
+
+bool Judge::IsSettled(const std::map<std::string, base::TimePoint>& until,
+                      const std::string& name,
+                      base::TimePoint now) {
+  const auto entry = until.find(name);
+  return entry == until.end() || now >= entry->second + kSettlingTime;
+}
+
+void Judge::Report(const std::string& rule, const std::string& what) {
+  if (m_violations.size() < kMaximumViolations)
+    m_violations.push_back(rule + ": " + what);
+}
+
+}  // namespace soak
--- /dev/null
+++ b/Tests/Soak/judge.h
@@ -0,0 +1,100 @@
+// Checks what must always hold, from what callers and backend servers see.
+
+#ifndef TESTS_SOAK_JUDGE_H_
+#define TESTS_SOAK_JUDGE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/time.h"
+#include "LibFlow/flow_key.h"
+
+namespace soak {
+
+// The bounds that the settings of the balancers state.
+inline constexpr base::Duration kChangeBound = std::chrono::seconds(3);
+inline constexpr base::Duration kSettlingTime = std::chrono::seconds(4);
+
+class Judge {
+ public:
+  // Queries.
+  const std::vector<std::string>& Violations() const { return m_violations; }
+  std::uint64_t Served() const { return m_served; }
+  std::uint64_t Failed() const { return m_failed; }
+  // Of the requests sent after `since`: served, and all.
+  std::pair<std::uint64_t, std::uint64_t> ServedSince(
+      base::TimePoint since) const;
+
+  // Commands. What is disturbed is under no bound until it has settled.
+  void DisturbStore(base::TimePoint now, base::Duration length);
+  void DisturbEdge(base::Ipv4Address edge,
+                   base::TimePoint now,
+                   base::Duration length);
+  void DisturbServer(const std::string& server,
+                     base::TimePoint now,
+                     base::Duration length);
+  void OnDrainAcknowledged(const std::string& server, base::TimePoint now);
+  void OnRouteAdded(base::Endpoint address,
+                    const std::string& service,
+                    base::TimePoint now);
+  void OnRouteDropped(base::Endpoint address, base::TimePoint now);
+
+  void OnForged(const std::string& place);
+  void OnOpeningTaken(const std::string& server,
+                      const std::string& service,
+                      base::Ipv4Address edge,
+                      const flow::FlowKey& flow,
+                      base::TimePoint now);
+  void OnFlowOpened(const std::string& server, const flow::FlowKey& flow);
+  void OnFlowEnded(const flow::FlowKey& flow) { m_open.erase(flow); }
+  // A packet of a flow reached a server that does not hold it.
+  void OnStray(const std::string& server, const flow::FlowKey& flow);
+  void OnRun(const std::string& request);
+  // A balancer's reset reached the caller.
+  void OnReset(const flow::FlowKey& flow,
+               base::Ipv4Address edge,
+               bool is_open,
+               base::TimePoint now);
+  void OnAnswer(bool is_served, base::TimePoint sent_at);
+  void OnExit(const std::string& what) { Report("EXIT", what); }
+
+ private:
+  struct RouteLife {
+    std::set<std::string> m_services;
+    base::TimePoint m_added_at;
+    std::optional<base::TimePoint> m_dropped_at;
+  };
+  struct OpenFlow {
+    std::string m_server;
+    int m_strays = 0;
+  };
+
+  bool IsInTouch(base::Ipv4Address edge, base::TimePoint now) const;
+  static bool IsSettled(const std::map<std::string, base::TimePoint>& until,
+                        const std::string& name,
+                        base::TimePoint now);
+  void Report(const std::string& rule, const std::string& what);
+
+  std::map<std::string, base::TimePoint> m_edges_disturbed_until;
+  std::map<std::string, base::TimePoint> m_servers_disturbed_until;
+  base::TimePoint m_store_disturbed_until;
+  std::map<std::string, base::TimePoint> m_draining;
+  std::map<base::Endpoint, RouteLife> m_routes;
+  std::map<flow::FlowKey, OpenFlow> m_open;
+  std::set<std::string> m_run;
+  std::vector<std::pair<base::TimePoint, bool>> m_answers;
+  std::uint64_t m_served = 0;
+  std::uint64_t m_failed = 0;
+  std::vector<std::string> m_violations;
+};
+
+}  // namespace soak
+
+#endif  // TESTS_SOAK_JUDGE_H_
--- /dev/null
+++ b/Tests/Soak/main.cc
@@ -0,0 +1,192 @@
+// Runs soaks of the edge balancer: one or more seeds, or fresh ones for some
+// minutes. Ends with 1 if a promise was broken.
+
+#include <fmt/format.h>
+#include <stdlib.h>
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "fault_schedule.h"
+#include "soak_world.h"
+
+namespace soak {
+
+namespace {
+
+namespace options = boost::program_options;
+
+// Callers come once all balancers are ready; a store's first list takes less.
+constexpr std::chrono::seconds kStartTime{3};
+// After the last fault: the longest outage of the schedule and the settling.
+constexpr std::chrono::seconds kHealingTime{6};
+// The time at the end in which nearly all must be served again.
+constexpr std::chrono::seconds kCalmTime{3};
+constexpr double kServedWhenCalm = 0.9;
+
+struct RunOptions {
+  SoakOptions m_soak;
+  std::chrono::seconds m_fault_time{10};
+  // Faults by their numbers that are left out, to shrink a failing seed.
+  std::vector<std::size_t> m_skipped;
+  bool m_keeps_files = false;
+};
+
+std::string MakeDirectory() {
+  std::string path =
+      (std::filesystem::temp_directory_path() / "edge-soak-XXXXXX").string();
+  if (::mkdtemp(path.data()) == nullptr)
+    throw std::runtime_error("cannot make " + path);
+  return path;
+}
+
+bool IsSkipped(const RunOptions& run, std::size_t number) {
+  return std::find(run.m_skipped.begin(), run.m_skipped.end(), number) !=
+         run.m_skipped.end();
+}
+
+std::vector<std::string> RunSeed(RunOptions run) {
+  run.m_soak.m_directory = MakeDirectory();
+  SoakWorld world(run.m_soak);
+  world.Run(kStartTime);
+  world.StartCallers();
+  const auto faults = DrawFaults(run.m_soak.m_seed, run.m_fault_time,
+                                 world.Edges(), world.Servers());
+  const base::TimePoint start = stand_ins::EventLoop::Now();
+  for (std::size_t number = 0; number < faults.size(); ++number) {
+    const Fault& fault = faults[number];
+    std::cout << "  " << number << ". " << ToString(fault)
+              << (IsSkipped(run, number) ? " (left out)" : "") << "\n";
+    if (!IsSkipped(run, number))
+      world.loop().Timers().SubscribeOnce(
+          start + fault.m_at,
+          [&world, fault](base::TimePoint) { Inject(fault, world); });
+  }
+  world.Run(run.m_fault_time + kHealingTime);
+  const base::TimePoint calm = stand_ins::EventLoop::Now();
+  world.Run(kCalmTime);
+
+  std::vector<std::string> violations = world.judge().Violations();
+  // The last requests may still be under way.
+  const auto [served, sent] = world.judge().ServedSince(calm);
+  if (sent == 0 ||
+      static_cast<double>(served) < kServedWhenCalm * static_cast<double>(sent))
+    violations.push_back(fmt::format(
+        "RECOVER: {} of {} requests served after the faults", served, sent));
+  std::cout << fmt::format(
+      "seed {}: {} served, {} failed, at the end {} of {}\n", run.m_soak.m_seed,
+      world.judge().Served(), world.judge().Failed(), served, sent);
+  for (const std::string& violation : violations)
+    std::cout << "  " << violation << "\n";
+  if (violations.empty() && !run.m_keeps_files)
+    std::filesystem::remove_all(run.m_soak.m_directory);
+  else
+    std::cout << "  logs: " << run.m_soak.m_directory << "\n";
+  std::cout << std::flush;
+  return violations;
+}
+
+// The first number of each line; "#" begins a comment.
+std::vector<std::uint64_t> ReadSeeds(const std::string& path) {
+  std::ifstream file(path);
+  if (!file)
+    throw std::runtime_error("cannot read " + path);
+  std::vector<std::uint64_t> seeds;
+  std::string line;
+  while (std::getline(file, line)) {
+    std::istringstream words(line.substr(0, line.find('#')));
+    std::uint64_t seed = 0;
+    if (words >> seed)
+      seeds.push_back(seed);
+  }
+  return seeds;
+}
+
+options::options_description MakeDescription() {
+  options::options_description description("EdgeSoak [OPTIONS]\n\nOptions");
+  description.add_options()("help", "print this text")(
+      "seed", options::value<std::uint64_t>(), "the first seed")(
+      "seeds", options::value<std::uint64_t>()->default_value(1),
+      "how many seeds, counting up")(
+      "seeds-file", options::value<std::string>(), "a seed a line")(
+      "minutes", options::value<int>(), "fresh seeds for so many minutes")(
+      "seconds", options::value<int>()->default_value(10),
+      "how long faults come, for each seed")(
+      "skip", options::value<std::vector<std::size_t>>()->multitoken(),
+      "numbers of faults to leave out")(
+      "edges", options::value<std::uint32_t>()->default_value(4), "balancers")(
+      "servers", options::value<std::uint32_t>()->default_value(10),
+      "backend servers")(
+      "callers", options::value<std::uint32_t>()->default_value(24), "callers")(
+      "network", options::value<std::uint32_t>()->default_value(200),
+      "the second number of its loopback addresses")(
+      "keep", "keep settings and logs also of runs that passed");
+  return description;
+}
+
+int RunAll(const options::variables_map& values) {
+  RunOptions run;
+  run.m_soak.m_network.m_number = values["network"].as<std::uint32_t>();
+  run.m_soak.m_edges = values["edges"].as<std::uint32_t>();
+  run.m_soak.m_servers = values["servers"].as<std::uint32_t>();
+  run.m_soak.m_callers = values["callers"].as<std::uint32_t>();
+  run.m_fault_time = std::chrono::seconds(values["seconds"].as<int>());
+  run.m_keeps_files = values.contains("keep");
+  if (values.contains("skip"))
+    run.m_skipped = values["skip"].as<std::vector<std::size_t>>();
+
+  std::vector<std::uint64_t> seeds;
+  if (values.contains("seeds-file"))
+    seeds = ReadSeeds(values["seeds-file"].as<std::string>());
+  std::uint64_t next = values.contains("seed")
+                           ? values["seed"].as<std::uint64_t>()
+                           : std::random_device()();
+  const std::uint64_t count =
+      seeds.empty() ? values["seeds"].as<std::uint64_t>() : 0;
+  for (std::uint64_t i = 0; i < count; ++i)
+    seeds.push_back(next++);
+  const auto deadline = std::chrono::steady_clock::now() +
+                        std::chrono::minutes(values.contains("minutes")
+                                                 ? values["minutes"].as<int>()
+                                                 : 0);
+  int passed = 0;
+  int failed = 0;
+  for (std::size_t i = 0; i < seeds.size(); ++i) {
+    run.m_soak.m_seed = seeds[i];
+    ++(RunSeed(run).empty() ? passed : failed);
+    if (i + 1 == seeds.size() && std::chrono::steady_clock::now() < deadline)
+      seeds.push_back(next++);
+  }
+  std::cout << passed << " passed, " << failed << " failed\n";
+  return failed == 0 ? 0 : 1;
+}
+
+}  // namespace
+
+}  // namespace soak
+
+int main(int argc, char** argv) {
+  namespace options = boost::program_options;
+  const options::options_description description = soak::MakeDescription();
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(argc, argv, description),
+                   values);
+    if (values.contains("help")) {
+      std::cout << description;
+      return 0;
+    }
+    return soak::RunAll(values);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/Tests/Soak/soak_world.cc
@@ -0,0 +1,222 @@
+#include "soak_world.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <utility>
+
+#include "StandIns/udp_port.h"
+
+namespace soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// What the platform's pages say of backend servers.
+constexpr base::Duration kLapse = milliseconds(3600);
+constexpr base::Duration kAddressReuse = milliseconds(2000);
+constexpr base::Duration kServesAfterDrain = milliseconds(3500);
+constexpr base::Duration kReturnsAfterStore = milliseconds(1500);
+constexpr std::size_t kLeastRoutes = 2;
+constexpr base::Ipv4Address kServiceAddress(0xC6120001);
+
+std::string ServiceAt(std::uint32_t place) {
+  return place % 4 == 3 ? "archive" : "portal";
+}
+
+}  // namespace
+
+SoakWorld::SoakWorld(const SoakOptions& options)
+    : m_options(options),
+      m_random(options.m_seed),
+      m_store(&m_loop, options.m_network.Store()) {
+  m_servers.resize(options.m_servers);
+  for (std::uint32_t place = 0; place < options.m_servers; ++place)
+    StartServer(place, ServiceAt(place));
+  AddRoute();
+  AddRoute();
+  AddRoute();
+  m_fleet = std::make_unique<EdgeFleet>(&m_loop, &m_judge, options.m_network,
+                                        options.m_edges, options.m_directory);
+}
+
+void SoakWorld::Run(base::Duration length) {
+  After(length, [this] { m_loop.Stop(); });
+  m_loop.Run();
+}
+
+void SoakWorld::StartCallers() {
+  for (std::uint32_t index = 0; index < m_options.m_callers; ++index)
+    m_callers.push_back(std::make_unique<TokenCaller>(
+        &m_loop, &m_judge, m_options.m_network.Caller(index), m_random.Next(),
+        [this](const flow::FlowKey& flow) { return m_fleet->Route(flow); },
+        [this] { return DrawRoute(); }));
+}
+
+void SoakWorld::DisturbEdge(std::uint32_t edge, base::Duration length) {
+  m_judge.DisturbEdge(m_options.m_network.Edge(edge),
+                      stand_ins::EventLoop::Now(), length);
+}
+
+void SoakWorld::DisturbStore(base::Duration length) {
+  m_judge.DisturbStore(stand_ins::EventLoop::Now(), length);
+}
+
+void SoakWorld::DrainServer(std::uint32_t place) {
+  if (m_servers[place] == nullptr)
+    return;
+  const std::string name = m_servers[place]->identity().m_name;
+  m_store.Put("servers", name, m_servers[place]->Spec("draining"));
+  m_judge.OnDrainAcknowledged(name, stand_ins::EventLoop::Now());
+  After(kServesAfterDrain, [this, place, name] {
+    if (m_servers[place] == nullptr ||
+        m_servers[place]->identity().m_name != name)
+      return;
+    m_judge.DisturbServer(name, stand_ins::EventLoop::Now(), kLapse);
+    m_store.Remove("servers", name);
+    m_servers[place].reset();
+    After(kAddressReuse,
+          [this, place] { StartServer(place, ServiceAt(place)); });
+  });
+}
+
+void SoakWorld::CrashServer(std::uint32_t place, Return kind) {
+  if (m_servers[place] == nullptr)
+    return;
+  const TokenServer::Identity identity = m_servers[place]->identity();
+  m_judge.DisturbServer(identity.m_name, stand_ins::EventLoop::Now(),
+                        2 * kLapse);
+  m_servers[place].reset();
+  if (kind == Return::kSameName) {
+    After(milliseconds(500), [this, place, identity] {
+      StartServer(place, identity.m_service, identity.m_name);
+    });
+    return;
+  }
+  After(kLapse,
+        [this, name = identity.m_name] { m_store.Remove("servers", name); });
+  const std::string other =
+      identity.m_service == "portal" ? "archive" : "portal";
+  After(kAddressReuse, [this, place, other] { StartServer(place, other); });
+}
+
+void SoakWorld::FailStore(StoreFault fault,
+                          base::Duration length,
+                          bool lapses) {
+  DisturbStore(length + kReturnsAfterStore);
+  m_store.SetFault(fault);
+  After(length, [this, lapses] {
+    if (lapses) {
+      for (const auto& server : m_servers) {
+        if (server != nullptr)
+          m_store.Remove("servers", server->identity().m_name);
+      }
+      After(kReturnsAfterStore, [this] {
+        for (std::uint32_t place = 0; place < m_servers.size(); ++place)
+          Register(place);
+      });
+    }
+    m_store.SetFault(StoreFault::kNone);
+  });
+}
+
+void SoakWorld::CompactStore() {
+  DisturbStore(base::Duration::zero());
+  m_store.Compact();
+}
+
+void SoakWorld::PutForeignEntry() {
+  static const char* const kSpecs[] = {
+      "7", R"({"backend":3})",
+      R"({"backend":"portal","address":"127.0.0.1:9","zone":"hall-0",)"
+      R"("max_concurrency":3,"state":"resting","warmup_left_ms":0})"};
+  m_store.Put("servers", fmt::format("x-{}", m_random.Below(100)),
+              kSpecs[m_random.Below(std::size(kSpecs))]);
+}
+
+void SoakWorld::AddRoute() {
+  const std::string service = m_routes.size() % 3 == 2 ? "archive" : "portal";
+  m_routes.push_back({{kServiceAddress, m_next_port++}, service});
+  WriteManifest();
+  m_judge.OnRouteAdded(m_routes.back().m_address, service,
+                       stand_ins::EventLoop::Now());
+}
+
+void SoakWorld::DropRoute() {
+  if (m_routes.size() <= kLeastRoutes)
+    return;
+  const auto dropped =
+      m_routes.begin() + static_cast<long>(m_random.Below(m_routes.size()));
+  const base::Endpoint address = dropped->m_address;
+  m_routes.erase(dropped);
+  WriteManifest();
+  m_judge.OnRouteDropped(address, stand_ins::EventLoop::Now());
+}
+
+void SoakWorld::SendGarbage(std::uint32_t edge) {
+  auto port = stand_ins::UdpPort::Open(&m_loop.Context(), {});
+  if (!port)
+    return;
+  std::vector<std::uint8_t> bytes(m_random.Below(1400));
+  for (std::uint8_t& byte : bytes)
+    byte = static_cast<std::uint8_t>(m_random.Next());
+  port.value()->Send(bytes, {m_options.m_network.Edge(edge), kPacketPort});
+}
+
+void SoakWorld::StartServer(std::uint32_t place,
+                            const std::string& service,
+                            const std::string& name) {
+  if (m_servers[place] != nullptr)
+    return;
+  TokenServer::Identity identity;
+  identity.m_number = m_random.Next() & 0xFFFFFFFFFF;
+  identity.m_name = fmt::format("i-{:010x}", identity.m_number);
+  if (!name.empty()) {
+    identity.m_name = name;
+    identity.m_number = std::stoull(name.substr(2), nullptr, 16);
+  }
+  identity.m_service = service;
+  identity.m_endpoint = {m_options.m_network.Server(place), kServerPort};
+  identity.m_data_centre = fmt::format("hall-{}", place % 2);
+  identity.m_born = static_cast<std::int64_t>(m_random.Below(1U << 30));
+  m_servers[place] = std::make_unique<TokenServer>(&m_loop, &m_judge, identity,
+                                                   m_random.Next());
+  Register(place);
+}
+
+void SoakWorld::Register(std::uint32_t place) {
+  if (m_servers[place] != nullptr)
+    m_store.Put("servers", m_servers[place]->identity().m_name,
+                m_servers[place]->Spec("ready"));
+}
+
+void SoakWorld::WriteManifest() {
+  std::string routes;
+  for (const LiveRoute& route : m_routes)
+    routes += fmt::format(
+        R"({}{{"name":"r-{}","host":"{}","prefix":"/{}/","route_type":"{}",)"
+        R"("timeout_ms":1500,"target_latency_ms":250,"priority":1,)"
+        R"("backend":"{}"}})",
+        routes.empty() ? "" : ",", route.m_address.m_port,
+        ToString(route.m_address.m_address), route.m_address.m_port,
+        route.m_address.m_port % 2 == 0 ? "idempotent" : "non_idempotent",
+        route.m_service);
+  m_version += 1 + m_random.Below(3);
+  m_store.Put("config", "main",
+              fmt::format(R"({{"version":{},"routes":[{}],"services":[],)"
+                          R"("limits":{{"idle_timeout_ms":15000}}}})",
+                          m_version, routes));
+}
+
+base::Endpoint SoakWorld::DrawRoute() {
+  return m_routes[m_random.Below(m_routes.size())].m_address;
+}
+
+void SoakWorld::After(base::Duration delay, std::function<void()> action) {
+  m_loop.Timers().SubscribeOnce(
+      stand_ins::EventLoop::Now() + delay,
+      [action = std::move(action)](base::TimePoint) { action(); });
+}
+
+}  // namespace soak
--- /dev/null
+++ b/Tests/Soak/soak_world.h
@@ -0,0 +1,97 @@
+// One soak: balancers, the store, backend servers and callers, and the changes
+// that operators and platform make.
+
+#ifndef TESTS_SOAK_SOAK_WORLD_H_
+#define TESTS_SOAK_SOAK_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "StandIns/event_loop.h"
+#include "edge_fleet.h"
+#include "edge_store.h"
+#include "judge.h"
+#include "network.h"
+#include "token_caller.h"
+#include "token_server.h"
+
+namespace soak {
+
+struct SoakOptions {
+  Network m_network;
+  std::uint64_t m_seed = 1;
+  std::uint32_t m_edges = 4;
+  std::uint32_t m_servers = 10;
+  std::uint32_t m_callers = 24;
+  // Where settings and logs go.
+  std::string m_directory;
+};
+
+class SoakWorld {
+ public:
+  explicit SoakWorld(const SoakOptions& options);
+  SoakWorld(const SoakWorld&) = delete;
+  SoakWorld& operator=(const SoakWorld&) = delete;
+
+  // Queries.
+  const Judge& judge() const { return m_judge; }
+  std::uint32_t Edges() const { return m_fleet->size(); }
+  std::uint32_t Servers() const { return m_options.m_servers; }
+
+  // Commands.
+  // Runs for `length`; the timers of faults act meanwhile.
+  void Run(base::Duration length);
+  // Callers open flows from now on.
+  void StartCallers();
+  EdgeFleet& fleet() { return *m_fleet; }
+  stand_ins::EventLoop& loop() { return m_loop; }
+  void DisturbEdge(std::uint32_t edge, base::Duration length);
+  void DisturbStore(base::Duration length);
+
+  // A server drains, ends after its flows had time, and another one comes.
+  void DrainServer(std::uint32_t place);
+  // A server ends at once. Its entry lapses; its address goes to another
+  // service, or the server itself starts again.
+  enum class Return { kOtherService, kSameName };
+  void CrashServer(std::uint32_t place, Return kind);
+  void FailStore(StoreFault fault, base::Duration length, bool lapses);
+  void CompactStore();
+  void PutForeignEntry();
+  void AddRoute();
+  void DropRoute();
+  void SendGarbage(std::uint32_t edge);
+
+ private:
+  struct LiveRoute {
+    base::Endpoint m_address;
+    std::string m_service;
+  };
+
+  void StartServer(std::uint32_t place,
+                   const std::string& service,
+                   const std::string& name = {});
+  void Register(std::uint32_t place);
+  void WriteManifest();
+  base::Endpoint DrawRoute();
+  void After(base::Duration delay, std::function<void()> action);
+
+  SoakOptions m_options;
+  base::Random m_random;
+  stand_ins::EventLoop m_loop;
+  Judge m_judge;
+  EdgeStore m_store;
+  std::vector<std::unique_ptr<TokenServer>> m_servers;
+  std::vector<std::unique_ptr<TokenCaller>> m_callers;
+  std::vector<LiveRoute> m_routes;
+  std::uint64_t m_version = 0;
+  std::uint16_t m_next_port = 1000;
+  std::unique_ptr<EdgeFleet> m_fleet;
+};
+
+}  // namespace soak
+
+#endif  // TESTS_SOAK_SOAK_WORLD_H_
--- /dev/null
+++ b/Tests/Soak/token_caller.cc
@@ -0,0 +1,173 @@
+#include "token_caller.h"
+
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+#include "judge.h"
+#include "network.h"
+
+namespace soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Duration kFirstRepeat = milliseconds(200);
+constexpr base::Duration kTimeLimit = milliseconds(1500);
+constexpr int kMostRequests = 8;
+constexpr int kLongestPauseMs = 250;
+constexpr std::uint16_t kFirstPort = 1024;
+
+}  // namespace
+
+TokenCaller::TokenCaller(stand_ins::EventLoop* loop,
+                         Judge* judge,
+                         base::Ipv4Address address,
+                         std::uint64_t seed,
+                         Router router,
+                         RouteSource routes)
+    : m_loop(loop),
+      m_judge(judge),
+      m_random(seed),
+      m_router(std::move(router)),
+      m_routes(std::move(routes)) {
+  auto port =
+      stand_ins::UdpPort::Open(&loop->Context(), {address, kPacketPort});
+  if (!port)
+    throw std::runtime_error("cannot bind " + ToString(address));
+  m_port = std::move(port.value());
+  m_flow.m_caller = {address, kFirstPort};
+  m_port->StartReceiving([this](auto datagram, base::Endpoint source) {
+    Handle(datagram, source);
+  });
+  After(milliseconds(m_random.Below(kLongestPauseMs)), &TokenCaller::OpenFlow);
+}
+
+void TokenCaller::OpenFlow() {
+  ++m_flow.m_caller.m_port;
+  m_flow.m_service = m_routes();
+  m_state = State::kOpening;
+  m_token = 0;
+  m_sequence = static_cast<std::uint32_t>(m_random.Next());
+  m_acknowledgement = 0;
+  m_requests_left = 1 + static_cast<int>(m_random.Below(kMostRequests));
+  m_sent_at = stand_ins::EventLoop::Now();
+  m_repeat_after = kFirstRepeat;
+  Send(kSyn);
+  After(m_repeat_after, &TokenCaller::Repeat);
+}
+
+void TokenCaller::SendRequest() {
+  m_state = State::kWaiting;
+  m_request_id = ToString(m_flow.m_caller.m_address) + "-" +
+                 std::to_string(m_next_request++);
+  m_request = "GET / HTTP/1.1\r\nRequest-Id: " + m_request_id + "\r\n\r\n";
+  m_sent_at = stand_ins::EventLoop::Now();
+  m_repeat_after = kFirstRepeat;
+  Send(kAck, m_request);
+  After(m_repeat_after, &TokenCaller::Repeat);
+}
+
+void TokenCaller::Repeat() {
+  if (stand_ins::EventLoop::Now() - m_sent_at >= kTimeLimit) {
+    EndRequest(false);
+    return;
+  }
+  m_state == State::kOpening ? Send(kSyn) : Send(kAck, m_request);
+  m_repeat_after *= 2;
+  After(std::min(m_repeat_after, kTimeLimit), &TokenCaller::Repeat);
+}
+
+void TokenCaller::Handle(stand_ins::UdpPort::Bytes datagram,
+                         base::Endpoint source) {
+  const auto packet = Decode(datagram);
+  if (!packet) {
+    m_judge->OnForged("a caller");
+    return;
+  }
+  const bool is_balancers = packet->m_sum == 0 && packet->Has(kRst);
+  if (!is_balancers && !packet->IsGenuine()) {
+    m_judge->OnForged("a caller");
+    return;
+  }
+  if (packet->m_destination != m_flow.m_caller ||
+      packet->m_source != m_flow.m_service)
+    return;
+  if (packet->Has(kRst)) {
+    HandleReset(*packet, source);
+    return;
+  }
+  m_token = packet->m_token;
+  if (m_state == State::kOpening && packet->Has(kSyn)) {
+    m_sequence = packet->m_acknowledgement;
+    m_acknowledgement = packet->m_sequence + 1;
+    Send(kAck);
+    SendRequest();
+    return;
+  }
+  if (!packet->m_payload.empty())
+    HandleAnswer(*packet);
+}
+
+void TokenCaller::HandleReset(const SoakPacket& packet, base::Endpoint source) {
+  const bool is_balancers = packet.m_sum == 0;
+  if (is_balancers)
+    m_judge->OnReset(m_flow, source.m_address, m_state != State::kOpening,
+                     stand_ins::EventLoop::Now());
+  EndRequest(false);
+}
+
+void TokenCaller::HandleAnswer(const SoakPacket& packet) {
+  if (m_state != State::kWaiting || packet.m_sequence != m_acknowledgement) {
+    Send(kAck);
+    return;
+  }
+  if (packet.m_payload != "200 " + m_request)
+    m_judge->OnForged("a caller, as another request's answer");
+  m_acknowledgement += static_cast<std::uint32_t>(packet.m_payload.size());
+  m_sequence += static_cast<std::uint32_t>(m_request.size());
+  Send(kAck);
+  EndRequest(true);
+}
+
+void TokenCaller::EndRequest(bool is_served) {
+  m_judge->OnAnswer(is_served, m_sent_at);
+  if (is_served && --m_requests_left > 0) {
+    m_state = State::kPausing;
+    After(milliseconds(m_random.Below(kLongestPauseMs)),
+          &TokenCaller::SendRequest);
+    return;
+  }
+  if (is_served)
+    Send(kFin | kAck);
+  m_judge->OnFlowEnded(m_flow);
+  m_state = State::kOpening;
+  After(milliseconds(1 + m_random.Below(kLongestPauseMs)),
+        &TokenCaller::OpenFlow);
+}
+
+void TokenCaller::Send(std::uint8_t flags, const std::string& payload) {
+  const auto edge = m_router(m_flow);
+  if (!edge)
+    return;
+  SoakPacket packet;
+  packet.m_source = m_flow.m_caller;
+  packet.m_destination = m_flow.m_service;
+  packet.m_token = m_token;
+  packet.m_flags = flags;
+  packet.m_sequence = m_sequence;
+  packet.m_acknowledgement = m_acknowledgement;
+  packet.m_payload = payload;
+  m_port->Send(Encode(packet), *edge);
+}
+
+void TokenCaller::After(base::Duration delay, void (TokenCaller::*step)()) {
+  if (m_timer)
+    m_loop->Timers().Cancel(*m_timer);
+  m_timer = m_loop->Timers().SubscribeOnce(
+      stand_ins::EventLoop::Now() + delay,
+      [this, step](base::TimePoint) { (this->*step)(); });
+}
+
+}  // namespace soak
--- /dev/null
+++ b/Tests/Soak/token_caller.h
@@ -0,0 +1,78 @@
+// A caller: opens flows one after the other, sends requests, and checks what
+// comes back.
+
+#ifndef TESTS_SOAK_TOKEN_CALLER_H_
+#define TESTS_SOAK_TOKEN_CALLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "LibBase/random.h"
+#include "LibBase/timer_service.h"
+#include "LibFlow/flow_key.h"
+#include "StandIns/event_loop.h"
+#include "StandIns/udp_port.h"
+#include "soak_packet.h"
+
+namespace soak {
+
+class Judge;
+
+class TokenCaller {
+ public:
+  // Where a packet of the flow enters; nothing if no balancer takes packets.
+  using Router =
+      std::function<std::optional<base::Endpoint>(const flow::FlowKey& flow)>;
+  // The address of the next flow.
+  using RouteSource = std::function<base::Endpoint()>;
+
+  // Throws if it cannot bind its address.
+  TokenCaller(stand_ins::EventLoop* loop,
+              Judge* judge,
+              base::Ipv4Address address,
+              std::uint64_t seed,
+              Router router,
+              RouteSource routes);
+  TokenCaller(const TokenCaller&) = delete;
+  TokenCaller& operator=(const TokenCaller&) = delete;
+
+ private:
+  enum class State { kOpening, kPausing, kWaiting };
+
+  void OpenFlow();
+  void SendRequest();
+  void Repeat();
+  void Handle(stand_ins::UdpPort::Bytes datagram, base::Endpoint source);
+  void HandleReset(const SoakPacket& packet, base::Endpoint source);
+  void HandleAnswer(const SoakPacket& packet);
+  void EndRequest(bool is_served);
+  void Send(std::uint8_t flags, const std::string& payload = {});
+  void After(base::Duration delay, void (TokenCaller::*step)());
+
+  stand_ins::EventLoop* m_loop;
+  Judge* m_judge;
+  base::Random m_random;
+  Router m_router;
+  RouteSource m_routes;
+  std::unique_ptr<stand_ins::UdpPort> m_port;
+  std::optional<base::TimerId> m_timer;
+
+  flow::FlowKey m_flow;
+  State m_state = State::kOpening;
+  std::uint32_t m_token = 0;
+  std::uint32_t m_sequence = 0;
+  std::uint32_t m_acknowledgement = 0;
+  int m_requests_left = 0;
+  std::string m_request;
+  std::string m_request_id;
+  base::TimePoint m_sent_at;
+  base::Duration m_repeat_after{};
+  std::uint64_t m_next_request = 0;
+};
+
+}  // namespace soak
+
+#endif  // TESTS_SOAK_TOKEN_CALLER_H_
--- /dev/null
+++ b/Tests/Soak/token_server.cc
@@ -0,0 +1,171 @@
+#include "token_server.h"
+
+#include <chrono>
+#include <stdexcept>
+
+#include "LibBase/asio_endpoint.h"
+#include "judge.h"
+#include "network.h"
+
+namespace soak {
+
+namespace {
+
+constexpr std::size_t kIdentityBytes = 8;
+constexpr int kShortestWorkMs = 5;
+constexpr int kWorkSpreadMs = 60;
+
+flow::FlowKey KeyOf(const SoakPacket& packet) {
+  return {packet.m_source, packet.m_destination};
+}
+
+}  // namespace
+
+TokenServer::TokenServer(stand_ins::EventLoop* loop,
+                         Judge* judge,
+                         Identity identity,
+                         std::uint64_t seed)
+    : m_loop(loop),
+      m_judge(judge),
+      m_identity(std::move(identity)),
+      m_random(seed),
+      m_acceptor(loop->Context(),
+                 base::ToAsio<asio::ip::tcp>(m_identity.m_endpoint),
+                 true) {
+  auto port = stand_ins::UdpPort::Open(&loop->Context(), m_identity.m_endpoint);
+  if (!port)
+    throw std::runtime_error("cannot bind " + ToString(m_identity.m_endpoint));
+  m_port = std::move(port.value());
+  m_port->StartReceiving(
+      [this](auto datagram, base::Endpoint edge) { Handle(datagram, edge); });
+  Accept();
+}
+
+std::string TokenServer::Spec(const std::string& state) const {
+  return R"({"backend":")" + m_identity.m_service + R"(","address":")" +
+         ToString(m_identity.m_endpoint) + R"(","zone":")" +
+         m_identity.m_data_centre +
+         R"(","version":"v1","max_concurrency":3,"state":")" + state +
+         R"(","warmup_left_ms":0,"seq":1,"born":)" +
+         std::to_string(m_identity.m_born) + "}";
+}
+
+// Probes are accepted and closed.
+void TokenServer::Accept() {
+  m_acceptor.async_accept(
+      [this](const std::error_code& error, const asio::ip::tcp::socket&) {
+        if (!error)
+          Accept();
+      });
+}
+
+void TokenServer::Handle(stand_ins::UdpPort::Bytes datagram,
+                         base::Endpoint edge) {
+  if (datagram.size() < kIdentityBytes)
+    return;
+  std::uint64_t number = 0;
+  for (const std::uint8_t byte : datagram.first(kIdentityBytes))
+    number = (number << 8) | byte;
+  if (number != 0 && number != m_identity.m_number)
+    return;
+  const auto packet = Decode(datagram.subspan(kIdentityBytes));
+  if (!packet || !packet->IsGenuine()) {
+    m_judge->OnForged(m_identity.m_name);
+    return;
+  }
+  if (packet->Has(kSyn))
+    HandleOpening(*packet, edge);
+  else
+    HandleFollowing(*packet);
+}
+
+void TokenServer::HandleOpening(const SoakPacket& packet, base::Endpoint edge) {
+  const auto [entry, is_new] = m_flows.try_emplace(KeyOf(packet));
+  Flow& flow = entry->second;
+  if (is_new) {
+    m_judge->OnOpeningTaken(m_identity.m_name, m_identity.m_service,
+                            edge.m_address, KeyOf(packet),
+                            stand_ins::EventLoop::Now());
+    flow.m_sequence = static_cast<std::uint32_t>(m_random.Next());
+    flow.m_expected = packet.m_sequence + 1;
+  }
+  Send(packet, kSyn | kAck, flow.m_sequence, flow.m_expected);
+}
+
+void TokenServer::HandleFollowing(const SoakPacket& packet) {
+  const auto entry = m_flows.find(KeyOf(packet));
+  const bool is_ours =
+      entry != m_flows.end() &&
+      (entry->second.m_is_open ||
+       packet.m_acknowledgement == entry->second.m_sequence + 1);
+  if (!is_ours) {
+    m_judge->OnStray(m_identity.m_name, KeyOf(packet));
+    Send(packet, kRst, packet.m_acknowledgement, 0);
+    return;
+  }
+  Flow& flow = entry->second;
+  if (!flow.m_is_open) {
+    flow.m_is_open = true;
+    ++flow.m_sequence;
+    m_judge->OnFlowOpened(m_identity.m_name, KeyOf(packet));
+  }
+  if (packet.Has(kFin)) {
+    Send(packet, kFin | kAck, flow.m_sequence, packet.m_sequence + 1);
+    m_judge->OnFlowEnded(KeyOf(packet));
+    m_flows.erase(entry);
+    return;
+  }
+  if (!packet.m_payload.empty())
+    HandleData(packet, flow);
+}
+
+void TokenServer::HandleData(const SoakPacket& packet, Flow& flow) {
+  if (packet.m_sequence != flow.m_expected) {
+    if (packet.m_sequence == flow.m_answered_from && !flow.m_answer.empty())
+      Send(packet, kAck,
+           flow.m_sequence - static_cast<std::uint32_t>(flow.m_answer.size()),
+           flow.m_expected, flow.m_answer);
+    return;
+  }
+  flow.m_expected += static_cast<std::uint32_t>(packet.m_payload.size());
+  const std::string& text = packet.m_payload;
+  const std::size_t start = text.find("Request-Id: ") + 12;
+  m_judge->OnRun(text.substr(start, text.find('\r', start) - start));
+  const auto work = std::chrono::milliseconds(
+      kShortestWorkMs + static_cast<int>(m_random.Below(kWorkSpreadMs)));
+  m_loop->Timers().SubscribeOnce(
+      stand_ins::EventLoop::Now() + work,
+      [this, packet, alive = std::weak_ptr<bool>(m_lifetime)](base::TimePoint) {
+        if (!alive.expired())
+          Answer(packet);
+      });
+}
+
+void TokenServer::Answer(const SoakPacket& packet) {
+  const auto entry = m_flows.find(KeyOf(packet));
+  if (entry == m_flows.end())
+    return;
+  Flow& flow = entry->second;
+  flow.m_answered_from = packet.m_sequence;
+  flow.m_answer = "200 " + packet.m_payload;
+  Send(packet, kAck, flow.m_sequence, flow.m_expected, flow.m_answer);
+  flow.m_sequence += static_cast<std::uint32_t>(flow.m_answer.size());
+}
+
+void TokenServer::Send(const SoakPacket& to,
+                       std::uint8_t flags,
+                       std::uint32_t sequence,
+                       std::uint32_t acknowledgement,
+                       const std::string& payload) {
+  SoakPacket packet;
+  packet.m_source = to.m_destination;
+  packet.m_destination = to.m_source;
+  packet.m_token = to.m_token;
+  packet.m_flags = flags;
+  packet.m_sequence = sequence;
+  packet.m_acknowledgement = acknowledgement;
+  packet.m_payload = payload;
+  m_port->Send(Encode(packet), {to.m_source.m_address, kPacketPort});
+}
+
+}  // namespace soak
--- /dev/null
+++ b/Tests/Soak/token_server.h
@@ -0,0 +1,82 @@
+// A backend server: holds flows, works on requests, and checks what reaches it.
+
+#ifndef TESTS_SOAK_TOKEN_SERVER_H_
+#define TESTS_SOAK_TOKEN_SERVER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <asio.hpp>
+
+#include "LibBase/random.h"
+#include "LibFlow/flow_key.h"
+#include "StandIns/event_loop.h"
+#include "StandIns/udp_port.h"
+#include "soak_packet.h"
+
+namespace soak {
+
+class Judge;
+
+class TokenServer {
+ public:
+  struct Identity {
+    std::string m_name;
+    std::uint64_t m_number = 0;
+    std::string m_service;
+    base::Endpoint m_endpoint;
+    std::string m_data_centre;
+    std::int64_t m_born = 0;
+  };
+
+  // Throws if it cannot bind its address.
+  TokenServer(stand_ins::EventLoop* loop,
+              Judge* judge,
+              Identity identity,
+              std::uint64_t seed);
+  TokenServer(const TokenServer&) = delete;
+  TokenServer& operator=(const TokenServer&) = delete;
+
+  // Queries.
+  const Identity& identity() const { return m_identity; }
+  // Its entry in the store.
+  std::string Spec(const std::string& state) const;
+
+ private:
+  struct Flow {
+    std::uint32_t m_sequence = 0;
+    std::uint32_t m_expected = 0;
+    bool m_is_open = false;
+    // The last answer and the caller's bytes that it belongs to.
+    std::uint32_t m_answered_from = 0;
+    std::string m_answer;
+  };
+
+  void Handle(stand_ins::UdpPort::Bytes datagram, base::Endpoint edge);
+  void HandleOpening(const SoakPacket& packet, base::Endpoint edge);
+  void HandleFollowing(const SoakPacket& packet);
+  void HandleData(const SoakPacket& packet, Flow& flow);
+  void Answer(const SoakPacket& packet);
+  void Send(const SoakPacket& to,
+            std::uint8_t flags,
+            std::uint32_t sequence,
+            std::uint32_t acknowledgement,
+            const std::string& payload = {});
+  void Accept();
+
+  stand_ins::EventLoop* m_loop;
+  Judge* m_judge;
+  Identity m_identity;
+  base::Random m_random;
+  std::unique_ptr<stand_ins::UdpPort> m_port;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::map<flow::FlowKey, Flow> m_flows;
+  // Work that ends after the server must not touch it.
+  std::shared_ptr<bool> m_lifetime = std::make_shared<bool>(true);
+};
+
+}  // namespace soak
+
+#endif  // TESTS_SOAK_TOKEN_SERVER_H_
