--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -23,9 +23,9 @@
 
 const std::vector<KnownServer*>& ServerDirectory::ServersOf(
     std::string_view service) const {
-  static const std::vector<KnownServer*> kNone;
+  static const std::vector<KnownServer*> none;
   const auto found = m_by_service.find(service);
-  return found == m_by_service.end() ? kNone : found->second;
+  return found == m_by_service.end() ? none : found->second;
 }
 
 std::vector<KnownServer*> ServerDirectory::LapsedServersOf(
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -13,7 +13,6 @@
 #include "LibObservability/line_log.h"
 #include "LibSteering/caller_packet.h"
 #include "LibSteering/decision.h"
-#include "LibSteering/steering.h"
 
 namespace edge {
 
@@ -27,8 +26,7 @@
 
 class DecisionLog {
  public:
-  DecisionLog(observability::LineLog& log, const steering::Steering& steering)
-      : m_log(log), m_steering(steering) {}
+  explicit DecisionLog(observability::LineLog& log) : m_log(log) {}
 
   // Commands.
   // `request_id` is empty if no request begins in the packet.
@@ -55,7 +53,6 @@
                      base::TimePoint now);
 
   observability::LineLog& m_log;
-  const steering::Steering& m_steering;
 };
 
 }  // namespace edge
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -98,7 +98,7 @@
   asio::signal_set m_signals{m_context};
   steering::Steering m_steering;
   Belief m_belief{m_steering};
-  DecisionLog m_decision_log{m_log, m_steering};
+  DecisionLog m_decision_log{m_log};
   StoreReader m_servers;
   StoreReader m_manifests;
   PeerReader m_peers;
