LibSteering: Keep judgements of servers right across balancers and returns

On the way: a server that lapsed while in doubt was never probed again after its return, and a connect deadline that found a connection left no deadline.

--- a/Libraries/LibHttp/exchange.cc
+++ b/Libraries/LibHttp/exchange.cc
@@ -64,7 +64,11 @@
 // On a busy processor the deadline may be seen before a connection that stands
 // for long; its own event follows.
 void Exchange::OnConnectDeadline() {
-  if (m_callback && !IsConnected())
+  if (!m_callback)
+    return;
+  if (IsConnected())
+    ArmTimer(m_deadline, Error::kTimedOut);
+  else
     Complete(make_error_code(Error::kConnectFailed));
 }
 
--- /dev/null
+++ b/Libraries/LibLogTrace/log_trace.cc
@@ -0,0 +1,142 @@
+#include "LibLogTrace/log_trace.h"
+
+#include <rapidjson/document.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace log_trace {
+
+namespace {
+
+// What a process believes and does as a whole.
+constexpr std::array<std::string_view, 12> kProcessEvents = {
+    "listening",      "ready",          "shutdown_started",
+    "store_lost",     "store_regained", "configuration_in_force",
+    "snapshot_taken", "pause_detected", "settings_reloaded",
+    "packets_held",   "servers_listed", "log_lines_dropped",
+};
+constexpr std::array<std::string_view, 3> kServerEvents = {
+    "server_changed", "server_unreachable", "server_reachable"};
+
+// Lines of processes are of interest from this long before the request to
+// this long after, in the resolution of the logs' times.
+constexpr double kSecondsBefore = 6.0;
+constexpr double kSecondsAfter = 3.0;
+
+struct ParsedLine {
+  const SourcedLine* m_line = nullptr;
+  std::string m_time;
+  std::string m_event;
+  std::string m_request;
+  // Caller and address.
+  std::string m_flow;
+  std::string m_server;
+};
+
+std::string TextOf(const rapidjson::Document& document, const char* name) {
+  const auto member = document.FindMember(name);
+  if (member == document.MemberEnd() || !member->value.IsString())
+    return {};
+  return {member->value.GetString(), member->value.GetStringLength()};
+}
+
+std::vector<ParsedLine> Parse(const std::vector<SourcedLine>& lines) {
+  std::vector<ParsedLine> parsed;
+  for (const SourcedLine& line : lines) {
+    const std::size_t brace = line.m_text.find('{');
+    if (brace == std::string::npos)
+      continue;
+    rapidjson::Document document;
+    document.Parse(line.m_text.data() + brace, line.m_text.size() - brace);
+    if (document.HasParseError() || !document.IsObject())
+      continue;
+    const std::string caller = TextOf(document, "caller");
+    parsed.push_back(
+        {&line, TextOf(document, "time"), TextOf(document, "event"),
+         TextOf(document, "request"),
+         caller.empty() ? caller : caller + " " + TextOf(document, "address"),
+         TextOf(document, "server")});
+  }
+  return parsed;
+}
+
+template <typename Names>
+bool Contains(const Names& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+// Seconds within the day of a time like "2026-01-31T10:00:00.000Z"; enough to
+// compare lines of one request.
+double SecondsOf(const std::string& time) {
+  constexpr std::size_t kHour = 11;
+  constexpr std::size_t kMinute = 14;
+  constexpr std::size_t kSecond = 17;
+  constexpr std::size_t kLength = 23;
+  if (time.size() < kLength)
+    return 0;
+  const auto digits = [&time](std::size_t place) {
+    return (time[place] - '0') * 10 + (time[place + 1] - '0');
+  };
+  return digits(kHour) * 3600.0 + digits(kMinute) * 60.0 + digits(kSecond) +
+         (time[kSecond + 3] - '0') * 0.1;
+}
+
+}  // namespace
+
+std::vector<SourcedLine> TraceRequest(const std::vector<SourcedLine>& lines,
+                                      std::string_view id) {
+  const std::vector<ParsedLine> parsed = Parse(lines);
+  std::set<std::string> flows;
+  std::set<std::string> servers;
+  std::set<std::string> sources;
+  for (const ParsedLine& line : parsed) {
+    if (line.m_request == id && !line.m_flow.empty())
+      flows.insert(line.m_flow);
+  }
+  if (flows.empty())
+    return {};
+  double first = 1e9;
+  double last = 0;
+  for (const ParsedLine& line : parsed) {
+    if (line.m_flow.empty() || !flows.contains(line.m_flow))
+      continue;
+    if (!line.m_server.empty())
+      servers.insert(line.m_server);
+    sources.insert(line.m_line->m_source);
+    if (line.m_request == id) {
+      first = std::min(first, SecondsOf(line.m_time));
+      last = std::max(last, SecondsOf(line.m_time));
+    }
+  }
+  std::vector<const ParsedLine*> chosen;
+  for (const ParsedLine& line : parsed) {
+    const double at = SecondsOf(line.m_time);
+    const bool is_near =
+        at >= first - kSecondsBefore && at <= last + kSecondsAfter;
+    const bool is_opening = line.m_event.starts_with("opening_");
+    const bool is_of_flow = (is_near || is_opening) && !line.m_flow.empty() &&
+                            flows.contains(line.m_flow);
+    const bool is_of_source =
+        is_near && sources.contains(line.m_line->m_source);
+    const bool is_of_server = is_of_source &&
+                              Contains(kServerEvents, line.m_event) &&
+                              servers.contains(line.m_server);
+    const bool is_of_process =
+        is_of_source && Contains(kProcessEvents, line.m_event);
+    if (is_of_flow || is_of_server || is_of_process)
+      chosen.push_back(&line);
+  }
+  std::stable_sort(chosen.begin(), chosen.end(),
+                   [](const ParsedLine* one, const ParsedLine* other) {
+                     return one->m_time < other->m_time;
+                   });
+  std::vector<SourcedLine> trace;
+  for (const ParsedLine* line : chosen)
+    trace.push_back(*line->m_line);
+  return trace;
+}
+
+}  // namespace log_trace
--- a/Libraries/LibSteering/flow_record.h
+++ b/Libraries/LibSteering/flow_record.h
@@ -27,8 +27,6 @@
   // The ends of the caller's stream and of what it has acknowledged.
   std::optional<std::uint32_t> m_sent_end;
   std::optional<std::uint32_t> m_acknowledged;
-  // How often the caller has repeated itself since the last progress.
-  std::uint32_t m_repeats = 0;
   // When this balancer sends the opening to another server, if it does.
   std::optional<base::TimePoint> m_resend_at;
   // Servers that the opening went to before the present one.
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -35,8 +35,12 @@
                               base::Duration timeout,
                               base::TimePoint now) {
   FlowRecord* record = Find(packet.m_flow);
-  if (record == nullptr)
+  if (record == nullptr) {
     record = Insert(packet.m_flow, server, now);
+    // Another balancer saw it open; its first packet here proves nothing.
+    if (record != nullptr)
+      record->m_is_established = true;
+  }
   if (record == nullptr)
     return Progress::kNothingNew;
   if (packet.m_is_end || packet.m_is_reset) {
@@ -46,44 +50,53 @@
   MoveTo(*record, server);
   record->m_last_seen = now;
   SetActive(*record, true);
-
-  const bool was_established = record->m_is_established;
-  record->m_is_established = true;
-  record->m_resend_at.reset();
-  const std::uint32_t end = packet.m_sequence + packet.m_payload_bytes;
-  const bool is_new_data =
-      packet.m_payload_bytes > 0 &&
-      (!record->m_sent_end || IsAfter(end, *record->m_sent_end));
-  const bool is_repeat = packet.m_payload_bytes > 0 && !is_new_data;
-  const bool has_progress =
-      packet.m_has_acknowledgement &&
-      (!was_established ||
-       (record->m_acknowledged &&
-        IsAfter(packet.m_acknowledgement, *record->m_acknowledged)));
-  if (packet.m_has_acknowledgement &&
-      (!record->m_acknowledged ||
-       IsAfter(packet.m_acknowledgement, *record->m_acknowledged)))
-    record->m_acknowledged = packet.m_acknowledgement;
-  if (has_progress) {
-    record->m_repeats = 0;
+  const bool has_answer = TakeAcknowledgement(*record, packet);
+  const bool has_new_data = TakeData(*record, packet);
+  if (has_answer)
     SetInProgress(*record, false);
-  }
-  if (is_new_data) {
-    record->m_sent_end = end;
-    if (!record->m_is_request_in_progress) {
-      record->m_request_at = now;
-      record->m_give_up_at = now + timeout;
-    }
-    SetInProgress(*record, true);
-    return has_progress ? Progress::kAnswer : Progress::kRequest;
-  }
-  if (has_progress)
+  if (has_new_data)
+    StartRequest(*record, timeout, now);
+  if (has_answer)
     return Progress::kAnswer;
-  if (is_repeat) {
-    ++record->m_repeats;
-    return Progress::kRepeat;
+  if (has_new_data)
+    return Progress::kRequest;
+  return packet.m_payload_bytes > 0 ? Progress::kRepeat : Progress::kNothingNew;
+}
+
+bool FlowTracker::TakeAcknowledgement(FlowRecord& record,
+                                      const CallerPacket& packet) {
+  if (!packet.m_has_acknowledgement)
+    return false;
+  const bool was_established = record.m_is_established;
+  record.m_is_established = true;
+  record.m_resend_at.reset();
+  const bool is_newer =
+      !record.m_acknowledged ||
+      IsAfter(packet.m_acknowledgement, *record.m_acknowledged);
+  const bool has_baseline = record.m_acknowledged.has_value();
+  if (is_newer)
+    record.m_acknowledged = packet.m_acknowledgement;
+  return !was_established || (has_baseline && is_newer);
+}
+
+bool FlowTracker::TakeData(FlowRecord& record, const CallerPacket& packet) {
+  const std::uint32_t end = packet.m_sequence + packet.m_payload_bytes;
+  const bool is_new = packet.m_payload_bytes > 0 &&
+                      (!record.m_sent_end || IsAfter(end, *record.m_sent_end));
+  if (is_new)
+    record.m_sent_end = end;
+  return is_new;
+}
+
+void FlowTracker::StartRequest(FlowRecord& record,
+                               base::Duration timeout,
+                               base::TimePoint now) {
+  // A request of several packets began with the first.
+  if (!record.m_is_request_in_progress) {
+    record.m_request_at = now;
+    record.m_give_up_at = now + timeout;
   }
-  return Progress::kNothingNew;
+  SetInProgress(record, true);
 }
 
 void FlowTracker::MoveTo(FlowRecord& record, KnownServer& server) {
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -82,6 +82,14 @@
   FlowRecord* Insert(const flow::FlowKey& key,
                      KnownServer& server,
                      base::TimePoint now);
+  // Whether the caller has got something new from the server.
+  static bool TakeAcknowledgement(FlowRecord& record,
+                                  const CallerPacket& packet);
+  // Whether the caller has sent something new.
+  static bool TakeData(FlowRecord& record, const CallerPacket& packet);
+  void StartRequest(FlowRecord& record,
+                    base::Duration timeout,
+                    base::TimePoint now);
   void SetActive(FlowRecord& record, bool is_active);
   void SetInProgress(FlowRecord& record, bool is_in_progress);
 
--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -27,6 +27,8 @@
   // Flows of this balancer's callers that are not at rest.
   std::uint32_t m_flows = 0;
   ServerSight m_sight;
+  // It is among those that the steering may have to probe.
+  bool m_is_watched = false;
 
   bool IsGone() const { return m_gone_since.has_value(); }
   // Its record went without notice of its end.
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -98,12 +98,14 @@
   server->m_warm_at = now + record.m_warm_up_left;
   server->m_gone_since.reset();
   ListUnderService(*server);
+  const bool is_restarted = former.m_incarnation != record.m_incarnation;
+  // What was seen before says nothing of a server that came back.
+  if (was_gone || is_restarted)
+    server->m_sight = ServerSight();
   if (is_new || was_gone)
     return DirectoryChange::kAdded;
-  if (former.m_incarnation != record.m_incarnation) {
-    server->m_sight = ServerSight();
+  if (is_restarted)
     return DirectoryChange::kRestarted;
-  }
   if (former.m_state == record.m_state)
     return DirectoryChange::kNone;
   return record.m_state == ServerState::kDraining ? DirectoryChange::kDraining
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -67,8 +67,12 @@
   std::vector<ServerSlot> probed;
   for (const ServerSlot slot : m_doubtful) {
     KnownServer* server = m_directory.FindBySlot(slot);
-    if (server == nullptr || server->IsGone() || !server->m_sight.IsUnsettled())
+    if (server == nullptr)
       continue;
+    if (server->IsGone() || !server->m_sight.IsUnsettled()) {
+      server->m_is_watched = false;
+      continue;
+    }
     if (!server->m_sight.WantsProbe(now) || !m_probe_budget.Take(now)) {
       waiting.push_back(slot);
       continue;
@@ -87,9 +91,11 @@
                                          ProbeResult result,
                                          base::TimePoint now) {
   KnownServer* server = m_directory.FindBySlot(slot);
-  if (server == nullptr || !server->m_sight.RecordProbe(result, now))
+  if (server == nullptr)
     return nullptr;
-  return server;
+  const bool is_changed = server->m_sight.RecordProbe(result, now);
+  Watch(*server);
+  return is_changed ? server : nullptr;
 }
 
 void Steering::Sweep(base::TimePoint now) {
@@ -207,10 +213,15 @@
 }
 
 void Steering::RaiseDoubt(KnownServer& server, base::TimePoint waiting_since) {
-  const bool was_unsettled = server.m_sight.IsUnsettled();
   server.m_sight.RecordDoubt(waiting_since);
-  if (!was_unsettled && server.m_sight.IsUnsettled())
-    m_doubtful.push_back(server.m_slot);
+  Watch(server);
+}
+
+void Steering::Watch(KnownServer& server) {
+  if (server.m_is_watched || !server.m_sight.IsUnsettled())
+    return;
+  server.m_is_watched = true;
+  m_doubtful.push_back(server.m_slot);
 }
 
 void Steering::Judge(KnownServer& server,
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -107,6 +107,8 @@
                   const Route* route,
                   base::TimePoint now);
   void RaiseDoubt(KnownServer& server, base::TimePoint waiting_since);
+  // Sees to it that the server is probed until it is settled.
+  void Watch(KnownServer& server);
   // Notes what the packet says about the server's reachability.
   void Judge(KnownServer& server,
              base::TimePoint waiting_since,
--- /dev/null
+++ b/Services/Edge/commands.cc
@@ -0,0 +1,104 @@
+#include "commands.h"
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <variant>
+
+#include "LibHttp/client.h"
+#include "LibLogTrace/log_trace.h"
+#include "check_settings.h"
+#include "platform/manifest_check.h"
+
+namespace edge {
+
+namespace {
+
+// A person waits for it.
+constexpr std::chrono::seconds kStatusTimeout{2};
+
+bool AddLines(const std::string& path,
+              std::vector<log_trace::SourcedLine>& lines) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << path << ": cannot be read\n";
+    return false;
+  }
+  std::string line;
+  while (std::getline(file, line))
+    lines.push_back({path, line});
+  return true;
+}
+
+}  // namespace
+
+ExitCode CheckSettings(const std::string& path) {
+  const auto reading = LoadSettings(path);
+  const auto* problems = std::get_if<configuration::Problems>(&reading);
+  if (problems == nullptr)
+    return ExitCode::kDone;
+  for (const configuration::Problem& problem : *problems)
+    std::cerr << path << ": " << ToString(problem) << "\n";
+  return ExitCode::kRefused;
+}
+
+ExitCode CheckManifest(const std::string& path) {
+  const auto text = ReadSettingsFile(path);
+  if (!text) {
+    std::cerr << path << ": cannot be read: " << text.error().message() << "\n";
+    return ExitCode::kUsage;
+  }
+  const adapter::ManifestReport report = adapter::CheckManifest(text.value());
+  if (!report.m_manifest) {
+    std::cerr << path << ": no manifest: " << report.m_problem << "\n";
+    return ExitCode::kRefused;
+  }
+  std::cout << "version " << report.m_manifest->m_version.value() << ", "
+            << report.m_manifest->m_routes.size() << " routes\n";
+  if (report.m_ignored_routes == 0)
+    return ExitCode::kDone;
+  std::cerr << path << ": " << report.m_ignored_routes
+            << " routes can't be used\n";
+  return ExitCode::kRefused;
+}
+
+ExitCode PrintStatus(base::Endpoint metrics) {
+  asio::io_context context(1);
+  http::Client client(context);
+  http::Request request;
+  request.m_endpoint = metrics;
+  request.m_path = "/status";
+  request.m_timeout = kStatusTimeout;
+  ExitCode code = ExitCode::kUnreachable;
+  client.Send(request, [&code](const base::Outcome<http::Response>& answer) {
+    if (!answer) {
+      std::cerr << "no status: " << answer.error().message() << "\n";
+      return;
+    }
+    std::cout << answer.value().m_body;
+    code = ExitCode::kDone;
+  });
+  context.run();
+  return code;
+}
+
+ExitCode ExplainRequest(const std::string& request,
+                        const std::vector<std::string>& log_paths) {
+  std::vector<log_trace::SourcedLine> lines;
+  for (const std::string& path : log_paths) {
+    if (!AddLines(path, lines))
+      return ExitCode::kUsage;
+  }
+  const auto trace = log_trace::TraceRequest(lines, request);
+  if (trace.empty()) {
+    std::cerr << "no line names the request " << request << "\n";
+    return ExitCode::kRefused;
+  }
+  for (const log_trace::SourcedLine& line : trace)
+    std::cout << line.m_source << ": " << line.m_text << "\n";
+  return ExitCode::kDone;
+}
+
+}  // namespace edge
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "check_settings.h"
+#include "commands.h"
 #include "edge_process.h"
 #include "platform/names.h"
 
@@ -18,85 +19,84 @@
 
 namespace options = boost::program_options;
 
-constexpr int kDone = 0;
-constexpr int kSettingsRefused = 1;
-constexpr int kUsage = 2;
-constexpr int kCannotListen = 4;
+using edge::ExitCode;
+
 constexpr const char* kVersion = "coltsfootdale-edge 0.2";
 
 options::options_description MakeDescription() {
   options::options_description description(
-      "coltsfootdale-edge run|check [--settings FILE]\n"
-      "  run    steers flows until SIGTERM or SIGINT\n"
-      "  check  prints every problem of the settings\n"
-      "Exit codes: 0 done, 1 the settings are refused, 2 usage,\n"
-      "4 a socket cannot be bound.\n\nOptions");
+      "coltsfootdale-edge COMMAND [OPTIONS]\n"
+      "  run      steers flows until SIGTERM or SIGINT\n"
+      "  check    prints every problem of the settings, or of a manifest\n"
+      "  status   prints what a running balancer believes (JSON)\n"
+      "  explain  prints what logs say of a request\n"
+      "Exit codes: 0 done, 1 the input is refused or names nothing, 2 usage,\n"
+      "4 a socket cannot be bound or the balancer does not answer.\n\nOptions");
   description.add_options()("help", "print this text")("version",
                                                        "print the version")(
       "settings", options::value<std::string>(),
-      "the settings file; without it the environment variable\n"
-      "COLTSFOOTDALE_CONFIG names it")(
+      "run, check: the settings file; without it the environment\n"
+      "variable COLTSFOOTDALE_CONFIG names it")(
       "metrics-port", options::value<std::uint16_t>(),
-      "the TCP port of metrics and status; without it the first of\n"
-      "the settings' internal ports")("command", options::value<std::string>(),
-                                      "run or check");
+      "run: the TCP port of metrics and status; without it the first\n"
+      "of the settings' internal ports")(
+      "manifest", options::value<std::string>(),
+      "check: a file with the manifest's object in place of settings")(
+      "address", options::value<std::string>(),
+      "status: IP:PORT of the balancer's metrics")(
+      "request", options::value<std::string>(), "explain: the request's id")(
+      "log", options::value<std::vector<std::string>>()->multitoken(),
+      "explain: log files of the balancers")(
+      "command", options::value<std::string>(), "run, check, status, explain");
   return description;
 }
 
+std::string TextOption(const options::variables_map& values,
+                       const std::string& name) {
+  return values.contains(name) ? values[name].as<std::string>() : "";
+}
+
 std::string SettingsPath(const options::variables_map& values) {
   if (values.contains("settings"))
-    return values["settings"].as<std::string>();
+    return TextOption(values, "settings");
   const char* path = std::getenv(adapter::kSettingsVariable);
   return path == nullptr ? std::string() : path;
 }
 
-int Check(const std::string& path) {
+ExitCode Run(const options::variables_map& values) {
+  const std::string path = SettingsPath(values);
   const auto reading = edge::LoadSettings(path);
-  const auto* problems = std::get_if<configuration::Problems>(&reading);
-  if (problems == nullptr)
-    return kDone;
-  for (const configuration::Problem& problem : *problems)
-    std::cerr << path << ": " << ToString(problem) << "\n";
-  return kSettingsRefused;
-}
-
-int Run(const std::string& path, const options::variables_map& values) {
-  if (Check(path) != kDone)
-    return kSettingsRefused;
-  const auto settings = std::get<edge::EdgeSettings>(edge::LoadSettings(path));
+  const auto* settings = std::get_if<edge::EdgeSettings>(&reading);
+  if (settings == nullptr)
+    return edge::CheckSettings(path);
   std::optional<std::uint16_t> metrics_port;
   if (values.contains("metrics-port"))
     metrics_port = values["metrics-port"].as<std::uint16_t>();
-  auto process = edge::EdgeProcess::Create(settings, path, metrics_port);
+  auto process = edge::EdgeProcess::Create(*settings, path, metrics_port);
   if (!process) {
     std::cerr << "cannot start: " << process.error().message() << "\n";
-    return kCannotListen;
+    return ExitCode::kUnreachable;
   }
   process.value()->Run();
-  return kDone;
+  return ExitCode::kDone;
 }
 
-int Dispatch(const options::variables_map& values,
-             const options::options_description& description) {
-  if (values.contains("help")) {
-    std::cout << description;
-    return kDone;
-  }
-  if (values.contains("version")) {
-    std::cout << kVersion << "\n";
-    return kDone;
-  }
-  const std::string path = SettingsPath(values);
-  const std::string command =
-      values.contains("command") ? values["command"].as<std::string>() : "";
-  if (path.empty())
-    std::cerr << "no settings file given\n";
-  else if (command == "run")
-    return Run(path, values);
-  else if (command == "check")
-    return Check(path);
-  std::cerr << description;
-  return kUsage;
+std::optional<ExitCode> Dispatch(const options::variables_map& values) {
+  const std::string command = TextOption(values, "command");
+  if (command == "run")
+    return Run(values);
+  if (command == "check" && values.contains("manifest"))
+    return edge::CheckManifest(TextOption(values, "manifest"));
+  if (command == "check")
+    return edge::CheckSettings(SettingsPath(values));
+  const auto address = base::ParseEndpoint(TextOption(values, "address"));
+  if (command == "status" && address)
+    return edge::PrintStatus(*address);
+  if (command == "explain" && values.contains("request") &&
+      values.contains("log"))
+    return edge::ExplainRequest(TextOption(values, "request"),
+                                values["log"].as<std::vector<std::string>>());
+  return std::nullopt;
 }
 
 }  // namespace
@@ -114,7 +114,18 @@
                    values);
   } catch (const options::error& error) {
     std::cerr << error.what() << "\n" << description;
-    return kUsage;
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  if (values.contains("help")) {
+    std::cout << description;
+    return 0;
+  }
+  if (values.contains("version")) {
+    std::cout << kVersion << "\n";
+    return 0;
   }
-  return Dispatch(values, description);
+  const auto code = Dispatch(values);
+  if (!code)
+    std::cerr << description;
+  return static_cast<int>(code.value_or(ExitCode::kUsage));
 }
--- /dev/null
+++ b/Tests/LibLogTrace/test_log_trace.cc
@@ -0,0 +1,61 @@
+#include <doctest/doctest.h>
+
+#include "LibLogTrace/log_trace.h"
+
+namespace log_trace {
+
+namespace {
+
+SourcedLine Line(const std::string& source,
+                 const std::string& second,
+                 const std::string& fields) {
+  return {source, "  9.1 " + source + R"( {"time":"2026-01-31T10:00:)" +
+                      second + R"(Z",)" + fields + "}"};
+}
+
+const std::string kFlow =
+    R"("caller":"100.64.0.7:40001","address":"198.18.0.1:443")";
+const std::string kOtherFlow =
+    R"("caller":"100.64.0.8:40001","address":"198.18.0.1:443")";
+
+}  // namespace
+
+TEST_CASE("a request's flow, servers and processes are told in order") {
+  const std::vector<SourcedLine> lines = {
+      Line("edge-2", "07.500",
+           R"("event":"flow_reset","request":"r1",)" + kFlow +
+               R"(,"server":"i-1","reason":"server_unreachable")"),
+      Line("edge-1", "05.000",
+           R"("event":"opening_placed",)" + kFlow + R"(,"server":"i-1")"),
+      Line("edge-1", "06.000",
+           R"("event":"request_forwarded","request":"r1",)" + kFlow +
+               R"(,"server":"i-1")"),
+      Line("edge-1", "06.100",
+           R"("event":"request_forwarded","request":"r2",)" + kOtherFlow +
+               R"(,"server":"i-2")"),
+      Line("edge-2", "07.400",
+           R"("event":"server_unreachable","server":"i-1")"),
+      Line("edge-2", "07.410",
+           R"("event":"server_unreachable","server":"i-2")"),
+      Line("edge-1", "05.500", R"("event":"store_lost")"),
+      Line("edge-3", "05.500", R"("event":"store_lost")"),
+      Line("edge-1", "40.000", R"("event":"store_regained")"),
+  };
+
+  const auto trace = TraceRequest(lines, "r1");
+
+  REQUIRE(trace.size() == 5);
+  CHECK(trace[0].m_text.find("opening_placed") != std::string::npos);
+  CHECK(trace[1].m_text.find("store_lost") != std::string::npos);
+  CHECK(trace[2].m_text.find("request_forwarded") != std::string::npos);
+  CHECK(trace[3].m_text.find("server_unreachable") != std::string::npos);
+  CHECK(trace[4].m_text.find("flow_reset") != std::string::npos);
+}
+
+TEST_CASE("an unknown request and lines that are no JSON give nothing") {
+  CHECK(TraceRequest({{"edge-1", "garbage"}, {"edge-1", "{\"a\":"}}, "r1")
+            .empty());
+  CHECK(TraceRequest({}, "r1").empty());
+}
+
+}  // namespace log_trace
--- a/Tests/LibSteering/test_flow_tracker.cc
+++ b/Tests/LibSteering/test_flow_tracker.cc
@@ -48,6 +48,16 @@
   CHECK(world.m_server->m_flows == 1);
 }
 
+TEST_CASE(
+    "the first packet of a flow that another balancer opened is no sign "
+    "of life") {
+  TrackerWorld world;
+
+  CHECK(world.Observe(101, 500, 80, 0) == Progress::kRequest);
+  CHECK(world.Observe(101, 500, 80, 200) == Progress::kRepeat);
+  CHECK(world.Observe(181, 900, 0, 210) == Progress::kAnswer);
+}
+
 TEST_CASE("sequence numbers that wrap around are still new data") {
   TrackerWorld world;
   world.Observe(0xFFFFFFF0, 1, 8, 0);
--- a/Tests/LibSteering/test_steering.cc
+++ b/Tests/LibSteering/test_steering.cc
@@ -286,4 +286,43 @@
   CHECK_FALSE(steering.HasReachableServer());
 }
 
+TEST_CASE(
+    "an unreachable server stays so while other balancers' flows come here") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = TokensOf(ServerName("i-1"))[0];
+  FailProbes(steering, "i-1", 0);
+
+  CHECK(IsReset(steering.Handle(MakeData(7, token, 101, 500, 80), At(10))));
+}
+
+TEST_CASE("a server whose record came back takes openings and is probed") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1", 1), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  steering.Handle(MakeData(1, token, 101, 500, 80), At(100));
+  steering.Handle(MakeData(1, token, 101, 500, 80), At(300));
+  FailProbes(steering, "i-1", 300);
+  steering.directory().Remove(ServerName("i-1"), At(400));
+  steering.TakeProbes(At(1000));
+  steering.directory().Apply(MakeServer("i-1", 2), At(1100));
+
+  OpenFlow(steering, 2, 1200);
+  steering.Handle(MakeData(2, token, 101, 500, 80), At(1300));
+  steering.Handle(MakeData(2, token, 101, 500, 80), At(1500));
+
+  CHECK(steering.TakeProbes(At(1500)).size() == 1);
+}
+
+TEST_CASE("a probe that ends after a server came back is followed up") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1", 1), At(0));
+  const ServerSlot slot =
+      steering.directory().FindByName(ServerName("i-1"))->m_slot;
+
+  steering.RecordProbe(slot, ProbeResult::kSilent, At(100));
+
+  CHECK(steering.TakeProbes(At(100)).size() == 1);
+}
+
 }  // namespace steering
--- /dev/null
+++ b/Tests/Platform/test_manifest_check.cc
@@ -0,0 +1,27 @@
+#include <doctest/doctest.h>
+
+#include "platform/manifest_check.h"
+
+namespace adapter {
+
+TEST_CASE("a manifest is checked as the store's object or by itself") {
+  const std::string spec =
+      R"({"version":7,"routes":[{"name":"r-1","host":"198.18.0.1",)"
+      R"("prefix":"/8443/","route_type":"download","timeout_ms":1500,)"
+      R"("backend":"a"},{"name":"r-2"}]})";
+
+  for (const std::string& text : {spec, R"({"meta":{},"spec":)" + spec + "}"}) {
+    const ManifestReport report = CheckManifest(text);
+    REQUIRE(report.m_manifest);
+    CHECK(report.m_manifest->m_routes.size() == 1);
+    CHECK(report.m_ignored_routes == 1);
+  }
+}
+
+TEST_CASE("text that is no manifest is refused with its reason") {
+  CHECK(CheckManifest("{").m_problem.find("at byte") != std::string::npos);
+  CHECK_FALSE(CheckManifest("{}").m_manifest);
+  CHECK_FALSE(CheckManifest(R"({"version":"7","routes":[]})").m_manifest);
+}
+
+}  // namespace adapter
