--- a/Libraries/LibLogTrace/log_trace.cc
+++ b/Libraries/LibLogTrace/log_trace.cc
@@ -134,6 +134,7 @@
                      return one->m_time < other->m_time;
                    });
   std::vector<SourcedLine> trace;
+  trace.reserve(chosen.size());
   for (const ParsedLine* line : chosen)
     trace.push_back(*line->m_line);
   return trace;
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -1,5 +1,5 @@
 // The stable names of the events that the log reports. Alerts match on them,
-// so a name is never reused for another meaning. docs/OPERATING.md lists them.
+// so a name is never reused for another meaning. docs/OPERATIONS.md lists them.
 
 #ifndef LIBOBSERVABILITY_EVENT_H_
 #define LIBOBSERVABILITY_EVENT_H_
--- a/Services/Coltsfootdale/exit_code.h
+++ b/Services/Coltsfootdale/exit_code.h
@@ -1,4 +1,4 @@
-// The exit codes of every subcommand; docs/OPERATING.md lists them.
+// The exit codes of every subcommand; docs/OPERATIONS.md lists them.
 
 #ifndef SERVICES_COLTSFOOTDALE_EXIT_CODE_H_
 #define SERVICES_COLTSFOOTDALE_EXIT_CODE_H_
--- a/Tests/Integration/test_data_centre_maintenance.cc
+++ b/Tests/Integration/test_data_centre_maintenance.cc
@@ -1,5 +1,5 @@
 // Promise: established flows live through planned change, here a data centre
-// that is taken out for maintenance as docs/OPERATING.md tells, and returns.
+// that is taken out for maintenance as docs/OPERATIONS.md tells, and returns.
 
 #include <doctest/doctest.h>
 
--- a/Tests/LibEventLoop/test_text_server.cc
+++ b/Tests/LibEventLoop/test_text_server.cc
@@ -67,7 +67,7 @@
   ServerWorld world;
   asio::ip::tcp::socket garbage(world.m_context);
   garbage.connect(base::ToAsio<asio::ip::tcp>(world.m_server->endpoint()));
-  asio::write(garbage, asio::buffer(std::string("\x00\x01garbage\r\n\r\n")));
+  asio::write(garbage, asio::buffer(std::string("\x01\x02garbage\r\n\r\n")));
 
   CHECK(world.Get("/there").m_status == 200);
 }
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -43,19 +43,23 @@
 }
 
 TEST_CASE("an entry of another writer names no server, and the others hold") {
+  // Complete but for what each of them changes.
+  const auto with = [](const std::string& fields) {
+    return R"({"warmup_left_ms":0,)" + fields + "}";
+  };
   const std::string broken[] = {
       "7",
       "null",
       R"("text")",
       R"({"backend":"a"})",
-      R"({"backend":"a","address":"x","zone":"z","max_concurrency":3,)"
-      R"("state":"ready","warmup_left_ms":0})",
-      R"({"backend":7,"address":"1.2.3.4:5","zone":"z","max_concurrency":3,)"
-      R"("state":"ready","warmup_left_ms":0})",
-      R"({"backend":"a","address":"1.2.3.4:5","zone":"z","max_concurrency":3,)"
-      R"("state":"asleep","warmup_left_ms":0})",
-      R"({"backend":"a","address":"1.2.3.4:5","zone":"z",)"
-      R"("max_concurrency":0,"state":"ready","warmup_left_ms":0})",
+      with(
+          R"("backend":"a","address":"x","zone":"z","max_concurrency":3,"state":"ready")"),
+      with(
+          R"("backend":7,"address":"1.2.3.4:5","zone":"z","max_concurrency":3,"state":"ready")"),
+      with(
+          R"("backend":"a","address":"1.2.3.4:5","zone":"z","max_concurrency":3,"state":"asleep")"),
+      with(
+          R"("backend":"a","address":"1.2.3.4:5","zone":"z","max_concurrency":0,"state":"ready")"),
   };
   std::string items = ServerObject("i-1a", kSpec);
   for (const std::string& spec : broken)
--- a/Tests/Soak/edge_fleet.cc
+++ b/Tests/Soak/edge_fleet.cc
@@ -28,11 +28,13 @@
                      Judge* judge,
                      Network network,
                      std::uint32_t edges,
+                     std::string program,
                      std::string directory)
     : m_loop(loop),
       m_judge(judge),
       m_network(network),
       m_network_size(edges),
+      m_program_path(std::move(program)),
       m_directory(std::move(directory)),
       m_client(loop->Context()) {
   for (std::uint32_t index = 0; index < edges; ++index) {
@@ -149,6 +151,7 @@
       m_directory + "/edge-" + std::to_string(edge.m_index) + ".log";
   edge.m_program.reset();
   edge.m_program = std::make_unique<EdgeProgram>(
+      m_program_path,
       std::vector<std::string>{"run", "--settings", SettingsPath(edge.m_index)},
       log);
   edge.m_is_end_expected = false;
--- a/Tests/Soak/edge_fleet.h
+++ b/Tests/Soak/edge_fleet.h
@@ -26,11 +26,12 @@
 
 class EdgeFleet {
  public:
-  // Starts `edges` processes; their logs go to `directory`.
+  // Starts `edges` processes of `program`; their logs go to `directory`.
   EdgeFleet(stand_ins::EventLoop* loop,
             Judge* judge,
             Network network,
             std::uint32_t edges,
+            std::string program,
             std::string directory);
   EdgeFleet(const EdgeFleet&) = delete;
   EdgeFleet& operator=(const EdgeFleet&) = delete;
@@ -72,6 +73,7 @@
   Judge* m_judge;
   Network m_network;
   std::uint32_t m_network_size;
+  std::string m_program_path;
   std::string m_directory;
   std::vector<std::unique_ptr<Edge>> m_edges;
   http::Client m_client;
--- a/Tests/Soak/edge_program.cc
+++ b/Tests/Soak/edge_program.cc
@@ -12,11 +12,13 @@
 
 namespace soak {
 
-EdgeProgram::EdgeProgram(const std::vector<std::string>& arguments,
+EdgeProgram::EdgeProgram(const std::string& program,
+                         const std::vector<std::string>& arguments,
                          const std::string& log) {
-  std::vector<std::string> words = {EDGE_PROGRAM};
+  std::vector<std::string> words = {program};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (std::string& word : words)
     pointers.push_back(word.data());
   pointers.push_back(nullptr);
@@ -28,11 +30,11 @@
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   // The sockets of the soak are not the balancer's.
   posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  const int error = posix_spawn(&m_id, EDGE_PROGRAM, &actions, nullptr,
+  const int error = posix_spawn(&m_id, program.c_str(), &actions, nullptr,
                                 pointers.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0)
-    throw std::system_error(error, std::generic_category(), EDGE_PROGRAM);
+    throw std::system_error(error, std::generic_category(), program);
 }
 
 EdgeProgram::~EdgeProgram() {
--- a/Tests/Soak/edge_program.h
+++ b/Tests/Soak/edge_program.h
@@ -13,9 +13,10 @@
 
 class EdgeProgram {
  public:
-  // Starts the program; what it prints is appended to the file `log`. Throws
-  // if it cannot be started.
-  EdgeProgram(const std::vector<std::string>& arguments,
+  // Starts `program`; what it prints is appended to the file `log`. Throws if
+  // it cannot be started.
+  EdgeProgram(const std::string& program,
+              const std::vector<std::string>& arguments,
               const std::string& log);
   // Kills the process if it still runs.
   ~EdgeProgram();
--- a/Tests/Soak/fault_schedule.cc
+++ b/Tests/Soak/fault_schedule.cc
@@ -54,7 +54,8 @@
     fault.m_length = milliseconds(kShortestMs + random.Below(kLongerMs));
     const bool is_of_server = fault.m_kind == FaultKind::kDrainServer ||
                               fault.m_kind == FaultKind::kCrashServer ||
-                              fault.m_kind == FaultKind::kRestartServer;
+                              fault.m_kind == FaultKind::kRestartServer ||
+                              fault.m_kind == FaultKind::kSlowServer;
     fault.m_place = static_cast<std::uint32_t>(
         random.Below(is_of_server ? servers : edges));
   }
@@ -123,6 +124,8 @@
       return world.PutForeignEntry();
     case FaultKind::kGarbage:
       return world.SendGarbage(fault.m_place);
+    case FaultKind::kSlowServer:
+      return world.SlowServer(fault.m_place, length);
   }
 }
 
--- a/Tests/Soak/fault_schedule.h
+++ b/Tests/Soak/fault_schedule.h
@@ -37,9 +37,10 @@
   kChangeSettings,
   kForeignEntry,
   kGarbage,
+  kSlowServer,
 };
 
-inline constexpr base::EnumTable<FaultKind, 22> kFaultKindNames{{
+inline constexpr base::EnumTable<FaultKind, 23> kFaultKindNames{{
     {FaultKind::kKillEdge, "kill_edge"},
     {FaultKind::kStopEdge, "stop_edge"},
     {FaultKind::kPauseEdge, "pause_edge"},
@@ -62,6 +63,7 @@
     {FaultKind::kChangeSettings, "change_settings"},
     {FaultKind::kForeignEntry, "foreign_entry"},
     {FaultKind::kGarbage, "garbage"},
+    {FaultKind::kSlowServer, "slow_server"},
 }};
 
 struct Fault {
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -128,6 +128,8 @@
       "callers", options::value<std::uint32_t>()->default_value(24), "callers")(
       "network", options::value<std::uint32_t>()->default_value(200),
       "the second number of its loopback addresses")(
+      "program", options::value<std::string>(),
+      "another build of the balancer, as one with a mechanism off")(
       "keep", "keep settings and logs also of runs that passed");
   return description;
 }
@@ -139,6 +141,8 @@
   run.m_soak.m_servers = values["servers"].as<std::uint32_t>();
   run.m_soak.m_callers = values["callers"].as<std::uint32_t>();
   run.m_fault_time = std::chrono::seconds(values["seconds"].as<int>());
+  if (values.contains("program"))
+    run.m_soak.m_program = values["program"].as<std::string>();
   run.m_keeps_files = values.contains("keep");
   if (values.contains("skip"))
     run.m_skipped = values["skip"].as<std::vector<std::size_t>>();
--- a/Tests/Soak/soak_world.cc
+++ b/Tests/Soak/soak_world.cc
@@ -16,8 +16,10 @@
 // What the platform's pages say of backend servers.
 constexpr base::Duration kLapse = milliseconds(3600);
 constexpr base::Duration kAddressReuse = milliseconds(2000);
-constexpr base::Duration kServesAfterDrain = milliseconds(3500);
+constexpr base::Duration kServesAfterDrain = milliseconds(6000);
 constexpr base::Duration kReturnsAfterStore = milliseconds(1500);
+// Callers repeat themselves after 200 ms and again after 600 ms.
+constexpr base::Duration kSlowWork = milliseconds(700);
 constexpr std::size_t kLeastRoutes = 2;
 constexpr base::Ipv4Address kServiceAddress(0xC6120001);
 
@@ -38,7 +40,8 @@
   AddRoute();
   AddRoute();
   m_fleet = std::make_unique<EdgeFleet>(&m_loop, &m_judge, options.m_network,
-                                        options.m_edges, options.m_directory);
+                                        options.m_edges, options.m_program,
+                                        options.m_directory);
 }
 
 void SoakWorld::Run(base::Duration length) {
@@ -101,6 +104,17 @@
   After(kAddressReuse, [this, place, other] { StartServer(place, other); });
 }
 
+void SoakWorld::SlowServer(std::uint32_t place, base::Duration length) {
+  if (m_servers[place] == nullptr)
+    return;
+  m_servers[place]->SetExtraWork(kSlowWork);
+  After(length, [this, place, name = m_servers[place]->identity().m_name] {
+    if (m_servers[place] != nullptr &&
+        m_servers[place]->identity().m_name == name)
+      m_servers[place]->SetExtraWork({});
+  });
+}
+
 void SoakWorld::FailStore(StoreFault fault,
                           base::Duration length,
                           bool lapses) {
@@ -127,12 +141,13 @@
 }
 
 void SoakWorld::PutForeignEntry() {
-  static const char* const kSpecs[] = {
-      "7", R"({"backend":3})",
+  const std::string unknown_state =
       R"({"backend":"portal","address":"127.0.0.1:9","zone":"hall-0",)"
-      R"("max_concurrency":3,"state":"resting","warmup_left_ms":0})"};
+      R"("max_concurrency":3,"state":"resting","warmup_left_ms":0})";
+  const std::vector<std::string> specs = {"7", R"({"backend":3})",
+                                          unknown_state};
   m_store.Put("servers", fmt::format("x-{}", m_random.Below(100)),
-              kSpecs[m_random.Below(std::size(kSpecs))]);
+              specs[m_random.Below(specs.size())]);
 }
 
 void SoakWorld::AddRoute() {
--- a/Tests/Soak/soak_world.h
+++ b/Tests/Soak/soak_world.h
@@ -27,6 +27,8 @@
   std::uint32_t m_edges = 4;
   std::uint32_t m_servers = 10;
   std::uint32_t m_callers = 24;
+  // The balancers' program.
+  std::string m_program = EDGE_PROGRAM;
   // Where settings and logs go.
   std::string m_directory;
 };
@@ -58,6 +60,8 @@
   // service, or the server itself starts again.
   enum class Return { kOtherService, kSameName };
   void CrashServer(std::uint32_t place, Return kind);
+  // A server that answers late, which is no reason to give it up.
+  void SlowServer(std::uint32_t place, base::Duration length);
   void FailStore(StoreFault fault, base::Duration length, bool lapses);
   void CompactStore();
   void PutForeignEntry();
--- a/Tests/Soak/token_server.cc
+++ b/Tests/Soak/token_server.cc
@@ -134,7 +134,7 @@
   const auto work = std::chrono::milliseconds(
       kShortestWorkMs + static_cast<int>(m_random.Below(kWorkSpreadMs)));
   m_loop->Timers().SubscribeOnce(
-      stand_ins::EventLoop::Now() + work,
+      stand_ins::EventLoop::Now() + work + m_extra_work,
       [this, packet, alive = std::weak_ptr<bool>(m_lifetime)](base::TimePoint) {
         if (!alive.expired())
           Answer(packet);
--- a/Tests/Soak/token_server.h
+++ b/Tests/Soak/token_server.h
@@ -44,6 +44,10 @@
   // Its entry in the store.
   std::string Spec(const std::string& state) const;
 
+  // Commands.
+  // Each request takes this much longer.
+  void SetExtraWork(base::Duration work) { m_extra_work = work; }
+
  private:
   struct Flow {
     std::uint32_t m_sequence = 0;
@@ -70,6 +74,7 @@
   Judge* m_judge;
   Identity m_identity;
   base::Random m_random;
+  base::Duration m_extra_work{};
   std::unique_ptr<stand_ins::UdpPort> m_port;
   asio::ip::tcp::acceptor m_acceptor;
   std::map<flow::FlowKey, Flow> m_flows;
