--- a/Libraries/LibCatalog/collection_follower.cc
+++ b/Libraries/LibCatalog/collection_follower.cc
@@ -26,15 +26,17 @@
     return std::nullopt;
   m_is_call_open = true;
   m_call_started_at = now;
+  m_call_wait = base::Duration::zero();
   if (m_is_listing)
     return ListCall{m_list_after};
-  return WatchCall{m_revision, m_policy.m_watch_wait};
+  m_call_wait =
+      m_failing_since ? m_policy.m_watch_wait_in_outage : m_policy.m_watch_wait;
+  return WatchCall{m_revision, m_call_wait};
 }
 
 CollectionFollower::Outcome CollectionFollower::HandleResult(
     const CallResult& result,
     base::TimePoint now) {
-  const bool was_watching = IsWatching();
   m_is_call_open = false;
   const bool was_failing = m_failing_since.has_value();
   Outcome outcome;
@@ -51,9 +53,8 @@
       },
       result);
   const bool is_failing = m_failing_since.has_value();
-  const base::Duration wait =
-      was_watching ? m_policy.m_watch_wait : base::Duration::zero();
-  const bool is_late = now - m_call_started_at > wait + m_policy.m_late_answer;
+  const bool is_late =
+      now - m_call_started_at > m_call_wait + m_policy.m_late_answer;
   outcome.m_is_lost = !was_failing && (is_failing || is_late);
   outcome.m_is_regained = !is_failing && (was_failing || is_late);
   return outcome;
--- a/Libraries/LibCatalog/collection_follower.h
+++ b/Libraries/LibCatalog/collection_follower.h
@@ -26,6 +26,9 @@
   // How long a watch waits. A connection that went silent is found after this
   // time, so it stays near the time in which a fault has no bound.
   base::Duration m_watch_wait = std::chrono::seconds(4);
+  // How long a watch waits while the store does not answer. A longer one would
+  // hang on in an outage that is over.
+  base::Duration m_watch_wait_in_outage = std::chrono::milliseconds(100);
   // A call answered later than its wait and this was held up by an outage, in
   // which records may have lapsed.
   base::Duration m_late_answer = std::chrono::milliseconds(600);
@@ -97,6 +100,7 @@
   bool m_is_listing = true;
   bool m_is_call_open = false;
   base::TimePoint m_call_started_at;
+  base::Duration m_call_wait{};
   base::TimePoint m_next_call_at;
   std::optional<base::TimePoint> m_confirmed_at;
   std::optional<base::TimePoint> m_failing_since;
--- a/Tests/LibCatalog/test_collection_follower.cc
+++ b/Tests/LibCatalog/test_collection_follower.cc
@@ -117,6 +117,21 @@
   CHECK(outcome.m_is_regained);
 }
 
+TEST_CASE("a watch does not hang on in an outage that may be over") {
+  CollectionFollower follower = MakeListedFollower();
+  follower.TakeCall(At(4));
+  follower.HandleResult(CallFailure::kTimedOut, At(5000));
+
+  const auto retry = follower.TakeCall(At(5100));
+  REQUIRE(retry);
+  CHECK(std::get<WatchCall>(*retry).m_wait <= std::chrono::milliseconds(200));
+
+  follower.HandleResult(ChangesAnswer{Revision(6)}, At(5110));
+  const auto next = follower.TakeCall(At(6000));
+  REQUIRE(next);
+  CHECK(std::get<WatchCall>(*next).m_wait == FollowerPolicy().m_watch_wait);
+}
+
 TEST_CASE("a list that lags behind what is known is not taken") {
   CollectionFollower follower = MakeListedFollower();
   follower.TakeCall(At(4));
