Edge: Read settings once, look a flow up once, open sockets in one place

Cause: reading the change once more. A reload read its file three times; each packet of an open flow was looked up twice; three loops opened their sockets alike; two files had the same conversion to milliseconds; a few queries and a field had no reader. Change: DecodeSettings takes what was read; FlowTracker::Observe also returns since when the caller had waited; OpenDatagramSocket and WholeMilliseconds; the unread parts are gone. Behaviour is as before.

--- /dev/null
+++ b/Libraries/LibBase/milliseconds.h
@@ -0,0 +1,21 @@
+// Durations as whole milliseconds, for logs and messages.
+
+#ifndef LIBBASE_MILLISECONDS_H_
+#define LIBBASE_MILLISECONDS_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "LibBase/time.h"
+
+namespace base {
+
+// Rounded towards zero.
+constexpr std::int64_t WholeMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace base
+
+#endif  // LIBBASE_MILLISECONDS_H_
--- a/Libraries/LibCatalog/collection_follower.cc
+++ b/Libraries/LibCatalog/collection_follower.cc
@@ -67,8 +67,7 @@
   // A watch from there goes on where the other reader was.
   if (!m_is_call_open) {
     m_is_listing = false;
-    m_list_revision.reset();
-    m_list_after.clear();
+    ForgetPages();
   }
   return true;
 }
@@ -85,7 +84,7 @@
     return FollowerStep::kNone;
   }
   const Revision listed = *m_list_revision;
-  StartListing();
+  ForgetPages();
   // A list that lags behind what is known would bring servers back.
   if (listed < m_revision) {
     m_next_call_at = now + m_back_off.Next(m_random);
@@ -113,7 +112,7 @@
 void CollectionFollower::HandleFailure(CallFailure failure,
                                        base::TimePoint now) {
   if (failure == CallFailure::kHistoryGone) {
-    StartListing();
+    ForgetPages();
     m_is_listing = true;
     m_next_call_at = now;
     return;
@@ -123,7 +122,7 @@
   m_next_call_at = now + m_back_off.Next(m_random);
 }
 
-void CollectionFollower::StartListing() {
+void CollectionFollower::ForgetPages() {
   m_list_revision.reset();
   m_list_after.clear();
 }
--- a/Libraries/LibCatalog/collection_follower.h
+++ b/Libraries/LibCatalog/collection_follower.h
@@ -87,7 +87,8 @@
   FollowerStep HandlePage(const PageAnswer& page, base::TimePoint now);
   FollowerStep HandleChanges(const ChangesAnswer& changes, base::TimePoint now);
   void HandleFailure(CallFailure failure, base::TimePoint now);
-  void StartListing();
+  // A list, if one comes, begins with its first page.
+  void ForgetPages();
 
   FollowerPolicy m_policy;
   base::Random m_random;
--- a/Libraries/LibCatalog/lapse_guard.cc
+++ b/Libraries/LibCatalog/lapse_guard.cc
@@ -8,16 +8,6 @@
   return m_is_lost || (m_regained_at && now - *m_regained_at < kReturnTime);
 }
 
-std::optional<base::TimePoint> LapseGuard::NextRemoval() const {
-  if (m_is_lost || m_held.empty())
-    return std::nullopt;
-  return std::min_element(m_held.begin(), m_held.end(),
-                          [](const auto& first, const auto& second) {
-                            return first.second < second.second;
-                          })
-      ->second;
-}
-
 void LapseGuard::OnRegained(base::TimePoint now) {
   m_is_lost = false;
   m_regained_at = now;
--- a/Libraries/LibCatalog/lapse_guard.h
+++ b/Libraries/LibCatalog/lapse_guard.h
@@ -23,9 +23,9 @@
   // From the return of the store. Servers are back within about 2 s of it; the
   // rest is a balancer's delay in noticing the return.
   static constexpr base::Duration kReturnTime = std::chrono::milliseconds(2300);
+
   // Queries.
   bool IsHoldingBack(base::TimePoint now) const;
-  std::optional<base::TimePoint> NextRemoval() const;
 
   // Commands.
   void OnLost() { m_is_lost = true; }
--- a/Libraries/LibEdge/belief.h
+++ b/Libraries/LibEdge/belief.h
@@ -35,7 +35,6 @@
   explicit Belief(steering::Steering& steering) : m_steering(steering) {}
 
   // Queries.
-  const catalog::LapseGuard& guard() const { return m_guard; }
   catalog::Snapshot MakeSnapshot(catalog::Revision servers,
                                  catalog::Revision manifest) const;
 
--- a/Libraries/LibSteering/flow_record.h
+++ b/Libraries/LibSteering/flow_record.h
@@ -19,7 +19,6 @@
   bool m_is_request_in_progress = false;
   // The flow was active of late and counts as load of its server.
   bool m_is_active = false;
-  base::TimePoint m_opened_at;
   base::TimePoint m_last_seen;
   // When what is in progress was sent first, and when its caller gives up.
   base::TimePoint m_request_at;
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -30,22 +30,25 @@
   return record;
 }
 
-Progress FlowTracker::Observe(const CallerPacket& packet,
-                              KnownServer& server,
-                              base::Duration timeout,
-                              base::TimePoint now) {
+Observation FlowTracker::Observe(const CallerPacket& packet,
+                                 KnownServer& server,
+                                 base::Duration timeout,
+                                 base::TimePoint now) {
+  Observation observation{Progress::kNothingNew, now};
   FlowRecord* record = Find(packet.m_flow);
-  if (record == nullptr) {
+  if (record != nullptr) {
+    observation.m_waiting_since = record->m_request_at;
+  } else {
     record = Insert(packet.m_flow, server, now);
+    if (record == nullptr)
+      return observation;
     // Another balancer saw it open; its first packet here proves nothing.
-    if (record != nullptr)
-      record->m_is_established = true;
+    record->m_is_established = true;
   }
-  if (record == nullptr)
-    return Progress::kNothingNew;
   if (packet.m_is_end || packet.m_is_reset) {
     Forget(packet.m_flow);
-    return Progress::kEnd;
+    observation.m_progress = Progress::kEnd;
+    return observation;
   }
   MoveTo(*record, server);
   record->m_last_seen = now;
@@ -56,6 +59,13 @@
     SetInProgress(*record, false);
   if (has_new_data)
     StartRequest(*record, timeout, now);
+  observation.m_progress = ProgressOf(packet, has_answer, has_new_data);
+  return observation;
+}
+
+Progress FlowTracker::ProgressOf(const CallerPacket& packet,
+                                 bool has_answer,
+                                 bool has_new_data) {
   if (has_answer)
     return Progress::kAnswer;
   if (has_new_data)
@@ -144,7 +154,6 @@
     return nullptr;
   FlowRecord& record = m_flows[key];
   record.m_server = server.m_slot;
-  record.m_opened_at = now;
   record.m_last_seen = now;
   SetActive(record, true);
   return &record;
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -37,6 +37,12 @@
     {Progress::kEnd, "end"},
 }};
 
+struct Observation {
+  Progress m_progress = Progress::kNothingNew;
+  // Since when the caller had waited when the packet came.
+  base::TimePoint m_waiting_since;
+};
+
 class FlowTracker {
  public:
   // Flows beyond this number are steered without a record: 96 bytes each, so
@@ -68,10 +74,10 @@
                    base::TimePoint now);
   // Notes a packet of an open flow of `server`, also of a flow that was opened
   // by another balancer.
-  Progress Observe(const CallerPacket& packet,
-                   KnownServer& server,
-                   base::Duration timeout,
-                   base::TimePoint now);
+  Observation Observe(const CallerPacket& packet,
+                      KnownServer& server,
+                      base::Duration timeout,
+                      base::TimePoint now);
   // Moves an opening to another server.
   void MoveTo(FlowRecord& record, KnownServer& server);
   void Forget(const flow::FlowKey& key);
@@ -82,6 +88,9 @@
   FlowRecord* Insert(const flow::FlowKey& key,
                      KnownServer& server,
                      base::TimePoint now);
+  static Progress ProgressOf(const CallerPacket& packet,
+                             bool has_answer,
+                             bool has_new_data);
   // Whether the caller has got something new from the server.
   static bool TakeAcknowledgement(FlowRecord& record,
                                   const CallerPacket& packet);
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -156,7 +156,7 @@
   }
 
   Decision decision;
-  // Zero leaves the choice of the token's server to the datagram's identity.
+  // Without a token of its own no balancer could follow the flow.
   const auto token = m_directory.UniqueTokenOf(server);
   if (!token) {
     decision = Refuse(packet, Reason::kNoServer);
@@ -195,12 +195,10 @@
     decision.m_action = Forward{server, packet.m_token};
     return decision;
   }
-  const FlowRecord* former = m_tracker.Find(packet.m_flow);
-  const base::TimePoint waiting_since =
-      former == nullptr ? now : former->m_request_at;
-  decision.m_progress =
+  const Observation observation =
       m_tracker.Observe(packet, *server, route->m_timeout, now);
-  Judge(*server, waiting_since, decision, now);
+  decision.m_progress = observation.m_progress;
+  Judge(*server, observation.m_waiting_since, decision, now);
   const auto hopeless = HopelessReason(*server, *route, now);
   if (packet.m_payload_bytes > 0 && hopeless) {
     decision.m_action = Reset{packet.m_acknowledgement};
@@ -228,16 +226,14 @@
                      base::TimePoint waiting_since,
                      Decision& decision,
                      base::TimePoint now) {
-  if (decision.m_progress == Progress::kRepeat) {
-    decision.m_waited = now - waiting_since;
-    // A copy that overtook its original says nothing yet.
-    if (decision.m_waited >= m_settings.m_doubt_after)
-      RaiseDoubt(server, waiting_since);
-  }
-  if (decision.m_progress != Progress::kAnswer)
+  const bool is_answer = decision.m_progress == Progress::kAnswer;
+  if (!is_answer && decision.m_progress != Progress::kRepeat)
     return;
   decision.m_waited = now - waiting_since;
-  if (server.m_sight.RecordProgress(now))
+  // A copy that overtook its original says nothing yet.
+  if (!is_answer && decision.m_waited >= m_settings.m_doubt_after)
+    RaiseDoubt(server, waiting_since);
+  if (is_answer && server.m_sight.RecordProgress(now))
     decision.m_judged = &server;
 }
 
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -69,7 +69,7 @@
   bool IsReady() const;
   // Whether any server that takes openings can be reached.
   bool HasReachableServer() const { return m_directory.HasReachableServer(); }
-  // When Advance is due because of an opening without an answer.
+  // When TakeResends is due because of an opening without an answer.
   std::optional<base::TimePoint> NextResend() const;
 
   // Commands.
--- a/Services/Coltsfootdale/peer_link.cc
+++ b/Services/Coltsfootdale/peer_link.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "LibBase/asio_endpoint.h"
+#include "LibEventLoop/datagram_socket.h"
 #include "LibPeer/codec.h"
 
 namespace service {
@@ -21,13 +22,7 @@
     asio::io_context& context,
     base::Endpoint listen) {
   std::unique_ptr<PeerLink> link(new PeerLink(context));
-  std::error_code error;
-  link->m_socket.open(asio::ip::udp::v4(), error);
-  if (!error)
-    link->m_socket.bind(base::ToAsio<asio::ip::udp>(listen), error);
-  if (!error)
-    link->m_socket.non_blocking(true, error);
-  if (error)
+  if (const auto error = event_loop::OpenDatagramSocket(link->m_socket, listen))
     return error;
   return link;
 }
--- a/Services/Coltsfootdale/traffic_loop.cc
+++ b/Services/Coltsfootdale/traffic_loop.cc
@@ -8,6 +8,7 @@
 #include "LibBalancer/packet_classifier.h"
 #include "LibBase/asio_endpoint.h"
 #include "LibBase/overloaded.h"
+#include "LibEventLoop/datagram_socket.h"
 #include "LibFlow/routing_table.h"
 #include "LibWire/relay_header.h"
 #include "LibWire/reset_builder.h"
@@ -26,13 +27,8 @@
 base::Outcome<std::unique_ptr<TrafficLoop>> TrafficLoop::Create(
     const TrafficLoopOptions& options) {
   std::unique_ptr<TrafficLoop> loop(new TrafficLoop(options));
-  std::error_code error;
-  loop->m_socket.open(asio::ip::udp::v4(), error);
-  if (!error)
-    loop->m_socket.bind(base::ToAsio<asio::ip::udp>(options.m_listen), error);
-  if (!error)
-    loop->m_socket.non_blocking(true, error);
-  if (error)
+  if (const auto error =
+          event_loop::OpenDatagramSocket(loop->m_socket, options.m_listen))
     return error;
   // The system may grant less; that is no failure.
   std::error_code ignored;
--- a/Services/Edge/check_settings.cc
+++ b/Services/Edge/check_settings.cc
@@ -26,8 +26,8 @@
   return text;
 }
 
-configuration::Reading<EdgeSettings> LoadSettings(const std::string& path) {
-  const auto text = ReadSettingsFile(path);
+configuration::Reading<EdgeSettings> DecodeSettings(
+    const base::Outcome<std::string>& text) {
   if (!text)
     return configuration::Problems{{configuration::ProblemKind::kSyntax,
                                     "",
@@ -36,4 +36,8 @@
   return adapter::DecodeSettings(text.value());
 }
 
+configuration::Reading<EdgeSettings> LoadSettings(const std::string& path) {
+  return DecodeSettings(ReadSettingsFile(path));
+}
+
 }  // namespace edge
--- a/Services/Edge/check_settings.h
+++ b/Services/Edge/check_settings.h
@@ -16,7 +16,12 @@
 // 1 MB.
 base::Outcome<std::string> ReadSettingsFile(const std::string& path);
 
-// The settings in a file, or every problem: also that it cannot be read.
+// The settings in what ReadSettingsFile gave, or every problem: also that the
+// file cannot be read.
+configuration::Reading<EdgeSettings> DecodeSettings(
+    const base::Outcome<std::string>& text);
+
+// Reads and decodes the file.
 configuration::Reading<EdgeSettings> LoadSettings(const std::string& path);
 
 }  // namespace edge
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <variant>
 
+#include "LibBase/milliseconds.h"
+
 namespace edge {
 
 namespace {
@@ -11,11 +13,6 @@
 using observability::Event;
 using observability::Severity;
 
-std::int64_t Milliseconds(base::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::string ServerOf(const steering::Decision& decision) {
   return decision.m_server == nullptr
              ? std::string()
@@ -40,7 +37,8 @@
 
 // -1 stands for never.
 std::int64_t AgeOf(const BeliefAge& belief) {
-  return belief.m_servers_age ? Milliseconds(*belief.m_servers_age) : -1;
+  return belief.m_servers_age ? base::WholeMilliseconds(*belief.m_servers_age)
+                              : -1;
 }
 
 Event EventOf(const steering::Decision& decision) {
@@ -121,7 +119,7 @@
                {"server", ServerOf(decision)},
                {"data_centre", DataCentreOf(decision)},
                {"token", packet.m_token.value()},
-               {"waited_ms", Milliseconds(decision.m_waited)},
+               {"waited_ms", base::WholeMilliseconds(decision.m_waited)},
                {"in_progress", InProgressAt(decision)},
                {"servers_revision", belief.m_servers_revision},
                {"servers_age_ms", AgeOf(belief)},
@@ -135,13 +133,14 @@
   if (!m_log.Admit(event, now))
     return;
   const auto progress = server.m_sight.LastProgress();
-  m_log.Write(Severity::kWarning, event,
-              {{"server", server.m_record.m_name.value()},
-               {"data_centre", server.m_record.m_data_centre.value()},
-               {"failed_probes", server.m_sight.FailedProbes()},
-               {"last_progress_ms",
-                progress ? Milliseconds(now - *progress) : std::int64_t{-1}},
-               {"in_progress", server.m_requests_in_progress}});
+  m_log.Write(
+      Severity::kWarning, event,
+      {{"server", server.m_record.m_name.value()},
+       {"data_centre", server.m_record.m_data_centre.value()},
+       {"failed_probes", server.m_sight.FailedProbes()},
+       {"last_progress_ms",
+        progress ? base::WholeMilliseconds(now - *progress) : std::int64_t{-1}},
+       {"in_progress", server.m_requests_in_progress}});
 }
 
 }  // namespace edge
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -9,6 +9,7 @@
 #include <random>
 #include <utility>
 
+#include "LibBase/milliseconds.h"
 #include "LibCatalog/snapshot_codec.h"
 #include "LibEdge/store_pacing.h"
 #include "check_settings.h"
@@ -52,10 +53,6 @@
       std::chrono::nanoseconds(time.tv_nsec));
 }
 
-std::int64_t Milliseconds(base::Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 }  // namespace
 
 base::Outcome<std::unique_ptr<EdgeProcess>> EdgeProcess::Create(
@@ -224,7 +221,7 @@
       m_steering.routes().size(),
       directory.Count(steering::ServerState::kReady),
       directory.Count(steering::ServerState::kDraining), age.m_servers_revision,
-      age.m_servers_age ? Milliseconds(*age.m_servers_age) : -1,
+      age.m_servers_age ? base::WholeMilliseconds(*age.m_servers_age) : -1,
       m_steering.tracker().size(), m_servers.Calls() + m_manifests.Calls());
 }
 
@@ -258,7 +255,7 @@
     m_log.Write(Severity::kWarning, Event::kStoreCallFailed,
                 {{"collection", collection},
                  {"reason", result},
-                 {"call_ms", Milliseconds(news.m_call_time)},
+                 {"call_ms", base::WholeMilliseconds(news.m_call_time)},
                  {"revision", reader.follower().KnownRevision().value()}});
   if (news.m_outcome.m_is_lost) {
     m_belief.OnStoreLost();
@@ -377,11 +374,12 @@
   if (m_was_ready || !m_steering.IsReady())
     return;
   m_was_ready = true;
-  m_log.Write(Severity::kInfo, Event::kReady,
-              {{"after_ms", Milliseconds(base::Clock::now() - m_started_at)},
-               {"manifest", m_steering.routes().Version().value()},
-               {"servers", std::uint64_t{m_steering.directory().Count(
-                               steering::ServerState::kReady)}}});
+  m_log.Write(
+      Severity::kInfo, Event::kReady,
+      {{"after_ms", base::WholeMilliseconds(base::Clock::now() - m_started_at)},
+       {"manifest", m_steering.routes().Version().value()},
+       {"servers", std::uint64_t{m_steering.directory().Count(
+                       steering::ServerState::kReady)}}});
 }
 
 void EdgeProcess::ProbeServers(base::TimePoint now) {
@@ -411,7 +409,7 @@
 
 void EdgeProcess::OnSignal(int signal) {
   if (signal == SIGHUP) {
-    ReloadSettings("signal");
+    ReloadSettings(ReadSettingsFile(m_settings_path), "signal");
     return;
   }
   if (m_shutdown)
@@ -419,7 +417,7 @@
   m_shutdown.emplace(base::Clock::now(), m_settings.m_stop_grace);
   m_log.Write(Severity::kInfo, Event::kShutdownStarted,
               {{"signal", signal},
-               {"grace_ms", Milliseconds(m_settings.m_stop_grace)},
+               {"grace_ms", base::WholeMilliseconds(m_settings.m_stop_grace)},
                {"flows", std::uint64_t{m_steering.tracker().size()}}});
 }
 
@@ -451,16 +449,17 @@
     return;
   if (m_log.Admit(Event::kPauseDetected, now))
     m_log.Write(Severity::kWarning, Event::kPauseDetected,
-                {{"pause_ms", Milliseconds(*pause)}});
+                {{"pause_ms", base::WholeMilliseconds(*pause)}});
   // What was believed before may be old, and open calls may be dead.
   m_servers.AskAnew();
   m_manifests.AskAnew();
 }
 
-void EdgeProcess::ReloadSettings(std::string_view cause) {
-  if (const auto text = ReadSettingsFile(m_settings_path))
+void EdgeProcess::ReloadSettings(const base::Outcome<std::string>& text,
+                                 std::string_view cause) {
+  if (text)
     m_settings_text = text.value();
-  const auto reading = LoadSettings(m_settings_path);
+  const auto reading = DecodeSettings(text);
   if (const auto* problems = std::get_if<configuration::Problems>(&reading)) {
     for (const configuration::Problem& problem : *problems) {
       if (m_log.Admit(Event::kSettingsRefused, base::Clock::now()))
@@ -488,7 +487,7 @@
 void EdgeProcess::ReloadIfChanged() {
   const auto text = ReadSettingsFile(m_settings_path);
   if (text && text.value() != m_settings_text)
-    ReloadSettings("file");
+    ReloadSettings(text, "file");
 }
 
 void EdgeProcess::UpdateGauges(base::TimePoint now) {
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -82,7 +82,9 @@
   void Sweep(base::TimePoint now);
   void AskPeersIfBlind(base::TimePoint now);
   void LookForPause(base::TimePoint now);
-  void ReloadSettings(std::string_view cause);
+  // `text` is what ReadSettingsFile gave.
+  void ReloadSettings(const base::Outcome<std::string>& text,
+                      std::string_view cause);
   void ReloadIfChanged();
   void UpdateGauges(base::TimePoint now);
   void StopIfDone(base::TimePoint now);
--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -4,8 +4,8 @@
 #include <utility>
 #include <variant>
 
-#include "LibBase/asio_endpoint.h"
 #include "LibBase/overloaded.h"
+#include "LibEventLoop/datagram_socket.h"
 #include "platform/request_head.h"
 
 namespace edge {
@@ -34,13 +34,7 @@
   std::unique_ptr<PacketLoop> loop(
       new PacketLoop(context, caller_port, steering, log, metrics,
                      std::move(belief), std::move(on_batch)));
-  std::error_code error;
-  loop->m_socket.open(asio::ip::udp::v4(), error);
-  if (!error)
-    loop->m_socket.bind(base::ToAsio<asio::ip::udp>(listen), error);
-  if (!error)
-    loop->m_socket.non_blocking(true, error);
-  if (error)
+  if (const auto error = event_loop::OpenDatagramSocket(loop->m_socket, listen))
     return error;
   // The system may grant less; that is no failure.
   std::error_code ignored;
@@ -65,10 +59,6 @@
       m_belief(std::move(belief)),
       m_on_batch(std::move(on_batch)) {}
 
-base::Endpoint PacketLoop::LocalEndpoint() const {
-  return base::FromAsio(m_socket.local_endpoint());
-}
-
 void PacketLoop::SendDueResends() {
   // On a busy processor the answers may wait in the socket.
   ReceivePackets();
--- a/Services/Edge/packet_loop.h
+++ b/Services/Edge/packet_loop.h
@@ -49,7 +49,6 @@
 
   // Queries.
   base::TimePoint LastPacket() const { return m_last_packet; }
-  base::Endpoint LocalEndpoint() const;
 
   // Commands.
   void Start() { WaitForPackets(); }
--- a/Tests/LibSteering/test_flow_tracker.cc
+++ b/Tests/LibSteering/test_flow_tracker.cc
@@ -21,9 +21,11 @@
                    std::uint32_t acknowledgement,
                    std::uint16_t bytes,
                    int at) {
-    return m_tracker.Observe(
-        MakeData(1, m_server->m_tokens[0], sequence, acknowledgement, bytes),
-        *m_server, kTimeout, At(at));
+    return m_tracker
+        .Observe(MakeData(1, m_server->m_tokens[0], sequence, acknowledgement,
+                          bytes),
+                 *m_server, kTimeout, At(at))
+        .m_progress;
   }
 
   ServerDirectory m_directory;
@@ -90,8 +92,8 @@
   CallerPacket end = MakeData(1, world.m_server->m_tokens[0], 108, 9, 0);
   end.m_is_end = true;
 
-  CHECK(world.m_tracker.Observe(end, *world.m_server, kTimeout, At(5)) ==
-        Progress::kEnd);
+  CHECK(world.m_tracker.Observe(end, *world.m_server, kTimeout, At(5))
+            .m_progress == Progress::kEnd);
   CHECK(world.m_server->m_requests_in_progress == 0);
   CHECK(world.m_server->m_flows == 0);
 }
