--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -42,8 +42,8 @@
   // answer: packets overtake each other by some milliseconds, and ends repeat
   // after 200 ms.
   base::Duration m_doubt_after = std::chrono::milliseconds(50);
-  // Probes of servers, each a connection. At 50 microseconds a probe this is
-  // a twentieth of a VM with 5% of a core.
+  // Probes of servers, each a connection: a bound on what they take of a VM
+  // with a few hundredths of a core.
   double m_probes_per_second = 50;
   // A server whose record is gone without notice is taken to have ended after
   // this time, in which a living server registers again.
