LibSteering: Weigh servers by the requests that they leave unanswered

Also found: a request whose answer another balancer carries, after the routers dealt the flows anew, counted as load until its time limit (in_progress up to 14 of a server with 3 slots, 1.5 s after a restart); the acknowledgement that follows a flow's end was taken for a new flow and counted as load for 3 s. Ruled out: resets of the flows that hang. The servers acknowledge the data, so callers repeat nothing (27 of 342), and single requests look unanswered at sound servers while balancers are stopped in turn: a reset there breaks a flow. Change: a request is overdue after six times the mean time to an answer (400 ms at least), counts as load no longer, and raises the cost of its server for openings, half as much every 2 s. Nothing is held against a server when flows of other balancers came here meanwhile. Line request_unanswered, a counter. Four of the six new tests fail without the mechanisms; the others guard against wrong evidence.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -38,6 +38,7 @@
   kPacketDropped,
   kRequestForwarded,
   kRequestRepeated,
+  kRequestUnanswered,
   kFlowReset,
   kServerChanged,
   kServerUnreachable,
@@ -56,7 +57,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 43> kEventNames{{
+inline constexpr base::EnumTable<Event, 44> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -84,6 +85,7 @@
     {Event::kPacketDropped, "packet_dropped"},
     {Event::kRequestForwarded, "request_forwarded"},
     {Event::kRequestRepeated, "request_repeated"},
+    {Event::kRequestUnanswered, "request_unanswered"},
     {Event::kFlowReset, "flow_reset"},
     {Event::kServerChanged, "server_changed"},
     {Event::kServerUnreachable, "server_unreachable"},
--- a/Libraries/LibSteering/flow_record.h
+++ b/Libraries/LibSteering/flow_record.h
@@ -17,6 +17,8 @@
   bool m_is_established = false;
   // A caller waits for its server: for the opening or for an answer.
   bool m_is_request_in_progress = false;
+  // The request waited too long to count as load; its answer may still come.
+  bool m_is_overdue = false;
   // The flow was active of late and counts as load of its server.
   bool m_is_active = false;
   base::TimePoint m_last_seen;
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -1,5 +1,7 @@
 #include "LibSteering/flow_tracker.h"
 
+#include <algorithm>
+
 namespace steering {
 
 namespace {
@@ -39,11 +41,15 @@
   if (record != nullptr) {
     observation.m_waiting_since = record->m_request_at;
   } else {
+    // What follows the end of a flow carries no data.
+    if (packet.m_payload_bytes == 0)
+      return observation;
     record = Insert(packet.m_flow, server, now);
     if (record == nullptr)
       return observation;
     // Another balancer saw it open; its first packet here proves nothing.
     record->m_is_established = true;
+    m_adopted_at = now;
   }
   if (packet.m_is_end || packet.m_is_reset) {
     Forget(packet.m_flow);
@@ -56,7 +62,7 @@
   const bool has_answer = TakeAcknowledgement(*record, packet);
   const bool has_new_data = TakeData(*record, packet);
   if (has_answer)
-    SetInProgress(*record, false);
+    RecordAnswer(*record, now);
   if (has_new_data)
     StartRequest(*record, timeout, now);
   observation.m_progress = ProgressOf(packet, has_answer, has_new_data);
@@ -98,6 +104,29 @@
   return is_new;
 }
 
+void FlowTracker::RecordAnswer(FlowRecord& record, base::TimePoint now) {
+  KnownServer* server = m_directory.FindBySlot(record.m_server);
+  if (record.m_is_overdue && server != nullptr)
+    server->m_answers.RecordLateAnswer(now);
+  if (record.m_is_request_in_progress) {
+    if (server != nullptr)
+      server->m_answers.RecordAnswer(now);
+    m_answer_time += std::chrono::duration_cast<base::Duration>(
+        kAnswerTimeGain * (now - record.m_request_at - m_answer_time));
+  }
+  record.m_is_overdue = false;
+  SetInProgress(record, false);
+}
+
+base::Duration FlowTracker::OverdueAfter() const {
+  return std::max(kMinimumOverdue, kOverdueFactor * m_answer_time);
+}
+
+bool FlowTracker::SpeaksAgainstServer(const FlowRecord& record) const {
+  return record.m_is_established &&
+         (!m_adopted_at || *m_adopted_at < record.m_request_at);
+}
+
 void FlowTracker::StartRequest(FlowRecord& record,
                                base::Duration timeout,
                                base::TimePoint now) {
@@ -130,11 +159,21 @@
   m_flows.erase(found);
 }
 
-void FlowTracker::Sweep(base::Duration idle_timeout, base::TimePoint now) {
+std::vector<OverdueRequest> FlowTracker::Sweep(base::Duration idle_timeout,
+                                               base::TimePoint now) {
+  std::vector<OverdueRequest> overdue;
+  const base::Duration overdue_after = OverdueAfter();
   for (auto entry = m_flows.begin(); entry != m_flows.end();) {
     FlowRecord& record = entry->second;
-    if (record.m_is_request_in_progress && now >= record.m_give_up_at)
+    const base::Duration waited = now - record.m_request_at;
+    if (record.m_is_request_in_progress &&
+        (waited >= overdue_after || now >= record.m_give_up_at)) {
       SetInProgress(record, false);
+      if (SpeaksAgainstServer(record)) {
+        record.m_is_overdue = true;
+        overdue.push_back({entry->first, record.m_server, waited});
+      }
+    }
     const base::Duration idle = now - record.m_last_seen;
     if (idle >= kActiveFor)
       SetActive(record, false);
@@ -145,6 +184,11 @@
     SetInProgress(record, false);
     entry = m_flows.erase(entry);
   }
+  for (const OverdueRequest& request : overdue) {
+    if (KnownServer* server = m_directory.FindBySlot(request.m_server))
+      server->m_answers.RecordUnanswered(now);
+  }
+  return overdue;
 }
 
 FlowRecord* FlowTracker::Insert(const flow::FlowKey& key,
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -43,6 +44,13 @@
   base::TimePoint m_waiting_since;
 };
 
+// A request without an answer for so long that its server may have lost it.
+struct OverdueRequest {
+  flow::FlowKey m_flow;
+  ServerSlot m_server;
+  base::Duration m_waited{};
+};
+
 class FlowTracker {
  public:
   // Flows beyond this number are steered without a record: 96 bytes each, so
@@ -51,6 +59,16 @@
   // A flow without a packet for this long is no load: callers of long flows
   // pause about a second between requests.
   static constexpr base::Duration kActiveFor = std::chrono::seconds(3);
+  // A request is overdue after so many times the mean time to an answer: the
+  // slowest hundredth of answers take about four times the mean.
+  static constexpr int kOverdueFactor = 6;
+  // But not before its caller has had the time to repeat it, after 200 ms, and
+  // the repetition to be answered.
+  static constexpr base::Duration kMinimumOverdue =
+      std::chrono::milliseconds(400);
+  // The share of a new answer in the mean time to an answer: some ten answers
+  // follow a sudden load, a fraction of a second on a busy VM.
+  static constexpr double kAnswerTimeGain = 0.1;
 
   struct FlowHash {
     std::size_t operator()(const flow::FlowKey& key) const noexcept {
@@ -64,6 +82,8 @@
   // Queries.
   std::size_t size() const { return m_flows.size(); }
   const Flows& flows() const { return m_flows; }
+  // From when on a request without an answer is overdue.
+  base::Duration OverdueAfter() const;
 
   // Commands.
   FlowRecord* Find(const flow::FlowKey& key);
@@ -81,8 +101,11 @@
   // Moves an opening to another server.
   void MoveTo(FlowRecord& record, KnownServer& server);
   void Forget(const flow::FlowKey& key);
-  // Stops counting flows at rest and forgets those idle for `idle_timeout`.
-  void Sweep(base::Duration idle_timeout, base::TimePoint now);
+  // Stops counting flows at rest and requests that are overdue, and forgets
+  // flows idle for `idle_timeout`. Returns the requests that speak against
+  // their servers.
+  std::vector<OverdueRequest> Sweep(base::Duration idle_timeout,
+                                    base::TimePoint now);
 
  private:
   FlowRecord* Insert(const flow::FlowKey& key,
@@ -96,6 +119,10 @@
                                   const CallerPacket& packet);
   // Whether the caller has sent something new.
   static bool TakeData(FlowRecord& record, const CallerPacket& packet);
+  void RecordAnswer(FlowRecord& record, base::TimePoint now);
+  // Whether the request of `record`, given up here, was in the hands of its
+  // server all the while as far as this balancer can tell.
+  bool SpeaksAgainstServer(const FlowRecord& record) const;
   void StartRequest(FlowRecord& record,
                     base::Duration timeout,
                     base::TimePoint now);
@@ -104,6 +131,11 @@
 
   ServerDirectory& m_directory;
   Flows m_flows;
+  // The mean time from a request to the first sign of its answer.
+  base::Duration m_answer_time = std::chrono::milliseconds(100);
+  // When a flow that another balancer had carried came here last. Flows come
+  // and go together when the routers deal them anew.
+  std::optional<base::TimePoint> m_adopted_at;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "LibBase/time.h"
+#include "LibSteering/answer_record.h"
 #include "LibSteering/flow_token.h"
 #include "LibSteering/server_record.h"
 #include "LibSteering/server_sight.h"
@@ -27,6 +28,7 @@
   // Flows of this balancer's callers that are not at rest.
   std::uint32_t m_flows = 0;
   ServerSight m_sight;
+  AnswerRecord m_answers;
   // It is among those that the steering may have to probe.
   bool m_is_watched = false;
 
--- a/Libraries/LibSteering/opening_placer.cc
+++ b/Libraries/LibSteering/opening_placer.cc
@@ -20,7 +20,9 @@
       now < server.m_warm_at ? m_policy.m_warm_up_factor : 1.0;
   const double penalty =
       server.m_record.m_data_centre == m_own ? 0.0 : m_policy.m_remote_penalty;
-  return load * factor / slots + penalty;
+  const double unanswered =
+      m_policy.m_unanswered_cost * server.m_answers.UnansweredShare(now);
+  return load * factor / slots + penalty + unanswered;
 }
 
 std::optional<Placement> OpeningPlacer::Place(
--- a/Libraries/LibSteering/opening_placer.h
+++ b/Libraries/LibSteering/opening_placer.h
@@ -27,6 +27,9 @@
   double m_remote_penalty = 1.0;
   // How much slower a server is while it warms up.
   double m_warm_up_factor = 1.6;
+  // What a request that stays unanswered costs, in requests a slot: its caller
+  // waits for the whole time limit, some twenty times as long as for an answer.
+  double m_unanswered_cost = 20;
 };
 
 struct Placement {
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -100,8 +100,10 @@
   ListUnderService(*server);
   const bool is_restarted = former.m_incarnation != record.m_incarnation;
   // What was seen before says nothing of a server that came back.
-  if (was_gone || is_restarted)
+  if (was_gone || is_restarted) {
     server->m_sight = ServerSight();
+    server->m_answers = AnswerRecord();
+  }
   if (is_new || was_gone)
     return DirectoryChange::kAdded;
   if (is_restarted)
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -98,9 +98,10 @@
   return is_changed ? server : nullptr;
 }
 
-void Steering::Sweep(base::TimePoint now) {
-  m_tracker.Sweep(m_routes.manifest().m_idle_timeout, now);
+std::vector<OverdueRequest> Steering::Sweep(base::TimePoint now) {
+  auto overdue = m_tracker.Sweep(m_routes.manifest().m_idle_timeout, now);
   m_directory.Expire(now);
+  return overdue;
 }
 
 Decision Steering::Refuse(const CallerPacket& packet, Reason reason) const {
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -91,8 +91,9 @@
   const KnownServer* RecordProbe(ServerSlot server,
                                  ProbeResult result,
                                  base::TimePoint now);
-  // Forgets what is old. Called a few times a second.
-  void Sweep(base::TimePoint now);
+  // Forgets what is old. Called a few times a second. Returns the requests
+  // that were found overdue and speak against their servers.
+  std::vector<OverdueRequest> Sweep(base::TimePoint now);
 
  private:
   Decision Refuse(const CallerPacket& packet, Reason reason) const;
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -126,6 +126,23 @@
                {"manifest", belief.m_manifest_version}});
 }
 
+void DecisionLog::WriteUnanswered(const steering::OverdueRequest& request,
+                                  const steering::KnownServer& server,
+                                  base::Duration overdue_after,
+                                  base::TimePoint now) {
+  if (!m_log.Admit(Event::kRequestUnanswered, now))
+    return;
+  m_log.Write(Severity::kWarning, Event::kRequestUnanswered,
+              {{"caller", ToString(request.m_flow.m_caller)},
+               {"address", ToString(request.m_flow.m_service)},
+               {"server", server.m_record.m_name.value()},
+               {"data_centre", server.m_record.m_data_centre.value()},
+               {"waited_ms", base::WholeMilliseconds(request.m_waited)},
+               {"overdue_after_ms", base::WholeMilliseconds(overdue_after)},
+               {"unanswered_share", server.m_answers.UnansweredShare(now)},
+               {"in_progress", server.m_requests_in_progress}});
+}
+
 void DecisionLog::WriteSight(const steering::KnownServer& server,
                              base::TimePoint now) {
   const Event event = server.m_sight.IsUnreachable() ? Event::kServerUnreachable
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -38,6 +38,11 @@
   void WriteResend(const steering::OpeningResend& resend,
                    const BeliefAge& belief,
                    base::TimePoint now);
+  // `request` waits longer than `overdue_after`; `server` is where it went.
+  void WriteUnanswered(const steering::OverdueRequest& request,
+                       const steering::KnownServer& server,
+                       base::Duration overdue_after,
+                       base::TimePoint now);
   // `server` was judged reachable or unreachable.
   void WriteSight(const steering::KnownServer& server, base::TimePoint now);
 
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -43,6 +43,9 @@
         "From what a caller sent to the first sign of an answer",
         kAnswerSeconds, labels);
   }
+  m_unanswered =
+      &m_registry.CounterOf("coltsfootdale_requests_unanswered_total",
+                            "Requests that waited far longer than others");
   m_packet_time = &m_registry.HistogramOf(
       "coltsfootdale_packet_seconds",
       "Processor time of one packet, from receipt to sending",
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -23,6 +23,8 @@
 
   // Commands.
   void CountDecision(const steering::Decision& decision);
+  // A request that is overdue and speaks against its server.
+  void CountUnanswered() { m_unanswered->Add(); }
   void CountDiscarded(std::string_view reason);
   void CountStoreCall(std::string_view collection,
                       std::string_view result,
@@ -42,6 +44,7 @@
   std::array<observability::Counter*, kReasons> m_packets{};
   std::array<observability::Counter*, kKinds> m_repeats{};
   std::array<observability::Histogram*, kKinds> m_answers{};
+  observability::Counter* m_unanswered = nullptr;
   observability::Histogram* m_packet_time = nullptr;
 };
 
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -425,7 +425,13 @@
   LookForPause(now);
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
   LogServerChanges(m_belief.TakeDueRemovals(now), "lapse");
-  m_steering.Sweep(now);
+  const base::Duration overdue_after = m_steering.tracker().OverdueAfter();
+  for (const steering::OverdueRequest& request : m_steering.Sweep(now)) {
+    m_metrics.CountUnanswered();
+    const auto* server = m_steering.directory().FindBySlot(request.m_server);
+    if (server != nullptr)
+      m_decision_log.WriteUnanswered(request, *server, overdue_after, now);
+  }
   ProbeServers(now);
   m_packets->Sweep();
   StopIfDone(now);
--- a/Tests/Integration/whole_answers.cc
+++ b/Tests/Integration/whole_answers.cc
@@ -14,8 +14,10 @@
 
 void PrintBroken(const ChildProcess& caller) {
   for (const auto& line : caller.Lines("broken_flow"))
-    std::cout << "broken: " << line.get("result", "") << ", answer bytes "
-              << line.get("answer_bytes", "") << ", silent for "
+    std::cout << "broken: request " << line.get("request", "") << ", "
+              << line.get("result", "") << ", answer bytes "
+              << line.get("answer_bytes", "") << ", unacknowledged bytes "
+              << line.get("unacknowledged_bytes", "") << ", silent for "
               << line.get("silent_ms", "") << " ms" << std::endl;
 }
 
--- /dev/null
+++ b/Tests/LibSteering/test_unanswered_requests.cc
@@ -0,0 +1,152 @@
+// Servers that take requests and leave them unanswered, though their health
+// checks succeed, and requests whose answers this balancer does not see.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "LibSteering/steering_world.h"
+
+namespace steering {
+
+namespace {
+
+constexpr int kServers = 4;
+constexpr int kPeriodMs = 500;
+
+// Callers that open a flow each kPeriodMs and send a request; servers answer
+// after 20 ms unless they are mute.
+class MuteServerWorld {
+ public:
+  MuteServerWorld() {
+    for (int i = 0; i < kServers; ++i)
+      m_steering.directory().Apply(MakeServer("i-" + std::to_string(i)), At(0));
+  }
+
+  void SetMute(const std::string& server) { m_mute = server; }
+
+  // Returns how many of `requests` went to `server`.
+  int Play(int requests, const std::string& server) {
+    int sent = 0;
+    for (int i = 0; i < requests; ++i) {
+      const auto port = static_cast<std::uint16_t>(++m_port);
+      const Decision opening = m_steering.Handle(MakeOpening(port), At(m_now));
+      const KnownServer* chosen = ServerOf(opening);
+      REQUIRE(chosen != nullptr);
+      const std::string name = chosen->m_record.m_name.value();
+      sent += name == server ? 1 : 0;
+      const FlowToken token = TokenOf(opening);
+      m_steering.Handle(MakeData(port, token, 1, 500, 80), At(m_now + 2));
+      if (name != m_mute)
+        m_steering.Handle(MakeData(port, token, 81, 900, 0), At(m_now + 20));
+      m_now += kPeriodMs;
+      m_overdue += static_cast<int>(m_steering.Sweep(At(m_now)).size());
+    }
+    return sent;
+  }
+
+  int Overdue() const { return m_overdue; }
+  int Now() const { return m_now; }
+  CurrentSteering& steering() { return m_steering; }
+
+ private:
+  CurrentSteering m_steering;
+  std::string m_mute;
+  int m_port = 1000;
+  int m_now = 0;
+  int m_overdue = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a server that leaves requests unanswered gets few openings") {
+  MuteServerWorld world;
+  const int as_others = world.Play(80, "i-2");
+
+  world.SetMute("i-2");
+  world.Play(20, "i-2");
+  const int while_mute = world.Play(80, "i-2");
+
+  CHECK(as_others >= 10);
+  CHECK(while_mute <= 8);
+  CHECK(world.Overdue() >= 1);
+}
+
+TEST_CASE("a server that answers again gets its openings back") {
+  MuteServerWorld world;
+  world.SetMute("i-2");
+  world.Play(100, "i-2");
+
+  world.SetMute("");
+  world.Play(80, "i-2");
+  const int afterwards = world.Play(80, "i-2");
+
+  CHECK(afterwards >= 10);
+}
+
+TEST_CASE("when all servers leave requests unanswered openings go on") {
+  MuteServerWorld world;
+  std::vector<std::string> names;
+  world.SetMute("i-0");
+  world.Play(40, "i-0");
+  world.SetMute("i-1");
+  world.Play(40, "i-1");
+  world.SetMute("i-2");
+  world.Play(40, "i-2");
+  world.SetMute("i-3");
+
+  CHECK(world.Play(40, "i-3") >= 1);
+}
+
+TEST_CASE(
+    "requests of flows that another balancer took over say nothing of their "
+    "servers") {
+  MuteServerWorld world;
+  world.Play(40, "i-0");
+  CurrentSteering& steering = world.steering();
+  const int now = world.Now();
+  const Decision opening = steering.Handle(MakeOpening(1), At(now));
+  steering.Handle(MakeData(1, TokenOf(opening), 1, 500, 80), At(now + 2));
+
+  // The routers deal the flows anew: one that was opened elsewhere comes here.
+  const FlowToken token = ServerOf(opening)->m_tokens[0];
+  steering.Handle(MakeData(2, token, 4001, 9000, 80), At(now + 100));
+  steering.Handle(MakeData(2, token, 4081, 9500, 0), At(now + 120));
+
+  CHECK(steering.Sweep(At(now + 1400)).empty());
+  CHECK(ServerOf(opening)->m_requests_in_progress == 0);
+}
+
+TEST_CASE("a request whose answer is not seen here is no load for long") {
+  MuteServerWorld world;
+  world.Play(40, "i-0");
+  CurrentSteering& steering = world.steering();
+  const int now = world.Now();
+  const Decision opening = steering.Handle(MakeOpening(1), At(now));
+  steering.Handle(MakeData(1, TokenOf(opening), 1, 500, 80), At(now + 2));
+  const KnownServer& server = *ServerOf(opening);
+  CHECK(server.m_requests_in_progress == 1);
+
+  steering.Sweep(At(now + 500));
+
+  CHECK(server.m_requests_in_progress == 0);
+}
+
+TEST_CASE("packets that follow the end of a flow are no load") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-0"), At(0));
+  const Decision opening = steering.Handle(MakeOpening(1), At(0));
+  const FlowToken token = TokenOf(opening);
+  steering.Handle(MakeData(1, token, 1, 500, 80), At(2));
+  CallerPacket end = MakeData(1, token, 81, 900, 0);
+  end.m_is_end = true;
+  steering.Handle(end, At(20));
+
+  steering.Handle(MakeData(1, token, 82, 901, 0), At(22));
+
+  CHECK(ServerOf(opening)->m_flows == 0);
+  CHECK(steering.tracker().size() == 0);
+}
+
+}  // namespace steering
