LibFlow: Let a late copy of a flow's opening go where the flow is

A copy of the opening that came after the caller had sent more no longer matched the entry's place in the stream. The home took it for a new flow, placed it at another server by chance, and once that one accepted, dropped all answers of the right one as crossed. Ruled out: requests that are lost on the way; late segments of earlier flows (mended before). Change: an opening near the place of an open flow is a copy of its opening and goes to its server. The new director test fails before.

--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -21,6 +21,15 @@
 // was opened.
 constexpr auto kLateSegmentLifetime = std::chrono::seconds(10);
 
+// Whether the packet is a copy of the opening of the entry's flow. The copy may
+// come after the caller has sent more, as networks duplicate and delay packets.
+bool IsCopyOfOpening(const FlowEntry& entry, const CallerPacket& packet) {
+  if (entry.IsOpen())
+    return IsPlausiblePosition(entry.m_position, packet.m_position);
+  return entry.m_state != FlowState::kClosing &&
+         entry.m_position == packet.m_position;
+}
+
 void CountUnanswered(FlowEntry& entry) {
   if (entry.m_unanswered < std::numeric_limits<std::uint8_t>::max())
     ++entry.m_unanswered;
@@ -57,8 +66,7 @@
     return RelayHome(subject, {RelayPurpose::kOpening, hops, {}});
   }
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
-  if (entry != nullptr && entry->m_position == packet.m_position &&
-      entry->m_state != FlowState::kClosing)
+  if (entry != nullptr && IsCopyOfOpening(*entry, packet))
     return RepeatOpening(packet, subject, *entry);
   return PlaceOpening(packet, subject);
 }
--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -41,9 +41,7 @@
 }
 
 bool IsSettled(const FlowEntry& entry) {
-  return entry.m_state == FlowState::kAccepted ||
-         entry.m_state == FlowState::kEstablished ||
-         entry.m_state == FlowState::kClosing;
+  return entry.IsOpen() || entry.m_state == FlowState::kClosing;
 }
 
 }  // namespace
--- a/Libraries/LibFlow/flow_entry.h
+++ b/Libraries/LibFlow/flow_entry.h
@@ -48,6 +48,12 @@
            m_service_port == key.m_service.m_port;
   }
 
+  // Whether a server has taken the flow, which no side has ended.
+  bool IsOpen() const {
+    return m_state == FlowState::kAccepted ||
+           m_state == FlowState::kEstablished;
+  }
+
   // For how long the flow was seen here, to 4,096 ms, modulo 74 hours: the
   // entry of a longer flow may be forgotten sooner, which costs a relay.
   std::uint32_t LivedMilliseconds() const {
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -28,15 +28,10 @@
   return servers;
 }
 
-// A director that is alone in its data centre and takes the first server of
-// the order.
-flow::FlowDirector MakeDirector(base::TimePoint now) {
-  flow::FlowDirector director(
-      {},
-      [](const auto&, const flow::ServerOrder& order, flow::OpeningProgress) {
-        return order.front();
-      },
-      now);
+// A director that is alone in its data centre.
+flow::FlowDirector MakeDirector(base::TimePoint now,
+                                flow::FlowDirector::Chooser chooser) {
+  flow::FlowDirector director({}, std::move(chooser), now);
   const flow::ServiceDefinition service{base::MakeServiceId("a"), kService,
                                         MakeServers()};
   director.SetRouting(flow::RoutingTable::Build(
@@ -48,6 +43,21 @@
   return director;
 }
 
+// One that takes the first server of the order.
+flow::FlowDirector MakeDirector(base::TimePoint now) {
+  return MakeDirector(now, [](const auto&, const flow::ServerOrder& order,
+                              flow::OpeningProgress) { return order.front(); });
+}
+
+// One that takes the servers in turn, as placement by load may.
+flow::FlowDirector MakeAlternatingDirector(base::TimePoint now) {
+  return MakeDirector(
+      now, [turn = std::size_t{0}](const auto&, const flow::ServerOrder& order,
+                                   flow::OpeningProgress) mutable {
+        return order[turn++ % order.size()];
+      });
+}
+
 template <typename Wanted>
 const Wanted* FindEffect(const flow::Effects& effects) {
   for (const flow::Effect& effect : effects) {
@@ -331,6 +341,61 @@
   }
 }
 
+TEST_CASE("a late copy of a flow's opening does not move the flow") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  auto director = MakeAlternatingDirector(now);
+  const auto opened = director.HandleCallerPacket(Opening(bytes), now);
+  const auto server = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
+  director.HandleServerPacket({.m_key = kKey,
+                               .m_kind = flow::ServerPacketKind::kAccepted,
+                               .m_position = kPosition + 1,
+                               .m_server = server.m_address},
+                              now);
+  const flow::CallerPacket request{
+      kKey, flow::CallerPacketKind::kData, kPosition + 81, {}, bytes, 700};
+  director.HandleCallerPacket(request, now);
+
+  const auto copy = director.HandleCallerPacket(Opening(bytes), now);
+  REQUIRE(FindEffect<flow::ForwardToServer>(copy));
+  const auto reached = FindEffect<flow::ForwardToServer>(copy)->m_tunnel;
+  director.HandleServerPacket({.m_key = kKey,
+                               .m_kind = flow::ServerPacketKind::kAccepted,
+                               .m_position = kPosition + 1,
+                               .m_server = reached.m_address},
+                              now);
+  const auto answer =
+      director.HandleServerPacket({.m_key = kKey,
+                                   .m_kind = flow::ServerPacketKind::kData,
+                                   .m_position = kPosition + 81,
+                                   .m_server = server.m_address,
+                                   .m_has_payload = true},
+                                  now);
+
+  CHECK(reached == server);
+  CHECK(FindEffect<flow::DeliverToCaller>(answer));
+}
+
+TEST_CASE("an opening far from the open flow of its port is a new flow") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  auto director = MakeAlternatingDirector(now);
+  const auto opened = director.HandleCallerPacket(Opening(bytes), now);
+  const auto server = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
+  director.HandleServerPacket({.m_key = kKey,
+                               .m_kind = flow::ServerPacketKind::kAccepted,
+                               .m_position = kPosition + 1,
+                               .m_server = server.m_address},
+                              now);
+  flow::CallerPacket next = Opening(bytes);
+  next.m_position = kPosition + (1u << 23);
+
+  const auto placed = director.HandleCallerPacket(next, now);
+
+  REQUIRE(FindEffect<flow::ForwardToServer>(placed));
+  CHECK(FindEffect<flow::ForwardToServer>(placed)->m_tunnel != server);
+}
+
 TEST_CASE("only the start of an answer tells how long the caller waited") {
   const base::TimePoint now;
   const std::vector<std::uint8_t> bytes(40);
