Platform: Take no names that cannot be passed on; fuzz what comes from outside

Fuzz targets for callers' packets (with the steering behind them), answers of the store and settings.

--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -14,7 +14,7 @@
 template <typename Archive, typename Tag>
 void serialize(Archive& archive, StrongId<Tag, std::string>& id) {
   std::string value = id.value();
-  archive(peer::MakeBounded<std::uint8_t, peer::kMaximumNameBytes>(value));
+  archive(peer::MakeBounded<std::uint16_t, catalog::kMaximumNameBytes>(value));
   id = StrongId<Tag, std::string>(std::move(value));
 }
 
@@ -44,7 +44,7 @@
 
 template <typename Archive>
 void SerializeName(Archive& archive, std::string& name) {
-  archive(peer::MakeBounded<std::uint8_t, peer::kMaximumNameBytes>(name));
+  archive(peer::MakeBounded<std::uint16_t, catalog::kMaximumNameBytes>(name));
 }
 
 }  // namespace
@@ -100,7 +100,7 @@
 
 namespace {
 
-constexpr std::string_view kMark = "CFS\x01";
+constexpr std::string_view kMark = "CFS\x02";
 
 template <typename Archive>
 void SerializeAll(Archive& archive, Snapshot& snapshot) {
@@ -112,12 +112,16 @@
 
 }  // namespace
 
-std::string EncodeSnapshot(const Snapshot& snapshot) {
+base::Outcome<std::string> EncodeSnapshot(const Snapshot& snapshot) {
   std::ostringstream stream;
   stream << kMark;
-  cereal::PortableBinaryOutputArchive archive(stream);
-  Snapshot copy = snapshot;
-  SerializeAll(archive, copy);
+  try {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    Snapshot copy = snapshot;
+    SerializeAll(archive, copy);
+  } catch (const cereal::Exception&) {
+    return std::make_error_code(std::errc::message_size);
+  }
   return std::move(stream).str();
 }
 
--- a/Libraries/LibCatalog/snapshot_codec.h
+++ b/Libraries/LibCatalog/snapshot_codec.h
@@ -19,9 +19,13 @@
 inline constexpr std::size_t kMaximumServers = 100'000;
 inline constexpr std::size_t kMaximumRoutes = 20'000;
 inline constexpr std::size_t kMaximumServicesOfRoute = 32;
+// Of a server, service, route or data centre, and of a health check's path.
+// Longer than the names that DNS (253 bytes) and usual stores allow.
+inline constexpr std::size_t kMaximumNameBytes = 1024;
 inline constexpr std::size_t kMaximumSnapshotBytes = 16UL * 1024UL * 1024UL;
 
-std::string EncodeSnapshot(const Snapshot& snapshot);
+// Errors: std::errc::message_size if anything is over the bounds above.
+base::Outcome<std::string> EncodeSnapshot(const Snapshot& snapshot);
 
 // Errors: std::errc::bad_message for bytes that are not one whole snapshot of
 // this version, message_size if they are over kMaximumSnapshotBytes.
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -8,7 +8,8 @@
 shift || true
 targets=("$@")
 [ ${#targets[@]} -gt 0 ] ||
-  targets=(FuzzPacket FuzzPeerCodec FuzzDocument FuzzSettings)
+  targets=(FuzzPacket FuzzPeerCodec FuzzDocument FuzzSettings
+           FuzzCallerPacket FuzzStoreAnswer FuzzEdgeSettings)
 cmake -S . -B build-fuzz -G Ninja -DCOLTSFOOTDALE_FUZZ=ON \
   -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 cmake --build build-fuzz --target "${targets[@]}"
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -194,16 +194,23 @@
   return {404, "unknown path\n"};
 }
 
-event_loop::TextAnswer EdgeProcess::AnswerControl(std::string_view path) const {
+event_loop::TextAnswer EdgeProcess::AnswerControl(std::string_view path) {
   if (path != kSnapshotPath)
     return {404, "unknown path\n"};
   const auto servers = m_servers.follower().KnownRevision();
   const auto manifest = m_manifests.follower().KnownRevision();
   if (servers == catalog::Revision() && manifest == catalog::Revision())
     return {503, "nothing known\n"};
-  return {200,
-          catalog::EncodeSnapshot(m_belief.MakeSnapshot(servers, manifest)),
-          kBinaryType};
+  auto snapshot =
+      catalog::EncodeSnapshot(m_belief.MakeSnapshot(servers, manifest));
+  if (!snapshot) {
+    if (m_log.Admit(Event::kSnapshotFailed, base::Clock::now()))
+      m_log.Write(Severity::kError, Event::kSnapshotFailed,
+                  {{"reason", snapshot.error().message()},
+                   {"revision", servers.value()}});
+    return {503, "the belief does not fit a snapshot\n"};
+  }
+  return {200, std::move(snapshot).value(), kBinaryType};
 }
 
 std::string EdgeProcess::RenderStatus() const {
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -61,7 +61,7 @@
   base::Outcome<void> Listen();
   event_loop::TextAnswer AnswerReadiness(std::string_view path) const;
   event_loop::TextAnswer AnswerMetrics(std::string_view path);
-  event_loop::TextAnswer AnswerControl(std::string_view path) const;
+  event_loop::TextAnswer AnswerControl(std::string_view path);
   std::string RenderStatus() const;
   BeliefAge AgeOfBelief() const;
   bool AreRoutesCurrent(base::TimePoint now) const;
--- a/Tests/LibCatalog/test_snapshot_codec.cc
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -40,7 +40,7 @@
 TEST_CASE("a snapshot survives its way to another balancer") {
   const Snapshot snapshot = MakeSnapshot();
 
-  const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot));
+  const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot).value());
 
   REQUIRE(decoded);
   CHECK(decoded.value().m_servers == snapshot.m_servers);
@@ -52,8 +52,23 @@
         snapshot.m_manifest.m_idle_timeout);
 }
 
+TEST_CASE("the longest names fit a snapshot, longer ones are an error") {
+  Snapshot snapshot = MakeSnapshot();
+  snapshot.m_servers[0].m_service.assign(kMaximumNameBytes, 's');
+  snapshot.m_manifest.m_health[0].m_path.assign(kMaximumNameBytes, 'p');
+
+  const auto fitting = EncodeSnapshot(snapshot);
+  snapshot.m_servers[0].m_service += 's';
+  const auto too_long = EncodeSnapshot(snapshot);
+
+  REQUIRE(fitting);
+  CHECK(DecodeSnapshot(fitting.value()));
+  REQUIRE_FALSE(too_long);
+  CHECK(too_long.error() == std::errc::message_size);
+}
+
 TEST_CASE("bytes that are cut, longer or foreign are no snapshot") {
-  const std::string bytes = EncodeSnapshot(MakeSnapshot());
+  const std::string bytes = EncodeSnapshot(MakeSnapshot()).value();
 
   for (std::size_t length = 0; length < bytes.size(); ++length)
     CHECK_FALSE(DecodeSnapshot(std::string_view(bytes).substr(0, length)));
@@ -62,7 +77,7 @@
 }
 
 TEST_CASE("a changed byte is an error or another snapshot, never a crash") {
-  const std::string bytes = EncodeSnapshot(MakeSnapshot());
+  const std::string bytes = EncodeSnapshot(MakeSnapshot()).value();
 
   for (std::size_t place = 0; place < bytes.size(); ++place) {
     for (const char value : {'\x00', '\x7f', '\xff'}) {
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -61,17 +61,25 @@
       with(
           R"("backend":"a","address":"1.2.3.4:5","zone":"z","max_concurrency":0,"state":"ready")"),
   };
+  // Names that no other balancer would take.
+  const std::string long_name(2000, 'g');
+  const std::string long_service =
+      with(R"("backend":")" + long_name +
+           R"(","address":"1.2.3.4:5","zone":"z","max_concurrency":3,)"
+           R"("state":"ready")");
   std::string items = ServerObject("i-1a", kSpec);
   for (const std::string& spec : broken)
     items += "," + ServerObject("i-2b", spec);
-  items += ",17," + ServerObject("zzz", kSpec);
+  items += ",17," + ServerObject("zzz", kSpec) + "," +
+           ServerObject("i-3c", long_service) + "," +
+           ServerObject("i-4d" + long_name, kSpec);
 
   const CollectionAnswer answer = DecodePage(
       Collection::kServers,
       Parse(R"({"items":[)" + items + R"(],"more":false,"store_revision":9})"));
 
   CHECK(answer.m_objects.m_servers.size() == 1);
-  CHECK(answer.m_objects.m_ignored == std::size(broken) + 2);
+  CHECK(answer.m_objects.m_ignored == std::size(broken) + 4);
   CHECK(std::holds_alternative<catalog::PageAnswer>(answer.m_result));
 }
 
