--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -29,6 +29,9 @@
   using std::chrono::milliseconds;
   auto value_ms = std::chrono::duration_cast<milliseconds>(duration).count();
   archive(value_ms);
+  if (value_ms < 0 ||
+      value_ms > milliseconds(catalog::kMaximumDuration).count())
+    throw cereal::Exception("a duration is over its bound");
   duration = milliseconds(value_ms);
 }
 
--- a/Libraries/LibCatalog/snapshot_codec.h
+++ b/Libraries/LibCatalog/snapshot_codec.h
@@ -4,6 +4,7 @@
 #ifndef LIBCATALOG_SNAPSHOT_CODEC_H_
 #define LIBCATALOG_SNAPSHOT_CODEC_H_
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
 // Of a server, service, route or data centre, and of a health check's path.
 // Longer than the names that DNS (253 bytes) and usual stores allow.
 inline constexpr std::size_t kMaximumNameBytes = 1024;
+// Of times in a snapshot, which are waits and time limits of requests.
+inline constexpr std::chrono::hours kMaximumDuration{24};
 inline constexpr std::size_t kMaximumSnapshotBytes = 16UL * 1024UL * 1024UL;
 
 // Errors: std::errc::message_size if anything is over the bounds above.
--- a/Tests/LibCatalog/test_snapshot_codec.cc
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -67,6 +67,15 @@
   CHECK(too_long.error() == std::errc::message_size);
 }
 
+TEST_CASE("a time limit of more than a day is an error") {
+  Snapshot snapshot = MakeSnapshot();
+  snapshot.m_manifest.m_routes[0].m_timeout = kMaximumDuration;
+  CHECK(EncodeSnapshot(snapshot));
+
+  snapshot.m_manifest.m_routes[0].m_timeout += std::chrono::milliseconds(1);
+  CHECK_FALSE(EncodeSnapshot(snapshot));
+}
+
 TEST_CASE("bytes that are cut, longer or foreign are no snapshot") {
   const std::string bytes = EncodeSnapshot(MakeSnapshot()).value();
 
