--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -231,11 +231,17 @@
   if (!is_answer && decision.m_progress != Progress::kRepeat)
     return;
   decision.m_waited = now - waiting_since;
-  // A copy that overtook its original says nothing yet.
-  if (!is_answer && decision.m_waited >= m_settings.m_doubt_after)
-    RaiseDoubt(server, waiting_since);
-  if (is_answer && server.m_sight.RecordProgress(now))
-    decision.m_judged = &server;
+  if (is_answer) {
+    if (server.m_sight.RecordProgress(now))
+      decision.m_judged = &server;
+    return;
+  }
+  // The packets of one request overtake each other on the way.
+  if (decision.m_waited < m_settings.m_doubt_after) {
+    decision.m_progress = Progress::kNothingNew;
+    return;
+  }
+  RaiseDoubt(server, waiting_since);
 }
 
 std::optional<Reason> Steering::HopelessReason(const KnownServer& server,
--- a/Tests/LibSteering/test_steering.cc
+++ b/Tests/LibSteering/test_steering.cc
@@ -325,4 +325,19 @@
   CHECK(steering.TakeProbes(At(100)).size() == 1);
 }
 
+TEST_CASE("packets of a request that overtake each other are no repetition") {
+  CurrentSteering steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = TokenOf(steering.Handle(MakeOpening(1), At(0)));
+  steering.Handle(MakeData(1, token, 1201, 500, 300), At(4));
+
+  const Decision overtaken =
+      steering.Handle(MakeData(1, token, 1, 500, 1200), At(5));
+  const Decision repeated =
+      steering.Handle(MakeData(1, token, 1, 500, 1200), At(204));
+
+  CHECK(overtaken.m_progress == Progress::kNothingNew);
+  CHECK(repeated.m_progress == Progress::kRepeat);
+}
+
 }  // namespace steering
