LibFlow: Let an answer to the caller's data tell which server has the flow

After a balancer's death balancers differ for a moment about a flow's home. Two copies of one opening then go to two homes, which choose two servers; where the later home has only the acceptance of its own, it dropped the answers of the server that the caller had chosen and sent its request to. Change: an answer that acknowledges more than the opening goes before another server's mere acceptance, also where the answer's only packet closes the flow. Conclusion: the director test failed before; dropped answers without such proof are dropped as ever.

--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -40,6 +40,16 @@
          !IsPlausiblePosition(entry.m_position, packet.m_position);
 }
 
+// Whether the answer acknowledges what the caller sent after the opening, while
+// the server of the entry has only accepted it: balancers that differed about
+// the home have placed two copies of the opening, and the caller chose.
+bool IsChosenByCaller(const FlowEntry& entry, const ServerPacket& packet) {
+  const std::uint32_t beyond_opening =
+      packet.m_position - (entry.m_position + 1);
+  return entry.m_state == FlowState::kAccepted && beyond_opening != 0 &&
+         beyond_opening < kPlausibleDistance;
+}
+
 bool IsSettled(const FlowEntry& entry) {
   return entry.IsOpen() || entry.m_state == FlowState::kClosing;
 }
@@ -265,11 +275,19 @@
   FlowEntry* entry = m_flows.Find(subject.m_key, subject.m_hash);
   if (entry == nullptr)
     return OnlyEffect(DeliverToCaller{});
-  if (entry->m_server != IdentifyServer(packet, subject.m_service)) {
+  const auto server = IdentifyServer(packet, subject.m_service);
+  const bool is_conflict = entry->m_server != server;
+  const bool is_chosen =
+      server != base::BackendServerId() && IsChosenByCaller(*entry, packet);
+  if (is_conflict && !is_chosen) {
     if (IsSettled(*entry))
       return OnlyEffect(Drop{DropReason::kCrossedAnswer});
     return OnlyEffect(DeliverToCaller{});
   }
+  if (is_conflict) {
+    entry->m_server = server;
+    entry->m_state = FlowState::kEstablished;
+  }
   Effects effects = OnlyEffect(DeliverToCaller{});
   entry->m_unanswered = 0;
   entry->m_is_closed_by_server = true;
@@ -295,7 +313,7 @@
     m_flows.Erase(subject.m_key, subject.m_hash);
     return RelayHome(subject, {RelayPurpose::kAnswer, 0, packet.m_server});
   }
-  if (is_conflict && IsSettled(*entry))
+  if (is_conflict && IsSettled(*entry) && !IsChosenByCaller(*entry, packet))
     return OnlyEffect(Drop{DropReason::kCrossedAnswer});
   if (entry != nullptr && IsOfEarlierFlow(*entry, packet))
     return OnlyEffect(DeliverToCaller{});
--- a/Libraries/LibFlow/flow_entry.h
+++ b/Libraries/LibFlow/flow_entry.h
@@ -88,12 +88,13 @@
 
 static_assert(sizeof(FlowEntry) == 32);
 
-// Whether two places in a byte stream can be of one connection. Connections
-// that reuse a caller's port start at random places (RFC 6528), so a place
-// farther off than this belongs to another one.
+// Connections that reuse a caller's port start at random places (RFC 6528), so
+// a place farther off than this many bytes belongs to another one.
+inline constexpr std::uint32_t kPlausibleDistance = 1u << 20;
+
+// Whether two places in a byte stream can be of one connection.
 constexpr bool IsPlausiblePosition(std::uint32_t known, std::uint32_t seen) {
-  constexpr std::uint32_t kMaximumDistance = 1u << 20;
-  return seen - known + kMaximumDistance < 2 * kMaximumDistance;
+  return seen - known + kPlausibleDistance < 2 * kPlausibleDistance;
 }
 
 }  // namespace flow
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -376,6 +376,43 @@
   CHECK(FindEffect<flow::DeliverToCaller>(answer));
 }
 
+TEST_CASE(
+    "an answer to the caller's data outweighs another server's acceptance") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  // A short answer comes in one packet, which also closes.
+  for (const auto kind :
+       {flow::ServerPacketKind::kData, flow::ServerPacketKind::kClosing}) {
+    auto director = MakeDirector(now);
+    // A copy of the opening; the first went to another balancer, which took
+    // itself for the home.
+    const auto opened = director.HandleCallerPacket(Opening(bytes), now);
+    const auto idle = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
+    director.HandleServerPacket({.m_key = kKey,
+                                 .m_kind = flow::ServerPacketKind::kAccepted,
+                                 .m_position = kPosition + 1,
+                                 .m_server = idle.m_address},
+                                now);
+    const base::Ipv4Address busy(idle.m_address.value() == 3 ? 2 : 3);
+    flow::ServerPacket answer{.m_key = kKey,
+                              .m_kind = kind,
+                              .m_position = kPosition + 1,
+                              .m_server = busy,
+                              .m_has_payload = true};
+    const auto without_proof = director.HandleServerPacket(answer, now);
+    answer.m_position = kPosition + 81;
+    const auto with_proof = director.HandleServerPacket(answer, now);
+    const flow::CallerPacket data{
+        kKey, flow::CallerPacketKind::kData, kPosition + 81, {}, bytes, 700};
+    const auto sent = director.HandleCallerPacket(data, now);
+
+    CHECK(FindEffect<flow::Drop>(without_proof));
+    CHECK(FindEffect<flow::DeliverToCaller>(with_proof));
+    REQUIRE(FindEffect<flow::ForwardToServer>(sent));
+    CHECK(FindEffect<flow::ForwardToServer>(sent)->m_tunnel.m_address == busy);
+  }
+}
+
 TEST_CASE("an opening far from the open flow of its port is a new flow") {
   const base::TimePoint now;
   const std::vector<std::uint8_t> bytes(60, 7);
