LibSteering: Read the change again: one pass, no look-ups, whole test

The answered request's server is at hand, so it is passed instead of looked up by slot; overdue requests are counted where they are found; the share of a server that left nothing unanswered is zero without a power of two for each candidate of each opening. The test of servers that are all mute muted one at a time and kept an unused list: now it mutes all four and asks that each gets openings. The fuzz target's belief is made in one place.

--- a/Libraries/LibSteering/answer_record.h
+++ b/Libraries/LibSteering/answer_record.h
@@ -26,6 +26,9 @@
   // Queries.
   // The share of requests that stay unanswered, from 0 to 1.
   double UnansweredShare(base::TimePoint now) const {
+    // Asked of every server for every opening; most leave nothing unanswered.
+    if (m_unanswered == 0)
+      return 0;
     const double remains = Remains(now);
     const double unanswered = m_unanswered * remains;
     return unanswered / (unanswered + m_answered * remains + kPriorAnswers);
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -62,7 +62,7 @@
   const bool has_answer = TakeAcknowledgement(*record, packet);
   const bool has_new_data = TakeData(*record, packet);
   if (has_answer)
-    RecordAnswer(*record, now);
+    RecordAnswer(*record, server, now);
   if (has_new_data)
     StartRequest(*record, timeout, now);
   observation.m_progress = ProgressOf(packet, has_answer, has_new_data);
@@ -104,13 +104,13 @@
   return is_new;
 }
 
-void FlowTracker::RecordAnswer(FlowRecord& record, base::TimePoint now) {
-  KnownServer* server = m_directory.FindBySlot(record.m_server);
-  if (record.m_is_overdue && server != nullptr)
-    server->m_answers.RecordLateAnswer(now);
+void FlowTracker::RecordAnswer(FlowRecord& record,
+                               KnownServer& server,
+                               base::TimePoint now) {
+  if (record.m_is_overdue)
+    server.m_answers.RecordLateAnswer(now);
   if (record.m_is_request_in_progress) {
-    if (server != nullptr)
-      server->m_answers.RecordAnswer(now);
+    server.m_answers.RecordAnswer(now);
     m_answer_time += std::chrono::duration_cast<base::Duration>(
         kAnswerTimeGain * (now - record.m_request_at - m_answer_time));
   }
@@ -172,6 +172,8 @@
       if (SpeaksAgainstServer(record)) {
         record.m_is_overdue = true;
         overdue.push_back({entry->first, record.m_server, waited});
+        if (KnownServer* server = m_directory.FindBySlot(record.m_server))
+          server->m_answers.RecordUnanswered(now);
       }
     }
     const base::Duration idle = now - record.m_last_seen;
@@ -184,10 +186,6 @@
     SetInProgress(record, false);
     entry = m_flows.erase(entry);
   }
-  for (const OverdueRequest& request : overdue) {
-    if (KnownServer* server = m_directory.FindBySlot(request.m_server))
-      server->m_answers.RecordUnanswered(now);
-  }
   return overdue;
 }
 
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -119,7 +119,10 @@
                                   const CallerPacket& packet);
   // Whether the caller has sent something new.
   static bool TakeData(FlowRecord& record, const CallerPacket& packet);
-  void RecordAnswer(FlowRecord& record, base::TimePoint now);
+  // `server` is the record's.
+  void RecordAnswer(FlowRecord& record,
+                    KnownServer& server,
+                    base::TimePoint now);
   // Whether the request of `record`, given up here, was in the hands of its
   // server all the while as far as this balancer can tell.
   bool SpeaksAgainstServer(const FlowRecord& record) const;
--- a/Tests/Fuzz/fuzz_caller_packet.cc
+++ b/Tests/Fuzz/fuzz_caller_packet.cc
@@ -14,8 +14,13 @@
 
 namespace {
 
-// Two servers, and one that has left.
-void FillBelief(steering::Steering& steering, base::TimePoint now) {
+constexpr base::TimePoint kNow{std::chrono::hours(1)};
+
+// Knows two servers, and one that has left. Lives as long as the process.
+steering::Steering& SharedSteering() {
+  static steering::Steering steering({base::DataCentreId("here")}, 1, kNow);
+  if (steering.HasBelief())
+    return steering;
   steering::Manifest manifest;
   manifest.m_version = base::ConfigurationVersion(1);
   manifest.m_routes = {
@@ -25,21 +30,18 @@
     steering::ServerRecord record;
     record.m_name = steering::ServerName(name);
     record.m_service = "portal";
-    steering.directory().Apply(record, now);
+    steering.directory().Apply(record, kNow);
   }
-  steering.directory().Remove(steering::ServerName("i-3"), now);
+  steering.directory().Remove(steering::ServerName("i-3"), kNow);
   steering.SetServersKnown();
   steering.SetRoutesCurrent(true);
+  return steering;
 }
 
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
-  static const base::TimePoint now{std::chrono::hours(1)};
-  static steering::Steering steering({base::DataCentreId("here")}, 1, now);
-  static const bool is_filled = (FillBelief(steering, now), true);
-  static_cast<void>(is_filled);
   const std::span<const std::uint8_t> datagram(data, size);
   const auto packet = adapter::DecodePacket(datagram);
   if (!packet)
@@ -47,7 +49,7 @@
   const auto payload = adapter::PayloadOf(datagram);
   if (adapter::FindRequestId(payload).size() > adapter::kMaximumRequestIdBytes)
     std::abort();
-  const auto decision = steering.Handle(packet.value(), now);
+  const auto decision = SharedSteering().Handle(packet.value(), kNow);
   const auto* forward = std::get_if<steering::Forward>(&decision.m_action);
   if (forward == nullptr)
     return 0;
--- a/Tests/LibSteering/test_unanswered_requests.cc
+++ b/Tests/LibSteering/test_unanswered_requests.cc
@@ -3,8 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include "LibSteering/steering_world.h"
 
@@ -24,7 +25,7 @@
       m_steering.directory().Apply(MakeServer("i-" + std::to_string(i)), At(0));
   }
 
-  void SetMute(const std::string& server) { m_mute = server; }
+  void SetMute(std::set<std::string> servers) { m_mute = std::move(servers); }
 
   // Returns how many of `requests` went to `server`.
   int Play(int requests, const std::string& server) {
@@ -38,7 +39,7 @@
       sent += name == server ? 1 : 0;
       const FlowToken token = TokenOf(opening);
       m_steering.Handle(MakeData(port, token, 1, 500, 80), At(m_now + 2));
-      if (name != m_mute)
+      if (!m_mute.contains(name))
         m_steering.Handle(MakeData(port, token, 81, 900, 0), At(m_now + 20));
       m_now += kPeriodMs;
       m_overdue += static_cast<int>(m_steering.Sweep(At(m_now)).size());
@@ -52,7 +53,7 @@
 
  private:
   CurrentSteering m_steering;
-  std::string m_mute;
+  std::set<std::string> m_mute;
   int m_port = 1000;
   int m_now = 0;
   int m_overdue = 0;
@@ -64,7 +65,7 @@
   MuteServerWorld world;
   const int as_others = world.Play(80, "i-2");
 
-  world.SetMute("i-2");
+  world.SetMute({"i-2"});
   world.Play(20, "i-2");
   const int while_mute = world.Play(80, "i-2");
 
@@ -75,10 +76,10 @@
 
 TEST_CASE("a server that answers again gets its openings back") {
   MuteServerWorld world;
-  world.SetMute("i-2");
+  world.SetMute({"i-2"});
   world.Play(100, "i-2");
 
-  world.SetMute("");
+  world.SetMute({});
   world.Play(80, "i-2");
   const int afterwards = world.Play(80, "i-2");
 
@@ -87,16 +88,11 @@
 
 TEST_CASE("when all servers leave requests unanswered openings go on") {
   MuteServerWorld world;
-  std::vector<std::string> names;
-  world.SetMute("i-0");
+  world.SetMute({"i-0", "i-1", "i-2", "i-3"});
   world.Play(40, "i-0");
-  world.SetMute("i-1");
-  world.Play(40, "i-1");
-  world.SetMute("i-2");
-  world.Play(40, "i-2");
-  world.SetMute("i-3");
 
-  CHECK(world.Play(40, "i-3") >= 1);
+  for (const char* name : {"i-0", "i-1", "i-2", "i-3"})
+    CHECK(world.Play(40, name) >= 1);
 }
 
 TEST_CASE(
