LibFlow: Take a flow's load from the server that only accepted it

Cause, found by reading again: where the answer that shows which server the caller chose also closes the flow, HandleEnding changed the entry's server without noting the end at the former one. The former kept a load that nobody took away, and a later end was noted for a server that never had the flow. HandleAnswer did note it: the same rule stood twice, with this difference. Change: both ask IsCrossed, and HandleEnding notes the end. The addition to the director test failed before (no note); TestLibFlow passes.

--- a/Libraries/LibFlow/flow_director_servers.cc
+++ b/Libraries/LibFlow/flow_director_servers.cc
@@ -54,6 +54,16 @@
   return entry.IsOpen() || entry.m_state == FlowState::kClosing;
 }
 
+// Whether an answer of `server`, null if unknown, belongs to no flow that the
+// caller has: another server is settled to have it.
+bool IsCrossed(const FlowEntry& entry,
+               base::BackendServerId server,
+               const ServerPacket& packet) {
+  const bool is_chosen =
+      server != base::BackendServerId() && IsChosenByCaller(entry, packet);
+  return entry.m_server != server && IsSettled(entry) && !is_chosen;
+}
+
 }  // namespace
 
 Effects FlowDirector::HandleServerPacket(const ServerPacket& packet,
@@ -276,19 +286,16 @@
   if (entry == nullptr)
     return OnlyEffect(DeliverToCaller{});
   const auto server = IdentifyServer(packet, subject.m_service);
-  const bool is_conflict = entry->m_server != server;
-  const bool is_chosen =
-      server != base::BackendServerId() && IsChosenByCaller(*entry, packet);
-  if (is_conflict && !is_chosen) {
-    if (IsSettled(*entry))
-      return OnlyEffect(Drop{DropReason::kCrossedAnswer});
-    return OnlyEffect(DeliverToCaller{});
-  }
-  if (is_conflict) {
+  if (IsCrossed(*entry, server, packet))
+    return OnlyEffect(Drop{DropReason::kCrossedAnswer});
+  Effects effects = OnlyEffect(DeliverToCaller{});
+  if (entry->m_server != server) {
+    if (!IsSettled(*entry))
+      return effects;
+    NoteEnd(*entry, subject.m_service.id(), effects);
     entry->m_server = server;
     entry->m_state = FlowState::kEstablished;
   }
-  Effects effects = OnlyEffect(DeliverToCaller{});
   entry->m_unanswered = 0;
   entry->m_is_closed_by_server = true;
   const bool is_over = packet.m_kind == ServerPacketKind::kAborted ||
@@ -313,7 +320,7 @@
     m_flows.Erase(subject.m_key, subject.m_hash);
     return RelayHome(subject, {RelayPurpose::kAnswer, 0, packet.m_server});
   }
-  if (is_conflict && IsSettled(*entry) && !IsChosenByCaller(*entry, packet))
+  if (entry != nullptr && IsCrossed(*entry, server, packet))
     return OnlyEffect(Drop{DropReason::kCrossedAnswer});
   if (entry != nullptr && IsOfEarlierFlow(*entry, packet))
     return OnlyEffect(DeliverToCaller{});
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -71,6 +71,20 @@
   return {kKey, flow::CallerPacketKind::kOpening, kPosition, {}, bytes};
 }
 
+// Opens kKey's flow; its server accepts. Returns where the opening went.
+base::Endpoint OpenAndAccept(flow::FlowDirector& director,
+                             base::TimePoint now) {
+  const std::vector<std::uint8_t> bytes(60, 7);
+  const auto opened = director.HandleCallerPacket(Opening(bytes), now);
+  const auto server = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
+  director.HandleServerPacket({.m_key = kKey,
+                               .m_kind = flow::ServerPacketKind::kAccepted,
+                               .m_position = kPosition + 1,
+                               .m_server = server.m_address},
+                              now);
+  return server;
+}
+
 }  // namespace
 
 TEST_CASE("a repeated opening goes to the same server") {
@@ -345,13 +359,7 @@
   const base::TimePoint now;
   const std::vector<std::uint8_t> bytes(60, 7);
   auto director = MakeAlternatingDirector(now);
-  const auto opened = director.HandleCallerPacket(Opening(bytes), now);
-  const auto server = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
-  director.HandleServerPacket({.m_key = kKey,
-                               .m_kind = flow::ServerPacketKind::kAccepted,
-                               .m_position = kPosition + 1,
-                               .m_server = server.m_address},
-                              now);
+  const auto server = OpenAndAccept(director, now);
   const flow::CallerPacket request{
       kKey, flow::CallerPacketKind::kData, kPosition + 81, {}, bytes, 700};
   director.HandleCallerPacket(request, now);
@@ -386,13 +394,7 @@
     auto director = MakeDirector(now);
     // A copy of the opening; the first went to another balancer, which took
     // itself for the home.
-    const auto opened = director.HandleCallerPacket(Opening(bytes), now);
-    const auto idle = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
-    director.HandleServerPacket({.m_key = kKey,
-                                 .m_kind = flow::ServerPacketKind::kAccepted,
-                                 .m_position = kPosition + 1,
-                                 .m_server = idle.m_address},
-                                now);
+    const auto idle = OpenAndAccept(director, now);
     const base::Ipv4Address busy(idle.m_address.value() == 3 ? 2 : 3);
     flow::ServerPacket answer{.m_key = kKey,
                               .m_kind = kind,
@@ -408,6 +410,13 @@
 
     CHECK(FindEffect<flow::Drop>(without_proof));
     CHECK(FindEffect<flow::DeliverToCaller>(with_proof));
+    // The flow is no load of the server that only accepted it.
+    const auto* note = FindEffect<flow::FlowNote>(with_proof);
+    REQUIRE(note);
+    CHECK(note->m_kind == flow::FlowNoteKind::kEnded);
+    CHECK(note->m_server ==
+          base::MakeBackendServerId("a", std::to_string(idle.m_address.value()),
+                                    1));
     REQUIRE(FindEffect<flow::ForwardToServer>(sent));
     CHECK(FindEffect<flow::ForwardToServer>(sent)->m_tunnel.m_address == busy);
   }
@@ -417,13 +426,7 @@
   const base::TimePoint now;
   const std::vector<std::uint8_t> bytes(60, 7);
   auto director = MakeAlternatingDirector(now);
-  const auto opened = director.HandleCallerPacket(Opening(bytes), now);
-  const auto server = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
-  director.HandleServerPacket({.m_key = kKey,
-                               .m_kind = flow::ServerPacketKind::kAccepted,
-                               .m_position = kPosition + 1,
-                               .m_server = server.m_address},
-                              now);
+  const auto server = OpenAndAccept(director, now);
   flow::CallerPacket next = Opening(bytes);
   next.m_position = kPosition + (1u << 23);
 
