Platform: Keep every route whose address a manifest names

Cause: DecodeRoute returned nothing for a route with one unusable field, such as the kind "upload", and openings to its address were reset with no_route. The only sign was one line objects_ignored without the route or the field.

Change: a route is ignored only if its address cannot be read. An unknown kind is served as one whose requests may run once, a missing timeout or name gets its default, unusable services are left out, and an opening to a route without a usable service is left unanswered and not reset.

Uploads: a request of several packets was overdue 400 ms after its first packet, though the server could not answer yet. The wait now starts at the newest data, and again at each repetition of a part of a long request.

--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -69,15 +69,42 @@
   archive(service.m_weight);
 }
 
+namespace {
+
+// A service with an empty name stands for no service, because earlier versions
+// of the balancer refuse a route without services.
+template <typename Archive>
+void SerializeServices(Archive& archive,
+                       std::vector<WeightedService>& services) {
+  if (services.empty())
+    services.emplace_back();
+  archive(peer::MakeBounded<std::uint8_t, catalog::kMaximumServicesOfRoute>(
+      services));
+  if (services.empty())
+    throw cereal::Exception("a route has no service");
+  std::erase_if(services, [](const WeightedService& service) {
+    return service.m_name.empty();
+  });
+}
+
+// Reads the kinds of later versions of the balancer as kOther.
+template <typename Archive>
+void SerializeKind(Archive& archive, RequestKind& kind) {
+  auto byte = static_cast<std::uint8_t>(kind);
+  archive(byte);
+  kind = byte < static_cast<std::uint8_t>(RequestKind::kOther)
+             ? static_cast<RequestKind>(byte)
+             : RequestKind::kOther;
+}
+
+}  // namespace
+
 template <typename Archive>
 void serialize(Archive& archive, Route& route) {
   SerializeName(archive, route.m_name);
   archive(route.m_address);
-  archive(peer::MakeBounded<std::uint8_t, catalog::kMaximumServicesOfRoute>(
-      route.m_services));
-  if (route.m_services.empty())
-    throw cereal::Exception("a route has no service");
-  SerializeEnum(archive, route.m_kind, RequestKind::kDownload);
+  SerializeServices(archive, route.m_services);
+  SerializeKind(archive, route.m_kind);
   SerializeDuration(archive, route.m_timeout);
 }
 
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -49,6 +49,7 @@
   kStoreCallFailed,
   kServersListed,
   kObjectsIgnored,
+  kFieldUnusable,
   kSnapshotTaken,
   kSnapshotFailed,
   kSettingsReloaded,
@@ -58,7 +59,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 44> kEventNames{{
+inline constexpr base::EnumTable<Event, 45> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -96,6 +97,7 @@
     {Event::kStoreCallFailed, "store_call_failed"},
     {Event::kServersListed, "servers_listed"},
     {Event::kObjectsIgnored, "objects_ignored"},
+    {Event::kFieldUnusable, "field_unusable"},
     {Event::kSnapshotTaken, "snapshot_taken"},
     {Event::kSnapshotFailed, "snapshot_failed"},
     {Event::kSettingsReloaded, "settings_reloaded"},
--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -31,6 +31,9 @@
   kNoRoute,
   // No route has the packet's address, but a newer manifest may contain one.
   kRouteNotYetKnown,
+  // The route of the packet's address names no service that this balancer can
+  // use.
+  kNoService,
   // No server of the service is eligible, or the chosen server shares both of
   // its tokens with other servers.
   kNoServer,
@@ -44,13 +47,14 @@
   kNotReady,
 };
 
-inline constexpr base::EnumTable<Reason, 11> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 12> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
     {Reason::kTokenFollowed, "token_followed"},
     {Reason::kNoRoute, "no_route"},
     {Reason::kRouteNotYetKnown, "route_not_yet_known"},
+    {Reason::kNoService, "no_service"},
     {Reason::kNoServer, "no_server"},
     {Reason::kUnknownToken, "unknown_token"},
     {Reason::kServerGone, "server_gone"},
--- a/Libraries/LibSteering/flow_record.h
+++ b/Libraries/LibSteering/flow_record.h
@@ -21,6 +21,8 @@
   // The request is overdue: it counts as unanswered and no longer as load. Its
   // answer may still arrive.
   bool m_is_overdue = false;
+  // The request in progress takes several packets.
+  bool m_is_long_request = false;
   // The flow had a packet within FlowTracker::kInactiveAfter and counts as load
   // of its server.
   bool m_is_active = false;
@@ -29,6 +31,9 @@
   // When the caller sent the first packet of the request in progress, or when
   // the opening in progress was placed.
   base::TimePoint m_request_at;
+  // When the server can have begun to answer at the earliest: when the caller
+  // sent the newest data of the request in progress, or m_request_at.
+  base::TimePoint m_answerable_at;
   // When the caller stops waiting for the answer.
   base::TimePoint m_deadline;
   // The sequence number after the caller's newest data, and the caller's newest
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -28,6 +28,7 @@
   if (record == nullptr)
     return nullptr;
   record->m_request_at = now;
+  record->m_answerable_at = now;
   record->m_deadline = now + timeout;
   SetInProgress(*record, true);
   return record;
@@ -68,6 +69,10 @@
     RecordAnswer(*record, server, now);
   if (has_new_data)
     StartRequest(*record, timeout, now);
+  // The caller repeats a part of a long request that the server has not
+  // acknowledged, so the server can't answer yet.
+  else if (packet.m_payload_bytes > 0 && record->m_is_long_request)
+    record->m_answerable_at = now;
   observation.m_packet_kind = KindOf(packet, has_answer, has_new_data);
   return observation;
 }
@@ -116,7 +121,7 @@
   if (record.m_is_request_in_progress) {
     server.m_answer_statistics.RecordAnswer(now);
     m_mean_answer_time += std::chrono::duration_cast<base::Duration>(
-        kAnswerTimeGain * (now - record.m_request_at - m_mean_answer_time));
+        kAnswerTimeGain * (now - record.m_answerable_at - m_mean_answer_time));
   }
   record.m_is_overdue = false;
   SetInProgress(record, false);
@@ -134,7 +139,10 @@
 void FlowTracker::StartRequest(FlowRecord& record,
                                base::Duration timeout,
                                base::TimePoint now) {
-  // A request of several packets starts with its first packet.
+  // A request of several packets starts with its first packet, and can be
+  // answered after its last.
+  record.m_is_long_request = record.m_is_request_in_progress;
+  record.m_answerable_at = now;
   if (!record.m_is_request_in_progress) {
     record.m_request_at = now;
     record.m_deadline = now + timeout;
@@ -169,7 +177,7 @@
   const base::Duration overdue_after = OverdueAfter();
   for (auto entry = m_flows.begin(); entry != m_flows.end();) {
     FlowRecord& record = entry->second;
-    const base::Duration waited = now - record.m_request_at;
+    const base::Duration waited = now - record.m_answerable_at;
     if (record.m_is_request_in_progress &&
         (waited >= overdue_after || now >= record.m_deadline)) {
       SetInProgress(record, false);
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -51,7 +51,7 @@
 };
 
 // A request that has been unanswered for so long that its server may have lost
-// it.
+// it. `m_waited` is the time since the caller sent its newest data.
 struct OverdueRequest {
   flow::FlowKey m_flow;
   ServerHandle m_server;
@@ -61,7 +61,7 @@
 class FlowTracker {
  public:
   // Flows beyond this number are steered without a record. A record takes
-  // 96 bytes, so all records take 6 MB at most.
+  // 112 bytes, so all records take 7 MB at most.
   static constexpr std::size_t kMaximumFlows = 65'536;
   // A flow without a packet for this long does not count as load. Callers of
   // long flows pause for about a second between requests.
@@ -145,6 +145,7 @@
   // the request. After such an arrival, the answer may have been acknowledged
   // through another balancer.
   bool CountsAgainstServer(const FlowRecord& record) const;
+  // Starts a request with new data, or continues the request in progress.
   void StartRequest(FlowRecord& record,
                     base::Duration timeout,
                     base::TimePoint now);
@@ -154,8 +155,8 @@
 
   ServerDirectory& m_directory;
   Flows m_flows;
-  // The moving average of the time from a request to the first acknowledgement
-  // of its answer.
+  // The moving average of the time from a request, sent whole, to the first
+  // acknowledgement of its answer.
   base::Duration m_mean_answer_time = std::chrono::milliseconds(100);
   // The last time at which a flow that another balancer had handled arrived
   // here. When the routers redistribute flows, flows arrive here and leave for
--- a/Libraries/LibSteering/route.h
+++ b/Libraries/LibSteering/route.h
@@ -28,14 +28,16 @@
   std::string m_name;
   // The destination address of callers' packets.
   base::Endpoint m_address;
-  // Never empty. The sum of the weights is never zero.
+  // Empty if the manifest names no usable service for the address; openings are
+  // then left unanswered. Otherwise the sum of the weights is not zero.
   std::vector<WeightedService> m_services;
   RequestKind m_kind = RequestKind::kIdempotent;
   // How long a caller waits for an answer.
   base::Duration m_timeout = std::chrono::seconds(2);
 
   // The service for a new flow whose key has `hash`. All balancers choose the
-  // same service, for an opening and for its retransmissions.
+  // same service, for an opening and for its retransmissions. m_services must
+  // not be empty.
   const std::string& ServiceFor(std::uint64_t hash) const;
 
   friend bool operator==(const Route&, const Route&) = default;
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -33,6 +33,11 @@
     return {Drop{}, Reason::kRouteNotYetKnown};
   if (route == nullptr)
     return Refuse(packet, Reason::kNoRoute);
+  if (route->m_services.empty()) {
+    Decision unserved{Drop{}, Reason::kNoService};
+    unserved.m_route = route;
+    return unserved;
+  }
   return HandleOpening(packet, *route, now);
 }
 
@@ -47,7 +52,8 @@
     record->m_resend_at.reset();
     const Route* route = m_routes.Find(key.m_service);
     KnownServer* previous_server = m_directory.FindByHandle(record->m_server);
-    if (route == nullptr || previous_server == nullptr)
+    if (route == nullptr || route->m_services.empty() ||
+        previous_server == nullptr)
       continue;
     MarkSuspected(*previous_server, record->m_request_at);
     CallerPacket opening;
@@ -156,6 +162,7 @@
   }
   if (record != nullptr && record->m_resends < m_settings.m_maximum_resends) {
     record->m_request_at = now;
+    record->m_answerable_at = now;
     record->m_resend_at = now + m_settings.m_resend_after;
     m_resends.emplace_back(*record->m_resend_at, packet.m_flow);
   }
@@ -257,9 +264,9 @@
   if (HasEnded(server, now))
     return Reason::kServerGone;
   // The server may become reachable again within the caller's time limit. A
-  // caller never repeats a non-idempotent request once its flow is established,
-  // so a reset would make the request fail.
-  if (route.m_kind == RequestKind::kNonIdempotent)
+  // caller never repeats such a request once its flow is established, so a
+  // reset would make the request fail.
+  if (!MayBeRepeated(route.m_kind))
     return std::nullopt;
   if (server.m_reachability.IsUnreachable())
     return Reason::kServerUnreachable;
--- a/Services/Edge/commands.cc
+++ b/Services/Edge/commands.cc
@@ -57,11 +57,13 @@
   }
   std::cout << "version " << report.m_manifest->m_version.value() << ", "
             << report.m_manifest->m_routes.size() << " routes\n";
-  if (report.m_ignored_routes == 0)
-    return ExitCode::kDone;
-  std::cerr << path << ": " << report.m_ignored_routes
-            << " routes are invalid and would be ignored\n";
-  return ExitCode::kRefused;
+  const adapter::FieldProblems& problems = report.m_field_problems;
+  for (const adapter::FieldProblem& problem : problems.list())
+    std::cerr << path << ": " << ToString(problem) << "\n";
+  if (problems.Omitted() > 0)
+    std::cerr << path << ": " << problems.Omitted()
+              << " more fields cannot be used\n";
+  return problems.list().empty() ? ExitCode::kDone : ExitCode::kRefused;
 }
 
 ExitCode PrintStatus(base::Endpoint metrics) {
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -88,6 +88,17 @@
       .Record(Seconds(call_time));
 }
 
+void EdgeMetrics::CountFieldProblem(std::string_view field,
+                                    std::string_view consequence) {
+  m_registry
+      .CounterOf(
+          "coltsfootdale_fields_unusable_total",
+          "Fields of the store's objects that cannot be used as they are",
+          {{"field", std::string(field)},
+           {"consequence", std::string(consequence)}})
+      .Add();
+}
+
 void EdgeMetrics::CountServerChange(std::string_view change) {
   m_registry
       .CounterOf("coltsfootdale_server_changes_total",
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -31,6 +31,8 @@
   void CountStoreCall(std::string_view collection,
                       std::string_view result,
                       base::Duration call_time);
+  // Counts a field of the store's objects that cannot be used as it is.
+  void CountFieldProblem(std::string_view field, std::string_view consequence);
   // `change` is a name of kDirectoryChangeNames.
   void CountServerChange(std::string_view change);
   // Records the mean time per packet of a batch that was handled in
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -289,7 +289,8 @@
     m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
                 {{"collection", collection},
                  {"objects", std::uint64_t{update.m_objects.m_ignored}},
-                 {"reason", "not an object of a known form"}});
+                 {"reason", "a necessary field is missing or unusable"}});
+  LogFieldProblems(update.m_objects.m_problems, collection, now);
   if (reader.collection() == adapter::Collection::kServers)
     OnServers(update, now);
   else
@@ -317,8 +318,14 @@
 }
 
 void EdgeProcess::OnManifests(const StoreUpdate& update) {
-  for (const steering::Manifest& manifest : update.m_objects.m_manifests)
-    ApplyManifest(manifest, "store");
+  for (const adapter::DecodedManifest& decoded : update.m_objects.m_manifests) {
+    // A version that is read again is not reported again.
+    if (ApplyManifest(decoded.m_manifest, "store"))
+      LogFieldProblems(
+          decoded.m_problems,
+          NameOf(adapter::kCollectionNames, adapter::Collection::kManifests),
+          base::Clock::now());
+  }
 }
 
 void EdgeProcess::OnSnapshot(base::Endpoint peer,
@@ -345,16 +352,41 @@
   UpdateReadiness();
 }
 
-void EdgeProcess::ApplyManifest(const steering::Manifest& manifest,
+bool EdgeProcess::ApplyManifest(const steering::Manifest& manifest,
                                 std::string_view source) {
   const auto previous_version = m_steering.routes().Version();
   if (!m_view.ApplyManifest(manifest))
-    return;
+    return false;
   m_log.Write(Severity::kInfo, Event::kConfigurationInForce,
               {{"manifest", manifest.m_version.value()},
                {"former", previous_version.value()},
                {"routes", std::uint64_t{manifest.m_routes.size()}},
                {"source", source}});
+  return true;
+}
+
+void EdgeProcess::LogFieldProblems(const adapter::FieldProblems& problems,
+                                   std::string_view collection,
+                                   base::TimePoint now) {
+  for (const adapter::FieldProblem& problem : problems.list()) {
+    const std::string_view consequence =
+        NameOf(adapter::kConsequenceNames, problem.m_consequence);
+    m_metrics.CountFieldProblem(problem.m_field, consequence);
+    if (!m_log.Admit(Event::kFieldUnusable, now))
+      continue;
+    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
+                {{"collection", collection},
+                 {"object", problem.m_object},
+                 {"route", problem.m_route},
+                 {"field", problem.m_field},
+                 {"value", problem.m_value},
+                 {"consequence", consequence},
+                 {"manifest", m_steering.routes().Version().value()}});
+  }
+  if (problems.Omitted() > 0 && m_log.Admit(Event::kFieldUnusable, now))
+    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
+                {{"collection", collection},
+                 {"omitted", std::uint64_t{problems.Omitted()}}});
 }
 
 void EdgeProcess::LogServerChanges(const ServerChanges& changes,
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -75,8 +75,12 @@
   void OnManifests(const StoreUpdate& update);
   void OnSnapshot(base::Endpoint peer,
                   const base::Outcome<catalog::Snapshot>& snapshot);
-  void ApplyManifest(const steering::Manifest& manifest,
+  // Returns whether the manifest is newer than the one in force.
+  bool ApplyManifest(const steering::Manifest& manifest,
                      std::string_view source);
+  void LogFieldProblems(const adapter::FieldProblems& problems,
+                        std::string_view collection,
+                        base::TimePoint now);
   void LogServerChanges(const ServerChanges& changes, std::string_view source);
   // Handles the pending packets once routes and servers are known, and logs
   // when the balancer is ready for the first time.
--- a/Tests/LibCatalog/test_snapshot_codec.cc
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -52,6 +52,19 @@
         snapshot.m_manifest.m_idle_timeout);
 }
 
+TEST_CASE("a route without services and every kind of request are encoded") {
+  Snapshot snapshot = MakeSnapshot();
+  snapshot.m_manifest.m_routes[0].m_services.clear();
+  for (const auto& [kind, name] : steering::kRequestKindNames) {
+    snapshot.m_manifest.m_routes[0].m_kind = kind;
+
+    const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot).value());
+
+    REQUIRE(decoded);
+    CHECK(decoded.value().m_manifest.m_routes == snapshot.m_manifest.m_routes);
+  }
+}
+
 TEST_CASE(
     "names of the maximum length are encoded, longer names are an error") {
   Snapshot snapshot = MakeSnapshot();
--- a/Tests/LibSteering/steering_fixture.cc
+++ b/Tests/LibSteering/steering_fixture.cc
@@ -32,6 +32,7 @@
        {address, kDeclarationPort},
        {{"portal"}},
        RequestKind::kNonIdempotent},
+      {"ledger", {address, kUploadPort}, {{"portal"}}, RequestKind::kUpload},
   };
   return manifest;
 }
--- a/Tests/LibSteering/steering_fixture.h
+++ b/Tests/LibSteering/steering_fixture.h
@@ -16,6 +16,7 @@
 
 inline constexpr std::uint16_t kFeedPort = 443;
 inline constexpr std::uint16_t kDeclarationPort = 444;
+inline constexpr std::uint16_t kUploadPort = 445;
 
 // The time `milliseconds` after a fixed start.
 base::TimePoint At(int milliseconds);
@@ -23,8 +24,8 @@
 // A server of the service "portal" in the data centre "here".
 ServerRecord MakeServer(const std::string& name, std::uint64_t revision = 1);
 
-// A manifest with routes from kFeedPort (idempotent) and kDeclarationPort
-// (non-idempotent) to "portal".
+// A manifest with routes from kFeedPort (idempotent), kDeclarationPort
+// (non-idempotent) and kUploadPort (upload) to "portal".
 Manifest MakeManifest(std::uint64_t version);
 
 CallerPacket MakeOpening(std::uint16_t caller_port,
