LibFlow: Keep a new flow's entry when a late segment's search ends

The search came back to the home as not found, and the home probed for the reset: the probe replaced the entry of the flow that it had just placed. All packets of the new flow were then dropped as late segments of an earlier flow (66 of them in 5 s), so the handshake was never completed at the server. The check against late segments was made only where a search starts.

Ruled out by the trace: answers of the right server were not dropped; the harness reports 0 unacknowledged bytes because a flow that gives up clears them.

Change: the check is made before both kinds of probe. The new test of the director failed before.

--- a/Libraries/LibFlow/flow_director.h
+++ b/Libraries/LibFlow/flow_director.h
@@ -151,9 +151,9 @@
   // server that ends or denies the flow.
   void RecordEndAtNonHome(const ServerPacket& packet,
                           const PacketContext& context);
-  // Whether this balancer placed a flow of this key and saw a packet of the
-  // flow within the lifetime of late segments.
-  bool WasOpenedHereRecently(const PacketContext& context);
+  // Whether a packet that does not fit the entry of its key is a late segment
+  // of an earlier flow.
+  bool IsLateSegment(const PacketContext& context);
   // Null if too many searches or probes were started or are in progress.
   PendingProbe* StartProbe(const PacketContext& context);
   // Sends a stored opening to a server that has not been tried.
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -185,8 +185,11 @@
     return RelayToHome(context, {RelayPurpose::kHomeLookup, 0, {}});
   if (known.m_entry != nullptr)
     return ForwardKnown(packet, context, known);
-  if (packet.m_relay.m_purpose == RelayPurpose::kNotFound)
-    return Probe(packet, context);
+  if (packet.m_relay.m_purpose == RelayPurpose::kNotFound) {
+    // The next flow may have been opened here during the search.
+    return IsLateSegment(context) ? MakeEffects(Drop{DropReason::kEarlierFlow})
+                                  : Probe(packet, context);
+  }
 
   // A relayed closing packet names the server that the relaying balancer knew.
   const auto* relayed_server =
@@ -241,7 +244,7 @@
 
 Effects FlowDirector::Search(const CallerPacket& packet,
                              const PacketContext& context) {
-  if (IsHome(context) && WasOpenedHereRecently(context))
+  if (IsLateSegment(context))
     return MakeEffects(Drop{DropReason::kEarlierFlow});
   if (!m_settings.m_mechanisms.m_relay_to_home)
     return Probe(packet, context);
@@ -285,11 +288,13 @@
   return ForwardProbe(packet, context, entry);
 }
 
-// Whether a flow of this key was opened here and seen within
-// kLateSegmentLifetime. A packet that does not fit this flow is then a late
-// segment of an earlier flow, and a probe for it would replace the flow's
-// entry.
-bool FlowDirector::WasOpenedHereRecently(const PacketContext& context) {
+// Whether a packet that does not fit the entry of its key is a late segment of
+// an earlier flow: this balancer is the home, opened the flow of the entry and
+// has seen it within kLateSegmentLifetime. A probe for the packet would replace
+// the entry.
+bool FlowDirector::IsLateSegment(const PacketContext& context) {
+  if (!IsHome(context))
+    return false;
   const FlowEntry* entry = m_flows.Find(context.m_key, context.m_hash);
   if (entry == nullptr || !entry->m_is_counted)
     return false;
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -333,6 +333,33 @@
   CHECK(FindEffect<flow::DeliverToCaller>(accepted));
 }
 
+TEST_CASE(
+    "a late segment that no balancer knows does not replace the next flow") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  for (const auto kind :
+       {flow::CallerPacketKind::kData, flow::CallerPacketKind::kAborted}) {
+    auto director = MakeDirector(now);
+    const auto opened = director.HandleCallerPacket(Opening(bytes), now);
+    const auto server = FindEffect<flow::ForwardToServer>(opened)->m_tunnel;
+
+    // The segment was relayed from balancer to balancer while the caller
+    // opened the next flow.
+    flow::CallerPacket late{kKey, kind, kPosition + (1u << 30), {}, bytes, 500};
+    late.m_relay.m_purpose = flow::RelayPurpose::kNotFound;
+    const auto dropped = director.HandleCallerPacket(late, now);
+    const auto sent = director.HandleCallerPacket(
+        {kKey, flow::CallerPacketKind::kData, kPosition + 1, {}, bytes, 700},
+        now);
+
+    REQUIRE(FindEffect<flow::Drop>(dropped));
+    CHECK(FindEffect<flow::Drop>(dropped)->m_reason ==
+          flow::DropReason::kEarlierFlow);
+    REQUIRE(FindEffect<flow::ForwardToServer>(sent));
+    CHECK(FindEffect<flow::ForwardToServer>(sent)->m_tunnel == server);
+  }
+}
+
 TEST_CASE(
     "a late answer of an earlier flow decides neither opening nor probe") {
   constexpr std::uint32_t kEarlierPosition = kPosition + (1u << 23);
