--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -1,5 +1,7 @@
 #include "LibCatalog/collection_watcher.h"
 
+#include <utility>
+
 #include <variant>
 
 #include "LibBase/overloaded.h"
@@ -15,11 +17,30 @@
       m_next_call_at(now) {}
 
 void CollectionWatcher::SetPolicy(const WatcherPolicy& policy) {
+  // The back-off of an outage continues.
+  if (policy == m_policy)
+    return;
   m_policy = policy;
   m_back_off =
       platform::BackOff(policy.m_initial_back_off, policy.m_maximum_back_off);
 }
 
+bool CollectionWatcher::IsCurrent(base::TimePoint now) const {
+  if (m_failing_since || m_is_listing || !IsConfirmedRecently(now))
+    return false;
+  const base::TimePoint expected =
+      m_is_call_open ? m_call_started_at + m_call_wait : m_next_call_at;
+  return now <= expected + m_policy.m_late_response;
+}
+
+bool CollectionWatcher::IsConfirmedRecently(base::TimePoint now) const {
+  // A watch confirms the time of its start, and the next one may take as long.
+  const base::Duration longest = 2 * m_policy.m_watch_wait +
+                                 m_policy.m_pause_between_watches +
+                                 m_policy.m_late_response;
+  return m_confirmed_at && now - *m_confirmed_at <= longest;
+}
+
 std::optional<CollectionCall> CollectionWatcher::StartDueCall(
     base::TimePoint now) {
   if (m_is_call_open || now < m_next_call_at)
@@ -29,8 +50,9 @@
   m_call_wait = base::Duration::zero();
   if (m_is_listing)
     return ListCall{m_last_listed_name};
-  m_call_wait =
-      m_failing_since ? m_policy.m_watch_wait_in_outage : m_policy.m_watch_wait;
+  const bool is_store_uncertain = m_failing_since || !IsConfirmedRecently(now);
+  m_call_wait = is_store_uncertain ? m_policy.m_watch_wait_in_outage
+                                   : m_policy.m_watch_wait;
   return WatchCall{m_revision, m_call_wait};
 }
 
@@ -64,6 +86,7 @@
   if (revision <= m_revision)
     return false;
   m_revision = revision;
+  m_has_adopted_list = m_is_call_open && m_is_listing;
   // The next watch starts at the revision that the peer has read.
   if (!m_is_call_open) {
     m_is_listing = false;
@@ -89,9 +112,12 @@
   // have been removed since.
   if (listed < m_revision) {
     m_next_call_at = now + m_back_off.Next(m_random);
+    // The complete list of a peer needs no further list.
+    m_is_listing = !std::exchange(m_has_adopted_list, false);
     return CollectionUpdate::kNone;
   }
   m_is_listing = false;
+  m_has_adopted_list = false;
   m_revision = listed;
   m_confirmed_at = m_call_started_at;
   return CollectionUpdate::kListComplete;
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -28,14 +28,17 @@
   // silent connection is detected after this time, so the wait is close to the
   // settling time, in which no bound holds after a fault.
   base::Duration m_watch_wait = std::chrono::seconds(4);
-  // The wait of a watch while calls fail. With a longer wait, the balancer
-  // would detect the end of the outage later.
+  // The wait of a watch while calls fail, and of the first watch after a time
+  // without calls. With a longer wait, the balancer would learn later that the
+  // store responds.
   base::Duration m_watch_wait_in_outage = std::chrono::milliseconds(100);
   // A response that takes longer than the wait of its call plus this time was
   // delayed by an outage, in which records may have expired.
   base::Duration m_late_response = std::chrono::milliseconds(600);
   base::Duration m_initial_back_off = std::chrono::milliseconds(100);
   base::Duration m_maximum_back_off = std::chrono::milliseconds(800);
+
+  friend bool operator==(const WatcherPolicy&, const WatcherPolicy&) = default;
 };
 
 // How the result of a call changes the known objects.
@@ -71,6 +74,9 @@
   std::optional<base::TimePoint> FailingSince() const {
     return m_failing_since;
   }
+  // Whether the calls succeed and none is late, so that a change will be
+  // received with the next response.
+  bool IsCurrent(base::TimePoint now) const;
   bool IsCallOpen() const { return m_is_call_open; }
   // A watch is open, so the store reports a change as soon as there is one.
   bool IsWatching() const { return m_is_call_open && !m_is_listing; }
@@ -92,6 +98,7 @@
   bool AdoptRevision(Revision revision);
 
  private:
+  bool IsConfirmedRecently(base::TimePoint now) const;
   CollectionUpdate HandlePage(const PageResponse& page, base::TimePoint now);
   CollectionUpdate HandleChanges(const ChangesResponse& changes,
                                  base::TimePoint now);
@@ -108,6 +115,8 @@
   std::optional<Revision> m_list_revision;
   std::string m_last_listed_name;
   bool m_is_listing = true;
+  // A revision was adopted while a list was open.
+  bool m_has_adopted_list = false;
   bool m_is_call_open = false;
   base::TimePoint m_call_started_at;
   // The wait that the open call requested from the store; zero for a list.
--- a/Libraries/LibCatalog/delayed_removals.cc
+++ b/Libraries/LibCatalog/delayed_removals.cc
@@ -5,15 +5,28 @@
 namespace catalog {
 
 bool DelayedRemovals::IsDelaying(base::TimePoint now) const {
-  return m_is_in_outage ||
+  return IsInOutage() ||
          (m_outage_ended_at && now - *m_outage_ended_at < kReregistrationTime);
 }
 
-void DelayedRemovals::OnOutageEnded(base::TimePoint now) {
-  m_is_in_outage = false;
-  m_outage_ended_at = now;
+void DelayedRemovals::OnOutageEnded(OutageSource source, base::TimePoint now) {
+  m_outages &= ~BitOf(source);
+  if (!IsInOutage())
+    DelayFrom(now);
+}
+
+void DelayedRemovals::SetOutage(bool is_in_outage,
+                                std::optional<base::TimePoint> ended_at) {
+  m_outages = is_in_outage ? BitOf(OutageSource::kServers) : 0;
+  if (!is_in_outage && ended_at &&
+      (!m_outage_ended_at || *ended_at > *m_outage_ended_at))
+    DelayFrom(*ended_at);
+}
+
+void DelayedRemovals::DelayFrom(base::TimePoint ended_at) {
+  m_outage_ended_at = ended_at;
   for (auto& [name, due] : m_due_times)
-    due = now + kReregistrationTime;
+    due = ended_at + kReregistrationTime;
 }
 
 std::vector<steering::ServerName> DelayedRemovals::OnRecordsRemoved(
@@ -30,7 +43,7 @@
 
 std::vector<steering::ServerName> DelayedRemovals::PopDue(base::TimePoint now) {
   std::vector<steering::ServerName> due;
-  if (m_is_in_outage)
+  if (IsInOutage())
     return due;
   for (auto entry = m_due_times.begin(); entry != m_due_times.end();) {
     if (entry->second > now) {
--- a/Libraries/LibCatalog/delayed_removals.h
+++ b/Libraries/LibCatalog/delayed_removals.h
@@ -19,6 +19,10 @@
 
 namespace catalog {
 
+// The collection whose calls show an outage. The outage of the store lasts
+// until the calls for both collections succeed again.
+enum class OutageSource { kServers, kManifests };
+
 class DelayedRemovals {
  public:
   // From the end of an outage. Servers register again within about 2 s of it;
@@ -30,9 +34,20 @@
   // Whether a removal that is received at `now` is delayed.
   bool IsDelaying(base::TimePoint now) const;
 
+  // Whether the removal of `name` is delayed.
+  bool IsPending(const steering::ServerName& name) const {
+    return m_due_times.contains(name);
+  }
+  bool IsInOutage() const { return m_outages != 0; }
+  std::optional<base::TimePoint> OutageEndedAt() const {
+    return m_outage_ended_at;
+  }
+
   // Commands.
-  void OnOutageStarted() { m_is_in_outage = true; }
-  void OnOutageEnded(base::TimePoint now);
+  void OnOutageStarted(OutageSource source) { m_outages |= BitOf(source); }
+  void OnOutageEnded(OutageSource source, base::TimePoint now);
+  // Replaces what is known of outages by what a peer knows.
+  void SetOutage(bool is_in_outage, std::optional<base::TimePoint> ended_at);
   // The records of `names` were removed from the store. Returns the servers to
   // be removed now.
   std::vector<steering::ServerName> OnRecordsRemoved(
@@ -47,7 +62,14 @@
   std::vector<steering::ServerName> PopDue(base::TimePoint now);
 
  private:
-  bool m_is_in_outage = false;
+  static constexpr unsigned BitOf(OutageSource source) {
+    return 1U << static_cast<unsigned>(source);
+  }
+  // Delays the pending removals until servers have had time to register again.
+  void DelayFrom(base::TimePoint ended_at);
+
+  // A bit for each source that shows an outage.
+  unsigned m_outages = 0;
   std::optional<base::TimePoint> m_outage_ended_at;
   std::map<steering::ServerName, base::TimePoint> m_due_times;
 };
--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "LibCatalog/snapshot.h"
+#include "LibCatalog/view_delta.h"
 #include "LibPeer/archive.h"
 
 namespace base {
@@ -130,47 +131,83 @@
 
 namespace {
 
-constexpr std::string_view kMagic = "CFS\x02";
+constexpr std::string_view kSnapshotMagic = "CFS\x02";
+constexpr std::string_view kDeltaMagic = "CFD\x01";
 
 template <typename Archive>
-void SerializeAll(Archive& archive, Snapshot& snapshot) {
+void SerializeContent(Archive& archive, Snapshot& snapshot) {
   archive(snapshot.m_servers_revision);
   archive(
       peer::MakeBounded<std::uint32_t, kMaximumServers>(snapshot.m_servers));
   archive(snapshot.m_manifest_revision, snapshot.m_manifest);
 }
 
-}  // namespace
+template <typename Archive>
+void SerializeContent(Archive& archive, ViewDelta& delta) {
+  archive(delta.m_since, delta.m_servers_revision);
+  archive(peer::MakeBounded<std::uint32_t, kMaximumServers>(delta.m_servers));
+  archive(peer::MakeBounded<std::uint32_t, kMaximumServers>(
+      delta.m_removed_servers));
+  archive(delta.m_manifest_revision);
+  auto has_manifest = static_cast<std::uint8_t>(delta.m_manifest.has_value());
+  archive(has_manifest);
+  if (has_manifest > 1)
+    throw cereal::Exception("flag of a delta is neither 0 nor 1");
+  if (has_manifest == 0)
+    return;
+  if (!delta.m_manifest)
+    delta.m_manifest.emplace();
+  archive(*delta.m_manifest);
+}
 
-base::Outcome<std::string> EncodeSnapshot(const Snapshot& snapshot) {
+template <typename Content>
+base::Outcome<std::string> Encode(std::string_view magic, Content content) {
   std::ostringstream stream;
-  stream << kMagic;
+  stream << magic;
   try {
     cereal::PortableBinaryOutputArchive archive(stream);
-    Snapshot copy = snapshot;
-    SerializeAll(archive, copy);
+    SerializeContent(archive, content);
   } catch (const cereal::Exception&) {
     return std::make_error_code(std::errc::message_size);
   }
   return std::move(stream).str();
 }
 
-base::Outcome<Snapshot> DecodeSnapshot(std::string_view bytes) {
+template <typename Content>
+base::Outcome<Content> Decode(std::string_view magic, std::string_view bytes) {
   if (bytes.size() > kMaximumSnapshotBytes)
     return std::make_error_code(std::errc::message_size);
-  if (!bytes.starts_with(kMagic))
+  if (!bytes.starts_with(magic))
     return std::make_error_code(std::errc::bad_message);
-  std::istringstream stream{std::string(bytes.substr(kMagic.size()))};
+  std::istringstream stream{std::string(bytes.substr(magic.size()))};
   try {
-    Snapshot snapshot;
+    Content content;
     cereal::PortableBinaryInputArchive archive(stream);
-    SerializeAll(archive, snapshot);
+    SerializeContent(archive, content);
     if (stream.peek() == std::istringstream::traits_type::eof())
-      return snapshot;
+      return content;
   } catch (const std::exception&) {
     // The error is returned below.
   }
   return std::make_error_code(std::errc::bad_message);
 }
 
+}  // namespace
+
+base::Outcome<std::string> EncodeSnapshot(const Snapshot& snapshot) {
+  return Encode(kSnapshotMagic, snapshot);
+}
+
+base::Outcome<Snapshot> DecodeSnapshot(std::string_view bytes) {
+  return Decode<Snapshot>(kSnapshotMagic, bytes);
+}
+
+base::Outcome<std::string> EncodeDelta(const ViewDelta& delta) {
+  return Encode(kDeltaMagic, delta);
+}
+
+base::Outcome<ViewDelta> DecodeDelta(std::string_view bytes) {
+  return Decode<ViewDelta>(kDeltaMagic, bytes);
+}
+
 }  // namespace catalog
--- a/Libraries/LibCatalog/snapshot_codec.h
+++ b/Libraries/LibCatalog/snapshot_codec.h
@@ -1,5 +1,5 @@
-// Encodes the snapshots that balancers exchange: a four-byte magic with the
-// version of the format, then cereal's portable binary format.
+// Encodes the snapshots and deltas that balancers exchange: a four-byte magic
+// with the version of the format, then cereal's portable binary format.
 
 #ifndef LIBCATALOG_SNAPSHOT_CODEC_H_
 #define LIBCATALOG_SNAPSHOT_CODEC_H_
@@ -14,6 +14,7 @@
 namespace catalog {
 
 struct Snapshot;
+struct ViewDelta;
 
 // docs/CAPACITY.md plans for a fleet of 75,000 servers and 9,000 routes, of
 // about 100 bytes each.
@@ -36,6 +37,10 @@
 // this version, message_size if `bytes` is longer than kMaximumSnapshotBytes.
 base::Outcome<Snapshot> DecodeSnapshot(std::string_view bytes);
 
+// The same for a delta, which has a magic of its own.
+base::Outcome<std::string> EncodeDelta(const ViewDelta& delta);
+base::Outcome<ViewDelta> DecodeDelta(std::string_view bytes);
+
 }  // namespace catalog
 
 #endif  // LIBCATALOG_SNAPSHOT_CODEC_H_
--- a/Libraries/LibEdge/edge_settings.h
+++ b/Libraries/LibEdge/edge_settings.h
@@ -27,10 +27,23 @@
   base::Endpoint m_metrics;
   // The HTTP endpoint from which peers read snapshots of this balancer's view.
   std::optional<base::Endpoint> m_control;
+  // The UDP and TCP endpoint at which this balancer and its peers exchange
+  // changes of the view; its port is the same on all balancers. Unset: the
+  // balancer always reads the store itself.
+  std::optional<base::Endpoint> m_feed;
+  // The same on all balancers of a fleet, and different for other fleets.
+  std::uint64_t m_fleet = 0;
+  // The number of data centres of the fleet; zero if the settings do not name
+  // them.
+  std::size_t m_data_centres = 0;
+  // The whole fleet starts for the first time, so there is no traffic yet.
+  bool m_is_first_start = false;
   // The HTTP endpoint of the store.
   base::Endpoint m_store;
   // The control endpoints of some peers. Any of the peers may be down.
   std::vector<base::Endpoint> m_seeds;
+  // Whether the settings name this balancer as a seed.
+  bool m_is_seed = false;
   // The UDP port at which callers receive packets.
   std::uint16_t m_caller_port = 0;
 
--- a/Libraries/LibEdge/store_pacing.cc
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -22,6 +22,24 @@
 // to repeat it: the timeout of a call (1 s), a back-off and a call.
 constexpr base::Duration kLostWatchRecoveryTime = milliseconds(1300);
 
+// The bounds on the time without a current reader. A balancer that polls more
+// often gains nothing: a change takes longer to reach the reader.
+constexpr base::Duration kMinimumFedTime = milliseconds(450);
+constexpr base::Duration kMaximumFedTime = milliseconds(2000);
+// A poll and its repetition may be lost before the balancer is not fed.
+constexpr int kPollsPerFedTime = 3;
+// With as many data centres, one reader in each leaves two or more when a data
+// centre is lost.
+constexpr std::size_t kDataCentresForOneReader = 3;
+// The first call of a balancer that is not fed, lost, and its repetition.
+constexpr base::Duration kLostFirstCallTime = milliseconds(1200);
+constexpr base::Duration kMaximumReaderPause = milliseconds(1000);
+constexpr base::Duration kFallbackInitialBackOff = milliseconds(4000);
+constexpr base::Duration kFallbackMaximumBackOff = milliseconds(8000);
+// A fleet that starts has the view within this time if a reader and a seed are
+// up. Traffic starts seconds later.
+constexpr base::Duration kFirstStartPatience = milliseconds(1500);
+
 base::Duration Scale(base::Duration duration, double factor) {
   return std::chrono::duration_cast<base::Duration>(duration * factor);
 }
@@ -39,4 +57,50 @@
   return policy;
 }
 
+catalog::WatcherPolicy MakeReaderPolicy(const EdgeSettings& settings) {
+  catalog::WatcherPolicy policy = MakeWatcherPolicy(settings);
+  if (!settings.m_feed)
+    return policy;
+  const feed::FeedSettings feed = MakeFeedSettings(settings);
+  const base::Duration delay = feed.m_poll_interval + feed.m_response_timeout;
+  policy.m_pause_between_watches =
+      std::clamp(policy.m_pause_between_watches - delay, kMinimumPause,
+                 kMaximumReaderPause);
+  policy.m_watch_wait = std::max(policy.m_watch_wait - delay, kMinimumPause);
+  return policy;
+}
+
+catalog::WatcherPolicy MakeFallbackPolicy(const EdgeSettings& settings) {
+  catalog::WatcherPolicy policy = MakeReaderPolicy(settings);
+  policy.m_initial_back_off = kFallbackInitialBackOff;
+  policy.m_maximum_back_off = kFallbackMaximumBackOff;
+  return policy;
+}
+
+feed::FeedSettings MakeFeedSettings(const EdgeSettings& settings) {
+  feed::FeedSettings feed;
+  feed.m_self = settings.m_feed->m_address;
+  feed.m_data_centre = settings.m_data_centre;
+  feed.m_fleet = settings.m_fleet;
+  for (const base::Endpoint seed : settings.m_seeds)
+    feed.m_seeds.push_back(seed.m_address);
+  feed.m_readers_per_data_centre =
+      settings.m_data_centres >= kDataCentresForOneReader ? 1 : 2;
+  feed.m_is_seed = settings.m_is_seed;
+  feed.m_fed_for =
+      std::clamp(MakeWatcherPolicy(settings).m_pause_between_watches,
+                 kMinimumFedTime, kMaximumFedTime);
+  feed.m_outage_spread = std::max(
+      Scale(std::min(settings.m_drain_bound, settings.m_configuration_bound),
+            kUsableBoundShare) -
+          feed.m_fed_for - kLostFirstCallTime,
+      base::Duration::zero());
+  feed.m_poll_interval = feed.m_fed_for / kPollsPerFedTime;
+  feed.m_response_timeout =
+      std::min(feed.m_response_timeout, feed.m_poll_interval);
+  feed.m_start_patience =
+      settings.m_is_first_start ? kFirstStartPatience : base::Duration::zero();
+  return feed;
+}
+
 }  // namespace edge
--- a/Libraries/LibEdge/store_pacing.h
+++ b/Libraries/LibEdge/store_pacing.h
@@ -4,6 +4,7 @@
 #define LIBEDGE_STORE_PACING_H_
 
 #include "LibCatalog/collection_watcher.h"
+#include "LibFeed/feed_settings.h"
 
 namespace edge {
 
@@ -15,6 +16,18 @@
 // became silent is detected and repeated within the settling time.
 catalog::WatcherPolicy MakeWatcherPolicy(const EdgeSettings& settings);
 
+// The same for a balancer that reads the store for others. They receive a
+// change after a further poll, so pause and wait are shorter by that time.
+catalog::WatcherPolicy MakeReaderPolicy(const EdgeSettings& settings);
+
+// The same for a balancer that calls the store because no reader is current.
+// Many balancers may be in this state, so the calls are rarer.
+catalog::WatcherPolicy MakeFallbackPolicy(const EdgeSettings& settings);
+
+// A balancer without a current reader reads the store early enough to receive a
+// change within its bound. m_feed must be set.
+feed::FeedSettings MakeFeedSettings(const EdgeSettings& settings);
+
 }  // namespace edge
 
 #endif  // LIBEDGE_STORE_PACING_H_
--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -6,14 +6,42 @@
 
 catalog::Snapshot StoreView::MakeSnapshot(catalog::Revision servers,
                                           catalog::Revision manifest) const {
-  return {servers, m_steering.directory().RegisteredRecords(), manifest,
-          m_steering.routes().manifest()};
+  return {servers, RecordsInStore(), manifest, m_steering.routes().manifest()};
+}
+
+catalog::ViewDelta StoreView::MakeDelta(catalog::Revision since_servers,
+                                        catalog::Revision since_manifest,
+                                        catalog::Revision servers,
+                                        catalog::Revision manifest) const {
+  catalog::ViewDelta delta;
+  delta.m_servers_revision = servers;
+  delta.m_manifest_revision = manifest;
+  if (since_manifest < manifest &&
+      m_steering.routes().Version() != base::ConfigurationVersion())
+    delta.m_manifest = m_steering.routes().manifest();
+  auto removed = m_removal_log.RemovedSince(since_servers);
+  delta.m_servers = RecordsInStore();
+  if (!removed)
+    return delta;
+  delta.m_since = since_servers;
+  std::erase_if(delta.m_servers, [since_servers](const auto& record) {
+    // A record without a revision may be new.
+    return record.m_revision != 0 && record.m_revision <= since_servers.value();
+  });
+  // A removed server may have registered again.
+  std::erase_if(*removed, [this](const steering::ServerName& name) {
+    return IsInStore(name);
+  });
+  delta.m_removed_servers = std::move(*removed);
+  return delta;
 }
 
 ServerChanges StoreView::ApplyServerList(
     const std::vector<steering::ServerRecord>& records,
+    catalog::Revision revision,
     base::TimePoint now) {
   m_steering.SetServersKnown();
+  m_removal_log.OnListed(revision);
   ServerChanges changes;
   std::set<steering::ServerName> listed;
   for (const steering::ServerRecord& record : records) {
@@ -32,24 +60,54 @@
 
 ServerChanges StoreView::ApplyServerEvents(
     const std::vector<ServerEvent>& events,
+    catalog::Revision revision,
     base::TimePoint now) {
   ServerChanges changes;
   for (const ServerEvent& event : events) {
-    if (event.m_record)
+    if (event.m_record) {
       Apply(*event.m_record, now, changes);
-    else
-      Remove(m_delayed_removals.OnRecordsRemoved({event.m_name}, now), now,
-             changes);
+      continue;
+    }
+    m_removal_log.OnRemoved(event.m_name, revision);
+    Remove(m_delayed_removals.OnRecordsRemoved({event.m_name}, now), now,
+           changes);
   }
   return changes;
 }
 
+ServerChanges StoreView::ApplyServerDelta(const catalog::ViewDelta& delta,
+                                          base::TimePoint now) {
+  if (delta.m_since == catalog::Revision())
+    return ApplyServerList(delta.m_servers, delta.m_servers_revision, now);
+  std::vector<ServerEvent> events;
+  events.reserve(delta.m_servers.size() + delta.m_removed_servers.size());
+  for (const steering::ServerName& name : delta.m_removed_servers)
+    events.push_back({name, std::nullopt});
+  for (const steering::ServerRecord& record : delta.m_servers)
+    events.push_back({record.m_name, record});
+  return ApplyServerEvents(events, delta.m_servers_revision, now);
+}
+
 ServerChanges StoreView::ApplyDueRemovals(base::TimePoint now) {
   ServerChanges changes;
   Remove(m_delayed_removals.PopDue(now), now, changes);
   return changes;
 }
 
+bool StoreView::IsInStore(const steering::ServerName& name) const {
+  const steering::KnownServer* server = m_steering.directory().FindByName(name);
+  return server != nullptr && !server->IsGone() &&
+         !m_delayed_removals.IsPending(name);
+}
+
+std::vector<steering::ServerRecord> StoreView::RecordsInStore() const {
+  auto records = m_steering.directory().RegisteredRecords();
+  std::erase_if(records, [this](const steering::ServerRecord& record) {
+    return m_delayed_removals.IsPending(record.m_name);
+  });
+  return records;
+}
+
 void StoreView::Apply(const steering::ServerRecord& record,
                       base::TimePoint now,
                       ServerChanges& changes) {
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -11,8 +11,10 @@
 
 #include "LibBase/time.h"
 #include "LibCatalog/delayed_removals.h"
+#include "LibCatalog/removal_log.h"
 #include "LibCatalog/revision.h"
 #include "LibCatalog/snapshot.h"
+#include "LibCatalog/view_delta.h"
 #include "LibSteering/manifest.h"
 #include "LibSteering/server_directory.h"
 #include "LibSteering/steering.h"
@@ -37,24 +39,48 @@
 
   // Queries.
   // `servers` and `manifest` are the revisions up to which the view contains
-  // the changes of each collection.
+  // the changes of each collection. Neither a snapshot nor a delta contains a
+  // server whose record was removed, even if the removal is delayed here: the
+  // peer would not learn of the removal from later changes.
   catalog::Snapshot MakeSnapshot(catalog::Revision servers,
                                  catalog::Revision manifest) const;
+  // The changes since the revisions `since_servers` and `since_manifest` of a
+  // peer's view. Contains all servers if the changes since then are not known.
+  catalog::ViewDelta MakeDelta(catalog::Revision since_servers,
+                               catalog::Revision since_manifest,
+                               catalog::Revision servers,
+                               catalog::Revision manifest) const;
+  const catalog::DelayedRemovals& delayed_removals() const {
+    return m_delayed_removals;
+  }
 
   // Commands.
   // During an outage of the store and for some time after its end, servers are
   // removed with a delay.
-  void OnStoreLost() { m_delayed_removals.OnOutageStarted(); }
-  void OnStoreRegained(base::TimePoint now) {
-    m_delayed_removals.OnOutageEnded(now);
+  void OnStoreLost(catalog::OutageSource source) {
+    m_delayed_removals.OnOutageStarted(source);
+  }
+  void OnStoreRegained(catalog::OutageSource source, base::TimePoint now) {
+    m_delayed_removals.OnOutageEnded(source, now);
+  }
+  // See DelayedRemovals::SetOutage.
+  void SetOutage(bool is_in_outage, std::optional<base::TimePoint> ended_at) {
+    m_delayed_removals.SetOutage(is_in_outage, ended_at);
   }
-  // Applies a complete list: known servers that are not in `records` are
-  // removed, at once or after a delay (see DelayedRemovals).
+  // Applies a complete list of `revision`: known servers that are not in
+  // `records` are removed, at once or after a delay (see DelayedRemovals).
   ServerChanges ApplyServerList(
       const std::vector<steering::ServerRecord>& records,
+      catalog::Revision revision,
       base::TimePoint now);
+  // Applies the changes between the known revision and `revision`.
   ServerChanges ApplyServerEvents(const std::vector<ServerEvent>& events,
+                                  catalog::Revision revision,
                                   base::TimePoint now);
+  // Applies the servers of a delta of a peer. The view must contain the changes
+  // up to `delta.m_since`.
+  ServerChanges ApplyServerDelta(const catalog::ViewDelta& delta,
+                                 base::TimePoint now);
   // Puts `manifest` in force. Returns false and changes nothing if the manifest
   // in force has the same or a newer version.
   bool ApplyManifest(steering::Manifest manifest) {
@@ -64,6 +90,9 @@
   ServerChanges ApplyDueRemovals(base::TimePoint now);
 
  private:
+  // Whether the store has a record of the server, as far as this view shows.
+  bool IsInStore(const steering::ServerName& name) const;
+  std::vector<steering::ServerRecord> RecordsInStore() const;
   void Apply(const steering::ServerRecord& record,
              base::TimePoint now,
              ServerChanges& changes);
@@ -73,6 +102,7 @@
 
   steering::Steering& m_steering;
   catalog::DelayedRemovals m_delayed_removals;
+  catalog::RemovalLog m_removal_log;
 };
 
 }  // namespace edge
--- /dev/null
+++ b/Libraries/LibFeed/feed_request.h
@@ -0,0 +1,29 @@
+// A balancer's request for the changes of the view since the revisions that it
+// knows. Sent as one datagram.
+
+#ifndef LIBFEED_FEED_REQUEST_H_
+#define LIBFEED_FEED_REQUEST_H_
+
+#include <cstdint>
+
+#include "LibBase/ids.h"
+#include "LibCatalog/revision.h"
+
+namespace feed {
+
+struct FeedRequest {
+  // Identifies the fleet. Requests of another fleet are ignored.
+  std::uint64_t m_fleet = 0;
+  // Repeated in the response.
+  std::uint64_t m_number = 0;
+  base::DataCentreId m_data_centre;
+  // The sender reads the store for others, and its calls succeed.
+  bool m_is_reader = false;
+  bool m_is_current = false;
+  catalog::Revision m_servers;
+  catalog::Revision m_manifest;
+};
+
+}  // namespace feed
+
+#endif  // LIBFEED_FEED_REQUEST_H_
--- /dev/null
+++ b/Libraries/LibFeed/store_status.h
@@ -0,0 +1,37 @@
+// What a balancer knows of the store, as it tells its peers.
+
+#ifndef LIBFEED_STORE_STATUS_H_
+#define LIBFEED_STORE_STATUS_H_
+
+#include <optional>
+
+#include "LibBase/time.h"
+#include "LibCatalog/revision.h"
+
+namespace feed {
+
+struct StoreStatus {
+  // The balancer reads the store itself, and its calls succeed, so that it
+  // learns of a change as soon as its next call returns.
+  bool m_is_current = false;
+  // The changes of each collection are known up to these revisions; zero if
+  // the collection has not been read.
+  catalog::Revision m_servers;
+  catalog::Revision m_manifest;
+  // The time since the store last confirmed the older of the two; unset if it
+  // never did.
+  std::optional<base::Duration> m_confirmed_age;
+  // Whether an outage of the store is known, and the time since the last one
+  // ended. They delay removals, see catalog::DelayedRemovals.
+  bool m_is_in_outage = false;
+  std::optional<base::Duration> m_outage_ended_age;
+
+  bool HasView() const {
+    return m_servers != catalog::Revision() &&
+           m_manifest != catalog::Revision();
+  }
+};
+
+}  // namespace feed
+
+#endif  // LIBFEED_STORE_STATUS_H_
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -52,6 +52,10 @@
   kFieldUnusable,
   kSnapshotTaken,
   kSnapshotFailed,
+  kReaderStarted,
+  kReaderStopped,
+  kChangesReceived,
+  kFeedRefused,
   kSettingsReloaded,
   kSettingsRefused,
   kLogLinesDropped,
@@ -59,7 +63,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 45> kEventNames{{
+inline constexpr base::EnumTable<Event, 49> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -100,6 +104,10 @@
     {Event::kFieldUnusable, "field_unusable"},
     {Event::kSnapshotTaken, "snapshot_taken"},
     {Event::kSnapshotFailed, "snapshot_failed"},
+    {Event::kReaderStarted, "reader_started"},
+    {Event::kReaderStopped, "reader_stopped"},
+    {Event::kChangesReceived, "changes_received"},
+    {Event::kFeedRefused, "feed_refused"},
     {Event::kSettingsReloaded, "settings_reloaded"},
     {Event::kSettingsRefused, "settings_refused"},
     {Event::kLogLinesDropped, "log_lines_dropped"},
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -9,7 +9,8 @@
 targets=("$@")
 [ ${#targets[@]} -gt 0 ] ||
   targets=(FuzzPacket FuzzPeerCodec FuzzDocument FuzzSettings
-           FuzzCallerPacket FuzzStoreAnswer FuzzEdgeSettings)
+           FuzzCallerPacket FuzzStoreAnswer FuzzEdgeSettings
+           FuzzFeedMessage)
 cmake -S . -B build-fuzz -G Ninja -DCOLTSFOOTDALE_FUZZ=ON \
   -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 cmake --build build-fuzz --target "${targets[@]}"
--- /dev/null
+++ b/Services/Edge/boot_time.h
@@ -0,0 +1,25 @@
+// The time since the machine booted, including suspension. The steady clock
+// does not count suspension.
+
+#ifndef SERVICES_EDGE_BOOT_TIME_H_
+#define SERVICES_EDGE_BOOT_TIME_H_
+
+#include <time.h>
+
+#include <chrono>
+
+#include "LibBase/time.h"
+
+namespace edge {
+
+inline base::Duration BootTime() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_BOOT_TIME_H_
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -99,6 +99,14 @@
       .Add();
 }
 
+void EdgeMetrics::CountFeedRefused(std::string_view reason) {
+  m_registry
+      .CounterOf("coltsfootdale_feed_refused_total",
+                 "Messages of peers about the view that were not used",
+                 {{"reason", std::string(reason)}})
+      .Add();
+}
+
 void EdgeMetrics::CountServerChange(std::string_view change) {
   m_registry
       .CounterOf("coltsfootdale_server_changes_total",
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -33,6 +33,8 @@
                       base::Duration call_time);
   // Counts a field of the store's objects that cannot be used as it is.
   void CountFieldProblem(std::string_view field, std::string_view consequence);
+  // Counts a message or response of a peer that was not used.
+  void CountFeedRefused(std::string_view reason);
   // `change` is a name of kDirectoryChangeNames.
   void CountServerChange(std::string_view change);
   // Records the mean time per packet of a batch that was handled in
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 #include <signal.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -10,8 +9,7 @@
 #include <utility>
 
 #include "LibBase/milliseconds.h"
-#include "LibCatalog/snapshot_codec.h"
-#include "LibEdge/store_pacing.h"
+#include "boot_time.h"
 #include "platform/names.h"
 #include "settings_file.h"
 
@@ -29,31 +27,16 @@
 // This period is also the longest time for which a log line is buffered.
 constexpr base::Duration kSweepPeriod = milliseconds(100);
 constexpr base::Duration kSecond = milliseconds(1000);
-// When calls to the store have failed for this long, or the balancer is not
-// ready this long after its start, the balancer requests snapshots from peers.
-constexpr base::Duration kStoreFailureGrace = milliseconds(500);
 constexpr base::Duration kPeerRequestInterval = milliseconds(500);
-// The routes count as current for this long after the store confirmed them.
-// While they are current, an opening without a route is refused.
-constexpr base::Duration kRoutesCurrentFor = milliseconds(1500);
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::string_view kStatusPath = "/status";
 constexpr std::string_view kJsonType = "application/json";
-constexpr std::string_view kBinaryType = "application/octet-stream";
 
 std::uint64_t DrawSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
 }
 
-base::Duration BootTime() {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::seconds(time.tv_sec) +
-      std::chrono::nanoseconds(time.tv_nsec));
-}
-
 }  // namespace
 
 base::Outcome<std::unique_ptr<EdgeProcess>> EdgeProcess::Create(
@@ -75,34 +58,18 @@
       m_settings_path(settings_path),
       m_log(STDOUT_FILENO, kLinesPerSecond),
       m_steering({settings.m_data_centre}, DrawSeed(), base::Clock::now()),
-      m_servers(m_context,
-                settings.m_store,
-                adapter::Collection::kServers,
-                MakeWatcherPolicy(settings),
-                DrawSeed(),
-                [this](const StoreUpdate& update) {
-                  OnStoreUpdate(m_servers, update);
-                }),
-      m_manifests(m_context,
-                  settings.m_store,
-                  adapter::Collection::kManifests,
-                  MakeWatcherPolicy(settings),
-                  DrawSeed(),
-                  [this](const StoreUpdate& update) {
-                    OnStoreUpdate(m_manifests, update);
-                  }),
-      m_peers(m_context,
-              [this](base::Endpoint peer,
-                     const base::Outcome<catalog::Snapshot>& snapshot) {
-                OnSnapshot(peer, snapshot);
-              }),
+      m_view(m_context,
+             m_settings,
+             m_steering,
+             m_log,
+             m_metrics,
+             [this] { UpdateReadiness(); }),
       m_prober(
           m_context,
           [this](steering::ServerHandle server, steering::ProbeResult result) {
             OnProbeResult(server, result);
           }),
       m_started_at(base::Clock::now()) {
-  m_peers.SetPeers(m_settings.m_seeds);
   if (const auto text = ReadSettingsFile(settings_path))
     m_settings_text = text.value();
 }
@@ -111,19 +78,22 @@
   if (m_metrics_port)
     settings.m_metrics.m_port = *m_metrics_port;
   // The process must not request a snapshot from itself.
-  std::erase_if(settings.m_seeds, [&settings](base::Endpoint peer) {
-    return settings.m_control && peer == *settings.m_control;
-  });
+  settings.m_is_seed =
+      std::erase_if(settings.m_seeds, [&settings](base::Endpoint peer) {
+        return settings.m_control && peer == *settings.m_control;
+      }) > 0;
   return settings;
 }
 
 base::Outcome<void> EdgeProcess::Listen() {
-  TRY(packets,
-      PacketLoop::Create(
-          m_context, m_settings.m_packets, m_settings.m_caller_port, m_steering,
-          m_decision_log, m_metrics, [this] { return CurrentViewVersion(); },
-          [this](base::TimePoint now) { ProbeServers(now); }));
+  TRY(packets, PacketLoop::Create(
+                   m_context, m_settings.m_packets, m_settings.m_caller_port,
+                   m_steering, m_decision_log, m_metrics,
+                   [this] { return m_view.Version(base::Clock::now()); },
+                   [this](base::TimePoint now) { ProbeServers(now); }));
   m_packets = std::move(packets);
+  if (auto listening = m_view.Listen(); !listening)
+    return listening.error();
   TRY(readiness,
       event_loop::HttpTextServer::Create(
           m_context, m_settings.m_readiness,
@@ -162,7 +132,7 @@
       [this](base::TimePoint time) { Sweep(time); });
   m_timers.timers().SubscribeEvery(
       now + kPeerRequestInterval, kPeerRequestInterval,
-      [this](base::TimePoint time) { RequestSnapshotIfStoreFails(time); });
+      [this](base::TimePoint time) { m_view.RequestSnapshotIfCutOff(time); });
   m_timers.timers().SubscribeEvery(now + kSecond, kSecond,
                                    [this](base::TimePoint time) {
                                      m_log.WriteSummaries(time);
@@ -171,8 +141,7 @@
                                    });
   m_timers.Rearm();
   m_packets->Start();
-  m_servers.Start();
-  m_manifests.Start();
+  m_view.Start();
   m_context.run();
   m_log.Write(Severity::kInfo, Event::kShutdownFinished,
               {{"vm", m_settings.m_vm}});
@@ -202,30 +171,17 @@
 event_loop::TextResponse EdgeProcess::ControlResponse(std::string_view path) {
   if (path != kSnapshotPath)
     return {404, "unknown path\n"};
-  const auto servers = m_servers.watcher().KnownRevision();
-  const auto manifest = m_manifests.watcher().KnownRevision();
-  if (servers == catalog::Revision() && manifest == catalog::Revision())
-    return {503, "nothing known\n"};
-  auto snapshot =
-      catalog::EncodeSnapshot(m_view.MakeSnapshot(servers, manifest));
-  if (!snapshot) {
-    if (m_log.Admit(Event::kSnapshotFailed, base::Clock::now()))
-      m_log.Write(Severity::kError, Event::kSnapshotFailed,
-                  {{"reason", snapshot.error().message()},
-                   {"revision", servers.value()}});
-    return {503, "the belief does not fit a snapshot\n"};
-  }
-  return {200, std::move(snapshot).value(), kBinaryType};
+  return m_view.SnapshotResponse();
 }
 
 std::string EdgeProcess::RenderStatus() const {
-  const ViewVersion version = CurrentViewVersion();
+  const ViewVersion version = m_view.Version(base::Clock::now());
   const auto& directory = m_steering.directory();
   return fmt::format(
       R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
       R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
       R"("servers_revision":{},"servers_age_ms":{},"flows":{},)"
-      R"("store_calls":{}}})"
+      R"("store_calls":{},"reader":{}}})"
       "\n",
       observability::QuoteJson(m_settings.m_vm),
       observability::QuoteJson(m_settings.m_data_centre.value()),
@@ -236,179 +192,7 @@
       version.m_servers_revision,
       version.m_servers_age ? base::WholeMilliseconds(*version.m_servers_age)
                             : -1,
-      m_steering.tracker().size(), m_servers.Calls() + m_manifests.Calls());
-}
-
-ViewVersion EdgeProcess::CurrentViewVersion() const {
-  ViewVersion version;
-  version.m_servers_revision = m_servers.watcher().KnownRevision().value();
-  if (const auto confirmed = m_servers.watcher().ConfirmedAt())
-    version.m_servers_age = base::Clock::now() - *confirmed;
-  version.m_manifest_version = m_steering.routes().Version().value();
-  return version;
-}
-
-bool EdgeProcess::AreRoutesCurrent(base::TimePoint now) const {
-  const auto& watcher = m_manifests.watcher();
-  if (watcher.FailingSince())
-    return false;
-  const auto confirmed = watcher.ConfirmedAt();
-  return watcher.IsWatching() ||
-         (confirmed && now - *confirmed < kRoutesCurrentFor);
-}
-
-void EdgeProcess::OnStoreUpdate(const StoreReader& reader,
-                                const StoreUpdate& update) {
-  const base::TimePoint now = base::Clock::now();
-  const std::string_view collection =
-      NameOf(adapter::kCollectionNames, reader.collection());
-  const std::string_view result =
-      update.m_failure ? NameOf(catalog::kCallFailureNames, *update.m_failure)
-                       : "done";
-  m_metrics.CountStoreCall(collection, result, update.m_call_time);
-  if (update.m_failure && m_log.Admit(Event::kStoreCallFailed, now))
-    m_log.Write(Severity::kWarning, Event::kStoreCallFailed,
-                {{"collection", collection},
-                 {"reason", result},
-                 {"call_ms", base::WholeMilliseconds(update.m_call_time)},
-                 {"revision", reader.watcher().KnownRevision().value()}});
-  if (update.m_outcome.m_is_store_lost) {
-    m_view.OnStoreLost();
-    m_log.Write(Severity::kWarning, Event::kStoreLost,
-                {{"collection", collection},
-                 {"reason", update.m_failure ? result : "late_answer"}});
-  }
-  if (update.m_outcome.m_is_store_regained) {
-    m_view.OnStoreRegained(now);
-    m_log.Write(Severity::kInfo, Event::kStoreRegained,
-                {{"collection", collection},
-                 {"revision", reader.watcher().KnownRevision().value()}});
-  }
-  if (update.m_objects.m_ignored > 0 &&
-      m_log.Admit(Event::kObjectsIgnored, now))
-    m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
-                {{"collection", collection},
-                 {"objects", std::uint64_t{update.m_objects.m_ignored}},
-                 {"reason", "a necessary field is missing or unusable"}});
-  LogFieldProblems(update.m_objects.m_problems, collection, now);
-  if (reader.collection() == adapter::Collection::kServers)
-    OnServers(update, now);
-  else
-    OnManifests(update);
-  UpdateReadiness();
-}
-
-void EdgeProcess::OnServers(const StoreUpdate& update, base::TimePoint now) {
-  if (update.m_outcome.m_update == catalog::CollectionUpdate::kChanged) {
-    LogServerChanges(m_view.ApplyServerEvents(update.m_objects.m_servers, now),
-                     "store");
-    return;
-  }
-  if (update.m_outcome.m_update != catalog::CollectionUpdate::kListComplete)
-    return;
-  std::vector<steering::ServerRecord> records;
-  for (const ServerEvent& event : update.m_objects.m_servers) {
-    if (event.m_record)
-      records.push_back(*event.m_record);
-  }
-  m_log.Write(Severity::kInfo, Event::kServersListed,
-              {{"servers", std::uint64_t{records.size()}},
-               {"revision", m_servers.watcher().KnownRevision().value()}});
-  LogServerChanges(m_view.ApplyServerList(records, now), "store");
-}
-
-void EdgeProcess::OnManifests(const StoreUpdate& update) {
-  for (const adapter::DecodedManifest& decoded : update.m_objects.m_manifests) {
-    // A version that is read again is not reported again.
-    if (ApplyManifest(decoded.m_manifest, "store"))
-      LogFieldProblems(
-          decoded.m_problems,
-          NameOf(adapter::kCollectionNames, adapter::Collection::kManifests),
-          base::Clock::now());
-  }
-}
-
-void EdgeProcess::OnSnapshot(base::Endpoint peer,
-                             const base::Outcome<catalog::Snapshot>& snapshot) {
-  const base::TimePoint now = base::Clock::now();
-  if (!snapshot) {
-    if (m_log.Admit(Event::kSnapshotFailed, now))
-      m_log.Write(
-          Severity::kWarning, Event::kSnapshotFailed,
-          {{"peer", ToString(peer)}, {"reason", snapshot.error().message()}});
-    return;
-  }
-  const catalog::Snapshot& decoded = snapshot.value();
-  if (m_servers.AdoptRevision(decoded.m_servers_revision)) {
-    m_log.Write(Severity::kInfo, Event::kSnapshotTaken,
-                {{"peer", ToString(peer)},
-                 {"servers", std::uint64_t{decoded.m_servers.size()}},
-                 {"revision", decoded.m_servers_revision.value()}});
-    LogServerChanges(m_view.ApplyServerList(decoded.m_servers, now), "peer");
-  }
-  m_manifests.AdoptRevision(decoded.m_manifest_revision);
-  if (decoded.m_manifest.m_version != base::ConfigurationVersion())
-    ApplyManifest(decoded.m_manifest, "peer");
-  UpdateReadiness();
-}
-
-bool EdgeProcess::ApplyManifest(const steering::Manifest& manifest,
-                                std::string_view source) {
-  const auto previous_version = m_steering.routes().Version();
-  if (!m_view.ApplyManifest(manifest))
-    return false;
-  m_log.Write(Severity::kInfo, Event::kConfigurationInForce,
-              {{"manifest", manifest.m_version.value()},
-               {"former", previous_version.value()},
-               {"routes", std::uint64_t{manifest.m_routes.size()}},
-               {"source", source}});
-  return true;
-}
-
-void EdgeProcess::LogFieldProblems(const adapter::FieldProblems& problems,
-                                   std::string_view collection,
-                                   base::TimePoint now) {
-  for (const adapter::FieldProblem& problem : problems.list()) {
-    const std::string_view consequence =
-        NameOf(adapter::kConsequenceNames, problem.m_consequence);
-    m_metrics.CountFieldProblem(problem.m_field, consequence);
-    if (!m_log.Admit(Event::kFieldUnusable, now))
-      continue;
-    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
-                {{"collection", collection},
-                 {"object", problem.m_object},
-                 {"route", problem.m_route},
-                 {"field", problem.m_field},
-                 {"value", problem.m_value},
-                 {"consequence", consequence},
-                 {"manifest", m_steering.routes().Version().value()}});
-  }
-  if (problems.Omitted() > 0 && m_log.Admit(Event::kFieldUnusable, now))
-    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
-                {{"collection", collection},
-                 {"omitted", std::uint64_t{problems.Omitted()}}});
-}
-
-void EdgeProcess::LogServerChanges(const ServerChanges& changes,
-                                   std::string_view source) {
-  const base::TimePoint now = base::Clock::now();
-  for (const ServerChange& change : changes) {
-    const std::string_view name =
-        NameOf(steering::kDirectoryChangeNames, change.m_change);
-    m_metrics.CountServerChange(name);
-    if (!m_log.Admit(Event::kServerChanged, now))
-      continue;
-    m_log.Write(Severity::kInfo, Event::kServerChanged,
-                {{"change", name},
-                 {"server", change.m_record.m_name.value()},
-                 {"service", change.m_record.m_service},
-                 {"endpoint", ToString(change.m_record.m_endpoint)},
-                 {"data_centre", change.m_record.m_data_centre.value()},
-                 {"incarnation", change.m_record.m_incarnation},
-                 {"record_revision", change.m_record.m_revision},
-                 {"revision", m_servers.watcher().KnownRevision().value()},
-                 {"source", source}});
-  }
+      m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader());
 }
 
 void EdgeProcess::UpdateReadiness() {
@@ -471,8 +255,7 @@
 
 void EdgeProcess::Sweep(base::TimePoint now) {
   CheckForPause(now);
-  m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
-  LogServerChanges(m_view.ApplyDueRemovals(now), "lapse");
+  m_view.Sweep(now);
   const base::Duration overdue_after = m_steering.tracker().OverdueAfter();
   for (const steering::OverdueRequest& request : m_steering.Sweep(now)) {
     m_metrics.CountUnanswered();
@@ -486,18 +269,6 @@
   m_log.Flush();
 }
 
-void EdgeProcess::RequestSnapshotIfStoreFails(base::TimePoint now) {
-  const auto has_failed_long = [now](const StoreReader& reader) {
-    const auto failing = reader.watcher().FailingSince();
-    return failing && now - *failing >= kStoreFailureGrace;
-  };
-  const bool is_slow_start =
-      !m_steering.IsReady() && now - m_started_at >= kStoreFailureGrace;
-  if (is_slow_start || has_failed_long(m_servers) ||
-      has_failed_long(m_manifests))
-    m_peers.RequestSnapshot();
-}
-
 void EdgeProcess::CheckForPause(base::TimePoint now) {
   const auto pause = m_pauses.DetectPause(BootTime());
   if (!pause)
@@ -505,9 +276,7 @@
   if (m_log.Admit(Event::kPauseDetected, now))
     m_log.Write(Severity::kWarning, Event::kPauseDetected,
                 {{"pause_ms", base::WholeMilliseconds(*pause)}});
-  // The view may be outdated, and the connections of open calls may be dead.
-  m_servers.RestartCall();
-  m_manifests.RestartCall();
+  m_view.OnPaused(now);
 }
 
 void EdgeProcess::ReloadSettings(const base::Outcome<std::string>& text,
@@ -529,15 +298,14 @@
   const bool needs_restart = settings.m_packets != m_settings.m_packets ||
                              settings.m_readiness != m_settings.m_readiness ||
                              settings.m_control != m_settings.m_control ||
+                             settings.m_feed != m_settings.m_feed ||
                              settings.m_metrics != m_settings.m_metrics;
   m_log.Write(Severity::kInfo, Event::kSettingsReloaded,
               {{"cause", cause},
                {"changed", settings != m_settings},
                {"needs_restart", needs_restart}});
   m_settings = settings;
-  m_servers.Reconfigure(settings.m_store, MakeWatcherPolicy(settings));
-  m_manifests.Reconfigure(settings.m_store, MakeWatcherPolicy(settings));
-  m_peers.SetPeers(settings.m_seeds);
+  m_view.Reconfigure(settings);
 }
 
 void EdgeProcess::ReloadIfChanged() {
@@ -547,7 +315,7 @@
 }
 
 void EdgeProcess::UpdateGauges(base::TimePoint now) {
-  const ViewVersion version = CurrentViewVersion();
+  const ViewVersion version = m_view.Version(now);
   m_metrics.SetGauge(
       "coltsfootdale_servers_age_seconds",
       "Since the store confirmed the servers; -1: never",
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -23,7 +23,6 @@
 #include "LibEdge/edge_settings.h"
 #include "LibEdge/pause_detector.h"
 #include "LibEdge/shutdown_plan.h"
-#include "LibEdge/store_view.h"
 #include "LibEventLoop/http_text_server.h"
 #include "LibEventLoop/timer_driver.h"
 #include "LibObservability/non_blocking_log.h"
@@ -31,9 +30,8 @@
 #include "decision_log.h"
 #include "edge_metrics.h"
 #include "packet_loop.h"
-#include "peer_reader.h"
 #include "server_prober.h"
-#include "store_reader.h"
+#include "view_keeper.h"
 
 namespace edge {
 
@@ -66,22 +64,6 @@
   event_loop::TextResponse MetricsResponse(std::string_view path);
   event_loop::TextResponse ControlResponse(std::string_view path);
   std::string RenderStatus() const;
-  ViewVersion CurrentViewVersion() const;
-  // Whether the store confirmed recently that the routes are the newest.
-  bool AreRoutesCurrent(base::TimePoint now) const;
-
-  void OnStoreUpdate(const StoreReader& reader, const StoreUpdate& update);
-  void OnServers(const StoreUpdate& update, base::TimePoint now);
-  void OnManifests(const StoreUpdate& update);
-  void OnSnapshot(base::Endpoint peer,
-                  const base::Outcome<catalog::Snapshot>& snapshot);
-  // Returns whether the manifest is newer than the one in force.
-  bool ApplyManifest(const steering::Manifest& manifest,
-                     std::string_view source);
-  void LogFieldProblems(const adapter::FieldProblems& problems,
-                        std::string_view collection,
-                        base::TimePoint now);
-  void LogServerChanges(const ServerChanges& changes, std::string_view source);
   // Handles the pending packets once routes and servers are known, and logs
   // when the balancer is ready for the first time.
   void UpdateReadiness();
@@ -92,7 +74,6 @@
   void WaitForSignal();
   void OnSignal(int signal);
   void Sweep(base::TimePoint now);
-  void RequestSnapshotIfStoreFails(base::TimePoint now);
   void CheckForPause(base::TimePoint now);
   // `text` is the result of ReadSettingsFile.
   void ReloadSettings(const base::Outcome<std::string>& text,
@@ -112,11 +93,8 @@
   event_loop::TimerDriver m_timers{m_context};
   asio::signal_set m_signals{m_context};
   steering::Steering m_steering;
-  StoreView m_view{m_steering};
   DecisionLog m_decision_log{m_log};
-  StoreReader m_servers;
-  StoreReader m_manifests;
-  PeerReader m_peers;
+  ViewKeeper m_view;
   ServerProber m_prober;
   std::unique_ptr<PacketLoop> m_packets;
   std::unique_ptr<event_loop::HttpTextServer> m_readiness;
--- /dev/null
+++ b/Services/Edge/feed_link.cc
@@ -0,0 +1,290 @@
+#include "feed_link.h"
+
+#include <asio/buffer.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <system_error>
+#include <utility>
+#include <variant>
+
+#include "LibBase/asio_endpoint.h"
+#include "LibBase/overloaded.h"
+#include "LibCatalog/snapshot_codec.h"
+#include "LibEventLoop/datagram_socket.h"
+
+namespace edge {
+
+namespace {
+
+constexpr std::string_view kChangesPath = "/changes/";
+constexpr std::string_view kBinaryType = "application/octet-stream";
+constexpr std::uint16_t kHttpOk = 200;
+// A peer responds from memory, at the rate of a slow link.
+constexpr base::Duration kFetchTimeout = std::chrono::milliseconds(1000);
+constexpr base::Duration kFetchConnectTimeout = std::chrono::milliseconds(300);
+// Other work of the event loop gets its turn after this many messages.
+constexpr int kMaximumMessagesPerTurn = 64;
+
+struct RevisionPair {
+  catalog::Revision m_servers;
+  catalog::Revision m_manifest;
+};
+
+// Parses "/changes/SERVERS/MANIFEST".
+std::optional<RevisionPair> ParseChangesPath(std::string_view path) {
+  if (!path.starts_with(kChangesPath))
+    return std::nullopt;
+  path.remove_prefix(kChangesPath.size());
+  std::uint64_t servers = 0;
+  std::uint64_t manifest = 0;
+  const char* end = path.data() + path.size();
+  const auto first = std::from_chars(path.data(), end, servers);
+  if (first.ec != std::errc() || first.ptr == end || *first.ptr != '/')
+    return std::nullopt;
+  const auto second = std::from_chars(first.ptr + 1, end, manifest);
+  if (second.ec != std::errc() || second.ptr != end)
+    return std::nullopt;
+  return RevisionPair{catalog::Revision(servers), catalog::Revision(manifest)};
+}
+
+}  // namespace
+
+base::Outcome<std::unique_ptr<FeedLink>> FeedLink::Create(
+    asio::io_context& context,
+    base::Endpoint endpoint,
+    const feed::FeedSettings& settings,
+    std::uint64_t seed,
+    FeedOwner owner) {
+  std::unique_ptr<FeedLink> link(
+      new FeedLink(context, endpoint, settings, seed, std::move(owner)));
+  if (const auto error =
+          event_loop::OpenDatagramSocket(link->m_socket, endpoint))
+    return error;
+  TRY(server, event_loop::HttpTextServer::Create(
+                  context, endpoint, [raw = link.get()](std::string_view path) {
+                    return raw->ChangesResponse(path);
+                  }));
+  link->m_server = std::move(server);
+  return link;
+}
+
+FeedLink::FeedLink(asio::io_context& context,
+                   base::Endpoint endpoint,
+                   const feed::FeedSettings& settings,
+                   std::uint64_t seed,
+                   FeedOwner owner)
+    : m_socket(context),
+      m_timer(context),
+      m_endpoint(endpoint),
+      m_member(settings, seed, base::Clock::now()),
+      m_owner(std::move(owner)),
+      m_client(context) {}
+
+void FeedLink::Start() {
+  WaitForMessages();
+  Advance();
+}
+
+void FeedLink::OnPaused(base::TimePoint now) {
+  m_member.OnPaused(now);
+  Advance();
+}
+
+void FeedLink::Advance() {
+  const base::TimePoint now = base::Clock::now();
+  const feed::StoreStatus status = m_owner.m_status(now);
+  for (const feed::FeedPoll& poll : m_member.Advance(status, now))
+    Send({poll.m_peer, m_endpoint.m_port}, poll.m_request);
+  m_owner.m_on_duty(now);
+  ArmTimer(status, now);
+}
+
+void FeedLink::ArmTimer(const feed::StoreStatus& status, base::TimePoint now) {
+  // Bounds the wake-ups if a deadline has passed and nothing is to be done.
+  constexpr base::Duration kMinimumWait = std::chrono::milliseconds(5);
+  m_timer.expires_at(
+      std::max(m_member.NextAdvanceAt(status), now + kMinimumWait));
+  m_timer.async_wait([this](const std::error_code& error) {
+    if (!error)
+      Advance();
+  });
+}
+
+void FeedLink::WaitForMessages() {
+  m_socket.async_wait(asio::ip::udp::socket::wait_read,
+                      [this](const std::error_code& error) {
+                        if (error)
+                          return;
+                        ReceiveMessages();
+                        WaitForMessages();
+                      });
+}
+
+void FeedLink::ReceiveMessages() {
+  for (int count = 0; count < kMaximumMessagesPerTurn; ++count) {
+    asio::ip::udp::endpoint source;
+    std::error_code error;
+    const std::size_t bytes =
+        m_socket.receive_from(asio::buffer(m_buffer), source, 0, error);
+    if (error == std::errc::operation_would_block ||
+        error == std::errc::resource_unavailable_try_again)
+      return;
+    // Other errors report the result of an earlier datagram.
+    if (error)
+      continue;
+    HandleMessage(base::FromAsio(source),
+                  std::string_view(m_buffer.data(), bytes));
+  }
+}
+
+void FeedLink::HandleMessage(base::Endpoint source, std::string_view bytes) {
+  const auto message = feed::DecodeMessage(bytes);
+  if (!message) {
+    m_owner.m_on_refused(source, "malformed");
+    return;
+  }
+  std::visit(base::Overloaded{
+                 [&](const feed::FeedRequest& request) {
+                   HandleRequest(source, request);
+                 },
+                 [&](const feed::FeedResponse& response) {
+                   HandleResponse(source, response);
+                 },
+             },
+             message.value());
+}
+
+void FeedLink::HandleRequest(base::Endpoint source,
+                             const feed::FeedRequest& request) {
+  const base::TimePoint now = base::Clock::now();
+  const feed::StoreStatus own = m_owner.m_status(now);
+  auto response = m_member.HandleRequest(source.m_address, request, own, now);
+  if (!response) {
+    m_owner.m_on_refused(source, "other_fleet");
+    return;
+  }
+  const bool has_changes =
+      own.m_is_current && (request.m_servers < own.m_servers ||
+                           request.m_manifest < own.m_manifest);
+  if (has_changes) {
+    auto changes = ChangesSince(request.m_servers, request.m_manifest, own);
+    if (changes && changes.value().size() <= feed::kMaximumInlineDeltaBytes)
+      response->m_delta = std::move(changes).value();
+  }
+  Send(source, *response);
+}
+
+void FeedLink::HandleResponse(base::Endpoint source,
+                              const feed::FeedResponse& response) {
+  const base::TimePoint now = base::Clock::now();
+  const feed::StoreStatus own = m_owner.m_status(now);
+  const feed::ResponseVerdict verdict =
+      m_member.HandleResponse(source.m_address, response, own, now);
+  switch (verdict) {
+    case feed::ResponseVerdict::kUnsolicited:
+      m_owner.m_on_refused(source,
+                           NameOf(feed::kResponseVerdictNames, verdict));
+      return;
+    case feed::ResponseVerdict::kNotCurrent:
+    case feed::ResponseVerdict::kBehind:
+      break;
+    case feed::ResponseVerdict::kNothingNew:
+      m_owner.m_on_reader_status(response.m_status);
+      break;
+    case feed::ResponseVerdict::kHasChanges:
+      m_owner.m_on_reader_status(response.m_status);
+      ApplyChanges(source, catalog::DecodeDelta(response.m_delta));
+      break;
+    case feed::ResponseVerdict::kFetchChanges:
+      m_owner.m_on_reader_status(response.m_status);
+      FetchChanges(source, own);
+      break;
+  }
+  // The response may have changed the duty and the next poll.
+  Advance();
+}
+
+void FeedLink::Send(base::Endpoint peer, const feed::FeedMessage& message) {
+  const auto bytes = feed::EncodeMessage(message);
+  if (!bytes) {
+    m_owner.m_on_refused(peer, "does_not_fit");
+    return;
+  }
+  std::error_code error;
+  m_socket.send_to(asio::buffer(bytes.value()),
+                   base::ToAsio<asio::ip::udp>(peer), 0, error);
+  // A datagram that could not be sent is lost like any other: the poll times
+  // out.
+  if (error)
+    m_owner.m_on_refused(peer, "send_failed");
+}
+
+void FeedLink::FetchChanges(base::Endpoint peer, const feed::StoreStatus& own) {
+  if (m_client.OpenRequests() > 0)
+    return;
+  http::Request request;
+  request.m_endpoint = peer;
+  request.m_path = std::string(kChangesPath) +
+                   std::to_string(own.m_servers.value()) + "/" +
+                   std::to_string(own.m_manifest.value());
+  request.m_timeout = kFetchTimeout;
+  request.m_connect_timeout = kFetchConnectTimeout;
+  request.m_response_limit_bytes = catalog::kMaximumSnapshotBytes;
+  m_client.Send(
+      request, [this, peer](const base::Outcome<http::Response>& response) {
+        if (!response)
+          m_owner.m_on_refused(peer, response.error().message());
+        else if (response.value().m_status != kHttpOk)
+          m_owner.m_on_refused(peer, "no_changes");
+        else
+          ApplyChanges(peer, catalog::DecodeDelta(response.value().m_body));
+      });
+}
+
+void FeedLink::ApplyChanges(base::Endpoint peer,
+                            const base::Outcome<catalog::ViewDelta>& changes) {
+  if (!changes) {
+    m_owner.m_on_refused(peer, "malformed_changes");
+    return;
+  }
+  if (!m_owner.m_apply(peer, changes.value())) {
+    m_owner.m_on_refused(peer, "gap");
+    return;
+  }
+  m_member.OnChangesApplied(base::Clock::now());
+}
+
+base::Outcome<std::string> FeedLink::ChangesSince(
+    catalog::Revision since_servers,
+    catalog::Revision since_manifest,
+    const feed::StoreStatus& own) {
+  const bool is_cached = m_cache.m_since_servers == since_servers &&
+                         m_cache.m_since_manifest == since_manifest &&
+                         m_cache.m_servers == own.m_servers &&
+                         m_cache.m_manifest == own.m_manifest &&
+                         !m_cache.m_bytes.empty();
+  if (is_cached)
+    return m_cache.m_bytes;
+  TRY(bytes, m_owner.m_changes(since_servers, since_manifest));
+  m_cache = {since_servers, since_manifest, own.m_servers, own.m_manifest,
+             bytes};
+  return m_cache.m_bytes;
+}
+
+event_loop::TextResponse FeedLink::ChangesResponse(std::string_view path) {
+  const auto since = ParseChangesPath(path);
+  if (!since)
+    return {404, "unknown path\n"};
+  const feed::StoreStatus own = m_owner.m_status(base::Clock::now());
+  if (!own.m_is_current)
+    return {503, "the view is not current\n"};
+  auto changes = ChangesSince(since->m_servers, since->m_manifest, own);
+  if (!changes)
+    return {503, "the changes cannot be encoded\n"};
+  return {200, std::move(changes).value(), kBinaryType};
+}
+
+}  // namespace edge
--- /dev/null
+++ b/Services/Edge/feed_link.h
@@ -0,0 +1,122 @@
+// Connects a FeedMember with the network: answers the polls of peers, polls
+// peers, and passes the changes that they send on.
+
+#ifndef SERVICES_EDGE_FEED_LINK_H_
+#define SERVICES_EDGE_FEED_LINK_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibBase/ipv4.h"
+#include "LibBase/outcome.h"
+#include "LibBase/time.h"
+#include "LibCatalog/view_delta.h"
+#include "LibEventLoop/http_text_server.h"
+#include "LibFeed/feed_codec.h"
+#include "LibFeed/feed_member.h"
+#include "LibHttp/client.h"
+
+namespace edge {
+
+// The part of the balancer that has the view of the store.
+struct FeedOwner {
+  std::function<feed::StoreStatus(base::TimePoint now)> m_status;
+  // Returns the encoded changes of the view since two revisions.
+  std::function<base::Outcome<std::string>(catalog::Revision since_servers,
+                                           catalog::Revision since_manifest)>
+      m_changes;
+  // Applies changes of a peer. Returns false if they do not follow the view.
+  std::function<bool(base::Endpoint peer, const catalog::ViewDelta& changes)>
+      m_apply;
+  // A current reader has responded.
+  std::function<void(const feed::StoreStatus& status)> m_on_reader_status;
+  // A message or a response was not used.
+  std::function<void(base::Endpoint peer, std::string_view reason)>
+      m_on_refused;
+  // The member's duty may have changed.
+  std::function<void(base::TimePoint now)> m_on_duty;
+};
+
+class FeedLink {
+ public:
+  // Binds UDP and TCP to `endpoint`; errors are those of the system.
+  static base::Outcome<std::unique_ptr<FeedLink>> Create(
+      asio::io_context& context,
+      base::Endpoint endpoint,
+      const feed::FeedSettings& settings,
+      std::uint64_t seed,
+      FeedOwner owner);
+  FeedLink(const FeedLink&) = delete;
+  FeedLink& operator=(const FeedLink&) = delete;
+
+  // Queries.
+  const feed::FeedMember& member() const { return m_member; }
+
+  // Commands.
+  void Start();
+  void SetSettings(const feed::FeedSettings& settings) {
+    m_member.SetSettings(settings);
+  }
+  void OnPaused(base::TimePoint now);
+  // Updates the duty and sends the requests that are due. To be called when the
+  // status of the store changes; a timer does the rest.
+  void Advance();
+
+ private:
+  static constexpr std::size_t kReceiveBufferBytes =
+      feed::kMaximumDatagramBytes + 1;
+
+  // The last encoded delta. Most followers ask from the same revisions.
+  struct CachedChanges {
+    catalog::Revision m_since_servers;
+    catalog::Revision m_since_manifest;
+    catalog::Revision m_servers;
+    catalog::Revision m_manifest;
+    std::string m_bytes;
+  };
+
+  FeedLink(asio::io_context& context,
+           base::Endpoint endpoint,
+           const feed::FeedSettings& settings,
+           std::uint64_t seed,
+           FeedOwner owner);
+
+  void ArmTimer(const feed::StoreStatus& status, base::TimePoint now);
+  void WaitForMessages();
+  void ReceiveMessages();
+  void HandleMessage(base::Endpoint source, std::string_view bytes);
+  void HandleRequest(base::Endpoint source, const feed::FeedRequest& request);
+  void HandleResponse(base::Endpoint source,
+                      const feed::FeedResponse& response);
+  void Send(base::Endpoint peer, const feed::FeedMessage& message);
+  // Fetches the changes that did not fit into a response.
+  void FetchChanges(base::Endpoint peer, const feed::StoreStatus& own);
+  void ApplyChanges(base::Endpoint peer,
+                    const base::Outcome<catalog::ViewDelta>& changes);
+  base::Outcome<std::string> ChangesSince(catalog::Revision since_servers,
+                                          catalog::Revision since_manifest,
+                                          const feed::StoreStatus& own);
+  event_loop::TextResponse ChangesResponse(std::string_view path);
+
+  asio::ip::udp::socket m_socket;
+  asio::steady_timer m_timer;
+  base::Endpoint m_endpoint;
+  feed::FeedMember m_member;
+  FeedOwner m_owner;
+  http::Client m_client;
+  std::unique_ptr<event_loop::HttpTextServer> m_server;
+  std::array<char, kReceiveBufferBytes> m_buffer{};
+  CachedChanges m_cache;
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_FEED_LINK_H_
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -35,9 +35,19 @@
       m_watcher(policy, base::Random(seed), base::Clock::now()),
       m_callback(std::move(callback)) {}
 
-void StoreReader::Reconfigure(base::Endpoint store,
-                              const catalog::WatcherPolicy& policy) {
-  m_watcher.SetPolicy(policy);
+void StoreReader::SetActive(bool is_active) {
+  if (m_is_active == is_active)
+    return;
+  m_is_active = is_active;
+  if (!is_active) {
+    m_timer.cancel();
+    return;
+  }
+  m_watcher.Expedite(base::Clock::now());
+  SendOrScheduleCall();
+}
+
+void StoreReader::SetStore(base::Endpoint store) {
   if (store == m_store)
     return;
   m_store = store;
@@ -55,6 +65,8 @@
 }
 
 void StoreReader::SendOrScheduleCall() {
+  if (!m_is_active)
+    return;
   const base::TimePoint now = base::Clock::now();
   if (const auto call = m_watcher.StartDueCall(now)) {
     Send(*call, now);
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -46,15 +46,22 @@
   // Queries.
   const catalog::CollectionWatcher& watcher() const { return m_watcher; }
   adapter::Collection collection() const { return m_collection; }
+  bool IsActive() const { return m_is_active; }
   // The number of calls since the start of the process.
   std::uint64_t Calls() const { return m_calls; }
 
   // Commands.
-  void Start() { SendOrScheduleCall(); }
+  // Starts to call the store, or ceases to start calls. A call that is open
+  // continues.
+  void SetActive(bool is_active);
+  void SetPolicy(const catalog::WatcherPolicy& policy) {
+    m_watcher.SetPolicy(policy);
+  }
   // Restarts the call in progress if the store has another address.
-  void Reconfigure(base::Endpoint store, const catalog::WatcherPolicy& policy);
-  // Cancels the call in progress and sends the next call at once. Needed after
-  // a pause of the process, when the call's connection may be dead.
+  void SetStore(base::Endpoint store);
+  // Cancels the call in progress and, if active, sends the next call at once.
+  // Needed after a pause of the process, when the call's connection may be
+  // dead.
   void RestartCall();
   // See CollectionWatcher::AdoptRevision.
   bool AdoptRevision(catalog::Revision revision) {
@@ -74,6 +81,7 @@
   adapter::Collection m_collection;
   catalog::CollectionWatcher m_watcher;
   Callback m_callback;
+  bool m_is_active = false;
   std::optional<http::RequestId> m_open_call;
   // The objects of the pages that the list in progress has received.
   adapter::CollectionObjects m_pages;
--- /dev/null
+++ b/Services/Edge/view_keeper.h
@@ -0,0 +1,118 @@
+// Keeps the balancer's view of the store up to date: reads the store, or
+// follows the peers that read it, and logs what changes.
+
+#ifndef SERVICES_EDGE_VIEW_KEEPER_H_
+#define SERVICES_EDGE_VIEW_KEEPER_H_
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibBase/outcome.h"
+#include "LibBase/time.h"
+#include "LibEdge/edge_settings.h"
+#include "LibEdge/store_view.h"
+#include "LibEventLoop/http_text_server.h"
+#include "LibObservability/non_blocking_log.h"
+#include "LibSteering/steering.h"
+#include "decision_log.h"
+#include "edge_metrics.h"
+#include "feed_link.h"
+#include "peer_reader.h"
+#include "store_reader.h"
+
+namespace edge {
+
+class ViewKeeper {
+ public:
+  // Called after the view may have changed.
+  using ChangeHandler = std::function<void()>;
+
+  // The references must outlive the keeper.
+  ViewKeeper(asio::io_context& context,
+             const EdgeSettings& settings,
+             steering::Steering& steering,
+             observability::NonBlockingLog& log,
+             EdgeMetrics& metrics,
+             ChangeHandler on_change);
+  ViewKeeper(const ViewKeeper&) = delete;
+  ViewKeeper& operator=(const ViewKeeper&) = delete;
+
+  // Queries.
+  ViewVersion Version(base::TimePoint now) const;
+  // Whether the routes are known to be the newest.
+  bool AreRoutesCurrent(base::TimePoint now) const;
+  // Whether this balancer reads the store for its peers.
+  bool IsReader() const;
+  std::uint64_t StoreCalls() const {
+    return m_servers.Calls() + m_manifests.Calls();
+  }
+
+  // Commands.
+  // Binds the feed's endpoint, if the settings have one. Errors are those of
+  // the system.
+  base::Outcome<void> Listen();
+  void Start();
+  // Must be called several times a second.
+  void Sweep(base::TimePoint now);
+  // Requests a snapshot of a seed if the store fails and no reader is current.
+  // To be called at the interval of these requests.
+  void RequestSnapshotIfCutOff(base::TimePoint now);
+  // The process was paused: the view may be outdated, and the connections of
+  // open calls may be dead.
+  void OnPaused(base::TimePoint now);
+  void Reconfigure(const EdgeSettings& settings);
+  // Responds to a peer that requests a snapshot.
+  event_loop::TextResponse SnapshotResponse();
+
+ private:
+  FeedOwner MakeFeedOwner();
+  feed::StoreStatus Status(base::TimePoint now) const;
+  void OnDuty(base::TimePoint now);
+  void LogDuty(bool is_reader, base::TimePoint now);
+  void OnReaderStatus(const feed::StoreStatus& status);
+  // Returns false if the changes do not follow the view.
+  bool ApplyChanges(base::Endpoint peer, const catalog::ViewDelta& changes);
+  void OnFeedRefused(base::Endpoint peer, std::string_view reason);
+
+  void OnStoreUpdate(const StoreReader& reader, const StoreUpdate& update);
+  void OnServers(const StoreUpdate& update, base::TimePoint now);
+  void OnManifests(const StoreUpdate& update, base::TimePoint now);
+  void OnSnapshot(base::Endpoint peer,
+                  const base::Outcome<catalog::Snapshot>& snapshot);
+  // Returns whether the manifest is newer than the one in force.
+  bool ApplyManifest(const steering::Manifest& manifest,
+                     std::string_view source);
+  void LogFieldProblems(const adapter::FieldProblems& problems,
+                        std::string_view collection,
+                        base::TimePoint now);
+  void LogServerChanges(const ServerChanges& changes, std::string_view source);
+
+  asio::io_context& m_context;
+  EdgeSettings m_settings;
+  steering::Steering& m_steering;
+  observability::NonBlockingLog& m_log;
+  EdgeMetrics& m_metrics;
+  ChangeHandler m_on_change;
+  StoreView m_view;
+  StoreReader m_servers;
+  StoreReader m_manifests;
+  PeerReader m_peers;
+  // Null if the settings have no endpoint for the feed.
+  std::unique_ptr<FeedLink> m_feed;
+  bool m_was_reader = false;
+  // When the store confirmed the servers to the reader that responded last.
+  std::optional<base::TimePoint> m_reader_confirmed_at;
+  base::TimePoint m_started_at;
+  // By the boot-time clock, which advances while the process is paused.
+  base::Duration m_last_sweep{};
+};
+
+}  // namespace edge
+
+#endif  // SERVICES_EDGE_VIEW_KEEPER_H_
--- a/Tests/Fuzz/fuzz_store_answer.cc
+++ b/Tests/Fuzz/fuzz_store_answer.cc
@@ -30,7 +30,8 @@
   const base::TimePoint now{std::chrono::hours(1)};
   steering::Steering steering({base::DataCentreId("here")}, 1, now);
   edge::StoreView view(steering);
-  view.ApplyServerEvents(response.m_objects.m_servers, now);
+  view.ApplyServerEvents(response.m_objects.m_servers, catalog::Revision(1),
+                         now);
   for (const auto& decoded : response.m_objects.m_manifests)
     view.ApplyManifest(decoded.m_manifest);
   const auto snapshot =
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -165,4 +165,45 @@
   CHECK(std::get<WatchCall>(*call).m_since == Revision(9));
 }
 
+TEST_CASE("a list that is overtaken by the list of a peer is not repeated") {
+  CollectionWatcher watcher = MakeWatcher();
+  watcher.StartDueCall(At(0));
+  REQUIRE(watcher.AdoptRevision(Revision(9)));
+
+  watcher.HandleResult(PageResponse{Revision(7)}, At(4));
+
+  CHECK(watcher.KnownRevision() == Revision(9));
+  const auto call = watcher.StartDueCall(At(500));
+  REQUIRE(call);
+  CHECK(std::get<WatchCall>(*call).m_since == Revision(9));
+}
+
+TEST_CASE("a watcher is current only while its calls are confirmed in time") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  const WatcherPolicy policy;
+  CHECK(watcher.IsCurrent(At(10)));
+  watcher.StartDueCall(At(10));
+  CHECK(watcher.IsCurrent(At(3000)));
+
+  // The watch does not return in time.
+  CHECK_FALSE(
+      watcher.IsCurrent(At(20) + policy.m_watch_wait + policy.m_late_response));
+
+  watcher.HandleResult(CallFailure::kTimedOut, At(6000));
+  CHECK_FALSE(watcher.IsCurrent(At(6001)));
+}
+
+TEST_CASE("the first watch after a time without calls soon shows the store") {
+  CollectionWatcher watcher = MakeListedWatcher();
+
+  const auto call = watcher.StartDueCall(At(60'000));
+
+  REQUIRE(call);
+  CHECK(std::get<WatchCall>(*call).m_wait ==
+        WatcherPolicy().m_watch_wait_in_outage);
+  CHECK_FALSE(watcher.IsCurrent(At(60'001)));
+  watcher.HandleResult(ChangesResponse{Revision(6)}, At(60'010));
+  CHECK(watcher.IsCurrent(At(60'011)));
+}
+
 }  // namespace catalog
--- a/Tests/LibCatalog/test_delayed_removals.cc
+++ b/Tests/LibCatalog/test_delayed_removals.cc
@@ -28,11 +28,11 @@
     "a server whose record is removed in an outage is removed some time after "
     "the outage") {
   DelayedRemovals removals;
-  removals.OnOutageStarted();
+  removals.OnOutageStarted(OutageSource::kServers);
   CHECK(removals.OnRecordsRemoved({kServer}, At(0)).empty());
   CHECK(removals.PopDue(At(60'000)).empty());
 
-  removals.OnOutageEnded(At(60'000));
+  removals.OnOutageEnded(OutageSource::kServers, At(60'000));
   CHECK(removals.PopDue(At(62'000)).empty());
   CHECK(removals.PopDue(At(62'300)).size() == 1);
   CHECK(removals.PopDue(At(62'400)).empty());
@@ -40,9 +40,9 @@
 
 TEST_CASE("a delayed removal is cancelled when the server registers again") {
   DelayedRemovals removals;
-  removals.OnOutageStarted();
+  removals.OnOutageStarted(OutageSource::kServers);
   removals.OnRecordsRemoved({kServer}, At(0));
-  removals.OnOutageEnded(At(100));
+  removals.OnOutageEnded(OutageSource::kServers, At(100));
   removals.OnRecordRegistered(kServer);
 
   CHECK(removals.PopDue(At(10'000)).empty());
@@ -50,8 +50,8 @@
 
 TEST_CASE("a list after an outage removes servers only after a delay") {
   DelayedRemovals removals;
-  removals.OnOutageStarted();
-  removals.OnOutageEnded(At(0));
+  removals.OnOutageStarted(OutageSource::kServers);
+  removals.OnOutageEnded(OutageSource::kServers, At(0));
 
   CHECK(removals.OnRecordsRemoved({kServer}, At(100)).empty());
   CHECK(removals.PopDue(At(2299)).empty());
@@ -59,4 +59,33 @@
   CHECK(removals.OnRecordsRemoved({kServer}, At(2400)).size() == 1);
 }
 
+TEST_CASE("an outage lasts until the calls for both collections succeed") {
+  DelayedRemovals removals;
+  const std::vector names = {steering::ServerName("i-1")};
+  removals.OnOutageStarted(OutageSource::kServers);
+  removals.OnOutageStarted(OutageSource::kManifests);
+  removals.OnOutageEnded(OutageSource::kManifests, At(100));
+
+  CHECK(removals.OnRecordsRemoved(names, At(5000)).empty());
+  CHECK(removals.PopDue(At(20000)).empty());
+
+  removals.OnOutageEnded(OutageSource::kServers, At(20000));
+  CHECK(removals.PopDue(At(20100)).empty());
+  CHECK(removals.PopDue(At(22400)) == names);
+}
+
+TEST_CASE("an outage that a peer knows of delays removals as an own one does") {
+  DelayedRemovals removals;
+  const std::vector names = {steering::ServerName("i-1")};
+  removals.SetOutage(true, std::nullopt);
+  CHECK(removals.OnRecordsRemoved(names, At(100)).empty());
+
+  removals.SetOutage(false, At(1000));
+  // The peer reports the same end again later.
+  removals.SetOutage(false, At(1000));
+
+  CHECK(removals.PopDue(At(3200)).empty());
+  CHECK(removals.PopDue(At(3300)) == names);
+}
+
 }  // namespace catalog
--- a/Tests/LibEdge/test_store_pacing.cc
+++ b/Tests/LibEdge/test_store_pacing.cc
@@ -44,4 +44,54 @@
   }
 }
 
+TEST_CASE(
+    "a change reaches the followers of a reader within its bound also if a "
+    "call and a poll are lost") {
+  constexpr base::Duration kLostCallTime = milliseconds(1000);
+  for (const int bound_ms : {3000, 5000, 6000}) {
+    EdgeSettings settings;
+    settings.m_feed = base::Endpoint{base::Ipv4Address(1), 7721};
+    settings.m_drain_bound = milliseconds(bound_ms);
+    settings.m_configuration_bound = milliseconds(bound_ms);
+    const catalog::WatcherPolicy policy = MakeReaderPolicy(settings);
+    const feed::FeedSettings feed = MakeFeedSettings(settings);
+
+    const base::Duration to_reader = policy.m_pause_between_watches +
+                                     kLostCallTime + policy.m_initial_back_off;
+    const base::Duration to_follower =
+        2 * feed.m_poll_interval + feed.m_response_timeout;
+    CHECK(to_reader + to_follower < settings.m_drain_bound);
+    // Without readers, the balancer reads the store itself.
+    CHECK(feed.m_fed_for + feed.m_outage_spread + kLostCallTime +
+              policy.m_initial_back_off <
+          settings.m_drain_bound);
+  }
+}
+
+TEST_CASE("a reader detects a silent watch before its followers' bounds hold") {
+  for (const int settling_ms : {4000, 5000, 6000}) {
+    EdgeSettings settings;
+    settings.m_feed = base::Endpoint{base::Ipv4Address(1), 7721};
+    settings.m_settling_time = milliseconds(settling_ms);
+    const catalog::WatcherPolicy policy = MakeReaderPolicy(settings);
+    const feed::FeedSettings feed = MakeFeedSettings(settings);
+
+    constexpr base::Duration kCallTimeout = milliseconds(1000);
+    constexpr base::Duration kNextCallTime = milliseconds(100);
+    CHECK(policy.m_watch_wait + kCallTimeout + policy.m_initial_back_off +
+              kNextCallTime + feed.m_poll_interval <=
+          settings.m_settling_time);
+  }
+}
+
+TEST_CASE("only a fleet that starts for the first time waits for a reader") {
+  EdgeSettings settings;
+  settings.m_feed = base::Endpoint{base::Ipv4Address(1), 7721};
+  CHECK(MakeFeedSettings(settings).m_start_patience == base::Duration::zero());
+
+  settings.m_is_first_start = true;
+
+  CHECK(MakeFeedSettings(settings).m_start_patience > milliseconds(500));
+}
+
 }  // namespace edge
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -1,6 +1,9 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <memory>
+#include <optional>
+#include <vector>
 
 #include "LibEdge/store_view.h"
 
@@ -37,13 +40,13 @@
     "a list removes the servers that are not in it, and each change is "
     "returned once") {
   StoreViewFixture fixture;
-  CHECK(
-      fixture.m_view
-          .ApplyServerList({MakeServer("i-1", 1), MakeServer("i-2", 2)}, At(0))
-          .size() == 2);
+  CHECK(fixture.m_view
+            .ApplyServerList({MakeServer("i-1", 1), MakeServer("i-2", 2)},
+                             catalog::Revision(20), At(0))
+            .size() == 2);
 
-  const auto changes =
-      fixture.m_view.ApplyServerList({MakeServer("i-2", 2)}, At(10));
+  const auto changes = fixture.m_view.ApplyServerList(
+      {MakeServer("i-2", 2)}, catalog::Revision(20), At(10));
 
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].m_change == steering::DirectoryChange::kGone);
@@ -56,14 +59,15 @@
     "not register again after it") {
   StoreViewFixture fixture;
   fixture.m_view.ApplyServerList({MakeServer("i-1", 1), MakeServer("i-2", 2)},
-                                 At(0));
-  fixture.m_view.OnStoreLost();
-  fixture.m_view.OnStoreRegained(At(5000));
-  fixture.m_view.ApplyServerList({}, At(5010));
+                                 catalog::Revision(20), At(0));
+  fixture.m_view.OnStoreLost(catalog::OutageSource::kServers);
+  fixture.m_view.OnStoreRegained(catalog::OutageSource::kServers, At(5000));
+  fixture.m_view.ApplyServerList({}, catalog::Revision(20), At(5010));
   CHECK(fixture.Servers() == 2);
 
   fixture.m_view.ApplyServerEvents(
-      {{steering::ServerName("i-1"), MakeServer("i-1", 9)}}, At(6000));
+      {{steering::ServerName("i-1"), MakeServer("i-1", 9)}},
+      catalog::Revision(20), At(6000));
   const auto changes = fixture.m_view.ApplyDueRemovals(At(7300));
 
   REQUIRE(changes.size() == 1);
@@ -73,21 +77,110 @@
 
 TEST_CASE("the draining of a server is applied at once also during an outage") {
   StoreViewFixture fixture;
-  fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, At(0));
-  fixture.m_view.OnStoreLost();
+  fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(20),
+                                 At(0));
+  fixture.m_view.OnStoreLost(catalog::OutageSource::kServers);
   steering::ServerRecord draining = MakeServer("i-1", 2);
   draining.m_state = steering::ServerState::kDraining;
 
-  const auto changes =
-      fixture.m_view.ApplyServerEvents({{draining.m_name, draining}}, At(100));
+  const auto changes = fixture.m_view.ApplyServerEvents(
+      {{draining.m_name, draining}}, catalog::Revision(20), At(100));
 
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].m_change == steering::DirectoryChange::kDraining);
 }
 
+TEST_CASE(
+    "a server whose removal is delayed is in no snapshot, so that a restarted "
+    "balancer does not use it again") {
+  StoreViewFixture fixture;
+  fixture.m_view.ApplyServerList({MakeServer("i-1", 1), MakeServer("i-2", 2)},
+                                 catalog::Revision(2), At(0));
+  fixture.m_view.OnStoreLost(catalog::OutageSource::kServers);
+  fixture.m_view.ApplyServerEvents({{steering::ServerName("i-1"), {}}},
+                                   catalog::Revision(5), At(10));
+  REQUIRE(fixture.Servers() == 2);
+
+  const auto snapshot =
+      fixture.m_view.MakeSnapshot(catalog::Revision(5), catalog::Revision(1));
+
+  REQUIRE(snapshot.m_servers.size() == 1);
+  CHECK(snapshot.m_servers[0].m_name == steering::ServerName("i-2"));
+}
+
+TEST_CASE("a delta brings a peer from any known revision to the same servers") {
+  StoreViewFixture reader;
+  reader.m_view.ApplyServerList(
+      {MakeServer("i-1", 1), MakeServer("i-2", 2), MakeServer("i-3", 3)},
+      catalog::Revision(3), At(0));
+  // The states of peers that stopped following after each revision.
+  std::vector<std::unique_ptr<StoreViewFixture>> peers;
+  const auto add_peer = [&](std::uint64_t revision) {
+    peers.push_back(std::make_unique<StoreViewFixture>());
+    peers.back()->m_view.ApplyServerDelta(
+        reader.m_view.MakeDelta({}, {}, catalog::Revision(revision), {}),
+        At(1));
+  };
+  add_peer(3);
+  reader.m_view.ApplyServerEvents(
+      {{steering::ServerName("i-1"), std::nullopt},
+       {steering::ServerName("i-4"), MakeServer("i-4", 5)}},
+      catalog::Revision(5), At(10));
+  add_peer(5);
+  // A server that was removed registers again under its name.
+  reader.m_view.ApplyServerEvents(
+      {{steering::ServerName("i-1"), MakeServer("i-1", 7)},
+       {steering::ServerName("i-2"), std::nullopt}},
+      catalog::Revision(8), At(20));
+  add_peer(8);
+
+  const std::uint64_t known[] = {3, 5, 8};
+  for (std::size_t i = 0; i < peers.size(); ++i) {
+    const auto delta = reader.m_view.MakeDelta(catalog::Revision(known[i]), {},
+                                               catalog::Revision(8), {});
+    CHECK(delta.m_since == catalog::Revision(known[i]));
+    peers[i]->m_view.ApplyServerDelta(delta, At(30));
+    const auto expected = reader.m_steering.directory().RegisteredNames();
+    CHECK(peers[i]->m_steering.directory().RegisteredNames() == expected);
+  }
+}
+
+TEST_CASE("a peer from before the known history gets all servers") {
+  StoreViewFixture reader;
+  reader.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(6),
+                                At(0));
+  StoreViewFixture peer;
+  peer.m_view.ApplyServerList({MakeServer("i-9", 2)}, catalog::Revision(4),
+                              At(0));
+
+  const auto delta = reader.m_view.MakeDelta(
+      catalog::Revision(4), {}, catalog::Revision(6), catalog::Revision(2));
+  peer.m_view.ApplyServerDelta(delta, At(10));
+
+  CHECK(delta.m_since == catalog::Revision());
+  CHECK(peer.m_steering.directory().RegisteredNames() ==
+        std::vector{steering::ServerName("i-1")});
+}
+
+TEST_CASE("a delta contains the manifest only if the peer lacks it") {
+  StoreViewFixture reader;
+  steering::Manifest manifest;
+  manifest.m_version = base::ConfigurationVersion(3);
+  REQUIRE(reader.m_view.ApplyManifest(manifest));
+
+  const auto newer = reader.m_view.MakeDelta({}, catalog::Revision(5), {},
+                                             catalog::Revision(6));
+  const auto same = reader.m_view.MakeDelta({}, catalog::Revision(6), {},
+                                            catalog::Revision(6));
+
+  CHECK(newer.m_manifest);
+  CHECK_FALSE(same.m_manifest);
+}
+
 TEST_CASE("a snapshot contains the servers and the manifest of the view") {
   StoreViewFixture fixture;
-  fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, At(0));
+  fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(20),
+                                 At(0));
   steering::Manifest manifest;
   manifest.m_version = base::ConfigurationVersion(3);
   REQUIRE(fixture.m_view.ApplyManifest(manifest));
--- /dev/null
+++ b/Tests/LibFeed/fleet_simulation.cc
@@ -0,0 +1,336 @@
+#include "LibFeed/fleet_simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibBase/overloaded.h"
+
+namespace feed {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kFirstAddress = 10U << 24;
+constexpr base::Duration kCallTime = milliseconds(10);
+constexpr base::Duration kUnreachableAfter = milliseconds(700);
+constexpr base::Duration kBurstWindow = milliseconds(100);
+
+catalog::WatcherPolicy MakePolicy() {
+  catalog::WatcherPolicy policy;
+  policy.m_pause_between_watches = seconds(1);
+  policy.m_watch_wait = milliseconds(3800);
+  return policy;
+}
+
+// The policy of a balancer that calls the store because it is not fed.
+catalog::WatcherPolicy MakeFallbackPolicy() {
+  catalog::WatcherPolicy policy = MakePolicy();
+  policy.m_initial_back_off = seconds(4);
+  policy.m_maximum_back_off = seconds(8);
+  return policy;
+}
+
+}  // namespace
+
+FleetSimulation::FleetSimulation(const FleetOptions& options)
+    : m_options(options), m_random(options.m_seed) {
+  m_balancers.resize(options.m_balancers);
+  m_changed_at.resize(2, m_now);
+  for (std::size_t index = 0; index < m_balancers.size(); ++index)
+    Start(index, true);
+}
+
+std::size_t FleetSimulation::Readers(std::size_t data_centre) const {
+  std::size_t readers = 0;
+  for (std::size_t index = data_centre; index < m_balancers.size();
+       index += m_options.m_data_centres)
+    readers += IsReader(index) ? 1 : 0;
+  return readers;
+}
+
+bool FleetSimulation::IsReader(std::size_t index) const {
+  return m_balancers[index].m_is_up && m_balancers[index].m_member->IsReader();
+}
+
+std::uint64_t FleetSimulation::KnownRevision(std::size_t index) const {
+  return m_balancers[index].m_known;
+}
+
+std::size_t FleetSimulation::WithoutView() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_balancers.begin(), m_balancers.end(), [](const Balancer& balancer) {
+        return balancer.m_is_up && balancer.m_known == 0;
+      }));
+}
+
+void FleetSimulation::Run(base::Duration length,
+                          base::Duration change_interval) {
+  const base::TimePoint end = m_now + length;
+  base::TimePoint next_change = m_now + change_interval;
+  while (m_now < end) {
+    if (change_interval != base::Duration::zero() && m_now >= next_change) {
+      Change();
+      next_change += change_interval;
+    }
+    Step();
+  }
+}
+
+void FleetSimulation::ResetCounts() {
+  m_calls = 0;
+  m_burst = 0;
+  m_largest_burst = 0;
+  m_longest_delay = {};
+}
+
+void FleetSimulation::Kill(std::size_t index) {
+  Balancer& balancer = m_balancers[index];
+  balancer.m_is_up = false;
+  balancer.m_call.reset();
+}
+
+void FleetSimulation::Start(std::size_t index, bool is_first_start) {
+  FeedSettings settings;
+  settings.m_self = AddressOf(index);
+  settings.m_data_centre =
+      base::DataCentreId("hall-" + std::to_string(DataCentreOf(index)));
+  for (std::size_t seed = 0; seed < m_options.m_seeds; ++seed) {
+    if (seed != index)
+      settings.m_seeds.push_back(AddressOf(seed));
+  }
+  settings.m_readers_per_data_centre = m_options.m_readers_per_data_centre;
+  settings.m_is_seed = index < m_options.m_seeds;
+  settings.m_start_patience =
+      is_first_start ? milliseconds(1500) : milliseconds(0);
+  Balancer& balancer = m_balancers[index];
+  balancer.m_member =
+      std::make_unique<FeedMember>(settings, m_random.Next(), m_now);
+  balancer.m_watcher = std::make_unique<catalog::CollectionWatcher>(
+      MakePolicy(), base::Random(m_random.Next()), m_now);
+  balancer.m_call.reset();
+  balancer.m_frozen_until.reset();
+  balancer.m_known = 0;
+  balancer.m_is_up = true;
+  balancer.m_disturbed_at = m_now;
+}
+
+void FleetSimulation::Freeze(std::size_t index, base::Duration length) {
+  m_balancers[index].m_frozen_until = m_now + length;
+}
+
+void FleetSimulation::CutFromStore(std::size_t index, bool is_cut) {
+  m_balancers[index].m_is_cut_from_store = is_cut;
+  m_balancers[index].m_disturbed_at = m_now;
+}
+
+void FleetSimulation::CutFromPeers(std::size_t index, bool is_cut) {
+  m_balancers[index].m_is_cut_from_peers = is_cut;
+  m_balancers[index].m_disturbed_at = m_now;
+}
+
+base::Ipv4Address FleetSimulation::AddressOf(std::size_t index) {
+  return base::Ipv4Address(kFirstAddress + static_cast<std::uint32_t>(index));
+}
+
+std::size_t FleetSimulation::IndexOf(base::Ipv4Address address) {
+  return address.value() - kFirstAddress;
+}
+
+std::size_t FleetSimulation::DataCentreOf(std::size_t index) const {
+  return index % m_options.m_data_centres;
+}
+
+bool FleetSimulation::CanRun(const Balancer& balancer) const {
+  return balancer.m_is_up && !balancer.m_frozen_until;
+}
+
+StoreStatus FleetSimulation::StatusOf(const Balancer& balancer) const {
+  StoreStatus status;
+  const bool reads =
+      !m_options.m_has_feed || balancer.m_member->ShouldReadStore(m_now);
+  status.m_is_current = reads && balancer.m_watcher->IsCurrent(m_now);
+  status.m_servers = catalog::Revision(balancer.m_known);
+  status.m_manifest = catalog::Revision(balancer.m_known == 0 ? 0 : 1);
+  return status;
+}
+
+void FleetSimulation::Step() {
+  m_now += kStep;
+  while (m_changed_at.size() <= m_revision)
+    m_changed_at.push_back(m_now);
+  if (m_now - m_burst_started_at >= kBurstWindow) {
+    m_burst = 0;
+    m_burst_started_at = m_now;
+  }
+  std::vector<Packet> due;
+  for (Packet& packet : m_packets) {
+    if (packet.m_at <= m_now)
+      due.push_back(std::move(packet));
+  }
+  std::erase_if(m_packets,
+                [this](const Packet& packet) { return packet.m_at <= m_now; });
+  for (const Packet& packet : due) {
+    Balancer& receiver = m_balancers[packet.m_to];
+    if (CanRun(receiver) && !receiver.m_is_cut_from_peers &&
+        !m_balancers[packet.m_from].m_is_cut_from_peers)
+      packet.m_deliver(receiver);
+  }
+  for (std::size_t index = 0; index < m_balancers.size(); ++index)
+    StepBalancer(index);
+  RecordDelays();
+}
+
+void FleetSimulation::StepBalancer(std::size_t index) {
+  Balancer& balancer = m_balancers[index];
+  if (!balancer.m_is_up)
+    return;
+  if (balancer.m_frozen_until) {
+    balancer.m_disturbed_at = m_now;
+    if (*balancer.m_frozen_until > m_now)
+      return;
+    balancer.m_frozen_until.reset();
+    balancer.m_member->OnPaused(m_now);
+    if (balancer.m_call) {
+      balancer.m_call.reset();
+      balancer.m_watcher->HandleResult(catalog::CallFailure::kConnectionLost,
+                                       m_now);
+    }
+    balancer.m_watcher->Expedite(m_now);
+  }
+  if (balancer.m_is_cut_from_store || balancer.m_is_cut_from_peers)
+    balancer.m_disturbed_at = m_now;
+  CallStore(balancer);
+  if (m_options.m_has_feed)
+    SendPolls(index);
+}
+
+void FleetSimulation::CallStore(Balancer& balancer) {
+  if (balancer.m_call) {
+    const auto result = ResultOf(balancer, *balancer.m_call);
+    if (!result)
+      return;
+    balancer.m_call.reset();
+    balancer.m_watcher->HandleResult(*result, m_now);
+    Adopt(balancer, balancer.m_watcher->KnownRevision().value());
+  }
+  const bool should_read =
+      !m_options.m_has_feed || balancer.m_member->ShouldReadStore(m_now);
+  if (!should_read)
+    return;
+  const bool is_fallback = m_options.m_has_feed && balancer.m_known != 0 &&
+                           !balancer.m_member->IsReader();
+  balancer.m_watcher->SetPolicy(is_fallback ? MakeFallbackPolicy()
+                                            : MakePolicy());
+  if (const auto call = balancer.m_watcher->StartDueCall(m_now)) {
+    balancer.m_call = StoreCall{*call, m_now};
+    CountCall();
+  }
+}
+
+// Nothing while the call is open.
+std::optional<catalog::CallResult> FleetSimulation::ResultOf(
+    const Balancer& balancer,
+    const StoreCall& call) const {
+  const base::Duration open = m_now - call.m_sent_at;
+  if (m_is_store_down || balancer.m_is_cut_from_store)
+    return open < kUnreachableAfter ? std::nullopt
+                                    : std::optional<catalog::CallResult>(
+                                          catalog::CallFailure::kUnreachable);
+  if (open < kCallTime)
+    return std::nullopt;
+  const auto* watch = std::get_if<catalog::WatchCall>(&call.m_call);
+  if (watch == nullptr)
+    return catalog::PageResponse{catalog::Revision(m_revision)};
+  if (watch->m_since.value() < m_history_from)
+    return catalog::CallFailure::kHistoryGone;
+  if (watch->m_since.value() < m_revision || open >= watch->m_wait)
+    return catalog::ChangesResponse{catalog::Revision(m_revision)};
+  return std::nullopt;
+}
+
+void FleetSimulation::Adopt(Balancer& balancer, std::uint64_t revision) {
+  if (revision < balancer.m_known)
+    ++m_steps_back;
+  balancer.m_known = revision;
+}
+
+void FleetSimulation::SendPolls(std::size_t index) {
+  Balancer& balancer = m_balancers[index];
+  const StoreStatus status = StatusOf(balancer);
+  if (m_now < balancer.m_member->NextAdvanceAt(status))
+    return;
+  for (const FeedPoll& poll : balancer.m_member->Advance(status, m_now)) {
+    const std::size_t peer = IndexOf(poll.m_peer);
+    Send(index, peer, [this, index, peer, poll](Balancer&) {
+      HandleRequest(index, peer, poll.m_request);
+    });
+  }
+}
+
+void FleetSimulation::Send(std::size_t from,
+                           std::size_t to,
+                           std::function<void(Balancer& receiver)> deliver) {
+  const bool is_cut =
+      m_cut_data_centre && (DataCentreOf(from) == *m_cut_data_centre) !=
+                               (DataCentreOf(to) == *m_cut_data_centre);
+  if (is_cut || m_random.Unit() < m_options.m_loss)
+    return;
+  m_packets.push_back({m_now + kStep, from, to, std::move(deliver)});
+}
+
+void FleetSimulation::HandleRequest(std::size_t from,
+                                    std::size_t to,
+                                    const FeedRequest& request) {
+  Balancer& balancer = m_balancers[to];
+  const StoreStatus status = StatusOf(balancer);
+  auto response =
+      balancer.m_member->HandleRequest(AddressOf(from), request, status, m_now);
+  if (!response)
+    return;
+  if (status.m_is_current && request.m_servers != catalog::Revision() &&
+      request.m_servers < status.m_servers)
+    response->m_delta = "changes";
+  Send(to, from, [this, from, to, response = *response](Balancer&) {
+    HandleResponse(to, from, response);
+  });
+}
+
+void FleetSimulation::HandleResponse(std::size_t from,
+                                     std::size_t to,
+                                     const FeedResponse& response) {
+  Balancer& balancer = m_balancers[to];
+  const ResponseVerdict verdict = balancer.m_member->HandleResponse(
+      AddressOf(from), response, StatusOf(balancer), m_now);
+  if (verdict == ResponseVerdict::kFetchChanges ||
+      verdict == ResponseVerdict::kHasChanges) {
+    balancer.m_watcher->AdoptRevision(response.m_status.m_servers);
+    Adopt(balancer,
+          std::max(balancer.m_known, response.m_status.m_servers.value()));
+    balancer.m_member->OnChangesApplied(m_now);
+  }
+}
+
+// A change is overdue at every undisturbed balancer that does not know it. A
+// disturbance before the change stretches its time.
+void FleetSimulation::RecordDelays() {
+  if (m_is_store_down)
+    m_store_disturbed_at = m_now;
+  for (const Balancer& balancer : m_balancers) {
+    if (!CanRun(balancer) || balancer.m_known >= m_revision ||
+        m_now - balancer.m_disturbed_at < m_options.m_settling_time ||
+        m_now - m_store_disturbed_at < m_options.m_settling_time)
+      continue;
+    const base::TimePoint changed_at = m_changed_at[balancer.m_known + 1];
+    m_longest_delay = std::max(m_longest_delay, m_now - changed_at);
+  }
+}
+
+void FleetSimulation::CountCall() {
+  ++m_calls;
+  ++m_burst;
+  m_largest_burst = std::max(m_largest_burst, m_burst);
+}
+
+}  // namespace feed
--- /dev/null
+++ b/Tests/LibFeed/fleet_simulation.h
@@ -0,0 +1,156 @@
+// A fleet of balancers with the library's decisions, a store with a revision,
+// and a network in simulated time. Each balancer reads the store with a
+// CollectionWatcher when its FeedMember says so. Faults are injected between
+// steps.
+
+#ifndef TESTS_LIBFEED_FLEET_SIMULATION_H_
+#define TESTS_LIBFEED_FLEET_SIMULATION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibCatalog/collection_watcher.h"
+#include "LibFeed/feed_member.h"
+
+namespace feed {
+
+struct FleetOptions {
+  std::size_t m_balancers = 200;
+  std::size_t m_data_centres = 5;
+  std::size_t m_seeds = 3;
+  std::size_t m_readers_per_data_centre = 2;
+  std::uint64_t m_seed = 1;
+  double m_loss = 0.01;
+  // Whether the balancers follow readers. Otherwise each reads the store.
+  bool m_has_feed = true;
+  // The bound within which a change must be known, and the time after a fault
+  // in which it does not hold.
+  base::Duration m_bound = std::chrono::seconds(6);
+  base::Duration m_settling_time = std::chrono::seconds(6);
+};
+
+class FleetSimulation {
+ public:
+  static constexpr base::Duration kStep = std::chrono::milliseconds(10);
+
+  explicit FleetSimulation(const FleetOptions& options);
+
+  // Queries.
+  base::TimePoint Now() const { return m_now; }
+  std::size_t size() const { return m_balancers.size(); }
+  std::size_t Readers(std::size_t data_centre) const;
+  bool IsReader(std::size_t index) const;
+  std::uint64_t KnownRevision(std::size_t index) const;
+  // Calls to the store since the last call of ResetCounts, and the greatest
+  // number of them in 100 ms.
+  std::size_t Calls() const { return m_calls; }
+  std::size_t LargestBurst() const { return m_largest_burst; }
+  // The longest time after which a change was unknown to a balancer that was
+  // undisturbed for the settling time, over the time of Run.
+  base::Duration LongestDelay() const { return m_longest_delay; }
+  // How often a balancer's revision decreased.
+  std::size_t StepsBack() const { return m_steps_back; }
+  // Balancers that are up and have no view.
+  std::size_t WithoutView() const;
+
+  // Commands.
+  // Runs for `length`, with a change of the store every `change_interval`; zero
+  // means no changes.
+  void Run(base::Duration length, base::Duration change_interval);
+  void ResetCounts();
+  void Change() { ++m_revision; }
+  void Kill(std::size_t index);
+  // Starts a balancer that was killed. It knows nothing.
+  void Start(std::size_t index, bool is_first_start = false);
+  void Freeze(std::size_t index, base::Duration length);
+  // Cuts a balancer from the store, or from its peers.
+  void CutFromStore(std::size_t index, bool is_cut);
+  void CutFromPeers(std::size_t index, bool is_cut);
+  // Cuts a data centre from the others; the store stays in reach.
+  void CutDataCentre(std::size_t data_centre) {
+    m_cut_data_centre = data_centre;
+  }
+  void SetStoreDown(bool is_down) {
+    m_is_store_down = is_down;
+    m_store_disturbed_at = m_now;
+  }
+  // The history is lost: watches from before the current revision fail.
+  void CompactHistory() { m_history_from = m_revision; }
+
+ private:
+  struct StoreCall {
+    catalog::CollectionCall m_call;
+    base::TimePoint m_sent_at;
+  };
+  struct Balancer {
+    std::unique_ptr<FeedMember> m_member;
+    std::unique_ptr<catalog::CollectionWatcher> m_watcher;
+    std::optional<StoreCall> m_call;
+    bool m_is_up = false;
+    bool m_is_cut_from_store = false;
+    bool m_is_cut_from_peers = false;
+    std::optional<base::TimePoint> m_frozen_until;
+    base::TimePoint m_disturbed_at;
+    std::uint64_t m_known = 0;
+  };
+  struct Packet {
+    base::TimePoint m_at;
+    std::size_t m_from = 0;
+    std::size_t m_to = 0;
+    std::function<void(Balancer& receiver)> m_deliver;
+  };
+
+  static base::Ipv4Address AddressOf(std::size_t index);
+  static std::size_t IndexOf(base::Ipv4Address address);
+  std::size_t DataCentreOf(std::size_t index) const;
+  bool CanRun(const Balancer& balancer) const;
+  StoreStatus StatusOf(const Balancer& balancer) const;
+  void Step();
+  void StepBalancer(std::size_t index);
+  void CallStore(Balancer& balancer);
+  std::optional<catalog::CallResult> ResultOf(const Balancer& balancer,
+                                              const StoreCall& call) const;
+  void Adopt(Balancer& balancer, std::uint64_t revision);
+  void SendPolls(std::size_t index);
+  void Send(std::size_t from,
+            std::size_t to,
+            std::function<void(Balancer& receiver)> deliver);
+  void HandleRequest(std::size_t from,
+                     std::size_t to,
+                     const FeedRequest& request);
+  void HandleResponse(std::size_t from,
+                      std::size_t to,
+                      const FeedResponse& response);
+  void RecordDelays();
+  void CountCall();
+
+  FleetOptions m_options;
+  base::Random m_random;
+  base::TimePoint m_now{std::chrono::hours(1)};
+  std::vector<Balancer> m_balancers;
+  std::vector<Packet> m_packets;
+  std::uint64_t m_revision = 1;
+  std::uint64_t m_history_from = 0;
+  // When each revision came into being, by revision.
+  std::vector<base::TimePoint> m_changed_at;
+  bool m_is_store_down = false;
+  std::optional<std::size_t> m_cut_data_centre;
+  base::TimePoint m_store_disturbed_at;
+  std::size_t m_calls = 0;
+  std::size_t m_burst = 0;
+  std::size_t m_largest_burst = 0;
+  base::TimePoint m_burst_started_at;
+  base::Duration m_longest_delay{};
+  std::size_t m_steps_back = 0;
+};
+
+}  // namespace feed
+
+#endif  // TESTS_LIBFEED_FLEET_SIMULATION_H_
--- /dev/null
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -0,0 +1,176 @@
+// One member alone: its answers to single messages.
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "LibFeed/feed_member.h"
+
+namespace feed {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Ipv4Address kSelf(0x0A010001);
+constexpr base::Ipv4Address kSeed(0x0A020001);
+constexpr base::Ipv4Address kReader(0x0A010002);
+const base::DataCentreId kHere("hall-1");
+
+base::TimePoint At(int milliseconds) {
+  return base::TimePoint(std::chrono::hours(1) +
+                         std::chrono::milliseconds(milliseconds));
+}
+
+FeedSettings MakeSettings() {
+  FeedSettings settings;
+  settings.m_self = kSelf;
+  settings.m_data_centre = kHere;
+  settings.m_fleet = 7;
+  settings.m_seeds = {kSeed};
+  return settings;
+}
+
+StoreStatus MakeStatus(std::uint64_t servers, bool is_current = false) {
+  StoreStatus status;
+  status.m_is_current = is_current;
+  status.m_servers = catalog::Revision(servers);
+  status.m_manifest = catalog::Revision(servers == 0 ? 0 : 1);
+  return status;
+}
+
+// The response of the current reader kReader to the request of `poll`.
+FeedResponse MakeResponse(const FeedPoll& poll, std::uint64_t servers) {
+  FeedResponse response;
+  response.m_fleet = 7;
+  response.m_number = poll.m_request.m_number;
+  response.m_data_centre = kHere;
+  response.m_is_reader = true;
+  response.m_status = MakeStatus(servers, true);
+  return response;
+}
+
+// Sends one poll and returns it.
+FeedPoll PollOnce(FeedMember& member,
+                  const StoreStatus& own,
+                  base::TimePoint now) {
+  const auto polls = member.Advance(own, now);
+  REQUIRE(polls.size() == 1);
+  return polls[0];
+}
+
+}  // namespace
+
+TEST_CASE("a member without a reader asks a seed, then the reader it names") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const FeedPoll first = PollOnce(member, MakeStatus(5), At(0));
+  CHECK(first.m_peer == kSeed);
+
+  FeedResponse response = MakeResponse(first, 5);
+  response.m_is_reader = false;
+  response.m_status = MakeStatus(5);
+  response.m_readers = {{kReader, kHere, true, milliseconds(10)}};
+  CHECK(member.HandleResponse(kSeed, response, MakeStatus(5), At(5)) ==
+        ResponseVerdict::kNotCurrent);
+
+  bool has_asked_reader = false;
+  for (int now = 300; now <= 900; now += 300)
+    has_asked_reader |=
+        PollOnce(member, MakeStatus(5), At(now)).m_peer == kReader;
+  CHECK(has_asked_reader);
+}
+
+TEST_CASE("a response to no request of the member is not used") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const FeedPoll poll = PollOnce(member, MakeStatus(5), At(0));
+  FeedResponse wrong_number = MakeResponse(poll, 9);
+  ++wrong_number.m_number;
+  FeedResponse other_fleet = MakeResponse(poll, 9);
+  other_fleet.m_fleet = 8;
+  const FeedResponse right = MakeResponse(poll, 9);
+
+  for (const FeedResponse& response : {wrong_number, other_fleet})
+    CHECK(member.HandleResponse(kSeed, response, MakeStatus(5), At(5)) ==
+          ResponseVerdict::kUnsolicited);
+  // From another address than the asked one.
+  CHECK(member.HandleResponse(kReader, right, MakeStatus(5), At(5)) ==
+        ResponseVerdict::kUnsolicited);
+  CHECK(member.HandleResponse(kSeed, right, MakeStatus(5), At(5)) ==
+        ResponseVerdict::kFetchChanges);
+  // A second copy of the same response.
+  CHECK(member.HandleResponse(kSeed, right, MakeStatus(5), At(6)) ==
+        ResponseVerdict::kUnsolicited);
+}
+
+TEST_CASE("a member reads the store once no current reader responds") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const FeedPoll poll = PollOnce(member, MakeStatus(5), At(0));
+  member.HandleResponse(kSeed, MakeResponse(poll, 5), MakeStatus(5), At(5));
+  CHECK(member.IsFed(At(6)));
+  CHECK_FALSE(member.ShouldReadStore(At(1900)));
+
+  CHECK(member.ShouldReadStore(At(2100)));
+  CHECK_FALSE(member.IsFed(At(2100)));
+  CHECK_FALSE(member.IsReader());
+  member.Advance(MakeStatus(5, true), At(2200));
+
+  CHECK(member.IsReader());
+  CHECK(member.LastDutyReason() == DutyReason::kNotFed);
+}
+
+TEST_CASE("a paused member does not rely on what it was told before") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const FeedPoll poll = PollOnce(member, MakeStatus(5), At(0));
+  member.HandleResponse(kSeed, MakeResponse(poll, 5), MakeStatus(5), At(5));
+
+  member.OnPaused(At(10));
+
+  CHECK_FALSE(member.IsFed(At(10)));
+  CHECK(member.ShouldReadStore(At(10)));
+}
+
+TEST_CASE("a current reader may be behind only until its watch returns") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const StoreStatus own = MakeStatus(9);
+  bool was_fed_early = false;
+  for (int now = 0; now < 12'000; now += 200) {
+    for (const FeedPoll& poll : member.Advance(own, At(now)))
+      CHECK(member.HandleResponse(poll.m_peer, MakeResponse(poll, 8), own,
+                                  At(now + 2)) == ResponseVerdict::kBehind);
+    was_fed_early |= now < 5'000 && member.IsFed(At(now + 5));
+  }
+
+  CHECK(was_fed_early);
+  CHECK_FALSE(member.IsFed(At(12'000)));
+  CHECK(member.ShouldReadStore(At(12'000)));
+}
+
+TEST_CASE("a seed asks members to read while a data centre lacks readers") {
+  FeedSettings settings = MakeSettings();
+  settings.m_is_seed = true;
+  FeedMember seed(settings, 1, At(0));
+  const base::DataCentreId other("hall-2");
+  FeedRequest request;
+  request.m_fleet = 7;
+  request.m_data_centre = other;
+  int asked = 0;
+  for (std::uint32_t number = 0; number < 20; ++number) {
+    const auto response = seed.HandleRequest(
+        base::Ipv4Address(0x0A030000 + number), request, MakeStatus(5), At(10));
+    REQUIRE(response);
+    asked += response->m_should_read ? 1 : 0;
+  }
+
+  CHECK(asked == 2);
+}
+
+TEST_CASE("a request of another fleet gets no response") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  FeedRequest request;
+  request.m_fleet = 8;
+
+  CHECK_FALSE(member.HandleRequest(kReader, request, MakeStatus(5), At(0)));
+}
+
+}  // namespace feed
--- a/Tests/Platform/test_settings_decoder.cc
+++ b/Tests/Platform/test_settings_decoder.cc
@@ -43,6 +43,34 @@
   CHECK(settings->m_stop_grace == std::chrono::seconds(6));
 }
 
+TEST_CASE("the feed uses the second internal port, if there is one") {
+  const auto with_ports = DecodeSettings(kSettings);
+  const auto without =
+      DecodeSettings(Replace(kSettings, "[7720, 7735]", "[7720]"));
+
+  REQUIRE(std::get_if<edge::EdgeSettings>(&with_ports) != nullptr);
+  const auto& feed = std::get<edge::EdgeSettings>(with_ports).m_feed;
+  REQUIRE(feed);
+  CHECK(ToString(*feed) == "10.1.0.10:7721");
+  REQUIRE(std::get_if<edge::EdgeSettings>(&without) != nullptr);
+  CHECK_FALSE(std::get<edge::EdgeSettings>(without).m_feed);
+}
+
+TEST_CASE("a fleet is identified by its region and data centres in any order") {
+  const auto fleet_of = [](const std::string& fields) {
+    const auto result = DecodeSettings(
+        Replace(kSettings, "\"unknown\"", fields + ",\"unknown\""));
+    return std::get<edge::EdgeSettings>(result).m_fleet;
+  };
+  const std::string region = R"("region":"north",)";
+
+  const auto fleet = fleet_of(region + R"("zones":{"a":"x","b":"x"})");
+
+  CHECK(fleet == fleet_of(region + R"("zones":{"b":"x","a":"x"})"));
+  CHECK(fleet != fleet_of(region + R"("zones":{"a":"x","c":"x"})"));
+  CHECK(fleet != fleet_of(R"("region":"south","zones":{"a":"x","b":"x"})"));
+}
+
 TEST_CASE(
     "every problem of the settings is reported with the path of its field") {
   std::string text = Replace(kSettings, "\"10.200.1.7:8169\"", "7");
