Edge: Leave the links to callers when a large fleet starts

Change: a balancer that lists the store does not fetch the same from a peer for 500 ms, and then within a quarter of the peer's link (TransferBudget). A delta visits the servers without copying those that did not change, and none is made for a balancer without a view.

A reader's news of one collection is used also if it is behind in the other: a new manifest waited up to 4 s for the reader's watch of the servers.

--- a/Libraries/LibEdge/edge_settings.h
+++ b/Libraries/LibEdge/edge_settings.h
@@ -44,6 +44,9 @@
   std::vector<base::Endpoint> m_seeds;
   // Whether the settings name this balancer as a seed.
   bool m_is_seed = false;
+  // The bandwidth of the VM's link in megabits per second; zero if the settings
+  // do not name it.
+  double m_link_mbps = 0;
   // The UDP port at which callers receive packets.
   std::uint16_t m_caller_port = 0;
 
--- a/Libraries/LibEdge/store_pacing.cc
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -28,6 +28,9 @@
 constexpr base::Duration kMaximumFedTime = milliseconds(2000);
 // A poll and its repetition may be lost before the balancer is not fed.
 constexpr int kPollsPerFedTime = 3;
+constexpr double kBytesPerMegabit = 125'000;
+// The rest of the link is left to the packets of callers.
+constexpr double kTransferShareOfLink = 0.25;
 // With as many data centres, one reader in each leaves two or more when a data
 // centre is lost.
 constexpr std::size_t kDataCentresForOneReader = 3;
@@ -87,6 +90,9 @@
   feed.m_readers_per_data_centre =
       settings.m_data_centres >= kDataCentresForOneReader ? 1 : 2;
   feed.m_is_seed = settings.m_is_seed;
+  if (settings.m_link_mbps > 0)
+    feed.m_transfer_bytes_per_second =
+        settings.m_link_mbps * kBytesPerMegabit * kTransferShareOfLink;
   feed.m_fed_for =
       std::clamp(MakeWatcherPolicy(settings).m_pause_between_watches,
                  kMinimumFedTime, kMaximumFedTime);
--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -6,7 +6,8 @@
 
 catalog::Snapshot StoreView::MakeSnapshot(catalog::Revision servers,
                                           catalog::Revision manifest) const {
-  return {servers, RecordsInStore(), manifest, m_steering.routes().manifest()};
+  return {servers, RecordsNewerThan({}), manifest,
+          m_steering.routes().manifest()};
 }
 
 catalog::ViewDelta StoreView::MakeDelta(catalog::Revision since_servers,
@@ -20,14 +21,12 @@
       m_steering.routes().Version() != base::ConfigurationVersion())
     delta.m_manifest = m_steering.routes().manifest();
   auto removed = m_removal_log.RemovedSince(since_servers);
-  delta.m_servers = RecordsInStore();
-  if (!removed)
+  if (!removed) {
+    delta.m_servers = RecordsNewerThan({});
     return delta;
+  }
   delta.m_since = since_servers;
-  std::erase_if(delta.m_servers, [since_servers](const auto& record) {
-    // A record without a revision may be new.
-    return record.m_revision != 0 && record.m_revision <= since_servers.value();
-  });
+  delta.m_servers = RecordsNewerThan(since_servers);
   // A removed server may have registered again.
   std::erase_if(*removed, [this](const steering::ServerName& name) {
     return IsInStore(name);
@@ -100,8 +99,9 @@
          !m_delayed_removals.IsPending(name);
 }
 
-std::vector<steering::ServerRecord> StoreView::RecordsInStore() const {
-  auto records = m_steering.directory().RegisteredRecords();
+std::vector<steering::ServerRecord> StoreView::RecordsNewerThan(
+    catalog::Revision revision) const {
+  auto records = m_steering.directory().RecordsNewerThan(revision.value());
   std::erase_if(records, [this](const steering::ServerRecord& record) {
     return m_delayed_removals.IsPending(record.m_name);
   });
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -92,7 +92,9 @@
  private:
   // Whether the store has a record of the server, as far as this view shows.
   bool IsInStore(const steering::ServerName& name) const;
-  std::vector<steering::ServerRecord> RecordsInStore() const;
+  // The records in the store that are newer than `revision`.
+  std::vector<steering::ServerRecord> RecordsNewerThan(
+      catalog::Revision revision) const;
   void Apply(const steering::ServerRecord& record,
              base::TimePoint now,
              ServerChanges& changes);
--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -21,6 +21,7 @@
                        base::TimePoint now)
     : m_settings(std::move(settings)),
       m_random(seed),
+      m_started_at(now),
       m_read_from(now + m_settings.m_start_patience),
       m_next_poll_at(now),
       m_next_announcement_at(now) {
@@ -126,18 +127,25 @@
     }
     return ResponseVerdict::kNotCurrent;
   }
-  if (response.m_status.m_servers < own.m_servers ||
-      response.m_status.m_manifest < own.m_manifest) {
+  const bool has_news = response.m_status.m_servers > own.m_servers ||
+                        response.m_status.m_manifest > own.m_manifest;
+  const bool is_behind = response.m_status.m_servers < own.m_servers ||
+                         response.m_status.m_manifest < own.m_manifest;
+  if (!has_news && is_behind) {
     RecordBehind(now);
     return ResponseVerdict::kBehind;
   }
-  if (response.m_status.m_servers == own.m_servers &&
-      response.m_status.m_manifest == own.m_manifest) {
+  if (!has_news) {
     RecordFed(now);
     return ResponseVerdict::kNothingNew;
   }
-  return response.m_delta.empty() ? ResponseVerdict::kFetchChanges
-                                  : ResponseVerdict::kHasChanges;
+  if (!response.m_delta.empty())
+    return ResponseVerdict::kHasChanges;
+  const bool is_listing = !own.HasView() && ShouldReadStore(now) &&
+                          !own.m_is_failing &&
+                          now - m_started_at < kOwnListTime;
+  return is_listing ? ResponseVerdict::kListing
+                    : ResponseVerdict::kFetchChanges;
 }
 
 void FeedMember::OnPaused(base::TimePoint now) {
@@ -284,7 +292,7 @@
 
 base::Duration FeedMember::PollInterval(const StoreStatus& own,
                                         base::TimePoint now) {
-  if (!own.HasView())
+  if (!own.HasView() && !ShouldReadStore(now))
     return kFirstViewPollInterval;
   if (!IsFed(now))
     return std::min(m_settings.m_response_timeout, m_settings.m_poll_interval);
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -42,7 +42,8 @@
   kUnsolicited,
   // The responder is no current reader.
   kNotCurrent,
-  // The responder knows less than this balancer.
+  // The responder knows less than this balancer of one collection, and no more
+  // of the other.
   kBehind,
   // The view is as new as that of the responder.
   kNothingNew,
@@ -50,15 +51,18 @@
   kHasChanges,
   // The changes have to be fetched from the responder.
   kFetchChanges,
+  // The balancer is about to list the store itself.
+  kListing,
 };
 
-inline constexpr base::EnumTable<ResponseVerdict, 6> kResponseVerdictNames{{
+inline constexpr base::EnumTable<ResponseVerdict, 7> kResponseVerdictNames{{
     {ResponseVerdict::kUnsolicited, "unsolicited"},
     {ResponseVerdict::kNotCurrent, "not_current"},
     {ResponseVerdict::kBehind, "behind"},
     {ResponseVerdict::kNothingNew, "nothing_new"},
     {ResponseVerdict::kHasChanges, "has_changes"},
     {ResponseVerdict::kFetchChanges, "fetch_changes"},
+    {ResponseVerdict::kListing, "listing"},
 }};
 
 // Why a balancer became a reader or ceased to be one.
@@ -86,10 +90,14 @@
  public:
   static constexpr base::Duration kAnnouncementInterval =
       std::chrono::seconds(1);
-  // Without a view, each poll delays the first packet that can be forwarded.
+  // For a balancer that waits for the first view of a reader.
   static constexpr base::Duration kFirstViewPollInterval =
-      std::chrono::milliseconds(50);
+      std::chrono::milliseconds(100);
   static constexpr std::size_t kPolledReaders = 2;
+  // A balancer that lists the store after its start does not fetch the view of
+  // a peer for this long, because many balancers may have started together and
+  // the link of a reader is slower than that of the store.
+  static constexpr base::Duration kOwnListTime = std::chrono::milliseconds(500);
   // A surplus reader continues for this long, because the other readers may
   // not yet be known to the balancers that ask this one.
   static constexpr base::Duration kSurplusTime = std::chrono::seconds(3);
@@ -194,6 +202,7 @@
   bool m_had_view = false;
   std::optional<base::TimePoint> m_fed_at;
   std::optional<base::TimePoint> m_behind_since;
+  base::TimePoint m_started_at;
   // From this time on, the balancer reads the store unless it is fed.
   base::TimePoint m_read_from;
   // m_read_from was postponed because of an outage of the store.
--- a/Libraries/LibFeed/feed_settings.h
+++ b/Libraries/LibFeed/feed_settings.h
@@ -39,6 +39,8 @@
   // How long a balancer without a view waits for the view of a reader before it
   // reads the store.
   base::Duration m_start_patience{};
+  // The part of the balancer's link that large transfers to peers may use.
+  double m_transfer_bytes_per_second = 1'000'000;
   // A balancer polls two readers in turn, so that the death of one costs no
   // time. With one reader in each of several data centres, the second one is
   // elsewhere.
--- a/Libraries/LibFeed/store_status.h
+++ b/Libraries/LibFeed/store_status.h
@@ -14,6 +14,8 @@
   // The balancer reads the store itself, and its calls succeed, so that it
   // learns of a change as soon as its next call returns.
   bool m_is_current = false;
+  // The balancer's calls to the store fail. Not sent to peers.
+  bool m_is_failing = false;
   // The changes of each collection are known up to these revisions; zero if
   // the collection has not been read.
   catalog::Revision m_servers;
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -58,10 +58,12 @@
   return names;
 }
 
-std::vector<ServerRecord> ServerDirectory::RegisteredRecords() const {
+std::vector<ServerRecord> ServerDirectory::RecordsNewerThan(
+    std::uint64_t revision) const {
   std::vector<ServerRecord> records;
   for (const auto& [name, server] : m_servers) {
-    if (!server->IsGone())
+    const std::uint64_t own = server->m_record.m_revision;
+    if (!server->IsGone() && (own == 0 || own > revision))
       records.push_back(server->m_record);
   }
   return records;
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -71,7 +71,9 @@
   // tokens.
   std::optional<FlowToken> UniqueTokenOf(const KnownServer& server) const;
   std::vector<ServerName> RegisteredNames() const;
-  std::vector<ServerRecord> RegisteredRecords() const;
+  // The records of registered servers that are newer than `revision` or have
+  // no revision.
+  std::vector<ServerRecord> RecordsNewerThan(std::uint64_t revision) const;
   // The number of registered servers in `state`.
   std::size_t Count(ServerState state) const;
   // Whether any server that accepts openings does not count as unreachable.
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -80,6 +80,7 @@
       m_timer(context),
       m_endpoint(endpoint),
       m_member(settings, seed, base::Clock::now()),
+      m_budget(settings.m_transfer_bytes_per_second, base::Clock::now()),
       m_owner(std::move(owner)),
       m_client(context) {}
 
@@ -169,10 +170,13 @@
   const bool has_changes =
       own.m_is_current && (request.m_servers < own.m_servers ||
                            request.m_manifest < own.m_manifest);
-  if (has_changes) {
-    auto changes = ChangesSince(request.m_servers, request.m_manifest, own);
-    if (changes && changes.value().size() <= feed::kMaximumInlineDeltaBytes)
-      response->m_delta = std::move(changes).value();
+  // A whole view does not fit into a datagram.
+  const bool has_view = request.m_servers != catalog::Revision();
+  if (has_changes && has_view) {
+    const std::string* changes =
+        ChangesSince(request.m_servers, request.m_manifest, own);
+    if (changes != nullptr && changes->size() <= feed::kMaximumInlineDeltaBytes)
+      response->m_delta = *changes;
   }
   Send(source, *response);
 }
@@ -190,6 +194,7 @@
       return;
     case feed::ResponseVerdict::kNotCurrent:
     case feed::ResponseVerdict::kBehind:
+    case feed::ResponseVerdict::kListing:
       break;
     case feed::ResponseVerdict::kNothingNew:
       m_owner.m_on_reader_status(response.m_status);
@@ -257,21 +262,24 @@
   m_member.OnChangesApplied(base::Clock::now());
 }
 
-base::Outcome<std::string> FeedLink::ChangesSince(
-    catalog::Revision since_servers,
-    catalog::Revision since_manifest,
-    const feed::StoreStatus& own) {
+const std::string* FeedLink::ChangesSince(catalog::Revision since_servers,
+                                          catalog::Revision since_manifest,
+                                          const feed::StoreStatus& own) {
   const bool is_cached = m_cache.m_since_servers == since_servers &&
                          m_cache.m_since_manifest == since_manifest &&
                          m_cache.m_servers == own.m_servers &&
                          m_cache.m_manifest == own.m_manifest &&
                          !m_cache.m_bytes.empty();
   if (is_cached)
-    return m_cache.m_bytes;
-  TRY(bytes, m_owner.m_changes(since_servers, since_manifest));
+    return &m_cache.m_bytes;
+  auto bytes = m_owner.m_changes(since_servers, since_manifest);
+  if (!bytes) {
+    m_owner.m_on_refused(m_endpoint, bytes.error().message());
+    return nullptr;
+  }
   m_cache = {since_servers, since_manifest, own.m_servers, own.m_manifest,
-             bytes};
-  return m_cache.m_bytes;
+             std::move(bytes).value()};
+  return &m_cache.m_bytes;
 }
 
 event_loop::TextResponse FeedLink::ChangesResponse(std::string_view path) {
@@ -281,10 +289,13 @@
   const feed::StoreStatus own = m_owner.m_status(base::Clock::now());
   if (!own.m_is_current)
     return {503, "the view is not current\n"};
-  auto changes = ChangesSince(since->m_servers, since->m_manifest, own);
-  if (!changes)
+  const std::string* changes =
+      ChangesSince(since->m_servers, since->m_manifest, own);
+  if (changes == nullptr)
     return {503, "the changes cannot be encoded\n"};
-  return {200, std::move(changes).value(), kBinaryType};
+  if (!m_budget.Take(changes->size(), base::Clock::now()))
+    return {503, "too many transfers\n"};
+  return {200, *changes, kBinaryType};
 }
 
 }  // namespace edge
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -22,6 +22,7 @@
 #include "LibEventLoop/http_text_server.h"
 #include "LibFeed/feed_codec.h"
 #include "LibFeed/feed_member.h"
+#include "LibFeed/transfer_budget.h"
 #include "LibHttp/client.h"
 
 namespace edge {
@@ -101,15 +102,17 @@
   void FetchChanges(base::Endpoint peer, const feed::StoreStatus& own);
   void ApplyChanges(base::Endpoint peer,
                     const base::Outcome<catalog::ViewDelta>& changes);
-  base::Outcome<std::string> ChangesSince(catalog::Revision since_servers,
-                                          catalog::Revision since_manifest,
-                                          const feed::StoreStatus& own);
+  // Null if the changes cannot be encoded. Valid until the next call.
+  const std::string* ChangesSince(catalog::Revision since_servers,
+                                  catalog::Revision since_manifest,
+                                  const feed::StoreStatus& own);
   event_loop::TextResponse ChangesResponse(std::string_view path);
 
   asio::ip::udp::socket m_socket;
   asio::steady_timer m_timer;
   base::Endpoint m_endpoint;
   feed::FeedMember m_member;
+  feed::TransferBudget m_budget;
   FeedOwner m_owner;
   http::Client m_client;
   std::unique_ptr<event_loop::HttpTextServer> m_server;
--- a/Services/Edge/view_keeper.cc
+++ b/Services/Edge/view_keeper.cc
@@ -171,6 +171,7 @@
   status.m_is_current = m_servers.IsActive() && m_manifests.IsActive() &&
                         BootTime() - m_last_sweep < kMaximumSweepGap &&
                         servers.IsCurrent(now) && manifests.IsCurrent(now);
+  status.m_is_failing = servers.FailingSince() || manifests.FailingSince();
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
   if (servers.ConfirmedAt() && manifests.ConfirmedAt())
@@ -318,8 +319,10 @@
     const auto failing = reader.watcher().FailingSince();
     return reader.IsActive() && failing && now - *failing >= kStoreFailureGrace;
   };
-  const bool is_slow_start =
-      !m_steering.IsReady() && now - m_started_at >= kStoreFailureGrace;
+  // With the feed, a balancer whose store responds waits for its own list or
+  // for a reader: a seed cannot send its whole view to a fleet that starts.
+  const bool is_slow_start = m_feed == nullptr && !m_steering.IsReady() &&
+                             now - m_started_at >= kStoreFailureGrace;
   if (is_slow_start || has_failed_long(m_servers) ||
       has_failed_long(m_manifests))
     m_peers.RequestSnapshot();
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -162,6 +162,19 @@
         std::vector{steering::ServerName("i-1")});
 }
 
+TEST_CASE("a delta from a revision that is newer than the view is empty") {
+  StoreViewFixture reader;
+  reader.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(6),
+                                At(0));
+
+  const auto delta = reader.m_view.MakeDelta(
+      catalog::Revision(9), {}, catalog::Revision(6), catalog::Revision(2));
+
+  CHECK(delta.m_since == catalog::Revision(9));
+  CHECK(delta.m_servers.empty());
+  CHECK(delta.m_removed_servers.empty());
+}
+
 TEST_CASE("a delta contains the manifest only if the peer lacks it") {
   StoreViewFixture reader;
   steering::Manifest manifest;
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -146,6 +146,17 @@
   CHECK(member.ShouldReadStore(At(12'000)));
 }
 
+TEST_CASE("a reader's newer manifest is used though its servers are behind") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const StoreStatus own = MakeStatus(9);
+  const FeedPoll poll = PollOnce(member, own, At(0));
+  FeedResponse response = MakeResponse(poll, 8);
+  response.m_status.m_manifest = catalog::Revision(2);
+
+  CHECK(member.HandleResponse(poll.m_peer, response, own, At(2)) ==
+        ResponseVerdict::kFetchChanges);
+}
+
 TEST_CASE("a seed asks members to read while a data centre lacks readers") {
   FeedSettings settings = MakeSettings();
   settings.m_is_seed = true;
@@ -165,6 +176,26 @@
   CHECK(asked == 2);
 }
 
+TEST_CASE(
+    "a balancer that lists the store after a start does not fetch the same "
+    "from "
+    "a peer unless the store fails") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own;
+  const auto ask = [&](int now) {
+    const FeedPoll poll = PollOnce(member, own, At(now));
+    return member.HandleResponse(poll.m_peer, MakeResponse(poll, 9), own,
+                                 At(now + 2));
+  };
+
+  CHECK(ask(0) == ResponseVerdict::kListing);
+  own.m_is_failing = true;
+  CHECK(ask(210) == ResponseVerdict::kFetchChanges);
+  own.m_is_failing = false;
+  CHECK(ask(420) == ResponseVerdict::kListing);
+  CHECK(ask(640) == ResponseVerdict::kFetchChanges);
+}
+
 TEST_CASE("a request of another fleet gets no response") {
   FeedMember member(MakeSettings(), 1, At(0));
   FeedRequest request;
