--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -11,8 +11,6 @@
 // A peer that was asked to read counts as a reader for this long without a
 // sign of it.
 constexpr base::Duration kAcceptanceTime = std::chrono::seconds(1);
-// A reader's followers poll it more often than this.
-constexpr base::Duration kFollowerLifetime = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -29,10 +27,6 @@
   m_seed_turn = m_random.Below(m_settings.m_seeds.size() + 1);
 }
 
-bool FeedMember::HasFollowers(base::TimePoint now) const {
-  return m_last_request_at && now - *m_last_request_at < kFollowerLifetime;
-}
-
 base::TimePoint FeedMember::NextAdvanceAt(const StoreStatus& own) const {
   base::TimePoint next = base::TimePoint::max();
   if (!own.m_is_current || !m_is_reader)
@@ -78,8 +72,6 @@
                       now);
   else
     m_registry.Remove(source);
-  if (m_is_reader && !request.m_is_reader)
-    m_last_request_at = now;
 
   FeedResponse response;
   response.m_fleet = m_settings.m_fleet;
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -127,8 +127,6 @@
   }
   // When a current reader last confirmed this balancer's view.
   std::optional<base::TimePoint> FedAt() const { return m_fed_at; }
-  // Whether other balancers poll this one for changes.
-  bool HasFollowers(base::TimePoint now) const;
   // When Advance has to be called next.
   base::TimePoint NextAdvanceAt(const StoreStatus& own) const;
   const ReaderRegistry& registry() const { return m_registry; }
@@ -209,7 +207,6 @@
   bool m_is_postponed = false;
   base::TimePoint m_next_poll_at;
   base::TimePoint m_next_announcement_at;
-  std::optional<base::TimePoint> m_last_request_at;
   std::vector<PendingPoll> m_pending;
   // By address.
   std::unordered_map<std::uint32_t, Failures> m_failures;
--- a/Services/Edge/view_keeper.cc
+++ b/Services/Edge/view_keeper.cc
@@ -6,7 +6,6 @@
 #include <utility>
 #include <vector>
 
-#include "LibBase/milliseconds.h"
 #include "LibCatalog/snapshot_codec.h"
 #include "LibEdge/store_pacing.h"
 #include "boot_time.h"
@@ -15,8 +14,6 @@
 
 namespace {
 
-using observability::Event;
-using observability::Severity;
 using std::chrono::milliseconds;
 
 // When calls to the store have failed for this long, or the balancer has no
@@ -62,8 +59,7 @@
     : m_context(context),
       m_settings(settings),
       m_steering(steering),
-      m_log(log),
-      m_metrics(metrics),
+      m_log(log, metrics),
       m_on_change(std::move(on_change)),
       m_view(steering),
       m_servers(context,
@@ -119,7 +115,7 @@
     OnReaderStatus(status);
   };
   owner.m_on_refused = [this](base::Endpoint peer, std::string_view reason) {
-    OnFeedRefused(peer, reason);
+    m_log.WriteFeedRefused(peer, reason, base::Clock::now());
   };
   owner.m_on_duty = [this](base::TimePoint now) { OnDuty(now); };
   return owner;
@@ -137,7 +133,8 @@
 void ViewKeeper::Sweep(base::TimePoint now) {
   m_last_sweep = BootTime();
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
-  LogServerChanges(m_view.ApplyDueRemovals(now), "lapse");
+  m_log.WriteServerChanges(m_view.ApplyDueRemovals(now),
+                           m_servers.watcher().KnownRevision(), "lapse", now);
 }
 
 void ViewKeeper::OnPaused(base::TimePoint now) {
@@ -193,7 +190,8 @@
   }
   const bool is_reader = m_feed->member().IsReader();
   if (is_reader != m_was_reader)
-    LogDuty(is_reader, now);
+    m_log.WriteDuty(m_feed->member(), m_servers.watcher().KnownRevision(), now);
+  m_was_reader = is_reader;
   const bool has_view = Status(now).HasView();
   const auto policy = is_reader || !has_view ? MakeReaderPolicy(m_settings)
                                              : MakeFallbackPolicy(m_settings);
@@ -214,16 +212,6 @@
                         !is_first_try);
 }
 
-void ViewKeeper::LogDuty(bool is_reader, base::TimePoint now) {
-  m_was_reader = is_reader;
-  const Event event = is_reader ? Event::kReaderStarted : Event::kReaderStopped;
-  if (m_log.Admit(event, now))
-    m_log.Write(Severity::kInfo, event,
-                {{"reason", NameOf(feed::kDutyReasonNames,
-                                   m_feed->member().LastDutyReason())},
-                 {"revision", m_servers.watcher().KnownRevision().value()}});
-}
-
 // While this balancer does not call the store, it knows of outages from the
 // readers only.
 void ViewKeeper::OnReaderStatus(const feed::StoreStatus& status) {
@@ -243,20 +231,9 @@
   const base::TimePoint now = base::Clock::now();
   if (changes.m_since > m_servers.watcher().KnownRevision())
     return false;
-  if (m_servers.AdoptRevision(changes.m_servers_revision)) {
-    const auto server_changes = m_view.ApplyServerDelta(changes, now);
-    if (m_log.Admit(Event::kChangesReceived, now))
-      m_log.Write(Severity::kInfo, Event::kChangesReceived,
-                  {{"peer", ToString(peer)},
-                   {"since", changes.m_since.value()},
-                   {"revision", changes.m_servers_revision.value()},
-                   {"servers", std::uint64_t{changes.m_servers.size()}},
-                   {"removed", std::uint64_t{changes.m_removed_servers.size()}},
-                   {"changed", std::uint64_t{server_changes.size()}}});
-    for (const ServerChange& change : server_changes)
-      m_metrics.CountServerChange(
-          NameOf(steering::kDirectoryChangeNames, change.m_change));
-  }
+  if (m_servers.AdoptRevision(changes.m_servers_revision))
+    m_log.WriteChangesReceived(peer, changes,
+                               m_view.ApplyServerDelta(changes, now), now);
   if (changes.m_manifest)
     ApplyManifest(*changes.m_manifest, "peer");
   m_manifests.AdoptRevision(changes.m_manifest_revision);
@@ -264,13 +241,6 @@
   return true;
 }
 
-void ViewKeeper::OnFeedRefused(base::Endpoint peer, std::string_view reason) {
-  m_metrics.CountFeedRefused(reason);
-  if (m_log.Admit(Event::kFeedRefused, base::Clock::now()))
-    m_log.Write(Severity::kWarning, Event::kFeedRefused,
-                {{"peer", ToString(peer)}, {"reason", reason}});
-}
-
 ViewVersion ViewKeeper::Version(base::TimePoint now) const {
   ViewVersion version;
   version.m_servers_revision = m_servers.watcher().KnownRevision().value();
@@ -303,11 +273,9 @@
   auto snapshot =
       catalog::EncodeSnapshot(m_view.MakeSnapshot(servers, manifest));
   if (!snapshot) {
-    if (m_log.Admit(Event::kSnapshotFailed, base::Clock::now()))
-      m_log.Write(Severity::kError, Event::kSnapshotFailed,
-                  {{"reason", snapshot.error().message()},
-                   {"revision", servers.value()}});
-    return {503, "the belief does not fit a snapshot\n"};
+    m_log.WriteSnapshotFailed({}, snapshot.error().message(),
+                              base::Clock::now());
+    return {503, "the view does not fit into a snapshot\n"};
   }
   return {200, std::move(snapshot).value(), kBinaryType};
 }
@@ -331,37 +299,13 @@
 void ViewKeeper::OnStoreUpdate(const StoreReader& reader,
                                const StoreUpdate& update) {
   const base::TimePoint now = base::Clock::now();
-  const std::string_view collection =
-      NameOf(adapter::kCollectionNames, reader.collection());
-  const std::string_view result =
-      update.m_failure ? NameOf(catalog::kCallFailureNames, *update.m_failure)
-                       : "done";
-  m_metrics.CountStoreCall(collection, result, update.m_call_time);
-  if (update.m_failure && m_log.Admit(Event::kStoreCallFailed, now))
-    m_log.Write(Severity::kWarning, Event::kStoreCallFailed,
-                {{"collection", collection},
-                 {"reason", result},
-                 {"call_ms", base::WholeMilliseconds(update.m_call_time)},
-                 {"revision", reader.watcher().KnownRevision().value()}});
-  if (update.m_outcome.m_is_store_lost) {
+  m_log.WriteStoreCall(reader, update, now);
+  if (update.m_outcome.m_is_store_lost)
     m_view.OnStoreLost(SourceOf(reader));
-    m_log.Write(Severity::kWarning, Event::kStoreLost,
-                {{"collection", collection},
-                 {"reason", update.m_failure ? result : "late_answer"}});
-  }
-  if (update.m_outcome.m_is_store_regained) {
+  if (update.m_outcome.m_is_store_regained)
     m_view.OnStoreRegained(SourceOf(reader), now);
-    m_log.Write(Severity::kInfo, Event::kStoreRegained,
-                {{"collection", collection},
-                 {"revision", reader.watcher().KnownRevision().value()}});
-  }
-  if (update.m_objects.m_ignored > 0 &&
-      m_log.Admit(Event::kObjectsIgnored, now))
-    m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
-                {{"collection", collection},
-                 {"objects", std::uint64_t{update.m_objects.m_ignored}},
-                 {"reason", "a necessary field is missing or unusable"}});
-  LogFieldProblems(update.m_objects.m_problems, collection, now);
+  m_log.WriteFieldProblems(update.m_objects.m_problems, reader.collection(),
+                           m_steering.routes().Version(), now);
   if (reader.collection() == adapter::Collection::kServers)
     OnServers(update, now);
   else
@@ -373,36 +317,32 @@
 }
 
 void ViewKeeper::OnServers(const StoreUpdate& update, base::TimePoint now) {
+  const catalog::Revision revision = m_servers.watcher().KnownRevision();
+  const auto& servers = update.m_objects.m_servers;
   if (update.m_outcome.m_update == catalog::CollectionUpdate::kChanged) {
-    LogServerChanges(
-        m_view.ApplyServerEvents(update.m_objects.m_servers,
-                                 m_servers.watcher().KnownRevision(), now),
-        "store");
+    m_log.WriteServerChanges(m_view.ApplyServerEvents(servers, revision, now),
+                             revision, "store", now);
     return;
   }
   if (update.m_outcome.m_update != catalog::CollectionUpdate::kListComplete)
     return;
-  const auto records = RecordsOf(update.m_objects.m_servers);
-  const catalog::Revision revision = m_servers.watcher().KnownRevision();
-  m_log.Write(Severity::kInfo, Event::kServersListed,
-              {{"servers", std::uint64_t{records.size()}},
-               {"revision", revision.value()}});
+  const auto records = RecordsOf(servers);
+  m_log.WriteServersListed(records.size(), revision);
   const bool is_first_view = !m_steering.HasRoutesAndServers();
   const ServerChanges changes = m_view.ApplyServerList(records, revision, now);
   // The line above tells what the first list contains. Right after a start,
   // callers wait for the processor time of a line for each server.
   if (!is_first_view)
-    LogServerChanges(changes, "store");
+    m_log.WriteServerChanges(changes, revision, "store", now);
 }
 
 void ViewKeeper::OnManifests(const StoreUpdate& update, base::TimePoint now) {
   for (const adapter::DecodedManifest& decoded : update.m_objects.m_manifests) {
     // A version that is read again is not reported again.
     if (ApplyManifest(decoded.m_manifest, "store"))
-      LogFieldProblems(
-          decoded.m_problems,
-          NameOf(adapter::kCollectionNames, adapter::Collection::kManifests),
-          now);
+      m_log.WriteFieldProblems(decoded.m_problems,
+                               adapter::Collection::kManifests,
+                               m_steering.routes().Version(), now);
   }
 }
 
@@ -410,21 +350,17 @@
                             const base::Outcome<catalog::Snapshot>& snapshot) {
   const base::TimePoint now = base::Clock::now();
   if (!snapshot) {
-    if (m_log.Admit(Event::kSnapshotFailed, now))
-      m_log.Write(
-          Severity::kWarning, Event::kSnapshotFailed,
-          {{"peer", ToString(peer)}, {"reason", snapshot.error().message()}});
+    m_log.WriteSnapshotFailed(peer, snapshot.error().message(), now);
     return;
   }
   const catalog::Snapshot& decoded = snapshot.value();
   if (m_servers.AdoptRevision(decoded.m_servers_revision)) {
-    m_log.Write(Severity::kInfo, Event::kSnapshotTaken,
-                {{"peer", ToString(peer)},
-                 {"servers", std::uint64_t{decoded.m_servers.size()}},
-                 {"revision", decoded.m_servers_revision.value()}});
-    LogServerChanges(m_view.ApplyServerList(decoded.m_servers,
-                                            decoded.m_servers_revision, now),
-                     "peer");
+    m_log.WriteSnapshotTaken(peer, decoded.m_servers.size(),
+                             decoded.m_servers_revision);
+    m_log.WriteServerChanges(
+        m_view.ApplyServerList(decoded.m_servers, decoded.m_servers_revision,
+                               now),
+        decoded.m_servers_revision, "peer", now);
   }
   m_manifests.AdoptRevision(decoded.m_manifest_revision);
   if (decoded.m_manifest.m_version != base::ConfigurationVersion())
@@ -434,61 +370,11 @@
 
 bool ViewKeeper::ApplyManifest(const steering::Manifest& manifest,
                                std::string_view source) {
-  const auto previous_version = m_steering.routes().Version();
+  const auto former = m_steering.routes().Version();
   if (!m_view.ApplyManifest(manifest))
     return false;
-  m_log.Write(Severity::kInfo, Event::kConfigurationInForce,
-              {{"manifest", manifest.m_version.value()},
-               {"former", previous_version.value()},
-               {"routes", std::uint64_t{manifest.m_routes.size()}},
-               {"source", source}});
+  m_log.WriteManifest(manifest, former, source);
   return true;
 }
 
-void ViewKeeper::LogFieldProblems(const adapter::FieldProblems& problems,
-                                  std::string_view collection,
-                                  base::TimePoint now) {
-  for (const adapter::FieldProblem& problem : problems.list()) {
-    const std::string_view consequence =
-        NameOf(adapter::kConsequenceNames, problem.m_consequence);
-    m_metrics.CountFieldProblem(problem.m_field, consequence);
-    if (!m_log.Admit(Event::kFieldUnusable, now))
-      continue;
-    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
-                {{"collection", collection},
-                 {"object", problem.m_object},
-                 {"route", problem.m_route},
-                 {"field", problem.m_field},
-                 {"value", problem.m_value},
-                 {"consequence", consequence},
-                 {"manifest", m_steering.routes().Version().value()}});
-  }
-  if (problems.Omitted() > 0 && m_log.Admit(Event::kFieldUnusable, now))
-    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
-                {{"collection", collection},
-                 {"omitted", std::uint64_t{problems.Omitted()}}});
-}
-
-void ViewKeeper::LogServerChanges(const ServerChanges& changes,
-                                  std::string_view source) {
-  const base::TimePoint now = base::Clock::now();
-  for (const ServerChange& change : changes) {
-    const std::string_view name =
-        NameOf(steering::kDirectoryChangeNames, change.m_change);
-    m_metrics.CountServerChange(name);
-    if (!m_log.Admit(Event::kServerChanged, now))
-      continue;
-    m_log.Write(Severity::kInfo, Event::kServerChanged,
-                {{"change", name},
-                 {"server", change.m_record.m_name.value()},
-                 {"service", change.m_record.m_service},
-                 {"endpoint", ToString(change.m_record.m_endpoint)},
-                 {"data_centre", change.m_record.m_data_centre.value()},
-                 {"incarnation", change.m_record.m_incarnation},
-                 {"record_revision", change.m_record.m_revision},
-                 {"revision", m_servers.watcher().KnownRevision().value()},
-                 {"source", source}});
-  }
-}
-
 }  // namespace edge
--- a/Services/Edge/view_keeper.h
+++ b/Services/Edge/view_keeper.h
@@ -25,6 +25,7 @@
 #include "feed_link.h"
 #include "peer_reader.h"
 #include "store_reader.h"
+#include "view_log.h"
 
 namespace edge {
 
@@ -74,11 +75,9 @@
   FeedOwner MakeFeedOwner();
   feed::StoreStatus Status(base::TimePoint now) const;
   void OnDuty(base::TimePoint now);
-  void LogDuty(bool is_reader, base::TimePoint now);
   void OnReaderStatus(const feed::StoreStatus& status);
   // Returns false if the changes do not follow the view.
   bool ApplyChanges(base::Endpoint peer, const catalog::ViewDelta& changes);
-  void OnFeedRefused(base::Endpoint peer, std::string_view reason);
 
   void OnStoreUpdate(const StoreReader& reader, const StoreUpdate& update);
   void OnServers(const StoreUpdate& update, base::TimePoint now);
@@ -88,16 +87,11 @@
   // Returns whether the manifest is newer than the one in force.
   bool ApplyManifest(const steering::Manifest& manifest,
                      std::string_view source);
-  void LogFieldProblems(const adapter::FieldProblems& problems,
-                        std::string_view collection,
-                        base::TimePoint now);
-  void LogServerChanges(const ServerChanges& changes, std::string_view source);
 
   asio::io_context& m_context;
   EdgeSettings m_settings;
   steering::Steering& m_steering;
-  observability::NonBlockingLog& m_log;
-  EdgeMetrics& m_metrics;
+  ViewLog m_log;
   ChangeHandler m_on_change;
   StoreView m_view;
   StoreReader m_servers;
--- /dev/null
+++ b/Services/Edge/view_log.cc
@@ -0,0 +1,165 @@
+#include "view_log.h"
+
+#include <cstdint>
+
+#include "LibBase/milliseconds.h"
+
+namespace edge {
+
+using observability::Event;
+using observability::Severity;
+
+void ViewLog::WriteStoreCall(const StoreReader& reader,
+                             const StoreUpdate& update,
+                             base::TimePoint now) {
+  const std::string_view collection =
+      NameOf(adapter::kCollectionNames, reader.collection());
+  const std::string_view result =
+      update.m_failure ? NameOf(catalog::kCallFailureNames, *update.m_failure)
+                       : "done";
+  const std::uint64_t revision = reader.watcher().KnownRevision().value();
+  m_metrics.CountStoreCall(collection, result, update.m_call_time);
+  if (update.m_failure && m_log.Admit(Event::kStoreCallFailed, now))
+    m_log.Write(Severity::kWarning, Event::kStoreCallFailed,
+                {{"collection", collection},
+                 {"reason", result},
+                 {"call_ms", base::WholeMilliseconds(update.m_call_time)},
+                 {"revision", revision}});
+  if (update.m_outcome.m_is_store_lost)
+    m_log.Write(Severity::kWarning, Event::kStoreLost,
+                {{"collection", collection},
+                 {"reason", update.m_failure ? result : "late_answer"}});
+  if (update.m_outcome.m_is_store_regained)
+    m_log.Write(Severity::kInfo, Event::kStoreRegained,
+                {{"collection", collection}, {"revision", revision}});
+  if (update.m_objects.m_ignored > 0 &&
+      m_log.Admit(Event::kObjectsIgnored, now))
+    m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
+                {{"collection", collection},
+                 {"objects", std::uint64_t{update.m_objects.m_ignored}},
+                 {"reason", "a necessary field is missing or unusable"}});
+}
+
+void ViewLog::WriteServerChanges(const ServerChanges& changes,
+                                 catalog::Revision revision,
+                                 std::string_view source,
+                                 base::TimePoint now) {
+  for (const ServerChange& change : changes) {
+    const std::string_view name =
+        NameOf(steering::kDirectoryChangeNames, change.m_change);
+    m_metrics.CountServerChange(name);
+    if (!m_log.Admit(Event::kServerChanged, now))
+      continue;
+    m_log.Write(Severity::kInfo, Event::kServerChanged,
+                {{"change", name},
+                 {"server", change.m_record.m_name.value()},
+                 {"service", change.m_record.m_service},
+                 {"endpoint", ToString(change.m_record.m_endpoint)},
+                 {"data_centre", change.m_record.m_data_centre.value()},
+                 {"incarnation", change.m_record.m_incarnation},
+                 {"record_revision", change.m_record.m_revision},
+                 {"revision", revision.value()},
+                 {"source", source}});
+  }
+}
+
+void ViewLog::WriteFieldProblems(const adapter::FieldProblems& problems,
+                                 adapter::Collection collection,
+                                 base::ConfigurationVersion manifest,
+                                 base::TimePoint now) {
+  const std::string_view collection_name =
+      NameOf(adapter::kCollectionNames, collection);
+  for (const adapter::FieldProblem& problem : problems.list()) {
+    const std::string_view consequence =
+        NameOf(adapter::kConsequenceNames, problem.m_consequence);
+    m_metrics.CountFieldProblem(problem.m_field, consequence);
+    if (!m_log.Admit(Event::kFieldUnusable, now))
+      continue;
+    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
+                {{"collection", collection_name},
+                 {"object", problem.m_object},
+                 {"route", problem.m_route},
+                 {"field", problem.m_field},
+                 {"value", problem.m_value},
+                 {"consequence", consequence},
+                 {"manifest", manifest.value()}});
+  }
+  if (problems.Omitted() > 0 && m_log.Admit(Event::kFieldUnusable, now))
+    m_log.Write(Severity::kWarning, Event::kFieldUnusable,
+                {{"collection", collection_name},
+                 {"omitted", std::uint64_t{problems.Omitted()}}});
+}
+
+void ViewLog::WriteServersListed(std::size_t servers,
+                                 catalog::Revision revision) {
+  m_log.Write(
+      Severity::kInfo, Event::kServersListed,
+      {{"servers", std::uint64_t{servers}}, {"revision", revision.value()}});
+}
+
+void ViewLog::WriteManifest(const steering::Manifest& manifest,
+                            base::ConfigurationVersion former,
+                            std::string_view source) {
+  m_log.Write(Severity::kInfo, Event::kConfigurationInForce,
+              {{"manifest", manifest.m_version.value()},
+               {"former", former.value()},
+               {"routes", std::uint64_t{manifest.m_routes.size()}},
+               {"source", source}});
+}
+
+void ViewLog::WriteDuty(const feed::FeedMember& member,
+                        catalog::Revision revision,
+                        base::TimePoint now) {
+  const Event event =
+      member.IsReader() ? Event::kReaderStarted : Event::kReaderStopped;
+  if (m_log.Admit(event, now))
+    m_log.Write(
+        Severity::kInfo, event,
+        {{"reason", NameOf(feed::kDutyReasonNames, member.LastDutyReason())},
+         {"revision", revision.value()}});
+}
+
+void ViewLog::WriteChangesReceived(base::Endpoint peer,
+                                   const catalog::ViewDelta& delta,
+                                   const ServerChanges& changes,
+                                   base::TimePoint now) {
+  for (const ServerChange& change : changes)
+    m_metrics.CountServerChange(
+        NameOf(steering::kDirectoryChangeNames, change.m_change));
+  if (m_log.Admit(Event::kChangesReceived, now))
+    m_log.Write(Severity::kInfo, Event::kChangesReceived,
+                {{"peer", ToString(peer)},
+                 {"since", delta.m_since.value()},
+                 {"revision", delta.m_servers_revision.value()},
+                 {"servers", std::uint64_t{delta.m_servers.size()}},
+                 {"removed", std::uint64_t{delta.m_removed_servers.size()}},
+                 {"changed", std::uint64_t{changes.size()}}});
+}
+
+void ViewLog::WriteFeedRefused(base::Endpoint peer,
+                               std::string_view reason,
+                               base::TimePoint now) {
+  m_metrics.CountFeedRefused(reason);
+  if (m_log.Admit(Event::kFeedRefused, now))
+    m_log.Write(Severity::kWarning, Event::kFeedRefused,
+                {{"peer", ToString(peer)}, {"reason", reason}});
+}
+
+void ViewLog::WriteSnapshotTaken(base::Endpoint peer,
+                                 std::size_t servers,
+                                 catalog::Revision revision) {
+  m_log.Write(Severity::kInfo, Event::kSnapshotTaken,
+              {{"peer", ToString(peer)},
+               {"servers", std::uint64_t{servers}},
+               {"revision", revision.value()}});
+}
+
+void ViewLog::WriteSnapshotFailed(base::Endpoint peer,
+                                  std::string_view reason,
+                                  base::TimePoint now) {
+  if (m_log.Admit(Event::kSnapshotFailed, now))
+    m_log.Write(Severity::kWarning, Event::kSnapshotFailed,
+                {{"peer", ToString(peer)}, {"reason", reason}});
+}
+
+}  // namespace edge
