--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -44,7 +44,7 @@
                                           base::TimePoint now) {
   RemoveTimedOutPolls(now);
   m_registry.RemoveExpired(now);
-  UpdateDuty(own, now);
+  UpdateRole(own, now);
   std::vector<FeedPoll> polls;
   const bool needs_feed = !m_is_reader || !own.m_is_current;
   if (needs_feed && now >= m_next_poll_at) {
@@ -109,7 +109,7 @@
   m_failures.erase(source.value());
   RecordReaders(response, source, now);
   if (response.m_should_read && !m_is_reader)
-    BecomeReader(DutyReason::kAsked);
+    StartReading(RoleReason::kAsked);
   if (!response.m_is_reader || !response.m_status.m_is_current) {
     // The reader is alive, so it is the store that fails.
     if (response.m_is_reader && own.HasView() && !m_is_postponed) {
@@ -179,7 +179,7 @@
   });
 }
 
-void FeedMember::UpdateDuty(const StoreStatus& own, base::TimePoint now) {
+void FeedMember::UpdateRole(const StoreStatus& own, base::TimePoint now) {
   if (own.HasView() && !m_had_view) {
     m_had_view = true;
     const bool has_peers = !m_settings.m_seeds.empty();
@@ -187,21 +187,21 @@
   }
   if (!m_is_reader) {
     if (m_had_view && own.m_is_current && now >= m_read_from)
-      BecomeReader(DutyReason::kNotFed);
+      StartReading(RoleReason::kNotFed);
     return;
   }
   const auto others = OtherCurrentReaders(now);
   if (!own.m_is_current) {
     m_surplus_since.reset();
     if (others.size() >= m_settings.m_readers_per_data_centre)
-      CeaseToRead(DutyReason::kRelieved, now);
+      StopReading(RoleReason::kRelieved, now);
     return;
   }
   const std::uint64_t own_rank =
-      DutyRank(m_settings.m_data_centre, m_settings.m_self);
+      ReaderRank(m_settings.m_data_centre, m_settings.m_self);
   const auto preferred = static_cast<std::size_t>(std::count_if(
       others.begin(), others.end(), [own_rank](const ReaderEntry& other) {
-        return DutyRank(other.m_data_centre, other.m_address) < own_rank;
+        return ReaderRank(other.m_data_centre, other.m_address) < own_rank;
       }));
   if (preferred < m_settings.m_readers_per_data_centre) {
     m_surplus_since.reset();
@@ -210,20 +210,20 @@
   if (!m_surplus_since)
     m_surplus_since = now;
   if (now - *m_surplus_since >= kSurplusTime)
-    CeaseToRead(DutyReason::kSurplus, now);
+    StopReading(RoleReason::kSurplus, now);
 }
 
-void FeedMember::BecomeReader(DutyReason reason) {
+void FeedMember::StartReading(RoleReason reason) {
   m_is_reader = true;
-  m_duty_reason = reason;
+  m_role_reason = reason;
   m_surplus_since.reset();
   // The seeds learn of the reader at once.
   m_next_announcement_at = base::TimePoint::min();
 }
 
-void FeedMember::CeaseToRead(DutyReason reason, base::TimePoint now) {
+void FeedMember::StopReading(RoleReason reason, base::TimePoint now) {
   m_is_reader = false;
-  m_duty_reason = reason;
+  m_role_reason = reason;
   m_surplus_since.reset();
   m_read_from = now + m_settings.m_fed_for;
   m_next_poll_at = now;
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -66,7 +66,7 @@
 }};
 
 // Why a balancer became a reader or ceased to be one.
-enum class DutyReason {
+enum class RoleReason {
   kNeverRead,
   // A peer knows too few readers in the data centre.
   kAsked,
@@ -78,12 +78,12 @@
   kRelieved,
 };
 
-inline constexpr base::EnumTable<DutyReason, 5> kDutyReasonNames{{
-    {DutyReason::kNeverRead, "never_read"},
-    {DutyReason::kAsked, "asked"},
-    {DutyReason::kNotFed, "not_fed"},
-    {DutyReason::kSurplus, "surplus"},
-    {DutyReason::kRelieved, "relieved"},
+inline constexpr base::EnumTable<RoleReason, 5> kRoleReasonNames{{
+    {RoleReason::kNeverRead, "never_read"},
+    {RoleReason::kAsked, "asked"},
+    {RoleReason::kNotFed, "not_fed"},
+    {RoleReason::kSurplus, "surplus"},
+    {RoleReason::kRelieved, "relieved"},
 }};
 
 class FeedMember {
@@ -116,7 +116,7 @@
   // Queries.
   bool IsReader() const { return m_is_reader; }
   // Why IsReader last changed.
-  DutyReason LastDutyReason() const { return m_duty_reason; }
+  RoleReason LastRoleReason() const { return m_role_reason; }
   // Whether this balancer is to call the store.
   bool ShouldReadStore(base::TimePoint now) const {
     return m_is_reader || now >= m_read_from;
@@ -133,7 +133,7 @@
 
   // Commands.
   void SetSettings(FeedSettings settings) { m_settings = std::move(settings); }
-  // Updates the duty of this balancer, and returns the requests to send now.
+  // Updates the role of this balancer, and returns the requests to send now.
   // `own` is this balancer's status.
   std::vector<FeedPoll> Advance(const StoreStatus& own, base::TimePoint now);
   // Records what a request shows, and returns the response without its delta;
@@ -169,9 +169,9 @@
   // A current reader responded with an older revision than this balancer's.
   void RecordBehind(base::TimePoint now);
   void RemoveTimedOutPolls(base::TimePoint now);
-  void UpdateDuty(const StoreStatus& own, base::TimePoint now);
-  void BecomeReader(DutyReason reason);
-  void CeaseToRead(DutyReason reason, base::TimePoint now);
+  void UpdateRole(const StoreStatus& own, base::TimePoint now);
+  void StartReading(RoleReason reason);
+  void StopReading(RoleReason reason, base::TimePoint now);
   // The current readers of this data centre but for this balancer.
   std::vector<ReaderEntry> OtherCurrentReaders(base::TimePoint now) const;
   // The readers that this balancer polls in turn: current ones of its data
@@ -195,7 +195,7 @@
   base::Random m_random;
   ReaderRegistry m_registry;
   bool m_is_reader = false;
-  DutyReason m_duty_reason = DutyReason::kNeverRead;
+  RoleReason m_role_reason = RoleReason::kNeverRead;
   std::optional<base::TimePoint> m_surplus_since;
   bool m_had_view = false;
   std::optional<base::TimePoint> m_fed_at;
--- a/Libraries/LibFeed/reader_registry.cc
+++ b/Libraries/LibFeed/reader_registry.cc
@@ -6,8 +6,8 @@
 
 namespace feed {
 
-std::uint64_t DutyRank(const base::DataCentreId& data_centre,
-                       base::Ipv4Address address) {
+std::uint64_t ReaderRank(const base::DataCentreId& data_centre,
+                         base::Ipv4Address address) {
   return base::CombineHashes(base::HashString(data_centre.value()),
                              address.value());
 }
@@ -24,8 +24,8 @@
   }
   std::sort(selected.begin(), selected.end(),
             [](const ReaderEntry& left, const ReaderEntry& right) {
-              return DutyRank(left.m_data_centre, left.m_address) <
-                     DutyRank(right.m_data_centre, right.m_address);
+              return ReaderRank(left.m_data_centre, left.m_address) <
+                     ReaderRank(right.m_data_centre, right.m_address);
             });
   return selected;
 }
--- a/Libraries/LibFeed/reader_registry.h
+++ b/Libraries/LibFeed/reader_registry.h
@@ -17,11 +17,11 @@
 
 namespace feed {
 
-// The order of the balancers in which those of `data_centre` take the duty of
-// reading the store, the smallest first. The same on every balancer
+// The order in which the balancers of `data_centre` are preferred as readers of
+// the store, the smallest first. The same on every balancer
 // (rendezvous hashing).
-std::uint64_t DutyRank(const base::DataCentreId& data_centre,
-                       base::Ipv4Address address);
+std::uint64_t ReaderRank(const base::DataCentreId& data_centre,
+                         base::Ipv4Address address);
 
 class ReaderRegistry {
  public:
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -31,7 +31,7 @@
 #include "edge_metrics.h"
 #include "packet_loop.h"
 #include "server_prober.h"
-#include "view_keeper.h"
+#include "view_updater.h"
 
 namespace edge {
 
@@ -94,7 +94,7 @@
   asio::signal_set m_signals{m_context};
   steering::Steering m_steering;
   DecisionLog m_decision_log{m_log};
-  ViewKeeper m_view;
+  ViewUpdater m_view;
   ServerProber m_prober;
   std::unique_ptr<PacketLoop> m_packets;
   std::unique_ptr<event_loop::HttpTextServer> m_readiness;
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -99,7 +99,7 @@
   const feed::StoreStatus status = m_owner.m_status(now);
   for (const feed::FeedPoll& poll : m_member.Advance(status, now))
     Send({poll.m_peer, m_endpoint.m_port}, poll.m_request);
-  m_owner.m_on_duty(now);
+  m_owner.m_on_role(now);
   ArmTimer(status, now);
 }
 
@@ -208,7 +208,7 @@
       FetchChanges(source, own);
       break;
   }
-  // The response may have changed the duty and the next poll.
+  // The response may have changed the role and the next poll.
   Advance();
 }
 
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -42,8 +42,8 @@
   // A message or a response was not used.
   std::function<void(base::Endpoint peer, std::string_view reason)>
       m_on_refused;
-  // The member's duty may have changed.
-  std::function<void(base::TimePoint now)> m_on_duty;
+  // The member's role may have changed.
+  std::function<void(base::TimePoint now)> m_on_role;
 };
 
 class FeedLink {
@@ -67,7 +67,7 @@
     m_member.SetSettings(settings);
   }
   void OnPaused(base::TimePoint now);
-  // Updates the duty and sends the requests that are due. To be called when the
+  // Updates the role and sends the requests that are due. To be called when the
   // status of the store changes; a timer does the rest.
   void Advance();
 
--- a/Services/Edge/view_log.cc
+++ b/Services/Edge/view_log.cc
@@ -107,7 +107,7 @@
                {"source", source}});
 }
 
-void ViewLog::WriteDuty(const feed::FeedMember& member,
+void ViewLog::WriteRole(const feed::FeedMember& member,
                         catalog::Revision revision,
                         base::TimePoint now) {
   const Event event =
@@ -115,7 +115,7 @@
   if (m_log.Admit(event, now))
     m_log.Write(
         Severity::kInfo, event,
-        {{"reason", NameOf(feed::kDutyReasonNames, member.LastDutyReason())},
+        {{"reason", NameOf(feed::kRoleReasonNames, member.LastRoleReason())},
          {"revision", revision.value()}});
 }
 
--- a/Services/Edge/view_log.h
+++ b/Services/Edge/view_log.h
@@ -44,7 +44,7 @@
                      base::ConfigurationVersion former,
                      std::string_view source);
   // The balancer has become a reader, or has ceased to be one.
-  void WriteDuty(const feed::FeedMember& member,
+  void WriteRole(const feed::FeedMember& member,
                  catalog::Revision revision,
                  base::TimePoint now);
   // Changes of a peer were applied, with the effect `changes`.
--- a/Services/Edge/view_keeper.cc
+++ b/Services/Edge/view_updater.cc
@@ -1,4 +1,4 @@
-#include "view_keeper.h"
+#include "view_updater.h"
 
 #include <algorithm>
 #include <chrono>
@@ -50,12 +50,12 @@
 
 }  // namespace
 
-ViewKeeper::ViewKeeper(asio::io_context& context,
-                       const EdgeSettings& settings,
-                       steering::Steering& steering,
-                       observability::NonBlockingLog& log,
-                       EdgeMetrics& metrics,
-                       ChangeHandler on_change)
+ViewUpdater::ViewUpdater(asio::io_context& context,
+                         const EdgeSettings& settings,
+                         steering::Steering& steering,
+                         observability::NonBlockingLog& log,
+                         EdgeMetrics& metrics,
+                         ChangeHandler on_change)
     : m_context(context),
       m_settings(settings),
       m_steering(steering),
@@ -88,7 +88,7 @@
   m_peers.SetPeers(settings.m_seeds);
 }
 
-base::Outcome<void> ViewKeeper::Listen() {
+base::Outcome<void> ViewUpdater::Listen() {
   if (!m_settings.m_feed)
     return base::Success();
   TRY(feed, FeedLink::Create(m_context, *m_settings.m_feed,
@@ -98,7 +98,7 @@
   return base::Success();
 }
 
-FeedOwner ViewKeeper::MakeFeedOwner() {
+FeedOwner ViewUpdater::MakeFeedOwner() {
   FeedOwner owner;
   owner.m_status = [this](base::TimePoint now) { return Status(now); };
   owner.m_changes = [this](catalog::Revision since_servers,
@@ -117,11 +117,11 @@
   owner.m_on_refused = [this](base::Endpoint peer, std::string_view reason) {
     m_log.WriteFeedRefused(peer, reason, base::Clock::now());
   };
-  owner.m_on_duty = [this](base::TimePoint now) { OnDuty(now); };
+  owner.m_on_role = [this](base::TimePoint now) { ApplyRole(now); };
   return owner;
 }
 
-void ViewKeeper::Start() {
+void ViewUpdater::Start() {
   if (m_feed) {
     m_feed->Start();
     return;
@@ -130,21 +130,21 @@
   m_manifests.SetActive(true);
 }
 
-void ViewKeeper::Sweep(base::TimePoint now) {
+void ViewUpdater::Sweep(base::TimePoint now) {
   m_last_sweep = BootTime();
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
   m_log.WriteServerChanges(m_view.ApplyDueRemovals(now),
                            m_servers.watcher().KnownRevision(), "lapse", now);
 }
 
-void ViewKeeper::OnPaused(base::TimePoint now) {
+void ViewUpdater::OnPaused(base::TimePoint now) {
   m_servers.RestartCall();
   m_manifests.RestartCall();
   if (m_feed)
     m_feed->OnPaused(now);
 }
 
-void ViewKeeper::Reconfigure(const EdgeSettings& settings) {
+void ViewUpdater::Reconfigure(const EdgeSettings& settings) {
   const auto bound_feed = m_settings.m_feed;
   m_settings = settings;
   // The socket stays bound until the process restarts.
@@ -154,14 +154,14 @@
   m_peers.SetPeers(settings.m_seeds);
   if (m_feed)
     m_feed->SetSettings(MakeFeedSettings(m_settings));
-  OnDuty(base::Clock::now());
+  ApplyRole(base::Clock::now());
 }
 
-bool ViewKeeper::IsReader() const {
+bool ViewUpdater::IsReader() const {
   return m_feed == nullptr || m_feed->member().IsReader();
 }
 
-feed::StoreStatus ViewKeeper::Status(base::TimePoint now) const {
+feed::StoreStatus ViewUpdater::Status(base::TimePoint now) const {
   feed::StoreStatus status;
   const auto& servers = m_servers.watcher();
   const auto& manifests = m_manifests.watcher();
@@ -181,8 +181,8 @@
   return status;
 }
 
-// Applies the duty: whether the store is read, and how often.
-void ViewKeeper::OnDuty(base::TimePoint now) {
+// Applies the member's role: whether the store is read, and how often.
+void ViewUpdater::ApplyRole(base::TimePoint now) {
   if (m_feed == nullptr) {
     m_servers.SetPolicy(MakeReaderPolicy(m_settings));
     m_manifests.SetPolicy(MakeReaderPolicy(m_settings));
@@ -190,7 +190,7 @@
   }
   const bool is_reader = m_feed->member().IsReader();
   if (is_reader != m_was_reader)
-    m_log.WriteDuty(m_feed->member(), m_servers.watcher().KnownRevision(), now);
+    m_log.WriteRole(m_feed->member(), m_servers.watcher().KnownRevision(), now);
   m_was_reader = is_reader;
   const bool has_view = Status(now).HasView();
   const auto policy = is_reader || !has_view ? MakeReaderPolicy(m_settings)
@@ -214,7 +214,7 @@
 
 // While this balancer does not call the store, it knows of outages from the
 // readers only.
-void ViewKeeper::OnReaderStatus(const feed::StoreStatus& status) {
+void ViewUpdater::OnReaderStatus(const feed::StoreStatus& status) {
   const base::TimePoint now = base::Clock::now();
   if (status.m_confirmed_age)
     m_reader_confirmed_at = now - *status.m_confirmed_age;
@@ -226,8 +226,8 @@
                        : std::nullopt);
 }
 
-bool ViewKeeper::ApplyChanges(base::Endpoint peer,
-                              const catalog::ViewDelta& changes) {
+bool ViewUpdater::ApplyChanges(base::Endpoint peer,
+                               const catalog::ViewDelta& changes) {
   const base::TimePoint now = base::Clock::now();
   if (changes.m_since > m_servers.watcher().KnownRevision())
     return false;
@@ -241,7 +241,7 @@
   return true;
 }
 
-ViewVersion ViewKeeper::Version(base::TimePoint now) const {
+ViewVersion ViewUpdater::Version(base::TimePoint now) const {
   ViewVersion version;
   version.m_servers_revision = m_servers.watcher().KnownRevision().value();
   const auto confirmed =
@@ -252,7 +252,7 @@
   return version;
 }
 
-bool ViewKeeper::AreRoutesCurrent(base::TimePoint now) const {
+bool ViewUpdater::AreRoutesCurrent(base::TimePoint now) const {
   const auto fed_at = m_feed ? m_feed->member().FedAt() : std::nullopt;
   if (fed_at && now - *fed_at < kRoutesCurrentFor)
     return true;
@@ -264,7 +264,7 @@
          (confirmed && now - *confirmed < kRoutesCurrentFor);
 }
 
-event_loop::TextResponse ViewKeeper::SnapshotResponse() {
+event_loop::TextResponse ViewUpdater::SnapshotResponse() {
   constexpr std::string_view kBinaryType = "application/octet-stream";
   const auto servers = m_servers.watcher().KnownRevision();
   const auto manifest = m_manifests.watcher().KnownRevision();
@@ -280,7 +280,7 @@
   return {200, std::move(snapshot).value(), kBinaryType};
 }
 
-void ViewKeeper::RequestSnapshotIfCutOff(base::TimePoint now) {
+void ViewUpdater::RequestSnapshotIfCutOff(base::TimePoint now) {
   if (m_feed && m_feed->member().IsFed(now))
     return;
   const auto has_failed_long = [now](const StoreReader& reader) {
@@ -296,8 +296,8 @@
     m_peers.RequestSnapshot();
 }
 
-void ViewKeeper::OnStoreUpdate(const StoreReader& reader,
-                               const StoreUpdate& update) {
+void ViewUpdater::OnStoreUpdate(const StoreReader& reader,
+                                const StoreUpdate& update) {
   const base::TimePoint now = base::Clock::now();
   m_log.WriteStoreCall(reader, update, now);
   if (update.m_outcome.m_is_store_lost)
@@ -316,7 +316,7 @@
     m_feed->Advance();
 }
 
-void ViewKeeper::OnServers(const StoreUpdate& update, base::TimePoint now) {
+void ViewUpdater::OnServers(const StoreUpdate& update, base::TimePoint now) {
   const catalog::Revision revision = m_servers.watcher().KnownRevision();
   const auto& servers = update.m_objects.m_servers;
   if (update.m_outcome.m_update == catalog::CollectionUpdate::kChanged) {
@@ -336,7 +336,7 @@
     m_log.WriteServerChanges(changes, revision, "store", now);
 }
 
-void ViewKeeper::OnManifests(const StoreUpdate& update, base::TimePoint now) {
+void ViewUpdater::OnManifests(const StoreUpdate& update, base::TimePoint now) {
   for (const adapter::DecodedManifest& decoded : update.m_objects.m_manifests) {
     // A version that is read again is not reported again.
     if (ApplyManifest(decoded.m_manifest, "store"))
@@ -346,8 +346,8 @@
   }
 }
 
-void ViewKeeper::OnSnapshot(base::Endpoint peer,
-                            const base::Outcome<catalog::Snapshot>& snapshot) {
+void ViewUpdater::OnSnapshot(base::Endpoint peer,
+                             const base::Outcome<catalog::Snapshot>& snapshot) {
   const base::TimePoint now = base::Clock::now();
   if (!snapshot) {
     m_log.WriteSnapshotFailed(peer, snapshot.error().message(), now);
@@ -368,8 +368,8 @@
   m_on_change();
 }
 
-bool ViewKeeper::ApplyManifest(const steering::Manifest& manifest,
-                               std::string_view source) {
+bool ViewUpdater::ApplyManifest(const steering::Manifest& manifest,
+                                std::string_view source) {
   const auto former = m_steering.routes().Version();
   if (!m_view.ApplyManifest(manifest))
     return false;
--- a/Services/Edge/view_keeper.h
+++ b/Services/Edge/view_updater.h
@@ -1,8 +1,8 @@
-// Keeps the balancer's view of the store up to date: reads the store, or
-// follows the peers that read it, and logs what changes.
+// Updates the balancer's view of the store: reads the store, or follows the
+// peers that read it, and logs what changes.
 
-#ifndef SERVICES_EDGE_VIEW_KEEPER_H_
-#define SERVICES_EDGE_VIEW_KEEPER_H_
+#ifndef SERVICES_EDGE_VIEW_UPDATER_H_
+#define SERVICES_EDGE_VIEW_UPDATER_H_
 
 #include <asio/io_context.hpp>
 
@@ -29,20 +29,20 @@
 
 namespace edge {
 
-class ViewKeeper {
+class ViewUpdater {
  public:
   // Called after the view may have changed.
   using ChangeHandler = std::function<void()>;
 
-  // The references must outlive the keeper.
-  ViewKeeper(asio::io_context& context,
-             const EdgeSettings& settings,
-             steering::Steering& steering,
-             observability::NonBlockingLog& log,
-             EdgeMetrics& metrics,
-             ChangeHandler on_change);
-  ViewKeeper(const ViewKeeper&) = delete;
-  ViewKeeper& operator=(const ViewKeeper&) = delete;
+  // The references must outlive the updater.
+  ViewUpdater(asio::io_context& context,
+              const EdgeSettings& settings,
+              steering::Steering& steering,
+              observability::NonBlockingLog& log,
+              EdgeMetrics& metrics,
+              ChangeHandler on_change);
+  ViewUpdater(const ViewUpdater&) = delete;
+  ViewUpdater& operator=(const ViewUpdater&) = delete;
 
   // Queries.
   ViewVersion Version(base::TimePoint now) const;
@@ -74,7 +74,7 @@
  private:
   FeedOwner MakeFeedOwner();
   feed::StoreStatus Status(base::TimePoint now) const;
-  void OnDuty(base::TimePoint now);
+  void ApplyRole(base::TimePoint now);
   void OnReaderStatus(const feed::StoreStatus& status);
   // Returns false if the changes do not follow the view.
   bool ApplyChanges(base::Endpoint peer, const catalog::ViewDelta& changes);
@@ -109,4 +109,4 @@
 
 }  // namespace edge
 
-#endif  // SERVICES_EDGE_VIEW_KEEPER_H_
+#endif  // SERVICES_EDGE_VIEW_UPDATER_H_
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -116,7 +116,7 @@
   member.Advance(MakeStatus(5, true), At(2200));
 
   CHECK(member.IsReader());
-  CHECK(member.LastDutyReason() == DutyReason::kNotFed);
+  CHECK(member.LastRoleReason() == RoleReason::kNotFed);
 }
 
 TEST_CASE("a paused member does not rely on what it was told before") {
--- a/Tests/LibFeed/test_reader_registry.cc
+++ b/Tests/LibFeed/test_reader_registry.cc
@@ -37,8 +37,8 @@
 
   REQUIRE(readers.size() == 5);
   for (std::size_t i = 1; i < readers.size(); ++i)
-    CHECK(DutyRank(kHere, readers[i - 1].m_address) <
-          DutyRank(kHere, readers[i].m_address));
+    CHECK(ReaderRank(kHere, readers[i - 1].m_address) <
+          ReaderRank(kHere, readers[i].m_address));
   REQUIRE(registry.ReadersOutside(kHere, At(0)).size() == 1);
 }
 
