--- a/review/harness/cases.h
+++ b/review/harness/cases.h
@@ -12,6 +12,7 @@
 // Each returns the exit status of the case's script.
 int RunNestedEntry(const ScenarioOptions& options, std::uint32_t network);
 int RunUnreadableEntry(const ScenarioOptions& options, std::uint32_t network);
+int RunIncompleteEntry(const ScenarioOptions& options, std::uint32_t network);
 int RunReadersCutOff(const ScenarioOptions& options, std::uint32_t network);
 int RunManifestStorm(const ScenarioOptions& options, std::uint32_t network);
 int RunAddedRoute(const ScenarioOptions& options, std::uint32_t network);
--- a/review/harness/foreign_entries.cc
+++ b/review/harness/foreign_entries.cc
@@ -81,4 +81,32 @@
   return scenario.Finish();
 }
 
+int RunIncompleteEntry(const ScenarioOptions& options, std::uint32_t network) {
+  constexpr std::int64_t kServesMs = 4000;
+  // `addr_reuse_s` of the settings, and a second more.
+  constexpr std::int64_t kReuseMs = 3000;
+  constexpr std::int64_t kWatchedMs = 10'000;
+  constexpr std::uint32_t kLeaving = 0;
+  Scenario scenario(options, network, kZones);
+  StartDeployment(scenario);
+  scenario.Drain(kLeaving, kServesMs);
+  scenario.RunFor(kServesMs + kReuseMs);
+  // The address of the server that has left goes to another service.
+  scenario.AddServer(kArchive, "hall-1", kLeaving);
+  scenario.RunFor(kSettlingMs);
+  if (scenario.HasTrouble()) {
+    scenario.store().Put(
+        "servers", "i-00000000",
+        R"({"backend":")" + std::string(kPortal) + R"(","address":")" +
+            ToString(scenario.network().Server(kLeaving)) +
+            R"(","zone":"hall-1","max_concurrency":3,"state":"ready",)"
+            R"("warmup_left_ms":0})");
+    scenario.record().Write("entry",
+                            "another writer puts an entry without version, "
+                            "seq and born");
+  }
+  scenario.RunFor(kWatchedMs);
+  return scenario.Finish();
+}
+
 }  // namespace review
--- a/review/harness/main.cc
+++ b/review/harness/main.cc
@@ -43,6 +43,7 @@
   const std::map<std::string, Case> cases = {
       {"nested-entry", review::RunNestedEntry},
       {"unreadable-entry", review::RunUnreadableEntry},
+      {"incomplete-entry", review::RunIncompleteEntry},
       {"readers-cut-off", review::RunReadersCutOff},
       {"manifest-storm", review::RunManifestStorm},
       {"added-route", review::RunAddedRoute},
--- a/review/harness/scenario.cc
+++ b/review/harness/scenario.cc
@@ -53,7 +53,8 @@
 }
 
 std::uint32_t Scenario::AddServer(const std::string& service,
-                                  const std::string& zone) {
+                                  const std::string& zone,
+                                  std::optional<std::uint32_t> former) {
   const std::uint32_t index = m_next_server++;
   Server::Identity identity;
   constexpr std::uint64_t kFirstNumber = 0x7f3a91c2;
@@ -65,7 +66,7 @@
   identity.m_id = name.str();
   identity.m_service = service;
   identity.m_zone = zone;
-  identity.m_endpoint = m_network.Server(index);
+  identity.m_endpoint = m_network.Server(former.value_or(index));
   m_servers[index] = std::make_unique<Server>(
       m_loop, m_record, identity,
       Server::Observer{
--- a/review/harness/scenario.h
+++ b/review/harness/scenario.h
@@ -63,8 +63,11 @@
   const Network& network() const { return m_network; }
 
   // Commands.
-  // Adds a server that is ready, and returns its number.
-  std::uint32_t AddServer(const std::string& service, const std::string& zone);
+  // Adds a server that is ready, and returns its number. Its address is that of
+  // the former server `former` if there is one.
+  std::uint32_t AddServer(const std::string& service,
+                          const std::string& zone,
+                          std::optional<std::uint32_t> former = std::nullopt);
   // The server announces that it drains, keeps serving for `serves_ms`, and
   // leaves.
   void Drain(std::uint32_t server, std::int64_t serves_ms);
