Platform: Parse JSON without recursion

Cause: rapidjson's default parser recurses once for each level of nesting. A response that contains such a record overflows the stack, so each process that reads the store ends with signal 11, again after each restart.

The allocator of rapidjson's documents frees values without recursion. YAML texts were already bounded in depth.

--- a/Libraries/LibLogTrace/log_trace.cc
+++ b/Libraries/LibLogTrace/log_trace.cc
@@ -56,7 +56,9 @@
     if (brace == std::string::npos)
       continue;
     rapidjson::Document document;
-    document.Parse(line.m_text.data() + brace, line.m_text.size() - brace);
+    // Does not recurse, so that deep nesting does not overflow the stack.
+    document.Parse<rapidjson::kParseIterativeFlag>(line.m_text.data() + brace,
+                                                   line.m_text.size() - brace);
     if (document.HasParseError() || !document.IsObject())
       continue;
     const std::string caller = StringMember(document, "caller");
--- a/Tests/LibLogTrace/test_log_trace.cc
+++ b/Tests/LibLogTrace/test_log_trace.cc
@@ -75,6 +75,19 @@
   CHECK(trace[1].m_text.find("2026-02-01") != std::string::npos);
 }
 
+// The command ended with a stack overflow.
+TEST_CASE("a line with deep nesting is read like any other") {
+  constexpr std::size_t kDepth = 500'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::vector<SourcedLine> lines = {
+      Line("edge-1", "06.000",
+           R"("event":"request_forwarded","request":"r1",)" + kFlow +
+               R"(,"note":)" + nested)};
+
+  CHECK(TraceRequest(lines, "r1").size() == 1);
+}
+
 TEST_CASE(
     "the trace is empty for an unknown request and for lines without JSON") {
   CHECK(TraceRequest({{"edge-1", "garbage"}, {"edge-1", "{\"a\":"}}, "r1")
--- a/Tests/Platform/test_manifest_check.cc
+++ b/Tests/Platform/test_manifest_check.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <string>
+
 #include "platform/manifest_check.h"
 
 namespace adapter {
@@ -22,6 +24,17 @@
   }
 }
 
+// The command ended with a stack overflow.
+TEST_CASE("a deeply nested field of a manifest is ignored") {
+  constexpr std::size_t kDepth = 500'000;
+
+  const ManifestReport report =
+      CheckManifest(R"({"version":7,"routes":[],"note":)" +
+                    std::string(kDepth, '[') + std::string(kDepth, ']') + "}");
+
+  CHECK(report.m_manifest);
+}
+
 TEST_CASE("text that is not a manifest is refused with a reason") {
   CHECK(CheckManifest("{").m_problem.find("at byte") != std::string::npos);
   CHECK_FALSE(CheckManifest("{}").m_manifest);
--- a/Tests/Platform/test_settings_decoder.cc
+++ b/Tests/Platform/test_settings_decoder.cc
@@ -89,6 +89,18 @@
   CHECK((*problems)[3].m_path == "bounds.drain_ms");
 }
 
+// The process ended with a stack overflow.
+TEST_CASE("an unknown field that is deeply nested is ignored") {
+  constexpr std::size_t kDepth = 500'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+
+  const auto result =
+      DecodeSettings(Replace(kSettings, R"({"a": [1]})", nested));
+
+  CHECK(std::holds_alternative<edge::EdgeSettings>(result));
+}
+
 TEST_CASE("an unsupported forward mode is refused") {
   const auto result =
       DecodeSettings(Replace(kSettings, "\"echo\"", "\"relay\""));
--- a/Tests/Platform/test_store_calls.cc
+++ b/Tests/Platform/test_store_calls.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <string>
 #include <variant>
 
 #include "LibHttp/error.h"
@@ -25,6 +26,12 @@
   return response;
 }
 
+// As deep as an object of the store can be.
+std::string MakeNestedArrays() {
+  constexpr std::size_t kDepth = 500'000;
+  return std::string(kDepth, '[') + std::string(kDepth, ']');
+}
+
 }  // namespace
 
 TEST_CASE(
@@ -64,6 +71,35 @@
             http::Error::kConnectFailed))) == CallFailure::kUnreachable);
 }
 
+// The process ended with a stack overflow.
+TEST_CASE("a deeply nested object of another writer is ignored alone") {
+  const std::string usable =
+      R"({"meta":{"name":"i-2b","revision":8},"spec":{"backend":"huvo11a",)"
+      R"("address":"10.128.0.9:8080","zone":"hall-1","version":"v1",)"
+      R"("max_concurrency":3,"state":"ready","warmup_left_ms":0,"seq":4,)"
+      R"("born":1787859612135}})";
+  const std::string nested =
+      R"({"meta":{"name":"i-1a","revision":7},"spec":{"address":)" +
+      MakeNestedArrays() + "}}";
+
+  const CollectionResponse page = DecodeResponse(
+      Collection::kServers, catalog::ListCall{},
+      MakeResponse(200, R"({"items":[)" + nested + "," + usable +
+                            R"(],"more":false,"store_revision":9})"));
+  const CollectionResponse changes = DecodeResponse(
+      Collection::kServers, kWatch,
+      MakeResponse(200, R"({"events":[{"deleted":false,"object":)" + nested +
+                            R"(},{"deleted":false,"object":)" + usable +
+                            R"(}],"store_revision":9})"));
+
+  REQUIRE(page.m_objects.m_servers.size() == 1);
+  CHECK(page.m_objects.m_servers[0].m_name == steering::ServerName("i-2b"));
+  CHECK(page.m_objects.m_ignored == 1);
+  REQUIRE(changes.m_objects.m_servers.size() == 2);
+  CHECK_FALSE(changes.m_objects.m_servers[0].m_record);
+  CHECK(changes.m_objects.m_servers[1].m_record);
+}
+
 TEST_CASE("the response to a watch without changes still has a new revision") {
   const auto result =
       ResultOf(MakeResponse(200, R"({"events":[],"store_revision":533})"));
