LibFeed, LibEdge: Bound how long a reader without the store confirms its view

Cause: a follower's time to its own call was a sum of which the first part was missing. A reader called itself current until its watch was overdue, up to 2.9 s after the silence began; only then began the 0.7 s of a follower that is not fed and the random delay of up to 0.8 s. Only these two were held against the bound.

Change: a follower whose reader says that it is not current asks the next current reader at once, and otherwise reads the store within the spread, without the time that applies to readers that do not respond. The wait of a reader's watch is what remains of nine tenths of the bound after the time until it is overdue (0.4 s in place of 0.6 s), a poll, the spread and the follower's own calls; it includes the pause before the watch. The place in the spread comes from the address, so calls at the start of an outage are spaced evenly.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -1,7 +1,7 @@
 #include "LibCatalog/collection_watcher.h"
 
+#include <algorithm>
 #include <utility>
-
 #include <variant>
 
 #include "LibBase/overloaded.h"
@@ -30,7 +30,7 @@
     return false;
   const base::TimePoint expected =
       m_is_call_open ? m_call_started_at + m_call_wait : m_next_call_at;
-  return now <= expected + m_policy.m_late_response;
+  return now <= expected + m_policy.m_overdue_response;
 }
 
 bool CollectionWatcher::IsConfirmedRecently(base::TimePoint now) const {
@@ -50,12 +50,17 @@
   m_call_wait = base::Duration::zero();
   if (m_is_listing)
     return ListCall{m_last_listed_name};
-  const bool is_store_uncertain = m_failing_since || !IsConfirmedRecently(now);
-  m_call_wait = is_store_uncertain ? m_policy.m_watch_wait_in_outage
-                                   : m_policy.m_watch_wait;
+  m_call_wait = NextWatchWait(now);
   return WatchCall{m_revision, m_call_wait};
 }
 
+base::Duration CollectionWatcher::NextWatchWait(base::TimePoint now) const {
+  if (m_failing_since || !m_responded_at || !IsConfirmedRecently(now))
+    return m_policy.m_watch_wait_in_outage;
+  return std::max(m_policy.m_watch_wait - (now - *m_responded_at),
+                  m_policy.m_watch_wait_in_outage);
+}
+
 CollectionWatcher::Outcome CollectionWatcher::HandleResult(
     const CallResult& result,
     base::TimePoint now) {
@@ -75,6 +80,8 @@
       },
       result);
   const bool is_failing = m_failing_since.has_value();
+  if (!is_failing)
+    m_responded_at = now;
   const bool is_late =
       now - m_call_started_at > m_call_wait + m_policy.m_late_response;
   outcome.m_is_store_lost = !was_failing && (is_failing || is_late);
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -24,9 +24,9 @@
   // From the response to a watch to the next watch. The pause, a call and a
   // retry together take less time than the bound on changes.
   base::Duration m_pause_between_watches = std::chrono::milliseconds(800);
-  // How long the store waits before it responds to a watch without changes. A
-  // silent connection is detected after this time, so the wait is close to the
-  // settling time, in which no bound holds after a fault.
+  // The longest time from a response to the response to the next watch, which
+  // the store sends then if there are no changes. A silent connection is
+  // detected after this time.
   base::Duration m_watch_wait = std::chrono::seconds(4);
   // The wait of a watch while calls fail, and of the first watch after a time
   // without calls. With a longer wait, the balancer would learn later that the
@@ -35,6 +35,9 @@
   // A response that takes longer than the wait of its call plus this time was
   // delayed by an outage, in which records may have expired.
   base::Duration m_late_response = std::chrono::milliseconds(600);
+  // A call that takes longer than its wait plus this time may never return. The
+  // known revision does not count as current until it does.
+  base::Duration m_overdue_response = std::chrono::milliseconds(400);
   base::Duration m_initial_back_off = std::chrono::milliseconds(100);
   base::Duration m_maximum_back_off = std::chrono::milliseconds(800);
 
@@ -74,7 +77,7 @@
   std::optional<base::TimePoint> FailingSince() const {
     return m_failing_since;
   }
-  // Whether the calls succeed and none is late, so that a change will be
+  // Whether the calls succeed and none is overdue, so that a change will be
   // received with the next response.
   bool IsCurrent(base::TimePoint now) const;
   bool IsCallOpen() const { return m_is_call_open; }
@@ -99,6 +102,7 @@
 
  private:
   bool IsConfirmedRecently(base::TimePoint now) const;
+  base::Duration NextWatchWait(base::TimePoint now) const;
   CollectionUpdate HandlePage(const PageResponse& page, base::TimePoint now);
   CollectionUpdate HandleChanges(const ChangesResponse& changes,
                                  base::TimePoint now);
@@ -119,6 +123,8 @@
   bool m_has_adopted_list = false;
   bool m_is_call_open = false;
   base::TimePoint m_call_started_at;
+  // When the last call succeeded.
+  std::optional<base::TimePoint> m_responded_at;
   // The wait that the open call requested from the store; zero for a list.
   base::Duration m_call_wait{};
   base::TimePoint m_next_call_at;
--- a/Libraries/LibEdge/store_pacing.cc
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -34,8 +34,11 @@
 // With as many data centres, one reader in each leaves two or more when a data
 // centre is lost.
 constexpr std::size_t kDataCentresForOneReader = 3;
-// The first call of a balancer that is not fed, lost, and its repetition.
-constexpr base::Duration kLostFirstCallTime = milliseconds(1200);
+// The part of a bound over which the balancers spread their first calls when
+// the readers lose the store.
+constexpr double kOutageSpreadShareOfBound = 0.15;
+// The first calls of a balancer that is not fed, one for each collection.
+constexpr base::Duration kFirstCallsTime = milliseconds(200);
 constexpr base::Duration kMaximumReaderPause = milliseconds(1000);
 constexpr base::Duration kFallbackInitialBackOff = milliseconds(4000);
 constexpr base::Duration kFallbackMaximumBackOff = milliseconds(8000);
@@ -47,14 +50,18 @@
   return std::chrono::duration_cast<base::Duration>(duration * factor);
 }
 
+// The time within which a change must be known.
+base::Duration BoundOf(const EdgeSettings& settings) {
+  return std::min(settings.m_drain_bound, settings.m_configuration_bound);
+}
+
 }  // namespace
 
 catalog::WatcherPolicy MakeWatcherPolicy(const EdgeSettings& settings) {
-  const base::Duration bound =
-      std::min(settings.m_drain_bound, settings.m_configuration_bound);
   catalog::WatcherPolicy policy;
   policy.m_pause_between_watches = std::max(
-      Scale(bound, kUsableBoundShare) - kLostCallAndRetryTime, kMinimumPause);
+      Scale(BoundOf(settings), kUsableBoundShare) - kLostCallAndRetryTime,
+      kMinimumPause);
   policy.m_watch_wait = std::max(
       settings.m_settling_time - kLostWatchRecoveryTime, kMinimumPause);
   return policy;
@@ -69,7 +76,16 @@
   policy.m_pause_between_watches =
       std::clamp(policy.m_pause_between_watches - delay, kMinimumPause,
                  kMaximumReaderPause);
-  policy.m_watch_wait = std::max(policy.m_watch_wait - delay, kMinimumPause);
+  // If the store becomes silent to all readers, the others detect that within
+  // the wait, the time until the watch is overdue and a poll, and read the
+  // store themselves.
+  const base::Duration time_to_read = policy.m_overdue_response +
+                                      feed.m_poll_interval +
+                                      feed.m_outage_spread + kFirstCallsTime;
+  policy.m_watch_wait = std::max(
+      std::min(policy.m_watch_wait - delay,
+               Scale(BoundOf(settings), kUsableBoundShare) - time_to_read),
+      kMinimumPause);
   return policy;
 }
 
@@ -96,11 +112,7 @@
   feed.m_fed_for =
       std::clamp(MakeWatcherPolicy(settings).m_pause_between_watches,
                  kMinimumFedTime, kMaximumFedTime);
-  feed.m_outage_spread = std::max(
-      Scale(std::min(settings.m_drain_bound, settings.m_configuration_bound),
-            kUsableBoundShare) -
-          feed.m_fed_for - kLostFirstCallTime,
-      base::Duration::zero());
+  feed.m_outage_spread = Scale(BoundOf(settings), kOutageSpreadShareOfBound);
   feed.m_poll_interval = feed.m_fed_for / kPollsPerFedTime;
   feed.m_response_timeout =
       std::min(feed.m_response_timeout, feed.m_poll_interval);
--- a/Libraries/LibEdge/store_pacing.h
+++ b/Libraries/LibEdge/store_pacing.h
@@ -17,7 +17,9 @@
 catalog::WatcherPolicy MakeWatcherPolicy(const EdgeSettings& settings);
 
 // The same for a balancer that reads the store for others. They receive a
-// change after a further poll, so pause and wait are shorter by that time.
+// change after a further poll, so pause and wait are shorter by that time. The
+// wait is also so short that, if the store becomes silent to all readers, the
+// others detect that and read the store themselves within the bound.
 catalog::WatcherPolicy MakeReaderPolicy(const EdgeSettings& settings);
 
 // The same for a balancer that calls the store because no reader is current.
--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -12,6 +12,14 @@
 // sign of it.
 constexpr base::Duration kAcceptanceTime = std::chrono::seconds(1);
 
+// Returns a number from 0 to 1 for a balancer, such that those of consecutive
+// addresses are evenly spaced (Fibonacci hashing).
+double ShareOf(base::Ipv4Address address) {
+  constexpr std::uint32_t kGoldenRatio = 0x9E3779B9;
+  constexpr double kRange = 4294967296.0;
+  return static_cast<double>(address.value() * kGoldenRatio) / kRange;
+}
+
 }  // namespace
 
 FeedMember::FeedMember(FeedSettings settings,
@@ -33,8 +41,8 @@
     next = m_next_poll_at;
   if (m_is_reader)
     next = std::min(next, m_next_announcement_at);
-  else
-    next = std::min(next, std::max(m_read_from, m_next_poll_at));
+  else if (m_read_from > m_advanced_at)
+    next = std::min(next, m_read_from);
   for (const PendingPoll& poll : m_pending)
     next = std::min(next, poll.m_sent_at + m_settings.m_response_timeout);
   return next;
@@ -42,6 +50,7 @@
 
 std::vector<FeedPoll> FeedMember::Advance(const StoreStatus& own,
                                           base::TimePoint now) {
+  m_advanced_at = now;
   RemoveTimedOutPolls(now);
   m_registry.RemoveExpired(now);
   UpdateRole(own, now);
@@ -111,12 +120,8 @@
   if (response.m_should_read && !m_is_reader)
     StartReading(RoleReason::kAsked);
   if (!response.m_is_reader || !response.m_status.m_is_current) {
-    // The reader is alive, so it is the store that fails.
-    if (response.m_is_reader && own.HasView() && !m_is_postponed) {
-      m_is_postponed = true;
-      m_read_from += std::chrono::duration_cast<base::Duration>(
-          m_settings.m_outage_spread * m_random.Unit());
-    }
+    if (response.m_is_reader && own.HasView())
+      OnReaderNotCurrent(now);
     return ResponseVerdict::kNotCurrent;
   }
   const bool has_news = response.m_status.m_servers > own.m_servers ||
@@ -151,7 +156,7 @@
 void FeedMember::RecordFed(base::TimePoint now) {
   m_fed_at = now;
   m_read_from = now + m_settings.m_fed_for;
-  m_is_postponed = false;
+  m_has_drawn_read_time = false;
   m_behind_since.reset();
 }
 
@@ -162,6 +167,21 @@
   m_behind_since = behind_since;
 }
 
+// The reader is alive, so it is the store that does not respond to it. The
+// store may respond to others.
+void FeedMember::OnReaderNotCurrent(base::TimePoint now) {
+  if (HasCurrentReader(now)) {
+    m_next_poll_at = now;
+    return;
+  }
+  if (m_has_drawn_read_time || ShouldReadStore(now))
+    return;
+  m_has_drawn_read_time = true;
+  m_read_from = now + std::chrono::duration_cast<base::Duration>(
+                          m_settings.m_outage_spread *
+                          ShareOf(m_settings.m_self));
+}
+
 void FeedMember::RemoveTimedOutPolls(base::TimePoint now) {
   std::erase_if(m_pending, [&](const PendingPoll& poll) {
     if (now - poll.m_sent_at < m_settings.m_response_timeout)
@@ -238,6 +258,16 @@
   return readers;
 }
 
+bool FeedMember::HasCurrentReader(base::TimePoint now) const {
+  const auto is_current = [](const ReaderEntry& entry) {
+    return entry.m_is_current;
+  };
+  return !OtherCurrentReaders(now).empty() ||
+         std::ranges::any_of(
+             m_registry.ReadersOutside(m_settings.m_data_centre, now),
+             is_current);
+}
+
 std::optional<base::Ipv4Address> FeedMember::NextPeer(base::TimePoint now) {
   const std::size_t turn = m_turn++;
   // A balancer that is not fed also asks the seeds, which may know other
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -9,9 +9,10 @@
 // with the seeds each second, and a seed asks a balancer of a data centre with
 // too few readers to become one.
 //
-// A balancer without a current reader for m_fed_for reads the store itself.
-// During an outage of the store this happens at a random time, so that the
-// balancers do not all call the store together.
+// A balancer that no reader responds to for m_fed_for reads the store itself. If
+// the readers respond but the store does not respond to them, the balancer
+// reads the store within m_outage_spread, at a random time, so that the
+// balancers do not all call it together.
 
 #ifndef LIBFEED_FEED_MEMBER_H_
 #define LIBFEED_FEED_MEMBER_H_
@@ -166,6 +167,7 @@
   };
 
   void RecordFed(base::TimePoint now);
+  void OnReaderNotCurrent(base::TimePoint now);
   // A current reader responded with an older revision than this balancer's.
   void RecordBehind(base::TimePoint now);
   void RemoveTimedOutPolls(base::TimePoint now);
@@ -174,6 +176,8 @@
   void StopReading(RoleReason reason, base::TimePoint now);
   // The current readers of this data centre but for this balancer.
   std::vector<ReaderEntry> OtherCurrentReaders(base::TimePoint now) const;
+  // Whether a reader of any data centre counts as current.
+  bool HasCurrentReader(base::TimePoint now) const;
   // The readers that this balancer polls in turn: current ones of its data
   // centre, then of others; without any, those that the store fails.
   std::vector<base::Ipv4Address> ReadersToPoll(base::TimePoint now) const;
@@ -203,8 +207,9 @@
   base::TimePoint m_started_at;
   // From this time on, the balancer reads the store unless it is fed.
   base::TimePoint m_read_from;
-  // m_read_from was postponed because of an outage of the store.
-  bool m_is_postponed = false;
+  // m_read_from was drawn because no reader is current.
+  bool m_has_drawn_read_time = false;
+  base::TimePoint m_advanced_at;
   base::TimePoint m_next_poll_at;
   base::TimePoint m_next_announcement_at;
   std::vector<PendingPoll> m_pending;
--- a/Libraries/LibFeed/feed_settings.h
+++ b/Libraries/LibFeed/feed_settings.h
@@ -25,13 +25,12 @@
   // The readers contact this balancer, so it knows whether a data centre has
   // too few of them.
   bool m_is_seed = false;
-  // A balancer that has heard of no current reader for this long reads the
-  // store itself.
+  // A balancer to which no reader has responded for this long reads the store
+  // itself.
   base::Duration m_fed_for = std::chrono::milliseconds(2000);
-  // If readers respond but the store fails them, the balancers wait up to this
-  // much longer, so that they do not all call the store together. Only the
-  // first of them must be early enough for the bounds, but it may be the only
-  // one.
+  // If readers respond but the store does not respond to them, the balancers
+  // read the store themselves at random times within this time, so that they do
+  // not all call it together.
   base::Duration m_outage_spread = std::chrono::milliseconds(2000);
   base::Duration m_poll_interval = std::chrono::milliseconds(650);
   // Several round trips between data centres.
--- a/Tests/LibEdge/test_store_pacing.cc
+++ b/Tests/LibEdge/test_store_pacing.cc
@@ -68,6 +68,28 @@
   }
 }
 
+TEST_CASE(
+    "the followers of readers to which the store is silent read it within the "
+    "bound, also if a poll is lost") {
+  constexpr base::Duration kCallTime = milliseconds(150);
+  for (const int bound_ms : {3000, 5000, 6000}) {
+    EdgeSettings settings;
+    settings.m_feed = base::Endpoint{base::Ipv4Address(1), 7721};
+    settings.m_drain_bound = milliseconds(bound_ms);
+    settings.m_configuration_bound = milliseconds(bound_ms);
+    settings.m_settling_time = milliseconds(6000);
+    const catalog::WatcherPolicy policy = MakeReaderPolicy(settings);
+    const feed::FeedSettings feed = MakeFeedSettings(settings);
+
+    const base::Duration until_overdue =
+        policy.m_watch_wait + policy.m_overdue_response;
+    const base::Duration until_told =
+        feed.m_poll_interval + feed.m_response_timeout;
+    CHECK(until_overdue + until_told + feed.m_outage_spread + kCallTime <
+          settings.m_drain_bound);
+  }
+}
+
 TEST_CASE("a reader detects a silent watch before its followers' bounds hold") {
   for (const int settling_ms : {4000, 5000, 6000}) {
     EdgeSettings settings;
--- a/Tests/LibFeed/fleet_simulation.cc
+++ b/Tests/LibFeed/fleet_simulation.cc
@@ -15,25 +15,26 @@
 constexpr std::uint32_t kFirstAddress = 10U << 24;
 constexpr base::Duration kCallTime = milliseconds(10);
 constexpr base::Duration kUnreachableAfter = milliseconds(700);
+// From the end of a call's wait.
+constexpr base::Duration kCallTimeout = milliseconds(1000);
 constexpr base::Duration kBurstWindow = milliseconds(100);
 
-catalog::WatcherPolicy MakePolicy() {
+}  // namespace
+
+catalog::WatcherPolicy MakeReaderPolicy() {
   catalog::WatcherPolicy policy;
   policy.m_pause_between_watches = seconds(1);
   policy.m_watch_wait = milliseconds(3800);
   return policy;
 }
 
-// The policy of a balancer that calls the store because it is not fed.
 catalog::WatcherPolicy MakeFallbackPolicy() {
-  catalog::WatcherPolicy policy = MakePolicy();
+  catalog::WatcherPolicy policy = MakeReaderPolicy();
   policy.m_initial_back_off = seconds(4);
   policy.m_maximum_back_off = seconds(8);
   return policy;
 }
 
-}  // namespace
-
 FleetSimulation::FleetSimulation(const FleetOptions& options)
     : m_options(options), m_random(options.m_seed) {
   m_balancers.resize(options.m_balancers);
@@ -92,7 +93,8 @@
 }
 
 void FleetSimulation::Start(std::size_t index, bool is_first_start) {
-  FeedSettings settings;
+  FeedSettings settings = m_options.m_feed;
+  settings.m_seeds.clear();
   settings.m_self = AddressOf(index);
   settings.m_data_centre =
       base::DataCentreId("hall-" + std::to_string(DataCentreOf(index)));
@@ -108,7 +110,7 @@
   balancer.m_member =
       std::make_unique<FeedMember>(settings, m_random.Next(), m_now);
   balancer.m_watcher = std::make_unique<catalog::CollectionWatcher>(
-      MakePolicy(), base::Random(m_random.Next()), m_now);
+      m_options.m_reader_policy, base::Random(m_random.Next()), m_now);
   balancer.m_call.reset();
   balancer.m_frozen_until.reset();
   balancer.m_known = 0;
@@ -125,6 +127,11 @@
   m_balancers[index].m_disturbed_at = m_now;
 }
 
+void FleetSimulation::SilenceStore(std::size_t index, bool is_silent) {
+  m_balancers[index].m_is_store_silent = is_silent;
+  m_balancers[index].m_disturbed_at = m_now;
+}
+
 void FleetSimulation::CutFromPeers(std::size_t index, bool is_cut) {
   m_balancers[index].m_is_cut_from_peers = is_cut;
   m_balancers[index].m_disturbed_at = m_now;
@@ -199,7 +206,8 @@
     }
     balancer.m_watcher->Expedite(m_now);
   }
-  if (balancer.m_is_cut_from_store || balancer.m_is_cut_from_peers)
+  if (balancer.m_is_cut_from_store || balancer.m_is_store_silent ||
+      balancer.m_is_cut_from_peers)
     balancer.m_disturbed_at = m_now;
   CallStore(balancer);
   if (m_options.m_has_feed)
@@ -221,8 +229,8 @@
     return;
   const bool is_fallback = m_options.m_has_feed && balancer.m_known != 0 &&
                            !balancer.m_member->IsReader();
-  balancer.m_watcher->SetPolicy(is_fallback ? MakeFallbackPolicy()
-                                            : MakePolicy());
+  balancer.m_watcher->SetPolicy(is_fallback ? m_options.m_fallback_policy
+                                            : m_options.m_reader_policy);
   if (const auto call = balancer.m_watcher->StartDueCall(m_now)) {
     balancer.m_call = StoreCall{*call, m_now};
     CountCall();
@@ -238,9 +246,16 @@
     return open < kUnreachableAfter ? std::nullopt
                                     : std::optional<catalog::CallResult>(
                                           catalog::CallFailure::kUnreachable);
+  const auto* watch = std::get_if<catalog::WatchCall>(&call.m_call);
+  if (balancer.m_is_store_silent) {
+    const base::Duration wait =
+        watch == nullptr ? base::Duration::zero() : watch->m_wait;
+    return open < wait + kCallTimeout ? std::nullopt
+                                      : std::optional<catalog::CallResult>(
+                                            catalog::CallFailure::kTimedOut);
+  }
   if (open < kCallTime)
     return std::nullopt;
-  const auto* watch = std::get_if<catalog::WatchCall>(&call.m_call);
   if (watch == nullptr)
     return catalog::PageResponse{catalog::Revision(m_revision)};
   if (watch->m_since.value() < m_history_from)
--- a/Tests/LibFeed/fleet_simulation.h
+++ b/Tests/LibFeed/fleet_simulation.h
@@ -21,6 +21,11 @@
 
 namespace feed {
 
+// The usual policy of a reader, and that of a balancer that calls the store
+// because it is not fed.
+catalog::WatcherPolicy MakeReaderPolicy();
+catalog::WatcherPolicy MakeFallbackPolicy();
+
 struct FleetOptions {
   std::size_t m_balancers = 200;
   std::size_t m_data_centres = 5;
@@ -34,6 +39,10 @@
   // in which it does not hold.
   base::Duration m_bound = std::chrono::seconds(6);
   base::Duration m_settling_time = std::chrono::seconds(6);
+  // The intervals. The simulation sets the other fields.
+  FeedSettings m_feed;
+  catalog::WatcherPolicy m_reader_policy = MakeReaderPolicy();
+  catalog::WatcherPolicy m_fallback_policy = MakeFallbackPolicy();
 };
 
 class FleetSimulation {
@@ -72,6 +81,8 @@
   void Freeze(std::size_t index, base::Duration length);
   // Cuts a balancer from the store, or from its peers.
   void CutFromStore(std::size_t index, bool is_cut);
+  // The store accepts the calls of a balancer and responds to none.
+  void SilenceStore(std::size_t index, bool is_silent);
   void CutFromPeers(std::size_t index, bool is_cut);
   // Cuts a data centre from the others; the store stays in reach.
   void CutDataCentre(std::size_t data_centre) {
@@ -95,6 +106,7 @@
     std::optional<StoreCall> m_call;
     bool m_is_up = false;
     bool m_is_cut_from_store = false;
+    bool m_is_store_silent = false;
     bool m_is_cut_from_peers = false;
     std::optional<base::TimePoint> m_frozen_until;
     base::TimePoint m_disturbed_at;
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -119,6 +119,43 @@
   CHECK(member.LastRoleReason() == RoleReason::kNotFed);
 }
 
+TEST_CASE("a member whose readers lost the store soon reads it itself") {
+  FeedSettings settings = MakeSettings();
+  settings.m_outage_spread = milliseconds(300);
+  FeedMember member(settings, 1, At(0));
+  const FeedPoll first = PollOnce(member, MakeStatus(5), At(0));
+  member.HandleResponse(kSeed, MakeResponse(first, 5), MakeStatus(5), At(5));
+  const FeedPoll second = PollOnce(member, MakeStatus(5), At(700));
+  FeedResponse not_current = MakeResponse(second, 5);
+  not_current.m_status.m_is_current = false;
+
+  CHECK(member.HandleResponse(second.m_peer, not_current, MakeStatus(5),
+                              At(705)) == ResponseVerdict::kNotCurrent);
+
+  CHECK(member.ShouldReadStore(At(705 + 300)));
+  // Its timer does not wait for the next poll.
+  CHECK(member.NextAdvanceAt(MakeStatus(5)) <= At(705 + 300));
+}
+
+TEST_CASE("a member asks the next current reader when one lost the store") {
+  constexpr base::Ipv4Address kOtherReader(0x0A030001);
+  FeedMember member(MakeSettings(), 1, At(0));
+  const FeedPoll first = PollOnce(member, MakeStatus(5), At(0));
+  FeedResponse response = MakeResponse(first, 5);
+  response.m_readers = {
+      {kOtherReader, base::DataCentreId("hall-2"), true, milliseconds(10)}};
+  member.HandleResponse(kSeed, response, MakeStatus(5), At(5));
+  const FeedPoll second = PollOnce(member, MakeStatus(5), At(700));
+  FeedResponse not_current = MakeResponse(second, 5);
+  not_current.m_status.m_is_current = false;
+  member.HandleResponse(second.m_peer, not_current, MakeStatus(5), At(705));
+
+  const FeedPoll third = PollOnce(member, MakeStatus(5), At(705));
+
+  CHECK(third.m_peer != second.m_peer);
+  CHECK_FALSE(member.ShouldReadStore(At(1500)));
+}
+
 TEST_CASE("a paused member does not rely on what it was told before") {
   FeedMember member(MakeSettings(), 1, At(0));
   const FeedPoll poll = PollOnce(member, MakeStatus(5), At(0));
