Platform: Use a record as a server only if all of its fields are sound

Cause: only the fields that the balancer needs were looked at, and numbers past their bound were reduced: a record with 5,000,000,000 slots was used with 100,000. Port 0 was accepted.

Change: each field that servers always write must be there, with its type and within its range, and the address must be one that can be sent to; otherwise the record is ignored and each such field is reported. `born` may be missing, as in the platform's example, but must be a whole number.

One test changed its meaning: "a server with a number over its bound is used with the bound" asked for what this commit mends. The records of "unusable objects of another writer" got the two fields, so that each still has one fault only.

--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -44,10 +44,10 @@
 TEST_CASE(
     "unusable objects of another writer are ignored, and usable objects of the "
     "same page are kept") {
-  // Returns a spec with `fields` and a warm-up time. Each spec that is built
-  // with this function is complete except for one fault.
+  // Returns a spec with `fields` and those that all specs have. Each spec that
+  // is built with this function is complete except for one fault.
   const auto make_spec = [](const std::string& fields) {
-    return R"({"warmup_left_ms":0,)" + fields + "}";
+    return R"({"warmup_left_ms":0,"version":"v1","seq":4,)" + fields + "}";
   };
   const std::string unusable_specs[] = {
       "7",
@@ -123,20 +123,68 @@
         "i-2b: state is \"asleep\": object_ignored");
 }
 
-TEST_CASE("a server with a number over its bound is used with the bound") {
-  FieldProblems problems;
-
-  const auto record = DecodeServer(
-      ParseObject(ServerObject(
-          "i-2b", R"({"backend":"a","address":"1.2.3.4:5","zone":"z",)"
-                  R"("max_concurrency":5000000000,"state":"ready",)"
-                  R"("warmup_left_ms":900000000000})")),
-      problems);
+// An object of another writer was used as a server: it named the address of
+// another service, or had so many slots that it drew all openings.
+TEST_CASE(
+    "an object with a field missing, of another type or range is ignored") {
+  const struct {
+    const char* m_field;
+    std::vector<const char*> m_values;
+  } kOddFields[] = {
+      {"backend", {"7", "null", R"("")"}},
+      {"address",
+       {"7", "null", "[]", R"("10.128.0.9")", R"("10.128.0.9:")",
+        R"("10.128.0.9:0")", R"("10.128.0.9:65536")", R"("10.128.0.9:-1")",
+        R"("10.128.0.9:99999999999999999999")", R"("10.128.0.256:80")",
+        R"("0.0.0.0:8080")", R"("10.128.0.9:80 ")", R"("[::1]:8080")"}},
+      {"zone", {"7", "null", R"("")"}},
+      {"version", {"7", "null", "{}"}},
+      {"max_concurrency",
+       {"0", "-1", "1.5", "1e300", "100001", "5000000000", R"("3")", "null",
+        "99999999999999999999999999"}},
+      {"state", {"7", "null", R"("asleep")"}},
+      {"warmup_left_ms",
+       {"-1", "1.5", "1e300", "900000000000", R"("0")", "null"}},
+      {"seq", {"-1", "1.5", "1e300", "18446744073709551616", R"("4")", "null"}},
+  };
+  FieldProblems none;
+  REQUIRE(DecodeServer(ParseObject(ServerObject("i-2b", kSpec)), none));
+  for (const auto& [field, values] : kOddFields) {
+    // The field is named otherwise in an object that lacks it.
+    std::string lacking = kSpec;
+    lacking.replace(lacking.find(field), std::string(field).size(), "other");
+    std::vector<std::string> specs = {lacking};
+    const std::size_t start = kSpec.find(field) + std::string(field).size() + 2;
+    const std::size_t end = kSpec.find(',', start);
+    for (const char* value : values)
+      specs.push_back(std::string(kSpec).replace(start, end - start, value));
+    for (const std::string& spec : specs) {
+      INFO(spec);
+      FieldProblems problems;
+      CHECK_FALSE(
+          DecodeServer(ParseObject(ServerObject("i-2b", spec)), problems));
+      REQUIRE(problems.list().size() == 1);
+      CHECK(problems.list()[0].m_field == field);
+      CHECK(problems.list()[0].m_consequence == Consequence::kObjectIgnored);
+    }
+  }
+}
 
-  REQUIRE(record);
-  CHECK(record->m_slots == 100'000);
-  CHECK(record->m_warm_up_left == std::chrono::hours(24));
-  CHECK(problems.list().size() == 2);
+TEST_CASE("the start of a server may be missing, and must be a whole number") {
+  const auto spec_with = [](const std::string& born) {
+    return kSpec.substr(0, kSpec.find(R"(,"born")")) + born + "}";
+  };
+  FieldProblems problems;
+  CHECK(
+      DecodeServer(ParseObject(ServerObject("i-2b", spec_with(""))), problems));
+
+  for (const char* born : {"-1", "1.5", "1e300", R"("7")", "null"}) {
+    INFO(born);
+    CHECK_FALSE(
+        DecodeServer(ParseObject(ServerObject(
+                         "i-2b", spec_with(std::string(R"(,"born":)") + born))),
+                     problems));
+  }
 }
 
 // One object whose text could not be parsed made the whole response unusable,
