--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -256,6 +256,16 @@
   CHECK_FALSE(response.m_objects.m_servers[0].m_record);
 }
 
+// The balancer could not encode changes for its peers.
+TEST_CASE("an object with a name that no server can have is not removed") {
+  const CollectionResponse response = DecodeChanges(
+      Collection::kServers, R"({"events":[{"deleted":true,"object":)" +
+                                ServerObject(std::string(2000, 'a'), kSpec) +
+                                R"(}],"store_revision":12})");
+
+  CHECK(response.m_objects.m_servers.empty());
+}
+
 TEST_CASE("an odd object beside the manifest does not affect it") {
   const std::string manifest =
       R"({"meta":{"name":"main"},"spec":{"version":7,"routes":[]}})";
