LibCatalog: List a collection after a watch that cannot be used

What callers would see: after three records of 0.9 MB that change within one watch, balancers follow no change until the store has lost the history.

Cause: the response is larger than the 2 MB that a balancer accepts, and the same watch is made again from the same revision. Its response only grows.

Change: after a response that cannot be used, the collection is listed, after the usual back-off. A list has each object once, in pages of about 1 MB.

Evidence: the new test failed before; the next call was the same watch.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -153,6 +153,12 @@
     m_next_call_at = now;
     return;
   }
+  // The same watch would get the same response. The objects of a list come in
+  // pages of limited size.
+  if (failure == CallFailure::kMalformed && !m_is_listing) {
+    ResetList();
+    m_is_listing = true;
+  }
   if (!m_failing_since)
     m_failing_since = now;
   m_next_call_at = now + m_back_off.Next(m_random);
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -141,6 +141,25 @@
         WatcherPolicy().m_watch_wait - std::chrono::milliseconds(890));
 }
 
+// A watch whose response was too large was repeated until the store lost the
+// history.
+TEST_CASE("a watch with a response that cannot be used is followed by a list") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(4));
+  const auto outcome = watcher.HandleResult(CallFailure::kMalformed, At(10));
+  CHECK(outcome.m_is_store_lost);
+  CHECK_FALSE(watcher.StartDueCall(At(11)));
+
+  const auto call = watcher.StartDueCall(At(900));
+
+  REQUIRE(call);
+  REQUIRE(std::holds_alternative<ListCall>(*call));
+  CHECK(std::get<ListCall>(*call).m_after.empty());
+  CHECK(watcher.HandleResult(PageResponse{Revision(8)}, At(905)).m_update ==
+        CollectionUpdate::kListComplete);
+  CHECK(watcher.KnownRevision() == Revision(8));
+}
+
 // The wait began after the pause, so a silent watch was detected later.
 TEST_CASE("the wait of a watch includes the pause before it") {
   CollectionWatcher watcher = MakeListedWatcher();
