Soak: Write records with odd contents as the store's other writer

The fault foreign_entry had three forms of well-formed JSON. It now also writes records with missing fields, a port out of range, a number and a text that cannot be parsed, arrays 400,000 deep, 900 KB of text, and drawn bytes that need not be balanced.

--- a/Tests/Soak/soak_harness.cc
+++ b/Tests/Soak/soak_harness.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <cstddef>
+#include <string_view>
 #include <utility>
 
 #include "StandIns/udp_port.h"
@@ -142,13 +144,36 @@
 }
 
 void SoakHarness::PutForeignEntry() {
-  const std::string unknown_state =
-      R"({"backend":"portal","address":"127.0.0.1:9","zone":"hall-0",)"
-      R"("max_concurrency":3,"state":"resting","warmup_left_ms":0})";
-  const std::vector<std::string> specs = {"7", R"({"backend":3})",
-                                          unknown_state};
-  m_store.Put("servers", fmt::format("x-{}", m_random.Below(100)),
-              specs[m_random.Below(specs.size())]);
+  constexpr std::size_t kDepth = 400'000;
+  constexpr std::size_t kLargeBytes = 900'000;
+  constexpr std::string_view kAlphabet("{}[]\",:\\ \n\0\x1f\xff\xc3u0ae-", 19);
+  const auto entry = [](const std::string& address, const std::string& rest) {
+    return R"({"backend":"portal","address":")" + address +
+           R"(","zone":"hall-0","version":"v1",)" + rest + "}";
+  };
+  const std::string valid =
+      R"("max_concurrency":3,"state":"ready","warmup_left_ms":0,"seq":1)";
+  const std::string name = fmt::format("x-{}", m_random.Below(100));
+  base::Random random(m_random.Next());
+  std::string bytes;
+  for (std::uint64_t i = random.Below(60); i > 0; --i)
+    bytes += kAlphabet[random.Below(kAlphabet.size())];
+  const std::vector<std::string> specs = {
+      "7",
+      R"({"backend":3})",
+      entry("127.0.0.1:9", R"("max_concurrency":3,"state":"resting",)"
+                           R"("warmup_left_ms":0,"seq":1)"),
+      entry("127.0.0.1:9", R"("max_concurrency":3,"state":"ready",)"
+                           R"("warmup_left_ms":0)"),
+      entry("127.0.0.1:90000", valid),
+      entry("127.0.0.1:9", valid + R"(,"note":1e400)"),
+      entry("127.0.0.1:9", valid + R"(,"note":"\ud83d")"),
+      R"({"address":)" + std::string(kDepth, '[') + std::string(kDepth, ']') +
+          "}",
+      R"({"note":")" + std::string(kLargeBytes, 'x') + R"("})",
+      bytes,
+  };
+  m_store.Put("servers", name, specs[random.Below(specs.size())]);
 }
 
 void SoakHarness::AddRoute() {
