--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -177,9 +177,9 @@
   if (m_has_drawn_read_time || ShouldReadStore(now))
     return;
   m_has_drawn_read_time = true;
-  m_read_from = now + std::chrono::duration_cast<base::Duration>(
-                          m_settings.m_outage_spread *
-                          ShareOf(m_settings.m_self));
+  m_read_from =
+      now + std::chrono::duration_cast<base::Duration>(
+                m_settings.m_outage_spread * ShareOf(m_settings.m_self));
 }
 
 void FeedMember::RemoveTimedOutPolls(base::TimePoint now) {
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -9,8 +9,8 @@
 // with the seeds each second, and a seed asks a balancer of a data centre with
 // too few readers to become one.
 //
-// A balancer that no reader responds to for m_fed_for reads the store itself. If
-// the readers respond but the store does not respond to them, the balancer
+// A balancer that no reader responds to for m_fed_for reads the store itself.
+// If the readers respond but the store does not respond to them, the balancer
 // reads the store within m_outage_spread, at a random time, so that the
 // balancers do not all call it together.
 
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -130,7 +130,7 @@
   const struct {
     const char* m_field;
     std::vector<const char*> m_values;
-  } kOddFields[] = {
+  } odd_fields[] = {
       {"backend", {"7", "null", R"("")"}},
       {"address",
        {"7", "null", "[]", R"("10.128.0.9")", R"("10.128.0.9:")",
@@ -149,7 +149,7 @@
   };
   FieldProblems none;
   REQUIRE(DecodeServer(ParseObject(ServerObject("i-2b", kSpec)), none));
-  for (const auto& [field, values] : kOddFields) {
+  for (const auto& [field, values] : odd_fields) {
     // The field is named otherwise in an object that lacks it.
     std::string lacking = kSpec;
     lacking.replace(lacking.find(field), std::string(field).size(), "other");
@@ -217,9 +217,10 @@
     const std::string first = ServerObject("i-1a", kSpec);
     const std::string last = ServerObject("i-3c", kSpec);
 
+    std::string list = R"({"items":[)";
+    list.append(first).append(",").append(odd).append(",").append(last);
     const CollectionResponse page = DecodePage(
-        Collection::kServers, R"({"items":[)" + first + "," + odd + "," + last +
-                                  R"(],"more":false,"store_revision":9})");
+        Collection::kServers, list + R"(],"more":false,"store_revision":9})");
     REQUIRE(page.m_objects.m_servers.size() == 2);
     CHECK(page.m_objects.m_servers[0].m_name == steering::ServerName("i-1a"));
     CHECK(page.m_objects.m_servers[1].m_name == steering::ServerName("i-3c"));
