--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -156,7 +156,7 @@
 void FeedMember::RecordFed(base::TimePoint now) {
   m_fed_at = now;
   m_read_from = now + m_settings.m_fed_for;
-  m_has_drawn_read_time = false;
+  m_is_read_scheduled = false;
   m_behind_since.reset();
 }
 
@@ -174,9 +174,9 @@
     m_next_poll_at = now;
     return;
   }
-  if (m_has_drawn_read_time || ShouldReadStore(now))
+  if (m_is_read_scheduled || ShouldReadStore(now))
     return;
-  m_has_drawn_read_time = true;
+  m_is_read_scheduled = true;
   m_read_from =
       now + std::chrono::duration_cast<base::Duration>(
                 m_settings.m_outage_spread * ShareOf(m_settings.m_self));
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -11,8 +11,8 @@
 //
 // A balancer that no reader responds to for m_fed_for reads the store itself.
 // If the readers respond but the store does not respond to them, the balancer
-// reads the store within m_outage_spread, at a random time, so that the
-// balancers do not all call it together.
+// reads the store within m_outage_spread, at a time that depends on its
+// address, so that the balancers do not all call it together.
 
 #ifndef LIBFEED_FEED_MEMBER_H_
 #define LIBFEED_FEED_MEMBER_H_
@@ -207,8 +207,9 @@
   base::TimePoint m_started_at;
   // From this time on, the balancer reads the store unless it is fed.
   base::TimePoint m_read_from;
-  // m_read_from was drawn because no reader is current.
-  bool m_has_drawn_read_time = false;
+  // m_read_from was set because no reader is current.
+  bool m_is_read_scheduled = false;
+  // When Advance was last called.
   base::TimePoint m_advanced_at;
   base::TimePoint m_next_poll_at;
   base::TimePoint m_next_announcement_at;
--- a/Libraries/LibFeed/feed_settings.h
+++ b/Libraries/LibFeed/feed_settings.h
@@ -29,8 +29,8 @@
   // itself.
   base::Duration m_fed_for = std::chrono::milliseconds(2000);
   // If readers respond but the store does not respond to them, the balancers
-  // read the store themselves at random times within this time, so that they do
-  // not all call it together.
+  // read the store themselves at different times within this time, so that they
+  // do not all call it together.
   base::Duration m_outage_spread = std::chrono::milliseconds(2000);
   base::Duration m_poll_interval = std::chrono::milliseconds(650);
   // Several round trips between data centres.
