--- a/Tests/LibFeed/test_fleet.cc
+++ b/Tests/LibFeed/test_fleet.cc
@@ -21,7 +21,7 @@
 constexpr base::Duration kBound = seconds(6);
 constexpr base::Duration kChangeInterval = milliseconds(1700);
 
-FleetSimulation MakeRunningFleet(FleetOptions options = {}) {
+FleetSimulation MakeRunningFleet(const FleetOptions& options = {}) {
   FleetSimulation fleet(options);
   fleet.Run(seconds(15), kChangeInterval);
   fleet.ResetCounts();
