Services/Edge: Handle signals from the program's first code to the exit

Callers saw processes that ended by themselves, without a log line.

Cause: SIGHUP, SIGTERM and SIGINT had their default action until EdgeProcess::Run installed asio's signal_set, and again after its destructor had removed it, while the rest of the process was destroyed.

The executable now blocks the three signals and ignores SIGPIPE in an entry of .preinit_array, which the dynamic loader calls before the initialisers of the libraries and of the program. ControlSignals unblocks them when the handlers are installed, and blocks them before it removes the handlers. What arrives meanwhile stays pending. `run` installs the handlers before it reads the settings; the other commands restore the default actions. A mask inherited from the parent no longer matters.

What remains is the time from exec to that entry: the kernel's exec and the loading of libm and libc, which the program cannot shorten much.

--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -40,20 +40,26 @@
 }  // namespace
 
 base::Outcome<std::unique_ptr<EdgeProcess>> EdgeProcess::Create(
+    asio::io_context& context,
+    ControlSignals& signals,
     const EdgeSettings& settings,
     const std::string& settings_path,
     std::optional<std::uint16_t> metrics_port) {
   std::unique_ptr<EdgeProcess> process(
-      new EdgeProcess(settings, settings_path, metrics_port));
+      new EdgeProcess(context, signals, settings, settings_path, metrics_port));
   if (auto listening = process->Listen(); !listening)
     return listening.error();
   return process;
 }
 
-EdgeProcess::EdgeProcess(const EdgeSettings& settings,
+EdgeProcess::EdgeProcess(asio::io_context& context,
+                         ControlSignals& signals,
+                         const EdgeSettings& settings,
                          const std::string& settings_path,
                          std::optional<std::uint16_t> metrics_port)
-    : m_metrics_port(metrics_port),
+    : m_context(context),
+      m_signals(signals),
+      m_metrics_port(metrics_port),
       m_settings(EffectiveSettings(settings)),
       m_settings_path(settings_path),
       m_log(STDOUT_FILENO, kLinesPerSecond),
@@ -115,11 +121,7 @@
 }
 
 void EdgeProcess::Run() {
-  signal(SIGPIPE, SIG_IGN);
-  m_signals.add(SIGTERM);
-  m_signals.add(SIGINT);
-  m_signals.add(SIGHUP);
-  WaitForSignal();
+  m_signals.SetHandler([this](int signal) { OnSignal(signal); });
   m_log.Write(Severity::kInfo, Event::kListening,
               {{"vm", m_settings.m_vm},
                {"data_centre", m_settings.m_data_centre.value()},
@@ -230,15 +232,6 @@
   ProbeServers(now);
 }
 
-void EdgeProcess::WaitForSignal() {
-  m_signals.async_wait([this](const std::error_code& error, int signal) {
-    if (error)
-      return;
-    OnSignal(signal);
-    WaitForSignal();
-  });
-}
-
 void EdgeProcess::OnSignal(int signal) {
   if (signal == SIGHUP) {
     ReloadSettings(ReadSettingsFile(m_settings_path), "signal");
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -10,7 +10,6 @@
 #define SERVICES_EDGE_EDGE_PROCESS_H_
 
 #include <asio/io_context.hpp>
-#include <asio/signal_set.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -27,6 +26,7 @@
 #include "LibEventLoop/timer_driver.h"
 #include "LibObservability/non_blocking_log.h"
 #include "LibSteering/steering.h"
+#include "control_signals.h"
 #include "decision_log.h"
 #include "edge_metrics.h"
 #include "packet_loop.h"
@@ -41,6 +41,8 @@
   // `settings_path` again on SIGHUP and when the file's content changes.
   // `metrics_port` overrides the port in the settings.
   static base::Outcome<std::unique_ptr<EdgeProcess>> Create(
+      asio::io_context& context,
+      ControlSignals& signals,
       const EdgeSettings& settings,
       const std::string& settings_path,
       std::optional<std::uint16_t> metrics_port);
@@ -52,7 +54,9 @@
   void Run();
 
  private:
-  EdgeProcess(const EdgeSettings& settings,
+  EdgeProcess(asio::io_context& context,
+              ControlSignals& signals,
+              const EdgeSettings& settings,
               const std::string& settings_path,
               std::optional<std::uint16_t> metrics_port);
 
@@ -71,7 +75,6 @@
   void OnProbeResult(steering::ServerHandle server,
                      steering::ProbeResult result);
 
-  void WaitForSignal();
   void OnSignal(int signal);
   void Sweep(base::TimePoint now);
   void CheckForPause(base::TimePoint now);
@@ -82,6 +85,8 @@
   void UpdateGauges(base::TimePoint now);
   void StopIfDone(base::TimePoint now);
 
+  asio::io_context& m_context;
+  ControlSignals& m_signals;
   std::optional<std::uint16_t> m_metrics_port;
   EdgeSettings m_settings;
   std::string m_settings_path;
@@ -89,9 +94,7 @@
   std::string m_settings_text;
   observability::NonBlockingLog m_log;
   EdgeMetrics m_metrics;
-  asio::io_context m_context{1};
   event_loop::TimerDriver m_timers{m_context};
-  asio::signal_set m_signals{m_context};
   steering::Steering m_steering;
   DecisionLog m_decision_log{m_log};
   ViewUpdater m_view;
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -1,5 +1,6 @@
 // The command line of the edge balancer.
 
+#include <asio/io_context.hpp>
 #include <boost/program_options.hpp>
 
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "commands.h"
+#include "control_signals.h"
 #include "edge_process.h"
 #include "platform/names.h"
 #include "settings_file.h"
@@ -23,6 +25,11 @@
 
 constexpr const char* kVersion = "coltsfootdale-edge 0.2";
 
+// The dynamic loader calls the executable's .preinit_array before all static
+// initialisers; it has no entries of libraries.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kFirstCall)() = edge::BlockControlSignals;
+
 options::options_description MakeDescription() {
   options::options_description description(
       "coltsfootdale-edge COMMAND [OPTIONS]\n"
@@ -65,6 +72,8 @@
 }
 
 ExitCode Run(const options::variables_map& values) {
+  asio::io_context context(1);
+  edge::ControlSignals signals(context);
   const std::string path = SettingsPath(values);
   const auto result = edge::LoadSettings(path);
   const auto* settings = std::get_if<edge::EdgeSettings>(&result);
@@ -73,7 +82,8 @@
   std::optional<std::uint16_t> metrics_port;
   if (values.contains("metrics-port"))
     metrics_port = values["metrics-port"].as<std::uint16_t>();
-  auto process = edge::EdgeProcess::Create(*settings, path, metrics_port);
+  auto process = edge::EdgeProcess::Create(context, signals, *settings, path,
+                                           metrics_port);
   if (!process) {
     std::cerr << "cannot bind the balancer's sockets: "
               << process.error().message() << "\n";
@@ -87,6 +97,7 @@
   const std::string command = TextOption(values, "command");
   if (command == "run")
     return Run(values);
+  edge::RestoreDefaultSignals();
   if (command == "check" && values.contains("manifest"))
     return edge::CheckManifest(TextOption(values, "manifest"));
   if (command == "check")
