Services/Edge: Wait for ports that a predecessor still holds

Callers saw processes that did not start: a process that was started while its predecessor shut down (it holds its ports for 1.6 to 5.5 s) ended at once with exit code 4, and again at each restart.

EdgeProcess::Run now binds all sockets or none, and tries again every 50 ms until the grace and 2 s have passed. `bind_delayed` names the socket, its endpoint and the error; `bind_failed` is the reason of exit code 4. A process that waits holds no port between its attempts, so two of them cannot block each other, and responds to nothing. SIGHUP reads the settings, with new addresses, and SIGTERM ends it with code 0. An address that is not configured yet is waited for too: at boot the network may come up after the process, and a wrong address is named by `bind_delayed` at once. Other errors are final as before.

Asio 1.22 reports system errors in a category of its own without a mapping to std::errc, so `error == std::errc::address_in_use` was always false; base::FromAsio converts them.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -13,6 +13,7 @@
 
 enum class Event {
   kListening,
+  kBindDelayed,
   kBindFailed,
   kReady,
   kShutdownStarted,
@@ -63,8 +64,9 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 49> kEventNames{{
+inline constexpr base::EnumTable<Event, 50> kEventNames{{
     {Event::kListening, "listening"},
+    {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
--- a/Services/Edge/commands.h
+++ b/Services/Edge/commands.h
@@ -8,20 +8,10 @@
 #include <vector>
 
 #include "LibBase/ipv4.h"
+#include "exit_code.h"
 
 namespace edge {
 
-enum class ExitCode {
-  kDone = 0,
-  // The input is invalid, and all problems have been printed; or no log line
-  // contains the request.
-  kRefused = 1,
-  // The command line is wrong, or a file cannot be read.
-  kUsage = 2,
-  // A socket cannot be bound, or the balancer does not respond.
-  kUnreachable = 4,
-};
-
 ExitCode CheckSettings(const std::string& path);
 // Checks the manifest in the file at `path`, which has the form of the store's
 // object.
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <utility>
 
+#include "LibBase/asio_error.h"
 #include "LibBase/milliseconds.h"
 #include "boot_time.h"
 #include "platform/names.h"
@@ -39,19 +40,6 @@
 
 }  // namespace
 
-base::Outcome<std::unique_ptr<EdgeProcess>> EdgeProcess::Create(
-    asio::io_context& context,
-    ControlSignals& signals,
-    const EdgeSettings& settings,
-    const std::string& settings_path,
-    std::optional<std::uint16_t> metrics_port) {
-  std::unique_ptr<EdgeProcess> process(
-      new EdgeProcess(context, signals, settings, settings_path, metrics_port));
-  if (auto listening = process->Listen(); !listening)
-    return listening.error();
-  return process;
-}
-
 EdgeProcess::EdgeProcess(asio::io_context& context,
                          ControlSignals& signals,
                          const EdgeSettings& settings,
@@ -75,6 +63,7 @@
           [this](steering::ServerHandle server, steering::ProbeResult result) {
             OnProbeResult(server, result);
           }),
+      m_bind_retry(base::Clock::now(), settings.m_stop_grace),
       m_started_at(base::Clock::now()) {
   if (const auto text = ReadSettingsFile(settings_path))
     m_settings_text = text.value();
@@ -91,62 +80,116 @@
   return settings;
 }
 
-base::Outcome<void> EdgeProcess::Listen() {
-  TRY(packets, PacketLoop::Create(
-                   m_context, m_settings.m_packets, m_settings.m_caller_port,
-                   m_steering, m_decision_log, m_metrics,
-                   [this] { return m_view.Version(base::Clock::now()); },
-                   [this](base::TimePoint now) { ProbeServers(now); }));
-  m_packets = std::move(packets);
-  if (auto listening = m_view.Listen(); !listening)
-    return listening.error();
-  TRY(readiness,
-      event_loop::HttpTextServer::Create(
-          m_context, m_settings.m_readiness,
-          [this](std::string_view path) { return ReadinessResponse(path); }));
-  m_readiness = std::move(readiness);
-  TRY(metrics,
-      event_loop::HttpTextServer::Create(
-          m_context, m_settings.m_metrics,
-          [this](std::string_view path) { return MetricsResponse(path); }));
-  m_metrics_server = std::move(metrics);
-  if (!m_settings.m_control)
-    return base::Success();
-  TRY(control,
-      event_loop::HttpTextServer::Create(
-          m_context, *m_settings.m_control,
-          [this](std::string_view path) { return ControlResponse(path); }));
-  m_control = std::move(control);
-  return base::Success();
+ExitCode EdgeProcess::Run() {
+  m_signals.SetHandler([this](int signal) { OnSignal(signal); });
+  const base::TimePoint now = base::Clock::now();
+  m_timers.timers().SubscribeEvery(now + kSecond, kSecond,
+                                   [this](base::TimePoint time) {
+                                     m_log.WriteSummaries(time);
+                                     UpdateGauges(time);
+                                     ReloadIfChanged();
+                                   });
+  TryToListen(now);
+  m_timers.Rearm();
+  m_context.run();
+  if (m_exit_code == ExitCode::kDone)
+    m_log.Write(Severity::kInfo, Event::kShutdownFinished,
+                {{"vm", m_settings.m_vm}});
+  return m_exit_code;
 }
 
-void EdgeProcess::Run() {
-  m_signals.SetHandler([this](int signal) { OnSignal(signal); });
+void EdgeProcess::TryToListen(base::TimePoint now) {
+  auto failure = Listen();
+  if (!failure) {
+    m_is_listening = true;
+    Start(now);
+    return;
+  }
+  // Of two processes that wait, neither may hold a part of the ports.
+  CloseSockets();
+  failure->m_error = base::FromAsio(failure->m_error);
+  HandleBindFailure(*failure, now);
+  m_log.Flush();
+}
+
+std::optional<BindFailure> EdgeProcess::Listen() {
+  auto packets = PacketLoop::Create(
+      m_context, m_settings.m_packets, m_settings.m_caller_port, m_steering,
+      m_decision_log, m_metrics,
+      [this] { return m_view.Version(base::Clock::now()); },
+      [this](base::TimePoint now) { ProbeServers(now); });
+  if (!packets)
+    return BindFailure{"packets", m_settings.m_packets, packets.error()};
+  m_packets = std::move(packets).value();
+  using event_loop::HttpTextServer;
+  auto metrics = HttpTextServer::Create(
+      m_context, m_settings.m_metrics,
+      [this](std::string_view path) { return MetricsResponse(path); });
+  if (!metrics)
+    return BindFailure{"metrics", m_settings.m_metrics, metrics.error()};
+  m_metrics_server = std::move(metrics).value();
+  if (m_settings.m_control) {
+    auto control = HttpTextServer::Create(
+        m_context, *m_settings.m_control,
+        [this](std::string_view path) { return ControlResponse(path); });
+    if (!control)
+      return BindFailure{"control", *m_settings.m_control, control.error()};
+    m_control = std::move(control).value();
+  }
+  auto readiness = HttpTextServer::Create(
+      m_context, m_settings.m_readiness,
+      [this](std::string_view path) { return ReadinessResponse(path); });
+  if (!readiness)
+    return BindFailure{"readiness", m_settings.m_readiness, readiness.error()};
+  m_readiness = std::move(readiness).value();
+  if (const auto feed = m_view.Listen(m_settings.m_feed); !feed)
+    return BindFailure{"feed", *m_settings.m_feed, feed.error()};
+  return std::nullopt;
+}
+
+void EdgeProcess::CloseSockets() {
+  m_readiness.reset();
+  m_control.reset();
+  m_metrics_server.reset();
+  m_packets.reset();
+}
+
+void EdgeProcess::HandleBindFailure(const BindFailure& failure,
+                                    base::TimePoint now) {
+  const bool may_retry = m_bind_retry.MayRetry(failure.m_error, now);
+  if (!may_retry || failure != m_last_bind_failure)
+    m_log.Write(may_retry ? Severity::kWarning : Severity::kError,
+                may_retry ? Event::kBindDelayed : Event::kBindFailed,
+                {{"socket", failure.m_socket},
+                 {"endpoint", ToString(failure.m_endpoint)},
+                 {"error", failure.m_error.message()},
+                 {"waited_ms", base::WholeMilliseconds(now - m_started_at)}});
+  m_last_bind_failure = failure;
+  if (may_retry) {
+    m_timers.timers().SubscribeOnce(
+        now + BindRetry::kInterval,
+        [this](base::TimePoint time) { TryToListen(time); });
+    return;
+  }
+  m_exit_code = ExitCode::kUnreachable;
+  m_context.stop();
+}
+
+void EdgeProcess::Start(base::TimePoint now) {
   m_log.Write(Severity::kInfo, Event::kListening,
               {{"vm", m_settings.m_vm},
                {"data_centre", m_settings.m_data_centre.value()},
                {"packets", ToString(m_settings.m_packets)},
                {"metrics", ToString(m_settings.m_metrics)},
                {"store", ToString(m_settings.m_store)}});
-  const base::TimePoint now = base::Clock::now();
   m_timers.timers().SubscribeEvery(
       now + kSweepPeriod, kSweepPeriod,
       [this](base::TimePoint time) { Sweep(time); });
   m_timers.timers().SubscribeEvery(
       now + kPeerRequestInterval, kPeerRequestInterval,
       [this](base::TimePoint time) { m_view.RequestSnapshotIfCutOff(time); });
-  m_timers.timers().SubscribeEvery(now + kSecond, kSecond,
-                                   [this](base::TimePoint time) {
-                                     m_log.WriteSummaries(time);
-                                     UpdateGauges(time);
-                                     ReloadIfChanged();
-                                   });
-  m_timers.Rearm();
   m_packets->Start();
   m_view.Start();
-  m_context.run();
-  m_log.Write(Severity::kInfo, Event::kShutdownFinished,
-              {{"vm", m_settings.m_vm}});
 }
 
 event_loop::TextResponse EdgeProcess::ReadinessResponse(
@@ -244,6 +287,8 @@
               {{"signal", signal},
                {"grace_ms", base::WholeMilliseconds(m_settings.m_stop_grace)},
                {"flows", std::uint64_t{m_steering.tracker().size()}}});
+  if (!m_is_listening)
+    m_context.stop();
 }
 
 void EdgeProcess::Sweep(base::TimePoint now) {
@@ -287,12 +332,13 @@
   }
   const EdgeSettings settings =
       EffectiveSettings(std::get<EdgeSettings>(result));
-  // The sockets stay bound to their addresses until the process restarts.
-  const bool needs_restart = settings.m_packets != m_settings.m_packets ||
-                             settings.m_readiness != m_settings.m_readiness ||
-                             settings.m_control != m_settings.m_control ||
-                             settings.m_feed != m_settings.m_feed ||
-                             settings.m_metrics != m_settings.m_metrics;
+  // Bound sockets keep their addresses until the process restarts.
+  const bool needs_restart =
+      m_is_listening && (settings.m_packets != m_settings.m_packets ||
+                         settings.m_readiness != m_settings.m_readiness ||
+                         settings.m_control != m_settings.m_control ||
+                         settings.m_feed != m_settings.m_feed ||
+                         settings.m_metrics != m_settings.m_metrics);
   m_log.Write(Severity::kInfo, Event::kSettingsReloaded,
               {{"cause", cause},
                {"changed", settings != m_settings},
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -17,8 +17,10 @@
 #include <string>
 #include <string_view>
 
+#include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
 #include "LibBase/time.h"
+#include "LibEdge/bind_retry.h"
 #include "LibEdge/edge_settings.h"
 #include "LibEdge/pause_detector.h"
 #include "LibEdge/shutdown_plan.h"
@@ -26,9 +28,11 @@
 #include "LibEventLoop/timer_driver.h"
 #include "LibObservability/non_blocking_log.h"
 #include "LibSteering/steering.h"
+#include "bind_failure.h"
 #include "control_signals.h"
 #include "decision_log.h"
 #include "edge_metrics.h"
+#include "exit_code.h"
 #include "packet_loop.h"
 #include "server_prober.h"
 #include "view_updater.h"
@@ -37,33 +41,34 @@
 
 class EdgeProcess {
  public:
-  // Binds the sockets; errors are those of the system. The process reads
-  // `settings_path` again on SIGHUP and when the file's content changes.
-  // `metrics_port` overrides the port in the settings.
-  static base::Outcome<std::unique_ptr<EdgeProcess>> Create(
-      asio::io_context& context,
-      ControlSignals& signals,
-      const EdgeSettings& settings,
-      const std::string& settings_path,
-      std::optional<std::uint16_t> metrics_port);
-  EdgeProcess(const EdgeProcess&) = delete;
-  EdgeProcess& operator=(const EdgeProcess&) = delete;
-
-  // Commands.
-  // Runs until SIGTERM or SIGINT and returns after a graceful shutdown.
-  void Run();
-
- private:
+  // The process reads `settings_path` again on SIGHUP and when the file's
+  // content changes. `metrics_port` overrides the port in the settings.
   EdgeProcess(asio::io_context& context,
               ControlSignals& signals,
               const EdgeSettings& settings,
               const std::string& settings_path,
               std::optional<std::uint16_t> metrics_port);
+  EdgeProcess(const EdgeProcess&) = delete;
+  EdgeProcess& operator=(const EdgeProcess&) = delete;
 
+  // Commands.
+  // Binds the sockets, for which it waits a bounded time, and runs until
+  // SIGTERM or SIGINT. Returns kDone after a graceful shutdown, and
+  // kUnreachable if a socket cannot be bound.
+  ExitCode Run();
+
+ private:
   // The settings with the metrics port of the command line, and without this
   // process among the peers.
   EdgeSettings EffectiveSettings(EdgeSettings settings) const;
-  base::Outcome<void> Listen();
+  // Binds all sockets and starts, or binds none and tries again later.
+  void TryToListen(base::TimePoint now);
+  // Binds the sockets until one fails.
+  std::optional<BindFailure> Listen();
+  void CloseSockets();
+  void HandleBindFailure(const BindFailure& failure, base::TimePoint now);
+  // Serves with all sockets bound.
+  void Start(base::TimePoint now);
   event_loop::TextResponse ReadinessResponse(std::string_view path) const;
   event_loop::TextResponse MetricsResponse(std::string_view path);
   event_loop::TextResponse ControlResponse(std::string_view path);
@@ -99,6 +104,11 @@
   DecisionLog m_decision_log{m_log};
   ViewUpdater m_view;
   ServerProber m_prober;
+  BindRetry m_bind_retry;
+  std::optional<BindFailure> m_last_bind_failure;
+  // All sockets are bound.
+  bool m_is_listening = false;
+  ExitCode m_exit_code = ExitCode::kDone;
   std::unique_ptr<PacketLoop> m_packets;
   std::unique_ptr<event_loop::HttpTextServer> m_readiness;
   std::unique_ptr<event_loop::HttpTextServer> m_metrics_server;
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -14,6 +14,7 @@
 #include "commands.h"
 #include "control_signals.h"
 #include "edge_process.h"
+#include "exit_code.h"
 #include "platform/names.h"
 #include "settings_file.h"
 
@@ -82,15 +83,8 @@
   std::optional<std::uint16_t> metrics_port;
   if (values.contains("metrics-port"))
     metrics_port = values["metrics-port"].as<std::uint16_t>();
-  auto process = edge::EdgeProcess::Create(context, signals, *settings, path,
-                                           metrics_port);
-  if (!process) {
-    std::cerr << "cannot bind the balancer's sockets: "
-              << process.error().message() << "\n";
-    return ExitCode::kUnreachable;
-  }
-  process.value()->Run();
-  return ExitCode::kDone;
+  edge::EdgeProcess process(context, signals, *settings, path, metrics_port);
+  return process.Run();
 }
 
 std::optional<ExitCode> Dispatch(const options::variables_map& values) {
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -88,7 +88,9 @@
   m_peers.SetPeers(settings.m_seeds);
 }
 
-base::Outcome<void> ViewUpdater::Listen() {
+base::Outcome<void> ViewUpdater::Listen(
+    const std::optional<base::Endpoint>& endpoint) {
+  m_settings.m_feed = endpoint;
   if (!m_settings.m_feed)
     return base::Success();
   TRY(feed, FeedLink::Create(m_context, *m_settings.m_feed,
@@ -122,6 +124,7 @@
 }
 
 void ViewUpdater::Start() {
+  m_started_at = base::Clock::now();
   if (m_feed) {
     m_feed->Start();
     return;
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -55,9 +55,8 @@
   }
 
   // Commands.
-  // Binds the feed's endpoint, if the settings have one. Errors are those of
-  // the system.
-  base::Outcome<void> Listen();
+  // Binds the feed's endpoint, if there is one. Errors are those of the system.
+  base::Outcome<void> Listen(const std::optional<base::Endpoint>& endpoint);
   void Start();
   // Must be called several times a second.
   void Sweep(base::TimePoint now);
