Services/Edge: Wait for settings that are still being written

Callers saw processes that did not start: a process that was started while its settings file was missing, empty or cut ended at once with exit code 1. A process that runs keeps its former settings in this case.

SettingsWait reads the file again every 50 ms, and on SIGHUP, for 5 s. Each problem is logged once (`settings_refused`, cause `start`); `start_failed` is the reason of exit code 1. SIGTERM meanwhile ends the process with code 0. The signals and the event loop are those of the whole process, so a signal that arrives between the phases is passed to the next one. `check` reports at once as before.

The problems are no longer printed to standard error by `run`: the log lines have the same text.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -15,6 +15,7 @@
   kListening,
   kBindDelayed,
   kBindFailed,
+  kStartFailed,
   kReady,
   kShutdownStarted,
   kShutdownFinished,
@@ -64,10 +65,11 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 50> kEventNames{{
+inline constexpr base::EnumTable<Event, 51> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
+    {Event::kStartFailed, "start_failed"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
     {Event::kShutdownFinished, "shutdown_finished"},
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -16,7 +16,7 @@
 #include "edge_process.h"
 #include "exit_code.h"
 #include "platform/names.h"
-#include "settings_file.h"
+#include "settings_wait.h"
 
 namespace {
 
@@ -73,13 +73,17 @@
 }
 
 ExitCode Run(const options::variables_map& values) {
+  const std::string path = SettingsPath(values);
+  // No file appears at an empty path.
+  if (path.empty())
+    return edge::CheckSettings(path);
   asio::io_context context(1);
   edge::ControlSignals signals(context);
-  const std::string path = SettingsPath(values);
-  const auto result = edge::LoadSettings(path);
+  edge::SettingsWait settings_wait(context, signals, path);
+  const auto result = settings_wait.Run();
   const auto* settings = std::get_if<edge::EdgeSettings>(&result);
   if (settings == nullptr)
-    return edge::CheckSettings(path);
+    return std::get<ExitCode>(result);
   std::optional<std::uint16_t> metrics_port;
   if (values.contains("metrics-port"))
     metrics_port = values["metrics-port"].as<std::uint16_t>();
