Services/Edge: Log an exception that ends the process

An exception that no part handles ended the process by SIGABRT, with a text on standard error but no line in the log, so that such an end could not be told apart from others. An event loop that cannot be created for lack of descriptors is one case.

`run` now logs `process_failed` and ends with exit code 5. It does not go on: a handler that was left half-way may not have armed its next wait, and the process would look alive while a socket is not read.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -16,6 +16,7 @@
   kBindDelayed,
   kBindFailed,
   kStartFailed,
+  kProcessFailed,
   kReady,
   kShutdownStarted,
   kShutdownFinished,
@@ -65,11 +66,12 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 51> kEventNames{{
+inline constexpr base::EnumTable<Event, 52> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kStartFailed, "start_failed"},
+    {Event::kProcessFailed, "process_failed"},
     {Event::kReady, "ready"},
     {Event::kShutdownStarted, "shutdown_started"},
     {Event::kShutdownFinished, "shutdown_finished"},
--- a/Services/Edge/exit_code.h
+++ b/Services/Edge/exit_code.h
@@ -14,6 +14,9 @@
   kUsage = 2,
   // A socket cannot be bound, or the balancer does not respond.
   kUnreachable = 4,
+  // An exception that no part handles, such as too few descriptors for the event
+  // loop.
+  kInternalError = 5,
 };
 
 }  // namespace edge
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -1,16 +1,20 @@
 // The command line of the edge balancer.
 
+#include <unistd.h>
+
 #include <asio/io_context.hpp>
 #include <boost/program_options.hpp>
 
 #include <cstdint>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "LibObservability/non_blocking_log.h"
 #include "commands.h"
 #include "control_signals.h"
 #include "edge_process.h"
@@ -40,7 +44,7 @@
       "  explain  prints the log lines about a request\n"
       "Exit codes: 0 done, 1 the input is invalid or no log line contains the\n"
       "request, 2 usage, 4 a socket cannot be bound or the balancer does not\n"
-      "respond.\n\nOptions");
+      "respond, 5 an internal error.\n\nOptions");
   description.add_options()("help", "print this text")("version",
                                                        "print the version")(
       "settings", options::value<std::string>(),
@@ -72,7 +76,7 @@
   return path == nullptr ? std::string() : path;
 }
 
-ExitCode Run(const options::variables_map& values) {
+ExitCode RunBalancer(const options::variables_map& values) {
   const std::string path = SettingsPath(values);
   // No file appears at an empty path.
   if (path.empty())
@@ -91,6 +95,17 @@
   return process.Run();
 }
 
+ExitCode Run(const options::variables_map& values) {
+  try {
+    return RunBalancer(values);
+  } catch (const std::exception& error) {
+    observability::NonBlockingLog log(STDOUT_FILENO, 1);
+    log.Write(observability::Severity::kError,
+              observability::Event::kProcessFailed, {{"error", error.what()}});
+    return ExitCode::kInternalError;
+  }
+}
+
 std::optional<ExitCode> Dispatch(const options::variables_map& values) {
   const std::string command = TextOption(values, "command");
   if (command == "run")
