Services/Edge: Stop reading the feed's socket when it is empty

Found while a bind error was compared with std::errc: in Asio 1.22 no system error equals a value of std::errc, so the feed did not recognise that its socket was empty and called recvfrom 64 times, the bound of one turn, for each datagram.

The error is converted with base::FromAsio.

--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "LibBase/asio_endpoint.h"
+#include "LibBase/asio_error.h"
 #include "LibBase/overloaded.h"
 #include "LibCatalog/snapshot_codec.h"
 #include "LibEventLoop/datagram_socket.h"
@@ -130,8 +131,7 @@
     std::error_code error;
     const std::size_t bytes =
         m_socket.receive_from(asio::buffer(m_buffer), source, 0, error);
-    if (error == std::errc::operation_would_block ||
-        error == std::errc::resource_unavailable_try_again)
+    if (base::FromAsio(error) == std::errc::operation_would_block)
       return;
     // Other errors report the result of an earlier datagram.
     if (error)
