Tests: Check that a signal still ends a command that waits

`check`, `status` and `explain` start with SIGHUP, SIGTERM and SIGINT blocked, as `run` does, and restore the default actions. The case starts `status` at a port that accepts and never responds, and sends each signal at once. It was not run on the code before the signals were blocked.

--- a/Tests/Edge/edge_program.cc
+++ b/Tests/Edge/edge_program.cc
@@ -85,16 +85,21 @@
   std::filesystem::rename(path, SettingsPath());
 }
 
-EdgeProgram::EdgeProgram(EdgeFiles& files, const std::string& program) {
+EdgeProgram::EdgeProgram(EdgeFiles& files, const std::string& program)
+    : EdgeProgram(files,
+                  program,
+                  {"run", "--settings", files.SettingsPath(), "--metrics-port",
+                   std::to_string(kMetricsPort)}) {}
+
+EdgeProgram::EdgeProgram(EdgeFiles& files,
+                         const std::string& program,
+                         const std::vector<std::string>& arguments) {
   const std::string log = files.NewPath();
   if (mkfifo(log.c_str(), 0600) != 0)
     ThrowSystemError(log);
   m_output = open(log.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
   if (m_output < 0)
     ThrowSystemError(log);
-  const std::vector<std::string> arguments = {
-      "run", "--settings", files.SettingsPath(), "--metrics-port",
-      std::to_string(kMetricsPort)};
   m_process = std::make_unique<soak::EdgeChildProcess>(program, arguments, log);
 }
 
--- a/Tests/Edge/edge_program.h
+++ b/Tests/Edge/edge_program.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "edge_child_process.h"
 
@@ -44,6 +45,10 @@
   // Starts `program run` with the settings of `files`.
   explicit EdgeProgram(EdgeFiles& files,
                        const std::string& program = EDGE_PROGRAM);
+  // Starts `program` with `arguments`.
+  EdgeProgram(EdgeFiles& files,
+              const std::string& program,
+              const std::vector<std::string>& arguments);
   ~EdgeProgram();
   EdgeProgram(const EdgeProgram&) = delete;
   EdgeProgram& operator=(const EdgeProgram&) = delete;
--- a/Tests/Edge/test_control_signals.cc
+++ b/Tests/Edge/test_control_signals.cc
@@ -2,10 +2,12 @@
 
 #include <pthread.h>
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <string>
 
 #include "edge_program.h"
+#include "held_port.h"
 
 namespace {
 
@@ -103,3 +105,21 @@
 
   CHECK(ExitCodeOf(program.WaitForEnd()) == 0);
 }
+
+TEST_CASE("a command that waits for a balancer is ended by a signal") {
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) {
+    EdgeFiles files(6);
+    constexpr int kPort = 7990;
+    const HeldPort silent(HeldPort::Protocol::kTcp, files.Address(), kPort);
+    EdgeProgram program(
+        files, EDGE_PROGRAM,
+        {"status", "--address", files.Address() + ":" + std::to_string(kPort)});
+
+    program.Signal(signal);
+
+    const auto status = program.WaitForEnd();
+    REQUIRE(status);
+    CHECK(WIFSIGNALED(*status));
+    CHECK(WTERMSIG(*status) == signal);
+  }
+}
