--- a/Services/Edge/exit_code.h
+++ b/Services/Edge/exit_code.h
@@ -14,8 +14,8 @@
   kUsage = 2,
   // A socket cannot be bound, or the balancer does not respond.
   kUnreachable = 4,
-  // An exception that no part handles, such as too few descriptors for the event
-  // loop.
+  // An exception that no part handles, such as too few descriptors for the
+  // event loop.
   kInternalError = 5,
 };
 
