LibEventLoop: Accept again after an accept fails

What callers saw: an HTTP listener of the edge balancer (readiness, metrics, control, feed) stopped answering for good while the process lived. With 48 descriptors and 144 silent connections, control and metrics gave no answer 8.5 s after all connections were closed. With 40 connections that the client reset at once, over the whole life of the process, no listener answered any more, 7 s later either, and without any limit of descriptors.

Cause: the acceptor of RESTinio 0.6.16 starts the next accept only from the handler of a successful one (impl/acceptor.hpp, call_accept_now), so the first EMFILE or ENFILE ends it. Its limiter counts an accept as active until a connection object exists. A connection that was reset while it was pending has no remote endpoint; remote_endpoint() throws, the count stays, and 32 of these use up the limit of 32. Neither case logs.

Change: TcpListener accepts on Asio and passes the sockets to RESTinio's connections. It takes the peer's endpoint from accept itself. After a failure it waits 10 ms and tries again. It waits for readability before each accept, since accept fails for want of descriptors even if nothing is pending. A spare descriptor lets it serve one connection at a time while the process has no free descriptor. Failed accepts are logged (listener_problem) and counted. RESTinio has no public way to pass an accepted socket to a server, so http_text_server.cc uses its connection factory, as the acceptor does.

--- a/Libraries/LibEventLoop/http_text_server.cc
+++ b/Libraries/LibEventLoop/http_text_server.cc
@@ -1,12 +1,14 @@
 #include "LibEventLoop/http_text_server.h"
 
+#include <sys/socket.h>
+
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <map>
 #include <restinio/all.hpp>
-#include <system_error>
 #include <utility>
 
-#include "LibBase/asio_endpoint.h"
+#include "LibEventLoop/tcp_listener.h"
 
 namespace event_loop {
 
@@ -36,47 +38,141 @@
   }
 }
 
+class Connections;
+
 struct TextServerTraits : public restinio::default_single_thread_traits_t {
-  static constexpr bool use_connection_count_limiter = true;  // NOLINT
+  using connection_state_listener_t = Connections;
+};
+
+using Settings = restinio::server_settings_t<TextServerTraits>;
+using Connection = restinio::impl::connection_t<TextServerTraits>;
+using ConnectionSettings =
+    restinio::impl::connection_settings_t<TextServerTraits>;
+using ConnectionFactory =
+    restinio::impl::connection_factory_t<TextServerTraits>;
+using ConnectionLimiter =
+    restinio::connection_count_limit_types<TextServerTraits>;
+
+// The open connections of a server.
+class Connections {
+ public:
+  // Queries.
+  std::size_t size() const { return m_sockets.size(); }
+
+  // Commands.
+  void Add(restinio::connection_id_t id, int socket) { m_sockets[id] = socket; }
+  void SetOnClosed(std::function<void()> on_closed) {
+    m_on_closed = std::move(on_closed);
+  }
+  // Called by RESTinio when the state of a connection has changed.
+  void state_changed(const restinio::connection_state::notice_t& notice) {
+    using Closed = restinio::connection_state::closed_t;
+    if (!restinio::holds_alternative<Closed>(notice.cause()))
+      return;
+    m_sockets.erase(notice.connection_id());
+    if (m_on_closed)
+      m_on_closed();
+  }
+  // RESTinio closes a connection when its socket has been shut down.
+  void CloseAll() {
+    m_on_closed = nullptr;
+    for (const auto& [id, socket] : m_sockets)
+      shutdown(socket, SHUT_RDWR);
+  }
+
+ private:
+  std::map<restinio::connection_id_t, int> m_sockets;
+  std::function<void()> m_on_closed;
 };
 
 }  // namespace
 
+// Listens with a TcpListener and passes the connections to RESTinio. RESTinio's
+// own acceptor stops for good after a failed accept.
 struct HttpTextServer::Server {
-  using Http = restinio::http_server_t<TextServerTraits>;
-
-  Server(asio::io_context& context, base::Endpoint endpoint, Handler handler)
-      : m_handler(std::move(handler)),
-        m_http(restinio::external_io_context(context),
-               [&](auto& settings) { Configure(settings, endpoint); }) {}
-
-  template <typename Settings>
-  void Configure(Settings& settings, base::Endpoint endpoint) {
-    settings.address(asio::ip::address_v4(endpoint.m_address.value()))
-        .port(endpoint.m_port)
-        .max_parallel_connections(kMaximumConnections)
-        .read_next_http_message_timelimit(kClientTimeout)
+  Server(asio::io_context& context, Handler handler, OnProblem on_problem)
+      : m_handler(std::make_shared<const Handler>(std::move(handler))),
+        m_on_problem(std::move(on_problem)) {
+    Settings settings;
+    Configure(settings);
+    auto connection_settings = std::make_shared<ConnectionSettings>(
+        settings,
+        restinio::impl::create_parser_settings<
+            TextServerTraits::http_methods_mapper_t>(),
+        settings.timer_factory()->create(context));
+    m_factory = std::make_unique<ConnectionFactory>(
+        std::move(connection_settings), settings.socket_options_setter());
+  }
+
+  ~Server() {
+    m_connections->CloseAll();
+    if (m_listener)
+      m_listener->Close();
+  }
+
+  std::error_code Listen(asio::io_context& context, base::Endpoint endpoint) {
+    auto listener = TcpListener::Create(
+        context, endpoint,
+        {[this] { return m_connections->size() < kMaximumConnections; },
+         [this](asio::ip::tcp::socket socket,
+                const asio::ip::tcp::endpoint& peer) {
+           Serve(std::move(socket), peer);
+         },
+         [this](std::error_code error) {
+           Report(ListenerProblem::kAcceptFailed, error);
+         }});
+    if (!listener)
+      return listener.error();
+    m_listener = std::move(listener).value();
+    m_connections->SetOnClosed([this] { m_listener->OnConnectionClosed(); });
+    return {};
+  }
+
+  void Configure(Settings& settings) {
+    settings.read_next_http_message_timelimit(kClientTimeout)
         .write_http_response_timelimit(kClientTimeout)
         .handle_request_timeout(kClientTimeout)
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                       .max_url_size(kMaximumUrlBytes)
                                       .max_field_count(kMaximumHeaderFields)
                                       .max_body_size(0))
-        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
-          m_endpoint = base::FromAsio(acceptor.local_endpoint());
-        })
-        .request_handler([this](const restinio::request_handle_t& request) {
-          return Respond(request);
+        .connection_state_listener(m_connections)
+        // A connection may outlive the server until the io_context runs next.
+        .request_handler([weak = std::weak_ptr<const Handler>(m_handler)](
+                             const restinio::request_handle_t& request) {
+          const auto handler = weak.lock();
+          return handler ? Respond(*handler, request)
+                         : restinio::request_rejected();
         });
   }
 
-  restinio::request_handling_status_t Respond(
-      const restinio::request_handle_t& request) const {
+  void Serve(asio::ip::tcp::socket socket,
+             const asio::ip::tcp::endpoint& peer) {
+    const int descriptor = socket.native_handle();
+    try {
+      const auto connection = m_factory->create_new_connection(
+          std::move(socket), peer,
+          ConnectionLimiter::lifetime_monitor_t(nullptr));
+      m_connections->Add(connection->connection_id(), descriptor);
+      connection->init();
+    } catch (const std::system_error& error) {
+      Report(ListenerProblem::kAcceptFailed, error.code());
+    }
+  }
+
+  void Report(ListenerProblem problem, std::error_code error) const {
+    if (m_on_problem)
+      m_on_problem(problem, error);
+  }
+
+  static restinio::request_handling_status_t Respond(
+      const Handler& handler,
+      const restinio::request_handle_t& request) {
     const bool is_get =
         request->header().method() == restinio::http_method_get();
-    TextResponse response =
-        is_get ? m_handler(std::string(request->header().path()))
-               : TextResponse{405, "only GET is served\n"};
+    TextResponse response = is_get
+                                ? handler(std::string(request->header().path()))
+                                : TextResponse{405, "only GET is served\n"};
     request
         ->create_response({restinio::http_status_code_t(response.m_status),
                            std::string(ReasonOf(response.m_status))})
@@ -87,41 +183,32 @@
     return restinio::request_accepted();
   }
 
-  Handler m_handler;
-  base::Endpoint m_endpoint;
-  Http m_http;
+  std::shared_ptr<const Handler> m_handler;
+  OnProblem m_on_problem;
+  std::shared_ptr<Connections> m_connections = std::make_shared<Connections>();
+  std::unique_ptr<ConnectionFactory> m_factory;
+  std::shared_ptr<TcpListener> m_listener;
 };
 
 base::Outcome<std::unique_ptr<HttpTextServer>> HttpTextServer::Create(
     asio::io_context& context,
     base::Endpoint endpoint,
-    Handler handler) {
-  try {
-    auto server =
-        std::make_unique<Server>(context, endpoint, std::move(handler));
-    server->m_http.open_sync();
-    return std::unique_ptr<HttpTextServer>(
-        new HttpTextServer(std::move(server)));
-  } catch (const std::system_error& error) {
-    return error.code();
-  } catch (const std::exception&) {
-    return std::make_error_code(std::errc::address_not_available);
-  }
+    Handler handler,
+    OnProblem on_problem) {
+  auto server = std::make_unique<Server>(context, std::move(handler),
+                                         std::move(on_problem));
+  if (const auto error = server->Listen(context, endpoint))
+    return error;
+  return std::unique_ptr<HttpTextServer>(new HttpTextServer(std::move(server)));
 }
 
 HttpTextServer::HttpTextServer(std::unique_ptr<Server> server)
     : m_server(std::move(server)) {}
 
-HttpTextServer::~HttpTextServer() {
-  try {
-    m_server->m_http.close_sync();
-  } catch (const std::exception&) {
-    // The sockets are closed when the io_context is destroyed.
-  }
-}
+HttpTextServer::~HttpTextServer() = default;
 
 base::Endpoint HttpTextServer::endpoint() const {
-  return m_server->m_endpoint;
+  return m_server->m_listener->endpoint();
 }
 
 }  // namespace event_loop
--- a/Libraries/LibEventLoop/http_text_server.h
+++ b/Libraries/LibEventLoop/http_text_server.h
@@ -10,7 +10,9 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <system_error>
 
+#include "LibBase/enum_table.h"
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
 
@@ -26,17 +28,32 @@
   std::string_view m_content_type = "text/plain; charset=utf-8";
 };
 
+// What kept a server from serving a connection.
+enum class ListenerProblem {
+  // A connection could not be accepted. It stays pending and is tried again.
+  kAcceptFailed,
+};
+
+inline constexpr base::EnumTable<ListenerProblem, 1> kListenerProblemNames{{
+    {ListenerProblem::kAcceptFailed, "accept_failed"},
+}};
+
 // An HttpTextServer must be used and destroyed on the thread that runs the
 // io_context.
 class HttpTextServer {
  public:
   // Returns the response to a GET of `path`, which has no query.
   using Handler = std::function<TextResponse(std::string_view path)>;
+  // Called once for each occurrence of a problem.
+  using OnProblem = std::function<void(ListenerProblem, std::error_code)>;
 
   // Listens on `endpoint`; with port 0 the system chooses a port. Errors: any
   // system error.
-  static base::Outcome<std::unique_ptr<HttpTextServer>>
-  Create(asio::io_context& context, base::Endpoint endpoint, Handler handler);
+  static base::Outcome<std::unique_ptr<HttpTextServer>> Create(
+      asio::io_context& context,
+      base::Endpoint endpoint,
+      Handler handler,
+      OnProblem on_problem = {});
   // Closes all connections.
   ~HttpTextServer();
   HttpTextServer(const HttpTextServer&) = delete;
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -56,6 +56,7 @@
   kReaderStopped,
   kChangesReceived,
   kFeedRefused,
+  kListenerProblem,
   kSettingsReloaded,
   kSettingsRefused,
   kLogLinesDropped,
@@ -63,7 +64,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 49> kEventNames{{
+inline constexpr base::EnumTable<Event, 50> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -108,6 +109,7 @@
     {Event::kReaderStopped, "reader_stopped"},
     {Event::kChangesReceived, "changes_received"},
     {Event::kFeedRefused, "feed_refused"},
+    {Event::kListenerProblem, "listener_problem"},
     {Event::kSettingsReloaded, "settings_reloaded"},
     {Event::kSettingsRefused, "settings_refused"},
     {Event::kLogLinesDropped, "log_lines_dropped"},
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -107,6 +107,16 @@
       .Add();
 }
 
+void EdgeMetrics::CountListenerProblem(std::string_view listener,
+                                       std::string_view problem) {
+  m_registry
+      .CounterOf("coltsfootdale_listener_problems_total",
+                 "Connections to an HTTP listener that were not served",
+                 {{"listener", std::string(listener)},
+                  {"problem", std::string(problem)}})
+      .Add();
+}
+
 void EdgeMetrics::CountServerChange(std::string_view change) {
   m_registry
       .CounterOf("coltsfootdale_server_changes_total",
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -35,6 +35,9 @@
   void CountFieldProblem(std::string_view field, std::string_view consequence);
   // Counts a message or response of a peer that was not used.
   void CountFeedRefused(std::string_view reason);
+  // `problem` is a name of event_loop::kListenerProblemNames.
+  void CountListenerProblem(std::string_view listener,
+                            std::string_view problem);
   // `change` is a name of kDirectoryChangeNames.
   void CountServerChange(std::string_view change);
   // Records the mean time per packet of a batch that was handled in
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -94,26 +94,50 @@
   m_packets = std::move(packets);
   if (auto listening = m_view.Listen(); !listening)
     return listening.error();
-  TRY(readiness,
-      event_loop::HttpTextServer::Create(
-          m_context, m_settings.m_readiness,
-          [this](std::string_view path) { return ReadinessResponse(path); }));
+  TRY(readiness, ListenForHttp("readiness", m_settings.m_readiness,
+                               [this](std::string_view path) {
+                                 return ReadinessResponse(path);
+                               }));
   m_readiness = std::move(readiness);
-  TRY(metrics,
-      event_loop::HttpTextServer::Create(
-          m_context, m_settings.m_metrics,
-          [this](std::string_view path) { return MetricsResponse(path); }));
+  TRY(metrics, ListenForHttp("metrics", m_settings.m_metrics,
+                             [this](std::string_view path) {
+                               return MetricsResponse(path);
+                             }));
   m_metrics_server = std::move(metrics);
   if (!m_settings.m_control)
     return base::Success();
-  TRY(control,
-      event_loop::HttpTextServer::Create(
-          m_context, *m_settings.m_control,
-          [this](std::string_view path) { return ControlResponse(path); }));
+  TRY(control, ListenForHttp("control", *m_settings.m_control,
+                             [this](std::string_view path) {
+                               return ControlResponse(path);
+                             }));
   m_control = std::move(control);
   return base::Success();
 }
 
+base::Outcome<std::unique_ptr<event_loop::HttpTextServer>>
+EdgeProcess::ListenForHttp(std::string_view name,
+                           base::Endpoint endpoint,
+                           event_loop::HttpTextServer::Handler handler) {
+  return event_loop::HttpTextServer::Create(
+      m_context, endpoint, std::move(handler),
+      [this, name](event_loop::ListenerProblem problem, std::error_code error) {
+        OnListenerProblem(name, problem, error);
+      });
+}
+
+void EdgeProcess::OnListenerProblem(std::string_view listener,
+                                    event_loop::ListenerProblem problem,
+                                    std::error_code error) {
+  const std::string_view problem_name =
+      NameOf(event_loop::kListenerProblemNames, problem);
+  m_metrics.CountListenerProblem(listener, problem_name);
+  if (m_log.Admit(Event::kListenerProblem, base::Clock::now()))
+    m_log.Write(Severity::kWarning, Event::kListenerProblem,
+                {{"listener", listener},
+                 {"problem", problem_name},
+                 {"error", error.message()}});
+}
+
 void EdgeProcess::Run() {
   signal(SIGPIPE, SIG_IGN);
   m_signals.add(SIGTERM);
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 #include "LibBase/outcome.h"
 #include "LibBase/time.h"
@@ -60,6 +61,14 @@
   // process among the peers.
   EdgeSettings EffectiveSettings(EdgeSettings settings) const;
   base::Outcome<void> Listen();
+  // Listens on `endpoint`. `name` is the listener's name in logs and metrics.
+  base::Outcome<std::unique_ptr<event_loop::HttpTextServer>> ListenForHttp(
+      std::string_view name,
+      base::Endpoint endpoint,
+      event_loop::HttpTextServer::Handler handler);
+  void OnListenerProblem(std::string_view listener,
+                         event_loop::ListenerProblem problem,
+                         std::error_code error);
   event_loop::TextResponse ReadinessResponse(std::string_view path) const;
   event_loop::TextResponse MetricsResponse(std::string_view path);
   event_loop::TextResponse ControlResponse(std::string_view path);
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -64,8 +64,15 @@
           event_loop::OpenDatagramSocket(link->m_socket, endpoint))
     return error;
   TRY(server, event_loop::HttpTextServer::Create(
-                  context, endpoint, [raw = link.get()](std::string_view path) {
+                  context, endpoint,
+                  [raw = link.get()](std::string_view path) {
                     return raw->ChangesResponse(path);
+                  },
+                  [raw = link.get()](event_loop::ListenerProblem problem,
+                                     std::error_code) {
+                    raw->m_owner.m_on_refused(
+                        raw->m_endpoint,
+                        NameOf(event_loop::kListenerProblemNames, problem));
                   }));
   link->m_server = std::move(server);
   return link;
--- a/Tests/LibEventLoop/test_http_text_server.cc
+++ b/Tests/LibEventLoop/test_http_text_server.cc
@@ -1,4 +1,6 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <asio/connect.hpp>
 #include <asio/io_context.hpp>
@@ -9,6 +11,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "LibBase/asio_endpoint.h"
 #include "LibEventLoop/http_text_server.h"
@@ -20,6 +23,22 @@
 
 constexpr std::chrono::seconds kResponseTimeout{5};
 
+// Limits the descriptors of the process while it exists.
+class DescriptorLimit {
+ public:
+  explicit DescriptorLimit(rlim_t limit) {
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &m_former) == 0);
+    const rlimit lowered{limit, m_former.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+  }
+  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_former); }
+  DescriptorLimit(const DescriptorLimit&) = delete;
+  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+ private:
+  rlimit m_former{};
+};
+
 struct ServerFixture {
   ServerFixture() {
     auto server = HttpTextServer::Create(
@@ -32,6 +51,21 @@
     m_server = std::move(server.value());
   }
 
+  asio::ip::tcp::endpoint ServerEndpoint() const {
+    return base::ToAsio<asio::ip::tcp>(m_server->endpoint());
+  }
+
+  asio::ip::tcp::socket Connect() {
+    asio::ip::tcp::socket client(m_context);
+    client.connect(ServerEndpoint());
+    return client;
+  }
+
+  void RunReadyHandlers() {
+    while (m_context.poll() > 0) {
+    }
+  }
+
   http::Response Get(const std::string& path) {
     http::Request request;
     request.m_endpoint = m_server->endpoint();
@@ -92,4 +126,53 @@
   CHECK(fixture.Get("/there").m_status == 200);
 }
 
+TEST_CASE(
+    "a server accepts again after accept failed for want of descriptors") {
+  ServerFixture fixture;
+  asio::ip::tcp::socket client(fixture.m_context, asio::ip::tcp::v4());
+  {
+    const DescriptorLimit no_descriptors(0);
+    client.connect(fixture.ServerEndpoint());
+    fixture.RunReadyHandlers();
+  }
+
+  CHECK(fixture.Get("/there").m_status == 200);
+}
+
+TEST_CASE(
+    "a server serves one client at a time while descriptors are used up") {
+  ServerFixture fixture;
+  asio::ip::tcp::socket client(fixture.m_context, asio::ip::tcp::v4());
+  const int highest = dup(0);
+  REQUIRE(highest >= 0);
+  const DescriptorLimit used_up(static_cast<rlim_t>(highest) + 1);
+  client.connect(fixture.ServerEndpoint());
+  asio::write(client, asio::buffer(std::string("GET /there HTTP/1.1\r\n"
+                                               "Host: a\r\n\r\n")));
+
+  std::string response;
+  asio::async_read_until(client, asio::dynamic_buffer(response), "\r\n",
+                         [](const std::error_code&, std::size_t) {});
+  const auto deadline = std::chrono::steady_clock::now() + kResponseTimeout;
+  while (response.find("\r\n") == std::string::npos &&
+         std::chrono::steady_clock::now() < deadline)
+    fixture.m_context.run_one_until(deadline);
+  close(highest);
+
+  CHECK(response.starts_with("HTTP/1.1 200 OK\r\n"));
+}
+
+TEST_CASE("clients that reset before they are accepted use up no connection") {
+  constexpr int kResets = 100;
+  ServerFixture fixture;
+  for (int count = 0; count < kResets; ++count) {
+    asio::ip::tcp::socket client = fixture.Connect();
+    client.set_option(asio::socket_base::linger(true, 0));
+    client.close();
+    fixture.RunReadyHandlers();
+  }
+
+  CHECK(fixture.Get("/there").m_status == 200);
+}
+
 }  // namespace event_loop
