LibEventLoop: Close the longest idle connection at the limit

What callers saw: with 48 silent connections to each listener of the edge balancer, no listener answered until they timed out after 5 s. A router polls readiness twice in a second and then removes the machine.

Cause: at 32 connections RESTinio's limiter stops accepting. Further clients wait in the listen queue until one of the 32 ends. A client that says nothing costs its peer nothing and can repeat this.

Change: at the limit, the connection that has waited for a request for longest is closed and the new one is served. A connection whose response is being written is closed only if none waits for a request, so silent clients do not end a transfer of the feed. The same happens after an accept has failed for want of descriptors. A shorter time limit would only move the number of silent clients that block a listener, and a limit for each address does not help against many addresses and harms pollers behind one address. Connections closed at the limit are logged and counted. The listener waits for readability before each accept; a second accept in one turn failed without a pending connection and would have closed the one just accepted.

--- a/Libraries/LibEventLoop/http_text_server.cc
+++ b/Libraries/LibEventLoop/http_text_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <map>
@@ -14,8 +15,9 @@
 
 namespace {
 
-// For readiness polls, a metrics scraper and peers, with a reserve.
-constexpr std::size_t kMaximumConnections = 32;
+// More than the balancers of a large fleet, which may fetch a change from one
+// of them at the same time.
+constexpr std::size_t kMaximumConnections = 128;
 constexpr std::size_t kMaximumUrlBytes = 512;
 constexpr std::size_t kMaximumHeaderFields = 32;
 // Clients give up earlier; readiness polls do so after half a second.
@@ -45,7 +47,6 @@
 };
 
 using Settings = restinio::server_settings_t<TextServerTraits>;
-using Connection = restinio::impl::connection_t<TextServerTraits>;
 using ConnectionSettings =
     restinio::impl::connection_settings_t<TextServerTraits>;
 using ConnectionFactory =
@@ -57,10 +58,28 @@
 class Connections {
  public:
   // Queries.
-  std::size_t size() const { return m_sockets.size(); }
+  std::size_t size() const { return m_entries.size(); }
 
   // Commands.
-  void Add(restinio::connection_id_t id, int socket) { m_sockets[id] = socket; }
+  void Add(restinio::connection_id_t id, int socket) {
+    m_entries[id] = {socket, Phase::kIdle};
+  }
+  // RESTinio closes the connection after the response.
+  void OnRequest(restinio::connection_id_t id) {
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end())
+      found->second.m_phase = Phase::kResponding;
+  }
+  // Closes the oldest connection without a request, or else the oldest one.
+  void CloseOne() {
+    // The map has the connections in the order in which they were accepted.
+    const auto first = std::ranges::min_element(
+        m_entries, {}, [](const auto& item) { return item.second.m_phase; });
+    if (first == m_entries.end())
+      return;
+    first->second.Shutdown();
+    m_entries.erase(first);
+  }
   void SetOnClosed(std::function<void()> on_closed) {
     m_on_closed = std::move(on_closed);
   }
@@ -69,19 +88,34 @@
     using Closed = restinio::connection_state::closed_t;
     if (!restinio::holds_alternative<Closed>(notice.cause()))
       return;
-    m_sockets.erase(notice.connection_id());
+    m_entries.erase(notice.connection_id());
     if (m_on_closed)
       m_on_closed();
   }
-  // RESTinio closes a connection when its socket has been shut down.
   void CloseAll() {
     m_on_closed = nullptr;
-    for (const auto& [id, socket] : m_sockets)
-      shutdown(socket, SHUT_RDWR);
+    for (const auto& [id, entry] : m_entries)
+      entry.Shutdown();
+    m_entries.clear();
   }
 
  private:
-  std::map<restinio::connection_id_t, int> m_sockets;
+  enum class Phase {
+    // Waits for a request.
+    kIdle,
+    kResponding,
+  };
+
+  struct Entry {
+    // RESTinio closes the connection at the end of input or the write error
+    // that results.
+    void Shutdown() const { shutdown(m_socket, SHUT_RDWR); }
+
+    int m_socket = -1;
+    Phase m_phase = Phase::kIdle;
+  };
+
+  std::map<restinio::connection_id_t, Entry> m_entries;
   std::function<void()> m_on_closed;
 };
 
@@ -111,16 +145,16 @@
   }
 
   std::error_code Listen(asio::io_context& context, base::Endpoint endpoint) {
-    auto listener = TcpListener::Create(
-        context, endpoint,
-        {[this] { return m_connections->size() < kMaximumConnections; },
-         [this](asio::ip::tcp::socket socket,
-                const asio::ip::tcp::endpoint& peer) {
-           Serve(std::move(socket), peer);
-         },
-         [this](std::error_code error) {
-           Report(ListenerProblem::kAcceptFailed, error);
-         }});
+    auto listener =
+        TcpListener::Create(context, endpoint,
+                            {[this](asio::ip::tcp::socket socket,
+                                    const asio::ip::tcp::endpoint& peer) {
+                               Serve(std::move(socket), peer);
+                             },
+                             [this](std::error_code error) {
+                               Report(ListenerProblem::kAcceptFailed, error);
+                               m_connections->CloseOne();
+                             }});
     if (!listener)
       return listener.error();
     m_listener = std::move(listener).value();
@@ -138,23 +172,28 @@
                                       .max_body_size(0))
         .connection_state_listener(m_connections)
         // A connection may outlive the server until the io_context runs next.
-        .request_handler([weak = std::weak_ptr<const Handler>(m_handler)](
+        .request_handler([weak = std::weak_ptr<const Handler>(m_handler),
+                          connections = m_connections](
                              const restinio::request_handle_t& request) {
           const auto handler = weak.lock();
-          return handler ? Respond(*handler, request)
+          return handler ? Respond(*handler, *connections, request)
                          : restinio::request_rejected();
         });
   }
 
   void Serve(asio::ip::tcp::socket socket,
              const asio::ip::tcp::endpoint& peer) {
+    if (m_connections->size() >= kMaximumConnections) {
+      m_connections->CloseOne();
+      Report(ListenerProblem::kConnectionLimit, {});
+    }
     const int descriptor = socket.native_handle();
     try {
       const auto connection = m_factory->create_new_connection(
           std::move(socket), peer,
           ConnectionLimiter::lifetime_monitor_t(nullptr));
-      m_connections->Add(connection->connection_id(), descriptor);
       connection->init();
+      m_connections->Add(connection->connection_id(), descriptor);
     } catch (const std::system_error& error) {
       Report(ListenerProblem::kAcceptFailed, error.code());
     }
@@ -167,7 +206,9 @@
 
   static restinio::request_handling_status_t Respond(
       const Handler& handler,
+      Connections& connections,
       const restinio::request_handle_t& request) {
+    connections.OnRequest(request->connection_id());
     const bool is_get =
         request->header().method() == restinio::http_method_get();
     TextResponse response = is_get
--- a/Libraries/LibEventLoop/http_text_server.h
+++ b/Libraries/LibEventLoop/http_text_server.h
@@ -1,6 +1,8 @@
 // An HTTP/1.1 server that responds to GET requests with texts: readiness,
 // metrics, status. Limits the connections, the size of requests and the time
-// that a client may take.
+// that a client may take. At the limit of connections, or if the process has no
+// free descriptor, a new connection takes the place of the one that has been
+// idle for longest: idle clients can't keep others from a response.
 
 #ifndef LIBEVENTLOOP_HTTP_TEXT_SERVER_H_
 #define LIBEVENTLOOP_HTTP_TEXT_SERVER_H_
@@ -32,10 +34,14 @@
 enum class ListenerProblem {
   // A connection could not be accepted. It stays pending and is tried again.
   kAcceptFailed,
+  // The server had as many connections as it may have. It closed the one that
+  // was idle for longest.
+  kConnectionLimit,
 };
 
-inline constexpr base::EnumTable<ListenerProblem, 1> kListenerProblemNames{{
+inline constexpr base::EnumTable<ListenerProblem, 2> kListenerProblemNames{{
     {ListenerProblem::kAcceptFailed, "accept_failed"},
+    {ListenerProblem::kConnectionLimit, "connection_limit"},
 }};
 
 // An HttpTextServer must be used and destroyed on the thread that runs the
--- a/Libraries/LibEventLoop/tcp_listener.cc
+++ b/Libraries/LibEventLoop/tcp_listener.cc
@@ -59,40 +59,27 @@
   m_retry_timer.cancel();
 }
 
-// Waits before it accepts: without a free descriptor, accept fails even if no
+// Waits before each accept: without a free descriptor, accept fails even if no
 // connection is pending.
 void TcpListener::Wait() {
   m_acceptor.async_wait(
       asio::socket_base::wait_read,
       [weak = weak_from_this()](const std::error_code& error) {
         const auto self = weak.lock();
-        if (!self || !self->m_acceptor.is_open())
-          return;
-        if (error)
-          self->m_owner.m_on_failure(error);
-        if (error)
-          self->Pause();
-        else
-          self->AcceptPending();
+        if (self && self->m_acceptor.is_open())
+          self->OnReadable(error);
       });
 }
 
-void TcpListener::AcceptPending() {
-  for (int count = 0; count < kMaximumAcceptsPerTurn; ++count) {
-    if (!m_owner.m_has_room()) {
-      Pause();
-      return;
-    }
-    const std::error_code error = AcceptOne();
-    if (IsNothingPending(error))
-      break;
-    if (error) {
-      m_owner.m_on_failure(error);
-      Pause();
-      return;
-    }
+void TcpListener::OnReadable(std::error_code error) {
+  if (!error)
+    error = AcceptOne();
+  if (!error || IsNothingPending(error)) {
+    Wait();
+    return;
   }
-  Wait();
+  m_owner.m_on_failure(error);
+  Pause();
 }
 
 std::error_code TcpListener::AcceptOne() {
--- a/Libraries/LibEventLoop/tcp_listener.h
+++ b/Libraries/LibEventLoop/tcp_listener.h
@@ -25,8 +25,6 @@
  public:
   // The listener's callbacks. They may not destroy the listener.
   struct Owner {
-    // Whether a further connection may be accepted.
-    std::function<bool()> m_has_room;
     // Gets each accepted connection. `peer` is the other end.
     std::function<void(asio::ip::tcp::socket,
                        const asio::ip::tcp::endpoint& peer)>
@@ -52,14 +50,11 @@
   static constexpr std::chrono::milliseconds kRetryDelay{10};
 
  private:
-  // Bounds the time during which other handlers wait.
-  static constexpr int kMaximumAcceptsPerTurn = 16;
-
   TcpListener(asio::io_context& context, Owner owner);
 
   std::error_code Open(base::Endpoint endpoint);
   void Wait();
-  void AcceptPending();
+  void OnReadable(std::error_code error);
   // Accepts one connection. Returns the reason if there is none.
   std::error_code AcceptOne();
   void Pause();
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -135,7 +135,7 @@
     m_log.Write(Severity::kWarning, Event::kListenerProblem,
                 {{"listener", listener},
                  {"problem", problem_name},
-                 {"error", error.message()}});
+                 {"error", error ? error.message() : "none"}});
 }
 
 void EdgeProcess::Run() {
--- a/Tests/LibEventLoop/test_http_text_server.cc
+++ b/Tests/LibEventLoop/test_http_text_server.cc
@@ -5,6 +5,7 @@
 #include <asio/connect.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
@@ -22,6 +23,10 @@
 namespace {
 
 constexpr std::chrono::seconds kResponseTimeout{5};
+// A router's readiness poll gives up after this time.
+constexpr std::chrono::milliseconds kReadinessPollTimeout{500};
+// More than the buffers of two sockets.
+constexpr std::size_t kLargeBytes = 8UL * 1024 * 1024;
 
 // Limits the descriptors of the process while it exists.
 class DescriptorLimit {
@@ -44,6 +49,8 @@
     auto server = HttpTextServer::Create(
         m_context, {base::Ipv4Address(0x7F000001), 0},
         [](std::string_view path) {
+          if (path == "/large")
+            return TextResponse{200, std::string(kLargeBytes, 'a')};
           return path == "/there" ? TextResponse{200, "yes\n"}
                                   : TextResponse{404, "no\n"};
         });
@@ -61,13 +68,24 @@
     return client;
   }
 
+  std::vector<asio::ip::tcp::socket> ConnectSilently(int count) {
+    std::vector<asio::ip::tcp::socket> clients;
+    clients.reserve(static_cast<std::size_t>(count));
+    for (int opened = 0; opened < count; ++opened)
+      clients.push_back(Connect());
+    return clients;
+  }
+
   void RunReadyHandlers() {
     while (m_context.poll() > 0) {
     }
   }
 
-  http::Response Get(const std::string& path) {
+  http::Response Get(const std::string& path,
+                     base::Duration timeout = kResponseTimeout) {
     http::Request request;
+    request.m_timeout = timeout;
+    request.m_connect_timeout = timeout;
     request.m_endpoint = m_server->endpoint();
     request.m_path = path;
     std::optional<http::Response> response;
@@ -175,4 +193,37 @@
   CHECK(fixture.Get("/there").m_status == 200);
 }
 
+TEST_CASE("silent connections do not keep a readiness poll from its answer") {
+  for (const int silent : {48, 200}) {
+    CAPTURE(silent);
+    ServerFixture fixture;
+    const auto clients = fixture.ConnectSilently(silent);
+
+    CHECK(fixture.Get("/there", kReadinessPollTimeout).m_status == 200);
+  }
+}
+
+TEST_CASE(
+    "silent connections do not end a response that a client still reads") {
+  ServerFixture fixture;
+  asio::ip::tcp::socket reader = fixture.Connect();
+  asio::write(reader,
+              asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: a\r\n"
+                                       "Connection: close\r\n\r\n")));
+  fixture.RunReadyHandlers();
+  const auto clients = fixture.ConnectSilently(200);
+  fixture.RunReadyHandlers();
+
+  std::string response;
+  bool has_ended = false;
+  asio::async_read(
+      reader, asio::dynamic_buffer(response),
+      [&](const std::error_code&, std::size_t) { has_ended = true; });
+  const auto deadline = std::chrono::steady_clock::now() + kResponseTimeout;
+  while (!has_ended && std::chrono::steady_clock::now() < deadline)
+    fixture.m_context.run_one_until(deadline);
+
+  CHECK(response.size() > kLargeBytes);
+}
+
 }  // namespace event_loop
