Edge: Judge no server by a probe that was not sent

Cause: LibHttp reported a socket that could not be opened as kConnectFailed, which the prober reads as a silent server. The prober read every other error, also kTooManyRequests, as an answer.

Change: kNoSocket is an error of its own.

The test of ServerReachability uses the new result and does not compile before. Found by reading and by these tests.

--- a/Libraries/LibHttp/error.cc
+++ b/Libraries/LibHttp/error.cc
@@ -23,7 +23,7 @@
 
 bool MayHaveTakenEffect(std::error_code error) {
   return error != Error::kInvalidRequest && error != Error::kTooManyRequests &&
-         error != Error::kConnectFailed;
+         error != Error::kNoSocket && error != Error::kConnectFailed;
 }
 
 }  // namespace http
--- a/Libraries/LibHttp/error.h
+++ b/Libraries/LibHttp/error.h
@@ -15,6 +15,8 @@
   kInvalidRequest = 1,
   // The client already has kMaximumOpenRequests open requests.
   kTooManyRequests,
+  // The system has no descriptor or memory for a socket. Nothing was sent.
+  kNoSocket,
   // No connection within the connect timeout. The server received nothing.
   kConnectFailed,
   // No complete response within the timeout. The server may have acted.
@@ -27,9 +29,10 @@
   kResponseTooLarge,
 };
 
-inline constexpr base::EnumTable<Error, 7> kErrorNames{{
+inline constexpr base::EnumTable<Error, 8> kErrorNames{{
     {Error::kInvalidRequest, "invalid request"},
     {Error::kTooManyRequests, "too many open requests"},
+    {Error::kNoSocket, "no socket"},
     {Error::kConnectFailed, "connect failed"},
     {Error::kTimedOut, "timed out"},
     {Error::kClosedBeforeResponse,
--- a/Libraries/LibHttp/exchange.cc
+++ b/Libraries/LibHttp/exchange.cc
@@ -3,12 +3,23 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include "LibHttp/error.h"
 
 namespace http {
 
+namespace {
+
+// Asio's error category maps none of these values to its std::errc.
+bool IsOutOfSockets(std::error_code error) {
+  return error.value() == EMFILE || error.value() == ENFILE ||
+         error.value() == ENOBUFS || error.value() == ENOMEM;
+}
+
+}  // namespace
+
 Exchange::Exchange(asio::io_context& context,
                    const Request& request,
                    std::string request_text,
@@ -78,7 +89,8 @@
   if (!m_callback)
     return;
   if (error) {
-    Complete(make_error_code(Error::kConnectFailed));
+    Complete(make_error_code(IsOutOfSockets(error) ? Error::kNoSocket
+                                                   : Error::kConnectFailed));
     return;
   }
   ArmTimer(m_deadline, Error::kTimedOut);
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -57,6 +57,7 @@
   kChangesReceived,
   kFeedRefused,
   kListenerProblem,
+  kProbeNotSent,
   kSettingsReloaded,
   kSettingsRefused,
   kLogLinesDropped,
@@ -64,7 +65,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 50> kEventNames{{
+inline constexpr base::EnumTable<Event, 51> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -110,6 +111,7 @@
     {Event::kChangesReceived, "changes_received"},
     {Event::kFeedRefused, "feed_refused"},
     {Event::kListenerProblem, "listener_problem"},
+    {Event::kProbeNotSent, "probe_not_sent"},
     {Event::kSettingsReloaded, "settings_reloaded"},
     {Event::kSettingsRefused, "settings_refused"},
     {Event::kLogLinesDropped, "log_lines_dropped"},
--- a/Libraries/LibSteering/server_reachability.h
+++ b/Libraries/LibSteering/server_reachability.h
@@ -25,12 +25,15 @@
   kSilent,
   // Another server responds at the address, so the probed server has ended.
   kOtherServer,
+  // The balancer could not send the probe.
+  kNotSent,
 };
 
-inline constexpr base::EnumTable<ProbeResult, 3> kProbeResultNames{{
+inline constexpr base::EnumTable<ProbeResult, 4> kProbeResultNames{{
     {ProbeResult::kAnswered, "answered"},
     {ProbeResult::kSilent, "silent"},
     {ProbeResult::kOtherServer, "other_server"},
+    {ProbeResult::kNotSent, "not_sent"},
 }};
 
 class ServerReachability {
@@ -84,6 +87,10 @@
   void RecordProbeStart() { m_is_probe_in_progress = true; }
   bool RecordProbeResult(ProbeResult result, base::TimePoint now) {
     m_is_probe_in_progress = false;
+    if (result == ProbeResult::kNotSent) {
+      m_next_probe_at = now + kUnreachableProbeInterval;
+      return false;
+    }
     if (result == ProbeResult::kAnswered) {
       m_next_probe_at = now + kReachableProbeInterval;
       return MarkReachable();
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -247,6 +247,10 @@
 void EdgeProcess::OnProbeResult(steering::ServerHandle handle,
                                 steering::ProbeResult result) {
   const base::TimePoint now = base::Clock::now();
+  if (result == steering::ProbeResult::kNotSent &&
+      m_log.Admit(Event::kProbeNotSent, now))
+    m_log.Write(Severity::kWarning, Event::kProbeNotSent,
+                {{"probes", m_prober.Probes()}});
   const steering::KnownServer* changed_server =
       m_steering.RecordProbeResult(handle, result, now);
   if (changed_server != nullptr)
--- a/Services/Edge/server_prober.cc
+++ b/Services/Edge/server_prober.cc
@@ -18,10 +18,13 @@
 steering::ProbeResult ResultOf(const steering::ServerName& server,
                                const base::Outcome<http::Response>& response) {
   using steering::ProbeResult;
-  if (!response)
-    return response.error() == http::Error::kConnectFailed
-               ? ProbeResult::kSilent
-               : ProbeResult::kAnswered;
+  if (!response) {
+    const std::error_code error = response.error();
+    if (http::MayHaveTakenEffect(error))
+      return ProbeResult::kAnswered;
+    return error == http::Error::kConnectFailed ? ProbeResult::kSilent
+                                                : ProbeResult::kNotSent;
+  }
   const auto name =
       http::FindHeader(response.value().m_headers, adapter::kServerNameField);
   return name && *name != server.value() ? ProbeResult::kOtherServer
--- a/Tests/LibHttp/test_client.cc
+++ b/Tests/LibHttp/test_client.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <asio.hpp>
 #include <chrono>
@@ -113,6 +114,23 @@
   }
 }
 
+TEST_CASE(
+    "a request without a free descriptor fails without blame on the server") {
+  asio::io_context context;
+  const SingleResponseServer server(context, "HTTP/1.1 200 OK\r\n\r\n");
+  rlimit former{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &former) == 0);
+  const rlimit no_descriptors{0, former.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &no_descriptors) == 0);
+
+  const auto outcome = SendTo(context, server.ListeningEndpoint());
+  setrlimit(RLIMIT_NOFILE, &former);
+
+  REQUIRE_FALSE(outcome);
+  CHECK(outcome.error() == Error::kNoSocket);
+  CHECK_FALSE(http::MayHaveTakenEffect(outcome.error()));
+}
+
 TEST_CASE("the callback of a cancelled request is not called") {
   asio::io_context context;
   const std::string response = "HTTP/1.1 200 OK\r\n\r\n";
--- a/Tests/LibSteering/test_server_reachability.cc
+++ b/Tests/LibSteering/test_server_reachability.cc
@@ -17,6 +17,20 @@
   CHECK(reachability.IsProbeDue(At(80)));
 }
 
+TEST_CASE(
+    "a probe that was not sent does not change what is known of a server") {
+  ServerReachability reachability;
+  reachability.RecordSuspicion(At(0));
+  reachability.RecordProbeResult(ProbeResult::kSilent, At(80));
+
+  reachability.RecordProbeStart();
+  CHECK_FALSE(reachability.RecordProbeResult(ProbeResult::kNotSent, At(160)));
+  CHECK(reachability.FailedProbes() == 1);
+  CHECK(reachability.NeedsProbing());
+  CHECK(reachability.IsProbeDue(At(160) +
+                                ServerReachability::kUnreachableProbeInterval));
+}
+
 TEST_CASE(
     "two failed probes make a server unreachable until a probe is answered") {
   ServerReachability reachability;
