LibEventLoop: Give clients 200 ms for a request at the limit

Cause: each connection above the limit of 128 closed the oldest one, also one whose client had not had time to send.

Change: at the limit, a connection may be closed after it has waited 200 ms for its request, or 1 s for its response to be written, and if it has no unread input (after a pause of the process, requests have arrived meanwhile). Until then new connections wait in the listen queue. 200 silent connections to a listener delay a poll of readiness by 200 ms at most, of the 500 ms that it has.

--- a/Libraries/LibEventLoop/http_text_server.cc
+++ b/Libraries/LibEventLoop/http_text_server.cc
@@ -9,6 +9,7 @@
 #include <restinio/all.hpp>
 #include <utility>
 
+#include "LibBase/time.h"
 #include "LibEventLoop/tcp_listener.h"
 
 namespace event_loop {
@@ -18,6 +19,13 @@
 // More than the balancers of a large fleet, which may fetch a change from one
 // of them at the same time.
 constexpr std::size_t kMaximumConnections = 128;
+// At the limit of connections, a connection may be closed if it has waited for
+// its request for this long. A busy client may need several turns of its
+// processor, and a poll of readiness may wait for twice this time.
+constexpr base::Duration kMinimumRequestTime = std::chrono::milliseconds(200);
+// A connection whose response is being written may be closed after this time.
+// Followers give up earlier.
+constexpr base::Duration kMinimumResponseTime = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaximumUrlBytes = 512;
 constexpr std::size_t kMaximumHeaderFields = 32;
 // Clients give up earlier; readiness polls do so after half a second.
@@ -62,23 +70,29 @@
 
   // Commands.
   void Add(restinio::connection_id_t id, int socket) {
-    m_entries[id] = {socket, Phase::kIdle};
+    m_entries[id] = {socket, Phase::kIdle, base::Clock::now()};
   }
   // RESTinio closes the connection after the response.
   void OnRequest(restinio::connection_id_t id) {
     const auto found = m_entries.find(id);
-    if (found != m_entries.end())
-      found->second.m_phase = Phase::kResponding;
+    if (found == m_entries.end())
+      return;
+    found->second.m_phase = Phase::kResponding;
+    found->second.m_since = base::Clock::now();
   }
-  // Closes the oldest connection without a request, or else the oldest one.
-  void CloseOne() {
+  // Closes the oldest connection without a request if it has waited for
+  // `minimum_request_time`. If each connection has a request, closes the oldest
+  // one after kMinimumResponseTime. Returns whether it closed one.
+  bool CloseOne(base::Duration minimum_request_time) {
     // The map has the connections in the order in which they were accepted.
     const auto first = std::ranges::min_element(
         m_entries, {}, [](const auto& item) { return item.second.m_phase; });
-    if (first == m_entries.end())
-      return;
+    if (first == m_entries.end() ||
+        !first->second.IsOverdue(minimum_request_time))
+      return false;
     first->second.Shutdown();
     m_entries.erase(first);
+    return true;
   }
   void SetOnClosed(std::function<void()> on_closed) {
     m_on_closed = std::move(on_closed);
@@ -107,12 +121,24 @@
   };
 
   struct Entry {
+    bool IsOverdue(base::Duration minimum_request_time) const {
+      const base::Duration minimum_time =
+          m_phase == Phase::kIdle ? minimum_request_time : kMinimumResponseTime;
+      return base::Clock::now() - m_since >= minimum_time && !HasUnreadInput();
+    }
+    // After a pause of the process, requests may have arrived meanwhile.
+    bool HasUnreadInput() const {
+      char byte = 0;
+      return recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
     // RESTinio closes the connection at the end of input or the write error
     // that results.
     void Shutdown() const { shutdown(m_socket, SHUT_RDWR); }
 
     int m_socket = -1;
     Phase m_phase = Phase::kIdle;
+    // When the phase began.
+    base::TimePoint m_since;
   };
 
   std::map<restinio::connection_id_t, Entry> m_entries;
@@ -147,13 +173,18 @@
   std::error_code Listen(asio::io_context& context, base::Endpoint endpoint) {
     auto listener =
         TcpListener::Create(context, endpoint,
-                            {[this](asio::ip::tcp::socket socket,
+                            {[this] { return MakeRoom(); },
+                             [this](asio::ip::tcp::socket socket,
                                     const asio::ip::tcp::endpoint& peer) {
                                Serve(std::move(socket), peer);
                              },
                              [this](std::error_code error) {
                                Report(ListenerProblem::kAcceptFailed, error);
-                               m_connections->CloseOne();
+                               // The few descriptors left serve more clients
+                               // this way. A connection
+                               // has at least TcpListener::kRetryDelay for its
+                               // request.
+                               m_connections->CloseOne(base::Duration::zero());
                              }});
     if (!listener)
       return listener.error();
@@ -181,12 +212,17 @@
         });
   }
 
+  bool MakeRoom() {
+    if (m_connections->size() < kMaximumConnections)
+      return true;
+    if (!m_connections->CloseOne(kMinimumRequestTime))
+      return false;
+    Report(ListenerProblem::kConnectionLimit, {});
+    return true;
+  }
+
   void Serve(asio::ip::tcp::socket socket,
              const asio::ip::tcp::endpoint& peer) {
-    if (m_connections->size() >= kMaximumConnections) {
-      m_connections->CloseOne();
-      Report(ListenerProblem::kConnectionLimit, {});
-    }
     const int descriptor = socket.native_handle();
     try {
       const auto connection = m_factory->create_new_connection(
--- a/Libraries/LibEventLoop/http_text_server.h
+++ b/Libraries/LibEventLoop/http_text_server.h
@@ -1,8 +1,9 @@
 // An HTTP/1.1 server that responds to GET requests with texts: readiness,
 // metrics, status. Limits the connections, the size of requests and the time
 // that a client may take. At the limit of connections, or if the process has no
-// free descriptor, a new connection takes the place of the one that has been
-// idle for longest: idle clients can't keep others from a response.
+// free descriptor, a new connection takes the place of the one that has waited
+// for its request for longest: silent clients can't keep others from a
+// response.
 
 #ifndef LIBEVENTLOOP_HTTP_TEXT_SERVER_H_
 #define LIBEVENTLOOP_HTTP_TEXT_SERVER_H_
@@ -35,7 +36,7 @@
   // A connection could not be accepted. It stays pending and is tried again.
   kAcceptFailed,
   // The server had as many connections as it may have. It closed the one that
-  // was idle for longest.
+  // had waited for its request for longest.
   kConnectionLimit,
 };
 
--- a/Libraries/LibEventLoop/tcp_listener.cc
+++ b/Libraries/LibEventLoop/tcp_listener.cc
@@ -72,6 +72,10 @@
 }
 
 void TcpListener::OnReadable(std::error_code error) {
+  if (!error && !m_owner.m_make_room()) {
+    Pause();
+    return;
+  }
   if (!error)
     error = AcceptOne();
   if (!error || IsNothingPending(error)) {
--- a/Libraries/LibEventLoop/tcp_listener.h
+++ b/Libraries/LibEventLoop/tcp_listener.h
@@ -25,6 +25,9 @@
  public:
   // The listener's callbacks. They may not destroy the listener.
   struct Owner {
+    // Called before each accept. Returns whether a further connection may be
+    // accepted; if not, the listener asks again after kRetryDelay.
+    std::function<bool()> m_make_room;
     // Gets each accepted connection. `peer` is the other end.
     std::function<void(asio::ip::tcp::socket,
                        const asio::ip::tcp::endpoint& peer)>
--- a/Tests/LibEventLoop/test_http_text_server.cc
+++ b/Tests/LibEventLoop/test_http_text_server.cc
@@ -203,6 +203,33 @@
   }
 }
 
+TEST_CASE(
+    "clients that connect together all get their responses, also above the "
+    "limit of connections") {
+  ServerFixture fixture;
+  auto clients = fixture.ConnectSilently(400);
+  fixture.RunReadyHandlers();
+  std::size_t responses = 0;
+  std::vector<std::string> received(clients.size());
+  for (std::size_t index = 0; index < clients.size(); ++index) {
+    asio::write(clients[index],
+                asio::buffer(std::string("GET /there HTTP/1.1\r\n"
+                                         "Host: a\r\n\r\n")));
+    asio::async_read_until(clients[index],
+                           asio::dynamic_buffer(received[index]), "yes\n",
+                           [&](const std::error_code& error, std::size_t) {
+                             responses += error ? 0 : 1;
+                           });
+  }
+
+  const auto deadline = std::chrono::steady_clock::now() + kResponseTimeout;
+  while (responses < clients.size() &&
+         std::chrono::steady_clock::now() < deadline)
+    fixture.m_context.run_one_until(deadline);
+
+  CHECK(responses == clients.size());
+}
+
 TEST_CASE(
     "silent connections do not end a response that a client still reads") {
   ServerFixture fixture;
