LibEventLoop: Close a stalled response whatever its client still sends

A client that sends more after its request and reads nothing had unread input for ever, so its connection could not make room at the limit until RESTinio's limit of 5 s for a response. Unread input now counts only while a request is awaited. The tests of the library pass.

--- a/Libraries/LibEventLoop/http_text_server.cc
+++ b/Libraries/LibEventLoop/http_text_server.cc
@@ -122,9 +122,10 @@
 
   struct Entry {
     bool IsOverdue(base::Duration minimum_request_time) const {
-      const base::Duration minimum_time =
-          m_phase == Phase::kIdle ? minimum_request_time : kMinimumResponseTime;
-      return base::Clock::now() - m_since >= minimum_time && !HasUnreadInput();
+      const base::Duration age = base::Clock::now() - m_since;
+      return m_phase == Phase::kIdle
+                 ? age >= minimum_request_time && !HasUnreadInput()
+                 : age >= kMinimumResponseTime;
     }
     // After a pause of the process, requests may have arrived meanwhile.
     bool HasUnreadInput() const {
@@ -171,21 +172,14 @@
   }
 
   std::error_code Listen(asio::io_context& context, base::Endpoint endpoint) {
-    auto listener =
-        TcpListener::Create(context, endpoint,
-                            {[this] { return MakeRoom(); },
-                             [this](asio::ip::tcp::socket socket,
-                                    const asio::ip::tcp::endpoint& peer) {
-                               Serve(std::move(socket), peer);
-                             },
-                             [this](std::error_code error) {
-                               Report(ListenerProblem::kAcceptFailed, error);
-                               // The few descriptors left serve more clients
-                               // this way. A connection
-                               // has at least TcpListener::kRetryDelay for its
-                               // request.
-                               m_connections->CloseOne(base::Duration::zero());
-                             }});
+    auto listener = TcpListener::Create(
+        context, endpoint,
+        {[this] { return MakeRoom(); },
+         [this](asio::ip::tcp::socket socket,
+                const asio::ip::tcp::endpoint& peer) {
+           Serve(std::move(socket), peer);
+         },
+         [this](std::error_code error) { OnAcceptFailed(error); }});
     if (!listener)
       return listener.error();
     m_listener = std::move(listener).value();
@@ -221,6 +215,13 @@
     return true;
   }
 
+  // The few descriptors left serve more clients if each client has only the
+  // time of TcpListener::kRetryDelay for its request.
+  void OnAcceptFailed(std::error_code error) {
+    Report(ListenerProblem::kAcceptFailed, error);
+    m_connections->CloseOne(base::Duration::zero());
+  }
+
   void Serve(asio::ip::tcp::socket socket,
              const asio::ip::tcp::endpoint& peer) {
     const int descriptor = socket.native_handle();
