LibConsole: Use the listener that accepts again

What callers saw: the console's server stopped answering for good, like the edge balancer's listeners: after one accept that failed for want of descriptors, or after 64 connections that were reset while they were pending.

Cause: the same acceptor of RESTinio.

The console's limits stay (64 connections, 10 s to read a request); at the limit, a connection may be closed after it has waited 1 s for its request or 30 s for its response. Its problems are logged as listener_problem, with the limit on lines that refused requests have.

--- a/Libraries/LibConsole/admin_server.cc
+++ b/Libraries/LibConsole/admin_server.cc
@@ -1,15 +1,14 @@
 #include "LibConsole/admin_server.h"
 
 #include <asio/io_context.hpp>
-#include <asio/ip/address_v4.hpp>
 #include <chrono>
 #include <cstdint>
 #include <restinio/all.hpp>
-#include <system_error>
 #include <utility>
 
 #include "LibConsole/console.h"
 #include "LibConsole/request.h"
+#include "LibEventLoop/http_listener.h"
 
 namespace console {
 
@@ -28,11 +27,9 @@
 // Longer than a submission takes to reach its outcome.
 constexpr std::chrono::seconds kHandleTimeout{30};
 
-struct ServerTraits : public restinio::default_single_thread_traits_t {
-  static constexpr bool use_connection_count_limiter = true;  // NOLINT
-};
-
-using HttpServer = restinio::http_server_t<ServerTraits>;
+// At the limit of connections, a connection may be closed if it has waited for
+// its request for this long. A document takes a second on a slow path.
+constexpr base::Duration kMinimumRequestTime = std::chrono::milliseconds(1000);
 
 Method MethodOf(const restinio::http_method_id_t& method) {
   if (method == restinio::http_method_get())
@@ -73,84 +70,67 @@
       .done();
 }
 
+event_loop::HttpListenerSettings MakeSettings() {
+  event_loop::HttpListenerSettings settings;
+  settings.max_pipelined_requests(1)
+      .read_next_http_message_timelimit(kReadTimeout)
+      .write_http_response_timelimit(kWriteTimeout)
+      .handle_request_timeout(kHandleTimeout)
+      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                    .max_url_size(kMaxUrlBytes)
+                                    .max_field_name_size(kMaxHeaderNameBytes)
+                                    .max_field_value_size(kMaxHeaderValueBytes)
+                                    .max_field_count(kMaxHeaderCount)
+                                    .max_body_size(kMaxBodyBytes));
+  return settings;
+}
+
 }  // namespace
 
-// The console and the RESTinio server that serves it. Defined here to keep
-// RESTinio out of the header.
+// The console and the listener that serves it. Defined here to keep RESTinio
+// out of the header.
 struct AdminServer::Server {
   Server(asio::io_context& context,
-         const base::Endpoint& endpoint,
          const ConsoleCallbacks& callbacks,
-         const std::string& operator_token)
+         const std::string& operator_token,
+         event_loop::OnListenerProblem on_problem)
       : m_console(callbacks, operator_token),
-        m_http(restinio::external_io_context(context),
-               [&](auto& settings) { Configure(settings, endpoint); }) {}
-
-  template <typename Settings>
-  void Configure(Settings& settings, const base::Endpoint& endpoint) {
-    settings.address(asio::ip::address_v4(endpoint.m_address.value()))
-        .port(endpoint.m_port)
-        .max_parallel_connections(kMaxConnections)
-        .max_pipelined_requests(1)
-        .read_next_http_message_timelimit(kReadTimeout)
-        .write_http_response_timelimit(kWriteTimeout)
-        .handle_request_timeout(kHandleTimeout)
-        .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}
-                .max_url_size(kMaxUrlBytes)
-                .max_field_name_size(kMaxHeaderNameBytes)
-                .max_field_value_size(kMaxHeaderValueBytes)
-                .max_field_count(kMaxHeaderCount)
-                .max_body_size(kMaxBodyBytes))
-        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
-          const auto bound = acceptor.local_endpoint();
-          m_endpoint = {base::Ipv4Address(bound.address().to_v4().to_uint()),
-                        bound.port()};
-        })
-        .request_handler([this](const restinio::request_handle_t& request) {
-          m_console.Handle(
-              Convert(*request),
-              [request](const Response& response) { Send(request, response); });
-          return restinio::request_accepted();
-        });
-  }
+        m_listener(
+            context,
+            MakeSettings(),
+            {kMaxConnections, kMinimumRequestTime, kHandleTimeout},
+            [this](const restinio::request_handle_t& request) {
+              m_console.Handle(Convert(*request),
+                               [request](const Response& response) {
+                                 Send(request, response);
+                               });
+              return restinio::request_accepted();
+            },
+            std::move(on_problem)) {}
 
   Console m_console;
-  base::Endpoint m_endpoint;
-  HttpServer m_http;
+  event_loop::HttpListener m_listener;
 };
 
 base::Outcome<std::unique_ptr<AdminServer>> AdminServer::Create(
     asio::io_context& context,
     const base::Endpoint& endpoint,
     const ConsoleCallbacks& callbacks,
-    const std::string& operator_token) {
-  try {
-    auto server =
-        std::make_unique<Server>(context, endpoint, callbacks, operator_token);
-    server->m_http.open_sync();
-    return std::unique_ptr<AdminServer>(new AdminServer(std::move(server)));
-  } catch (const std::system_error& error) {
-    return error.code();
-  } catch (const std::exception&) {
-    return std::make_error_code(std::errc::address_not_available);
-  }
+    const std::string& operator_token,
+    event_loop::OnListenerProblem on_problem) {
+  auto server = std::make_unique<Server>(context, callbacks, operator_token,
+                                         std::move(on_problem));
+  if (const auto error = server->m_listener.Listen(endpoint))
+    return error;
+  const base::Endpoint bound = server->m_listener.endpoint();
+  return std::unique_ptr<AdminServer>(
+      new AdminServer(std::move(server), bound));
 }
 
-AdminServer::AdminServer(std::unique_ptr<Server> server)
-    : m_server(std::move(server)) {}
+AdminServer::AdminServer(std::unique_ptr<Server> server,
+                         base::Endpoint endpoint)
+    : m_server(std::move(server)), m_endpoint(endpoint) {}
 
-AdminServer::~AdminServer() {
-  try {
-    m_server->m_http.close_sync();
-  } catch (const std::exception&) {
-    // If close_sync fails, the io_context closes the sockets when it is
-    // destroyed.
-  }
-}
-
-const base::Endpoint& AdminServer::endpoint() const {
-  return m_server->m_endpoint;
-}
+AdminServer::~AdminServer() = default;
 
 }  // namespace console
--- a/Libraries/LibConsole/admin_server.h
+++ b/Libraries/LibConsole/admin_server.h
@@ -11,6 +11,7 @@
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
 #include "LibConsole/console_callbacks.h"
+#include "LibEventLoop/listener_problem.h"
 
 namespace asio {
 class io_context;
@@ -29,7 +30,8 @@
       asio::io_context& context,
       const base::Endpoint& endpoint,
       const ConsoleCallbacks& callbacks,
-      const std::string& operator_token);
+      const std::string& operator_token,
+      event_loop::OnListenerProblem on_problem = {});
   // Closes all connections.
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
@@ -37,14 +39,15 @@
 
   // Queries.
   // The endpoint that the server listens on.
-  const base::Endpoint& endpoint() const;
+  const base::Endpoint& endpoint() const { return m_endpoint; }
 
  private:
   struct Server;
 
-  explicit AdminServer(std::unique_ptr<Server> server);
+  AdminServer(std::unique_ptr<Server> server, base::Endpoint endpoint);
 
   std::unique_ptr<Server> m_server;
+  base::Endpoint m_endpoint;
 };
 
 }  // namespace console
--- a/Libraries/LibEventLoop/http_text_server.h
+++ b/Libraries/LibEventLoop/http_text_server.h
@@ -13,11 +13,10 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <system_error>
 
-#include "LibBase/enum_table.h"
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
+#include "LibEventLoop/listener_problem.h"
 
 namespace asio {
 class io_context;
@@ -31,20 +30,6 @@
   std::string_view m_content_type = "text/plain; charset=utf-8";
 };
 
-// What kept a server from serving a connection.
-enum class ListenerProblem {
-  // A connection could not be accepted. It stays pending and is tried again.
-  kAcceptFailed,
-  // The server had as many connections as it may have. It closed the one that
-  // had waited for its request for longest.
-  kConnectionLimit,
-};
-
-inline constexpr base::EnumTable<ListenerProblem, 2> kListenerProblemNames{{
-    {ListenerProblem::kAcceptFailed, "accept_failed"},
-    {ListenerProblem::kConnectionLimit, "connection_limit"},
-}};
-
 // An HttpTextServer must be used and destroyed on the thread that runs the
 // io_context.
 class HttpTextServer {
@@ -52,7 +37,7 @@
   // Returns the response to a GET of `path`, which has no query.
   using Handler = std::function<TextResponse(std::string_view path)>;
   // Called once for each occurrence of a problem.
-  using OnProblem = std::function<void(ListenerProblem, std::error_code)>;
+  using OnProblem = OnListenerProblem;
 
   // Listens on `endpoint`; with port 0 the system chooses a port. Errors: any
   // system error.
--- a/Services/Coltsfootdale/admin_console.cc
+++ b/Services/Coltsfootdale/admin_console.cc
@@ -53,9 +53,13 @@
     platform::PlatformClient& client,
     const Sources& sources) {
   std::unique_ptr<AdminConsole> admin(new AdminConsole(context, client));
-  TRY(server, console::AdminServer::Create(context, settings.m_admin,
-                                           admin->MakeCallbacks(sources),
-                                           settings.m_operator_token));
+  TRY(server, console::AdminServer::Create(
+                  context, settings.m_admin, admin->MakeCallbacks(sources),
+                  settings.m_operator_token,
+                  [raw = admin.get()](event_loop::ListenerProblem problem,
+                                      std::error_code error) {
+                    raw->OnListenerProblem(problem, error);
+                  }));
   admin->m_server = std::move(server);
   return admin;
 }
@@ -97,15 +101,30 @@
 }
 
 void AdminConsole::OnRefusedRequest(std::string_view reason) {
+  if (AdmitLine(Event::kConsoleRequestRefused, reason))
+    WriteLog(Severity::kWarning, Event::kConsoleRequestRefused,
+             {{"reason", reason}});
+}
+
+void AdminConsole::OnListenerProblem(event_loop::ListenerProblem problem,
+                                     std::error_code error) {
+  const std::string_view name =
+      NameOf(event_loop::kListenerProblemNames, problem);
+  if (AdmitLine(Event::kListenerProblem, name))
+    WriteLog(Severity::kWarning, Event::kListenerProblem,
+             {{"listener", "admin"},
+              {"problem", name},
+              {"error", error ? error.message() : "none"}});
+}
+
+bool AdminConsole::AdmitLine(Event event, std::string_view reason) {
   const base::TimePoint now = base::Clock::now();
-  for (const auto& summary : m_refusal_log_limiter.CollectSummaries(now))
+  for (const auto& summary : m_log_limiter.CollectSummaries(now))
     WriteLog(Severity::kWarning, Event::kEventsSuppressed,
              {{"of", NameOf(observability::kEventNames, summary.m_event)},
               {"reason", summary.m_key},
               {"count", summary.m_suppressed}});
-  if (m_refusal_log_limiter.Admit(Event::kConsoleRequestRefused, reason, now))
-    WriteLog(Severity::kWarning, Event::kConsoleRequestRefused,
-             {{"reason", reason}});
+  return m_log_limiter.Admit(event, reason, now);
 }
 
 }  // namespace service
--- a/Services/Coltsfootdale/admin_console.h
+++ b/Services/Coltsfootdale/admin_console.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
@@ -15,6 +16,8 @@
 #include "LibConsole/console_callbacks.h"
 #include "LibConsole/document_in_force.h"
 #include "LibConsole/submit_outcome.h"
+#include "LibEventLoop/listener_problem.h"
+#include "LibObservability/event.h"
 #include "LibObservability/rate_limiter.h"
 #include "document_submitter.h"
 #include "status_view.h"
@@ -61,10 +64,14 @@
   console::ConsoleCallbacks MakeCallbacks(const Sources& sources);
   // Logs the refusal, with a limited number of lines for each reason.
   void OnRefusedRequest(std::string_view reason);
+  void OnListenerProblem(event_loop::ListenerProblem problem,
+                         std::error_code error);
+  // Whether a line of `event` may be written. Logs the number of omitted lines.
+  bool AdmitLine(observability::Event event, std::string_view reason);
 
   DocumentSubmitter m_submitter;
-  // Limits the log lines on refused requests.
-  observability::RateLimiter m_refusal_log_limiter;
+  // Limits the log lines on refused requests and listener problems.
+  observability::RateLimiter m_log_limiter;
   std::unique_ptr<console::AdminServer> m_server;
 };
 
--- a/Tests/LibConsole/test_admin_server.cc
+++ b/Tests/LibConsole/test_admin_server.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -9,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "LibBase/asio_endpoint.h"
 #include "LibConsole/admin_server.h"
 #include "LibConsole/fake_balancer.h"
 #include "LibHttp/client.h"
@@ -105,6 +107,42 @@
   CHECK(fixture.SendRequest(request));
 }
 
+TEST_CASE("clients that reset before they are accepted use up no connection") {
+  constexpr int kResets = 100;
+  AdminServerFixture fixture;
+  for (int count = 0; count < kResets; ++count) {
+    asio::ip::tcp::socket client(fixture.context());
+    client.connect(base::ToAsio<asio::ip::tcp>(fixture.Endpoint()));
+    client.set_option(asio::socket_base::linger(true, 0));
+    client.close();
+    fixture.context().restart();
+    while (fixture.context().poll() > 0) {
+    }
+  }
+  http::Request request;
+  request.m_path = "/ready";
+
+  CHECK(fixture.SendRequest(request));
+}
+
+TEST_CASE(
+    "the console accepts again after accept failed for want of descriptors") {
+  AdminServerFixture fixture;
+  asio::ip::tcp::socket client(fixture.context(), asio::ip::tcp::v4());
+  rlimit former{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &former) == 0);
+  const rlimit no_descriptors{0, former.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &no_descriptors) == 0);
+  client.connect(base::ToAsio<asio::ip::tcp>(fixture.Endpoint()));
+  while (fixture.context().poll() > 0) {
+  }
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &former) == 0);
+  http::Request request;
+  request.m_path = "/ready";
+
+  CHECK(fixture.SendRequest(request));
+}
+
 TEST_CASE("a client that stops in the middle of a request is disconnected") {
   AdminServerFixture fixture;
   asio::ip::tcp::socket socket(fixture.context());
