--- a/Libraries/LibEventLoop/http_text_server.cc
+++ b/Libraries/LibEventLoop/http_text_server.cc
@@ -3,17 +3,25 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <restinio/all.hpp>
-#include <system_error>
 #include <utility>
 
-#include "LibBase/asio_endpoint.h"
+#include "LibBase/time.h"
+#include "LibEventLoop/http_listener.h"
 
 namespace event_loop {
 
 namespace {
 
-// For readiness polls, a metrics scraper and peers, with a reserve.
-constexpr std::size_t kMaximumConnections = 32;
+// More than the balancers of a large fleet, which may fetch a change from one
+// of them at the same time.
+constexpr std::size_t kMaximumConnections = 128;
+// At the limit of connections, a connection may be closed if it has waited for
+// its request for this long. A busy client may need several turns of its
+// processor, and a poll of readiness may wait for twice this time.
+constexpr base::Duration kMinimumRequestTime = std::chrono::milliseconds(200);
+// A connection whose response is being written may be closed after this time.
+// Followers give up earlier.
+constexpr base::Duration kMinimumResponseTime = std::chrono::milliseconds(1000);
 constexpr std::size_t kMaximumUrlBytes = 512;
 constexpr std::size_t kMaximumHeaderFields = 32;
 // Clients give up earlier; readiness polls do so after half a second.
@@ -36,39 +44,31 @@
   }
 }
 
-struct TextServerTraits : public restinio::default_single_thread_traits_t {
-  static constexpr bool use_connection_count_limiter = true;  // NOLINT
-};
+HttpListenerSettings MakeSettings() {
+  HttpListenerSettings settings;
+  settings.read_next_http_message_timelimit(kClientTimeout)
+      .write_http_response_timelimit(kClientTimeout)
+      .handle_request_timeout(kClientTimeout)
+      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                    .max_url_size(kMaximumUrlBytes)
+                                    .max_field_count(kMaximumHeaderFields)
+                                    .max_body_size(0));
+  return settings;
+}
 
 }  // namespace
 
 struct HttpTextServer::Server {
-  using Http = restinio::http_server_t<TextServerTraits>;
-
-  Server(asio::io_context& context, base::Endpoint endpoint, Handler handler)
+  Server(asio::io_context& context, Handler handler, OnProblem on_problem)
       : m_handler(std::move(handler)),
-        m_http(restinio::external_io_context(context),
-               [&](auto& settings) { Configure(settings, endpoint); }) {}
-
-  template <typename Settings>
-  void Configure(Settings& settings, base::Endpoint endpoint) {
-    settings.address(asio::ip::address_v4(endpoint.m_address.value()))
-        .port(endpoint.m_port)
-        .max_parallel_connections(kMaximumConnections)
-        .read_next_http_message_timelimit(kClientTimeout)
-        .write_http_response_timelimit(kClientTimeout)
-        .handle_request_timeout(kClientTimeout)
-        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                      .max_url_size(kMaximumUrlBytes)
-                                      .max_field_count(kMaximumHeaderFields)
-                                      .max_body_size(0))
-        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
-          m_endpoint = base::FromAsio(acceptor.local_endpoint());
-        })
-        .request_handler([this](const restinio::request_handle_t& request) {
-          return Respond(request);
-        });
-  }
+        m_listener(
+            context,
+            MakeSettings(),
+            {kMaximumConnections, kMinimumRequestTime, kMinimumResponseTime},
+            [this](const restinio::request_handle_t& request) {
+              return Respond(request);
+            },
+            std::move(on_problem)) {}
 
   restinio::request_handling_status_t Respond(
       const restinio::request_handle_t& request) const {
@@ -88,40 +88,28 @@
   }
 
   Handler m_handler;
-  base::Endpoint m_endpoint;
-  Http m_http;
+  HttpListener m_listener;
 };
 
 base::Outcome<std::unique_ptr<HttpTextServer>> HttpTextServer::Create(
     asio::io_context& context,
     base::Endpoint endpoint,
-    Handler handler) {
-  try {
-    auto server =
-        std::make_unique<Server>(context, endpoint, std::move(handler));
-    server->m_http.open_sync();
-    return std::unique_ptr<HttpTextServer>(
-        new HttpTextServer(std::move(server)));
-  } catch (const std::system_error& error) {
-    return error.code();
-  } catch (const std::exception&) {
-    return std::make_error_code(std::errc::address_not_available);
-  }
+    Handler handler,
+    OnProblem on_problem) {
+  auto server = std::make_unique<Server>(context, std::move(handler),
+                                         std::move(on_problem));
+  if (const auto error = server->m_listener.Listen(endpoint))
+    return error;
+  return std::unique_ptr<HttpTextServer>(new HttpTextServer(std::move(server)));
 }
 
 HttpTextServer::HttpTextServer(std::unique_ptr<Server> server)
     : m_server(std::move(server)) {}
 
-HttpTextServer::~HttpTextServer() {
-  try {
-    m_server->m_http.close_sync();
-  } catch (const std::exception&) {
-    // The sockets are closed when the io_context is destroyed.
-  }
-}
+HttpTextServer::~HttpTextServer() = default;
 
 base::Endpoint HttpTextServer::endpoint() const {
-  return m_server->m_endpoint;
+  return m_server->m_listener.endpoint();
 }
 
 }  // namespace event_loop
--- a/Libraries/LibEventLoop/http_text_server.h
+++ b/Libraries/LibEventLoop/http_text_server.h
@@ -1,6 +1,9 @@
 // An HTTP/1.1 server that responds to GET requests with texts: readiness,
 // metrics, status. Limits the connections, the size of requests and the time
-// that a client may take.
+// that a client may take. At the limit of connections, or if the process has no
+// free descriptor, a new connection takes the place of the one that has waited
+// for its request for longest: silent clients can't keep others from a
+// response.
 
 #ifndef LIBEVENTLOOP_HTTP_TEXT_SERVER_H_
 #define LIBEVENTLOOP_HTTP_TEXT_SERVER_H_
@@ -13,6 +16,7 @@
 
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
+#include "LibEventLoop/listener_problem.h"
 
 namespace asio {
 class io_context;
@@ -32,11 +36,16 @@
  public:
   // Returns the response to a GET of `path`, which has no query.
   using Handler = std::function<TextResponse(std::string_view path)>;
+  // Called once for each occurrence of a problem.
+  using OnProblem = OnListenerProblem;
 
   // Listens on `endpoint`; with port 0 the system chooses a port. Errors: any
   // system error.
-  static base::Outcome<std::unique_ptr<HttpTextServer>>
-  Create(asio::io_context& context, base::Endpoint endpoint, Handler handler);
+  static base::Outcome<std::unique_ptr<HttpTextServer>> Create(
+      asio::io_context& context,
+      base::Endpoint endpoint,
+      Handler handler,
+      OnProblem on_problem = {});
   // Closes all connections.
   ~HttpTextServer();
   HttpTextServer(const HttpTextServer&) = delete;
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -59,6 +59,8 @@
   kReaderStopped,
   kChangesReceived,
   kFeedRefused,
+  kListenerProblem,
+  kProbeNotSent,
   kSettingsReloaded,
   kSettingsRefused,
   kLogLinesDropped,
@@ -66,7 +68,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 52> kEventNames{{
+inline constexpr base::EnumTable<Event, 54> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
@@ -114,6 +116,8 @@
     {Event::kReaderStopped, "reader_stopped"},
     {Event::kChangesReceived, "changes_received"},
     {Event::kFeedRefused, "feed_refused"},
+    {Event::kListenerProblem, "listener_problem"},
+    {Event::kProbeNotSent, "probe_not_sent"},
     {Event::kSettingsReloaded, "settings_reloaded"},
     {Event::kSettingsRefused, "settings_refused"},
     {Event::kLogLinesDropped, "log_lines_dropped"},
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -121,23 +121,22 @@
   if (!packets)
     return BindFailure{"packets", m_settings.m_packets, packets.error()};
   m_packets = std::move(packets).value();
-  using event_loop::HttpTextServer;
-  auto metrics = HttpTextServer::Create(
-      m_context, m_settings.m_metrics,
+  auto metrics = ListenForHttp(
+      "metrics", m_settings.m_metrics,
       [this](std::string_view path) { return MetricsResponse(path); });
   if (!metrics)
     return BindFailure{"metrics", m_settings.m_metrics, metrics.error()};
   m_metrics_server = std::move(metrics).value();
   if (m_settings.m_control) {
-    auto control = HttpTextServer::Create(
-        m_context, *m_settings.m_control,
+    auto control = ListenForHttp(
+        "control", *m_settings.m_control,
         [this](std::string_view path) { return ControlResponse(path); });
     if (!control)
       return BindFailure{"control", *m_settings.m_control, control.error()};
     m_control = std::move(control).value();
   }
-  auto readiness = HttpTextServer::Create(
-      m_context, m_settings.m_readiness,
+  auto readiness = ListenForHttp(
+      "readiness", m_settings.m_readiness,
       [this](std::string_view path) { return ReadinessResponse(path); });
   if (!readiness)
     return BindFailure{"readiness", m_settings.m_readiness, readiness.error()};
@@ -147,6 +146,30 @@
   return std::nullopt;
 }
 
+base::Outcome<std::unique_ptr<event_loop::HttpTextServer>>
+EdgeProcess::ListenForHttp(std::string_view name,
+                           base::Endpoint endpoint,
+                           event_loop::HttpTextServer::Handler handler) {
+  return event_loop::HttpTextServer::Create(
+      m_context, endpoint, std::move(handler),
+      [this, name](event_loop::ListenerProblem problem, std::error_code error) {
+        OnListenerProblem(name, problem, error);
+      });
+}
+
+void EdgeProcess::OnListenerProblem(std::string_view listener,
+                                    event_loop::ListenerProblem problem,
+                                    std::error_code error) {
+  const std::string_view problem_name =
+      NameOf(event_loop::kListenerProblemNames, problem);
+  m_metrics.CountListenerProblem(listener, problem_name);
+  if (m_log.Admit(Event::kListenerProblem, base::Clock::now()))
+    m_log.Write(Severity::kWarning, Event::kListenerProblem,
+                {{"listener", listener},
+                 {"problem", problem_name},
+                 {"error", error ? error.message() : "none"}});
+}
+
 void EdgeProcess::CloseSockets() {
   m_readiness.reset();
   m_control.reset();
@@ -268,6 +291,10 @@
 void EdgeProcess::OnProbeResult(steering::ServerHandle handle,
                                 steering::ProbeResult result) {
   const base::TimePoint now = base::Clock::now();
+  if (result == steering::ProbeResult::kNotSent &&
+      m_log.Admit(Event::kProbeNotSent, now))
+    m_log.Write(Severity::kWarning, Event::kProbeNotSent,
+                {{"probes", m_prober.Probes()}});
   const steering::KnownServer* changed_server =
       m_steering.RecordProbeResult(handle, result, now);
   if (changed_server != nullptr)
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
@@ -69,6 +70,14 @@
   void HandleBindFailure(const BindFailure& failure, base::TimePoint now);
   // Serves with all sockets bound.
   void Start(base::TimePoint now);
+  // Listens on `endpoint`. `name` is the listener's name in logs and metrics.
+  base::Outcome<std::unique_ptr<event_loop::HttpTextServer>> ListenForHttp(
+      std::string_view name,
+      base::Endpoint endpoint,
+      event_loop::HttpTextServer::Handler handler);
+  void OnListenerProblem(std::string_view listener,
+                         event_loop::ListenerProblem problem,
+                         std::error_code error);
   event_loop::TextResponse ReadinessResponse(std::string_view path) const;
   event_loop::TextResponse MetricsResponse(std::string_view path);
   event_loop::TextResponse ControlResponse(std::string_view path);
