Soak: Play grown deployments and probe each changed route

The soak played four balancers in two data centres without links or a topology in the settings, so the feed had two readers in each data centre and no budget of its links. `--deployment grown` gives the settings three data centres, a link of 10 Mbit/s and the bounds of the grown sites; `--idle-routes N` makes the manifest as large as theirs. The checker's deadline and settling time follow the bounds.

Callers open flows on live routes only, so a dropped route that stays in force was seen only by chance. A prober opens flows directly at every ready balancer on each added and dropped route, from the end of the bound on. The checker now reports an added route that is refused after the bound, and a balancer's process that shows a change and then treats a flow as before that change.

A reset that answers the end of a flow no longer counts as an answer to the next opening: a caller between two flows ignores packets.

--- a/Tests/Soak/edge_fleet.cc
+++ b/Tests/Soak/edge_fleet.cc
@@ -21,19 +21,20 @@
 constexpr base::Duration kPollTimeout = milliseconds(400);
 constexpr int kMissedPollsToRemove = 2;
 constexpr base::Duration kExitCheckPeriod = milliseconds(20);
-constexpr int kDefaultDrainMs = 3000;
 
 }  // namespace
 
 EdgeFleet::EdgeFleet(stand_ins::EventLoop* loop,
                      InvariantChecker* checker,
                      Network network,
+                     const DeploymentProfile& profile,
                      std::uint32_t edges,
                      std::string program,
                      std::string directory)
     : m_loop(loop),
       m_checker(checker),
       m_network(network),
+      m_profile(profile),
       m_network_size(edges),
       m_program_path(std::move(program)),
       m_directory(std::move(directory)),
@@ -50,7 +51,7 @@
                                     [proxy] { proxy->ApplyRules(); });
     if (!proxy->Open(m_network.StoreProxy(index)))
       throw std::runtime_error("cannot open the proxy to the store");
-    ChangeSettings(index, kDefaultDrainMs);
+    ChangeSettings(index, m_profile.m_drain_bound_ms);
     Start(*edge);
     m_edges.push_back(std::move(edge));
   }
@@ -83,6 +84,15 @@
   return true;
 }
 
+std::vector<base::Endpoint> EdgeFleet::ReadyEdges() const {
+  std::vector<base::Endpoint> ready;
+  for (const auto& edge : m_edges) {
+    if (edge->m_missed_polls == 0)
+      ready.push_back({m_network.Edge(edge->m_index), kPacketPort});
+  }
+  return ready;
+}
+
 void EdgeFleet::Signal(std::uint32_t index,
                        int signal,
                        base::Duration restart_after) {
@@ -127,18 +137,29 @@
     seeds += std::string(other == 0 ? "" : ",") + "\"" +
              ToString(base::Endpoint{m_network.Edge(other), kControlPort}) +
              "\"";
+  std::string topology;
+  if (m_profile.m_has_topology) {
+    topology = R"("region":"region-0","limits":{"link_mbps":)" +
+               std::to_string(m_profile.m_link_mbps) + R"(},"zones":{)";
+    for (std::uint32_t i = 0; i < m_profile.m_data_centres; ++i)
+      topology += std::string(i == 0 ? "" : ",") + R"("hall-)" +
+                  std::to_string(i) + R"(":"region-0")";
+    topology += "},";
+  }
   const std::string path = SettingsPath(index);
   // The rename replaces the file atomically: a balancer never reads a partly
   // written one.
   std::ofstream(path + ".new")
-      << R"({"node_name":"edge-)" << index << R"(","zone":"hall-)" << index % 2
-      << R"(","listen":{"datagram_addr":)" << at(kPacketPort)
+      << R"({"node_name":"edge-)" << index << R"(","zone":"hall-)"
+      << index % m_profile.m_data_centres << R"(",)" << topology
+      << R"("listen":{"datagram_addr":)" << at(kPacketPort)
       << R"(,"ready_addr":)" << at(kReadinessPort) << R"(,"control":)"
       << at(kControlPort) << R"(},"internal_ports":[)" << kMetricsPort
       << R"(,17735],"seeds":[)" << seeds
       << R"(],"heartbeat_ms":1200,"forward_mode":"echo","bounds":{"drain_ms":)"
-      << drain_ms
-      << R"(,"config_apply_ms":3000,"stable_window_ms":4000,"grace_s":6},)"
+      << drain_ms << R"(,"config_apply_ms":)"
+      << m_profile.m_configuration_bound_ms << R"(,"stable_window_ms":)"
+      << m_profile.m_settling_time_ms << R"(,"grace_s":6},)"
       << R"("platform":{"address":")" << ToString(m_network.StoreProxy(index))
       << R"(","forward_mode":"objects"}})";
   std::rename((path + ".new").c_str(), path.c_str());
@@ -158,6 +179,7 @@
       std::vector<std::string>{"run", "--settings", SettingsPath(edge.m_index)},
       log);
   edge.m_is_exit_expected = false;
+  m_checker->OnEdgeStarted(m_network.Edge(edge.m_index));
 }
 
 // Reports each process that exited without a signal from the soak, and restarts
--- a/Tests/Soak/edge_fleet.h
+++ b/Tests/Soak/edge_fleet.h
@@ -17,6 +17,7 @@
 #include "StandIns/fault_plan.h"
 #include "StandIns/line_commands.h"
 #include "StandIns/tcp_proxy.h"
+#include "deployment_profile.h"
 #include "edge_child_process.h"
 #include "network.h"
 
@@ -31,6 +32,7 @@
   EdgeFleet(stand_ins::EventLoop* loop,
             InvariantChecker* checker,
             Network network,
+            const DeploymentProfile& profile,
             std::uint32_t edges,
             std::string program,
             std::string directory);
@@ -43,6 +45,8 @@
   // in rotation.
   std::optional<base::Endpoint> Route(const flow::FlowKey& flow) const;
   bool AreAllReady() const;
+  // The packet endpoints of the balancers that answered the last poll.
+  std::vector<base::Endpoint> ReadyEdges() const;
 
   // Commands.
   // Sends a signal. After SIGKILL or SIGTERM the process is started again after
@@ -77,6 +81,7 @@
   stand_ins::EventLoop* m_loop;
   InvariantChecker* m_checker;
   Network m_network;
+  DeploymentProfile m_profile;
   std::uint32_t m_network_size;
   std::string m_program_path;
   std::string m_directory;
--- a/Tests/Soak/invariant_checker.cc
+++ b/Tests/Soak/invariant_checker.cc
@@ -9,6 +9,8 @@
 // A flow's packets that may reach another server: one burst that was already in
 // flight.
 constexpr int kAllowedMisroutedPackets = 2;
+// The users' rollback_slack_ms.
+constexpr base::Duration kRegressionSlack = std::chrono::milliseconds(250);
 constexpr std::size_t kMaximumViolations = 50;
 
 void Extend(std::map<std::string, base::TimePoint>& until,
@@ -20,6 +22,12 @@
 
 }  // namespace
 
+InvariantChecker::InvariantChecker(const DeploymentProfile& profile)
+    : m_change_deadline(std::chrono::milliseconds(
+          std::max(profile.m_drain_bound_ms,
+                   profile.m_configuration_bound_ms))),
+      m_settling_time(std::chrono::milliseconds(profile.m_settling_time_ms)) {}
+
 std::pair<std::uint64_t, std::uint64_t> InvariantChecker::ServedSince(
     base::TimePoint since) const {
   std::pair<std::uint64_t, std::uint64_t> counts{0, 0};
@@ -49,9 +57,13 @@
   Extend(m_servers_disturbed_until, server, now + length);
 }
 
+void InvariantChecker::OnEdgeStarted(base::Ipv4Address edge) {
+  m_shown.erase(ToString(edge));
+}
+
 void InvariantChecker::OnDrainAcknowledged(const std::string& server,
                                            base::TimePoint now) {
-  if (now >= m_store_disturbed_until + kSettlingTime)
+  if (now >= m_store_disturbed_until + m_settling_time)
     m_draining.emplace(server, now);
 }
 
@@ -60,12 +72,14 @@
                                     base::TimePoint now) {
   RouteHistory& route = m_routes[address];
   route.m_services.insert(service);
+  route.m_added_by = ++m_changes;
   route.m_added_at = now;
   route.m_dropped_at.reset();
 }
 
 void InvariantChecker::OnRouteDropped(base::Endpoint address,
                                       base::TimePoint now) {
+  m_routes[address].m_dropped_by = ++m_changes;
   m_routes[address].m_dropped_at = now;
 }
 
@@ -86,13 +100,18 @@
     Report("ROUTE", details);
     return;
   }
+  if (!route->second.m_dropped_at)
+    RecordShown(edge, route->second.m_added_by, now);
+  else if (HasShown(edge, route->second.m_dropped_by, now))
+    Report("CONFIG", "a removed route was in force again: " + details);
   if (!IsViewCurrent(edge, now))
     return;
   if (route->second.m_dropped_at &&
-      now > *route->second.m_dropped_at + kChangeDeadline)
+      now > *route->second.m_dropped_at + m_change_deadline)
     Report("CONFIG", "an opening used a removed route: " + details);
   const auto draining = m_draining.find(server);
-  if (draining != m_draining.end() && now > draining->second + kChangeDeadline)
+  if (draining != m_draining.end() &&
+      now > draining->second + m_change_deadline)
     Report("DRAIN", details);
 }
 
@@ -122,6 +141,8 @@
                                base::TimePoint now) {
   const auto route = m_routes.find(flow.m_service);
   const bool has_route = route != m_routes.end() && !route->second.m_dropped_at;
+  if (has_route && !is_open)
+    OnOpeningRefused(flow, edge, route->second, now);
   if (!IsViewCurrent(edge, now) || !has_route)
     return;
   const auto open = m_open.find(flow);
@@ -131,6 +152,36 @@
                        " although " + open->second.m_server + " is running");
 }
 
+void InvariantChecker::OnOpeningRefused(const flow::FlowKey& flow,
+                                        base::Ipv4Address edge,
+                                        const RouteHistory& route,
+                                        base::TimePoint now) {
+  const std::string details = ToString(flow.m_caller) + " to " +
+                              ToString(flow.m_service) + " was refused by " +
+                              ToString(edge);
+  if (HasShown(edge, route.m_added_by, now))
+    Report("CONFIG", "an added route was gone again: " + details);
+  else if (IsViewCurrent(edge, now) &&
+           now > route.m_added_at + m_change_deadline)
+    Report("CONFIG", "an added route is not served: " + details);
+}
+
+bool InvariantChecker::HasShown(base::Ipv4Address edge,
+                                std::uint64_t change,
+                                base::TimePoint now) const {
+  const auto shown = m_shown.find(ToString(edge));
+  return shown != m_shown.end() && shown->second.m_number >= change &&
+         now > shown->second.m_seen_at + kRegressionSlack;
+}
+
+void InvariantChecker::RecordShown(base::Ipv4Address edge,
+                                   std::uint64_t change,
+                                   base::TimePoint now) {
+  SeenChange& shown = m_shown[ToString(edge)];
+  if (shown.m_number < change)
+    shown = {change, now};
+}
+
 void InvariantChecker::OnRequestEnded(bool is_served, base::TimePoint sent_at) {
   ++(is_served ? m_served : m_failed);
   m_answers.emplace_back(sent_at, is_served);
@@ -138,16 +189,16 @@
 
 bool InvariantChecker::IsViewCurrent(base::Ipv4Address edge,
                                      base::TimePoint now) const {
-  return now >= m_store_disturbed_until + kSettlingTime &&
+  return now >= m_store_disturbed_until + m_settling_time &&
          IsSettled(m_edges_disturbed_until, ToString(edge), now);
 }
 
 bool InvariantChecker::IsSettled(
     const std::map<std::string, base::TimePoint>& until,
     const std::string& name,
-    base::TimePoint now) {
+    base::TimePoint now) const {
   const auto entry = until.find(name);
-  return entry == until.end() || now >= entry->second + kSettlingTime;
+  return entry == until.end() || now >= entry->second + m_settling_time;
 }
 
 void InvariantChecker::Report(const std::string& rule,
--- a/Tests/Soak/invariant_checker.h
+++ b/Tests/Soak/invariant_checker.h
@@ -16,16 +16,16 @@
 #include "LibBase/ipv4.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
+#include "deployment_profile.h"
 
 namespace soak {
 
-// The bounds in the balancers' settings; see EdgeFleet::ChangeSettings.
-inline constexpr base::Duration kChangeDeadline = std::chrono::seconds(3);
-inline constexpr base::Duration kSettlingTime = std::chrono::seconds(4);
-
 class InvariantChecker {
  public:
+  explicit InvariantChecker(const DeploymentProfile& profile);
+
   // Queries.
+  base::Duration ChangeDeadline() const { return m_change_deadline; }
   const std::vector<std::string>& Violations() const { return m_violations; }
   std::uint64_t Served() const { return m_served; }
   std::uint64_t Failed() const { return m_failed; }
@@ -36,7 +36,7 @@
 
   // Commands.
   // The time bounds don't apply to a store, balancer or server while a fault
-  // disturbs it, nor for kSettlingTime afterwards.
+  // disturbs it, nor for the settling time afterwards.
   void DisturbStore(base::TimePoint now, base::Duration length);
   void DisturbEdge(base::Ipv4Address edge,
                    base::TimePoint now,
@@ -44,6 +44,8 @@
   void DisturbServer(const std::string& server,
                      base::TimePoint now,
                      base::Duration length);
+  // A new process of the balancer starts, which knows no manifest.
+  void OnEdgeStarted(base::Ipv4Address edge);
   void OnDrainAcknowledged(const std::string& server, base::TimePoint now);
   void OnRouteAdded(base::Endpoint address,
                     const std::string& service,
@@ -72,25 +74,49 @@
  private:
   struct RouteHistory {
     std::set<std::string> m_services;
+    // The numbers of the changes that added and dropped the route.
+    std::uint64_t m_added_by = 0;
+    std::uint64_t m_dropped_by = 0;
     base::TimePoint m_added_at;
     std::optional<base::TimePoint> m_dropped_at;
   };
+  // A change that a server saw in force at a balancer.
+  struct SeenChange {
+    std::uint64_t m_number = 0;
+    base::TimePoint m_seen_at;
+  };
   struct OpenFlow {
     std::string m_server;
     int m_misrouted_packets = 0;
   };
 
-  bool IsViewCurrent(base::Ipv4Address edge, base::TimePoint now) const;
-  static bool IsSettled(const std::map<std::string, base::TimePoint>& until,
-                        const std::string& name,
+  void OnOpeningRefused(const flow::FlowKey& flow,
+                        base::Ipv4Address edge,
+                        const RouteHistory& route,
                         base::TimePoint now);
+  // Whether a server saw the change, or a later one, in force at the balancer's
+  // process longer ago than the slack for regressions.
+  bool HasShown(base::Ipv4Address edge,
+                std::uint64_t change,
+                base::TimePoint now) const;
+  void RecordShown(base::Ipv4Address edge,
+                   std::uint64_t change,
+                   base::TimePoint now);
+  bool IsViewCurrent(base::Ipv4Address edge, base::TimePoint now) const;
+  bool IsSettled(const std::map<std::string, base::TimePoint>& until,
+                 const std::string& name,
+                 base::TimePoint now) const;
   void Report(const std::string& rule, const std::string& details);
 
+  base::Duration m_change_deadline;
+  base::Duration m_settling_time;
   std::map<std::string, base::TimePoint> m_edges_disturbed_until;
   std::map<std::string, base::TimePoint> m_servers_disturbed_until;
   base::TimePoint m_store_disturbed_until;
   std::map<std::string, base::TimePoint> m_draining;
   std::map<base::Endpoint, RouteHistory> m_routes;
+  std::uint64_t m_changes = 0;
+  std::map<std::string, SeenChange> m_shown;
   std::map<flow::FlowKey, OpenFlow> m_open;
   std::set<std::string> m_executed_requests;
   std::vector<std::pair<base::TimePoint, bool>> m_answers;
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -90,6 +90,9 @@
       "served\n",
       run.m_soak.m_seed, harness.checker().Served(), harness.checker().Failed(),
       served, sent);
+  std::cout << fmt::format(
+      "  {} probes of changed routes; {} on added routes were not answered\n",
+      harness.prober().Sent(), harness.prober().Unanswered());
   for (const std::string& violation : violations)
     std::cout << "  " << violation << "\n";
   if (violations.empty() && !run.m_keeps_files)
@@ -136,6 +139,10 @@
       "the second byte of the soak's loopback addresses")(
       "program", options::value<std::string>(),
       "another build of the balancer, for example with a mechanism disabled")(
+      "deployment", options::value<std::string>()->default_value("small"),
+      "small or grown: the data centres, links and bounds")(
+      "idle-routes", options::value<std::uint32_t>()->default_value(0),
+      "routes without callers, to make the manifest larger")(
       "keep", "keep the settings and logs of passed seeds too");
   return description;
 }
@@ -146,6 +153,12 @@
   run.m_soak.m_edges = values["edges"].as<std::uint32_t>();
   run.m_soak.m_servers = values["servers"].as<std::uint32_t>();
   run.m_soak.m_callers = values["callers"].as<std::uint32_t>();
+  run.m_soak.m_idle_routes = values["idle-routes"].as<std::uint32_t>();
+  const auto kind =
+      ValueOf(kDeploymentKindNames, values["deployment"].as<std::string>());
+  if (!kind)
+    throw std::runtime_error("unknown deployment");
+  run.m_soak.m_profile = ProfileOf(*kind);
   run.m_fault_time = std::chrono::seconds(values["seconds"].as<int>());
   if (values.contains("program"))
     run.m_soak.m_program = values["program"].as<std::string>();
--- a/Tests/Soak/soak_caller.cc
+++ b/Tests/Soak/soak_caller.cc
@@ -96,6 +96,8 @@
   if (packet->m_destination != m_flow.m_caller ||
       packet->m_source != m_flow.m_service)
     return;
+  if (m_state == State::kEnded)
+    return;
   if (packet->Has(kRst)) {
     HandleReset(*packet, source);
     return;
@@ -144,7 +146,7 @@
   if (is_served)
     Send(kFin | kAck);
   m_checker->OnFlowEnded(m_flow);
-  m_state = State::kOpening;
+  m_state = State::kEnded;
   Schedule(milliseconds(1 + m_random.Below(kMaximumPauseMs)),
            &SoakCaller::OpenFlow);
 }
--- a/Tests/Soak/soak_caller.h
+++ b/Tests/Soak/soak_caller.h
@@ -41,7 +41,7 @@
   SoakCaller& operator=(const SoakCaller&) = delete;
 
  private:
-  enum class State { kOpening, kPausing, kWaiting };
+  enum class State { kOpening, kPausing, kWaiting, kEnded };
 
   void OpenFlow();
   void SendRequest();
--- a/Tests/Soak/soak_harness.cc
+++ b/Tests/Soak/soak_harness.cc
@@ -23,7 +23,9 @@
 // Longer than callers wait before their first two retransmissions, at 200 ms
 // and 600 ms.
 constexpr base::Duration kSlowServiceTime = milliseconds(700);
+constexpr std::uint32_t kProberIndex = 250;
 constexpr std::size_t kMinimumRoutes = 2;
+constexpr std::uint16_t kFirstIdlePort = 20'000;
 constexpr base::Ipv4Address kServiceAddress(0xC6120001);
 
 std::string ServiceAt(std::uint32_t index) {
@@ -35,6 +37,7 @@
 SoakHarness::SoakHarness(const SoakOptions& options)
     : m_options(options),
       m_random(options.m_seed),
+      m_checker(options.m_profile),
       m_store(&m_loop, options.m_network.Store()) {
   m_servers.resize(options.m_servers);
   for (std::uint32_t index = 0; index < options.m_servers; ++index)
@@ -43,8 +46,11 @@
   AddRoute();
   AddRoute();
   m_fleet = std::make_unique<EdgeFleet>(&m_loop, &m_checker, options.m_network,
-                                        options.m_edges, options.m_program,
-                                        options.m_directory);
+                                        options.m_profile, options.m_edges,
+                                        options.m_program, options.m_directory);
+  m_prober =
+      std::make_unique<RouteProber>(&m_loop, &m_checker, m_fleet.get(),
+                                    options.m_network.Caller(kProberIndex));
 }
 
 void SoakHarness::Run(base::Duration length) {
@@ -182,6 +188,8 @@
   WriteManifest();
   m_checker.OnRouteAdded(m_routes.back().m_address, service,
                          stand_ins::EventLoop::Now());
+  if (m_prober != nullptr)
+    m_prober->ProbeAfterBound(m_routes.back().m_address, true);
 }
 
 void SoakHarness::DropRoute() {
@@ -193,6 +201,7 @@
   m_routes.erase(dropped);
   WriteManifest();
   m_checker.OnRouteDropped(address, stand_ins::EventLoop::Now());
+  m_prober->ProbeAfterBound(address, false);
 }
 
 void SoakHarness::SendGarbage(std::uint32_t edge) {
@@ -219,7 +228,8 @@
   }
   identity.m_service = service;
   identity.m_endpoint = {m_options.m_network.Server(index), kServerPort};
-  identity.m_data_centre = fmt::format("hall-{}", index % 2);
+  identity.m_data_centre =
+      fmt::format("hall-{}", index % m_options.m_profile.m_data_centres);
   identity.m_born = static_cast<std::int64_t>(m_random.Below(1U << 30));
   m_servers[index] = std::make_unique<SoakServer>(&m_loop, &m_checker, identity,
                                                   m_random.Next());
@@ -233,8 +243,13 @@
 }
 
 void SoakHarness::WriteManifest() {
+  std::vector<LiveRoute> manifest = m_routes;
+  for (std::uint32_t i = 0; i < m_options.m_idle_routes; ++i)
+    manifest.push_back(
+        {{kServiceAddress, static_cast<std::uint16_t>(kFirstIdlePort + i)},
+         "portal"});
   std::string routes;
-  for (const LiveRoute& route : m_routes)
+  for (const LiveRoute& route : manifest)
     routes += fmt::format(
         R"({}{{"name":"r-{}","host":"{}","prefix":"/{}/","route_type":"{}",)"
         R"("timeout_ms":1500,"target_latency_ms":250,"priority":1,)"
--- a/Tests/Soak/soak_harness.h
+++ b/Tests/Soak/soak_harness.h
@@ -12,9 +12,11 @@
 
 #include "LibBase/random.h"
 #include "StandIns/event_loop.h"
+#include "deployment_profile.h"
 #include "edge_fleet.h"
 #include "invariant_checker.h"
 #include "network.h"
+#include "route_prober.h"
 #include "soak_caller.h"
 #include "soak_server.h"
 #include "store_stand_in.h"
@@ -23,6 +25,9 @@
 
 struct SoakOptions {
   Network m_network;
+  DeploymentProfile m_profile;
+  // Routes without callers, to make the manifest larger.
+  std::uint32_t m_idle_routes = 0;
   std::uint64_t m_seed = 1;
   std::uint32_t m_edges = 4;
   std::uint32_t m_servers = 10;
@@ -41,6 +46,7 @@
 
   // Queries.
   const InvariantChecker& checker() const { return m_checker; }
+  const RouteProber& prober() const { return *m_prober; }
   std::uint32_t Edges() const { return m_fleet->size(); }
   std::uint32_t Servers() const { return m_options.m_servers; }
 
@@ -99,6 +105,7 @@
   std::uint64_t m_version = 0;
   std::uint16_t m_next_port = 1000;
   std::unique_ptr<EdgeFleet> m_fleet;
+  std::unique_ptr<RouteProber> m_prober;
 };
 
 }  // namespace soak
