Soak: Draw series of faults and faults of many balancers

The faults of a seed were single ones: no signal was sent to a balancer that was starting or shutting down, a stopped balancer started again six seconds later at any rate, and no fault but a kill of all met many balancers. `--series` draws kills in series, rolling stops whose successor starts as soon as the former process has exited, hang-ups from exec to exit, herd kills, pauses and cuts of many balancers, waves of changed settings with and without a signal, and series of routes and of compactions. With an odd seed the store responds all the time, so that the bounds for changes apply to every balancer without a fault.

A refused opening counts only if a server of the route's service is registered and settled. The case that showed this: grown deployment, 91 balancers, seed 3002, where a balancer refused an opening with the reason no_server after the entries of all servers had lapsed.

--- a/Tests/Soak/edge_fleet.cc
+++ b/Tests/Soak/edge_fleet.cc
@@ -1,6 +1,7 @@
 #include "edge_fleet.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <chrono>
 #include <cstdio>
@@ -51,7 +52,8 @@
                                     [proxy] { proxy->ApplyRules(); });
     if (!proxy->Open(m_network.StoreProxy(index)))
       throw std::runtime_error("cannot open the proxy to the store");
-    ChangeSettings(index, m_profile.m_drain_bound_ms);
+    ChangeSettings(index, {.m_drain_bound_ms = m_profile.m_drain_bound_ms,
+                           .m_first_seed = 0});
     Start(*edge);
     m_edges.push_back(std::move(edge));
   }
@@ -97,7 +99,7 @@
                        int signal,
                        base::Duration restart_after) {
   Edge& edge = *m_edges[index];
-  if (edge.m_is_exit_expected)
+  if (edge.m_is_exit_expected && signal != SIGHUP)
     return;
   edge.m_program->Signal(signal);
   if (signal != SIGKILL && signal != SIGTERM)
@@ -108,6 +110,15 @@
       [this, index](base::TimePoint) { Start(*m_edges[index]); });
 }
 
+void EdgeFleet::Stop(std::uint32_t index, base::Duration grace) {
+  Edge& edge = *m_edges[index];
+  if (edge.m_is_exit_expected)
+    return;
+  edge.m_program->Signal(SIGTERM);
+  edge.m_is_exit_expected = true;
+  edge.m_kill_at = stand_ins::EventLoop::Now() + grace;
+}
+
 void EdgeFleet::Pause(std::uint32_t index, base::Duration length) {
   const Edge& edge = *m_edges[index];
   edge.m_program->Signal(SIGSTOP);
@@ -127,16 +138,19 @@
       });
 }
 
-void EdgeFleet::ChangeSettings(std::uint32_t index, int drain_ms) {
+void EdgeFleet::ChangeSettings(std::uint32_t index, const Changes& changes) {
   const std::string ip = ToString(m_network.Edge(index));
   const auto at = [&ip](std::uint16_t port) {
     return "\"" + ip + ":" + std::to_string(port) + "\"";
   };
   std::string seeds;
   for (std::uint32_t other = 0; other < m_network_size && other < 3; ++other)
-    seeds += std::string(other == 0 ? "" : ",") + "\"" +
-             ToString(base::Endpoint{m_network.Edge(other), kControlPort}) +
-             "\"";
+    seeds +=
+        std::string(other == 0 ? "" : ",") + "\"" +
+        ToString(base::Endpoint{
+            m_network.Edge((changes.m_first_seed + other) % m_network_size),
+            kControlPort}) +
+        "\"";
   std::string topology;
   if (m_profile.m_has_topology) {
     topology = R"("region":"region-0","limits":{"link_mbps":)" +
@@ -157,7 +171,7 @@
       << at(kControlPort) << R"(},"internal_ports":[)" << kMetricsPort
       << R"(,17735],"seeds":[)" << seeds
       << R"(],"heartbeat_ms":1200,"forward_mode":"echo","bounds":{"drain_ms":)"
-      << drain_ms << R"(,"config_apply_ms":)"
+      << changes.m_drain_bound_ms << R"(,"config_apply_ms":)"
       << m_profile.m_configuration_bound_ms << R"(,"stable_window_ms":)"
       << m_profile.m_settling_time_ms << R"(,"grace_s":6},)"
       << R"("platform":{"address":")" << ToString(m_network.StoreProxy(index))
@@ -179,6 +193,7 @@
       std::vector<std::string>{"run", "--settings", SettingsPath(edge.m_index)},
       log);
   edge.m_is_exit_expected = false;
+  edge.m_kill_at.reset();
   m_checker->OnEdgeStarted(m_network.Edge(edge.m_index));
 }
 
@@ -187,6 +202,10 @@
 void EdgeFleet::RestartExited() {
   for (const auto& edge : m_edges) {
     const auto status = edge->m_program->ExitStatus();
+    if (edge->m_kill_at) {
+      RestartStopped(*edge);
+      continue;
+    }
     if (edge->m_is_exit_expected || !status)
       continue;
     m_checker->OnUnexpectedExit("edge-" + std::to_string(edge->m_index) +
@@ -196,6 +215,23 @@
   }
 }
 
+void EdgeFleet::RestartStopped(Edge& edge) {
+  const auto status = edge.m_program->ExitStatus();
+  if (!status) {
+    if (stand_ins::EventLoop::Now() >= *edge.m_kill_at)
+      edge.m_program->Signal(SIGKILL);
+    return;
+  }
+  const bool is_clean = WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+  const bool is_killed = WIFSIGNALED(*status) && WTERMSIG(*status) == SIGKILL;
+  if (!is_clean && !is_killed)
+    m_checker->OnUnexpectedExit(
+        "edge-" + std::to_string(edge.m_index) +
+        " was told to stop and ended with wait status " +
+        std::to_string(*status));
+  Start(edge);
+}
+
 void EdgeFleet::Poll() {
   for (const auto& edge : m_edges) {
     http::Request request;
--- a/Tests/Soak/edge_fleet.h
+++ b/Tests/Soak/edge_fleet.h
@@ -59,14 +59,25 @@
   void InjectStorePathFault(std::uint32_t edge,
                             const std::string& rule,
                             base::Duration length);
-  // Rewrites the settings file with bounds.drain_ms set to `drain_ms`.
-  void ChangeSettings(std::uint32_t edge, int drain_ms);
+  // Sends SIGTERM, and SIGKILL after `grace`. The process is started again as
+  // soon as it has exited.
+  void Stop(std::uint32_t edge, base::Duration grace);
+  struct Changes {
+    int m_drain_bound_ms = 0;
+    // The first of the three consecutive balancers that are the seeds.
+    std::uint32_t m_first_seed = 0;
+  };
+  // Rewrites the settings file.
+  void ChangeSettings(std::uint32_t edge, const Changes& changes);
 
  private:
   struct Edge {
     std::uint32_t m_index = 0;
     std::unique_ptr<EdgeChildProcess> m_program;
     bool m_is_exit_expected = false;
+    // When a process that was told to stop is killed, if it was to start again
+    // at its exit.
+    std::optional<base::TimePoint> m_kill_at;
     int m_missed_polls = 2;
     std::unique_ptr<stand_ins::FaultPlan> m_fault_plan;
     std::unique_ptr<stand_ins::TcpProxy> m_store_proxy;
@@ -76,6 +87,7 @@
   std::string SettingsPath(std::uint32_t edge) const;
   void Start(Edge& edge);
   void RestartExited();
+  void RestartStopped(Edge& edge);
   void Poll();
 
   stand_ins::EventLoop* m_loop;
--- a/Tests/Soak/fault_schedule.h
+++ b/Tests/Soak/fault_schedule.h
@@ -38,9 +38,19 @@
   kForeignEntry,
   kGarbage,
   kSlowServer,
+  // Series of faults, and faults of many balancers.
+  kKillSeries,
+  kRollingStop,
+  kSignalSeries,
+  kHerdKill,
+  kPauseMany,
+  kCutManyStorePaths,
+  kSettingsWave,
+  kRouteSeries,
+  kCompactSeries,
 };
 
-inline constexpr base::EnumTable<FaultKind, 23> kFaultKindNames{{
+inline constexpr base::EnumTable<FaultKind, 32> kFaultKindNames{{
     {FaultKind::kKillEdge, "kill_edge"},
     {FaultKind::kStopEdge, "stop_edge"},
     {FaultKind::kPauseEdge, "pause_edge"},
@@ -64,6 +74,15 @@
     {FaultKind::kForeignEntry, "foreign_entry"},
     {FaultKind::kGarbage, "garbage"},
     {FaultKind::kSlowServer, "slow_server"},
+    {FaultKind::kKillSeries, "kill_series"},
+    {FaultKind::kRollingStop, "rolling_stop"},
+    {FaultKind::kSignalSeries, "signal_series"},
+    {FaultKind::kHerdKill, "herd_kill"},
+    {FaultKind::kPauseMany, "pause_many"},
+    {FaultKind::kCutManyStorePaths, "cut_many_store_paths"},
+    {FaultKind::kSettingsWave, "settings_wave"},
+    {FaultKind::kRouteSeries, "route_series"},
+    {FaultKind::kCompactSeries, "compact_series"},
 }};
 
 struct Fault {
@@ -81,6 +100,13 @@
                                   std::uint32_t edges,
                                   std::uint32_t servers);
 
+// As GenerateFaults, with series and faults of many balancers among them, and
+// more changes of routes. With an odd seed the store responds all the time.
+std::vector<Fault> GenerateSeries(std::uint64_t seed,
+                                  base::Duration length,
+                                  std::uint32_t edges,
+                                  std::uint32_t servers);
+
 std::string ToString(const Fault& fault);
 
 void Inject(const Fault& fault, SoakHarness& harness);
--- a/Tests/Soak/invariant_checker.cc
+++ b/Tests/Soak/invariant_checker.cc
@@ -61,6 +61,17 @@
   m_shown.erase(ToString(edge));
 }
 
+void InvariantChecker::OnServerRegistered(const std::string& server,
+                                          const std::string& service,
+                                          base::TimePoint now) {
+  m_registered[server] = {service, now};
+}
+
+void InvariantChecker::OnEntriesLapsed() {
+  m_have_entries_lapsed = true;
+  m_registered.clear();
+}
+
 void InvariantChecker::OnDrainAcknowledged(const std::string& server,
                                            base::TimePoint now) {
   if (now >= m_store_disturbed_until + m_settling_time)
@@ -159,6 +170,10 @@
   const std::string details = ToString(flow.m_caller) + " to " +
                               ToString(flow.m_service) + " was refused by " +
                               ToString(edge);
+  if (!std::ranges::all_of(route.m_services, [&](const std::string& service) {
+        return HasServer(service, now);
+      }))
+    return;
   if (HasShown(edge, route.m_added_by, now))
     Report("CONFIG", "an added route was gone again: " + details);
   else if (IsViewCurrent(edge, now) &&
@@ -166,6 +181,20 @@
     Report("CONFIG", "an added route is not served: " + details);
 }
 
+bool InvariantChecker::HasServer(const std::string& service,
+                                 base::TimePoint now) const {
+  // A balancer may learn of the lapse, but not of the entries that came back.
+  if (m_have_entries_lapsed && now < m_store_disturbed_until + m_settling_time)
+    return false;
+  return std::ranges::any_of(m_registered, [&](const auto& entry) {
+    const RegisteredServer& server = entry.second;
+    return server.m_service == service &&
+           now >= server.m_since + m_settling_time &&
+           !m_draining.contains(entry.first) &&
+           IsSettled(m_servers_disturbed_until, entry.first, now);
+  });
+}
+
 bool InvariantChecker::HasShown(base::Ipv4Address edge,
                                 std::uint64_t change,
                                 base::TimePoint now) const {
--- a/Tests/Soak/invariant_checker.h
+++ b/Tests/Soak/invariant_checker.h
@@ -46,6 +46,14 @@
                      base::Duration length);
   // A new process of the balancer starts, which knows no manifest.
   void OnEdgeStarted(base::Ipv4Address edge);
+  void OnServerRegistered(const std::string& server,
+                          const std::string& service,
+                          base::TimePoint now);
+  void OnServerDeregistered(const std::string& server) {
+    m_registered.erase(server);
+  }
+  // The store removed the entries of servers that run.
+  void OnEntriesLapsed();
   void OnDrainAcknowledged(const std::string& server, base::TimePoint now);
   void OnRouteAdded(base::Endpoint address,
                     const std::string& service,
@@ -80,6 +88,10 @@
     base::TimePoint m_added_at;
     std::optional<base::TimePoint> m_dropped_at;
   };
+  struct RegisteredServer {
+    std::string m_service;
+    base::TimePoint m_since;
+  };
   // A change that a server saw in force at a balancer.
   struct SeenChange {
     std::uint64_t m_number = 0;
@@ -94,6 +106,8 @@
                         base::Ipv4Address edge,
                         const RouteHistory& route,
                         base::TimePoint now);
+  // Whether a balancer must know a server of the service.
+  bool HasServer(const std::string& service, base::TimePoint now) const;
   // Whether a server saw the change, or a later one, in force at the balancer's
   // process longer ago than the slack for regressions.
   bool HasShown(base::Ipv4Address edge,
@@ -117,6 +131,8 @@
   std::map<base::Endpoint, RouteHistory> m_routes;
   std::uint64_t m_changes = 0;
   std::map<std::string, SeenChange> m_shown;
+  std::map<std::string, RegisteredServer> m_registered;
+  bool m_have_entries_lapsed = false;
   std::map<flow::FlowKey, OpenFlow> m_open;
   std::set<std::string> m_executed_requests;
   std::vector<std::pair<base::TimePoint, bool>> m_answers;
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -40,6 +40,7 @@
   std::chrono::seconds m_fault_time{10};
   // Numbers of the faults that are not injected, to narrow down a failure.
   std::vector<std::size_t> m_skipped;
+  bool m_has_series = false;
   bool m_keeps_files = false;
 };
 
@@ -61,8 +62,9 @@
   SoakHarness harness(run.m_soak);
   harness.Run(kStartTime);
   harness.StartCallers();
-  const auto faults = GenerateFaults(run.m_soak.m_seed, run.m_fault_time,
-                                     harness.Edges(), harness.Servers());
+  const auto generate = run.m_has_series ? GenerateSeries : GenerateFaults;
+  const auto faults = generate(run.m_soak.m_seed, run.m_fault_time,
+                               harness.Edges(), harness.Servers());
   const base::TimePoint start = stand_ins::EventLoop::Now();
   for (std::size_t number = 0; number < faults.size(); ++number) {
     const Fault& fault = faults[number];
@@ -143,6 +145,8 @@
       "small or grown: the data centres, links and bounds")(
       "idle-routes", options::value<std::uint32_t>()->default_value(0),
       "routes without callers, to make the manifest larger")(
+      "series",
+      "draw more faults, series and faults of many balancers among them")(
       "keep", "keep the settings and logs of passed seeds too");
   return description;
 }
@@ -162,6 +166,7 @@
   run.m_fault_time = std::chrono::seconds(values["seconds"].as<int>());
   if (values.contains("program"))
     run.m_soak.m_program = values["program"].as<std::string>();
+  run.m_has_series = values.contains("series");
   run.m_keeps_files = values.contains("keep");
   if (values.contains("skip"))
     run.m_skipped = values["skip"].as<std::vector<std::size_t>>();
