Soak: Cut the readers off, and report added routes that get no answer

A balancer that does not know whether its routes are the newest answers an opening without a route with silence, so a route that was added and is not served did not show as a reset. The checker now reports the second probe of an added route that a balancer in touch leaves without an answer.

`cut_readers` and `pause_readers` meet the balancers whose log shows that they read the store.

--- a/Tests/Soak/edge_fleet.cc
+++ b/Tests/Soak/edge_fleet.cc
@@ -86,6 +86,23 @@
   return true;
 }
 
+std::vector<std::uint32_t> EdgeFleet::Readers() const {
+  std::vector<std::uint32_t> readers;
+  for (const auto& edge : m_edges) {
+    std::ifstream log(LogPath(edge->m_index));
+    bool is_reader = false;
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(R"("event":"reader_started")") != std::string::npos)
+        is_reader = true;
+      else if (line.find(R"("event":"reader_stopped")") != std::string::npos)
+        is_reader = false;
+    }
+    if (is_reader)
+      readers.push_back(edge->m_index);
+  }
+  return readers;
+}
+
 std::vector<base::Endpoint> EdgeFleet::ReadyEdges() const {
   std::vector<base::Endpoint> ready;
   for (const auto& edge : m_edges) {
@@ -183,15 +200,17 @@
   return m_directory + "/edge-" + std::to_string(edge) + ".json";
 }
 
+std::string EdgeFleet::LogPath(std::uint32_t edge) const {
+  return m_directory + "/edge-" + std::to_string(edge) + ".log";
+}
+
 // Kills the former process if it still runs after its time to restart.
 void EdgeFleet::Start(Edge& edge) {
-  const std::string log =
-      m_directory + "/edge-" + std::to_string(edge.m_index) + ".log";
   edge.m_program.reset();
   edge.m_program = std::make_unique<EdgeChildProcess>(
       m_program_path,
       std::vector<std::string>{"run", "--settings", SettingsPath(edge.m_index)},
-      log);
+      LogPath(edge.m_index));
   edge.m_is_exit_expected = false;
   edge.m_kill_at.reset();
   m_checker->OnEdgeStarted(m_network.Edge(edge.m_index));
--- a/Tests/Soak/edge_fleet.h
+++ b/Tests/Soak/edge_fleet.h
@@ -45,6 +45,8 @@
   // in rotation.
   std::optional<base::Endpoint> Route(const flow::FlowKey& flow) const;
   bool AreAllReady() const;
+  // The balancers whose log shows that they read the store.
+  std::vector<std::uint32_t> Readers() const;
   // The packet endpoints of the balancers that answered the last poll.
   std::vector<base::Endpoint> ReadyEdges() const;
 
@@ -84,6 +86,7 @@
     stand_ins::LineCommands m_fault_commands;
   };
 
+  std::string LogPath(std::uint32_t edge) const;
   std::string SettingsPath(std::uint32_t edge) const;
   void Start(Edge& edge);
   void RestartExited();
--- a/Tests/Soak/fault_schedule.cc
+++ b/Tests/Soak/fault_schedule.cc
@@ -33,6 +33,8 @@
 // The users' grace_s, after which a process that was told to stop is killed.
 constexpr base::Duration kStopGrace = milliseconds(6000);
 constexpr base::Duration kShortRestartDelay = milliseconds(20);
+// Longer than the bound for changes.
+constexpr base::Duration kAdditionalCutTime = milliseconds(4500);
 constexpr double kHerdShare = 0.6;
 constexpr double kPausedShare = 0.3;
 constexpr double kCutShare = 0.33;
@@ -175,6 +177,17 @@
   });
 }
 
+// The store becomes silent to the balancers that read it, or resets their
+// connections; it responds to the others.
+void CutReaders(const Fault& fault, SoakHarness& harness) {
+  const std::string rule = fault.m_target % 2 == 0 ? "cut both" : "drop";
+  const base::Duration length = fault.m_length + kAdditionalCutTime;
+  for (const auto edge : harness.fleet().Readers()) {
+    harness.DisturbEdge(edge, length);
+    harness.fleet().InjectStorePathFault(edge, rule, length);
+  }
+}
+
 void CompactInSeries(const Fault& fault, SoakHarness& harness) {
   constexpr int kCompactions = 6;
   Repeat(harness, kCompactions, fault.m_length,
@@ -304,6 +317,14 @@
       return ChangeRoutesInSeries(fault, harness);
     case FaultKind::kCompactSeries:
       return CompactInSeries(fault, harness);
+    case FaultKind::kCutReaders:
+      return CutReaders(fault, harness);
+    case FaultKind::kPauseReaders:
+      for (const auto edge : harness.fleet().Readers()) {
+        harness.DisturbEdge(edge, length);
+        harness.fleet().Pause(edge, length);
+      }
+      return;
   }
 }
 
--- a/Tests/Soak/fault_schedule.h
+++ b/Tests/Soak/fault_schedule.h
@@ -48,9 +48,11 @@
   kSettingsWave,
   kRouteSeries,
   kCompactSeries,
+  kCutReaders,
+  kPauseReaders,
 };
 
-inline constexpr base::EnumTable<FaultKind, 32> kFaultKindNames{{
+inline constexpr base::EnumTable<FaultKind, 34> kFaultKindNames{{
     {FaultKind::kKillEdge, "kill_edge"},
     {FaultKind::kStopEdge, "stop_edge"},
     {FaultKind::kPauseEdge, "pause_edge"},
@@ -83,6 +85,8 @@
     {FaultKind::kSettingsWave, "settings_wave"},
     {FaultKind::kRouteSeries, "route_series"},
     {FaultKind::kCompactSeries, "compact_series"},
+    {FaultKind::kCutReaders, "cut_readers"},
+    {FaultKind::kPauseReaders, "pause_readers"},
 }};
 
 struct Fault {
--- a/Tests/Soak/invariant_checker.cc
+++ b/Tests/Soak/invariant_checker.cc
@@ -11,7 +11,7 @@
 constexpr int kAllowedMisroutedPackets = 2;
 // The users' rollback_slack_ms.
 constexpr base::Duration kRegressionSlack = std::chrono::milliseconds(250);
-constexpr std::size_t kMaximumViolations = 50;
+constexpr int kMaximumViolationsOfRule = 50;
 
 void Extend(std::map<std::string, base::TimePoint>& until,
             const std::string& name,
@@ -170,9 +170,7 @@
   const std::string details = ToString(flow.m_caller) + " to " +
                               ToString(flow.m_service) + " was refused by " +
                               ToString(edge);
-  if (!std::ranges::all_of(route.m_services, [&](const std::string& service) {
-        return HasServer(service, now);
-      }))
+  if (!HasServers(route, now))
     return;
   if (HasShown(edge, route.m_added_by, now))
     Report("CONFIG", "an added route was gone again: " + details);
@@ -181,6 +179,13 @@
     Report("CONFIG", "an added route is not served: " + details);
 }
 
+bool InvariantChecker::HasServers(const RouteHistory& route,
+                                  base::TimePoint now) const {
+  return std::ranges::all_of(route.m_services, [&](const std::string& service) {
+    return HasServer(service, now);
+  });
+}
+
 bool InvariantChecker::HasServer(const std::string& service,
                                  base::TimePoint now) const {
   // A balancer may learn of the lapse, but not of the entries that came back.
@@ -211,6 +216,20 @@
     shown = {change, now};
 }
 
+void InvariantChecker::OnProbeUnanswered(const flow::FlowKey& flow,
+                                         base::Ipv4Address edge,
+                                         base::TimePoint now) {
+  const auto route = m_routes.find(flow.m_service);
+  if (route == m_routes.end() || route->second.m_dropped_at ||
+      !IsViewCurrent(edge, now) || !HasServers(route->second, now))
+    return;
+  // One probe may have gone to a server that has crashed.
+  if (++m_unanswered_probes[{ToString(edge), flow.m_service}] > 1)
+    Report("CONFIG",
+           "an added route is not served: " + ToString(flow.m_service) +
+               " at " + ToString(edge) + " leaves openings without an answer");
+}
+
 void InvariantChecker::OnRequestEnded(bool is_served, base::TimePoint sent_at) {
   ++(is_served ? m_served : m_failed);
   m_answers.emplace_back(sent_at, is_served);
@@ -232,7 +251,7 @@
 
 void InvariantChecker::Report(const std::string& rule,
                               const std::string& details) {
-  if (m_violations.size() < kMaximumViolations)
+  if (++m_violations_of_rule[rule] <= kMaximumViolationsOfRule)
     m_violations.push_back(rule + ": " + details);
 }
 
--- a/Tests/Soak/invariant_checker.h
+++ b/Tests/Soak/invariant_checker.h
@@ -76,6 +76,10 @@
                base::Ipv4Address edge,
                bool is_open,
                base::TimePoint now);
+  // A probe of an added route got neither an answer nor a reset.
+  void OnProbeUnanswered(const flow::FlowKey& flow,
+                         base::Ipv4Address edge,
+                         base::TimePoint now);
   void OnRequestEnded(bool is_served, base::TimePoint sent_at);
   void OnUnexpectedExit(const std::string& details) { Report("EXIT", details); }
 
@@ -106,7 +110,8 @@
                         base::Ipv4Address edge,
                         const RouteHistory& route,
                         base::TimePoint now);
-  // Whether a balancer must know a server of the service.
+  // Whether a balancer must know a server of each service of the route.
+  bool HasServers(const RouteHistory& route, base::TimePoint now) const;
   bool HasServer(const std::string& service, base::TimePoint now) const;
   // Whether a server saw the change, or a later one, in force at the balancer's
   // process longer ago than the slack for regressions.
@@ -131,6 +136,8 @@
   std::map<base::Endpoint, RouteHistory> m_routes;
   std::uint64_t m_changes = 0;
   std::map<std::string, SeenChange> m_shown;
+  // By balancer and route.
+  std::map<std::pair<std::string, base::Endpoint>, int> m_unanswered_probes;
   std::map<std::string, RegisteredServer> m_registered;
   bool m_have_entries_lapsed = false;
   std::map<flow::FlowKey, OpenFlow> m_open;
@@ -138,6 +145,7 @@
   std::vector<std::pair<base::TimePoint, bool>> m_answers;
   std::uint64_t m_served = 0;
   std::uint64_t m_failed = 0;
+  std::map<std::string, int> m_violations_of_rule;
   std::vector<std::string> m_violations;
 };
 
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -40,6 +40,8 @@
   std::chrono::seconds m_fault_time{10};
   // Numbers of the faults that are not injected, to narrow down a failure.
   std::vector<std::size_t> m_skipped;
+  // The kinds of faults that are injected; empty: all.
+  std::vector<FaultKind> m_only;
   bool m_has_series = false;
   bool m_keeps_files = false;
 };
@@ -52,7 +54,10 @@
   return path;
 }
 
-bool IsSkipped(const RunOptions& run, std::size_t number) {
+bool IsSkipped(const RunOptions& run, std::size_t number, const Fault& fault) {
+  if (!run.m_only.empty() && std::find(run.m_only.begin(), run.m_only.end(),
+                                       fault.m_kind) == run.m_only.end())
+    return true;
   return std::find(run.m_skipped.begin(), run.m_skipped.end(), number) !=
          run.m_skipped.end();
 }
@@ -69,8 +74,8 @@
   for (std::size_t number = 0; number < faults.size(); ++number) {
     const Fault& fault = faults[number];
     std::cout << "  " << number << ". " << ToString(fault)
-              << (IsSkipped(run, number) ? " (skipped)" : "") << "\n";
-    if (!IsSkipped(run, number))
+              << (IsSkipped(run, number, fault) ? " (skipped)" : "") << "\n";
+    if (!IsSkipped(run, number, fault))
       harness.loop().Timers().SubscribeOnce(
           start + fault.m_at,
           [&harness, fault](base::TimePoint) { Inject(fault, harness); });
@@ -121,6 +126,17 @@
   return seeds;
 }
 
+std::vector<FaultKind> ReadKinds(const std::vector<std::string>& names) {
+  std::vector<FaultKind> kinds;
+  for (const std::string& name : names) {
+    const auto kind = ValueOf(kFaultKindNames, name);
+    if (!kind)
+      throw std::runtime_error("unknown kind of fault: " + name);
+    kinds.push_back(*kind);
+  }
+  return kinds;
+}
+
 options::options_description MakeDescription() {
   options::options_description description("EdgeSoak [OPTIONS]\n\nOptions");
   description.add_options()("help", "print this text")(
@@ -133,6 +149,8 @@
       "time in which faults start, for each seed")(
       "skip", options::value<std::vector<std::size_t>>()->multitoken(),
       "numbers of faults to skip")(
+      "only", options::value<std::vector<std::string>>()->multitoken(),
+      "kinds of faults; all others are skipped")(
       "edges", options::value<std::uint32_t>()->default_value(4), "balancers")(
       "servers", options::value<std::uint32_t>()->default_value(10),
       "backend servers")(
@@ -166,6 +184,8 @@
   run.m_fault_time = std::chrono::seconds(values["seconds"].as<int>());
   if (values.contains("program"))
     run.m_soak.m_program = values["program"].as<std::string>();
+  if (values.contains("only"))
+    run.m_only = ReadKinds(values["only"].as<std::vector<std::string>>());
   run.m_has_series = values.contains("series");
   run.m_keeps_files = values.contains("keep");
   if (values.contains("skip"))
--- a/Tests/Soak/route_prober.cc
+++ b/Tests/Soak/route_prober.cc
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint16_t kFirstPort = 1024;
+// The time after which a caller gives up an opening.
+constexpr base::Duration kAnswerTime = milliseconds(1400);
 // Relative to the end of the bound.
 constexpr base::Duration kProbeDelays[] = {milliseconds(100), milliseconds(600),
                                            milliseconds(1600)};
@@ -58,12 +60,24 @@
     packet.m_sequence = m_next_port;
     m_next_port = m_next_port == UINT16_MAX ? kFirstPort : m_next_port + 1;
     ++m_sent;
-    if (is_added)
-      m_waiting.insert({packet.m_source, route});
+    if (is_added) {
+      const flow::FlowKey flow{packet.m_source, route};
+      m_waiting.insert(flow);
+      m_loop->Timers().SubscribeOnce(stand_ins::EventLoop::Now() + kAnswerTime,
+                                     [this, flow, edge](base::TimePoint) {
+                                       CheckAnswered(flow, edge.m_address);
+                                     });
+    }
     m_port->Send(Encode(packet), edge);
   }
 }
 
+void RouteProber::CheckAnswered(const flow::FlowKey& flow,
+                                base::Ipv4Address edge) {
+  if (m_waiting.contains(flow))
+    m_checker->OnProbeUnanswered(flow, edge, stand_ins::EventLoop::Now());
+}
+
 void RouteProber::Handle(stand_ins::UdpPort::Bytes datagram,
                          base::Endpoint source) {
   const auto packet = Decode(datagram);
--- a/Tests/Soak/route_prober.h
+++ b/Tests/Soak/route_prober.h
@@ -39,6 +39,7 @@
 
  private:
   void Probe(base::Endpoint route, bool is_added);
+  void CheckAnswered(const flow::FlowKey& flow, base::Ipv4Address edge);
   void Handle(stand_ins::UdpPort::Bytes datagram, base::Endpoint source);
 
   stand_ins::EventLoop* m_loop;
