Edge: Read the manifest while the answers about the servers are unusable

A balancer without a current reader reads the store itself. To spare calls in an outage it first calls for the servers alone, and calls for the manifest once the servers are current. If the store answers that call and the answer cannot be decoded, the servers never become current, so the manifest is never read. The readers are not current either, for the same reason, so this meets all balancers at the same moment.

The order of the calls remained: any answer about the servers that is unusable as a whole still kept the manifest out.

The balancer now also calls for the manifest when the last answer about the servers was unusable: such an answer shows that the store responds. Without any answer it still makes one call only.

--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -108,6 +108,7 @@
   if (const auto* failure =
           std::get_if<catalog::CallFailure>(&decoded.m_result))
     update.m_failure = *failure;
+  m_last_failure = update.m_failure;
   if (list == nullptr) {
     update.m_objects = std::move(decoded.m_objects);
   } else {
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -47,6 +47,10 @@
   const catalog::CollectionWatcher& watcher() const { return m_watcher; }
   adapter::Collection collection() const { return m_collection; }
   bool IsActive() const { return m_is_active; }
+  // Whether the store responded to the last call, but not usably.
+  bool IsAnswerUnusable() const {
+    return m_last_failure == catalog::CallFailure::kMalformed;
+  }
   // The number of calls since the start of the process.
   std::uint64_t Calls() const { return m_calls; }
 
@@ -82,6 +86,8 @@
   catalog::CollectionWatcher m_watcher;
   Callback m_callback;
   bool m_is_active = false;
+  // Nothing if the last call succeeded.
+  std::optional<catalog::CallFailure> m_last_failure;
   std::optional<http::RequestId> m_open_call;
   // The objects of the pages that the list in progress has received.
   adapter::CollectionObjects m_pages;
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -205,9 +205,11 @@
            reader.watcher().KnownRevision() == catalog::Revision();
   };
   m_servers.SetActive(should_read && needs_call(m_servers));
-  // One collection shows whether the store responds.
-  const bool is_first_try =
-      !is_reader && has_view && !m_servers.watcher().IsCurrent(now);
+  // One collection shows whether the store responds. Unusable answers to it
+  // must not delay the other one.
+  const bool is_first_try = !is_reader && has_view &&
+                            !m_servers.watcher().IsCurrent(now) &&
+                            !m_servers.IsAnswerUnusable();
   m_manifests.SetActive(should_read && needs_call(m_manifests) &&
                         !is_first_try);
 }
