--- a/Tests/Soak/edge_fleet.cc
+++ b/Tests/Soak/edge_fleet.cc
@@ -1,6 +1,7 @@
 #include "edge_fleet.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <chrono>
 #include <cstdio>
@@ -21,19 +22,20 @@
 constexpr base::Duration kPollTimeout = milliseconds(400);
 constexpr int kMissedPollsToRemove = 2;
 constexpr base::Duration kExitCheckPeriod = milliseconds(20);
-constexpr int kDefaultDrainMs = 3000;
 
 }  // namespace
 
 EdgeFleet::EdgeFleet(stand_ins::EventLoop* loop,
                      InvariantChecker* checker,
                      Network network,
+                     const DeploymentProfile& profile,
                      std::uint32_t edges,
                      std::string program,
                      std::string directory)
     : m_loop(loop),
       m_checker(checker),
       m_network(network),
+      m_profile(profile),
       m_network_size(edges),
       m_program_path(std::move(program)),
       m_directory(std::move(directory)),
@@ -50,7 +52,8 @@
                                     [proxy] { proxy->ApplyRules(); });
     if (!proxy->Open(m_network.StoreProxy(index)))
       throw std::runtime_error("cannot open the proxy to the store");
-    ChangeSettings(index, kDefaultDrainMs);
+    ChangeSettings(index, {.m_drain_bound_ms = m_profile.m_drain_bound_ms,
+                           .m_first_seed = 0});
     Start(*edge);
     m_edges.push_back(std::move(edge));
   }
@@ -83,11 +86,37 @@
   return true;
 }
 
+std::vector<std::uint32_t> EdgeFleet::Readers() const {
+  std::vector<std::uint32_t> readers;
+  for (const auto& edge : m_edges) {
+    std::ifstream log(LogPath(edge->m_index));
+    bool is_reader = false;
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(R"("event":"reader_started")") != std::string::npos)
+        is_reader = true;
+      else if (line.find(R"("event":"reader_stopped")") != std::string::npos)
+        is_reader = false;
+    }
+    if (is_reader)
+      readers.push_back(edge->m_index);
+  }
+  return readers;
+}
+
+std::vector<base::Endpoint> EdgeFleet::ReadyEdges() const {
+  std::vector<base::Endpoint> ready;
+  for (const auto& edge : m_edges) {
+    if (edge->m_missed_polls == 0)
+      ready.push_back({m_network.Edge(edge->m_index), kPacketPort});
+  }
+  return ready;
+}
+
 void EdgeFleet::Signal(std::uint32_t index,
                        int signal,
                        base::Duration restart_after) {
   Edge& edge = *m_edges[index];
-  if (edge.m_is_exit_expected)
+  if (edge.m_is_exit_expected && signal != SIGHUP)
     return;
   edge.m_program->Signal(signal);
   if (signal != SIGKILL && signal != SIGTERM)
@@ -98,6 +127,15 @@
       [this, index](base::TimePoint) { Start(*m_edges[index]); });
 }
 
+void EdgeFleet::Stop(std::uint32_t index, base::Duration grace) {
+  Edge& edge = *m_edges[index];
+  if (edge.m_is_exit_expected)
+    return;
+  edge.m_program->Signal(SIGTERM);
+  edge.m_is_exit_expected = true;
+  edge.m_kill_at = stand_ins::EventLoop::Now() + grace;
+}
+
 void EdgeFleet::Pause(std::uint32_t index, base::Duration length) {
   const Edge& edge = *m_edges[index];
   edge.m_program->Signal(SIGSTOP);
@@ -117,28 +155,42 @@
       });
 }
 
-void EdgeFleet::ChangeSettings(std::uint32_t index, int drain_ms) {
+void EdgeFleet::ChangeSettings(std::uint32_t index, const Changes& changes) {
   const std::string ip = ToString(m_network.Edge(index));
   const auto at = [&ip](std::uint16_t port) {
     return "\"" + ip + ":" + std::to_string(port) + "\"";
   };
   std::string seeds;
   for (std::uint32_t other = 0; other < m_network_size && other < 3; ++other)
-    seeds += std::string(other == 0 ? "" : ",") + "\"" +
-             ToString(base::Endpoint{m_network.Edge(other), kControlPort}) +
-             "\"";
+    seeds +=
+        std::string(other == 0 ? "" : ",") + "\"" +
+        ToString(base::Endpoint{
+            m_network.Edge((changes.m_first_seed + other) % m_network_size),
+            kControlPort}) +
+        "\"";
+  std::string topology;
+  if (m_profile.m_has_topology) {
+    topology = R"("region":"region-0","limits":{"link_mbps":)" +
+               std::to_string(m_profile.m_link_mbps) + R"(},"zones":{)";
+    for (std::uint32_t i = 0; i < m_profile.m_data_centres; ++i)
+      topology += std::string(i == 0 ? "" : ",") + R"("hall-)" +
+                  std::to_string(i) + R"(":"region-0")";
+    topology += "},";
+  }
   const std::string path = SettingsPath(index);
   // The rename replaces the file atomically: a balancer never reads a partly
   // written one.
   std::ofstream(path + ".new")
-      << R"({"node_name":"edge-)" << index << R"(","zone":"hall-)" << index % 2
-      << R"(","listen":{"datagram_addr":)" << at(kPacketPort)
+      << R"({"node_name":"edge-)" << index << R"(","zone":"hall-)"
+      << index % m_profile.m_data_centres << R"(",)" << topology
+      << R"("listen":{"datagram_addr":)" << at(kPacketPort)
       << R"(,"ready_addr":)" << at(kReadinessPort) << R"(,"control":)"
       << at(kControlPort) << R"(},"internal_ports":[)" << kMetricsPort
       << R"(,17735],"seeds":[)" << seeds
       << R"(],"heartbeat_ms":1200,"forward_mode":"echo","bounds":{"drain_ms":)"
-      << drain_ms
-      << R"(,"config_apply_ms":3000,"stable_window_ms":4000,"grace_s":6},)"
+      << changes.m_drain_bound_ms << R"(,"config_apply_ms":)"
+      << m_profile.m_configuration_bound_ms << R"(,"stable_window_ms":)"
+      << m_profile.m_settling_time_ms << R"(,"grace_s":6},)"
       << R"("platform":{"address":")" << ToString(m_network.StoreProxy(index))
       << R"(","forward_mode":"objects"}})";
   std::rename((path + ".new").c_str(), path.c_str());
@@ -148,16 +200,20 @@
   return m_directory + "/edge-" + std::to_string(edge) + ".json";
 }
 
+std::string EdgeFleet::LogPath(std::uint32_t edge) const {
+  return m_directory + "/edge-" + std::to_string(edge) + ".log";
+}
+
 // Kills the former process if it still runs after its time to restart.
 void EdgeFleet::Start(Edge& edge) {
-  const std::string log =
-      m_directory + "/edge-" + std::to_string(edge.m_index) + ".log";
   edge.m_program.reset();
   edge.m_program = std::make_unique<EdgeChildProcess>(
       m_program_path,
       std::vector<std::string>{"run", "--settings", SettingsPath(edge.m_index)},
-      log);
+      LogPath(edge.m_index));
   edge.m_is_exit_expected = false;
+  edge.m_kill_at.reset();
+  m_checker->OnEdgeStarted(m_network.Edge(edge.m_index));
 }
 
 // Reports each process that exited without a signal from the soak, and restarts
@@ -165,6 +221,10 @@
 void EdgeFleet::RestartExited() {
   for (const auto& edge : m_edges) {
     const auto status = edge->m_program->ExitStatus();
+    if (edge->m_kill_at) {
+      RestartStopped(*edge);
+      continue;
+    }
     if (edge->m_is_exit_expected || !status)
       continue;
     m_checker->OnUnexpectedExit("edge-" + std::to_string(edge->m_index) +
@@ -174,6 +234,23 @@
   }
 }
 
+void EdgeFleet::RestartStopped(Edge& edge) {
+  const auto status = edge.m_program->ExitStatus();
+  if (!status) {
+    if (stand_ins::EventLoop::Now() >= *edge.m_kill_at)
+      edge.m_program->Signal(SIGKILL);
+    return;
+  }
+  const bool is_clean = WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+  const bool is_killed = WIFSIGNALED(*status) && WTERMSIG(*status) == SIGKILL;
+  if (!is_clean && !is_killed)
+    m_checker->OnUnexpectedExit(
+        "edge-" + std::to_string(edge.m_index) +
+        " was told to stop and ended with wait status " +
+        std::to_string(*status));
+  Start(edge);
+}
+
 void EdgeFleet::Poll() {
   for (const auto& edge : m_edges) {
     http::Request request;
--- a/Tests/Soak/edge_fleet.h
+++ b/Tests/Soak/edge_fleet.h
@@ -17,6 +17,7 @@
 #include "StandIns/fault_plan.h"
 #include "StandIns/line_commands.h"
 #include "StandIns/tcp_proxy.h"
+#include "deployment_profile.h"
 #include "edge_child_process.h"
 #include "network.h"
 
@@ -31,6 +32,7 @@
   EdgeFleet(stand_ins::EventLoop* loop,
             InvariantChecker* checker,
             Network network,
+            const DeploymentProfile& profile,
             std::uint32_t edges,
             std::string program,
             std::string directory);
@@ -43,6 +45,10 @@
   // in rotation.
   std::optional<base::Endpoint> Route(const flow::FlowKey& flow) const;
   bool AreAllReady() const;
+  // The balancers whose log shows that they read the store.
+  std::vector<std::uint32_t> Readers() const;
+  // The packet endpoints of the balancers that answered the last poll.
+  std::vector<base::Endpoint> ReadyEdges() const;
 
   // Commands.
   // Sends a signal. After SIGKILL or SIGTERM the process is started again after
@@ -55,28 +61,42 @@
   void InjectStorePathFault(std::uint32_t edge,
                             const std::string& rule,
                             base::Duration length);
-  // Rewrites the settings file with bounds.drain_ms set to `drain_ms`.
-  void ChangeSettings(std::uint32_t edge, int drain_ms);
+  // Sends SIGTERM, and SIGKILL after `grace`. The process is started again as
+  // soon as it has exited.
+  void Stop(std::uint32_t edge, base::Duration grace);
+  struct Changes {
+    int m_drain_bound_ms = 0;
+    // The first of the three consecutive balancers that are the seeds.
+    std::uint32_t m_first_seed = 0;
+  };
+  // Rewrites the settings file.
+  void ChangeSettings(std::uint32_t edge, const Changes& changes);
 
  private:
   struct Edge {
     std::uint32_t m_index = 0;
     std::unique_ptr<EdgeChildProcess> m_program;
     bool m_is_exit_expected = false;
+    // When a process that was told to stop is killed, if it was to start again
+    // at its exit.
+    std::optional<base::TimePoint> m_kill_at;
     int m_missed_polls = 2;
     std::unique_ptr<stand_ins::FaultPlan> m_fault_plan;
     std::unique_ptr<stand_ins::TcpProxy> m_store_proxy;
     stand_ins::LineCommands m_fault_commands;
   };
 
+  std::string LogPath(std::uint32_t edge) const;
   std::string SettingsPath(std::uint32_t edge) const;
   void Start(Edge& edge);
   void RestartExited();
+  void RestartStopped(Edge& edge);
   void Poll();
 
   stand_ins::EventLoop* m_loop;
   InvariantChecker* m_checker;
   Network m_network;
+  DeploymentProfile m_profile;
   std::uint32_t m_network_size;
   std::string m_program_path;
   std::string m_directory;
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -40,6 +40,9 @@
   std::chrono::seconds m_fault_time{10};
   // Numbers of the faults that are not injected, to narrow down a failure.
   std::vector<std::size_t> m_skipped;
+  // The kinds of faults that are injected; empty: all.
+  std::vector<FaultKind> m_only;
+  bool m_has_series = false;
   bool m_keeps_files = false;
 };
 
@@ -51,7 +54,10 @@
   return path;
 }
 
-bool IsSkipped(const RunOptions& run, std::size_t number) {
+bool IsSkipped(const RunOptions& run, std::size_t number, const Fault& fault) {
+  if (!run.m_only.empty() && std::find(run.m_only.begin(), run.m_only.end(),
+                                       fault.m_kind) == run.m_only.end())
+    return true;
   return std::find(run.m_skipped.begin(), run.m_skipped.end(), number) !=
          run.m_skipped.end();
 }
@@ -61,14 +67,15 @@
   SoakHarness harness(run.m_soak);
   harness.Run(kStartTime);
   harness.StartCallers();
-  const auto faults = GenerateFaults(run.m_soak.m_seed, run.m_fault_time,
-                                     harness.Edges(), harness.Servers());
+  const auto generate = run.m_has_series ? GenerateSeries : GenerateFaults;
+  const auto faults = generate(run.m_soak.m_seed, run.m_fault_time,
+                               harness.Edges(), harness.Servers());
   const base::TimePoint start = stand_ins::EventLoop::Now();
   for (std::size_t number = 0; number < faults.size(); ++number) {
     const Fault& fault = faults[number];
     std::cout << "  " << number << ". " << ToString(fault)
-              << (IsSkipped(run, number) ? " (skipped)" : "") << "\n";
-    if (!IsSkipped(run, number))
+              << (IsSkipped(run, number, fault) ? " (skipped)" : "") << "\n";
+    if (!IsSkipped(run, number, fault))
       harness.loop().Timers().SubscribeOnce(
           start + fault.m_at,
           [&harness, fault](base::TimePoint) { Inject(fault, harness); });
@@ -90,6 +97,9 @@
       "served\n",
       run.m_soak.m_seed, harness.checker().Served(), harness.checker().Failed(),
       served, sent);
+  std::cout << fmt::format(
+      "  {} probes of changed routes; {} on added routes were not answered\n",
+      harness.prober().Sent(), harness.prober().Unanswered());
   for (const std::string& violation : violations)
     std::cout << "  " << violation << "\n";
   if (violations.empty() && !run.m_keeps_files)
@@ -116,6 +126,17 @@
   return seeds;
 }
 
+std::vector<FaultKind> ReadKinds(const std::vector<std::string>& names) {
+  std::vector<FaultKind> kinds;
+  for (const std::string& name : names) {
+    const auto kind = ValueOf(kFaultKindNames, name);
+    if (!kind)
+      throw std::runtime_error("unknown kind of fault: " + name);
+    kinds.push_back(*kind);
+  }
+  return kinds;
+}
+
 options::options_description MakeDescription() {
   options::options_description description("EdgeSoak [OPTIONS]\n\nOptions");
   description.add_options()("help", "print this text")(
@@ -128,6 +149,8 @@
       "time in which faults start, for each seed")(
       "skip", options::value<std::vector<std::size_t>>()->multitoken(),
       "numbers of faults to skip")(
+      "only", options::value<std::vector<std::string>>()->multitoken(),
+      "kinds of faults; all others are skipped")(
       "edges", options::value<std::uint32_t>()->default_value(4), "balancers")(
       "servers", options::value<std::uint32_t>()->default_value(10),
       "backend servers")(
@@ -136,6 +159,12 @@
       "the second byte of the soak's loopback addresses")(
       "program", options::value<std::string>(),
       "another build of the balancer, for example with a mechanism disabled")(
+      "deployment", options::value<std::string>()->default_value("small"),
+      "small or grown: the data centres, links and bounds")(
+      "idle-routes", options::value<std::uint32_t>()->default_value(0),
+      "routes without callers, to make the manifest larger")(
+      "series",
+      "draw more faults, series and faults of many balancers among them")(
       "keep", "keep the settings and logs of passed seeds too");
   return description;
 }
@@ -146,9 +175,18 @@
   run.m_soak.m_edges = values["edges"].as<std::uint32_t>();
   run.m_soak.m_servers = values["servers"].as<std::uint32_t>();
   run.m_soak.m_callers = values["callers"].as<std::uint32_t>();
+  run.m_soak.m_idle_routes = values["idle-routes"].as<std::uint32_t>();
+  const auto kind =
+      ValueOf(kDeploymentKindNames, values["deployment"].as<std::string>());
+  if (!kind)
+    throw std::runtime_error("unknown deployment");
+  run.m_soak.m_profile = ProfileOf(*kind);
   run.m_fault_time = std::chrono::seconds(values["seconds"].as<int>());
   if (values.contains("program"))
     run.m_soak.m_program = values["program"].as<std::string>();
+  if (values.contains("only"))
+    run.m_only = ReadKinds(values["only"].as<std::vector<std::string>>());
+  run.m_has_series = values.contains("series");
   run.m_keeps_files = values.contains("keep");
   if (values.contains("skip"))
     run.m_skipped = values["skip"].as<std::vector<std::size_t>>();
