Edge: Log the store's era and what changes contain of the manifest

The lines of a follower after a restored store don't tell apart whether its readers left the manifest out, whether its own lists were discarded, or whether a watch from a reused revision missed the changes: no line has the era, and changes_received does not mention the manifest.

The header Store-Era of each response is decoded (zero if it is missing or unreadable). store_regained and servers_listed have the era, the new event store_restored has the former and the new era and revision, changes_received the revision and version of the manifest; a gauge and /status have the era.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -46,6 +46,7 @@
   kServerReachable,
   kStoreLost,
   kStoreRegained,
+  kStoreRestored,
   kStoreCallFailed,
   kServersListed,
   kObjectsIgnored,
@@ -63,7 +64,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 49> kEventNames{{
+inline constexpr base::EnumTable<Event, 50> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindFailed, "bind_failed"},
     {Event::kReady, "ready"},
@@ -98,6 +99,7 @@
     {Event::kServerReachable, "server_reachable"},
     {Event::kStoreLost, "store_lost"},
     {Event::kStoreRegained, "store_regained"},
+    {Event::kStoreRestored, "store_restored"},
     {Event::kStoreCallFailed, "store_call_failed"},
     {Event::kServersListed, "servers_listed"},
     {Event::kObjectsIgnored, "objects_ignored"},
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -180,7 +180,7 @@
   return fmt::format(
       R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
       R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
-      R"("servers_revision":{},"servers_age_ms":{},"flows":{},)"
+      R"("store_era":{},"servers_revision":{},"servers_age_ms":{},"flows":{},)"
       R"("store_calls":{},"reader":{}}})"
       "\n",
       observability::QuoteJson(m_settings.m_vm),
@@ -188,7 +188,7 @@
       m_steering.IsReady(), m_shutdown.has_value(), version.m_manifest_version,
       m_steering.routes().size(),
       directory.Count(steering::ServerState::kReady),
-      directory.Count(steering::ServerState::kDraining),
+      directory.Count(steering::ServerState::kDraining), version.m_store_era,
       version.m_servers_revision,
       version.m_servers_age ? base::WholeMilliseconds(*version.m_servers_age)
                             : -1,
@@ -322,6 +322,9 @@
       version.m_servers_age
           ? std::chrono::duration<double>(*version.m_servers_age).count()
           : -1.0);
+  m_metrics.SetGauge("coltsfootdale_store_era",
+                     "How often the store came back from a copy, as it says",
+                     static_cast<double>(version.m_store_era));
   m_metrics.SetGauge("coltsfootdale_manifest_version",
                      "The manifest in force; 0: none",
                      static_cast<double>(version.m_manifest_version));
--- a/Services/Edge/view_log.cc
+++ b/Services/Edge/view_log.cc
@@ -31,7 +31,10 @@
                  {"reason", update.m_failure ? result : "late_answer"}});
   if (update.m_outcome.m_is_store_regained)
     m_log.Write(Severity::kInfo, Event::kStoreRegained,
-                {{"collection", collection}, {"revision", revision}});
+                {{"collection", collection},
+                 {"revision", revision},
+                 {"era", reader.Era().value()}});
+  WriteStoreRestored(reader, update);
   if (update.m_objects.m_ignored > 0 &&
       m_log.Admit(Event::kObjectsIgnored, now))
     m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
@@ -40,6 +43,21 @@
                  {"reason", "a necessary field is missing or unusable"}});
 }
 
+void ViewLog::WriteStoreRestored(const StoreReader& reader,
+                                 const StoreUpdate& update) {
+  // A balancer without a view has lost nothing.
+  if (reader.Era() == update.m_former_era ||
+      update.m_former_revision == catalog::Revision())
+    return;
+  m_log.Write(
+      Severity::kWarning, Event::kStoreRestored,
+      {{"collection", NameOf(adapter::kCollectionNames, reader.collection())},
+       {"former_era", update.m_former_era.value()},
+       {"era", reader.Era().value()},
+       {"former_revision", update.m_former_revision.value()},
+       {"revision", reader.watcher().KnownRevision().value()}});
+}
+
 void ViewLog::WriteServerChanges(const ServerChanges& changes,
                                  catalog::Revision revision,
                                  std::string_view source,
@@ -91,10 +109,11 @@
 }
 
 void ViewLog::WriteServersListed(std::size_t servers,
-                                 catalog::Revision revision) {
-  m_log.Write(
-      Severity::kInfo, Event::kServersListed,
-      {{"servers", std::uint64_t{servers}}, {"revision", revision.value()}});
+                                 const StoreReader& reader) {
+  m_log.Write(Severity::kInfo, Event::kServersListed,
+              {{"servers", std::uint64_t{servers}},
+               {"revision", reader.watcher().KnownRevision().value()},
+               {"era", reader.Era().value()}});
 }
 
 void ViewLog::WriteManifest(const steering::Manifest& manifest,
@@ -133,7 +152,10 @@
                  {"revision", delta.m_servers_revision.value()},
                  {"servers", std::uint64_t{delta.m_servers.size()}},
                  {"removed", std::uint64_t{delta.m_removed_servers.size()}},
-                 {"changed", std::uint64_t{changes.size()}}});
+                 {"changed", std::uint64_t{changes.size()}},
+                 {"manifest_revision", delta.m_manifest_revision.value()},
+                 {"manifest",
+                  delta.m_manifest ? delta.m_manifest->m_version.value() : 0}});
 }
 
 void ViewLog::WriteFeedRefused(base::Endpoint peer,
--- a/Services/Edge/view_log.h
+++ b/Services/Edge/view_log.h
@@ -39,7 +39,7 @@
                           adapter::Collection collection,
                           base::ConfigurationVersion manifest,
                           base::TimePoint now);
-  void WriteServersListed(std::size_t servers, catalog::Revision revision);
+  void WriteServersListed(std::size_t servers, const StoreReader& reader);
   void WriteManifest(const steering::Manifest& manifest,
                      base::ConfigurationVersion former,
                      std::string_view source);
@@ -65,6 +65,9 @@
                            base::TimePoint now);
 
  private:
+  // Does nothing if the call showed no later era.
+  void WriteStoreRestored(const StoreReader& reader, const StoreUpdate& update);
+
   observability::NonBlockingLog& m_log;
   EdgeMetrics& m_metrics;
 };
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -243,6 +243,7 @@
 
 ViewVersion ViewUpdater::Version(base::TimePoint now) const {
   ViewVersion version;
+  version.m_store_era = std::max(m_servers.Era(), m_manifests.Era()).value();
   version.m_servers_revision = m_servers.watcher().KnownRevision().value();
   const auto confirmed =
       std::max(m_servers.watcher().ConfirmedAt(), m_reader_confirmed_at);
@@ -327,7 +328,7 @@
   if (update.m_outcome.m_update != catalog::CollectionUpdate::kListComplete)
     return;
   const auto records = RecordsOf(servers);
-  m_log.WriteServersListed(records.size(), revision);
+  m_log.WriteServersListed(records.size(), m_servers);
   const bool is_first_view = !m_steering.HasRoutesAndServers();
   const ServerChanges changes = m_view.ApplyServerList(
       records, revision, now,
--- a/Tests/Platform/test_store_calls.cc
+++ b/Tests/Platform/test_store_calls.cc
@@ -100,6 +100,20 @@
   CHECK(changes.m_objects.m_servers[1].m_record);
 }
 
+TEST_CASE("the era of the store is read from every response, also a refusal") {
+  const auto era_of = [](http::Response response, const char* value) {
+    response.m_headers = {{"store-era", value}};
+    return DecodeResponse(Collection::kServers, kWatch, response).m_era;
+  };
+  CHECK(era_of(MakeResponse(410), "3") == base::StoreEra(3));
+  CHECK(era_of(MakeResponse(200, R"({"events":[],"store_revision":5})"), "4") ==
+        base::StoreEra(4));
+  CHECK(era_of(MakeResponse(410), "3x") == base::StoreEra());
+  CHECK(era_of(MakeResponse(410), "") == base::StoreEra());
+  CHECK(DecodeResponse(Collection::kServers, kWatch, MakeResponse(410)).m_era ==
+        base::StoreEra());
+}
+
 TEST_CASE("the response to a watch without changes still has a new revision") {
   const auto result =
       ResultOf(MakeResponse(200, R"({"events":[],"store_revision":533})"));
