--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -51,6 +51,7 @@
   if (m_is_listing)
     return ListCall{m_last_listed_name};
   m_call_wait = NextWatchWait(now);
+  m_watch_since = m_revision;
   return WatchCall{m_revision, m_call_wait};
 }
 
@@ -66,6 +67,7 @@
     base::TimePoint now) {
   m_is_call_open = false;
   const bool was_failing = m_failing_since.has_value();
+  const Revision former = m_revision;
   Outcome outcome;
   outcome.m_update = std::visit(
       base::Overloaded{
@@ -85,7 +87,10 @@
   const bool is_late =
       now - m_call_started_at > m_call_wait + m_policy.m_late_response;
   outcome.m_is_store_lost = !was_failing && (is_failing || is_late);
-  outcome.m_is_store_regained = !is_failing && (was_failing || is_late);
+  outcome.m_is_store_restored =
+      former != Revision() && m_revision.era() > former.era();
+  outcome.m_is_store_regained =
+      (!is_failing && (was_failing || is_late)) || outcome.m_is_store_restored;
   return outcome;
 }
 
@@ -109,6 +114,10 @@
   m_next_call_at = now;
   if (!m_list_revision)
     m_list_revision = page.m_store_revision;
+  if (page.m_store_revision.era() != m_list_revision->era()) {
+    ListAgain(now);
+    return CollectionUpdate::kNone;
+  }
   if (page.m_has_more) {
     m_last_listed_name = page.m_last_name;
     return CollectionUpdate::kNone;
@@ -135,9 +144,21 @@
     base::TimePoint now) {
   m_failing_since.reset();
   m_back_off.Reset();
+  const Revision received = changes.m_store_revision;
+  if (received.era() > m_revision.era()) {
+    ListAgain(now);
+    return CollectionUpdate::kNone;
+  }
+  // A peer's list of a later era was adopted while the watch was open, so the
+  // events don't follow the known revision.
+  if (received.era() < m_revision.era() ||
+      received.era() != m_watch_since.era()) {
+    m_next_call_at = now + m_back_off.Next(m_random);
+    return CollectionUpdate::kNone;
+  }
   m_confirmed_at = m_call_started_at;
-  if (changes.m_store_revision > m_revision)
-    m_revision = changes.m_store_revision;
+  if (received > m_revision)
+    m_revision = received;
   // A watch that took at least as long as the pause needs no further pause.
   const bool has_waited =
       now - m_call_started_at >= m_policy.m_pause_between_watches;
@@ -148,9 +169,7 @@
 void CollectionWatcher::HandleFailure(CallFailure failure,
                                       base::TimePoint now) {
   if (failure == CallFailure::kHistoryGone) {
-    ResetList();
-    m_is_listing = true;
-    m_next_call_at = now;
+    ListAgain(now);
     return;
   }
   // The same watch would get the same response. The objects of a list come in
@@ -164,6 +183,12 @@
   m_next_call_at = now + m_back_off.Next(m_random);
 }
 
+void CollectionWatcher::ListAgain(base::TimePoint now) {
+  ResetList();
+  m_is_listing = true;
+  m_next_call_at = now;
+}
+
 void CollectionWatcher::ResetList() {
   m_list_revision.reset();
   m_last_listed_name.clear();
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -3,6 +3,10 @@
 // list it again when the store no longer has the history since the known
 // revision. Does no I/O; time and randomness are passed in.
 //
+// A store that comes back from a copy of its past is in a new era. What is
+// known of the former era is then replaced by a list: a watch would miss the
+// changes up to a revision that the store has assigned again.
+//
 // Because of a pause between two watches, one call returns several changes.
 // Each call has a cost, and all balancers share the store's rate limit.
 
@@ -61,6 +65,9 @@
     // a failure. A late success after a success sets both.
     bool m_is_store_lost = false;
     bool m_is_store_regained = false;
+    // The complete list is of a later era than the previously known revision.
+    // Also sets m_is_store_regained, since servers have to register again.
+    bool m_is_store_restored = false;
   };
 
   CollectionWatcher(WatcherPolicy policy,
@@ -107,6 +114,8 @@
   CollectionUpdate HandleChanges(const ChangesResponse& changes,
                                  base::TimePoint now);
   void HandleFailure(CallFailure failure, base::TimePoint now);
+  // Makes a list from its first page the next call.
+  void ListAgain(base::TimePoint now);
   // Makes the next list start at its first page.
   void ResetList();
 
@@ -114,6 +123,8 @@
   base::Random m_random;
   platform::BackOff m_back_off;
   Revision m_revision;
+  // The revision that the open watch, or the last one, starts from.
+  Revision m_watch_since;
   // The revision of the first page of the list in progress. Later pages may be
   // newer; the watch returns the changes made between the pages again.
   std::optional<Revision> m_list_revision;
--- a/Libraries/LibCatalog/revision.h
+++ b/Libraries/LibCatalog/revision.h
@@ -1,16 +1,13 @@
-// A revision of the whole store, which grows with each change of any object.
+// A revision of the whole store, as a collection is read at.
 
 #ifndef LIBCATALOG_REVISION_H_
 #define LIBCATALOG_REVISION_H_
 
-#include <cstdint>
-
-#include "LibBase/strong_id.h"
+#include "LibBase/store_revision.h"
 
 namespace catalog {
 
-// Zero: nothing has been read yet.
-using Revision = base::StrongId<struct RevisionTag, std::uint64_t>;
+using Revision = base::StoreRevision;
 
 }  // namespace catalog
 
--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -131,8 +131,8 @@
 
 namespace {
 
-constexpr std::string_view kSnapshotMagic = "CFS\x02";
-constexpr std::string_view kDeltaMagic = "CFD\x01";
+constexpr std::string_view kSnapshotMagic = "CFS\x03";
+constexpr std::string_view kDeltaMagic = "CFD\x02";
 
 template <typename Archive>
 void SerializeContent(Archive& archive, Snapshot& snapshot) {
--- a/Libraries/LibCatalog/view_delta.h
+++ b/Libraries/LibCatalog/view_delta.h
@@ -21,7 +21,7 @@
   std::vector<steering::ServerRecord> m_servers;
   std::vector<steering::ServerName> m_removed_servers;
   Revision m_manifest_revision;
-  // Set if the manifest changed.
+  // Set if the manifest is newer than the peer's.
   std::optional<steering::Manifest> m_manifest;
 };
 
--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -10,15 +10,15 @@
           m_steering.routes().manifest()};
 }
 
-catalog::ViewDelta StoreView::MakeDelta(catalog::Revision since_servers,
-                                        catalog::Revision since_manifest,
-                                        catalog::Revision servers,
-                                        catalog::Revision manifest) const {
+catalog::ViewDelta StoreView::MakeDelta(
+    catalog::Revision since_servers,
+    base::ConfigurationVersion since_manifest,
+    catalog::Revision servers,
+    catalog::Revision manifest) const {
   catalog::ViewDelta delta;
   delta.m_servers_revision = servers;
   delta.m_manifest_revision = manifest;
-  if (since_manifest < manifest &&
-      m_steering.routes().Version() != base::ConfigurationVersion())
+  if (since_manifest < m_steering.routes().Version())
     delta.m_manifest = m_steering.routes().manifest();
   auto removed = m_removal_log.RemovedSince(since_servers);
   if (!removed) {
@@ -105,7 +105,7 @@
 
 std::vector<steering::ServerRecord> StoreView::RecordsNewerThan(
     catalog::Revision revision) const {
-  auto records = m_steering.directory().RecordsNewerThan(revision.value());
+  auto records = m_steering.directory().RecordsNewerThan(revision);
   std::erase_if(records, [this](const steering::ServerRecord& record) {
     return m_delayed_removals.IsPending(record.m_name);
   });
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -47,10 +47,11 @@
   // peer would not learn of the removal from later changes.
   catalog::Snapshot MakeSnapshot(catalog::Revision servers,
                                  catalog::Revision manifest) const;
-  // The changes since the revisions `since_servers` and `since_manifest` of a
-  // peer's view. Contains all servers if the changes since then are not known.
+  // The changes since the revision `since_servers` of a peer's view, and the
+  // manifest if it is newer than the peer's. Contains all servers if the
+  // changes since then are not known.
   catalog::ViewDelta MakeDelta(catalog::Revision since_servers,
-                               catalog::Revision since_manifest,
+                               base::ConfigurationVersion since_manifest,
                                catalog::Revision servers,
                                catalog::Revision manifest) const;
   const catalog::DelayedRemovals& delayed_removals() const {
@@ -66,6 +67,10 @@
   void OnStoreRegained(catalog::OutageSource source, base::TimePoint now) {
     m_delayed_removals.OnOutageEnded(source, now);
   }
+  // See DelayedRemovals::OnStoreRestored.
+  void OnStoreRestored(base::TimePoint now) {
+    m_delayed_removals.OnStoreRestored(now);
+  }
   // See DelayedRemovals::SetOutage.
   void SetOutage(bool is_in_outage, std::optional<base::TimePoint> ended_at) {
     m_delayed_removals.SetOutage(is_in_outage, ended_at);
--- a/Libraries/LibFeed/feed_codec.cc
+++ b/Libraries/LibFeed/feed_codec.cc
@@ -18,8 +18,8 @@
 
 namespace {
 
-constexpr std::string_view kRequestMagic = "CFQ\x01";
-constexpr std::string_view kResponseMagic = "CFR\x01";
+constexpr std::string_view kRequestMagic = "CFQ\x02";
+constexpr std::string_view kResponseMagic = "CFR\x02";
 
 // Stands for an age that does not exist, or that is longer than 49 days.
 constexpr std::uint32_t kNoAge = std::numeric_limits<std::uint32_t>::max();
@@ -58,7 +58,7 @@
 template <typename Archive>
 void Serialize(Archive& archive, StoreStatus& status) {
   SerializeFlag(archive, status.m_is_current);
-  archive(status.m_servers, status.m_manifest);
+  archive(status.m_servers, status.m_manifest, status.m_manifest_version);
   SerializeAge(archive, status.m_confirmed_age);
   SerializeFlag(archive, status.m_is_in_outage);
   SerializeAge(archive, status.m_outage_ended_age);
@@ -70,7 +70,7 @@
   SerializeName(archive, request.m_data_centre);
   SerializeFlag(archive, request.m_is_reader);
   SerializeFlag(archive, request.m_is_current);
-  archive(request.m_servers, request.m_manifest);
+  archive(request.m_servers, request.m_manifest, request.m_manifest_version);
 }
 
 }  // namespace
--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -124,12 +124,18 @@
       OnReaderNotCurrent(now);
     return ResponseVerdict::kNotCurrent;
   }
-  const bool has_news = response.m_status.m_servers > own.m_servers ||
-                        response.m_status.m_manifest > own.m_manifest;
-  const bool is_behind = response.m_status.m_servers < own.m_servers ||
-                         response.m_status.m_manifest < own.m_manifest;
+  const StoreStatus& peer = response.m_status;
+  const bool has_news = peer.m_servers > own.m_servers ||
+                        peer.m_manifest > own.m_manifest ||
+                        peer.m_manifest_version > own.m_manifest_version;
+  const bool is_behind =
+      peer.m_servers < own.m_servers || peer.m_manifest < own.m_manifest;
   if (!has_news && is_behind) {
-    RecordBehind(now);
+    // The store has moved on from what a reader of a former era watches.
+    const bool is_of_former_era = peer.m_servers.era() < own.m_servers.era() ||
+                                  peer.m_manifest.era() < own.m_manifest.era();
+    if (!is_of_former_era)
+      RecordBehind(now);
     return ResponseVerdict::kBehind;
   }
   if (!has_news) {
@@ -335,6 +341,7 @@
   poll.m_request.m_is_current = own.m_is_current;
   poll.m_request.m_servers = own.m_servers;
   poll.m_request.m_manifest = own.m_manifest;
+  poll.m_request.m_manifest_version = own.m_manifest_version;
   m_pending.push_back({peer, poll.m_request.m_number, now});
   return poll;
 }
--- a/Libraries/LibFeed/feed_request.h
+++ b/Libraries/LibFeed/feed_request.h
@@ -22,6 +22,8 @@
   bool m_is_current = false;
   catalog::Revision m_servers;
   catalog::Revision m_manifest;
+  // The manifest in force.
+  base::ConfigurationVersion m_manifest_version;
 };
 
 }  // namespace feed
--- a/Libraries/LibFeed/store_status.h
+++ b/Libraries/LibFeed/store_status.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "LibBase/ids.h"
 #include "LibBase/time.h"
 #include "LibCatalog/revision.h"
 
@@ -20,6 +21,9 @@
   // the collection has not been read.
   catalog::Revision m_servers;
   catalog::Revision m_manifest;
+  // The manifest in force. It is newer than the one in the store after the
+  // store came back from a copy of its past.
+  base::ConfigurationVersion m_manifest_version;
   // The time since the store last confirmed the older of the two; unset if it
   // never did.
   std::optional<base::Duration> m_confirmed_age;
--- a/Libraries/LibPeer/archive.h
+++ b/Libraries/LibPeer/archive.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "LibBase/store_revision.h"
 #include "LibBase/strong_id.h"
 #include "LibPeer/limits.h"
 #include "LibPeer/message.h"
@@ -30,6 +31,14 @@
   id = StrongId<Tag, std::uint64_t>(value);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, StoreRevision& revision) {
+  std::uint64_t era = revision.era().value();
+  std::uint64_t number = revision.number();
+  archive(era, number);
+  revision = StoreRevision(StoreEra(era), number);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, Endpoint& endpoint) {
   std::uint32_t address = endpoint.m_address.value();
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -59,11 +59,11 @@
 }
 
 std::vector<ServerRecord> ServerDirectory::RecordsNewerThan(
-    std::uint64_t revision) const {
+    base::StoreRevision revision) const {
   std::vector<ServerRecord> records;
   for (const auto& [name, server] : m_servers) {
-    const std::uint64_t own = server->m_record.m_revision;
-    if (!server->IsGone() && (own == 0 || own > revision))
+    const base::StoreRevision own = server->m_record.m_revision;
+    if (!server->IsGone() && (own.number() == 0 || own > revision))
       records.push_back(server->m_record);
   }
   return records;
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "LibBase/enum_table.h"
+#include "LibBase/store_revision.h"
 #include "LibBase/time.h"
 #include "LibSteering/ids.h"
 #include "LibSteering/known_server.h"
@@ -73,7 +74,8 @@
   std::vector<ServerName> RegisteredNames() const;
   // The records of registered servers that are newer than `revision` or have
   // no revision.
-  std::vector<ServerRecord> RecordsNewerThan(std::uint64_t revision) const;
+  std::vector<ServerRecord> RecordsNewerThan(
+      base::StoreRevision revision) const;
   // The number of registered servers in `state`.
   std::size_t Count(ServerState state) const;
   // Whether any server that accepts openings does not count as unreachable.
--- a/Libraries/LibSteering/server_record.h
+++ b/Libraries/LibSteering/server_record.h
@@ -10,6 +10,7 @@
 #include "LibBase/enum_table.h"
 #include "LibBase/ids.h"
 #include "LibBase/ipv4.h"
+#include "LibBase/store_revision.h"
 #include "LibBase/time.h"
 #include "LibSteering/ids.h"
 
@@ -39,7 +40,7 @@
   // has no other use.
   std::int64_t m_incarnation = 0;
   // The store's revision of the record.
-  std::uint64_t m_revision = 0;
+  base::StoreRevision m_revision;
 
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
 };
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -19,7 +19,7 @@
 
 // The versions of the servers and the routes that a decision is based on.
 struct ViewVersion {
-  // The latest era that the store's responses named.
+  // The era of the store that the view is of.
   std::uint64_t m_store_era = 0;
   std::uint64_t m_servers_revision = 0;
   // The time since the store last confirmed the servers; nothing if the store
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -1,5 +1,6 @@
 #include "feed_link.h"
 
+#include <fmt/format.h>
 #include <asio/buffer.hpp>
 
 #include <algorithm>
@@ -19,7 +20,8 @@
 
 namespace {
 
-constexpr std::string_view kChangesPath = "/changes/";
+// Begins with the version of the path.
+constexpr std::string_view kChangesPath = "/changes/2/";
 constexpr std::string_view kBinaryType = "application/octet-stream";
 constexpr std::uint16_t kHttpOk = 200;
 // A peer responds from memory, at the rate of a slow link.
@@ -28,26 +30,42 @@
 // Other work of the event loop gets its turn after this many messages.
 constexpr int kMaximumMessagesPerTurn = 64;
 
-struct RevisionPair {
+struct KnownView {
   catalog::Revision m_servers;
-  catalog::Revision m_manifest;
+  base::ConfigurationVersion m_manifest;
 };
 
-// Parses "/changes/SERVERS/MANIFEST".
-std::optional<RevisionPair> ParseChangesPath(std::string_view path) {
+// Removes a number and the slash after it, if any, from the start of `path`.
+std::optional<std::uint64_t> TakeNumber(std::string_view& path) {
+  std::uint64_t number = 0;
+  const char* end = path.data() + path.size();
+  const auto parsed = std::from_chars(path.data(), end, number);
+  if (parsed.ec != std::errc() || (parsed.ptr != end && *parsed.ptr != '/'))
+    return std::nullopt;
+  path.remove_prefix(static_cast<std::size_t>(parsed.ptr - path.data()));
+  if (!path.empty())
+    path.remove_prefix(1);
+  return number;
+}
+
+// Parses "/changes/2/ERA/SERVERS/MANIFEST": the era and the number of the
+// revision of the servers, and the version of the manifest.
+std::optional<KnownView> ParseChangesPath(std::string_view path) {
   if (!path.starts_with(kChangesPath))
     return std::nullopt;
   path.remove_prefix(kChangesPath.size());
-  std::uint64_t servers = 0;
-  std::uint64_t manifest = 0;
-  const char* end = path.data() + path.size();
-  const auto first = std::from_chars(path.data(), end, servers);
-  if (first.ec != std::errc() || first.ptr == end || *first.ptr != '/')
-    return std::nullopt;
-  const auto second = std::from_chars(first.ptr + 1, end, manifest);
-  if (second.ec != std::errc() || second.ptr != end)
+  const auto era = TakeNumber(path);
+  const auto servers = TakeNumber(path);
+  const auto manifest = TakeNumber(path);
+  if (!era || !servers || !manifest || !path.empty())
     return std::nullopt;
-  return RevisionPair{catalog::Revision(servers), catalog::Revision(manifest)};
+  return KnownView{{base::StoreEra(*era), *servers},
+                   base::ConfigurationVersion(*manifest)};
+}
+
+std::string MakeChangesPath(const feed::StoreStatus& own) {
+  return fmt::format("{}{}/{}/{}", kChangesPath, own.m_servers.era().value(),
+                     own.m_servers.number(), own.m_manifest_version.value());
 }
 
 }  // namespace
@@ -169,12 +187,13 @@
   }
   const bool has_changes =
       own.m_is_current && (request.m_servers < own.m_servers ||
-                           request.m_manifest < own.m_manifest);
+                           request.m_manifest < own.m_manifest ||
+                           request.m_manifest_version < own.m_manifest_version);
   // A whole view does not fit into a datagram.
   const bool has_view = request.m_servers != catalog::Revision();
   if (has_changes && has_view) {
     const std::string* changes =
-        ChangesSince(request.m_servers, request.m_manifest, own);
+        ChangesSince(request.m_servers, request.m_manifest_version, own);
     if (changes != nullptr && changes->size() <= feed::kMaximumInlineDeltaBytes)
       response->m_delta = *changes;
   }
@@ -232,9 +251,7 @@
     return;
   http::Request request;
   request.m_endpoint = peer;
-  request.m_path = std::string(kChangesPath) +
-                   std::to_string(own.m_servers.value()) + "/" +
-                   std::to_string(own.m_manifest.value());
+  request.m_path = MakeChangesPath(own);
   request.m_timeout = kFetchTimeout;
   request.m_connect_timeout = kFetchConnectTimeout;
   request.m_response_limit_bytes = catalog::kMaximumSnapshotBytes;
@@ -262,13 +279,15 @@
   m_member.OnChangesApplied(base::Clock::now());
 }
 
-const std::string* FeedLink::ChangesSince(catalog::Revision since_servers,
-                                          catalog::Revision since_manifest,
-                                          const feed::StoreStatus& own) {
+const std::string* FeedLink::ChangesSince(
+    catalog::Revision since_servers,
+    base::ConfigurationVersion since_manifest,
+    const feed::StoreStatus& own) {
   const bool is_cached = m_cache.m_since_servers == since_servers &&
                          m_cache.m_since_manifest == since_manifest &&
                          m_cache.m_servers == own.m_servers &&
                          m_cache.m_manifest == own.m_manifest &&
+                         m_cache.m_manifest_version == own.m_manifest_version &&
                          !m_cache.m_bytes.empty();
   if (is_cached)
     return &m_cache.m_bytes;
@@ -277,8 +296,8 @@
     m_owner.m_on_refused(m_endpoint, bytes.error().message());
     return nullptr;
   }
-  m_cache = {since_servers, since_manifest, own.m_servers, own.m_manifest,
-             std::move(bytes).value()};
+  m_cache = {since_servers,  since_manifest,         own.m_servers,
+             own.m_manifest, own.m_manifest_version, std::move(bytes).value()};
   return &m_cache.m_bytes;
 }
 
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -30,9 +30,11 @@
 // The part of the balancer that has the view of the store.
 struct FeedOwner {
   std::function<feed::StoreStatus(base::TimePoint now)> m_status;
-  // Returns the encoded changes of the view since two revisions.
-  std::function<base::Outcome<std::string>(catalog::Revision since_servers,
-                                           catalog::Revision since_manifest)>
+  // Returns the encoded changes of the view since a revision of the servers and
+  // a version of the manifest.
+  std::function<base::Outcome<std::string>(
+      catalog::Revision since_servers,
+      base::ConfigurationVersion since_manifest)>
       m_changes;
   // Applies changes of a peer. Returns false if they do not follow the view.
   std::function<bool(base::Endpoint peer, const catalog::ViewDelta& changes)>
@@ -78,9 +80,10 @@
   // The last encoded delta. Most followers ask from the same revisions.
   struct CachedChanges {
     catalog::Revision m_since_servers;
-    catalog::Revision m_since_manifest;
+    base::ConfigurationVersion m_since_manifest;
     catalog::Revision m_servers;
     catalog::Revision m_manifest;
+    base::ConfigurationVersion m_manifest_version;
     std::string m_bytes;
   };
 
@@ -104,7 +107,7 @@
                     const base::Outcome<catalog::ViewDelta>& changes);
   // Null if the changes cannot be encoded. Valid until the next call.
   const std::string* ChangesSince(catalog::Revision since_servers,
-                                  catalog::Revision since_manifest,
+                                  base::ConfigurationVersion since_manifest,
                                   const feed::StoreStatus& own);
   event_loop::TextResponse ChangesResponse(std::string_view path);
 
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -1,6 +1,5 @@
 #include "store_reader.h"
 
-#include <algorithm>
 #include <iterator>
 #include <utility>
 #include <variant>
@@ -105,9 +104,7 @@
     m_pages = {};
   StoreUpdate update;
   update.m_call_time = now - sent_at;
-  update.m_former_era = m_era;
   update.m_former_revision = m_watcher.KnownRevision();
-  m_era = std::max(m_era, decoded.m_era);
   update.m_outcome = m_watcher.HandleResult(decoded.m_result, now);
   if (const auto* failure =
           std::get_if<catalog::CallFailure>(&decoded.m_result))
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -13,7 +13,6 @@
 #include <optional>
 
 #include "LibBase/ipv4.h"
-#include "LibBase/store_era.h"
 #include "LibBase/time.h"
 #include "LibCatalog/collection_watcher.h"
 #include "LibHttp/client.h"
@@ -29,8 +28,7 @@
   // For a list, the objects of all pages, set with the last page.
   adapter::CollectionObjects m_objects;
   base::Duration m_call_time{};
-  // The latest era and the known revision before the call returned.
-  base::StoreEra m_former_era;
+  // The known revision before the call returned.
   catalog::Revision m_former_revision;
 };
 
@@ -51,8 +49,6 @@
   const catalog::CollectionWatcher& watcher() const { return m_watcher; }
   adapter::Collection collection() const { return m_collection; }
   bool IsActive() const { return m_is_active; }
-  // The latest era that the store's responses named.
-  base::StoreEra Era() const { return m_era; }
   // The number of calls since the start of the process.
   std::uint64_t Calls() const { return m_calls; }
 
@@ -91,7 +87,6 @@
   std::optional<http::RequestId> m_open_call;
   // The objects of the pages that the list in progress has received.
   adapter::CollectionObjects m_pages;
-  base::StoreEra m_era;
   std::uint64_t m_calls = 0;
 };
 
--- a/Services/Edge/view_log.cc
+++ b/Services/Edge/view_log.cc
@@ -17,7 +17,7 @@
   const std::string_view result =
       update.m_failure ? NameOf(catalog::kCallFailureNames, *update.m_failure)
                        : "done";
-  const std::uint64_t revision = reader.watcher().KnownRevision().value();
+  const std::uint64_t revision = reader.watcher().KnownRevision().number();
   m_metrics.CountStoreCall(collection, result, update.m_call_time);
   if (update.m_failure && m_log.Admit(Event::kStoreCallFailed, now))
     m_log.Write(Severity::kWarning, Event::kStoreCallFailed,
@@ -33,8 +33,10 @@
     m_log.Write(Severity::kInfo, Event::kStoreRegained,
                 {{"collection", collection},
                  {"revision", revision},
-                 {"era", reader.Era().value()}});
-  WriteStoreRestored(reader, update);
+                 {"era", reader.watcher().KnownRevision().era().value()}});
+  if (update.m_outcome.m_is_store_restored)
+    WriteStoreRestored(update.m_former_revision,
+                       reader.watcher().KnownRevision(), collection);
   if (update.m_objects.m_ignored > 0 &&
       m_log.Admit(Event::kObjectsIgnored, now))
     m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
@@ -43,19 +45,15 @@
                  {"reason", "a necessary field is missing or unusable"}});
 }
 
-void ViewLog::WriteStoreRestored(const StoreReader& reader,
-                                 const StoreUpdate& update) {
-  // A balancer without a view has lost nothing.
-  if (reader.Era() == update.m_former_era ||
-      update.m_former_revision == catalog::Revision())
-    return;
-  m_log.Write(
-      Severity::kWarning, Event::kStoreRestored,
-      {{"collection", NameOf(adapter::kCollectionNames, reader.collection())},
-       {"former_era", update.m_former_era.value()},
-       {"era", reader.Era().value()},
-       {"former_revision", update.m_former_revision.value()},
-       {"revision", reader.watcher().KnownRevision().value()}});
+void ViewLog::WriteStoreRestored(catalog::Revision former,
+                                 catalog::Revision revision,
+                                 std::string_view source) {
+  m_log.Write(Severity::kWarning, Event::kStoreRestored,
+              {{"source", source},
+               {"former_era", former.era().value()},
+               {"era", revision.era().value()},
+               {"former_revision", former.number()},
+               {"revision", revision.number()}});
 }
 
 void ViewLog::WriteServerChanges(const ServerChanges& changes,
@@ -75,8 +73,8 @@
                  {"endpoint", ToString(change.m_record.m_endpoint)},
                  {"data_centre", change.m_record.m_data_centre.value()},
                  {"incarnation", change.m_record.m_incarnation},
-                 {"record_revision", change.m_record.m_revision},
-                 {"revision", revision.value()},
+                 {"record_revision", change.m_record.m_revision.number()},
+                 {"revision", revision.number()},
                  {"source", source}});
   }
 }
@@ -112,8 +110,8 @@
                                  const StoreReader& reader) {
   m_log.Write(Severity::kInfo, Event::kServersListed,
               {{"servers", std::uint64_t{servers}},
-               {"revision", reader.watcher().KnownRevision().value()},
-               {"era", reader.Era().value()}});
+               {"revision", reader.watcher().KnownRevision().number()},
+               {"era", reader.watcher().KnownRevision().era().value()}});
 }
 
 void ViewLog::WriteManifest(const steering::Manifest& manifest,
@@ -135,7 +133,7 @@
     m_log.Write(
         Severity::kInfo, event,
         {{"reason", NameOf(feed::kRoleReasonNames, member.LastRoleReason())},
-         {"revision", revision.value()}});
+         {"revision", revision.number()}});
 }
 
 void ViewLog::WriteChangesReceived(base::Endpoint peer,
@@ -148,12 +146,12 @@
   if (m_log.Admit(Event::kChangesReceived, now))
     m_log.Write(Severity::kInfo, Event::kChangesReceived,
                 {{"peer", ToString(peer)},
-                 {"since", delta.m_since.value()},
-                 {"revision", delta.m_servers_revision.value()},
+                 {"since", delta.m_since.number()},
+                 {"revision", delta.m_servers_revision.number()},
                  {"servers", std::uint64_t{delta.m_servers.size()}},
                  {"removed", std::uint64_t{delta.m_removed_servers.size()}},
                  {"changed", std::uint64_t{changes.size()}},
-                 {"manifest_revision", delta.m_manifest_revision.value()},
+                 {"manifest_revision", delta.m_manifest_revision.number()},
                  {"manifest",
                   delta.m_manifest ? delta.m_manifest->m_version.value() : 0}});
 }
@@ -173,7 +171,7 @@
   m_log.Write(Severity::kInfo, Event::kSnapshotTaken,
               {{"peer", ToString(peer)},
                {"servers", std::uint64_t{servers}},
-               {"revision", revision.value()}});
+               {"revision", revision.number()}});
 }
 
 void ViewLog::WriteSnapshotFailed(base::Endpoint peer,
--- a/Services/Edge/view_log.h
+++ b/Services/Edge/view_log.h
@@ -29,6 +29,10 @@
   void WriteStoreCall(const StoreReader& reader,
                       const StoreUpdate& update,
                       base::TimePoint now);
+  // `source` is the collection that was listed, or peer.
+  void WriteStoreRestored(catalog::Revision former,
+                          catalog::Revision revision,
+                          std::string_view source);
   // `source` is store, peer or lapse; `revision` is that of the view.
   void WriteServerChanges(const ServerChanges& changes,
                           catalog::Revision revision,
@@ -65,9 +69,6 @@
                            base::TimePoint now);
 
  private:
-  // Does nothing if the call showed no later era.
-  void WriteStoreRestored(const StoreReader& reader, const StoreUpdate& update);
-
   observability::NonBlockingLog& m_log;
   EdgeMetrics& m_metrics;
 };
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -102,7 +102,7 @@
   FeedOwner owner;
   owner.m_status = [this](base::TimePoint now) { return Status(now); };
   owner.m_changes = [this](catalog::Revision since_servers,
-                           catalog::Revision since_manifest) {
+                           base::ConfigurationVersion since_manifest) {
     return catalog::EncodeDelta(m_view.MakeDelta(
         since_servers, since_manifest, m_servers.watcher().KnownRevision(),
         m_manifests.watcher().KnownRevision()));
@@ -171,6 +171,7 @@
   status.m_is_failing = servers.FailingSince() || manifests.FailingSince();
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
+  status.m_manifest_version = m_steering.routes().Version();
   if (servers.ConfirmedAt() && manifests.ConfirmedAt())
     status.m_confirmed_age =
         now - std::min(*servers.ConfirmedAt(), *manifests.ConfirmedAt());
@@ -226,14 +227,26 @@
                        : std::nullopt);
 }
 
+void ViewUpdater::OnServersAdopted(catalog::Revision former,
+                                   catalog::Revision revision,
+                                   base::TimePoint now) {
+  if (former == catalog::Revision() || revision.era() == former.era())
+    return;
+  m_log.WriteStoreRestored(former, revision, "peer");
+  m_view.OnStoreRestored(now);
+}
+
 bool ViewUpdater::ApplyChanges(base::Endpoint peer,
                                const catalog::ViewDelta& changes) {
   const base::TimePoint now = base::Clock::now();
   if (changes.m_since > m_servers.watcher().KnownRevision())
     return false;
-  if (m_servers.AdoptRevision(changes.m_servers_revision))
+  const catalog::Revision former = m_servers.watcher().KnownRevision();
+  if (m_servers.AdoptRevision(changes.m_servers_revision)) {
+    OnServersAdopted(former, changes.m_servers_revision, now);
     m_log.WriteChangesReceived(peer, changes,
                                m_view.ApplyServerDelta(changes, now), now);
+  }
   if (changes.m_manifest)
     ApplyManifest(*changes.m_manifest, "peer");
   m_manifests.AdoptRevision(changes.m_manifest_revision);
@@ -243,8 +256,10 @@
 
 ViewVersion ViewUpdater::Version(base::TimePoint now) const {
   ViewVersion version;
-  version.m_store_era = std::max(m_servers.Era(), m_manifests.Era()).value();
-  version.m_servers_revision = m_servers.watcher().KnownRevision().value();
+  const catalog::Revision servers = m_servers.watcher().KnownRevision();
+  version.m_store_era =
+      std::max(servers, m_manifests.watcher().KnownRevision()).era().value();
+  version.m_servers_revision = servers.number();
   const auto confirmed =
       std::max(m_servers.watcher().ConfirmedAt(), m_reader_confirmed_at);
   if (confirmed)
@@ -358,7 +373,9 @@
     return;
   }
   const catalog::Snapshot& decoded = snapshot.value();
+  const catalog::Revision former = m_servers.watcher().KnownRevision();
   if (m_servers.AdoptRevision(decoded.m_servers_revision)) {
+    OnServersAdopted(former, decoded.m_servers_revision, now);
     m_log.WriteSnapshotTaken(peer, decoded.m_servers.size(),
                              decoded.m_servers_revision);
     m_log.WriteServerChanges(
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -76,6 +76,10 @@
   feed::StoreStatus Status(base::TimePoint now) const;
   void ApplyRole(base::TimePoint now);
   void OnReaderStatus(const feed::StoreStatus& status);
+  // A peer's servers at `revision` are to replace those known at `former`.
+  void OnServersAdopted(catalog::Revision former,
+                        catalog::Revision revision,
+                        base::TimePoint now);
   // Returns false if the changes do not follow the view.
   bool ApplyChanges(base::Endpoint peer, const catalog::ViewDelta& changes);
 
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -18,6 +18,11 @@
   return {WatcherPolicy(), base::Random(1), At(0)};
 }
 
+// A revision of a store that came back from a copy `era` times.
+Revision InEra(std::uint64_t era, std::uint64_t number) {
+  return {base::StoreEra(era), number};
+}
+
 // Returns a watcher that has listed one page at revision 5, and whose next call
 // is a watch from that revision.
 CollectionWatcher MakeListedWatcher() {
@@ -243,4 +248,79 @@
   CHECK(watcher.IsCurrent(At(60'011)));
 }
 
+TEST_CASE(
+    "changes of a restored store are not applied but lead to a list, which "
+    "counts though its number is smaller") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(4));
+  auto outcome = watcher.HandleResult(ChangesResponse{InEra(1, 8)}, At(10));
+  CHECK(outcome.m_update == CollectionUpdate::kNone);
+  CHECK(watcher.KnownRevision() == Revision(5));
+
+  const auto list = watcher.StartDueCall(At(10));
+  REQUIRE(list);
+  REQUIRE(std::holds_alternative<ListCall>(*list));
+  outcome = watcher.HandleResult(PageResponse{InEra(1, 3)}, At(14));
+
+  CHECK(outcome.m_update == CollectionUpdate::kListComplete);
+  CHECK(outcome.m_is_store_restored);
+  CHECK(outcome.m_is_store_regained);
+  CHECK(watcher.KnownRevision() == InEra(1, 3));
+}
+
+TEST_CASE("the first list of a balancer shows no restore") {
+  CollectionWatcher watcher = MakeWatcher();
+  watcher.StartDueCall(At(0));
+
+  const auto outcome = watcher.HandleResult(PageResponse{InEra(4, 5)}, At(4));
+
+  CHECK_FALSE(outcome.m_is_store_restored);
+  CHECK_FALSE(outcome.m_is_store_regained);
+}
+
+TEST_CASE("a list with pages of two eras starts again at its first page") {
+  CollectionWatcher watcher = MakeWatcher();
+  watcher.StartDueCall(At(0));
+  watcher.HandleResult(PageResponse{InEra(1, 5), true, "i-50"}, At(4));
+  watcher.StartDueCall(At(4));
+
+  const auto outcome = watcher.HandleResult(PageResponse{InEra(2, 4)}, At(8));
+
+  CHECK(outcome.m_update == CollectionUpdate::kNone);
+  CHECK(watcher.KnownRevision() == Revision());
+  const auto list = watcher.StartDueCall(At(8));
+  REQUIRE(list);
+  CHECK(std::get<ListCall>(*list).m_after.empty());
+}
+
+TEST_CASE("a late response of a former era moves nothing back") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(4));
+  REQUIRE(watcher.AdoptRevision(InEra(1, 3)));
+
+  const auto outcome =
+      watcher.HandleResult(ChangesResponse{Revision(9)}, At(10));
+
+  CHECK(outcome.m_update == CollectionUpdate::kNone);
+  CHECK(watcher.KnownRevision() == InEra(1, 3));
+  const auto watch = watcher.StartDueCall(At(500));
+  REQUIRE(watch);
+  CHECK(std::get<WatchCall>(*watch).m_since == InEra(1, 3));
+}
+
+TEST_CASE(
+    "the changes since a revision of a former era don't follow a peer's list "
+    "of the new one") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(4));
+  REQUIRE(watcher.AdoptRevision(InEra(1, 3)));
+
+  // The events from 6 to 8; those of 4 and 5 are missing.
+  const auto outcome =
+      watcher.HandleResult(ChangesResponse{InEra(1, 8)}, At(10));
+
+  CHECK(outcome.m_update == CollectionUpdate::kNone);
+  CHECK(watcher.KnownRevision() == InEra(1, 3));
+}
+
 }  // namespace catalog
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -21,7 +21,7 @@
   steering::ServerRecord record;
   record.m_name = steering::ServerName(name);
   record.m_service = "portal";
-  record.m_revision = revision;
+  record.m_revision = base::StoreRevision(revision);
   return record;
 }
 
@@ -192,13 +192,15 @@
   manifest.m_version = base::ConfigurationVersion(3);
   REQUIRE(reader.m_view.ApplyManifest(manifest));
 
-  const auto newer = reader.m_view.MakeDelta({}, catalog::Revision(5), {},
-                                             catalog::Revision(6));
-  const auto same = reader.m_view.MakeDelta({}, catalog::Revision(6), {},
-                                            catalog::Revision(6));
+  const auto delta_since = [&reader](std::uint64_t version) {
+    return reader.m_view.MakeDelta({}, base::ConfigurationVersion(version), {},
+                                   catalog::Revision(6));
+  };
 
-  CHECK(newer.m_manifest);
-  CHECK_FALSE(same.m_manifest);
+  CHECK(delta_since(0).m_manifest);
+  CHECK(delta_since(2).m_manifest);
+  CHECK_FALSE(delta_since(3).m_manifest);
+  CHECK_FALSE(delta_since(4).m_manifest);
 }
 
 TEST_CASE("a snapshot contains the servers and the manifest of the view") {
@@ -216,4 +218,46 @@
   CHECK(snapshot.m_manifest.m_version == base::ConfigurationVersion(3));
 }
 
+// The readers' revisions had smaller numbers than the follower's.
+TEST_CASE(
+    "after a restore of the store a follower gets the manifest and the servers "
+    "of the new era") {
+  const catalog::Revision restored(base::StoreEra(1), 155);
+  StoreViewFixture reader;
+  reader.m_view.ApplyServerList({MakeServer("i-1", 1)}, restored, At(0));
+  steering::Manifest manifest;
+  manifest.m_version = base::ConfigurationVersion(14);
+  REQUIRE(reader.m_view.ApplyManifest(manifest));
+  StoreViewFixture follower;
+  follower.m_view.ApplyServerList({MakeServer("i-9", 2)},
+                                  catalog::Revision(170), At(0));
+
+  const auto delta = reader.m_view.MakeDelta(
+      catalog::Revision(170), base::ConfigurationVersion(11), restored,
+      catalog::Revision(base::StoreEra(1), 150));
+
+  CHECK(delta.m_since == catalog::Revision());
+  REQUIRE(delta.m_manifest);
+  CHECK(delta.m_manifest->m_version == base::ConfigurationVersion(14));
+  follower.m_view.ApplyServerDelta(delta, At(10));
+  CHECK(follower.m_steering.directory().RegisteredNames() ==
+        std::vector{steering::ServerName("i-1")});
+}
+
+TEST_CASE(
+    "a server that the restored store lacks is removed only if it does not "
+    "register again") {
+  StoreViewFixture fixture;
+  fixture.m_view.ApplyServerList({MakeServer("i-1", 1), MakeServer("i-2", 2)},
+                                 catalog::Revision(20), At(0));
+  fixture.m_view.OnStoreRestored(At(5000));
+  fixture.m_view.ApplyServerList({MakeServer("i-1", 1)},
+                                 catalog::Revision(base::StoreEra(1), 9),
+                                 At(5000));
+  CHECK(fixture.Servers() == 2);
+
+  CHECK(fixture.m_view.ApplyDueRemovals(At(7000)).empty());
+  CHECK(fixture.m_view.ApplyDueRemovals(At(7300)).size() == 1);
+}
+
 }  // namespace edge
--- a/Tests/LibFeed/fleet_simulation.cc
+++ b/Tests/LibFeed/fleet_simulation.cc
@@ -38,7 +38,7 @@
 FleetSimulation::FleetSimulation(const FleetOptions& options)
     : m_options(options), m_random(options.m_seed) {
   m_balancers.resize(options.m_balancers);
-  m_changed_at.resize(2, m_now);
+  Change();
   for (std::size_t index = 0; index < m_balancers.size(); ++index)
     Start(index, true);
 }
@@ -55,14 +55,10 @@
   return m_balancers[index].m_is_up && m_balancers[index].m_member->IsReader();
 }
 
-std::uint64_t FleetSimulation::KnownRevision(std::size_t index) const {
-  return m_balancers[index].m_known;
-}
-
 std::size_t FleetSimulation::WithoutView() const {
   return static_cast<std::size_t>(std::count_if(
       m_balancers.begin(), m_balancers.end(), [](const Balancer& balancer) {
-        return balancer.m_is_up && balancer.m_known == 0;
+        return balancer.m_is_up && balancer.m_view.m_state == 0;
       }));
 }
 
@@ -86,6 +82,25 @@
   m_longest_delay = {};
 }
 
+void FleetSimulation::Change() {
+  m_revision = {m_revision.era(), m_revision.number() + 1};
+  m_states.push_back({m_history.back(), m_now});
+  m_history.push_back(m_states.size() - 1);
+}
+
+void FleetSimulation::Restore(std::size_t changes) {
+  // The state of the first revision is never lost.
+  const std::size_t kept = std::max<std::size_t>(
+      2, m_history.size() - std::min(changes, m_history.size()));
+  m_history.resize(kept);
+  m_revision = {base::StoreEra(m_revision.era().value() + 1), kept - 1};
+  // The return from the copy is a change too, which no event reports.
+  m_states.push_back({m_history.back(), m_now});
+  m_history.back() = m_states.size() - 1;
+  m_history_from = std::min(m_history_from, m_revision.number());
+  m_store_disturbed_at = m_now;
+}
+
 void FleetSimulation::Kill(std::size_t index) {
   Balancer& balancer = m_balancers[index];
   balancer.m_is_up = false;
@@ -113,7 +128,7 @@
       m_options.m_reader_policy, base::Random(m_random.Next()), m_now);
   balancer.m_call.reset();
   balancer.m_frozen_until.reset();
-  balancer.m_known = 0;
+  balancer.m_view = {};
   balancer.m_is_up = true;
   balancer.m_disturbed_at = m_now;
 }
@@ -158,15 +173,13 @@
   const bool reads =
       !m_options.m_has_feed || balancer.m_member->ShouldReadStore(m_now);
   status.m_is_current = reads && balancer.m_watcher->IsCurrent(m_now);
-  status.m_servers = catalog::Revision(balancer.m_known);
-  status.m_manifest = catalog::Revision(balancer.m_known == 0 ? 0 : 1);
+  status.m_servers = balancer.m_view.m_revision;
+  status.m_manifest = balancer.m_view.m_revision;
   return status;
 }
 
 void FleetSimulation::Step() {
   m_now += kStep;
-  while (m_changed_at.size() <= m_revision)
-    m_changed_at.push_back(m_now);
   if (m_now - m_burst_started_at >= kBurstWindow) {
     m_burst = 0;
     m_burst_started_at = m_now;
@@ -219,15 +232,21 @@
     const auto result = ResultOf(balancer, *balancer.m_call);
     if (!result)
       return;
-    balancer.m_call.reset();
-    balancer.m_watcher->HandleResult(*result, m_now);
-    Adopt(balancer, balancer.m_watcher->KnownRevision().value());
+    const StoreCall call = *std::exchange(balancer.m_call, std::nullopt);
+    const auto outcome = balancer.m_watcher->HandleResult(*result, m_now);
+    if (outcome.m_update == catalog::CollectionUpdate::kChanged)
+      ApplyEvents(balancer, std::get<catalog::WatchCall>(call.m_call).m_since);
+    if (outcome.m_update == catalog::CollectionUpdate::kListComplete) {
+      SetView(balancer, m_revision, m_history.back());
+      balancer.m_view.m_listed = m_revision;
+    }
   }
   const bool should_read =
       !m_options.m_has_feed || balancer.m_member->ShouldReadStore(m_now);
   if (!should_read)
     return;
-  const bool is_fallback = m_options.m_has_feed && balancer.m_known != 0 &&
+  const bool is_fallback = m_options.m_has_feed &&
+                           balancer.m_view.m_state != 0 &&
                            !balancer.m_member->IsReader();
   balancer.m_watcher->SetPolicy(is_fallback ? m_options.m_fallback_policy
                                             : m_options.m_reader_policy);
@@ -257,18 +276,52 @@
   if (open < kCallTime)
     return std::nullopt;
   if (watch == nullptr)
-    return catalog::PageResponse{catalog::Revision(m_revision)};
-  if (watch->m_since.value() < m_history_from)
+    return catalog::PageResponse{m_revision};
+  const std::uint64_t since = watch->m_since.number();
+  if (since < m_history_from || since > m_revision.number())
     return catalog::CallFailure::kHistoryGone;
-  if (watch->m_since.value() < m_revision || open >= watch->m_wait)
-    return catalog::ChangesResponse{catalog::Revision(m_revision)};
+  if (since < m_revision.number() || open >= watch->m_wait)
+    return catalog::ChangesResponse{m_revision};
   return std::nullopt;
 }
 
-void FleetSimulation::Adopt(Balancer& balancer, std::uint64_t revision) {
-  if (revision < balancer.m_known)
+void FleetSimulation::ApplyEvents(Balancer& balancer, catalog::Revision since) {
+  const StateId known = balancer.m_view.m_state;
+  const bool follows = IsFollowedBy(m_history.at(since.number()), known) &&
+                       IsFollowedBy(known, m_history.back());
+  if (!follows)
+    ++m_gaps;
+  SetView(balancer, m_revision, follows ? m_history.back() : known);
+}
+
+void FleetSimulation::ApplyChanges(Balancer& balancer,
+                                   const View& reader,
+                                   bool is_whole_view) {
+  if (!balancer.m_watcher->AdoptRevision(reader.m_revision))
+    return;
+  const StateId known = balancer.m_view.m_state;
+  const bool follows = is_whole_view || IsFollowedBy(known, reader.m_state);
+  if (!follows)
+    ++m_gaps;
+  SetView(balancer, reader.m_revision, follows ? reader.m_state : known);
+  if (is_whole_view)
+    balancer.m_view.m_listed = reader.m_revision;
+}
+
+void FleetSimulation::SetView(Balancer& balancer,
+                              catalog::Revision revision,
+                              StateId state) {
+  if (revision < balancer.m_view.m_revision)
     ++m_steps_back;
-  balancer.m_known = revision;
+  balancer.m_view.m_revision = revision;
+  balancer.m_view.m_state = state;
+}
+
+bool FleetSimulation::IsFollowedBy(StateId state, StateId later) const {
+  // A state has a greater id than those that led to it.
+  while (later > state)
+    later = m_states[later].m_former;
+  return later == state;
 }
 
 void FleetSimulation::SendPolls(std::size_t index) {
@@ -307,22 +360,25 @@
   if (status.m_is_current && request.m_servers != catalog::Revision() &&
       request.m_servers < status.m_servers)
     response->m_delta = "changes";
-  Send(to, from, [this, from, to, response = *response](Balancer&) {
-    HandleResponse(to, from, response);
-  });
+  const bool is_whole_view = request.m_servers < balancer.m_view.m_listed;
+  Send(to, from,
+       [this, from, to, is_whole_view, response = *response,
+        view = balancer.m_view](Balancer&) {
+         HandleResponse(to, from, response, view, is_whole_view);
+       });
 }
 
 void FleetSimulation::HandleResponse(std::size_t from,
                                      std::size_t to,
-                                     const FeedResponse& response) {
+                                     const FeedResponse& response,
+                                     const View& responder,
+                                     bool is_whole_view) {
   Balancer& balancer = m_balancers[to];
   const ResponseVerdict verdict = balancer.m_member->HandleResponse(
       AddressOf(from), response, StatusOf(balancer), m_now);
   if (verdict == ResponseVerdict::kFetchChanges ||
       verdict == ResponseVerdict::kHasChanges) {
-    balancer.m_watcher->AdoptRevision(response.m_status.m_servers);
-    Adopt(balancer,
-          std::max(balancer.m_known, response.m_status.m_servers.value()));
+    ApplyChanges(balancer, responder, is_whole_view);
     balancer.m_member->OnChangesApplied(m_now);
   }
 }
@@ -333,15 +389,22 @@
   if (m_is_store_down)
     m_store_disturbed_at = m_now;
   for (const Balancer& balancer : m_balancers) {
-    if (!CanRun(balancer) || balancer.m_known >= m_revision ||
+    if (!CanRun(balancer) || balancer.m_view.m_state == m_history.back() ||
         m_now - balancer.m_disturbed_at < m_options.m_settling_time ||
         m_now - m_store_disturbed_at < m_options.m_settling_time)
       continue;
-    const base::TimePoint changed_at = m_changed_at[balancer.m_known + 1];
-    m_longest_delay = std::max(m_longest_delay, m_now - changed_at);
+    m_longest_delay =
+        std::max(m_longest_delay, m_now - FirstUnknownChange(balancer.m_view));
   }
 }
 
+base::TimePoint FleetSimulation::FirstUnknownChange(const View& view) const {
+  StateId unknown = m_history.back();
+  while (!IsFollowedBy(m_states[unknown].m_former, view.m_state))
+    unknown = m_states[unknown].m_former;
+  return m_states[unknown].m_began_at;
+}
+
 void FleetSimulation::CountCall() {
   ++m_calls;
   ++m_burst;
--- a/Tests/LibFeed/fleet_simulation.h
+++ b/Tests/LibFeed/fleet_simulation.h
@@ -56,7 +56,6 @@
   std::size_t size() const { return m_balancers.size(); }
   std::size_t Readers(std::size_t data_centre) const;
   bool IsReader(std::size_t index) const;
-  std::uint64_t KnownRevision(std::size_t index) const;
   // Calls to the store since the last call of ResetCounts, and the greatest
   // number of them in 100 ms.
   std::size_t Calls() const { return m_calls; }
@@ -66,6 +65,8 @@
   base::Duration LongestDelay() const { return m_longest_delay; }
   // How often a balancer's revision decreased.
   std::size_t StepsBack() const { return m_steps_back; }
+  // How often changes were applied to a view that they don't follow.
+  std::size_t Gaps() const { return m_gaps; }
   // Balancers that are up and have no view.
   std::size_t WithoutView() const;
 
@@ -74,7 +75,9 @@
   // means no changes.
   void Run(base::Duration length, base::Duration change_interval);
   void ResetCounts();
-  void Change() { ++m_revision; }
+  void Change();
+  // The store comes back, in a new era, from a copy of its state `changes` ago.
+  void Restore(std::size_t changes);
   void Kill(std::size_t index);
   // Starts a balancer that was killed. It knows nothing.
   void Start(std::size_t index, bool is_first_start = false);
@@ -93,9 +96,22 @@
     m_store_disturbed_at = m_now;
   }
   // The history is lost: watches from before the current revision fail.
-  void CompactHistory() { m_history_from = m_revision; }
+  void CompactHistory() { m_history_from = m_revision.number(); }
 
  private:
+  // Identifies a state of the store. A restored store shares the states up to
+  // the copy with its past, and has others after it, under the same revisions.
+  using StateId = std::size_t;
+  struct State {
+    StateId m_former = 0;
+    base::TimePoint m_began_at;
+  };
+  struct View {
+    catalog::Revision m_revision;
+    StateId m_state = 0;
+    // The revision of the last complete list.
+    catalog::Revision m_listed;
+  };
   struct StoreCall {
     catalog::CollectionCall m_call;
     base::TimePoint m_sent_at;
@@ -110,7 +126,7 @@
     bool m_is_cut_from_peers = false;
     std::optional<base::TimePoint> m_frozen_until;
     base::TimePoint m_disturbed_at;
-    std::uint64_t m_known = 0;
+    View m_view;
   };
   struct Packet {
     base::TimePoint m_at;
@@ -129,7 +145,15 @@
   void CallStore(Balancer& balancer);
   std::optional<catalog::CallResult> ResultOf(const Balancer& balancer,
                                               const StoreCall& call) const;
-  void Adopt(Balancer& balancer, std::uint64_t revision);
+  // The store's events after `since` were received.
+  void ApplyEvents(Balancer& balancer, catalog::Revision since);
+  // A reader's changes were received, or its whole view.
+  void ApplyChanges(Balancer& balancer, const View& reader, bool is_whole_view);
+  void SetView(Balancer& balancer, catalog::Revision revision, StateId state);
+  // When the first change that is not in `view` was made.
+  base::TimePoint FirstUnknownChange(const View& view) const;
+  // Whether `state` led to `later`.
+  bool IsFollowedBy(StateId state, StateId later) const;
   void SendPolls(std::size_t index);
   void Send(std::size_t from,
             std::size_t to,
@@ -139,7 +163,9 @@
                      const FeedRequest& request);
   void HandleResponse(std::size_t from,
                       std::size_t to,
-                      const FeedResponse& response);
+                      const FeedResponse& response,
+                      const View& responder,
+                      bool is_whole_view);
   void RecordDelays();
   void CountCall();
 
@@ -148,10 +174,12 @@
   base::TimePoint m_now{std::chrono::hours(1)};
   std::vector<Balancer> m_balancers;
   std::vector<Packet> m_packets;
-  std::uint64_t m_revision = 1;
+  catalog::Revision m_revision{base::StoreEra(1), 0};
   std::uint64_t m_history_from = 0;
-  // When each revision came into being, by revision.
-  std::vector<base::TimePoint> m_changed_at;
+  // State 0 is the empty view.
+  std::vector<State> m_states{1};
+  // The states of the store by the number of the revision.
+  std::vector<StateId> m_history{0};
   bool m_is_store_down = false;
   std::optional<std::size_t> m_cut_data_centre;
   base::TimePoint m_store_disturbed_at;
@@ -161,6 +189,7 @@
   base::TimePoint m_burst_started_at;
   base::Duration m_longest_delay{};
   std::size_t m_steps_back = 0;
+  std::size_t m_gaps = 0;
 };
 
 }  // namespace feed
--- a/Tests/LibFeed/test_feed_codec.cc
+++ b/Tests/LibFeed/test_feed_codec.cc
@@ -22,7 +22,8 @@
   request.m_data_centre = base::DataCentreId("hall-1");
   request.m_is_reader = true;
   request.m_servers = catalog::Revision(370);
-  request.m_manifest = catalog::Revision(361);
+  request.m_manifest = {base::StoreEra(3), 361};
+  request.m_manifest_version = base::ConfigurationVersion(14);
   return request;
 }
 
@@ -33,7 +34,8 @@
   response.m_data_centre = base::DataCentreId("hall-2");
   response.m_is_reader = true;
   response.m_status.m_is_current = true;
-  response.m_status.m_servers = catalog::Revision(371);
+  response.m_status.m_servers = {base::StoreEra(3), 371};
+  response.m_status.m_manifest_version = base::ConfigurationVersion(15);
   response.m_status.m_confirmed_age = milliseconds(1200);
   response.m_readers = {{base::Ipv4Address(0x0A010003),
                          base::DataCentreId("hall-1"), true, milliseconds(40)}};
@@ -53,9 +55,13 @@
   CHECK(first.m_is_reader);
   CHECK_FALSE(first.m_is_current);
   CHECK(first.m_servers == catalog::Revision(370));
+  CHECK(first.m_manifest == MakeRequest().m_manifest);
+  CHECK(first.m_manifest_version == base::ConfigurationVersion(14));
   REQUIRE(response);
   const auto& second = std::get<FeedResponse>(response.value());
   CHECK(second.m_data_centre == base::DataCentreId("hall-2"));
+  CHECK(second.m_status.m_servers == MakeResponse().m_status.m_servers);
+  CHECK(second.m_status.m_manifest_version == base::ConfigurationVersion(15));
   CHECK(second.m_status.m_confirmed_age == milliseconds(1200));
   CHECK_FALSE(second.m_status.m_outage_ended_age);
   REQUIRE(second.m_readers.size() == 1);
@@ -87,9 +93,11 @@
     for (std::size_t length = 0; length < bytes.size(); ++length)
       CHECK_FALSE(DecodeMessage(std::string_view(bytes).substr(0, length)));
     CHECK_FALSE(DecodeMessage(bytes + "x"));
-    std::string later_version = bytes;
-    later_version[3] = '\x02';
-    CHECK_FALSE(DecodeMessage(later_version));
+    for (const int step : {-1, 1}) {
+      std::string other_version = bytes;
+      other_version[3] = static_cast<char>(other_version[3] + step);
+      CHECK_FALSE(DecodeMessage(other_version));
+    }
   }
   CHECK_FALSE(DecodeMessage("GET / HTTP/1.1\r\n\r\n"));
 }
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -241,4 +241,43 @@
   CHECK_FALSE(member.HandleRequest(kReader, request, MakeStatus(5), At(0)));
 }
 
+TEST_CASE("a reader of a former era of the store confirms nothing") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own = MakeStatus(5);
+  own.m_servers = own.m_manifest = {base::StoreEra(2), 5};
+  const FeedPoll poll = PollOnce(member, own, At(0));
+  FeedResponse response = MakeResponse(poll, 9);
+  response.m_status.m_servers = {base::StoreEra(1), 9};
+
+  CHECK(member.HandleResponse(poll.m_peer, response, own, At(2)) ==
+        ResponseVerdict::kBehind);
+  CHECK_FALSE(member.IsFed(At(2)));
+}
+
+TEST_CASE(
+    "a reader of a restored store has news though its number is smaller") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const StoreStatus own = MakeStatus(9);
+  const FeedPoll poll = PollOnce(member, own, At(0));
+  FeedResponse response = MakeResponse(poll, 9);
+  response.m_status.m_servers = {base::StoreEra(1), 5};
+
+  CHECK(member.HandleResponse(poll.m_peer, response, own, At(2)) ==
+        ResponseVerdict::kFetchChanges);
+}
+
+// A balancer that started after the restore had read an older manifest.
+TEST_CASE("a manifest that is newer than the restored store's is fetched") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own = MakeStatus(9);
+  own.m_manifest_version = base::ConfigurationVersion(11);
+  const FeedPoll poll = PollOnce(member, own, At(0));
+  CHECK(poll.m_request.m_manifest_version == base::ConfigurationVersion(11));
+  FeedResponse response = MakeResponse(poll, 9);
+  response.m_status.m_manifest_version = base::ConfigurationVersion(14);
+
+  CHECK(member.HandleResponse(poll.m_peer, response, own, At(2)) ==
+        ResponseVerdict::kFetchChanges);
+}
+
 }  // namespace feed
--- a/Tests/LibFeed/test_fleet.cc
+++ b/Tests/LibFeed/test_fleet.cc
@@ -222,4 +222,74 @@
   }
 }
 
+// Followers kept the view of the former era, and watches from revisions that
+// were assigned again missed changes.
+TEST_CASE(
+    "after a restore of the store each balancer knows its state in time") {
+  for (const std::size_t changes : {1U, 5U, 100U}) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      FleetOptions options;
+      options.m_balancers = 90;
+      options.m_data_centres = 3;
+      options.m_seed = seed;
+      FleetSimulation fleet = MakeRunningFleet(options);
+
+      fleet.SetStoreDown(true);
+      fleet.Run(milliseconds(500 * seed), kChangeInterval);
+      fleet.Restore(changes);
+      fleet.SetStoreDown(false);
+      fleet.Run(seconds(20), kChangeInterval);
+
+      INFO("changes ", changes, ", seed ", seed);
+      CHECK(fleet.Gaps() == 0);
+      CHECK(fleet.LongestDelay() < kBound);
+      CHECK(fleet.StepsBack() == 0);
+    }
+  }
+}
+
+TEST_CASE(
+    "under random faults with restores of the store nothing is missed or "
+    "undone") {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    FleetOptions options;
+    options.m_balancers = 30 * (1 + seed % 3);
+    options.m_data_centres = 3;
+    options.m_seed = seed;
+    options.m_readers_per_data_centre = 1 + seed % 2;
+    FleetSimulation fleet = MakeRunningFleet(options);
+    base::Random random(seed);
+    for (int round = 0; round < 40; ++round) {
+      const std::size_t index = random.Below(fleet.size());
+      switch (random.Below(6)) {
+        case 0:
+          fleet.Kill(index);
+          break;
+        case 1:
+          fleet.Start(index);
+          break;
+        case 2:
+          fleet.Freeze(index, milliseconds(500 + 1000 * random.Below(5)));
+          break;
+        case 3:
+          fleet.CutFromStore(index, random.Below(2) == 0);
+          break;
+        case 4:
+          fleet.SetStoreDown(random.Below(2) == 0);
+          break;
+        default:
+          fleet.Restore(random.Below(8));
+          break;
+      }
+      fleet.Run(milliseconds(200 + 100 * random.Below(10)), milliseconds(700));
+    }
+    fleet.SetStoreDown(false);
+    fleet.Run(seconds(20), milliseconds(700));
+    INFO("seed ", seed);
+    CHECK(fleet.Gaps() == 0);
+    CHECK(fleet.LongestDelay() < kBound);
+    CHECK(fleet.StepsBack() == 0);
+  }
+}
+
 }  // namespace feed
--- a/Tests/LibSteering/steering_fixture.cc
+++ b/Tests/LibSteering/steering_fixture.cc
@@ -18,7 +18,7 @@
   record.m_endpoint = {base::Ipv4Address(0x0A000001), 8080};
   record.m_data_centre = base::DataCentreId("here");
   record.m_slots = 3;
-  record.m_revision = revision;
+  record.m_revision = base::StoreRevision(revision);
   return record;
 }
 
