LibSteering: Order a server's records by its own counter

A store that comes back from a copy has older records at newer revisions. A server that was draining at the balancer became ready again, and one that was gone and had reported more than the copy contains was used again, until the server or the store wrote the record once more.

Within one incarnation (`born`) a server's `seq` only grows. The directory ignores a record of the same incarnation with a lower one; with an equal one the revision decides as before, because a record that lapsed is written again unchanged. Without `born`, a restart under the same name can't be told apart, and the revision alone decides.

Test: "a record from before a restore of the store does not undo a server's last one" (TestLibSteering). With the revision alone, all 4 of its checks fail: the copy's record makes the server ready (kReady) and adds it after its removal (kAdded).

--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -61,7 +61,7 @@
   SerializeEnum(archive, record.m_state, ServerState::kDraining);
   archive(record.m_slots);
   SerializeDuration(archive, record.m_warm_up_left);
-  archive(record.m_incarnation, record.m_revision);
+  archive(record.m_incarnation, record.m_sequence, record.m_revision);
 }
 
 template <typename Archive>
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -84,6 +84,17 @@
   });
 }
 
+bool ServerDirectory::IsOlder(const ServerRecord& record,
+                              const ServerRecord& known) {
+  // Without an incarnation, a restarted server whose sequence starts again
+  // cannot be told apart.
+  const bool is_same_run =
+      record.m_incarnation != 0 && record.m_incarnation == known.m_incarnation;
+  if (is_same_run && record.m_sequence != known.m_sequence)
+    return record.m_sequence < known.m_sequence;
+  return record.m_revision < known.m_revision;
+}
+
 DirectoryChange ServerDirectory::Apply(const ServerRecord& record,
                                        base::TimePoint now) {
   KnownServer* server = FindByName(record.m_name);
@@ -92,7 +103,7 @@
     server = &Insert(record);
   const ServerRecord previous = server->m_record;
   const bool was_gone = server->IsGone();
-  if (!is_new && record.m_revision < previous.m_revision)
+  if (!is_new && IsOlder(record, previous))
     return DirectoryChange::kNone;
 
   UnlistFromService(*server);
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -83,7 +83,7 @@
 
   // Commands.
   // Adds or updates a server. Ignores a record that is older than the known
-  // record of the same server.
+  // record of the same server, see IsOlder.
   DirectoryChange Apply(const ServerRecord& record, base::TimePoint now);
   // Marks a server as gone, because its record was removed.
   DirectoryChange Remove(const ServerName& name, base::TimePoint now);
@@ -91,6 +91,11 @@
   void PurgeGoneServers(base::TimePoint now);
 
  private:
+  // Whether `record` is older than `known`, a record of the same server. A
+  // store that came back from a copy of its past has older records at newer
+  // revisions.
+  static bool IsOlder(const ServerRecord& record, const ServerRecord& known);
+
   using Tokens = std::unordered_multimap<std::uint32_t, KnownServer*>;
 
   KnownServer& Insert(const ServerRecord& record);
--- a/Libraries/LibSteering/server_record.h
+++ b/Libraries/LibSteering/server_record.h
@@ -39,6 +39,9 @@
   // server's clock. Two values under one name are two incarnations; the value
   // has no other use.
   std::int64_t m_incarnation = 0;
+  // Counts what the server wrote since its start. Orders the records of one
+  // incarnation, also when the store comes back from a copy of its past.
+  std::uint64_t m_sequence = 0;
   // The store's revision of the record.
   base::StoreRevision m_revision;
 
--- a/Tests/LibCatalog/test_snapshot_codec.cc
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -22,6 +22,7 @@
   server.m_slots = 3;
   server.m_warm_up_left = std::chrono::milliseconds(1200);
   server.m_incarnation = 1787859612135;
+  server.m_sequence = 6;
   server.m_revision = Revision(base::StoreEra(2), 40);
   snapshot.m_servers = {server};
   snapshot.m_manifest_revision = Revision(41);
--- a/Tests/LibSteering/test_server_directory.cc
+++ b/Tests/LibSteering/test_server_directory.cc
@@ -71,4 +71,58 @@
   CHECK(directory.ServersOf("archive").size() == 1);
 }
 
+TEST_CASE(
+    "a record from before a restore of the store does not undo a server's last "
+    "one") {
+  ServerDirectory directory;
+  ServerRecord draining = MakeServer("i-1", 20);
+  draining.m_incarnation = 5;
+  draining.m_sequence = 8;
+  draining.m_state = ServerState::kDraining;
+  directory.Apply(draining, At(0));
+  ServerRecord copy = draining;
+  copy.m_sequence = 3;
+  copy.m_state = ServerState::kReady;
+  copy.m_revision = {base::StoreEra(1), 9};
+
+  CHECK(directory.Apply(copy, At(1)) == DirectoryChange::kNone);
+  CHECK_FALSE(directory.FindByName(ServerName("i-1"))->AcceptsOpenings());
+
+  directory.Remove(ServerName("i-1"), At(2));
+  CHECK(directory.Apply(copy, At(3)) == DirectoryChange::kNone);
+  CHECK(directory.ServersOf("portal").empty());
+}
+
+TEST_CASE("a server whose record was lost registers again with any sequence") {
+  ServerDirectory directory;
+  ServerRecord record = MakeServer("i-1", 20);
+  record.m_incarnation = 5;
+  record.m_sequence = 8;
+  directory.Apply(record, At(0));
+  directory.Remove(ServerName("i-1"), At(1));
+  record.m_revision = {base::StoreEra(1), 9};
+
+  CHECK(directory.Apply(record, At(2)) == DirectoryChange::kAdded);
+
+  directory.Remove(ServerName("i-1"), At(3));
+  record.m_incarnation = 6;
+  record.m_sequence = 1;
+  record.m_revision = {base::StoreEra(1), 10};
+  CHECK(directory.Apply(record, At(4)) == DirectoryChange::kAdded);
+}
+
+TEST_CASE(
+    "the sequences of servers that don't say when they started have no "
+    "order") {
+  ServerDirectory directory;
+  ServerRecord record = MakeServer("i-1", 20);
+  record.m_sequence = 8;
+  directory.Apply(record, At(0));
+  record.m_sequence = 1;
+  record.m_state = ServerState::kDraining;
+  record.m_revision = base::StoreRevision(21);
+
+  CHECK(directory.Apply(record, At(1)) == DirectoryChange::kDraining);
+}
+
 }  // namespace steering
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -38,6 +38,7 @@
   CHECK(ToString(record->m_endpoint) == "10.128.0.9:8080");
   CHECK(record->m_slots == 3);
   CHECK(record->m_incarnation == 1787859612135);
+  CHECK(record->m_sequence == 4);
   CHECK(record->m_revision == base::StoreRevision(7));
 }
 
