LibCatalog: Don't apply events that a peer's view already contains

A watch may be open while the view of a peer is adopted: a reader whose calls are late asks peers, and the call of a balancer that ceases to read continues. The events of the watch were applied whatever the known revision was. A removal among them could remove a server that had registered again before the peer's revision, and the next watch, from that revision, did not return the registration.

The events up to a revision below the known one are part of the view and are not applied. The call still confirms the view.

Test: "events that a peer's view already contains are not applied again" (TestLibCatalog). Before the fix: "CHECK( outcome.m_update == CollectionUpdate::kNone ) is NOT correct! values: CHECK( 2 == 0 )".

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -157,12 +157,15 @@
     return CollectionUpdate::kNone;
   }
   m_confirmed_at = m_call_started_at;
-  if (received > m_revision)
-    m_revision = received;
   // A watch that took at least as long as the pause needs no further pause.
   const bool has_waited =
       now - m_call_started_at >= m_policy.m_pause_between_watches;
   m_next_call_at = has_waited ? now : now + m_policy.m_pause_between_watches;
+  // A peer's view that was adopted while the watch was open contains the events
+  // and what followed them.
+  if (received < m_revision)
+    return CollectionUpdate::kNone;
+  m_revision = received;
   return CollectionUpdate::kChanged;
 }
 
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -323,4 +323,17 @@
   CHECK(watcher.KnownRevision() == InEra(1, 3));
 }
 
+// A removal that a peer's later view had undone was applied again.
+TEST_CASE("events that a peer's view already contains are not applied again") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(4));
+  REQUIRE(watcher.AdoptRevision(Revision(9)));
+
+  const auto outcome =
+      watcher.HandleResult(ChangesResponse{Revision(7)}, At(10));
+
+  CHECK(outcome.m_update == CollectionUpdate::kNone);
+  CHECK(watcher.KnownRevision() == Revision(9));
+}
+
 }  // namespace catalog
