Soak: Let the store come back from a copy of its past

The stand-in names its era in every response, keeps its states of the last minute and can go back to one of them: revisions are assigned again, and a watch from a revision that it does not have gets 410. A watch from one that it has again stays open, as the worst case. Not used by a fault yet.

--- a/Tests/Soak/store_stand_in.cc
+++ b/Tests/Soak/store_stand_in.cc
@@ -1,5 +1,6 @@
 #include "store_stand_in.h"
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <list>
@@ -23,6 +24,7 @@
 // So few that lists have several pages.
 constexpr std::size_t kObjectsPerPage = 5;
 constexpr std::chrono::seconds kRequestTimeout{40};
+constexpr std::chrono::seconds kOldestCopy{60};
 
 struct Object {
   std::uint64_t m_revision = 0;
@@ -42,6 +44,15 @@
   base::TimePoint m_deadline;
 };
 
+using Objects = std::map<std::string, std::map<std::string, Object>>;
+
+// What the store held until a change.
+struct PastState {
+  base::TimePoint m_until;
+  std::uint64_t m_revision = 0;
+  Objects m_objects;
+};
+
 std::string ToJson(const std::string& name, const Object& object) {
   return R"({"meta":{"name":")" + name + R"(","revision":)" +
          std::to_string(object.m_revision) +
@@ -55,15 +66,6 @@
   return value;
 }
 
-void Respond(const RequestHandle& handle,
-             std::uint16_t status,
-             std::string body) {
-  handle->create_response({restinio::http_status_code_t(status), "Status"})
-      .append_header(restinio::http_field::content_type, "application/json")
-      .set_body(std::move(body))
-      .done();
-}
-
 }  // namespace
 
 struct StoreStandIn::Implementation {
@@ -86,6 +88,16 @@
   Implementation(const Implementation&) = delete;
   Implementation& operator=(const Implementation&) = delete;
 
+  void Respond(const RequestHandle& handle,
+               std::uint16_t status,
+               std::string body) const {
+    handle->create_response({restinio::http_status_code_t(status), "Status"})
+        .append_header(restinio::http_field::content_type, "application/json")
+        .append_header("Store-Era", std::to_string(m_era))
+        .set_body(std::move(body))
+        .done();
+  }
+
   void HandleRequest(const RequestHandle& handle) {
     const std::string path(handle->header().path());
     if (m_fault == StoreFault::kSilent || !path.starts_with(kObjectsPath)) {
@@ -133,7 +145,7 @@
       return;
     const base::TimePoint now = stand_ins::EventLoop::Now();
     std::erase_if(m_watches, [&](const Watch& watch) {
-      if (watch.m_since < m_compacted_revision) {
+      if (watch.m_since < m_compacted_revision || watch.m_since > m_revision) {
         Respond(watch.m_handle, 410, "{}");
         return true;
       }
@@ -151,6 +163,32 @@
     });
   }
 
+  // To be called before a change of the objects.
+  void KeepPastState() {
+    const base::TimePoint now = stand_ins::EventLoop::Now();
+    m_past.push_back({now, m_revision, m_objects});
+    while (now - m_past.front().m_until > kOldestCopy)
+      m_past.pop_front();
+  }
+
+  void Restore(base::Duration age) {
+    const base::TimePoint copied_at = stand_ins::EventLoop::Now() - age;
+    const auto copy = std::find_if(
+        m_past.begin(), m_past.end(),
+        [&](const PastState& state) { return state.m_until > copied_at; });
+    ++m_era;
+    if (copy != m_past.end()) {
+      m_revision = copy->m_revision;
+      m_objects = copy->m_objects;
+      m_past.erase(copy, m_past.end());
+    }
+    m_compacted_revision = std::min(m_compacted_revision, m_revision);
+    std::erase_if(m_events, [this](const Event& event) {
+      return event.m_revision > m_revision;
+    });
+    PollWatches();
+  }
+
   void AddEvent(const std::string& kind,
                 const std::string& object,
                 bool is_deleted) {
@@ -164,7 +202,10 @@
   stand_ins::EventLoop* m_loop;
   std::uint64_t m_revision = 1;
   std::uint64_t m_compacted_revision = 0;
-  std::map<std::string, std::map<std::string, Object>> m_objects;
+  std::uint64_t m_era = 1;
+  Objects m_objects;
+  // In the order of time.
+  std::deque<PastState> m_past;
   std::deque<Event> m_events;
   std::list<Watch> m_watches;
   // Requests that never get a response.
@@ -186,9 +227,12 @@
 void StoreStandIn::Put(const std::string& kind,
                        const std::string& name,
                        const std::string& spec) {
-  Object& object = m_implementation->m_objects[kind][name];
-  if (object.m_spec == spec)
+  auto& objects = m_implementation->m_objects[kind];
+  const auto found = objects.find(name);
+  if (found != objects.end() && found->second.m_spec == spec)
     return;
+  m_implementation->KeepPastState();
+  Object& object = objects[name];
   object = {++m_implementation->m_revision, spec};
   m_implementation->AddEvent(kind, ToJson(name, object), false);
 }
@@ -198,6 +242,7 @@
   const auto found = objects.find(name);
   if (found == objects.end())
     return;
+  m_implementation->KeepPastState();
   found->second.m_revision = ++m_implementation->m_revision;
   const std::string json = ToJson(name, found->second);
   objects.erase(found);
@@ -209,6 +254,10 @@
   m_implementation->PollWatches();
 }
 
+void StoreStandIn::Restore(base::Duration age) {
+  m_implementation->Restore(age);
+}
+
 void StoreStandIn::Compact() {
   m_implementation->m_events.clear();
   m_implementation->m_compacted_revision = ++m_implementation->m_revision;
--- a/Tests/Soak/store_stand_in.h
+++ b/Tests/Soak/store_stand_in.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "LibBase/ipv4.h"
+#include "LibBase/time.h"
 
 namespace stand_ins {
 class EventLoop;
@@ -34,6 +35,9 @@
            const std::string& spec);
   void Remove(const std::string& kind, const std::string& name);
   void SetFault(StoreFault fault);
+  // Comes back from a copy of the objects as they were `age` ago, at most a
+  // minute, in a new era.
+  void Restore(base::Duration age);
   // Discards the event history: watches from an earlier revision get status
   // 410.
   void Compact();
