LibFeed, Edge: Get back a manifest that the restored store has lost

A balancer that starts after the store came back from a copy reads the copy's manifest. If it reads the store for others, it asks no peer, so it served the older version until the operator had written the newer one again, though its followers had it in force.

A reader now learns it from the followers' requests: they name the version in force and the revision at which they read the manifest. A newer version that was read no later than the reader's own is one that the store has lost. A follower that is only ahead of the reader has a greater revision and causes no request. If no seed has the version, the reader still waits for the operator.

Test: "a reader learns from followers that the store has lost a manifest" (TestLibFeed).

--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -35,6 +35,13 @@
   m_seed_turn = m_random.Below(m_settings.m_seeds.size() + 1);
 }
 
+bool FeedMember::IsManifestLost(const StoreStatus& own,
+                                base::TimePoint now) const {
+  return m_lost_manifest &&
+         m_lost_manifest->m_version > own.m_manifest_version &&
+         now - m_lost_manifest->m_heard_at < ReaderRegistry::kReaderLifetime;
+}
+
 base::TimePoint FeedMember::NextAdvanceAt(const StoreStatus& own) const {
   base::TimePoint next = base::TimePoint::max();
   if (!own.m_is_current || !m_is_reader)
@@ -81,6 +88,11 @@
                       now);
   else
     m_registry.Remove(source);
+  // The store that was read at this balancer's revision does not have the
+  // manifest, although the peer read it no later.
+  if (request.m_manifest_version > own.m_manifest_version &&
+      request.m_manifest <= own.m_manifest)
+    m_lost_manifest = LostManifest{request.m_manifest_version, now};
 
   FeedResponse response;
   response.m_fleet = m_settings.m_fleet;
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "LibBase/enum_table.h"
+#include "LibBase/ids.h"
 #include "LibBase/ipv4.h"
 #include "LibBase/random.h"
 #include "LibBase/time.h"
@@ -128,6 +129,9 @@
   }
   // When a current reader last confirmed this balancer's view.
   std::optional<base::TimePoint> FedAt() const { return m_fed_at; }
+  // Whether a peer has a newer manifest in force that the store has lost when
+  // it came back from a copy of its past.
+  bool IsManifestLost(const StoreStatus& own, base::TimePoint now) const;
   // When Advance has to be called next.
   base::TimePoint NextAdvanceAt(const StoreStatus& own) const;
   const ReaderRegistry& registry() const { return m_registry; }
@@ -166,6 +170,12 @@
     base::TimePoint m_last_at;
   };
 
+  // A manifest that a peer has in force and the store has lost.
+  struct LostManifest {
+    base::ConfigurationVersion m_version;
+    base::TimePoint m_heard_at;
+  };
+
   void RecordFed(base::TimePoint now);
   void OnReaderNotCurrent(base::TimePoint now);
   // A current reader responded with an older revision than this balancer's.
@@ -204,6 +214,7 @@
   bool m_had_view = false;
   std::optional<base::TimePoint> m_fed_at;
   std::optional<base::TimePoint> m_behind_since;
+  std::optional<LostManifest> m_lost_manifest;
   base::TimePoint m_started_at;
   // From this time on, the balancer reads the store unless it is fed.
   base::TimePoint m_read_from;
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -297,6 +297,10 @@
 }
 
 void ViewUpdater::RequestSnapshotIfCutOff(base::TimePoint now) {
+  if (m_feed && m_feed->member().IsManifestLost(Status(now), now)) {
+    m_peers.RequestSnapshot();
+    return;
+  }
   if (m_feed && m_feed->member().IsFed(now))
     return;
   const auto has_failed_long = [now](const StoreReader& reader) {
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -61,7 +61,8 @@
   void Start();
   // Must be called several times a second.
   void Sweep(base::TimePoint now);
-  // Requests a snapshot of a seed if the store fails and no reader is current.
+  // Requests a snapshot of a seed if the store fails and no reader is current,
+  // or if the store has lost a manifest that a peer has in force.
   // To be called at the interval of these requests.
   void RequestSnapshotIfCutOff(base::TimePoint now);
   // The process was paused: the view may be outdated, and the connections of
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -280,4 +280,26 @@
         ResponseVerdict::kFetchChanges);
 }
 
+// A reader that started after the restore had the copy's manifest.
+TEST_CASE("a reader learns from followers that the store has lost a manifest") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own = MakeStatus(9, true);
+  own.m_manifest = {base::StoreEra(2), 9};
+  own.m_manifest_version = base::ConfigurationVersion(11);
+  FeedRequest request;
+  request.m_fleet = 7;
+  request.m_manifest_version = base::ConfigurationVersion(14);
+
+  request.m_manifest = {base::StoreEra(2), 12};
+  member.HandleRequest(kReader, request, own, At(0));
+  CHECK_FALSE(member.IsManifestLost(own, At(0)));
+
+  request.m_manifest = {base::StoreEra(1), 12};
+  member.HandleRequest(kReader, request, own, At(0));
+  CHECK(member.IsManifestLost(own, At(0)));
+  CHECK_FALSE(member.IsManifestLost(own, At(3000)));
+  own.m_manifest_version = base::ConfigurationVersion(14);
+  CHECK_FALSE(member.IsManifestLost(own, At(0)));
+}
+
 }  // namespace feed
