Soak: Add restores of the store to the faults

The store is silent for 1.5 s and comes back from a copy that is 0.5 to 5 s older; 1.5 s later the running servers and the operator write again what they wrote, and the entries of servers that have ended expire after 3.6 s. The checker counts the store as disturbed for that time, as it does for an outage.

A restore is drawn after the other faults, in one seed of three, so that a seed keeps its other faults. Servers count their writes (seq) and register again in the state that they reported last: a draining server became ready after a lapse.

--- a/Tests/Soak/fault_schedule.cc
+++ b/Tests/Soak/fault_schedule.cc
@@ -19,6 +19,10 @@
 constexpr std::uint64_t kFaultCountRange = 8;
 constexpr std::uint64_t kMinimumLengthMs = 500;
 constexpr std::uint64_t kLengthRangeMs = 4500;
+// A restore is drawn after the other faults, so that a seed keeps them.
+constexpr std::size_t kOtherKinds =
+    static_cast<std::size_t>(FaultKind::kRestoreStore);
+constexpr std::uint64_t kRestoreOneIn = 3;
 // The time that a restarted balancer needs until it serves.
 constexpr base::Duration kRestartTime = milliseconds(500);
 
@@ -48,8 +52,7 @@
       std::chrono::duration_cast<milliseconds>(length).count());
   std::vector<Fault> faults(kMinimumFaults + random.Below(kFaultCountRange));
   for (Fault& fault : faults) {
-    fault.m_kind =
-        kFaultKindNames[random.Below(kFaultKindNames.size())].m_value;
+    fault.m_kind = kFaultKindNames[random.Below(kOtherKinds)].m_value;
     fault.m_at = milliseconds(random.Below(length_ms));
     fault.m_length =
         milliseconds(kMinimumLengthMs + random.Below(kLengthRangeMs));
@@ -60,6 +63,10 @@
     fault.m_target = static_cast<std::uint32_t>(
         random.Below(is_server_fault ? servers : edges));
   }
+  if (random.Below(kRestoreOneIn) == 0)
+    faults.push_back(
+        {FaultKind::kRestoreStore, milliseconds(random.Below(length_ms)),
+         milliseconds(kMinimumLengthMs + random.Below(kLengthRangeMs)), 0});
   std::sort(faults.begin(), faults.end(),
             [](const Fault& a, const Fault& b) { return a.m_at < b.m_at; });
   return faults;
@@ -130,6 +137,8 @@
       return harness.SendGarbage(fault.m_target);
     case FaultKind::kSlowServer:
       return harness.SlowServer(fault.m_target, length);
+    case FaultKind::kRestoreStore:
+      return harness.RestoreStore(length);
   }
 }
 
--- a/Tests/Soak/fault_schedule.h
+++ b/Tests/Soak/fault_schedule.h
@@ -38,9 +38,10 @@
   kForeignEntry,
   kGarbage,
   kSlowServer,
+  kRestoreStore,
 };
 
-inline constexpr base::EnumTable<FaultKind, 23> kFaultKindNames{{
+inline constexpr base::EnumTable<FaultKind, 24> kFaultKindNames{{
     {FaultKind::kKillEdge, "kill_edge"},
     {FaultKind::kStopEdge, "stop_edge"},
     {FaultKind::kPauseEdge, "pause_edge"},
@@ -64,6 +65,7 @@
     {FaultKind::kForeignEntry, "foreign_entry"},
     {FaultKind::kGarbage, "garbage"},
     {FaultKind::kSlowServer, "slow_server"},
+    {FaultKind::kRestoreStore, "restore_store"},
 }};
 
 struct Fault {
--- a/Tests/Soak/soak_harness.cc
+++ b/Tests/Soak/soak_harness.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <string_view>
@@ -20,6 +21,8 @@
 constexpr base::Duration kAddressReuse = milliseconds(2000);
 constexpr base::Duration kDrainTime = milliseconds(6000);
 constexpr base::Duration kReregistrationDelay = milliseconds(1500);
+// How long the store is away before it comes back from a copy.
+constexpr base::Duration kRestoreTime = milliseconds(1500);
 // Longer than callers wait before their first two retransmissions, at 200 ms
 // and 600 ms.
 constexpr base::Duration kSlowServiceTime = milliseconds(700);
@@ -73,7 +76,7 @@
   if (m_servers[index] == nullptr)
     return;
   const std::string name = m_servers[index]->identity().m_name;
-  m_store.Put("servers", name, m_servers[index]->Spec("draining"));
+  m_store.Put("servers", name, m_servers[index]->NextSpec("draining"));
   m_checker.OnDrainAcknowledged(name, stand_ins::EventLoop::Now());
   Schedule(kDrainTime, [this, index, name] {
     if (m_servers[index] == nullptr ||
@@ -138,6 +141,32 @@
   });
 }
 
+void SoakHarness::RestoreStore(base::Duration age) {
+  DisturbStore(kRestoreTime + kEntryExpiry);
+  m_store.SetFault(StoreFault::kSilent);
+  Schedule(kRestoreTime, [this, age] {
+    m_store.Restore(kRestoreTime + age);
+    m_store.SetFault(StoreFault::kNone);
+  });
+  Schedule(kRestoreTime + kReregistrationDelay, [this] {
+    for (std::uint32_t index = 0; index < m_servers.size(); ++index)
+      Register(index);
+    m_store.Put("config", "main", m_manifest);
+  });
+  Schedule(kRestoreTime + kEntryExpiry, [this] { ExpireEntries(); });
+}
+
+void SoakHarness::ExpireEntries() {
+  for (const std::string& name : m_store.Names("servers")) {
+    const bool is_alive = std::any_of(
+        m_servers.begin(), m_servers.end(), [&name](const auto& server) {
+          return server != nullptr && server->identity().m_name == name;
+        });
+    if (!is_alive)
+      m_store.Remove("servers", name);
+  }
+}
+
 void SoakHarness::CompactStore() {
   DisturbStore(base::Duration::zero());
   m_store.Compact();
@@ -229,7 +258,7 @@
 void SoakHarness::Register(std::uint32_t index) {
   if (m_servers[index] != nullptr)
     m_store.Put("servers", m_servers[index]->identity().m_name,
-                m_servers[index]->Spec("ready"));
+                m_servers[index]->NextSpec());
 }
 
 void SoakHarness::WriteManifest() {
@@ -244,10 +273,10 @@
         route.m_address.m_port % 2 == 0 ? "idempotent" : "non_idempotent",
         route.m_service);
   m_version += 1 + m_random.Below(3);
-  m_store.Put("config", "main",
-              fmt::format(R"({{"version":{},"routes":[{}],"services":[],)"
-                          R"("limits":{{"idle_timeout_ms":15000}}}})",
-                          m_version, routes));
+  m_manifest = fmt::format(R"({{"version":{},"routes":[{}],"services":[],)"
+                           R"("limits":{{"idle_timeout_ms":15000}}}})",
+                           m_version, routes);
+  m_store.Put("config", "main", m_manifest);
 }
 
 base::Endpoint SoakHarness::PickRoute() {
--- a/Tests/Soak/soak_harness.h
+++ b/Tests/Soak/soak_harness.h
@@ -67,6 +67,9 @@
   // Makes the store fail for `length`. With `expires_entries`, the entries of
   // all servers expire too, and the servers register again afterwards.
   void FailStore(StoreFault fault, base::Duration length, bool expires_entries);
+  // The store is away for a moment and comes back from a copy that is `age`
+  // old. The operator and the servers then write again what they wrote.
+  void RestoreStore(base::Duration age);
   void CompactStore();
   // Writes a server entry that the balancers cannot parse.
   void PutForeignEntry();
@@ -84,6 +87,8 @@
                    const std::string& service,
                    const std::string& name = {});
   void Register(std::uint32_t index);
+  // Removes the entries of servers that don't run.
+  void ExpireEntries();
   void WriteManifest();
   base::Endpoint PickRoute();
   void Schedule(base::Duration delay, std::function<void()> action);
@@ -97,6 +102,7 @@
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
   std::vector<LiveRoute> m_routes;
   std::uint64_t m_version = 0;
+  std::string m_manifest;
   std::uint16_t m_next_port = 1000;
   std::unique_ptr<EdgeFleet> m_fleet;
 };
--- a/Tests/Soak/soak_server.cc
+++ b/Tests/Soak/soak_server.cc
@@ -41,13 +41,15 @@
   Accept();
 }
 
-std::string SoakServer::Spec(const std::string& state) const {
+std::string SoakServer::NextSpec(const std::string& state) {
+  if (!state.empty())
+    m_state = state;
   return R"({"backend":")" + m_identity.m_service + R"(","address":")" +
          ToString(m_identity.m_endpoint) + R"(","zone":")" +
          m_identity.m_data_centre +
-         R"(","version":"v1","max_concurrency":3,"state":")" + state +
-         R"(","warmup_left_ms":0,"seq":1,"born":)" +
-         std::to_string(m_identity.m_born) + "}";
+         R"(","version":"v1","max_concurrency":3,"state":")" + m_state +
+         R"(","warmup_left_ms":0,"seq":)" + std::to_string(++m_sequence) +
+         R"(,"born":)" + std::to_string(m_identity.m_born) + "}";
 }
 
 // Accepts the balancers' TCP health probes and closes them.
--- a/Tests/Soak/soak_server.h
+++ b/Tests/Soak/soak_server.h
@@ -42,10 +42,11 @@
 
   // Queries.
   const Identity& identity() const { return m_identity; }
-  // The server's entry in the store, as JSON.
-  std::string Spec(const std::string& state) const;
 
   // Commands.
+  // The server's next entry in the store, as JSON. Without `state`, the state
+  // is that of the previous entry.
+  std::string NextSpec(const std::string& state = {});
   // Lengthens the service time of each request by `service_time`.
   void SetExtraServiceTime(base::Duration service_time) {
     m_extra_service_time = service_time;
@@ -76,6 +77,8 @@
   stand_ins::EventLoop* m_loop;
   InvariantChecker* m_checker;
   Identity m_identity;
+  std::string m_state = "ready";
+  std::uint64_t m_sequence = 0;
   base::Random m_random;
   base::Duration m_extra_service_time{};
   std::unique_ptr<stand_ins::UdpPort> m_port;
--- a/Tests/Soak/store_stand_in.cc
+++ b/Tests/Soak/store_stand_in.cc
@@ -224,6 +224,13 @@
 
 StoreStandIn::~StoreStandIn() = default;
 
+std::vector<std::string> StoreStandIn::Names(const std::string& kind) const {
+  std::vector<std::string> names;
+  for (const auto& [name, object] : m_implementation->m_objects[kind])
+    names.push_back(name);
+  return names;
+}
+
 void StoreStandIn::Put(const std::string& kind,
                        const std::string& name,
                        const std::string& spec) {
--- a/Tests/Soak/store_stand_in.h
+++ b/Tests/Soak/store_stand_in.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "LibBase/ipv4.h"
 #include "LibBase/time.h"
@@ -27,6 +28,9 @@
   StoreStandIn(const StoreStandIn&) = delete;
   StoreStandIn& operator=(const StoreStandIn&) = delete;
 
+  // Queries.
+  std::vector<std::string> Names(const std::string& kind) const;
+
   // Commands.
   // Writes an object; `spec` is JSON. Does nothing if the object already has
   // this spec.
