LibSteering: Let the store's revision order a server's records within an era

The order by a server's own counter held within an era too. One record of another writer with the server's start and a great counter hid all later records of the server until it started again, also that it drains or has registered again.

Within an era the store's revision decides again. Across eras the server's start and counter decide, and only until the store's record is written after its return: a record of that era with a greater revision than the first one ignored counts. An earlier start of a server in the copy no longer replaces a later one, which had made a draining server ready.

Tests, on the code before: "another writer's great sequence does not hide a server's records" 2 of 2 checks failed (CHECK( 0 == 3 )), "a server's earlier incarnation in a restored store does not end its draining" 3 of 3 (CHECK( 2 == 0 )).

--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -18,6 +18,8 @@
 struct KnownServer {
   ServerHandle m_handle;
   ServerRecord m_record;
+  // The revision of the last era's first record that was ignored as outdated.
+  base::StoreRevision m_outdated_revision;
   ServerTokens m_tokens{};
   // When the server is no longer slow after its start.
   base::TimePoint m_warm_up_ends_at;
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -1,6 +1,7 @@
 #include "LibSteering/server_directory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace steering {
 
@@ -84,15 +85,28 @@
   });
 }
 
-bool ServerDirectory::IsOlder(const ServerRecord& record,
-                              const ServerRecord& known) {
+bool ServerDirectory::WasWrittenBefore(const ServerRecord& left,
+                                       const ServerRecord& right) {
   // Without an incarnation, a restarted server whose sequence starts again
   // cannot be told apart.
-  const bool is_same_run =
-      record.m_incarnation != 0 && record.m_incarnation == known.m_incarnation;
-  if (is_same_run && record.m_sequence != known.m_sequence)
-    return record.m_sequence < known.m_sequence;
-  return record.m_revision < known.m_revision;
+  if (left.m_incarnation == 0 || right.m_incarnation == 0)
+    return false;
+  return std::tie(left.m_incarnation, left.m_sequence) <
+         std::tie(right.m_incarnation, right.m_sequence);
+}
+
+bool ServerDirectory::IsOlder(const ServerRecord& record,
+                              const KnownServer& server) {
+  const ServerRecord& known = server.m_record;
+  const base::StoreRevision revision = record.m_revision;
+  if (revision.era() == known.m_revision.era())
+    return revision < known.m_revision;
+  if (revision.era() < known.m_revision.era())
+    return !WasWrittenBefore(known, record);
+  const bool is_rewritten =
+      revision.era() == server.m_outdated_revision.era() &&
+      revision > server.m_outdated_revision;
+  return !is_rewritten && WasWrittenBefore(record, known);
 }
 
 DirectoryChange ServerDirectory::Apply(const ServerRecord& record,
@@ -103,8 +117,11 @@
     server = &Insert(record);
   const ServerRecord previous = server->m_record;
   const bool was_gone = server->IsGone();
-  if (!is_new && IsOlder(record, previous))
+  if (!is_new && IsOlder(record, *server)) {
+    if (record.m_revision.era() > server->m_outdated_revision.era())
+      server->m_outdated_revision = record.m_revision;
     return DirectoryChange::kNone;
+  }
 
   UnlistFromService(*server);
   server->m_record = record;
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -91,10 +91,15 @@
   void PurgeGoneServers(base::TimePoint now);
 
  private:
-  // Whether `record` is older than `known`, a record of the same server. A
-  // store that came back from a copy of its past has older records at newer
-  // revisions.
-  static bool IsOlder(const ServerRecord& record, const ServerRecord& known);
+  // Whether the server wrote `left` before `right`, by its own account. False
+  // if either does not tell.
+  static bool WasWrittenBefore(const ServerRecord& left,
+                               const ServerRecord& right);
+  // Whether `record` is older than the known record of `server`. Within an era
+  // of the store the revision decides. A store that came back from a copy of
+  // its past has outdated records at new revisions, so across eras the server's
+  // own account decides, until the store's record is written again.
+  static bool IsOlder(const ServerRecord& record, const KnownServer& server);
 
   using Tokens = std::unordered_multimap<std::uint32_t, KnownServer*>;
 
--- a/Libraries/LibSteering/server_record.h
+++ b/Libraries/LibSteering/server_record.h
@@ -36,8 +36,8 @@
   // record.
   base::Duration m_warm_up_left{};
   // When the server started, in milliseconds since the Unix epoch by the
-  // server's clock. Two values under one name are two incarnations; the value
-  // has no other use.
+  // server's clock. Two values under one name are two incarnations. The
+  // values are ordered only across eras of the store.
   std::int64_t m_incarnation = 0;
   // Counts what the server wrote since its start. Orders the records of one
   // incarnation, also when the store comes back from a copy of its past.
--- a/Tests/LibSteering/test_server_directory.cc
+++ b/Tests/LibSteering/test_server_directory.cc
@@ -93,6 +93,53 @@
   CHECK(directory.ServersOf("portal").empty());
 }
 
+TEST_CASE("another writer's great sequence does not hide a server's records") {
+  ServerDirectory directory;
+  ServerRecord record = MakeServer("i-1", 20);
+  record.m_incarnation = 5;
+  record.m_sequence = 8;
+  directory.Apply(record, At(0));
+  ServerRecord foreign = record;
+  foreign.m_sequence = 1'000'000;
+  foreign.m_revision = base::StoreRevision(21);
+  directory.Apply(foreign, At(1));
+  record.m_sequence = 9;
+  record.m_state = ServerState::kDraining;
+  record.m_revision = base::StoreRevision(22);
+
+  CHECK(directory.Apply(record, At(2)) == DirectoryChange::kDraining);
+
+  foreign.m_revision = base::StoreRevision(23);
+  directory.Apply(foreign, At(3));
+  // The copy's record, and the one that the server writes after the restore.
+  record.m_revision = {base::StoreEra(1), 9};
+  directory.Apply(record, At(4));
+  record.m_sequence = 10;
+  record.m_revision = {base::StoreEra(1), 30};
+  CHECK(directory.Apply(record, At(5)) == DirectoryChange::kDraining);
+}
+
+TEST_CASE(
+    "a server's earlier incarnation in a restored store does not end its "
+    "draining") {
+  ServerDirectory directory;
+  ServerRecord draining = MakeServer("i-1", 20);
+  draining.m_incarnation = 9000;
+  draining.m_state = ServerState::kDraining;
+  directory.Apply(draining, At(0));
+  ServerRecord copy = MakeServer("i-1", 7);
+  copy.m_incarnation = 5000;
+  copy.m_sequence = 40;
+  copy.m_revision = {base::StoreEra(1), 7};
+
+  CHECK(directory.Apply(copy, At(1)) == DirectoryChange::kNone);
+  CHECK_FALSE(directory.FindByName(ServerName("i-1"))->AcceptsOpenings());
+
+  // A server whose clock was set back registers after the restore.
+  copy.m_revision = {base::StoreEra(1), 12};
+  CHECK(directory.Apply(copy, At(2)) == DirectoryChange::kRestarted);
+}
+
 TEST_CASE("a server whose record was lost registers again with any sequence") {
   ServerDirectory directory;
   ServerRecord record = MakeServer("i-1", 20);
