LibCatalog: Delay removals again when the store comes back a second time

A follower that learned of a second restore within 2.3 s of the first removed the servers that the first copy lacked at the old time, before they could register with the second one. Found by review, not seen in a run.

Each restore counts as the end of an outage. Test on the code before: "a second restore of the store delays the pending removals again" fails, CHECK( removals.PopDue(At(2300)).empty() ).

--- a/Libraries/LibCatalog/delayed_removals.h
+++ b/Libraries/LibCatalog/delayed_removals.h
@@ -47,11 +47,8 @@
   void OnOutageStarted(OutageSource source) { m_outages |= BitOf(source); }
   void OnOutageEnded(OutageSource source, base::TimePoint now);
   // A peer's view shows that the store came back from a copy of its past.
-  // Counts as the end of an outage unless a recent one is known.
-  void OnStoreRestored(base::TimePoint now) {
-    if (!IsDelaying(now))
-      DelayFrom(now);
-  }
+  // Counts as the end of an outage.
+  void OnStoreRestored(base::TimePoint now) { DelayFrom(now); }
   // Replaces what is known of outages by what a peer knows.
   void SetOutage(bool is_in_outage, std::optional<base::TimePoint> ended_at);
   // The records of `names` were removed from the store. Returns the servers to
--- a/Tests/LibCatalog/test_delayed_removals.cc
+++ b/Tests/LibCatalog/test_delayed_removals.cc
@@ -88,4 +88,15 @@
   CHECK(removals.PopDue(At(3300)) == names);
 }
 
+TEST_CASE("a second restore of the store delays the pending removals again") {
+  DelayedRemovals removals;
+  removals.OnStoreRestored(At(0));
+  CHECK(removals.OnRecordsRemoved({kServer}, At(0)).empty());
+
+  removals.OnStoreRestored(At(2200));
+
+  CHECK(removals.PopDue(At(2300)).empty());
+  CHECK(removals.PopDue(At(4500)).size() == 1);
+}
+
 }  // namespace catalog
