--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -35,6 +35,13 @@
   m_seed_turn = m_random.Below(m_settings.m_seeds.size() + 1);
 }
 
+bool FeedMember::IsManifestLost(const StoreStatus& own,
+                                base::TimePoint now) const {
+  return m_lost_manifest &&
+         m_lost_manifest->m_version > own.m_manifest_version &&
+         now - m_lost_manifest->m_heard_at < ReaderRegistry::kReaderLifetime;
+}
+
 base::TimePoint FeedMember::NextAdvanceAt(const StoreStatus& own) const {
   base::TimePoint next = base::TimePoint::max();
   if (!own.m_is_current || !m_is_reader)
@@ -81,6 +88,11 @@
                       now);
   else
     m_registry.Remove(source);
+  // The store that was read at this balancer's revision does not have the
+  // manifest, although the peer read it no later.
+  if (request.m_manifest_version > own.m_manifest_version &&
+      request.m_manifest <= own.m_manifest)
+    m_lost_manifest = LostManifest{request.m_manifest_version, now};
 
   FeedResponse response;
   response.m_fleet = m_settings.m_fleet;
@@ -124,12 +136,18 @@
       OnReaderNotCurrent(now);
     return ResponseVerdict::kNotCurrent;
   }
-  const bool has_news = response.m_status.m_servers > own.m_servers ||
-                        response.m_status.m_manifest > own.m_manifest;
-  const bool is_behind = response.m_status.m_servers < own.m_servers ||
-                         response.m_status.m_manifest < own.m_manifest;
+  const StoreStatus& peer = response.m_status;
+  const bool has_news = peer.m_servers > own.m_servers ||
+                        peer.m_manifest > own.m_manifest ||
+                        peer.m_manifest_version > own.m_manifest_version;
+  const bool is_behind =
+      peer.m_servers < own.m_servers || peer.m_manifest < own.m_manifest;
   if (!has_news && is_behind) {
-    RecordBehind(now);
+    // The store has moved on from what a reader of a former era watches.
+    const bool is_of_former_era = peer.m_servers.era() < own.m_servers.era() ||
+                                  peer.m_manifest.era() < own.m_manifest.era();
+    if (!is_of_former_era)
+      RecordBehind(now);
     return ResponseVerdict::kBehind;
   }
   if (!has_news) {
@@ -335,6 +353,7 @@
   poll.m_request.m_is_current = own.m_is_current;
   poll.m_request.m_servers = own.m_servers;
   poll.m_request.m_manifest = own.m_manifest;
+  poll.m_request.m_manifest_version = own.m_manifest_version;
   m_pending.push_back({peer, poll.m_request.m_number, now});
   return poll;
 }
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -49,6 +49,7 @@
   kServerReachable,
   kStoreLost,
   kStoreRegained,
+  kStoreRestored,
   kStoreCallFailed,
   kServersListed,
   kObjectsIgnored,
@@ -68,7 +69,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 54> kEventNames{{
+inline constexpr base::EnumTable<Event, 55> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
@@ -106,6 +107,7 @@
     {Event::kServerReachable, "server_reachable"},
     {Event::kStoreLost, "store_lost"},
     {Event::kStoreRegained, "store_regained"},
+    {Event::kStoreRestored, "store_restored"},
     {Event::kStoreCallFailed, "store_call_failed"},
     {Event::kServersListed, "servers_listed"},
     {Event::kObjectsIgnored, "objects_ignored"},
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -1,6 +1,7 @@
 #include "LibSteering/server_directory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace steering {
 
@@ -59,11 +60,11 @@
 }
 
 std::vector<ServerRecord> ServerDirectory::RecordsNewerThan(
-    std::uint64_t revision) const {
+    base::StoreRevision revision) const {
   std::vector<ServerRecord> records;
   for (const auto& [name, server] : m_servers) {
-    const std::uint64_t own = server->m_record.m_revision;
-    if (!server->IsGone() && (own == 0 || own > revision))
+    const base::StoreRevision own = server->m_record.m_revision;
+    if (!server->IsGone() && (own.number() == 0 || own > revision))
       records.push_back(server->m_record);
   }
   return records;
@@ -84,6 +85,30 @@
   });
 }
 
+bool ServerDirectory::WasWrittenBefore(const ServerRecord& left,
+                                       const ServerRecord& right) {
+  // Without an incarnation, a restarted server whose sequence starts again
+  // cannot be told apart.
+  if (left.m_incarnation == 0 || right.m_incarnation == 0)
+    return false;
+  return std::tie(left.m_incarnation, left.m_sequence) <
+         std::tie(right.m_incarnation, right.m_sequence);
+}
+
+bool ServerDirectory::IsOlder(const ServerRecord& record,
+                              const KnownServer& server) {
+  const ServerRecord& known = server.m_record;
+  const base::StoreRevision revision = record.m_revision;
+  if (revision.era() == known.m_revision.era())
+    return revision < known.m_revision;
+  if (revision.era() < known.m_revision.era())
+    return !WasWrittenBefore(known, record);
+  const bool is_rewritten =
+      revision.era() == server.m_outdated_revision.era() &&
+      revision > server.m_outdated_revision;
+  return !is_rewritten && WasWrittenBefore(record, known);
+}
+
 DirectoryChange ServerDirectory::Apply(const ServerRecord& record,
                                        base::TimePoint now) {
   KnownServer* server = FindByName(record.m_name);
@@ -92,8 +117,11 @@
     server = &Insert(record);
   const ServerRecord previous = server->m_record;
   const bool was_gone = server->IsGone();
-  if (!is_new && record.m_revision < previous.m_revision)
+  if (!is_new && IsOlder(record, *server)) {
+    if (record.m_revision.era() > server->m_outdated_revision.era())
+      server->m_outdated_revision = record.m_revision;
     return DirectoryChange::kNone;
+  }
 
   UnlistFromService(*server);
   server->m_record = record;
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "LibBase/enum_table.h"
+#include "LibBase/store_revision.h"
 #include "LibBase/time.h"
 #include "LibSteering/ids.h"
 #include "LibSteering/known_server.h"
@@ -73,7 +74,8 @@
   std::vector<ServerName> RegisteredNames() const;
   // The records of registered servers that are newer than `revision` or have
   // no revision.
-  std::vector<ServerRecord> RecordsNewerThan(std::uint64_t revision) const;
+  std::vector<ServerRecord> RecordsNewerThan(
+      base::StoreRevision revision) const;
   // The number of registered servers in `state`.
   std::size_t Count(ServerState state) const;
   // Whether any server that accepts openings does not count as unreachable.
@@ -81,7 +83,7 @@
 
   // Commands.
   // Adds or updates a server. Ignores a record that is older than the known
-  // record of the same server.
+  // record of the same server, see IsOlder.
   DirectoryChange Apply(const ServerRecord& record, base::TimePoint now);
   // Marks a server as gone, because its record was removed.
   DirectoryChange Remove(const ServerName& name, base::TimePoint now);
@@ -89,6 +91,16 @@
   void PurgeGoneServers(base::TimePoint now);
 
  private:
+  // Whether the server wrote `left` before `right`, by its own account. False
+  // if either does not tell.
+  static bool WasWrittenBefore(const ServerRecord& left,
+                               const ServerRecord& right);
+  // Whether `record` is older than the known record of `server`. Within an era
+  // of the store the revision decides. A store that came back from a copy of
+  // its past has outdated records at new revisions, so across eras the server's
+  // own account decides, until the store's record is written again.
+  static bool IsOlder(const ServerRecord& record, const KnownServer& server);
+
   using Tokens = std::unordered_multimap<std::uint32_t, KnownServer*>;
 
   KnownServer& Insert(const ServerRecord& record);
--- a/Libraries/LibSteering/server_record.h
+++ b/Libraries/LibSteering/server_record.h
@@ -10,6 +10,7 @@
 #include "LibBase/enum_table.h"
 #include "LibBase/ids.h"
 #include "LibBase/ipv4.h"
+#include "LibBase/store_revision.h"
 #include "LibBase/time.h"
 #include "LibSteering/ids.h"
 
@@ -35,11 +36,14 @@
   // record.
   base::Duration m_warm_up_left{};
   // When the server started, in milliseconds since the Unix epoch by the
-  // server's clock. Two values under one name are two incarnations; the value
-  // has no other use.
+  // server's clock. Two values under one name are two incarnations. The
+  // values are ordered only across eras of the store.
   std::int64_t m_incarnation = 0;
+  // Counts what the server wrote since its start. Orders the records of one
+  // incarnation, also when the store comes back from a copy of its past.
+  std::uint64_t m_sequence = 0;
   // The store's revision of the record.
-  std::uint64_t m_revision = 0;
+  base::StoreRevision m_revision;
 
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
 };
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -23,11 +23,11 @@
 // The result of one call to the store.
 struct StoreUpdate {
   catalog::CollectionWatcher::Outcome m_outcome;
-  // Set if the call failed.
-  std::optional<catalog::CallFailure> m_failure;
   // For a list, the objects of all pages, set with the last page.
   adapter::CollectionObjects m_objects;
   base::Duration m_call_time{};
+  // The known revision before the call returned.
+  catalog::Revision m_former_revision;
 };
 
 class StoreReader {
--- a/Services/Edge/view_log.cc
+++ b/Services/Edge/view_log.cc
@@ -14,12 +14,12 @@
                              base::TimePoint now) {
   const std::string_view collection =
       NameOf(adapter::kCollectionNames, reader.collection());
+  const auto& failure = update.m_outcome.m_failure;
   const std::string_view result =
-      update.m_failure ? NameOf(catalog::kCallFailureNames, *update.m_failure)
-                       : "done";
-  const std::uint64_t revision = reader.watcher().KnownRevision().value();
+      failure ? NameOf(catalog::kCallFailureNames, *failure) : "done";
+  const std::uint64_t revision = reader.watcher().KnownRevision().number();
   m_metrics.CountStoreCall(collection, result, update.m_call_time);
-  if (update.m_failure && m_log.Admit(Event::kStoreCallFailed, now))
+  if (failure && m_log.Admit(Event::kStoreCallFailed, now))
     m_log.Write(Severity::kWarning, Event::kStoreCallFailed,
                 {{"collection", collection},
                  {"reason", result},
@@ -28,10 +28,15 @@
   if (update.m_outcome.m_is_store_lost)
     m_log.Write(Severity::kWarning, Event::kStoreLost,
                 {{"collection", collection},
-                 {"reason", update.m_failure ? result : "late_answer"}});
+                 {"reason", failure ? result : "late_answer"}});
   if (update.m_outcome.m_is_store_regained)
     m_log.Write(Severity::kInfo, Event::kStoreRegained,
-                {{"collection", collection}, {"revision", revision}});
+                {{"collection", collection},
+                 {"revision", revision},
+                 {"era", reader.watcher().KnownRevision().era().value()}});
+  if (update.m_outcome.m_is_store_restored)
+    WriteStoreRestored(update.m_former_revision,
+                       reader.watcher().KnownRevision(), collection);
   if (update.m_objects.m_ignored > 0 &&
       m_log.Admit(Event::kObjectsIgnored, now))
     m_log.Write(Severity::kWarning, Event::kObjectsIgnored,
@@ -40,6 +45,17 @@
                  {"reason", "a necessary field is missing or unusable"}});
 }
 
+void ViewLog::WriteStoreRestored(catalog::Revision former,
+                                 catalog::Revision revision,
+                                 std::string_view source) {
+  m_log.Write(Severity::kWarning, Event::kStoreRestored,
+              {{"source", source},
+               {"former_era", former.era().value()},
+               {"era", revision.era().value()},
+               {"former_revision", former.number()},
+               {"revision", revision.number()}});
+}
+
 void ViewLog::WriteServerChanges(const ServerChanges& changes,
                                  catalog::Revision revision,
                                  std::string_view source,
@@ -57,8 +73,8 @@
                  {"endpoint", ToString(change.m_record.m_endpoint)},
                  {"data_centre", change.m_record.m_data_centre.value()},
                  {"incarnation", change.m_record.m_incarnation},
-                 {"record_revision", change.m_record.m_revision},
-                 {"revision", revision.value()},
+                 {"record_revision", change.m_record.m_revision.number()},
+                 {"revision", revision.number()},
                  {"source", source}});
   }
 }
@@ -91,10 +107,11 @@
 }
 
 void ViewLog::WriteServersListed(std::size_t servers,
-                                 catalog::Revision revision) {
-  m_log.Write(
-      Severity::kInfo, Event::kServersListed,
-      {{"servers", std::uint64_t{servers}}, {"revision", revision.value()}});
+                                 const StoreReader& reader) {
+  m_log.Write(Severity::kInfo, Event::kServersListed,
+              {{"servers", std::uint64_t{servers}},
+               {"revision", reader.watcher().KnownRevision().number()},
+               {"era", reader.watcher().KnownRevision().era().value()}});
 }
 
 void ViewLog::WriteManifest(const steering::Manifest& manifest,
@@ -116,7 +133,7 @@
     m_log.Write(
         Severity::kInfo, event,
         {{"reason", NameOf(feed::kRoleReasonNames, member.LastRoleReason())},
-         {"revision", revision.value()}});
+         {"revision", revision.number()}});
 }
 
 void ViewLog::WriteChangesReceived(base::Endpoint peer,
@@ -129,11 +146,14 @@
   if (m_log.Admit(Event::kChangesReceived, now))
     m_log.Write(Severity::kInfo, Event::kChangesReceived,
                 {{"peer", ToString(peer)},
-                 {"since", delta.m_since.value()},
-                 {"revision", delta.m_servers_revision.value()},
+                 {"since", delta.m_since.number()},
+                 {"revision", delta.m_servers_revision.number()},
                  {"servers", std::uint64_t{delta.m_servers.size()}},
                  {"removed", std::uint64_t{delta.m_removed_servers.size()}},
-                 {"changed", std::uint64_t{changes.size()}}});
+                 {"changed", std::uint64_t{changes.size()}},
+                 {"manifest_revision", delta.m_manifest_revision.number()},
+                 {"manifest",
+                  delta.m_manifest ? delta.m_manifest->m_version.value() : 0}});
 }
 
 void ViewLog::WriteFeedRefused(base::Endpoint peer,
@@ -151,7 +171,7 @@
   m_log.Write(Severity::kInfo, Event::kSnapshotTaken,
               {{"peer", ToString(peer)},
                {"servers", std::uint64_t{servers}},
-               {"revision", revision.value()}});
+               {"revision", revision.number()}});
 }
 
 void ViewLog::WriteSnapshotFailed(base::Endpoint peer,
--- a/Services/Edge/view_log.h
+++ b/Services/Edge/view_log.h
@@ -29,6 +29,10 @@
   void WriteStoreCall(const StoreReader& reader,
                       const StoreUpdate& update,
                       base::TimePoint now);
+  // `source` is the collection that was listed, or peer.
+  void WriteStoreRestored(catalog::Revision former,
+                          catalog::Revision revision,
+                          std::string_view source);
   // `source` is store, peer or lapse; `revision` is that of the view.
   void WriteServerChanges(const ServerChanges& changes,
                           catalog::Revision revision,
@@ -39,7 +43,7 @@
                           adapter::Collection collection,
                           base::ConfigurationVersion manifest,
                           base::TimePoint now);
-  void WriteServersListed(std::size_t servers, catalog::Revision revision);
+  void WriteServersListed(std::size_t servers, const StoreReader& reader);
   void WriteManifest(const steering::Manifest& manifest,
                      base::ConfigurationVersion former,
                      std::string_view source);
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -104,7 +104,7 @@
   FeedOwner owner;
   owner.m_status = [this](base::TimePoint now) { return Status(now); };
   owner.m_changes = [this](catalog::Revision since_servers,
-                           catalog::Revision since_manifest) {
+                           base::ConfigurationVersion since_manifest) {
     return catalog::EncodeDelta(m_view.MakeDelta(
         since_servers, since_manifest, m_servers.watcher().KnownRevision(),
         m_manifests.watcher().KnownRevision()));
@@ -174,6 +174,7 @@
   status.m_is_failing = servers.FailingSince() || manifests.FailingSince();
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
+  status.m_manifest_version = m_steering.routes().Version();
   if (servers.ConfirmedAt() && manifests.ConfirmedAt())
     status.m_confirmed_age =
         now - std::min(*servers.ConfirmedAt(), *manifests.ConfirmedAt());
@@ -231,14 +232,26 @@
                        : std::nullopt);
 }
 
+void ViewUpdater::OnServersAdopted(catalog::Revision former,
+                                   catalog::Revision revision,
+                                   base::TimePoint now) {
+  if (former == catalog::Revision() || revision.era() == former.era())
+    return;
+  m_log.WriteStoreRestored(former, revision, "peer");
+  m_view.OnStoreRestored(now);
+}
+
 bool ViewUpdater::ApplyChanges(base::Endpoint peer,
                                const catalog::ViewDelta& changes) {
   const base::TimePoint now = base::Clock::now();
   if (changes.m_since > m_servers.watcher().KnownRevision())
     return false;
-  if (m_servers.AdoptRevision(changes.m_servers_revision))
+  const catalog::Revision former = m_servers.watcher().KnownRevision();
+  if (m_servers.AdoptRevision(changes.m_servers_revision)) {
+    OnServersAdopted(former, changes.m_servers_revision, now);
     m_log.WriteChangesReceived(peer, changes,
                                m_view.ApplyServerDelta(changes, now), now);
+  }
   if (changes.m_manifest)
     ApplyManifest(*changes.m_manifest, "peer");
   m_manifests.AdoptRevision(changes.m_manifest_revision);
@@ -248,7 +261,10 @@
 
 ViewVersion ViewUpdater::Version(base::TimePoint now) const {
   ViewVersion version;
-  version.m_servers_revision = m_servers.watcher().KnownRevision().value();
+  const catalog::Revision servers = m_servers.watcher().KnownRevision();
+  version.m_store_era =
+      std::max(servers, m_manifests.watcher().KnownRevision()).era().value();
+  version.m_servers_revision = servers.number();
   const auto confirmed =
       std::max(m_servers.watcher().ConfirmedAt(), m_reader_confirmed_at);
   if (confirmed)
@@ -286,6 +302,10 @@
 }
 
 void ViewUpdater::RequestSnapshotIfCutOff(base::TimePoint now) {
+  if (m_feed && m_feed->member().IsManifestLost(Status(now), now)) {
+    m_peers.RequestSnapshot();
+    return;
+  }
   if (m_feed && m_feed->member().IsFed(now))
     return;
   const auto has_failed_long = [now](const StoreReader& reader) {
@@ -332,7 +352,7 @@
   if (update.m_outcome.m_update != catalog::CollectionUpdate::kListComplete)
     return;
   const auto records = RecordsOf(servers);
-  m_log.WriteServersListed(records.size(), revision);
+  m_log.WriteServersListed(records.size(), m_servers);
   const bool is_first_view = !m_steering.HasRoutesAndServers();
   const ServerChanges changes = m_view.ApplyServerList(
       records, revision, now,
@@ -362,7 +382,9 @@
     return;
   }
   const catalog::Snapshot& decoded = snapshot.value();
+  const catalog::Revision former = m_servers.watcher().KnownRevision();
   if (m_servers.AdoptRevision(decoded.m_servers_revision)) {
+    OnServersAdopted(former, decoded.m_servers_revision, now);
     m_log.WriteSnapshotTaken(peer, decoded.m_servers.size(),
                              decoded.m_servers_revision);
     m_log.WriteServerChanges(
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -60,7 +60,8 @@
   void Start();
   // Must be called several times a second.
   void Sweep(base::TimePoint now);
-  // Requests a snapshot of a seed if the store fails and no reader is current.
+  // Requests a snapshot of a seed if the store fails and no reader is current,
+  // or if the store has lost a manifest that a peer has in force.
   // To be called at the interval of these requests.
   void RequestSnapshotIfCutOff(base::TimePoint now);
   // The process was paused: the view may be outdated, and the connections of
@@ -75,6 +76,10 @@
   feed::StoreStatus Status(base::TimePoint now) const;
   void ApplyRole(base::TimePoint now);
   void OnReaderStatus(const feed::StoreStatus& status);
+  // A peer's servers at `revision` are to replace those known at `former`.
+  void OnServersAdopted(catalog::Revision former,
+                        catalog::Revision revision,
+                        base::TimePoint now);
   // Returns false if the changes do not follow the view.
   bool ApplyChanges(base::Endpoint peer, const catalog::ViewDelta& changes);
 
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -241,4 +241,65 @@
   CHECK_FALSE(member.HandleRequest(kReader, request, MakeStatus(5), At(0)));
 }
 
+TEST_CASE("a reader of a former era of the store confirms nothing") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own = MakeStatus(5);
+  own.m_servers = own.m_manifest = {base::StoreEra(2), 5};
+  const FeedPoll poll = PollOnce(member, own, At(0));
+  FeedResponse response = MakeResponse(poll, 9);
+  response.m_status.m_servers = {base::StoreEra(1), 9};
+
+  CHECK(member.HandleResponse(poll.m_peer, response, own, At(2)) ==
+        ResponseVerdict::kBehind);
+  CHECK_FALSE(member.IsFed(At(2)));
+}
+
+TEST_CASE(
+    "a reader of a restored store has news though its number is smaller") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const StoreStatus own = MakeStatus(9);
+  const FeedPoll poll = PollOnce(member, own, At(0));
+  FeedResponse response = MakeResponse(poll, 9);
+  response.m_status.m_servers = {base::StoreEra(1), 5};
+
+  CHECK(member.HandleResponse(poll.m_peer, response, own, At(2)) ==
+        ResponseVerdict::kFetchChanges);
+}
+
+// A balancer that started after the restore had read an older manifest.
+TEST_CASE("a manifest that is newer than the restored store's is fetched") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own = MakeStatus(9);
+  own.m_manifest_version = base::ConfigurationVersion(11);
+  const FeedPoll poll = PollOnce(member, own, At(0));
+  CHECK(poll.m_request.m_manifest_version == base::ConfigurationVersion(11));
+  FeedResponse response = MakeResponse(poll, 9);
+  response.m_status.m_manifest_version = base::ConfigurationVersion(14);
+
+  CHECK(member.HandleResponse(poll.m_peer, response, own, At(2)) ==
+        ResponseVerdict::kFetchChanges);
+}
+
+// A reader that started after the restore had the copy's manifest.
+TEST_CASE("a reader learns from followers that the store has lost a manifest") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own = MakeStatus(9, true);
+  own.m_manifest = {base::StoreEra(2), 9};
+  own.m_manifest_version = base::ConfigurationVersion(11);
+  FeedRequest request;
+  request.m_fleet = 7;
+  request.m_manifest_version = base::ConfigurationVersion(14);
+
+  request.m_manifest = {base::StoreEra(2), 12};
+  member.HandleRequest(kReader, request, own, At(0));
+  CHECK_FALSE(member.IsManifestLost(own, At(0)));
+
+  request.m_manifest = {base::StoreEra(1), 12};
+  member.HandleRequest(kReader, request, own, At(0));
+  CHECK(member.IsManifestLost(own, At(0)));
+  CHECK_FALSE(member.IsManifestLost(own, At(3000)));
+  own.m_manifest_version = base::ConfigurationVersion(14);
+  CHECK_FALSE(member.IsManifestLost(own, At(0)));
+}
+
 }  // namespace feed
--- a/Tests/Soak/fault_schedule.cc
+++ b/Tests/Soak/fault_schedule.cc
@@ -28,6 +28,7 @@
 constexpr std::uint64_t kRouteChanges = 12;
 constexpr std::uint64_t kMinimumLengthMs = 500;
 constexpr std::uint64_t kLengthRangeMs = 4500;
+constexpr std::uint64_t kRestoreOneIn = 3;
 // The time that a restarted balancer needs until it serves.
 constexpr base::Duration kRestartTime = milliseconds(500);
 // The users' grace_s, after which a process that was told to stop is killed.
@@ -200,8 +201,17 @@
                                   base::Duration length,
                                   std::uint32_t edges,
                                   std::uint32_t servers) {
-  return Generate(seed, length, edges, servers,
-                  {kMinimumFaults, kFaultCountRange, kSingleFaultKinds});
+  std::vector<Fault> faults =
+      Generate(seed, length, edges, servers,
+               {kMinimumFaults, kFaultCountRange, kSingleFaultKinds});
+  // Drawn after the other faults, so that a seed keeps them.
+  base::Random random(seed + 1);
+  if (random.Below(kRestoreOneIn) == 0)
+    faults.push_back(
+        {FaultKind::kRestoreStore, DrawTime(random, length),
+         milliseconds(kMinimumLengthMs + random.Below(kLengthRangeMs))});
+  SortByStart(faults);
+  return faults;
 }
 
 std::vector<Fault> GenerateSeries(std::uint64_t seed,
@@ -325,6 +335,8 @@
         harness.fleet().Pause(edge, length);
       }
       return;
+    case FaultKind::kRestoreStore:
+      return harness.RestoreStore(length);
   }
 }
 
--- a/Tests/Soak/fault_schedule.h
+++ b/Tests/Soak/fault_schedule.h
@@ -50,9 +50,10 @@
   kCompactSeries,
   kCutReaders,
   kPauseReaders,
+  kRestoreStore,
 };
 
-inline constexpr base::EnumTable<FaultKind, 34> kFaultKindNames{{
+inline constexpr base::EnumTable<FaultKind, 35> kFaultKindNames{{
     {FaultKind::kKillEdge, "kill_edge"},
     {FaultKind::kStopEdge, "stop_edge"},
     {FaultKind::kPauseEdge, "pause_edge"},
@@ -87,6 +88,7 @@
     {FaultKind::kCompactSeries, "compact_series"},
     {FaultKind::kCutReaders, "cut_readers"},
     {FaultKind::kPauseReaders, "pause_readers"},
+    {FaultKind::kRestoreStore, "restore_store"},
 }};
 
 struct Fault {
--- a/Tests/Soak/store_stand_in.h
+++ b/Tests/Soak/store_stand_in.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "LibBase/ipv4.h"
+#include "LibBase/time.h"
 
 namespace stand_ins {
 class EventLoop;
@@ -26,6 +28,9 @@
   StoreStandIn(const StoreStandIn&) = delete;
   StoreStandIn& operator=(const StoreStandIn&) = delete;
 
+  // Queries.
+  std::vector<std::string> Names(const std::string& kind) const;
+
   // Commands.
   // Writes an object; `spec` is JSON. Does nothing if the object already has
   // this spec.
@@ -34,6 +39,9 @@
            const std::string& spec);
   void Remove(const std::string& kind, const std::string& name);
   void SetFault(StoreFault fault);
+  // Comes back from a copy of the objects as they were `age` ago, at most a
+  // minute, in a new era.
+  void Restore(base::Duration age);
   // Discards the event history: watches from an earlier revision get status
   // 410.
   void Compact();
