LibEventLoop: Return from accept when a connection was aborted

Asio's accept waits for the next connection after ECONNABORTED or EPROTO, also on a non-blocking socket, and would stop the event loop until one arrives.

The listener asks for the error instead, reports it and tries again after its pause.

--- a/Libraries/LibEventLoop/tcp_listener.cc
+++ b/Libraries/LibEventLoop/tcp_listener.cc
@@ -42,6 +42,10 @@
   m_acceptor.open(asio::ip::tcp::v4(), error);
   if (!error)
     m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  // Otherwise Asio waits for another connection within accept.
+  if (!error)
+    m_acceptor.set_option(asio::socket_base::enable_connection_aborted(true),
+                          error);
   if (!error)
     m_acceptor.bind(base::ToAsio<asio::ip::tcp>(endpoint), error);
   if (!error)
