LibSteering: Reset open flows only of routes that were dropped here

Callers on a route that had just been added had open flows reset (rule FLOW) by balancers that did not know the route yet: the flow was placed by another balancer, and a balancer that counts its routes as the newest reset it with reason no_route.

Cause: the absence of a route was taken for its removal. A balancer cannot tell from what it lacks whether a manifest removed it or has not arrived yet.

The route table keeps the addresses of routes that were in force and are not any more. A request on an open flow is reset only if its route is among them; else the packet goes by its token, as any other. After a restart a balancer forwards the open flows of a route that was dropped before; openings are refused as before.

Test: "a flow whose route is not known yet is forwarded, not reset" failed before, CHECK( nullptr != nullptr ).

--- a/Libraries/LibSteering/route_table.cc
+++ b/Libraries/LibSteering/route_table.cc
@@ -21,12 +21,22 @@
 bool RouteTable::Replace(Manifest manifest) {
   if (manifest.m_version <= m_manifest.m_version)
     return false;
-  m_manifest = std::move(manifest);
+  const Manifest former = std::exchange(m_manifest, std::move(manifest));
   m_by_address.clear();
   m_by_address.reserve(m_manifest.m_routes.size());
   for (std::size_t index = 0; index < m_manifest.m_routes.size(); ++index)
     m_by_address.emplace(m_manifest.m_routes[index].m_address, index);
+  RecordDropped(former);
   return true;
 }
 
+void RouteTable::RecordDropped(const Manifest& former) {
+  if (m_dropped.size() + former.m_routes.size() > kMaximumDropped)
+    m_dropped.clear();
+  for (const Route& route : former.m_routes)
+    m_dropped.insert(route.m_address);
+  for (const Route& route : m_manifest.m_routes)
+    m_dropped.erase(route.m_address);
+}
+
 }  // namespace steering
--- a/Libraries/LibSteering/route_table.h
+++ b/Libraries/LibSteering/route_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "LibBase/ids.h"
 #include "LibBase/ipv4.h"
@@ -25,6 +26,11 @@
   // The path at which the servers of `service` answer health checks; empty if
   // the manifest has none.
   std::string HealthPath(std::string_view service) const;
+  // Whether a route with `address` was in force and is not any more. False for
+  // an address that may belong to a route of a manifest still to come.
+  bool WasDropped(base::Endpoint address) const {
+    return m_dropped.contains(address);
+  }
   base::ConfigurationVersion Version() const { return m_manifest.m_version; }
   const Manifest& manifest() const { return m_manifest; }
   std::size_t size() const { return m_by_address.size(); }
@@ -35,8 +41,14 @@
   bool Replace(Manifest manifest);
 
  private:
+  // More dropped addresses are forgotten; their open flows then continue.
+  static constexpr std::size_t kMaximumDropped = 20'000;
+
+  void RecordDropped(const Manifest& former);
+
   Manifest m_manifest;
   std::unordered_map<base::Endpoint, std::size_t> m_by_address;
+  std::unordered_set<base::Endpoint> m_dropped;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -207,8 +207,11 @@
   decision.m_server = server;
   if (route == nullptr) {
     // Packets without data are forwarded, so that an answer in progress is
-    // completed. A new request is reset.
-    if (m_are_routes_current && packet.m_payload_bytes > 0) {
+    // completed. A new request is reset. Another balancer may have placed the
+    // flow by a manifest that is not known here yet, so the absence of the
+    // route alone is no reason for a reset.
+    const bool was_dropped = m_routes.WasDropped(packet.m_flow.m_service);
+    if (was_dropped && m_are_routes_current && packet.m_payload_bytes > 0) {
       decision.m_action = Reset{packet.m_acknowledgement};
       decision.m_reason = Reason::kNoRoute;
       return decision;
--- a/Tests/LibSteering/test_steering.cc
+++ b/Tests/LibSteering/test_steering.cc
@@ -67,6 +67,40 @@
   CHECK(unsure.m_reason == Reason::kRouteNotYetKnown);
 }
 
+TEST_CASE("a flow whose route is not known yet is forwarded, not reset") {
+  SteeringWithRoutes steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+
+  const Decision decision =
+      steering.Handle(MakeData(2, token, 101, 500, 80, 999), At(10));
+
+  CHECK(ServerOf(decision) != nullptr);
+}
+
+TEST_CASE("a new request on a dropped route is reset until the route is back") {
+  SteeringWithRoutes steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  Manifest dropping = MakeManifest(2);
+  std::erase_if(dropping.m_routes, [](const Route& route) {
+    return route.m_address.m_port == kFeedPort;
+  });
+  steering.ApplyManifest(dropping);
+  const CallerPacket request = MakeData(1, token, 101, 500, 80);
+
+  const Decision decision = steering.Handle(request, At(10));
+  CHECK(IsReset(decision));
+  CHECK(decision.m_reason == Reason::kNoRoute);
+
+  steering.ApplyManifest(MakeManifest(3));
+  CHECK(ServerOf(steering.Handle(request, At(20))) != nullptr);
+  Manifest empty;
+  empty.m_version = base::ConfigurationVersion(4);
+  steering.ApplyManifest(empty);
+  CHECK(IsReset(steering.Handle(request, At(30))));
+}
+
 TEST_CASE("a draining server keeps its flows and gets no opening") {
   SteeringWithRoutes steering;
   steering.directory().Apply(MakeServer("i-1", 1), At(0));
