LibSteering, platform: Decode targets, priorities and warm-up figures

The routes carry target_latency_ms and priority, the services warmup_s and warmup_per_s, and the settings the bounds on evacuations and warm-up. The feed's datagrams have room for the load that balancers exchange. Nothing uses the fields yet.

--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <sstream>
 #include <system_error>
 #include <utility>
@@ -107,12 +108,23 @@
   SerializeServices(archive, route.m_services);
   SerializeKind(archive, route.m_kind);
   SerializeDuration(archive, route.m_timeout);
+  // Zero stands for no target.
+  base::Duration target = route.m_target_latency.value_or(base::Duration());
+  SerializeDuration(archive, target);
+  route.m_target_latency =
+      target > base::Duration::zero() ? std::optional(target) : std::nullopt;
+  archive(route.m_priority);
 }
 
 template <typename Archive>
-void serialize(Archive& archive, ServiceHealth& health) {
-  SerializeName(archive, health.m_service);
-  SerializeName(archive, health.m_path);
+void serialize(Archive& archive, ServiceOptions& options) {
+  SerializeName(archive, options.m_service);
+  SerializeName(archive, options.m_health_path);
+  SerializeDuration(archive, options.m_warm_up);
+  archive(options.m_warm_up_requests_per_second);
+  const double rate = options.m_warm_up_requests_per_second;
+  if (!(rate >= 0 && rate <= catalog::kMaximumRequestsPerSecond))
+    throw cereal::Exception("a rate is negative or over its maximum");
 }
 
 template <typename Archive>
@@ -121,7 +133,7 @@
   archive(peer::MakeBounded<std::uint32_t, catalog::kMaximumRoutes>(
       manifest.m_routes));
   archive(peer::MakeBounded<std::uint32_t, catalog::kMaximumRoutes>(
-      manifest.m_health));
+      manifest.m_services));
   SerializeDuration(archive, manifest.m_idle_timeout);
 }
 
@@ -131,8 +143,8 @@
 
 namespace {
 
-constexpr std::string_view kSnapshotMagic = "CFS\x03";
-constexpr std::string_view kDeltaMagic = "CFD\x02";
+constexpr std::string_view kSnapshotMagic = "CFS\x04";
+constexpr std::string_view kDeltaMagic = "CFD\x03";
 
 template <typename Archive>
 void SerializeContent(Archive& archive, Snapshot& snapshot) {
--- a/Libraries/LibCatalog/snapshot_codec.h
+++ b/Libraries/LibCatalog/snapshot_codec.h
@@ -27,6 +27,8 @@
 inline constexpr std::size_t kMaximumNameBytes = 1024;
 // The longest duration in a snapshot: a warm-up time or a timeout.
 inline constexpr std::chrono::hours kMaximumDuration{24};
+// The greatest rate of requests that a cold server bears.
+inline constexpr double kMaximumRequestsPerSecond = 1'000'000;
 inline constexpr std::size_t kMaximumSnapshotBytes = 16UL * 1024UL * 1024UL;
 
 // Errors: std::errc::message_size if a part of `snapshot` exceeds a bound
--- a/Libraries/LibEdge/edge_settings.h
+++ b/Libraries/LibEdge/edge_settings.h
@@ -55,6 +55,14 @@
   // manifest.
   base::Duration m_drain_bound = std::chrono::seconds(3);
   base::Duration m_configuration_bound = std::chrono::seconds(3);
+  // The longest time from the acknowledgement of a data centre's evacuation to
+  // the last opening that reaches its servers. Unset: the deployment has no
+  // evacuations, and the store is not asked for any.
+  std::optional<base::Duration> m_evacuation_bound;
+  // All balancers together send a cold server in any second at most the rate
+  // that its service has configured, times the overrun, plus the slack.
+  double m_warm_up_overrun = 1;
+  double m_warm_up_slack = 0;
   // The time after a fault in which no bound holds.
   base::Duration m_settling_time = std::chrono::seconds(4);
   // The time from SIGTERM to SIGKILL.
--- a/Libraries/LibFeed/feed_codec.cc
+++ b/Libraries/LibFeed/feed_codec.cc
@@ -18,8 +18,8 @@
 
 namespace {
 
-constexpr std::string_view kRequestMagic = "CFQ\x02";
-constexpr std::string_view kResponseMagic = "CFR\x02";
+constexpr std::string_view kRequestMagic = "CFQ\x03";
+constexpr std::string_view kResponseMagic = "CFR\x03";
 
 // Stands for an age that does not exist, or that is longer than 49 days.
 constexpr std::uint32_t kNoAge = std::numeric_limits<std::uint32_t>::max();
@@ -71,6 +71,8 @@
   SerializeFlag(archive, request.m_is_reader);
   SerializeFlag(archive, request.m_is_current);
   archive(request.m_servers, request.m_manifest, request.m_manifest_version);
+  archive(peer::MakeBounded<std::uint16_t, FeedRequest::kMaximumLoadBytes>(
+      request.m_load));
 }
 
 }  // namespace
@@ -100,6 +102,8 @@
       response.m_readers));
   archive(peer::MakeBounded<std::uint16_t, kMaximumInlineDeltaBytes>(
       response.m_delta));
+  archive(peer::MakeBounded<std::uint16_t, FeedResponse::kMaximumLoadBytes>(
+      response.m_load));
 }
 
 template <typename Message>
--- a/Libraries/LibFeed/feed_request.h
+++ b/Libraries/LibFeed/feed_request.h
@@ -4,7 +4,9 @@
 #ifndef LIBFEED_FEED_REQUEST_H_
 #define LIBFEED_FEED_REQUEST_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "LibBase/ids.h"
 #include "LibCatalog/revision.h"
@@ -12,6 +14,8 @@
 namespace feed {
 
 struct FeedRequest {
+  static constexpr std::size_t kMaximumLoadBytes = 300;
+
   // Identifies the fleet. Requests of another fleet are ignored.
   std::uint64_t m_fleet = 0;
   // Repeated in the response.
@@ -24,6 +28,9 @@
   catalog::Revision m_manifest;
   // The manifest in force.
   base::ConfigurationVersion m_manifest_version;
+  // The encoded load report of the sender, kMaximumLoadBytes at most. Empty if
+  // the balancers do not exchange their load.
+  std::string m_load;
 };
 
 }  // namespace feed
--- a/Libraries/LibFeed/feed_response.h
+++ b/Libraries/LibFeed/feed_response.h
@@ -16,6 +16,7 @@
 
 struct FeedResponse {
   static constexpr std::size_t kMaximumReaders = 6;
+  static constexpr std::size_t kMaximumLoadBytes = 500;
 
   std::uint64_t m_fleet = 0;
   // The number of the request.
@@ -34,6 +35,9 @@
   // of `m_status`. Empty if there is no change, or if the delta does not fit
   // into a datagram; the requester then fetches it by TCP.
   std::string m_delta;
+  // The encoded load of the fleet as the responder knows it, kMaximumLoadBytes
+  // at most. Empty if the balancers do not exchange their load.
+  std::string m_load;
 };
 
 }  // namespace feed
--- a/Libraries/LibSteering/manifest.h
+++ b/Libraries/LibSteering/manifest.h
@@ -13,12 +13,19 @@
 
 namespace steering {
 
-// The path at which the servers of a service answer health checks.
-struct ServiceHealth {
+// What an operator configured for the servers of a service.
+struct ServiceOptions {
   std::string m_service;
-  std::string m_path;
-
-  friend bool operator==(const ServiceHealth&, const ServiceHealth&) = default;
+  // The path at which the servers answer health checks.
+  std::string m_health_path;
+  // How long a server is cold after its start. Zero: no warm-up configured.
+  base::Duration m_warm_up{};
+  // The requests per second that a cold server bears, from all balancers
+  // together. Zero: no limit configured.
+  double m_warm_up_requests_per_second = 0;
+
+  friend bool operator==(const ServiceOptions&,
+                         const ServiceOptions&) = default;
 };
 
 struct Manifest {
@@ -26,7 +33,7 @@
   // skipped. Zero means that there is no manifest.
   base::ConfigurationVersion m_version;
   std::vector<Route> m_routes;
-  std::vector<ServiceHealth> m_health;
+  std::vector<ServiceOptions> m_services;
   // The balancer may delete its record of a flow that had no packet for this
   // long.
   base::Duration m_idle_timeout = std::chrono::seconds(15);
--- a/Libraries/LibSteering/route.h
+++ b/Libraries/LibSteering/route.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,10 @@
                          const WeightedService&) = default;
 };
 
+// The urgency of a route that has none configured.
+inline constexpr std::uint32_t kLeastUrgentPriority =
+    std::numeric_limits<std::uint32_t>::max();
+
 struct Route {
   std::string m_name;
   // The destination address of callers' packets.
@@ -34,6 +40,10 @@
   RequestKind m_kind = RequestKind::kIdempotent;
   // How long a caller waits for an answer.
   base::Duration m_timeout = std::chrono::seconds(2);
+  // The time within which the operator wants a request to be answered.
+  std::optional<base::Duration> m_target_latency;
+  // The urgency of the route's requests; 0 is the most urgent.
+  std::uint32_t m_priority = kLeastUrgentPriority;
 
   // The service for a new flow whose key has `hash`. All balancers choose the
   // same service, for an opening and for its retransmissions. m_services must
--- a/Libraries/LibSteering/route_table.cc
+++ b/Libraries/LibSteering/route_table.cc
@@ -1,5 +1,7 @@
 #include "LibSteering/route_table.h"
 
+#include <algorithm>
+
 #include <utility>
 
 namespace steering {
@@ -11,11 +13,17 @@
 }
 
 std::string RouteTable::HealthPath(std::string_view service) const {
-  for (const ServiceHealth& health : m_manifest.m_health) {
-    if (health.m_service == service)
-      return health.m_path;
-  }
-  return {};
+  const ServiceOptions* options = OptionsOf(service);
+  return options == nullptr ? std::string() : options->m_health_path;
+}
+
+const ServiceOptions* RouteTable::OptionsOf(std::string_view service) const {
+  const auto found =
+      std::ranges::find(m_manifest.m_services, service,
+                        [](const ServiceOptions& options) -> std::string_view {
+                          return options.m_service;
+                        });
+  return found == m_manifest.m_services.end() ? nullptr : &*found;
 }
 
 bool RouteTable::Replace(Manifest manifest) {
--- a/Libraries/LibSteering/route_table.h
+++ b/Libraries/LibSteering/route_table.h
@@ -26,6 +26,9 @@
   // The path at which the servers of `service` answer health checks; empty if
   // the manifest has none.
   std::string HealthPath(std::string_view service) const;
+  // Null if the manifest has no options of `service`. Valid until the next
+  // manifest is applied.
+  const ServiceOptions* OptionsOf(std::string_view service) const;
   // Whether a route with `address` was in force and is not any more. False for
   // an address that may belong to a route of a manifest still to come.
   bool WasDropped(base::Endpoint address) const {
--- a/Tests/LibCatalog/test_snapshot_codec.cc
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -31,8 +31,11 @@
                                    {base::Ipv4Address(0xC6120001), 8443},
                                    {{"portal", 90}, {"archive", 10}},
                                    steering::RequestKind::kDownload,
-                                   std::chrono::milliseconds(1500)}};
-  snapshot.m_manifest.m_health = {{"portal", "/health"}};
+                                   std::chrono::milliseconds(1500),
+                                   std::chrono::milliseconds(400),
+                                   2}};
+  snapshot.m_manifest.m_services = {
+      {"portal", "/health", std::chrono::seconds(2), 20}};
   return snapshot;
 }
 
@@ -48,7 +51,8 @@
   CHECK(decoded.value().m_servers_revision == Revision(42));
   CHECK(decoded.value().m_manifest_revision == Revision(41));
   CHECK(decoded.value().m_manifest.m_routes == snapshot.m_manifest.m_routes);
-  CHECK(decoded.value().m_manifest.m_health == snapshot.m_manifest.m_health);
+  CHECK(decoded.value().m_manifest.m_services ==
+        snapshot.m_manifest.m_services);
   CHECK(decoded.value().m_manifest.m_idle_timeout ==
         snapshot.m_manifest.m_idle_timeout);
 }
@@ -70,7 +74,8 @@
     "names of the maximum length are encoded, longer names are an error") {
   Snapshot snapshot = MakeSnapshot();
   snapshot.m_servers[0].m_service.assign(kMaximumNameBytes, 's');
-  snapshot.m_manifest.m_health[0].m_path.assign(kMaximumNameBytes, 'p');
+  snapshot.m_manifest.m_services[0].m_health_path.assign(kMaximumNameBytes,
+                                                         'p');
 
   const auto fitting = EncodeSnapshot(snapshot);
   snapshot.m_servers[0].m_service += 's';
--- a/Tests/Platform/test_manifest_decoder.cc
+++ b/Tests/Platform/test_manifest_decoder.cc
@@ -79,11 +79,13 @@
   const DecodedManifest decoded =
       Decode(R"({"name":"r-1","host":"198.18.0.1","prefix":"/8443/",)"
              R"("route_type":"idempotent","timeout_ms":1500,)"
+             R"("target_latency_ms":400,"priority":2,)"
              R"("weighted_backends":[{"backend":"a","weight":90},)"
              R"({"backend":"b","weight":10},{"backend":"c","weight":0}]},)"
              R"({"name":"r-2","host":"198.18.0.2","prefix":"/8443/",)"
              R"("route_type":"upload","timeout_ms":3000,"backend":"b"})",
-             R"(,"services":[{"name":"a","health_path":"/health"}],)"
+             R"(,"services":[{"name":"a","health_path":"/health",)"
+             R"("warmup_s":2.5,"warmup_per_s":20.0}],)"
              R"("limits":{"idle_timeout_ms":15000})");
 
   CHECK(decoded.m_problems.list().empty());
@@ -91,9 +93,14 @@
   REQUIRE(routes.size() == 2);
   CHECK(ToString(routes[0].m_address) == "198.18.0.1:8443");
   CHECK(routes[0].m_services.size() == 2);
+  CHECK(routes[0].m_target_latency == std::chrono::milliseconds(400));
+  CHECK(routes[0].m_priority == 2);
+  CHECK_FALSE(routes[1].m_target_latency);
+  CHECK(routes[1].m_priority == steering::kLeastUrgentPriority);
   CHECK(routes[1].m_kind == steering::RequestKind::kUpload);
-  CHECK(decoded.m_manifest.m_health ==
-        std::vector<steering::ServiceHealth>{{"a", "/health"}});
+  CHECK(decoded.m_manifest.m_services ==
+        std::vector<steering::ServiceOptions>{
+            {"a", "/health", std::chrono::milliseconds(2500), 20}});
 }
 
 TEST_CASE("a route of an unknown kind is served as one that may run once") {
--- a/Tests/Platform/test_settings_decoder.cc
+++ b/Tests/Platform/test_settings_decoder.cc
@@ -18,7 +18,8 @@
   "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
   "heartbeat_ms": 1200, "forward_mode": "echo", "unknown": {"a": [1]},
   "bounds": {"drain_ms": 2500, "grace_s": 6, "config_apply_ms": 3000,
-             "stable_window_ms": 4000},
+             "stable_window_ms": 4000, "evacuate_ms": 5000,
+             "warmup_overrun": 1.5, "warmup_slack": 5},
   "platform": {"address": "10.200.1.7:8169", "forward_mode": "objects"}})";
 
 std::string Replace(std::string text,
@@ -41,6 +42,18 @@
   CHECK(settings->m_seeds.size() == 2);
   CHECK(settings->m_drain_bound == std::chrono::milliseconds(2500));
   CHECK(settings->m_stop_grace == std::chrono::seconds(6));
+  CHECK(settings->m_evacuation_bound == std::chrono::milliseconds(5000));
+  CHECK(settings->m_warm_up_overrun == 1.5);
+  CHECK(settings->m_warm_up_slack == 5);
+}
+
+TEST_CASE("a deployment without a bound on evacuations has none decoded") {
+  const auto result =
+      DecodeSettings(Replace(kSettings, R"("evacuate_ms": 5000,)", ""));
+
+  const auto* settings = std::get_if<edge::EdgeSettings>(&result);
+  REQUIRE(settings != nullptr);
+  CHECK_FALSE(settings->m_evacuation_bound);
 }
 
 TEST_CASE("the feed uses the second internal port, if there is one") {
