LibSteering: Give a probe after a failed one more time

Two probes of 80 ms each, one after the other, fail together when the balancer's link or the server's queue delays connections by more than that. The server then counts as unreachable, and its open flows are reset though it serves. A probe after a failed one now waits for 280 ms. Both probes still end before the caller's second retransmission, 600 ms after its request, which is the packet that a reset answers. The length of the queues behind the users' plays is not measured.

--- a/Libraries/LibSteering/server_reachability.h
+++ b/Libraries/LibSteering/server_reachability.h
@@ -41,6 +41,15 @@
   // Consecutive failed probes after which a server counts as unreachable. A
   // single probe may be lost (0.1% to 2.5% of packets on the observed links).
   static constexpr std::uint32_t kUnreachableThreshold = 2;
+  // How long a probe waits for a connection: several round trips between data
+  // centres, of about 11 ms each.
+  static constexpr base::Duration kProbeTimeout = std::chrono::milliseconds(80);
+  // The same for a probe after a failed one. A queue on the balancer's link or
+  // at a busy server delays a connection by up to 200 ms, and consecutive
+  // probes then fail together. Two probes still end before the caller's second
+  // retransmission, which is 600 ms after its request.
+  static constexpr base::Duration kConfirmingProbeTimeout =
+      std::chrono::milliseconds(280);
   // The least time from a successful probe to the next probe. Probes cost
   // processor time, and a slow server is suspected often.
   static constexpr base::Duration kReachableProbeInterval =
@@ -69,6 +78,10 @@
     return m_last_progress_at;
   }
   std::uint32_t FailedProbes() const { return m_failed_probes; }
+  // How long the next probe waits for a connection.
+  base::Duration NextProbeTimeout() const {
+    return HasFailedProbe() ? kConfirmingProbeTimeout : kProbeTimeout;
+  }
 
   // Commands. Those with a result return whether IsUnreachable changed.
   // Records that a caller received an answer of the server.
--- a/Services/Edge/server_prober.cc
+++ b/Services/Edge/server_prober.cc
@@ -9,11 +9,9 @@
 
 namespace {
 
-// Several round trips between data centres, of about 11 ms each.
-constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(80);
 // A busy server responds once a slot is free. A server that accepts the
 // connection but doesn't respond in this time still counts as reachable.
-constexpr base::Duration kResponseTimeout = std::chrono::milliseconds(300);
+constexpr base::Duration kResponseTimeout = std::chrono::milliseconds(220);
 
 steering::ProbeResult ResultOf(const steering::ServerName& server,
                                const base::Outcome<http::Response>& response) {
@@ -39,8 +37,8 @@
   http::Request request;
   request.m_endpoint = server.m_record.m_endpoint;
   request.m_path = health_path.empty() ? "/" : std::move(health_path);
-  request.m_connect_timeout = kConnectTimeout;
-  request.m_timeout = kResponseTimeout;
+  request.m_connect_timeout = server.m_reachability.NextProbeTimeout();
+  request.m_timeout = request.m_connect_timeout + kResponseTimeout;
   m_client.Send(request,
                 [this, handle = server.m_handle, name = server.m_record.m_name](
                     const base::Outcome<http::Response>& response) {
--- a/Tests/LibSteering/test_server_reachability.cc
+++ b/Tests/LibSteering/test_server_reachability.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
+
 #include "LibSteering/server_reachability.h"
 #include "LibSteering/steering_fixture.h"
 
@@ -55,6 +57,31 @@
   CHECK(reachability.IsUnreachable());
 }
 
+TEST_CASE(
+    "a queue that delays connections by 200 ms makes no server unreachable") {
+  ServerReachability reachability;
+  reachability.RecordSuspicion(At(0));
+  const base::Duration first = reachability.NextProbeTimeout();
+  reachability.RecordProbeResult(ProbeResult::kSilent, At(0) + first);
+
+  CHECK(reachability.NextProbeTimeout() > std::chrono::milliseconds(200));
+}
+
+TEST_CASE(
+    "the probes of a dead server end before the caller's second "
+    "retransmission") {
+  constexpr auto kBetweenRetransmissions = std::chrono::milliseconds(400);
+  ServerReachability reachability;
+  reachability.RecordSuspicion(At(0));
+  base::TimePoint now = At(0);
+  while (!reachability.IsUnreachable()) {
+    now += reachability.NextProbeTimeout();
+    reachability.RecordProbeResult(ProbeResult::kSilent, now);
+  }
+
+  CHECK(now - At(0) < kBetweenRetransmissions);
+}
+
 TEST_CASE("progress of any flow ends the suspicion") {
   ServerReachability reachability;
   reachability.RecordSuspicion(At(0));
