LibFeed, LibEdge: Serve after the first page of a long list

After a common start, 300 balancers with 3,000 servers were expected to fetch the view of three seeds after 500 ms, although their own lists of six pages made progress. A list that makes progress is continued now. Openings are placed with the servers of the first page; packets whose token is not known yet wait until the list is complete. Lists of one page are handled as before. Not measured yet.

--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -90,6 +90,11 @@
   // received with the next response.
   bool IsCurrent(base::TimePoint now) const;
   bool IsCallOpen() const { return m_is_call_open; }
+  // When the last page of the list in progress arrived; nothing before its
+  // first page and without a list.
+  std::optional<base::TimePoint> ListProgressAt() const {
+    return m_is_listing && m_list_revision ? m_responded_at : std::nullopt;
+  }
   // A watch is open, so the store reports a change as soon as there is one.
   bool IsWatching() const { return m_is_call_open && !m_is_listing; }
   // The time from which StartDueCall returns the next call, unless a call is
--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -35,6 +35,15 @@
   return delta;
 }
 
+void StoreView::ApplyFirstServers(
+    const std::vector<steering::ServerRecord>& records,
+    base::TimePoint now) {
+  ServerChanges changes;
+  for (const steering::ServerRecord& record : records)
+    Apply(record, now, changes);
+  m_steering.SetSomeServersKnown();
+}
+
 ServerChanges StoreView::ApplyServerList(
     const std::vector<steering::ServerRecord>& records,
     catalog::Revision revision,
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -75,6 +75,10 @@
   void SetOutage(bool is_in_outage, std::optional<base::TimePoint> ended_at) {
     m_delayed_removals.SetOutage(is_in_outage, ended_at);
   }
+  // Applies servers of a list in progress while none are known, so that
+  // openings can be placed before a long list is complete.
+  void ApplyFirstServers(const std::vector<steering::ServerRecord>& records,
+                         base::TimePoint now);
   // Applies a list of `revision`. If it is complete, known servers that are not
   // in `records` are removed, at once or after a delay (see DelayedRemovals).
   ServerChanges ApplyServerList(
--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -156,9 +156,11 @@
   }
   if (!response.m_delta.empty())
     return ResponseVerdict::kHasChanges;
+  const base::Duration waited =
+      std::min(now - m_started_at,
+               own.m_list_progress_age.value_or(base::Duration::max()));
   const bool is_listing = !own.HasView() && ShouldReadStore(now) &&
-                          !own.m_is_failing &&
-                          now - m_started_at < kOwnListTime;
+                          !own.m_is_failing && waited < kOwnListTime;
   return is_listing ? ResponseVerdict::kListing
                     : ResponseVerdict::kFetchChanges;
 }
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -97,8 +97,9 @@
       std::chrono::milliseconds(100);
   static constexpr std::size_t kPolledReaders = 2;
   // A balancer that lists the store after its start does not fetch the view of
-  // a peer for this long, because many balancers may have started together and
-  // the link of a reader is slower than that of the store.
+  // a peer for this long after its start and after each page of the list,
+  // because many balancers may have started together and the link of a reader
+  // is slower than that of the store.
   static constexpr base::Duration kOwnListTime = std::chrono::milliseconds(500);
   // A surplus reader continues for this long, because the other readers may
   // not yet be known to the balancers that ask this one.
--- a/Libraries/LibFeed/store_status.h
+++ b/Libraries/LibFeed/store_status.h
@@ -17,6 +17,9 @@
   bool m_is_current = false;
   // The balancer's calls to the store fail. Not sent to peers.
   bool m_is_failing = false;
+  // The time since the last page of a list in progress arrived; unset without
+  // one. Not sent to peers.
+  std::optional<base::Duration> m_list_progress_age;
   // The changes of each collection are known up to these revisions; zero if
   // the collection has not been read.
   catalog::Revision m_servers;
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -62,12 +62,15 @@
   const RouteTable& routes() const { return m_routes; }
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
-  // Whether a manifest and a list of servers have been received. Openings
-  // can't be decided before.
+  // Whether a manifest and servers have been received. Openings can't be
+  // decided before.
   bool HasRoutesAndServers() const {
     return m_are_servers_known &&
            m_routes.Version() != base::ConfigurationVersion();
   }
+  // Whether a complete list of servers has been received. Before, a packet
+  // whose token no known server has may belong to a server of the list's rest.
+  bool AreServersComplete() const { return m_are_servers_complete; }
   // Whether openings can be placed: routes and a ready server are known.
   bool IsReady() const;
   // Whether any server that accepts openings can be reached.
@@ -82,7 +85,12 @@
     return m_routes.Replace(std::move(manifest));
   }
   // Records that a complete list of servers has been applied.
-  void SetServersKnown() { m_are_servers_known = true; }
+  void SetServersKnown() {
+    m_are_servers_known = true;
+    m_are_servers_complete = true;
+  }
+  // Records that a part of the first list of servers has been applied.
+  void SetSomeServersKnown() { m_are_servers_known = true; }
   // Sets whether the routes in force are known to be the newest. Otherwise a
   // missing route may be one that this balancer has not received yet.
   void SetRoutesCurrent(bool is_current) { m_are_routes_current = is_current; }
@@ -155,6 +163,7 @@
   std::vector<ServerHandle> m_probe_list;
   flow::TokenBucket m_probe_budget;
   bool m_are_servers_known = false;
+  bool m_are_servers_complete = false;
   bool m_are_routes_current = false;
   // The openings that may be resent, with the time of the resend, oldest first.
   std::deque<std::pair<base::TimePoint, flow::FlowKey>> m_resends;
--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -148,6 +148,11 @@
     return;
   }
   const steering::Decision decision = m_steering.Handle(packet.value(), now);
+  if (decision.m_reason == steering::Reason::kUnknownToken &&
+      !m_steering.AreServersComplete()) {
+    m_pending_packets.AddPacket(datagram, now);
+    return;
+  }
   m_metrics.CountDecision(decision);
   m_log.Write(packet.value(),
               adapter::FindRequestId(adapter::PayloadOf(datagram)), decision,
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -110,8 +110,12 @@
   if (list == nullptr) {
     update.m_objects = std::move(decoded.m_objects);
   } else {
+    const bool is_complete =
+        update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete;
+    if (!is_complete && m_watcher.KnownRevision() == catalog::Revision())
+      update.m_objects.m_servers = decoded.m_objects.m_servers;
     AppendObjects(m_pages, std::move(decoded.m_objects));
-    if (update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete)
+    if (is_complete)
       update.m_objects = std::exchange(m_pages, {});
   }
   m_callback(update);
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -23,7 +23,9 @@
 // The result of one call to the store.
 struct StoreUpdate {
   catalog::CollectionWatcher::Outcome m_outcome;
-  // For a list, the objects of all pages, set with the last page.
+  // For a list, the objects of all pages, set with the last page. While nothing
+  // is known of the collection, each page before the last one has its objects
+  // too.
   adapter::CollectionObjects m_objects;
   base::Duration m_call_time{};
   // The known revision before the call returned.
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -172,6 +172,8 @@
                         BootTime() - m_last_sweep < kMaximumSweepGap &&
                         servers.IsCurrent(now) && manifests.IsCurrent(now);
   status.m_is_failing = servers.FailingSince() || manifests.FailingSince();
+  if (const auto progress = servers.ListProgressAt())
+    status.m_list_progress_age = now - *progress;
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
   status.m_manifest_version = m_steering.routes().Version();
@@ -349,11 +351,14 @@
                              revision, "store", now);
     return;
   }
-  if (update.m_outcome.m_update != catalog::CollectionUpdate::kListComplete)
+  if (update.m_outcome.m_update != catalog::CollectionUpdate::kListComplete) {
+    if (!servers.empty())
+      m_view.ApplyFirstServers(RecordsOf(servers), now);
     return;
+  }
   const auto records = RecordsOf(servers);
   m_log.WriteServersListed(records.size(), m_servers);
-  const bool is_first_view = !m_steering.HasRoutesAndServers();
+  const bool is_first_view = !m_steering.AreServersComplete();
   const ServerChanges changes = m_view.ApplyServerList(
       records, revision, now,
       update.m_objects.m_is_cut_short ? ListExtent::kPartial
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -54,6 +54,24 @@
   CHECK(fixture.Servers() == 1);
 }
 
+TEST_CASE("openings wait for the first page of a long list and not for all") {
+  StoreViewFixture fixture;
+  steering::Manifest manifest;
+  manifest.m_version = base::ConfigurationVersion(1);
+  fixture.m_view.ApplyManifest(manifest);
+  CHECK_FALSE(fixture.m_steering.HasRoutesAndServers());
+
+  fixture.m_view.ApplyFirstServers({MakeServer("i-1", 1), MakeServer("i-3", 3)},
+                                   At(0));
+  CHECK(fixture.m_steering.HasRoutesAndServers());
+  CHECK_FALSE(fixture.m_steering.AreServersComplete());
+  fixture.m_view.ApplyServerList({MakeServer("i-2", 2), MakeServer("i-3", 3)},
+                                 catalog::Revision(20), At(10));
+
+  CHECK(fixture.m_steering.AreServersComplete());
+  CHECK(fixture.Servers() == 2);
+}
+
 TEST_CASE("a list that is not complete removes no server") {
   StoreViewFixture fixture;
   fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(20),
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -233,6 +233,23 @@
   CHECK(ask(640) == ResponseVerdict::kFetchChanges);
 }
 
+// With 3,000 servers, 300 balancers that started together all fetched the view
+// of a seed after 500 ms, although their own lists were half complete.
+TEST_CASE("a long list that progresses is not replaced by the view of a peer") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own;
+  const auto ask = [&](int now, int progress_age_ms) {
+    own.m_list_progress_age = milliseconds(progress_age_ms);
+    const FeedPoll poll = PollOnce(member, own, At(now));
+    return member.HandleResponse(poll.m_peer, MakeResponse(poll, 9), own,
+                                 At(now + 2));
+  };
+
+  CHECK(ask(900, 100) == ResponseVerdict::kListing);
+  CHECK(ask(1600, 300) == ResponseVerdict::kListing);
+  CHECK(ask(2300, 600) == ResponseVerdict::kFetchChanges);
+}
+
 TEST_CASE("a request of another fleet gets no response") {
   FeedMember member(MakeSettings(), 1, At(0));
   FeedRequest request;
