--- a/Tests/Platform/test_manifest_decoder.cc
+++ b/Tests/Platform/test_manifest_decoder.cc
@@ -248,7 +248,7 @@
           fields[name] = value;
       }
       addresses.insert(host + ":8443");
-      routes += (routes.empty() ? "" : ",") + RouteText(fields);
+      routes.append(routes.empty() ? "" : ",").append(RouteText(fields));
     }
 
     steering::RouteTable table;
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -72,7 +72,7 @@
                 R"("state":"ready")");
   std::string items = ServerObject("i-1a", kSpec);
   for (const std::string& spec : unusable_specs)
-    items += "," + ServerObject("i-2b", spec);
+    items.append(",").append(ServerObject("i-2b", spec));
   items += ",17," + ServerObject("zzz", kSpec) + "," +
            ServerObject("i-3c", long_service) + "," +
            ServerObject("i-4d" + long_name, kSpec);
