LibSteering: Send extra openings against slow answers within a budget

Operators accept some extra work for requests that may be repeated. With a budget in percent of the openings of the last 10 s, a copy of an opening goes to a second server after the 95th percentile of the handshake times instead of after 40 ms, and openings avoid servers that answer far more slowly than the others of their service; these are tried again with openings that the budget pays. Overload reduces the budget to zero. Without a budget, the default, placement and resends are the plain ones, which a test compares with the placer.

A flow's record grows from 112 to 120 bytes, a server's by 24 bytes.

--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -6,11 +6,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 #include "LibBase/enum_table.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
+#include "LibSteering/extra_reason.h"
 #include "LibSteering/flow_tracker.h"
 #include "LibSteering/known_server.h"
 #include "LibSteering/route.h"
@@ -94,6 +96,8 @@
   // chosen one.
   std::size_t m_candidates = 0;
   double m_cost = 0;
+  // Set if the opening is an extra one.
+  std::optional<ExtraReason> m_extra;
   // Set for a packet of an established flow.
   PacketKind m_packet_kind = PacketKind::kNothingNew;
   // Set for an answer or a retransmission: the time since the caller's request
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -30,6 +30,8 @@
   record->m_request_at = now;
   record->m_answerable_at = now;
   record->m_deadline = now + timeout;
+  record->m_first_server = server.m_handle;
+  record->m_opened_at = now;
   SetInProgress(*record, true);
   return record;
 }
@@ -63,10 +65,13 @@
   Reassign(*record, server);
   record->m_last_seen = now;
   SetActive(*record, true);
+  const bool was_established = record->m_is_established;
   const bool has_answer = RecordAcknowledgement(*record, packet);
   const bool has_new_data = RecordData(*record, packet);
-  if (has_answer)
+  if (has_answer) {
+    MeasureAnswer(*record, was_established, observation, now);
     RecordAnswer(*record, server, now);
+  }
   if (has_new_data)
     StartRequest(*record, timeout, now);
   // The caller repeats a part of a long request that the server has not
@@ -104,6 +109,16 @@
   return !was_established || (has_baseline && is_newer);
 }
 
+void FlowTracker::MeasureAnswer(const FlowRecord& record,
+                                bool was_established,
+                                Observation& observation,
+                                base::TimePoint now) {
+  if (!was_established)
+    observation.m_handshake_time = now - record.m_opened_at;
+  else if (record.m_is_request_in_progress || record.m_is_overdue)
+    observation.m_answer_time = now - record.m_answerable_at;
+}
+
 bool FlowTracker::RecordData(FlowRecord& record, const CallerPacket& packet) {
   const std::uint32_t end = packet.m_sequence + packet.m_payload_bytes;
   const bool is_new = packet.m_payload_bytes > 0 &&
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -48,6 +48,12 @@
   // When the caller sent the request that it waited for when the packet
   // arrived; the time of the packet if no record existed.
   base::TimePoint m_waiting_since;
+  // Set if the packet acknowledges the opening: the time since the balancer
+  // first sent the opening to a server.
+  std::optional<base::Duration> m_handshake_time;
+  // Set if the packet acknowledges the first bytes of an answer: the time since
+  // the request could be answered.
+  std::optional<base::Duration> m_answer_time;
 };
 
 // A request that has been unanswered for so long that its server may have lost
@@ -61,7 +67,7 @@
 class FlowTracker {
  public:
   // Flows beyond this number are steered without a record. A record takes
-  // 112 bytes, so all records take 7 MB at most.
+  // 120 bytes, so all records take 8 MB at most.
   static constexpr std::size_t kMaximumFlows = 65'536;
   // A flow without a packet for this long does not count as load. Callers of
   // long flows pause for about a second between requests.
@@ -133,6 +139,11 @@
   // new data of the server or the answer to the opening.
   static bool RecordAcknowledgement(FlowRecord& record,
                                     const CallerPacket& packet);
+  // Adds the time that the acknowledgement of an opening or of an answer took.
+  static void MeasureAnswer(const FlowRecord& record,
+                            bool was_established,
+                            Observation& observation,
+                            base::TimePoint now);
   // Records the end of the packet's data. Returns whether the data is new.
   static bool RecordData(FlowRecord& record, const CallerPacket& packet);
   // Ends the request or opening in progress and updates the statistics of
--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -12,6 +12,7 @@
 #include "LibSteering/flow_token.h"
 #include "LibSteering/server_reachability.h"
 #include "LibSteering/server_record.h"
+#include "LibSteering/slow_answer_evidence.h"
 
 namespace steering {
 
@@ -32,6 +33,8 @@
   std::uint32_t m_flows = 0;
   ServerReachability m_reachability;
   AnswerStatistics m_answer_statistics;
+  // Recorded only while the balancer may send extra openings.
+  SlowAnswerEvidence m_slow_answers;
   // The server is on the list of servers that Steering may have to probe.
   bool m_is_on_probe_list = false;
 
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -133,6 +133,7 @@
   if (was_gone || is_restarted) {
     server->m_reachability = ServerReachability();
     server->m_answer_statistics = AnswerStatistics();
+    server->m_slow_answers = SlowAnswerEvidence();
   }
   if (is_new || was_gone)
     return DirectoryChange::kAdded;
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -11,6 +11,7 @@
     : m_settings(std::move(settings)),
       m_random(seed),
       m_placer(m_settings.m_placement, m_settings.m_data_centre),
+      m_extra(m_settings.m_extra_openings_percent),
       m_probe_budget(m_settings.m_probes_per_second, now) {}
 
 bool Steering::IsReady() const {
@@ -55,13 +56,26 @@
     if (route == nullptr || route->m_services.empty() ||
         previous_server == nullptr)
       continue;
-    MarkSuspected(*previous_server, record->m_request_at);
+    const base::TimePoint due =
+        record->m_request_at + m_settings.m_resend_after;
+    const bool is_early = now < due;
+    if (is_early && !TakeEarlyCopy(key, *route, *previous_server, now)) {
+      ScheduleResend(*record, key, due);
+      continue;
+    }
+    // A handshake that is later than most others is no sign of a failure yet.
+    if (!is_early)
+      MarkUnansweredSuspected(*record, *previous_server);
     CallerPacket opening;
     opening.m_flow = key;
     opening.m_is_opening = true;
     Decision decision = PlaceOpening(opening, *route, previous_server, now);
     if (!std::holds_alternative<Forward>(decision.m_action))
       continue;
+    if (is_early) {
+      decision.m_extra = ExtraReason::kEarlyCopy;
+      record->m_extra = ExtraReason::kEarlyCopy;
+    }
     resends.push_back({key, decision});
   }
   return resends;
@@ -108,6 +122,9 @@
 std::vector<OverdueRequest> Steering::Sweep(base::TimePoint now) {
   auto overdue = m_tracker.Sweep(m_routes.manifest().m_idle_timeout, now);
   m_directory.PurgeGoneServers(now);
+  m_extra.slow_servers().Sweep(
+      [this](ServerHandle server) { return m_directory.FindByHandle(server); },
+      now);
   return overdue;
 }
 
@@ -137,7 +154,14 @@
                                 base::TimePoint now) {
   const std::string& service = route.ServiceFor(flow::HashFlow(packet.m_flow));
   const auto& servers = m_directory.ServersOf(service);
-  auto placement = m_placer.Place(servers, previous_server, m_random, now);
+  std::optional<Placement> placement;
+  if (previous_server == nullptr) {
+    m_extra.CountOpening(now);
+    placement = PlaceTrial(route, service, now);
+  }
+  const bool is_trial = placement.has_value();
+  if (!placement)
+    placement = PlaceWithoutSlow(route, servers, previous_server, now);
   if (!placement && previous_server != nullptr)
     placement = m_placer.Place(servers, nullptr, m_random, now);
   // All records may expire at once after the store was unavailable.
@@ -168,7 +192,11 @@
   decision.m_reason = previous_server == nullptr   ? Reason::kPlaced
                       : previous_server == &server ? Reason::kPlacedAgain
                                                    : Reason::kPlacedElsewhere;
+  if (is_trial)
+    decision.m_extra = ExtraReason::kTrial;
   RecordPlacement(packet.m_flow, server, previous_server, route, now);
+  if (FlowRecord* record = is_trial ? m_tracker.Find(packet.m_flow) : nullptr)
+    record->m_extra = ExtraReason::kTrial;
   return decision;
 }
 
@@ -189,8 +217,18 @@
     return;
   record->m_request_at = now;
   record->m_answerable_at = now;
-  record->m_resend_at = now + m_settings.m_resend_after;
-  m_resends.emplace_back(*record->m_resend_at, flow);
+  ScheduleResend(*record, flow,
+                 now + ResendDelay(route, previous_server == nullptr, now));
+}
+
+void Steering::ScheduleResend(FlowRecord& record,
+                              const flow::FlowKey& flow,
+                              base::TimePoint at) {
+  record.m_resend_at = at;
+  // Early resends are due before resends that were scheduled earlier.
+  const auto position = std::ranges::upper_bound(
+      m_resends, at, {}, &std::pair<base::TimePoint, flow::FlowKey>::first);
+  m_resends.emplace(position, at, flow);
 }
 
 Decision Steering::HandleEstablished(const CallerPacket& packet,
@@ -223,6 +261,7 @@
       m_tracker.RecordPacket(packet, *server, route->m_timeout, now);
   decision.m_packet_kind = observation.m_packet_kind;
   UpdateReachability(*server, observation.m_waiting_since, decision, now);
+  RecordTimes(packet, observation, *server, now);
   const auto reset_reason = ResetReason(*server, *route, now);
   if (packet.m_payload_bytes > 0 && reset_reason) {
     decision.m_action = Reset{packet.m_acknowledgement};
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -14,6 +14,8 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <span>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -23,6 +25,7 @@
 #include "LibFlow/token_bucket.h"
 #include "LibSteering/caller_packet.h"
 #include "LibSteering/decision.h"
+#include "LibSteering/extra_openings.h"
 #include "LibSteering/flow_tracker.h"
 #include "LibSteering/opening_placer.h"
 #include "LibSteering/route_table.h"
@@ -50,6 +53,9 @@
   // A server whose record was removed without draining counts as ended after
   // this time. A running server registers again within it.
   base::Duration m_expiry_grace = std::chrono::milliseconds(2500);
+  // The extra openings against slow answers, in percent of the openings of the
+  // last 10 s. Zero: none.
+  double m_extra_openings_percent = 0;
 };
 
 class Steering {
@@ -62,6 +68,7 @@
   const RouteTable& routes() const { return m_routes; }
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
+  const ExtraOpenings& extra_openings() const { return m_extra; }
   // Whether a manifest and a list of servers have been received. Openings
   // can't be decided before.
   bool HasRoutesAndServers() const {
@@ -103,6 +110,10 @@
   // second. Returns the newly overdue requests that count as unanswered by
   // their servers.
   std::vector<OverdueRequest> Sweep(base::TimePoint now);
+  // The servers that became slow or sound since the last call.
+  std::vector<SlowServerChange> TakeSlowServerChanges() {
+    return m_extra.slow_servers().TakeChanges();
+  }
 
  private:
   // The decision to reset the caller.
@@ -141,6 +152,41 @@
   std::optional<Reason> ResetReason(const KnownServer& server,
                                     const Route& route,
                                     base::TimePoint now) const;
+  // The load of a service in requests in progress per slot: that of this
+  // balancer's callers, or the load that the answer times show if it is higher.
+  double LoadOf(const std::string& service, base::TimePoint now) const;
+  // Places an opening. One whose requests may be repeated avoids slow servers.
+  std::optional<Placement> PlaceWithoutSlow(
+      const Route& route,
+      std::span<KnownServer* const> servers,
+      const KnownServer* previous_server,
+      base::TimePoint now);
+  // Places a new opening on a slow server whose trial is due, if the budget
+  // covers the trial.
+  std::optional<Placement> PlaceTrial(const Route& route,
+                                      const std::string& service,
+                                      base::TimePoint now);
+  // Whether a copy of the opening may be sent before m_resend_after. Charges
+  // the budget.
+  bool TakeEarlyCopy(const flow::FlowKey& flow,
+                     const Route& route,
+                     const KnownServer& previous_server,
+                     base::TimePoint now);
+  // How long to wait for a sign of the handshake before the next resend.
+  base::Duration ResendDelay(const Route& route,
+                             bool is_first_placement,
+                             base::TimePoint now) const;
+  void ScheduleResend(FlowRecord& record,
+                      const flow::FlowKey& flow,
+                      base::TimePoint at);
+  // Records that no sign of the handshake of `record` arrived in time, which
+  // concerns `server` and, after an early copy, the first server too.
+  void MarkUnansweredSuspected(const FlowRecord& record, KnownServer& server);
+  // Learns from the times that `packet` shows.
+  void RecordTimes(const CallerPacket& packet,
+                   const Observation& observation,
+                   KnownServer& server,
+                   base::TimePoint now);
   // Whether `server` has ended, so that no answer can arrive.
   bool HasEnded(const KnownServer& server, base::TimePoint now) const;
 
@@ -150,6 +196,7 @@
   ServerDirectory m_directory;
   FlowTracker m_tracker{m_directory};
   OpeningPlacer m_placer;
+  ExtraOpenings m_extra;
   // The servers that need probing, so that StartDueProbes does not have to
   // visit every server.
   std::vector<ServerHandle> m_probe_list;
