--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -39,6 +39,7 @@
   kOpeningPlaced,
   kOpeningMoved,
   kOpeningRefused,
+  kExtraOpening,
   kPacketDropped,
   kRequestForwarded,
   kRequestRepeated,
@@ -47,6 +48,8 @@
   kServerChanged,
   kServerUnreachable,
   kServerReachable,
+  kServerSlow,
+  kServerSound,
   kStoreLost,
   kStoreRegained,
   kStoreRestored,
@@ -69,7 +72,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 55> kEventNames{{
+inline constexpr base::EnumTable<Event, 58> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
@@ -97,6 +100,7 @@
     {Event::kOpeningPlaced, "opening_placed"},
     {Event::kOpeningMoved, "opening_moved"},
     {Event::kOpeningRefused, "opening_refused"},
+    {Event::kExtraOpening, "extra_opening"},
     {Event::kPacketDropped, "packet_dropped"},
     {Event::kRequestForwarded, "request_forwarded"},
     {Event::kRequestRepeated, "request_repeated"},
@@ -105,6 +109,8 @@
     {Event::kServerChanged, "server_changed"},
     {Event::kServerUnreachable, "server_unreachable"},
     {Event::kServerReachable, "server_reachable"},
+    {Event::kServerSlow, "server_slow"},
+    {Event::kServerSound, "server_sound"},
     {Event::kStoreLost, "store_lost"},
     {Event::kStoreRegained, "store_regained"},
     {Event::kStoreRestored, "store_restored"},
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -74,6 +74,8 @@
                                const steering::Decision& decision,
                                const ViewVersion& view,
                                base::TimePoint now) {
+  if (decision.m_extra)
+    WriteExtra(flow, decision, now);
   const Event event = OpeningEventOf(decision);
   if (!m_log.Admit(event, now))
     return;
@@ -92,6 +94,20 @@
                {"manifest", view.m_manifest_version}});
 }
 
+void DecisionLog::WriteExtra(const flow::FlowKey& flow,
+                             const steering::Decision& decision,
+                             base::TimePoint now) {
+  if (!m_log.Admit(Event::kExtraOpening, now))
+    return;
+  m_log.Write(
+      Severity::kInfo, Event::kExtraOpening,
+      {{"caller", ToString(flow.m_caller)},
+       {"address", ToString(flow.m_service)},
+       {"route", RouteNameOf(decision)},
+       {"extra", NameOf(steering::kExtraReasonNames, *decision.m_extra)},
+       {"server", ServerNameOf(decision)}});
+}
+
 void DecisionLog::WriteEstablished(const steering::CallerPacket& packet,
                                    std::string_view request_id,
                                    const steering::Decision& decision,
@@ -144,6 +160,19 @@
        {"in_progress", server.m_requests_in_progress}});
 }
 
+void DecisionLog::WriteSlowness(const steering::KnownServer& server,
+                                bool is_slow,
+                                base::TimePoint now) {
+  const Event event = is_slow ? Event::kServerSlow : Event::kServerSound;
+  if (!m_log.Admit(event, now))
+    return;
+  m_log.Write(Severity::kWarning, event,
+              {{"server", server.m_record.m_name.value()},
+               {"service", server.m_record.m_service},
+               {"data_centre", server.m_record.m_data_centre.value()},
+               {"in_progress", server.m_requests_in_progress}});
+}
+
 void DecisionLog::WriteReachability(const steering::KnownServer& server,
                                     base::TimePoint now) {
   const Event event = server.m_reachability.IsUnreachable()
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -47,6 +47,10 @@
                        const steering::KnownServer& server,
                        base::Duration overdue_after,
                        base::TimePoint now);
+  // `server` has become slow or sound compared with its service.
+  void WriteSlowness(const steering::KnownServer& server,
+                     bool is_slow,
+                     base::TimePoint now);
   // `server` has become reachable or unreachable.
   void WriteReachability(const steering::KnownServer& server,
                          base::TimePoint now);
@@ -56,6 +60,9 @@
                     const steering::Decision& decision,
                     const ViewVersion& view,
                     base::TimePoint now);
+  void WriteExtra(const flow::FlowKey& flow,
+                  const steering::Decision& decision,
+                  base::TimePoint now);
   void WriteEstablished(const steering::CallerPacket& packet,
                         std::string_view request_id,
                         const steering::Decision& decision,
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -125,6 +125,29 @@
       .Add();
 }
 
+void EdgeMetrics::SetExtraOpenings(const steering::ExtraOpenings& extra) {
+  for (const auto& [reason, name] : steering::kExtraReasonNames) {
+    const observability::Labels labels = {{"reason", std::string(name)}};
+    const steering::ExtraOpeningCounts& counts = extra.CountsOf(reason);
+    m_registry
+        .CounterOf("coltsfootdale_extra_openings_total",
+                   "Extra openings against slow answers", labels)
+        .RaiseTo(counts.m_sent);
+    m_registry
+        .CounterOf("coltsfootdale_extra_openings_acknowledged_total",
+                   "Extra openings whose server the caller's flow opened at",
+                   labels)
+        .RaiseTo(counts.m_acknowledged);
+    m_registry
+        .CounterOf("coltsfootdale_extra_openings_refused_total",
+                   "Extra openings that the budget did not cover", labels)
+        .RaiseTo(counts.m_refused);
+  }
+  SetGauge("coltsfootdale_servers_slow",
+           "Servers that answer far more slowly than their service",
+           static_cast<double>(extra.slow_servers().size()));
+}
+
 void EdgeMetrics::RecordDecisionTime(base::Duration per_batch,
                                      std::size_t packets) {
   m_packet_time->Record(Seconds(per_batch) / static_cast<double>(packets));
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -11,6 +11,7 @@
 #include "LibBase/time.h"
 #include "LibObservability/metrics.h"
 #include "LibSteering/decision.h"
+#include "LibSteering/extra_openings.h"
 
 namespace edge {
 
@@ -40,6 +41,8 @@
                             std::string_view problem);
   // `change` is a name of kDirectoryChangeNames.
   void CountServerChange(std::string_view change);
+  // Publishes the counts of extra openings and the number of slow servers.
+  void SetExtraOpenings(const steering::ExtraOpenings& extra);
   // Records the mean time per packet of a batch that was handled in
   // `per_batch`.
   void RecordDecisionTime(base::Duration per_batch, std::size_t packets);
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -44,14 +44,18 @@
                          ControlSignals& signals,
                          const EdgeSettings& settings,
                          const std::string& settings_path,
-                         std::optional<std::uint16_t> metrics_port)
+                         std::optional<std::uint16_t> metrics_port,
+                         double extra_openings_percent)
     : m_context(context),
       m_signals(signals),
       m_metrics_port(metrics_port),
       m_settings(EffectiveSettings(settings)),
       m_settings_path(settings_path),
       m_log(STDOUT_FILENO, kLinesPerSecond),
-      m_steering({settings.m_data_centre}, DrawSeed(), base::Clock::now()),
+      m_steering({.m_data_centre = settings.m_data_centre,
+                  .m_extra_openings_percent = extra_openings_percent},
+                 DrawSeed(),
+                 base::Clock::now()),
       m_view(m_context,
              m_settings,
              m_steering,
@@ -328,12 +332,22 @@
     if (server != nullptr)
       m_decision_log.WriteUnanswered(request, *server, overdue_after, now);
   }
+  LogSlowServers(now);
   ProbeServers(now);
   m_packets->Sweep();
   StopIfDone(now);
   m_log.Flush();
 }
 
+void EdgeProcess::LogSlowServers(base::TimePoint now) {
+  for (const steering::SlowServerChange& change :
+       m_steering.TakeSlowServerChanges()) {
+    const auto* server = m_steering.directory().FindByHandle(change.m_server);
+    if (server != nullptr)
+      m_decision_log.WriteSlowness(*server, change.m_is_slow, now);
+  }
+}
+
 void EdgeProcess::CheckForPause(base::TimePoint now) {
   const auto pause = m_pauses.DetectPause(BootTime());
   if (!pause)
@@ -401,6 +415,8 @@
   m_metrics.SetGauge("coltsfootdale_probes",
                      "Probes of servers since the start",
                      static_cast<double>(m_prober.Probes()));
+  if (m_steering.extra_openings().IsEnabled())
+    m_metrics.SetExtraOpenings(m_steering.extra_openings());
   m_metrics.SetGauge("coltsfootdale_flows", "Flows seen of late",
                      static_cast<double>(m_steering.tracker().size()));
   m_metrics.SetGauge("coltsfootdale_log_lines_dropped",
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -44,11 +44,13 @@
  public:
   // The process reads `settings_path` again on SIGHUP and when the file's
   // content changes. `metrics_port` overrides the port in the settings.
+  // `extra_openings_percent` is the budget against slow answers; zero: none.
   EdgeProcess(asio::io_context& context,
               ControlSignals& signals,
               const EdgeSettings& settings,
               const std::string& settings_path,
-              std::optional<std::uint16_t> metrics_port);
+              std::optional<std::uint16_t> metrics_port,
+              double extra_openings_percent = 0);
   EdgeProcess(const EdgeProcess&) = delete;
   EdgeProcess& operator=(const EdgeProcess&) = delete;
 
@@ -91,6 +93,7 @@
 
   void OnSignal(int signal);
   void Sweep(base::TimePoint now);
+  void LogSlowServers(base::TimePoint now);
   void CheckForPause(base::TimePoint now);
   // `text` is the result of ReadSettingsFile.
   void ReloadSettings(const base::Outcome<std::string>& text,
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "LibObservability/non_blocking_log.h"
+#include "LibSteering/extra_budget.h"
 #include "commands.h"
 #include "control_signals.h"
 #include "edge_process.h"
@@ -53,10 +54,14 @@
       "metrics-port", options::value<std::uint16_t>(),
       "run: the TCP port of metrics and status; by default\n"
       "the first of the settings' internal ports")(
-      "manifest", options::value<std::string>(),
-      "check: a file with a manifest's object, checked instead\n"
-      "of settings")("address", options::value<std::string>(),
-                     "status: IP:PORT of the balancer's metrics endpoint")(
+      "extra-openings-percent", options::value<double>(),
+      "run: the extra openings against slow answers, in percent\n"
+      "of the openings of the last 10 s: 0 (none, the default)\n"
+      "to 20")("manifest", options::value<std::string>(),
+               "check: a file with a manifest's object, checked instead\n"
+               "of settings")(
+      "address", options::value<std::string>(),
+      "status: IP:PORT of the balancer's metrics endpoint")(
       "request", options::value<std::string>(), "explain: the request's id")(
       "log", options::value<std::vector<std::string>>()->multitoken(),
       "explain: log files of the balancers")(
@@ -76,6 +81,17 @@
   return path == nullptr ? std::string() : path;
 }
 
+// Zero if the option is absent.
+double ExtraOpeningsPercent(const options::variables_map& values) {
+  constexpr const char* kName = "extra-openings-percent";
+  return values.contains(kName) ? values[kName].as<double>() : 0;
+}
+
+// A value that is not a number is invalid too.
+bool IsValidPercent(double percent) {
+  return percent >= 0 && percent <= steering::ExtraBudget::kMaximumPercent;
+}
+
 ExitCode RunBalancer(const options::variables_map& values) {
   const std::string path = SettingsPath(values);
   // No file appears at an empty path.
@@ -91,7 +107,8 @@
   std::optional<std::uint16_t> metrics_port;
   if (values.contains("metrics-port"))
     metrics_port = values["metrics-port"].as<std::uint16_t>();
-  edge::EdgeProcess process(context, signals, *settings, path, metrics_port);
+  edge::EdgeProcess process(context, signals, *settings, path, metrics_port,
+                            ExtraOpeningsPercent(values));
   return process.Run();
 }
 
@@ -108,6 +125,8 @@
 
 std::optional<ExitCode> Dispatch(const options::variables_map& values) {
   const std::string command = TextOption(values, "command");
+  if (!IsValidPercent(ExtraOpeningsPercent(values)))
+    return std::nullopt;
   if (command == "run")
     return Run(values);
   edge::RestoreDefaultSignals();
