Tests/Platform: Avoid a false warning of GCC 12

With -O3 GCC 12 reports -Wrestrict for "text" + std::string&&, so two tests of the decoders did not compile in the release build. The text is appended in two steps instead.

--- a/Tests/Platform/test_manifest_decoder.cc
+++ b/Tests/Platform/test_manifest_decoder.cc
@@ -248,7 +248,8 @@
           fields[name] = value;
       }
       addresses.insert(host + ":8443");
-      routes += (routes.empty() ? "" : ",") + RouteText(fields);
+      routes += routes.empty() ? "" : ",";
+      routes += RouteText(fields);
     }
 
     steering::RouteTable table;
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -71,8 +71,10 @@
                 R"(","address":"1.2.3.4:5","zone":"z","max_concurrency":3,)"
                 R"("state":"ready")");
   std::string items = ServerObject("i-1a", kSpec);
-  for (const std::string& spec : unusable_specs)
-    items += "," + ServerObject("i-2b", spec);
+  for (const std::string& spec : unusable_specs) {
+    items += ",";
+    items += ServerObject("i-2b", spec);
+  }
   items += ",17," + ServerObject("zzz", kSpec) + "," +
            ServerObject("i-3c", long_service) + "," +
            ServerObject("i-4d" + long_name, kSpec);
