LibSteering: Send nothing new to evacuated data centres

The server directory holds the evacuated data centres and marks their servers, so that placement tests one flag of each server. Openings, repeated openings, copies of openings and the fallback to expired servers leave marked servers out. Open flows continue. If all ready servers of a service are marked, an opening is refused at once with the reason evacuated.

The directory records when the last evacuation of each data centre ended. Openings can be made to wait until the evacuations are known.

Expired servers are now also tried if the registered servers of a service are all in evacuated data centres; without evacuations nothing changes.

--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -45,9 +45,11 @@
   kServerUnreachable,
   // No manifest or no list of servers has been received yet.
   kNotReady,
+  // All ready servers of the service are in evacuated data centres.
+  kEvacuated,
 };
 
-inline constexpr base::EnumTable<Reason, 12> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 13> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
@@ -60,6 +62,7 @@
     {Reason::kServerGone, "server_gone"},
     {Reason::kServerUnreachable, "server_unreachable"},
     {Reason::kNotReady, "not_ready"},
+    {Reason::kEvacuated, "evacuated"},
 }};
 
 // The balancer writes `m_token` into the packet and sends the packet to
--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -34,6 +34,9 @@
   AnswerStatistics m_answer_statistics;
   // The server is on the list of servers that Steering may have to probe.
   bool m_is_on_probe_list = false;
+  // The server's data centre is evacuated: nothing new goes to the server. Kept
+  // up to date by ServerDirectory, since placement visits every server.
+  bool m_is_evacuated = false;
 
   bool IsGone() const { return m_gone_since.has_value(); }
   // The record was removed although the server had not announced its end by
--- a/Libraries/LibSteering/opening_placer.cc
+++ b/Libraries/LibSteering/opening_placer.cc
@@ -37,7 +37,8 @@
   std::size_t equal_count = 0;
   for (KnownServer* server : servers) {
     if (server == excluded || server->m_reachability.IsUnreachable() ||
-        server->m_record.m_state != ServerState::kReady)
+        server->m_record.m_state != ServerState::kReady ||
+        server->m_is_evacuated)
       continue;
     ++best.m_candidates;
     const bool has_failed_probe = server->m_reachability.HasFailedProbe();
--- a/Libraries/LibSteering/opening_placer.h
+++ b/Libraries/LibSteering/opening_placer.h
@@ -52,8 +52,9 @@
 
   // Commands.
   // The ready server of least cost among `servers` without `excluded`. Never
-  // chooses an unreachable server, and a server with a failed probe only if
-  // there is no other. Among servers of equal cost, `random` decides.
+  // chooses an unreachable or evacuated server, and a server with a failed
+  // probe only if there is no other. Among servers of equal cost, `random`
+  // decides.
   std::optional<Placement> Place(std::span<KnownServer* const> servers,
                                  const KnownServer* excluded,
                                  base::Random& random,
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -85,6 +85,23 @@
   });
 }
 
+std::map<base::DataCentreId, std::size_t> ServerDirectory::CountByDataCentre()
+    const {
+  std::map<base::DataCentreId, std::size_t> counts;
+  for (const auto& [name, server] : m_servers) {
+    if (!server->IsGone())
+      ++counts[server->m_record.m_data_centre];
+  }
+  return counts;
+}
+
+std::optional<base::TimePoint> ServerDirectory::EvacuationEndedAt(
+    const base::DataCentreId& data_centre) const {
+  const auto found = m_evacuation_ends.find(data_centre);
+  return found == m_evacuation_ends.end() ? std::nullopt
+                                          : std::optional(found->second);
+}
+
 bool ServerDirectory::WasWrittenBefore(const ServerRecord& left,
                                        const ServerRecord& right) {
   // Without an incarnation, a restarted server whose sequence starts again
@@ -127,6 +144,7 @@
   server->m_record = record;
   server->m_warm_up_ends_at = now + record.m_warm_up_left;
   server->m_gone_since.reset();
+  server->m_is_evacuated = m_evacuated.contains(record.m_data_centre);
   ListUnderService(*server);
   const bool is_restarted = previous.m_incarnation != record.m_incarnation;
   // Earlier observations don't apply to a server that registered again.
@@ -154,6 +172,21 @@
   return DirectoryChange::kGone;
 }
 
+void ServerDirectory::SetEvacuated(std::set<base::DataCentreId> evacuated,
+                                   base::TimePoint now) {
+  for (const base::DataCentreId& former : m_evacuated) {
+    if (!evacuated.contains(former))
+      m_evacuation_ends[former] = now;
+  }
+  while (m_evacuation_ends.size() > kMaximumEvacuationEnds)
+    m_evacuation_ends.erase(std::ranges::min_element(
+        m_evacuation_ends, {}, [](const auto& entry) { return entry.second; }));
+  m_evacuated = std::move(evacuated);
+  for (const auto& [name, server] : m_servers)
+    server->m_is_evacuated =
+        m_evacuated.contains(server->m_record.m_data_centre);
+}
+
 void ServerDirectory::PurgeGoneServers(base::TimePoint now) {
   for (auto entry = m_servers.begin(); entry != m_servers.end();) {
     const KnownServer& server = *entry->second;
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -11,12 +11,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "LibBase/enum_table.h"
+#include "LibBase/ids.h"
 #include "LibBase/store_revision.h"
 #include "LibBase/time.h"
 #include "LibSteering/ids.h"
@@ -55,6 +57,9 @@
   // flow.
   static constexpr base::Duration kGoneServerRetention =
       std::chrono::seconds(60);
+  // The number of data centres whose end of an evacuation is kept. Any name can
+  // be evacuated, so the number has to be bounded.
+  static constexpr std::size_t kMaximumEvacuationEnds = 1024;
 
   // Queries.
   // The server with `token`; null if no server or more than one has it.
@@ -78,8 +83,16 @@
       base::StoreRevision revision) const;
   // The number of registered servers in `state`.
   std::size_t Count(ServerState state) const;
-  // Whether any server that accepts openings does not count as unreachable.
+  // Whether any server that accepts openings does not count as unreachable. An
+  // evacuation makes no difference, because open flows continue.
   bool HasReachableServer() const;
+  // The number of registered servers in each data centre that has any.
+  std::map<base::DataCentreId, std::size_t> CountByDataCentre() const;
+  const std::set<base::DataCentreId>& Evacuated() const { return m_evacuated; }
+  // When the last evacuation of `data_centre` ended; nothing if this directory
+  // has seen no end of one.
+  std::optional<base::TimePoint> EvacuationEndedAt(
+      const base::DataCentreId& data_centre) const;
 
   // Commands.
   // Adds or updates a server. Ignores a record that is older than the known
@@ -87,6 +100,10 @@
   DirectoryChange Apply(const ServerRecord& record, base::TimePoint now);
   // Marks a server as gone, because its record was removed.
   DirectoryChange Remove(const ServerName& name, base::TimePoint now);
+  // Replaces the data centres whose servers get nothing new. They need not have
+  // any server.
+  void SetEvacuated(std::set<base::DataCentreId> evacuated,
+                    base::TimePoint now);
   // Deletes servers that have been gone for kGoneServerRetention.
   void PurgeGoneServers(base::TimePoint now);
 
@@ -114,6 +131,8 @@
   // The registered servers of each service in order of their names.
   std::map<std::string, std::vector<KnownServer*>, std::less<>> m_by_service;
   std::uint32_t m_next_handle = 0;
+  std::set<base::DataCentreId> m_evacuated;
+  std::map<base::DataCentreId, base::TimePoint> m_evacuation_ends;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -140,13 +140,14 @@
   auto placement = m_placer.Place(servers, previous_server, m_random, now);
   if (!placement && previous_server != nullptr)
     placement = m_placer.Place(servers, nullptr, m_random, now);
-  // All records may expire at once after the store was unavailable.
-  if (!placement && servers.empty())
+  // All records may expire at once after the store was unavailable. Servers in
+  // evacuated data centres do not count as an alternative.
+  if (!placement && std::ranges::all_of(servers, &KnownServer::m_is_evacuated))
     placement = m_placer.Place(
         m_directory.ExpiredServersOf(service, now - m_settings.m_expiry_grace),
         nullptr, m_random, now);
   if (!placement) {
-    Decision refusal = Refuse(packet, Reason::kNoServer);
+    Decision refusal = Refuse(packet, RefusalReason(service, now));
     refusal.m_route = &route;
     return refusal;
   }
@@ -284,6 +285,21 @@
   return std::nullopt;
 }
 
+Reason Steering::RefusalReason(std::string_view service,
+                               base::TimePoint now) const {
+  std::vector<KnownServer*> ready = m_directory.ServersOf(service);
+  std::erase_if(ready, [](const KnownServer* server) {
+    return server->m_record.m_state != ServerState::kReady;
+  });
+  if (ready.empty())
+    ready =
+        m_directory.ExpiredServersOf(service, now - m_settings.m_expiry_grace);
+  return !ready.empty() &&
+                 std::ranges::all_of(ready, &KnownServer::m_is_evacuated)
+             ? Reason::kEvacuated
+             : Reason::kNoServer;
+}
+
 bool Steering::HasEnded(const KnownServer& server, base::TimePoint now) const {
   if (!server.IsGone())
     return false;
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -62,12 +63,19 @@
   const RouteTable& routes() const { return m_routes; }
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
-  // Whether a manifest and a list of servers have been received. Openings
-  // can't be decided before.
+  // Whether a manifest and a list of servers have been received, and the
+  // evacuations are not awaited. Openings can't be decided before.
   bool HasRoutesAndServers() const {
-    return m_are_servers_known &&
+    return m_are_servers_known && !m_awaits_evacuations &&
            m_routes.Version() != base::ConfigurationVersion();
   }
+  bool AwaitsEvacuations() const { return m_awaits_evacuations; }
+  // When the last evacuation of `data_centre` ended; nothing if none is known
+  // to have ended. Its servers may have restarted shortly before.
+  std::optional<base::TimePoint> EvacuationEndedAt(
+      const base::DataCentreId& data_centre) const {
+    return m_directory.EvacuationEndedAt(data_centre);
+  }
   // Whether openings can be placed: routes and a ready server are known.
   bool IsReady() const;
   // Whether any server that accepts openings can be reached.
@@ -83,6 +91,9 @@
   }
   // Records that a complete list of servers has been applied.
   void SetServersKnown() { m_are_servers_known = true; }
+  // Sets whether openings wait until the evacuations are known, so that a
+  // balancer that has just started sends nothing to an evacuated data centre.
+  void SetAwaitsEvacuations(bool awaits) { m_awaits_evacuations = awaits; }
   // Sets whether the routes in force are known to be the newest. Otherwise a
   // missing route may be one that this balancer has not received yet.
   void SetRoutesCurrent(bool is_current) { m_are_routes_current = is_current; }
@@ -141,6 +152,8 @@
   std::optional<Reason> ResetReason(const KnownServer& server,
                                     const Route& route,
                                     base::TimePoint now) const;
+  // Why no server of `service` could be chosen.
+  Reason RefusalReason(std::string_view service, base::TimePoint now) const;
   // Whether `server` has ended, so that no answer can arrive.
   bool HasEnded(const KnownServer& server, base::TimePoint now) const;
 
@@ -155,6 +168,7 @@
   std::vector<ServerHandle> m_probe_list;
   flow::TokenBucket m_probe_budget;
   bool m_are_servers_known = false;
+  bool m_awaits_evacuations = false;
   bool m_are_routes_current = false;
   // The openings that may be resent, with the time of the resend, oldest first.
   std::deque<std::pair<base::TimePoint, flow::FlowKey>> m_resends;
