--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -69,15 +70,22 @@
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
   const ExtraOpenings& extra_openings() const { return m_extra; }
-  // Whether a manifest and servers have been received. Openings can't be
-  // decided before.
+  // Whether a manifest and servers have been received, and the evacuations are
+  // not awaited. Openings can't be decided before.
   bool HasRoutesAndServers() const {
-    return m_are_servers_known &&
+    return m_are_servers_known && !m_awaits_evacuations &&
            m_routes.Version() != base::ConfigurationVersion();
   }
   // Whether a complete list of servers has been received. Before, a packet
   // whose token no known server has may belong to a server of the list's rest.
   bool AreServersComplete() const { return m_are_servers_complete; }
+  bool AwaitsEvacuations() const { return m_awaits_evacuations; }
+  // When the last evacuation of `data_centre` ended; nothing if none is known
+  // to have ended. Its servers may have restarted shortly before.
+  std::optional<base::TimePoint> EvacuationEndedAt(
+      const base::DataCentreId& data_centre) const {
+    return m_directory.EvacuationEndedAt(data_centre);
+  }
   // Whether openings can be placed: routes and a ready server are known.
   bool IsReady() const;
   // Whether any server that accepts openings can be reached.
@@ -98,6 +106,9 @@
   }
   // Records that a part of the first list of servers has been applied.
   void SetSomeServersKnown() { m_are_servers_known = true; }
+  // Sets whether openings wait until the evacuations are known, so that a
+  // balancer that has just started sends nothing to an evacuated data centre.
+  void SetAwaitsEvacuations(bool awaits) { m_awaits_evacuations = awaits; }
   // Sets whether the routes in force are known to be the newest. Otherwise a
   // missing route may be one that this balancer has not received yet.
   void SetRoutesCurrent(bool is_current) { m_are_routes_current = is_current; }
@@ -195,6 +206,8 @@
                    const Observation& observation,
                    KnownServer& server,
                    base::TimePoint now);
+  // Why no server of `service` could be chosen.
+  Reason RefusalReason(std::string_view service, base::TimePoint now) const;
   // Whether `server` has ended, so that no answer can arrive.
   bool HasEnded(const KnownServer& server, base::TimePoint now) const;
 
@@ -211,6 +224,7 @@
   flow::TokenBucket m_probe_budget;
   bool m_are_servers_known = false;
   bool m_are_servers_complete = false;
+  bool m_awaits_evacuations = false;
   bool m_are_routes_current = false;
   // The openings that may be resent, with the time of the resend, oldest first.
   std::deque<std::pair<base::TimePoint, flow::FlowKey>> m_resends;
