--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -1,12 +1,15 @@
 #include "LibCatalog/snapshot_codec.h"
 
+#include <cereal/types/utility.hpp>
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <sstream>
 #include <system_error>
 #include <utility>
+#include <vector>
 
+#include "LibCatalog/evacuations.h"
 #include "LibCatalog/snapshot.h"
 #include "LibCatalog/view_delta.h"
 #include "LibPeer/archive.h"
@@ -146,12 +149,35 @@
 constexpr std::string_view kSnapshotMagic = "CFS\x04";
 constexpr std::string_view kDeltaMagic = "CFD\x03";
 
+template <typename Archive>
+void SerializeContent(Archive& archive, Evacuations& evacuations) {
+  archive(evacuations.m_revision);
+  std::vector<std::pair<base::DataCentreId, Revision>> objects(
+      evacuations.m_objects.begin(), evacuations.m_objects.end());
+  archive(peer::MakeBounded<std::uint16_t, kMaximumEvacuations>(objects));
+  evacuations.m_objects = {objects.begin(), objects.end()};
+}
+
+// Reads or writes whether `value` is set, and returns it. The caller reads or
+// writes the value itself.
+template <typename Archive, typename Value>
+bool SerializePresence(Archive& archive, std::optional<Value>& value) {
+  auto is_present = static_cast<std::uint8_t>(value.has_value());
+  archive(is_present);
+  if (is_present > 1)
+    throw cereal::Exception("flag of a delta is neither 0 nor 1");
+  if (is_present == 1 && !value)
+    value.emplace();
+  return is_present == 1;
+}
+
 template <typename Archive>
 void SerializeContent(Archive& archive, Snapshot& snapshot) {
   archive(snapshot.m_servers_revision);
   archive(
       peer::MakeBounded<std::uint32_t, kMaximumServers>(snapshot.m_servers));
   archive(snapshot.m_manifest_revision, snapshot.m_manifest);
+  SerializeContent(archive, snapshot.m_evacuations);
 }
 
 template <typename Archive>
@@ -161,15 +187,10 @@
   archive(peer::MakeBounded<std::uint32_t, kMaximumServers>(
       delta.m_removed_servers));
   archive(delta.m_manifest_revision);
-  auto has_manifest = static_cast<std::uint8_t>(delta.m_manifest.has_value());
-  archive(has_manifest);
-  if (has_manifest > 1)
-    throw cereal::Exception("flag of a delta is neither 0 nor 1");
-  if (has_manifest == 0)
-    return;
-  if (!delta.m_manifest)
-    delta.m_manifest.emplace();
-  archive(*delta.m_manifest);
+  if (SerializePresence(archive, delta.m_manifest))
+    archive(*delta.m_manifest);
+  if (SerializePresence(archive, delta.m_evacuations))
+    SerializeContent(archive, *delta.m_evacuations);
 }
 
 template <typename Content>
--- a/Libraries/LibCatalog/snapshot_codec.h
+++ b/Libraries/LibCatalog/snapshot_codec.h
@@ -21,6 +21,8 @@
 inline constexpr std::size_t kMaximumServers = 100'000;
 inline constexpr std::size_t kMaximumRoutes = 20'000;
 inline constexpr std::size_t kMaximumServicesOfRoute = 32;
+// Far more than a fleet has data centres.
+inline constexpr std::size_t kMaximumEvacuations = 1024;
 // The longest name of a server, service, route or data centre, and the longest
 // path of a health check. Longer than the names that DNS (253 bytes) and common
 // stores allow.
--- a/Libraries/LibCatalog/view_delta.h
+++ b/Libraries/LibCatalog/view_delta.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "LibCatalog/evacuations.h"
 #include "LibCatalog/revision.h"
 #include "LibSteering/manifest.h"
 #include "LibSteering/server_record.h"
@@ -23,6 +24,8 @@
   Revision m_manifest_revision;
   // Set if the manifest is newer than the peer's.
   std::optional<steering::Manifest> m_manifest;
+  // All evacuations. Set if the peer's revision of them is older.
+  std::optional<Evacuations> m_evacuations;
 };
 
 }  // namespace catalog
--- a/Libraries/LibEdge/store_pacing.cc
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -52,7 +52,9 @@
 
 // The time within which a change must be known.
 base::Duration BoundOf(const EdgeSettings& settings) {
-  return std::min(settings.m_drain_bound, settings.m_configuration_bound);
+  const base::Duration bound =
+      std::min(settings.m_drain_bound, settings.m_configuration_bound);
+  return std::min(bound, settings.m_evacuation_bound.value_or(bound));
 }
 
 }  // namespace
--- a/Libraries/LibEdge/store_pacing.h
+++ b/Libraries/LibEdge/store_pacing.h
@@ -11,7 +11,7 @@
 struct EdgeSettings;
 
 // The pause between two watches is so short that a change is received within
-// the smaller of the two bounds on changes, even if one call is lost and
+// the smallest of the bounds on changes, even if one call is lost and
 // repeated. The wait of a watch is so short that a watch whose connection
 // became silent is detected and repeated within the settling time.
 catalog::WatcherPolicy MakeWatcherPolicy(const EdgeSettings& settings);
--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -1,32 +1,35 @@
 #include "LibEdge/store_view.h"
 
 #include <set>
+#include <utility>
+
+#include "LibCatalog/snapshot_codec.h"
 
 namespace edge {
 
 catalog::Snapshot StoreView::MakeSnapshot(catalog::Revision servers,
                                           catalog::Revision manifest) const {
   return {servers, RecordsNewerThan({}), manifest,
-          m_steering.routes().manifest()};
+          m_steering.routes().manifest(), m_evacuations};
 }
 
-catalog::ViewDelta StoreView::MakeDelta(
-    catalog::Revision since_servers,
-    base::ConfigurationVersion since_manifest,
-    catalog::Revision servers,
-    catalog::Revision manifest) const {
+catalog::ViewDelta StoreView::MakeDelta(const catalog::KnownView& since,
+                                        catalog::Revision servers,
+                                        catalog::Revision manifest) const {
   catalog::ViewDelta delta;
   delta.m_servers_revision = servers;
   delta.m_manifest_revision = manifest;
-  if (since_manifest < m_steering.routes().Version())
+  if (since.m_manifest < m_steering.routes().Version())
     delta.m_manifest = m_steering.routes().manifest();
-  auto removed = m_removal_log.RemovedSince(since_servers);
+  if (since.m_evacuations < m_evacuations.m_revision)
+    delta.m_evacuations = m_evacuations;
+  auto removed = m_removal_log.RemovedSince(since.m_servers);
   if (!removed) {
     delta.m_servers = RecordsNewerThan({});
     return delta;
   }
-  delta.m_since = since_servers;
-  delta.m_servers = RecordsNewerThan(since_servers);
+  delta.m_since = since.m_servers;
+  delta.m_servers = RecordsNewerThan(since.m_servers);
   // A removed server may have registered again.
   std::erase_if(*removed, [this](const steering::ServerName& name) {
     return IsInStore(name);
@@ -91,6 +94,64 @@
   return ApplyServerEvents(events, delta.m_servers_revision, now);
 }
 
+EvacuationChanges StoreView::ApplyEvacuations(catalog::Evacuations evacuations,
+                                              base::TimePoint now) {
+  Truncate(evacuations);
+  EvacuationChanges changes;
+  std::set<base::DataCentreId> evacuated;
+  for (const auto& [data_centre, revision] : evacuations.m_objects) {
+    evacuated.insert(data_centre);
+    if (!m_evacuations.m_objects.contains(data_centre))
+      changes.push_back({data_centre, true});
+  }
+  for (const auto& [data_centre, revision] : m_evacuations.m_objects) {
+    if (!evacuated.contains(data_centre))
+      changes.push_back({data_centre, false});
+  }
+  m_evacuations = std::move(evacuations);
+  if (changes.empty())
+    return changes;
+  steering::ServerDirectory& directory = m_steering.directory();
+  directory.SetEvacuated(std::move(evacuated), now);
+  auto servers = directory.CountByDataCentre();
+  for (EvacuationChange& change : changes)
+    change.m_servers = servers[change.m_data_centre];
+  return changes;
+}
+
+EvacuationChanges StoreView::ApplyEvacuationEvents(
+    const std::vector<EvacuationEvent>& events,
+    catalog::Revision revision,
+    base::TimePoint now) {
+  catalog::Evacuations evacuations = m_evacuations;
+  evacuations.m_revision = revision;
+  for (const EvacuationEvent& event : events) {
+    if (event.m_revision)
+      evacuations.m_objects[event.m_data_centre] = *event.m_revision;
+    else
+      evacuations.m_objects.erase(event.m_data_centre);
+  }
+  return ApplyEvacuations(std::move(evacuations), now);
+}
+
+void StoreView::Truncate(catalog::Evacuations& evacuations) const {
+  auto& objects = evacuations.m_objects;
+  if (objects.size() <= catalog::kMaximumEvacuations)
+    return;
+  // Other programs can write objects with any name, and must not displace the
+  // evacuation of a data centre in use.
+  const auto servers = m_steering.directory().CountByDataCentre();
+  for (const bool spares_known : {true, false}) {
+    auto entry = objects.end();
+    while (objects.size() > catalog::kMaximumEvacuations &&
+           entry != objects.begin()) {
+      --entry;
+      if (!spares_known || !servers.contains(entry->first))
+        entry = objects.erase(entry);
+    }
+  }
+}
+
 ServerChanges StoreView::ApplyDueRemovals(base::TimePoint now) {
   ServerChanges changes;
   Remove(m_delayed_removals.PopDue(now), now, changes);
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -1,16 +1,19 @@
 // Applies the lists and events of the store, or the snapshot of a peer, to the
-// servers and routes that steering uses. Does no I/O; every change of a server
-// is returned so that the owner can log it.
+// servers, routes and evacuations that steering uses. Does no I/O; every change
+// of a server or an evacuation is returned so that the owner can log it.
 
 #ifndef LIBEDGE_STORE_VIEW_H_
 #define LIBEDGE_STORE_VIEW_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "LibBase/time.h"
 #include "LibCatalog/delayed_removals.h"
+#include "LibCatalog/evacuations.h"
+#include "LibCatalog/known_view.h"
 #include "LibCatalog/removal_log.h"
 #include "LibCatalog/revision.h"
 #include "LibCatalog/snapshot.h"
@@ -33,7 +36,23 @@
   std::optional<steering::ServerRecord> m_record;
 };
 
-// Whether a list contains all servers of the store.
+// The revision of the object that evacuates a data centre, or no revision if
+// the object was removed.
+struct EvacuationEvent {
+  base::DataCentreId m_data_centre;
+  std::optional<catalog::Revision> m_revision;
+};
+
+// A data centre whose evacuation has started or ended.
+struct EvacuationChange {
+  base::DataCentreId m_data_centre;
+  bool m_has_started = false;
+  // The registered servers there. None: no server has named this data centre.
+  std::size_t m_servers = 0;
+};
+using EvacuationChanges = std::vector<EvacuationChange>;
+
+// Whether a list contains all objects of the store.
 enum class ListExtent { kComplete, kPartial };
 
 class StoreView {
@@ -47,13 +66,13 @@
   // peer would not learn of the removal from later changes.
   catalog::Snapshot MakeSnapshot(catalog::Revision servers,
                                  catalog::Revision manifest) const;
-  // The changes since the revision `since_servers` of a peer's view, and the
-  // manifest if it is newer than the peer's. Contains all servers if the
+  // The changes of the servers since a peer's view, and the manifest and the
+  // evacuations if they are newer than the peer's. Contains all servers if the
   // changes since then are not known.
-  catalog::ViewDelta MakeDelta(catalog::Revision since_servers,
-                               base::ConfigurationVersion since_manifest,
+  catalog::ViewDelta MakeDelta(const catalog::KnownView& since,
                                catalog::Revision servers,
                                catalog::Revision manifest) const;
+  const catalog::Evacuations& evacuations() const { return m_evacuations; }
   const catalog::DelayedRemovals& delayed_removals() const {
     return m_delayed_removals;
   }
@@ -95,6 +114,16 @@
   bool ApplyManifest(steering::Manifest manifest) {
     return m_steering.ApplyManifest(std::move(manifest));
   }
+  // Replaces the known evacuations. Of more than kMaximumEvacuations, those of
+  // data centres with servers are kept first. To be called with the list of a
+  // later era too, which replaces that of the former one.
+  EvacuationChanges ApplyEvacuations(catalog::Evacuations evacuations,
+                                     base::TimePoint now);
+  // Applies the changes between the known revision and `revision`.
+  EvacuationChanges ApplyEvacuationEvents(
+      const std::vector<EvacuationEvent>& events,
+      catalog::Revision revision,
+      base::TimePoint now);
   // Applies the delayed removals that are due.
   ServerChanges ApplyDueRemovals(base::TimePoint now);
 
@@ -110,10 +139,13 @@
   void Remove(const std::vector<steering::ServerName>& names,
               base::TimePoint now,
               ServerChanges& changes);
+  // Removes what exceeds kMaximumEvacuations.
+  void Truncate(catalog::Evacuations& evacuations) const;
 
   steering::Steering& m_steering;
   catalog::DelayedRemovals m_delayed_removals;
   catalog::RemovalLog m_removal_log;
+  catalog::Evacuations m_evacuations;
 };
 
 }  // namespace edge
--- a/Libraries/LibFeed/feed_codec.cc
+++ b/Libraries/LibFeed/feed_codec.cc
@@ -58,7 +58,8 @@
 template <typename Archive>
 void Serialize(Archive& archive, StoreStatus& status) {
   SerializeFlag(archive, status.m_is_current);
-  archive(status.m_servers, status.m_manifest, status.m_manifest_version);
+  archive(status.m_servers, status.m_manifest, status.m_evacuations,
+          status.m_manifest_version);
   SerializeAge(archive, status.m_confirmed_age);
   SerializeFlag(archive, status.m_is_in_outage);
   SerializeAge(archive, status.m_outage_ended_age);
@@ -70,7 +71,8 @@
   SerializeName(archive, request.m_data_centre);
   SerializeFlag(archive, request.m_is_reader);
   SerializeFlag(archive, request.m_is_current);
-  archive(request.m_servers, request.m_manifest, request.m_manifest_version);
+  archive(request.m_servers, request.m_manifest, request.m_evacuations,
+          request.m_manifest_version);
   archive(peer::MakeBounded<std::uint16_t, FeedRequest::kMaximumLoadBytes>(
       request.m_load));
 }
--- a/Libraries/LibFeed/feed_codec.h
+++ b/Libraries/LibFeed/feed_codec.h
@@ -18,7 +18,7 @@
 // An Ethernet path does not fragment a datagram of this size.
 inline constexpr std::size_t kMaximumDatagramBytes = 1400;
 // The space that remains for FeedResponse::m_delta in every datagram.
-inline constexpr std::size_t kMaximumInlineDeltaBytes = 800;
+inline constexpr std::size_t kMaximumInlineDeltaBytes = 784;
 // Longer names of data centres are not supported by the feed.
 inline constexpr std::size_t kMaximumNameBytes = 64;
 
--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -137,15 +137,26 @@
     return ResponseVerdict::kNotCurrent;
   }
   const StoreStatus& peer = response.m_status;
+  // The reader's settings lack the bound on evacuations. Without another reader
+  // this balancer has to read the store itself.
+  if (own.m_needs_evacuations && peer.m_evacuations == catalog::Revision())
+    return ResponseVerdict::kBehind;
+  // A balancer that does not need the evacuations leaves them out.
+  const catalog::Revision evacuations =
+      own.m_needs_evacuations ? peer.m_evacuations : own.m_evacuations;
   const bool has_news = peer.m_servers > own.m_servers ||
                         peer.m_manifest > own.m_manifest ||
+                        evacuations > own.m_evacuations ||
                         peer.m_manifest_version > own.m_manifest_version;
-  const bool is_behind =
-      peer.m_servers < own.m_servers || peer.m_manifest < own.m_manifest;
+  const bool is_behind = peer.m_servers < own.m_servers ||
+                         peer.m_manifest < own.m_manifest ||
+                         evacuations < own.m_evacuations;
   if (!has_news && is_behind) {
     // The store has moved on from what a reader of a former era watches.
-    const bool is_of_former_era = peer.m_servers.era() < own.m_servers.era() ||
-                                  peer.m_manifest.era() < own.m_manifest.era();
+    const bool is_of_former_era =
+        peer.m_servers.era() < own.m_servers.era() ||
+        peer.m_manifest.era() < own.m_manifest.era() ||
+        evacuations.era() < own.m_evacuations.era();
     if (!is_of_former_era)
       RecordBehind(now);
     return ResponseVerdict::kBehind;
@@ -353,6 +364,7 @@
   poll.m_request.m_is_current = own.m_is_current;
   poll.m_request.m_servers = own.m_servers;
   poll.m_request.m_manifest = own.m_manifest;
+  poll.m_request.m_evacuations = own.m_evacuations;
   poll.m_request.m_manifest_version = own.m_manifest_version;
   m_pending.push_back({peer, poll.m_request.m_number, now});
   return poll;
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -45,7 +45,7 @@
   // The responder is no current reader.
   kNotCurrent,
   // The responder knows less than this balancer of one collection, and no more
-  // of the other.
+  // of the others, or it does not read a collection that this balancer needs.
   kBehind,
   // The view is as new as that of the responder.
   kNothingNew,
--- a/Libraries/LibFeed/feed_request.h
+++ b/Libraries/LibFeed/feed_request.h
@@ -26,6 +26,8 @@
   bool m_is_current = false;
   catalog::Revision m_servers;
   catalog::Revision m_manifest;
+  // Zero if the sender does not need the evacuations or does not know them yet.
+  catalog::Revision m_evacuations;
   // The manifest in force.
   base::ConfigurationVersion m_manifest_version;
   // The encoded load report of the sender, kMaximumLoadBytes at most. Empty if
--- a/Libraries/LibFeed/store_status.h
+++ b/Libraries/LibFeed/store_status.h
@@ -21,6 +21,10 @@
   // the collection has not been read.
   catalog::Revision m_servers;
   catalog::Revision m_manifest;
+  catalog::Revision m_evacuations;
+  // The settings have a bound on evacuations, so that the balancer has to know
+  // them. Not sent to peers.
+  bool m_needs_evacuations = false;
   // The manifest in force. It is newer than the one in the store after the
   // store came back from a copy of its past.
   base::ConfigurationVersion m_manifest_version;
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -52,6 +52,8 @@
   kStoreRestored,
   kStoreCallFailed,
   kServersListed,
+  kEvacuationStarted,
+  kEvacuationEnded,
   kObjectsIgnored,
   kFieldUnusable,
   kSnapshotTaken,
@@ -69,7 +71,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 55> kEventNames{{
+inline constexpr base::EnumTable<Event, 57> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
@@ -110,6 +112,8 @@
     {Event::kStoreRestored, "store_restored"},
     {Event::kStoreCallFailed, "store_call_failed"},
     {Event::kServersListed, "servers_listed"},
+    {Event::kEvacuationStarted, "evacuation_started"},
+    {Event::kEvacuationEnded, "evacuation_ended"},
     {Event::kObjectsIgnored, "objects_ignored"},
     {Event::kFieldUnusable, "field_unusable"},
     {Event::kSnapshotTaken, "snapshot_taken"},
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -1,12 +1,14 @@
 #include "edge_process.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <signal.h>
 #include <unistd.h>
 
 #include <chrono>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include "LibBase/asio_error.h"
 #include "LibBase/milliseconds.h"
@@ -245,11 +247,14 @@
 std::string EdgeProcess::RenderStatus() const {
   const ViewVersion version = m_view.Version(base::Clock::now());
   const auto& directory = m_steering.directory();
+  std::vector<std::string> evacuated;
+  for (const base::DataCentreId& data_centre : directory.Evacuated())
+    evacuated.push_back(observability::QuoteJson(data_centre.value()));
   return fmt::format(
       R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
       R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
       R"("store_era":{},"servers_revision":{},"servers_age_ms":{},"flows":{},)"
-      R"("store_calls":{},"reader":{}}})"
+      R"("store_calls":{},"reader":{},"evacuated":[{}]}})"
       "\n",
       observability::QuoteJson(m_settings.m_vm),
       observability::QuoteJson(m_settings.m_data_centre.value()),
@@ -260,7 +265,8 @@
       version.m_servers_revision,
       version.m_servers_age ? base::WholeMilliseconds(*version.m_servers_age)
                             : -1,
-      m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader());
+      m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader(),
+      fmt::join(evacuated, ","));
 }
 
 void EdgeProcess::UpdateReadiness() {
@@ -398,6 +404,9 @@
       "coltsfootdale_servers_ready", "Backend servers that take openings",
       static_cast<double>(
           m_steering.directory().Count(steering::ServerState::kReady)));
+  m_metrics.SetGauge(
+      "coltsfootdale_evacuations", "Data centres that are evacuated",
+      static_cast<double>(m_steering.directory().Evacuated().size()));
   m_metrics.SetGauge("coltsfootdale_probes",
                      "Probes of servers since the start",
                      static_cast<double>(m_prober.Probes()));
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -22,7 +22,7 @@
 namespace {
 
 // Begins with the version of the path.
-constexpr std::string_view kChangesPath = "/changes/2/";
+constexpr std::string_view kChangesPath = "/changes/3/";
 constexpr std::string_view kBinaryType = "application/octet-stream";
 constexpr std::uint16_t kHttpOk = 200;
 // A peer responds from memory, at the rate of a slow link.
@@ -31,11 +31,6 @@
 // Other work of the event loop gets its turn after this many messages.
 constexpr int kMaximumMessagesPerTurn = 64;
 
-struct KnownView {
-  catalog::Revision m_servers;
-  base::ConfigurationVersion m_manifest;
-};
-
 // Removes a number and the slash after it, if any, from the start of `path`.
 std::optional<std::uint64_t> TakeNumber(std::string_view& path) {
   std::uint64_t number = 0;
@@ -49,24 +44,31 @@
   return number;
 }
 
-// Parses "/changes/2/ERA/SERVERS/MANIFEST": the era and the number of the
-// revision of the servers, and the version of the manifest.
-std::optional<KnownView> ParseChangesPath(std::string_view path) {
+// Parses "/changes/3/ERA/SERVERS/MANIFEST/ERA/EVACUATIONS": the era and the
+// number of the revision of the servers, the version of the manifest, and the
+// era and the number of the revision of the evacuations.
+std::optional<catalog::KnownView> ParseChangesPath(std::string_view path) {
   if (!path.starts_with(kChangesPath))
     return std::nullopt;
   path.remove_prefix(kChangesPath.size());
   const auto era = TakeNumber(path);
   const auto servers = TakeNumber(path);
   const auto manifest = TakeNumber(path);
-  if (!era || !servers || !manifest || !path.empty())
+  const auto evacuations_era = TakeNumber(path);
+  const auto evacuations = TakeNumber(path);
+  if (!era || !servers || !manifest || !evacuations_era || !evacuations ||
+      !path.empty())
     return std::nullopt;
-  return KnownView{{base::StoreEra(*era), *servers},
-                   base::ConfigurationVersion(*manifest)};
+  return catalog::KnownView{{base::StoreEra(*era), *servers},
+                            base::ConfigurationVersion(*manifest),
+                            {base::StoreEra(*evacuations_era), *evacuations}};
 }
 
 std::string MakeChangesPath(const feed::StoreStatus& own) {
-  return fmt::format("{}{}/{}/{}", kChangesPath, own.m_servers.era().value(),
-                     own.m_servers.number(), own.m_manifest_version.value());
+  return fmt::format(
+      "{}{}/{}/{}/{}/{}", kChangesPath, own.m_servers.era().value(),
+      own.m_servers.number(), own.m_manifest_version.value(),
+      own.m_evacuations.era().value(), own.m_evacuations.number());
 }
 
 }  // namespace
@@ -192,15 +194,21 @@
     m_owner.m_on_refused(source, "other_fleet");
     return;
   }
+  // A requester that names no revision of the evacuations may not need them; if
+  // it does, it fetches them with the rest of its first view.
+  const bool has_evacuations = request.m_evacuations != catalog::Revision() &&
+                               request.m_evacuations < own.m_evacuations;
   const bool has_changes =
-      own.m_is_current && (request.m_servers < own.m_servers ||
-                           request.m_manifest < own.m_manifest ||
-                           request.m_manifest_version < own.m_manifest_version);
+      own.m_is_current &&
+      (request.m_servers < own.m_servers ||
+       request.m_manifest < own.m_manifest || has_evacuations ||
+       request.m_manifest_version < own.m_manifest_version);
   // A whole view does not fit into a datagram.
   const bool has_view = request.m_servers != catalog::Revision();
   if (has_changes && has_view) {
-    const std::string* changes =
-        ChangesSince(request.m_servers, request.m_manifest_version, own);
+    const std::string* changes = ChangesSince(
+        {request.m_servers, request.m_manifest_version, request.m_evacuations},
+        own);
     if (changes != nullptr && changes->size() <= feed::kMaximumInlineDeltaBytes)
       response->m_delta = *changes;
   }
@@ -286,25 +294,21 @@
   m_member.OnChangesApplied(base::Clock::now());
 }
 
-const std::string* FeedLink::ChangesSince(
-    catalog::Revision since_servers,
-    base::ConfigurationVersion since_manifest,
-    const feed::StoreStatus& own) {
-  const bool is_cached = m_cache.m_since_servers == since_servers &&
-                         m_cache.m_since_manifest == since_manifest &&
-                         m_cache.m_servers == own.m_servers &&
+const std::string* FeedLink::ChangesSince(const catalog::KnownView& since,
+                                          const feed::StoreStatus& own) {
+  const catalog::KnownView until{own.m_servers, own.m_manifest_version,
+                                 own.m_evacuations};
+  const bool is_cached = m_cache.m_since == since && m_cache.m_until == until &&
                          m_cache.m_manifest == own.m_manifest &&
-                         m_cache.m_manifest_version == own.m_manifest_version &&
                          !m_cache.m_bytes.empty();
   if (is_cached)
     return &m_cache.m_bytes;
-  auto bytes = m_owner.m_changes(since_servers, since_manifest);
+  auto bytes = m_owner.m_changes(since);
   if (!bytes) {
     m_owner.m_on_refused(m_endpoint, bytes.error().message());
     return nullptr;
   }
-  m_cache = {since_servers,  since_manifest,         own.m_servers,
-             own.m_manifest, own.m_manifest_version, std::move(bytes).value()};
+  m_cache = {since, until, own.m_manifest, std::move(bytes).value()};
   return &m_cache.m_bytes;
 }
 
@@ -315,8 +319,7 @@
   const feed::StoreStatus own = m_owner.m_status(base::Clock::now());
   if (!own.m_is_current)
     return {503, "the view is not current\n"};
-  const std::string* changes =
-      ChangesSince(since->m_servers, since->m_manifest, own);
+  const std::string* changes = ChangesSince(*since, own);
   if (changes == nullptr)
     return {503, "the changes cannot be encoded\n"};
   if (!m_budget.Take(changes->size(), base::Clock::now()))
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -18,6 +18,7 @@
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
 #include "LibBase/time.h"
+#include "LibCatalog/known_view.h"
 #include "LibCatalog/view_delta.h"
 #include "LibEventLoop/http_text_server.h"
 #include "LibFeed/feed_codec.h"
@@ -30,11 +31,8 @@
 // The part of the balancer that has the view of the store.
 struct FeedOwner {
   std::function<feed::StoreStatus(base::TimePoint now)> m_status;
-  // Returns the encoded changes of the view since a revision of the servers and
-  // a version of the manifest.
-  std::function<base::Outcome<std::string>(
-      catalog::Revision since_servers,
-      base::ConfigurationVersion since_manifest)>
+  // Returns the encoded changes of the view since the state that a peer knows.
+  std::function<base::Outcome<std::string>(const catalog::KnownView& since)>
       m_changes;
   // Applies changes of a peer. Returns false if they do not follow the view.
   std::function<bool(base::Endpoint peer, const catalog::ViewDelta& changes)>
@@ -79,11 +77,9 @@
 
   // The last encoded delta. Most followers ask from the same revisions.
   struct CachedChanges {
-    catalog::Revision m_since_servers;
-    base::ConfigurationVersion m_since_manifest;
-    catalog::Revision m_servers;
+    catalog::KnownView m_since;
+    catalog::KnownView m_until;
     catalog::Revision m_manifest;
-    base::ConfigurationVersion m_manifest_version;
     std::string m_bytes;
   };
 
@@ -106,8 +102,7 @@
   void ApplyChanges(base::Endpoint peer,
                     const base::Outcome<catalog::ViewDelta>& changes);
   // Null if the changes cannot be encoded. Valid until the next call.
-  const std::string* ChangesSince(catalog::Revision since_servers,
-                                  base::ConfigurationVersion since_manifest,
+  const std::string* ChangesSince(const catalog::KnownView& since,
                                   const feed::StoreStatus& own);
   event_loop::TextResponse ChangesResponse(std::string_view path);
 
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -16,6 +16,10 @@
   pages.m_manifests.insert(pages.m_manifests.end(),
                            std::make_move_iterator(objects.m_manifests.begin()),
                            std::make_move_iterator(objects.m_manifests.end()));
+  pages.m_evacuations.insert(
+      pages.m_evacuations.end(),
+      std::make_move_iterator(objects.m_evacuations.begin()),
+      std::make_move_iterator(objects.m_evacuations.end()));
   pages.m_ignored += objects.m_ignored;
   pages.m_is_cut_short |= objects.m_is_cut_short;
   pages.m_problems.Append(std::move(objects.m_problems));
@@ -76,8 +80,9 @@
   if (m_watcher.IsCallOpen())
     return;
   m_timer.expires_at(m_watcher.NextCallAt());
-  m_timer.async_wait([this](const std::error_code& error) {
-    if (!error)
+  m_timer.async_wait([this, lifetime = std::weak_ptr<bool>(m_lifetime)](
+                         const std::error_code& error) {
+    if (!error && !lifetime.expired())
       SendOrScheduleCall();
   });
 }
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -92,6 +92,9 @@
   // The objects of the pages that the list in progress has received.
   adapter::CollectionObjects m_pages;
   std::uint64_t m_calls = 0;
+  // Expires with the reader: a handler of the timer may be queued when the
+  // reader is deleted, and a cancellation has no effect on it.
+  std::shared_ptr<bool> m_lifetime = std::make_shared<bool>(true);
 };
 
 }  // namespace edge
--- a/Services/Edge/view_log.cc
+++ b/Services/Edge/view_log.cc
@@ -124,6 +124,22 @@
                {"source", source}});
 }
 
+void ViewLog::WriteEvacuations(const EvacuationChanges& changes,
+                               catalog::Revision revision,
+                               std::string_view source,
+                               base::TimePoint now) {
+  for (const EvacuationChange& change : changes) {
+    const Event event = change.m_has_started ? Event::kEvacuationStarted
+                                             : Event::kEvacuationEnded;
+    if (m_log.Admit(event, now))
+      m_log.Write(Severity::kWarning, event,
+                  {{"data_centre", change.m_data_centre.value()},
+                   {"servers", std::uint64_t{change.m_servers}},
+                   {"revision", revision.number()},
+                   {"source", source}});
+  }
+}
+
 void ViewLog::WriteRole(const feed::FeedMember& member,
                         catalog::Revision revision,
                         base::TimePoint now) {
--- a/Services/Edge/view_log.h
+++ b/Services/Edge/view_log.h
@@ -47,6 +47,11 @@
   void WriteManifest(const steering::Manifest& manifest,
                      base::ConfigurationVersion former,
                      std::string_view source);
+  // `source` is store, peer or settings; `revision` is that of the view.
+  void WriteEvacuations(const EvacuationChanges& changes,
+                        catalog::Revision revision,
+                        std::string_view source,
+                        base::TimePoint now);
   // The balancer has become a reader, or has ceased to be one.
   void WriteRole(const feed::FeedMember& member,
                  catalog::Revision revision,
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -26,6 +26,11 @@
 // A process that has not swept for this long was paused, and does not know
 // what happened meanwhile.
 constexpr base::Duration kMaximumSweepGap = milliseconds(500);
+// A balancer that starts does not place openings without the evacuations for
+// this long after it knows servers and routes: a call to the store and a
+// request to a seed may fail. Callers would wait longer if the kind cannot be
+// read.
+constexpr base::Duration kMaximumWaitForEvacuations = milliseconds(1000);
 
 std::uint64_t DrawSeed() {
   std::random_device device;
@@ -42,10 +47,28 @@
   return records;
 }
 
-catalog::OutageSource SourceOf(const StoreReader& reader) {
-  return reader.collection() == adapter::Collection::kServers
-             ? catalog::OutageSource::kServers
-             : catalog::OutageSource::kManifests;
+// Nothing for the evacuations: a kind that some deployments lack must not delay
+// the removal of servers.
+std::optional<catalog::OutageSource> SourceOf(const StoreReader& reader) {
+  switch (reader.collection()) {
+    case adapter::Collection::kServers:
+      return catalog::OutageSource::kServers;
+    case adapter::Collection::kManifests:
+      return catalog::OutageSource::kManifests;
+    case adapter::Collection::kEvacuations:
+      break;
+  }
+  return std::nullopt;
+}
+
+catalog::Evacuations MakeEvacuations(catalog::Revision revision,
+                                     const std::vector<EvacuationEvent>& list) {
+  catalog::Evacuations evacuations{revision, {}};
+  for (const EvacuationEvent& entry : list) {
+    if (entry.m_revision)
+      evacuations.m_objects[entry.m_data_centre] = *entry.m_revision;
+  }
+  return evacuations;
 }
 
 }  // namespace
@@ -86,6 +109,28 @@
       m_started_at(base::Clock::now()),
       m_last_sweep(BootTime()) {
   m_peers.SetPeers(settings.m_seeds);
+  UpdateEvacuationUse();
+  m_steering.SetAwaitsEvacuations(m_evacuations != nullptr);
+}
+
+void ViewUpdater::UpdateEvacuationUse() {
+  const bool is_needed = m_settings.m_evacuation_bound.has_value();
+  if (is_needed && m_evacuations == nullptr) {
+    m_evacuations = std::make_unique<StoreReader>(
+        m_context, m_settings.m_store, adapter::Collection::kEvacuations,
+        MakeReaderPolicy(m_settings), DrawSeed(),
+        [this](const StoreUpdate& update) {
+          OnStoreUpdate(*m_evacuations, update);
+        });
+    return;
+  }
+  if (is_needed || m_evacuations == nullptr)
+    return;
+  // A later reader lists the kind again.
+  m_evacuations.reset();
+  m_steering.SetAwaitsEvacuations(false);
+  const base::TimePoint now = base::Clock::now();
+  m_log.WriteEvacuations(m_view.ApplyEvacuations({}, now), {}, "settings", now);
 }
 
 base::Outcome<void> ViewUpdater::Listen(
@@ -103,11 +148,10 @@
 FeedOwner ViewUpdater::MakeFeedOwner() {
   FeedOwner owner;
   owner.m_status = [this](base::TimePoint now) { return Status(now); };
-  owner.m_changes = [this](catalog::Revision since_servers,
-                           base::ConfigurationVersion since_manifest) {
-    return catalog::EncodeDelta(m_view.MakeDelta(
-        since_servers, since_manifest, m_servers.watcher().KnownRevision(),
-        m_manifests.watcher().KnownRevision()));
+  owner.m_changes = [this](const catalog::KnownView& since) {
+    return catalog::EncodeDelta(
+        m_view.MakeDelta(since, m_servers.watcher().KnownRevision(),
+                         m_manifests.watcher().KnownRevision()));
   };
   owner.m_apply = [this](base::Endpoint peer,
                          const catalog::ViewDelta& changes) {
@@ -131,6 +175,8 @@
   }
   m_servers.SetActive(true);
   m_manifests.SetActive(true);
+  if (m_evacuations)
+    m_evacuations->SetActive(true);
 }
 
 void ViewUpdater::Sweep(base::TimePoint now) {
@@ -138,11 +184,25 @@
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
   m_log.WriteServerChanges(m_view.ApplyDueRemovals(now),
                            m_servers.watcher().KnownRevision(), "lapse", now);
+  LimitWaitForEvacuations(now);
+}
+
+void ViewUpdater::LimitWaitForEvacuations(base::TimePoint now) {
+  if (!m_steering.AwaitsEvacuations() || !Status(now).HasView())
+    return;
+  if (!m_waits_for_evacuations_since)
+    m_waits_for_evacuations_since = now;
+  if (now - *m_waits_for_evacuations_since < kMaximumWaitForEvacuations)
+    return;
+  m_steering.SetAwaitsEvacuations(false);
+  m_on_change();
 }
 
 void ViewUpdater::OnPaused(base::TimePoint now) {
   m_servers.RestartCall();
   m_manifests.RestartCall();
+  if (m_evacuations)
+    m_evacuations->RestartCall();
   if (m_feed)
     m_feed->OnPaused(now);
 }
@@ -154,6 +214,9 @@
   m_settings.m_feed = bound_feed;
   m_servers.SetStore(settings.m_store);
   m_manifests.SetStore(settings.m_store);
+  if (m_evacuations)
+    m_evacuations->SetStore(settings.m_store);
+  UpdateEvacuationUse();
   m_peers.SetPeers(settings.m_seeds);
   if (m_feed)
     m_feed->SetSettings(MakeFeedSettings(m_settings));
@@ -171,6 +234,12 @@
   status.m_is_current = m_servers.IsActive() && m_manifests.IsActive() &&
                         BootTime() - m_last_sweep < kMaximumSweepGap &&
                         servers.IsCurrent(now) && manifests.IsCurrent(now);
+  if (m_evacuations) {
+    status.m_needs_evacuations = true;
+    status.m_evacuations = m_evacuations->watcher().KnownRevision();
+    status.m_is_current = status.m_is_current && m_evacuations->IsActive() &&
+                          m_evacuations->watcher().IsCurrent(now);
+  }
   status.m_is_failing = servers.FailingSince() || manifests.FailingSince();
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
@@ -190,6 +259,10 @@
   if (m_feed == nullptr) {
     m_servers.SetPolicy(MakeReaderPolicy(m_settings));
     m_manifests.SetPolicy(MakeReaderPolicy(m_settings));
+    if (m_evacuations) {
+      m_evacuations->SetPolicy(MakeReaderPolicy(m_settings));
+      m_evacuations->SetActive(m_servers.IsActive());
+    }
     return;
   }
   const bool is_reader = m_feed->member().IsReader();
@@ -216,6 +289,11 @@
                             !m_servers.IsAnswerUnusable();
   m_manifests.SetActive(should_read && needs_call(m_manifests) &&
                         !is_first_try);
+  if (!m_evacuations)
+    return;
+  m_evacuations->SetPolicy(policy);
+  m_evacuations->SetActive(should_read && needs_call(*m_evacuations) &&
+                           !is_first_try);
 }
 
 // While this balancer does not call the store, it knows of outages from the
@@ -255,10 +333,21 @@
   if (changes.m_manifest)
     ApplyManifest(*changes.m_manifest, "peer");
   m_manifests.AdoptRevision(changes.m_manifest_revision);
+  if (changes.m_evacuations)
+    AdoptEvacuations(*changes.m_evacuations, now);
   m_on_change();
   return true;
 }
 
+void ViewUpdater::AdoptEvacuations(const catalog::Evacuations& evacuations,
+                                   base::TimePoint now) {
+  if (!m_evacuations || !m_evacuations->AdoptRevision(evacuations.m_revision))
+    return;
+  m_steering.SetAwaitsEvacuations(false);
+  m_log.WriteEvacuations(m_view.ApplyEvacuations(evacuations, now),
+                         evacuations.m_revision, "peer", now);
+}
+
 ViewVersion ViewUpdater::Version(base::TimePoint now) const {
   ViewVersion version;
   const catalog::Revision servers = m_servers.watcher().KnownRevision();
@@ -317,7 +406,8 @@
   const bool is_slow_start = m_feed == nullptr && !m_steering.IsReady() &&
                              now - m_started_at >= kStoreFailureGrace;
   if (is_slow_start || has_failed_long(m_servers) ||
-      has_failed_long(m_manifests))
+      has_failed_long(m_manifests) ||
+      (m_evacuations && has_failed_long(*m_evacuations)))
     m_peers.RequestSnapshot();
 }
 
@@ -325,16 +415,24 @@
                                 const StoreUpdate& update) {
   const base::TimePoint now = base::Clock::now();
   m_log.WriteStoreCall(reader, update, now);
-  if (update.m_outcome.m_is_store_lost)
-    m_view.OnStoreLost(SourceOf(reader));
-  if (update.m_outcome.m_is_store_regained)
-    m_view.OnStoreRegained(SourceOf(reader), now);
+  const auto source = SourceOf(reader);
+  if (source && update.m_outcome.m_is_store_lost)
+    m_view.OnStoreLost(*source);
+  if (source && update.m_outcome.m_is_store_regained)
+    m_view.OnStoreRegained(*source, now);
   m_log.WriteFieldProblems(update.m_objects.m_problems, reader.collection(),
                            m_steering.routes().Version(), now);
-  if (reader.collection() == adapter::Collection::kServers)
-    OnServers(update, now);
-  else
-    OnManifests(update, now);
+  switch (reader.collection()) {
+    case adapter::Collection::kServers:
+      OnServers(update, now);
+      break;
+    case adapter::Collection::kManifests:
+      OnManifests(update, now);
+      break;
+    case adapter::Collection::kEvacuations:
+      OnEvacuations(update, now);
+      break;
+  }
   m_on_change();
   // The next call is not sent if this balancer is not to read the store.
   if (m_feed)
@@ -374,6 +472,24 @@
   }
 }
 
+void ViewUpdater::OnEvacuations(const StoreUpdate& update,
+                                base::TimePoint now) {
+  const catalog::Revision revision = m_evacuations->watcher().KnownRevision();
+  const auto& objects = update.m_objects;
+  if (update.m_outcome.m_update == catalog::CollectionUpdate::kNone)
+    return;
+  const bool is_whole_list =
+      update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete &&
+      !objects.m_is_cut_short;
+  const EvacuationChanges changes =
+      is_whole_list
+          ? m_view.ApplyEvacuations(
+                MakeEvacuations(revision, objects.m_evacuations), now)
+          : m_view.ApplyEvacuationEvents(objects.m_evacuations, revision, now);
+  m_steering.SetAwaitsEvacuations(false);
+  m_log.WriteEvacuations(changes, revision, "store", now);
+}
+
 void ViewUpdater::OnSnapshot(base::Endpoint peer,
                              const base::Outcome<catalog::Snapshot>& snapshot) {
   const base::TimePoint now = base::Clock::now();
@@ -395,6 +511,7 @@
   m_manifests.AdoptRevision(decoded.m_manifest_revision);
   if (decoded.m_manifest.m_version != base::ConfigurationVersion())
     ApplyManifest(decoded.m_manifest, "peer");
+  AdoptEvacuations(decoded.m_evacuations, now);
   m_on_change();
 }
 
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -51,7 +51,8 @@
   // Whether this balancer reads the store for its peers.
   bool IsReader() const;
   std::uint64_t StoreCalls() const {
-    return m_servers.Calls() + m_manifests.Calls();
+    return m_servers.Calls() + m_manifests.Calls() +
+           (m_evacuations ? m_evacuations->Calls() : 0);
   }
 
   // Commands.
@@ -80,12 +81,20 @@
   void OnServersAdopted(catalog::Revision former,
                         catalog::Revision revision,
                         base::TimePoint now);
+  // Starts or ceases to use evacuations, as the settings require.
+  void UpdateEvacuationUse();
+  // Applies a peer's evacuations if they are needed and newer than the known.
+  void AdoptEvacuations(const catalog::Evacuations& evacuations,
+                        base::TimePoint now);
+  // Lets openings pass without the evacuations if they remain unknown.
+  void LimitWaitForEvacuations(base::TimePoint now);
   // Returns false if the changes do not follow the view.
   bool ApplyChanges(base::Endpoint peer, const catalog::ViewDelta& changes);
 
   void OnStoreUpdate(const StoreReader& reader, const StoreUpdate& update);
   void OnServers(const StoreUpdate& update, base::TimePoint now);
   void OnManifests(const StoreUpdate& update, base::TimePoint now);
+  void OnEvacuations(const StoreUpdate& update, base::TimePoint now);
   void OnSnapshot(base::Endpoint peer,
                   const base::Outcome<catalog::Snapshot>& snapshot);
   // Returns whether the manifest is newer than the one in force.
@@ -100,6 +109,8 @@
   StoreView m_view;
   StoreReader m_servers;
   StoreReader m_manifests;
+  // Null if the settings have no bound on evacuations.
+  std::unique_ptr<StoreReader> m_evacuations;
   PeerReader m_peers;
   // Null if the settings have no endpoint for the feed.
   std::unique_ptr<FeedLink> m_feed;
@@ -107,6 +118,8 @@
   // When the store confirmed the servers to the reader that responded last.
   std::optional<base::TimePoint> m_reader_confirmed_at;
   base::TimePoint m_started_at;
+  // When the first view was complete but for the evacuations.
+  std::optional<base::TimePoint> m_waits_for_evacuations_since;
   // By the boot-time clock, which advances while the process is paused.
   base::Duration m_last_sweep{};
 };
--- a/Tests/Fuzz/fuzz_store_answer.cc
+++ b/Tests/Fuzz/fuzz_store_answer.cc
@@ -33,6 +33,8 @@
   edge::StoreView view(steering);
   view.ApplyServerEvents(response.m_objects.m_servers, catalog::Revision(1),
                          now);
+  view.ApplyEvacuationEvents(response.m_objects.m_evacuations,
+                             catalog::Revision(1), now);
   for (const auto& decoded : response.m_objects.m_manifests)
     view.ApplyManifest(decoded.m_manifest);
   const auto snapshot =
@@ -73,7 +75,8 @@
                                       std::size_t size) {
   const std::string text(reinterpret_cast<const char*>(data), size);
   for (const auto collection :
-       {adapter::Collection::kServers, adapter::Collection::kManifests}) {
+       {adapter::Collection::kServers, adapter::Collection::kManifests,
+        adapter::Collection::kEvacuations}) {
     ApplyAndEncode(Read(collection, catalog::ListCall{}, text));
     ApplyAndEncode(Read(collection, catalog::WatchCall{}, text));
   }
--- a/Tests/LibCatalog/test_snapshot_codec.cc
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -1,9 +1,11 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <string>
 
 #include "LibCatalog/snapshot.h"
 #include "LibCatalog/snapshot_codec.h"
+#include "LibCatalog/view_delta.h"
 
 namespace catalog {
 
@@ -36,6 +38,10 @@
                                    2}};
   snapshot.m_manifest.m_services = {
       {"portal", "/health", std::chrono::seconds(2), 20}};
+  snapshot.m_evacuations = {
+      Revision(base::StoreEra(2), 43),
+      {{base::DataCentreId("hall-1"), Revision(base::StoreEra(2), 30)},
+       {base::DataCentreId("hall-3"), Revision(base::StoreEra(2), 42)}}};
   return snapshot;
 }
 
@@ -55,6 +61,34 @@
         snapshot.m_manifest.m_services);
   CHECK(decoded.value().m_manifest.m_idle_timeout ==
         snapshot.m_manifest.m_idle_timeout);
+  CHECK(decoded.value().m_evacuations == snapshot.m_evacuations);
+}
+
+TEST_CASE("a delta without evacuations differs from one that ends all") {
+  ViewDelta delta;
+  const auto unchanged = DecodeDelta(EncodeDelta(delta).value());
+  delta.m_evacuations = Evacuations{Revision(9), {}};
+  const auto ended = DecodeDelta(EncodeDelta(delta).value());
+  delta.m_evacuations = MakeSnapshot().m_evacuations;
+  const auto changed = DecodeDelta(EncodeDelta(delta).value());
+
+  REQUIRE(unchanged);
+  CHECK_FALSE(unchanged.value().m_evacuations);
+  REQUIRE(ended);
+  CHECK(ended.value().m_evacuations == Evacuations{Revision(9), {}});
+  REQUIRE(changed);
+  CHECK(changed.value().m_evacuations == delta.m_evacuations);
+}
+
+TEST_CASE("more evacuations than the limit are neither encoded nor decoded") {
+  Snapshot snapshot = MakeSnapshot();
+  auto& objects = snapshot.m_evacuations.m_objects;
+  while (objects.size() < kMaximumEvacuations)
+    objects[base::DataCentreId(std::to_string(objects.size()))] = {};
+  CHECK(EncodeSnapshot(snapshot));
+
+  objects[base::DataCentreId("one-more")] = {};
+  CHECK_FALSE(EncodeSnapshot(snapshot));
 }
 
 TEST_CASE("a route without services and every kind of request are encoded") {
--- a/Tests/LibEdge/test_store_pacing.cc
+++ b/Tests/LibEdge/test_store_pacing.cc
@@ -26,6 +26,19 @@
   }
 }
 
+TEST_CASE("calls keep to the bound on evacuations if it is the smallest") {
+  EdgeSettings settings;
+  const auto pause = [&settings] {
+    return MakeWatcherPolicy(settings).m_pause_between_watches;
+  };
+  const base::Duration without = pause();
+  settings.m_evacuation_bound = milliseconds(5000);
+  CHECK(pause() == without);
+
+  settings.m_evacuation_bound = milliseconds(2600);
+  CHECK(pause() < without);
+}
+
 TEST_CASE(
     "a watch on a silent connection is repeated within the settling time") {
   // A change that is made right after the fault must be received by the end of
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -3,8 +3,11 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
+#include "LibCatalog/snapshot_codec.h"
 #include "LibEdge/store_view.h"
 
 namespace edge {
@@ -25,11 +28,28 @@
   return record;
 }
 
+const base::DataCentreId kHall1("hall-1");
+const base::DataCentreId kHall2("hall-2");
+const base::DataCentreId kUnknown("unknown");
+
+catalog::Evacuations MakeEvacuations(
+    std::uint64_t revision,
+    const std::vector<base::DataCentreId>& data_centres) {
+  catalog::Evacuations evacuations{catalog::Revision(revision), {}};
+  for (const base::DataCentreId& data_centre : data_centres)
+    evacuations.m_objects[data_centre] = catalog::Revision(revision);
+  return evacuations;
+}
+
 struct StoreViewFixture {
   std::size_t Servers() const {
     return m_steering.directory().ServersOf("portal").size();
   }
 
+  const std::set<base::DataCentreId>& Evacuated() const {
+    return m_steering.directory().Evacuated();
+  }
+
   steering::Steering m_steering{steering::SteeringSettings(), 1, At(0)};
   StoreView m_view{m_steering};
 };
@@ -129,8 +149,7 @@
   const auto add_peer = [&](std::uint64_t revision) {
     peers.push_back(std::make_unique<StoreViewFixture>());
     peers.back()->m_view.ApplyServerDelta(
-        reader.m_view.MakeDelta({}, {}, catalog::Revision(revision), {}),
-        At(1));
+        reader.m_view.MakeDelta({}, catalog::Revision(revision), {}), At(1));
   };
   add_peer(3);
   reader.m_view.ApplyServerEvents(
@@ -147,8 +166,8 @@
 
   const std::uint64_t known[] = {3, 5, 8};
   for (std::size_t i = 0; i < peers.size(); ++i) {
-    const auto delta = reader.m_view.MakeDelta(catalog::Revision(known[i]), {},
-                                               catalog::Revision(8), {});
+    const auto delta = reader.m_view.MakeDelta(
+        {catalog::Revision(known[i]), {}, {}}, catalog::Revision(8), {});
     CHECK(delta.m_since == catalog::Revision(known[i]));
     peers[i]->m_view.ApplyServerDelta(delta, At(30));
     const auto expected = reader.m_steering.directory().RegisteredNames();
@@ -164,8 +183,9 @@
   peer.m_view.ApplyServerList({MakeServer("i-9", 2)}, catalog::Revision(4),
                               At(0));
 
-  const auto delta = reader.m_view.MakeDelta(
-      catalog::Revision(4), {}, catalog::Revision(6), catalog::Revision(2));
+  const auto delta =
+      reader.m_view.MakeDelta({catalog::Revision(4), {}, {}},
+                              catalog::Revision(6), catalog::Revision(2));
   peer.m_view.ApplyServerDelta(delta, At(10));
 
   CHECK(delta.m_since == catalog::Revision());
@@ -178,8 +198,9 @@
   reader.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(6),
                                 At(0));
 
-  const auto delta = reader.m_view.MakeDelta(
-      catalog::Revision(9), {}, catalog::Revision(6), catalog::Revision(2));
+  const auto delta =
+      reader.m_view.MakeDelta({catalog::Revision(9), {}, {}},
+                              catalog::Revision(6), catalog::Revision(2));
 
   CHECK(delta.m_since == catalog::Revision(9));
   CHECK(delta.m_servers.empty());
@@ -193,8 +214,9 @@
   REQUIRE(reader.m_view.ApplyManifest(manifest));
 
   const auto delta_since = [&reader](std::uint64_t version) {
-    return reader.m_view.MakeDelta({}, base::ConfigurationVersion(version), {},
-                                   catalog::Revision(6));
+    return reader.m_view.MakeDelta(
+        {{}, base::ConfigurationVersion(version), {}}, {},
+        catalog::Revision(6));
   };
 
   CHECK(delta_since(0).m_manifest);
@@ -218,6 +240,89 @@
   CHECK(snapshot.m_manifest.m_version == base::ConfigurationVersion(3));
 }
 
+TEST_CASE("each start and end of an evacuation is returned once") {
+  StoreViewFixture fixture;
+  steering::ServerRecord server = MakeServer("i-1", 1);
+  server.m_data_centre = kHall1;
+  fixture.m_view.ApplyServerList({server}, catalog::Revision(20), At(0));
+
+  const auto started = fixture.m_view.ApplyEvacuations(
+      MakeEvacuations(21, {kHall1, kUnknown}), At(10));
+  CHECK(fixture.m_view
+            .ApplyEvacuationEvents({{kHall1, catalog::Revision(22)}},
+                                   catalog::Revision(22), At(20))
+            .empty());
+  const auto ended = fixture.m_view.ApplyEvacuationEvents(
+      {{kHall1, std::nullopt}}, catalog::Revision(23), At(30));
+
+  REQUIRE(started.size() == 2);
+  CHECK(started[0].m_data_centre == kHall1);
+  CHECK(started[0].m_has_started);
+  CHECK(started[0].m_servers == 1);
+  // No server has named this data centre; the evacuation has no effect.
+  CHECK(started[1].m_servers == 0);
+  REQUIRE(ended.size() == 1);
+  CHECK_FALSE(ended[0].m_has_started);
+  CHECK(fixture.Evacuated() == std::set{kUnknown});
+  CHECK(fixture.m_steering.EvacuationEndedAt(kHall1) == At(30));
+}
+
+TEST_CASE(
+    "a list after lost history, or of a restored store, ends the evacuations "
+    "that it lacks") {
+  for (const catalog::Revision listed :
+       {catalog::Revision(30), catalog::Revision(base::StoreEra(1), 5)}) {
+    StoreViewFixture fixture;
+    fixture.m_view.ApplyEvacuations(MakeEvacuations(21, {kHall1, kHall2}),
+                                    At(10));
+
+    const auto changes =
+        fixture.m_view.ApplyEvacuations({listed, {{kHall2, listed}}}, At(20));
+
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].m_data_centre == kHall1);
+    CHECK(fixture.Evacuated() == std::set{kHall2});
+    CHECK(fixture.m_view.evacuations().m_revision == listed);
+  }
+}
+
+TEST_CASE(
+    "a peer gets all evacuations if it knows an older revision, and none if "
+    "not") {
+  StoreViewFixture reader;
+  reader.m_view.ApplyEvacuations(MakeEvacuations(21, {kHall1}), At(0));
+  const auto evacuations_since = [&reader](catalog::Revision known) {
+    return reader.m_view.MakeDelta({{}, {}, known}, {}, {}).m_evacuations;
+  };
+
+  CHECK(evacuations_since({}) == reader.m_view.evacuations());
+  CHECK(evacuations_since(catalog::Revision(20)) ==
+        reader.m_view.evacuations());
+  CHECK_FALSE(evacuations_since(catalog::Revision(21)));
+  CHECK_FALSE(evacuations_since({base::StoreEra(1), 3}));
+  CHECK(reader.m_view.MakeSnapshot({}, {}).m_evacuations ==
+        reader.m_view.evacuations());
+}
+
+TEST_CASE(
+    "objects of other programs cannot displace the evacuation of a data centre "
+    "in use, nor prevent that views are encoded") {
+  StoreViewFixture fixture;
+  steering::ServerRecord server = MakeServer("i-1", 1);
+  server.m_data_centre = base::DataCentreId("z");
+  fixture.m_view.ApplyServerList({server}, catalog::Revision(20), At(0));
+  catalog::Evacuations many = MakeEvacuations(21, {server.m_data_centre});
+  for (int i = 0; i < 3000; ++i)
+    many.m_objects[base::DataCentreId(
+        std::string("a").append(std::to_string(i)))] = {};
+
+  fixture.m_view.ApplyEvacuations(many, At(10));
+
+  CHECK(fixture.Evacuated().contains(server.m_data_centre));
+  CHECK(fixture.Evacuated().size() == catalog::kMaximumEvacuations);
+  CHECK(catalog::EncodeSnapshot(fixture.m_view.MakeSnapshot({}, {})));
+}
+
 // The readers' revisions had smaller numbers than the follower's.
 TEST_CASE(
     "after a restore of the store a follower gets the manifest and the servers "
@@ -233,7 +338,7 @@
                                   catalog::Revision(170), At(0));
 
   const auto delta = reader.m_view.MakeDelta(
-      catalog::Revision(170), base::ConfigurationVersion(11), restored,
+      {catalog::Revision(170), base::ConfigurationVersion(11), {}}, restored,
       catalog::Revision(base::StoreEra(1), 150));
 
   CHECK(delta.m_since == catalog::Revision());
--- a/Tests/LibFeed/test_feed_codec.cc
+++ b/Tests/LibFeed/test_feed_codec.cc
@@ -23,6 +23,7 @@
   request.m_is_reader = true;
   request.m_servers = catalog::Revision(370);
   request.m_manifest = {base::StoreEra(3), 361};
+  request.m_evacuations = {base::StoreEra(3), 362};
   request.m_manifest_version = base::ConfigurationVersion(14);
   return request;
 }
@@ -35,6 +36,7 @@
   response.m_is_reader = true;
   response.m_status.m_is_current = true;
   response.m_status.m_servers = {base::StoreEra(3), 371};
+  response.m_status.m_evacuations = {base::StoreEra(3), 372};
   response.m_status.m_manifest_version = base::ConfigurationVersion(15);
   response.m_status.m_confirmed_age = milliseconds(1200);
   response.m_readers = {{base::Ipv4Address(0x0A010003),
@@ -56,11 +58,13 @@
   CHECK_FALSE(first.m_is_current);
   CHECK(first.m_servers == catalog::Revision(370));
   CHECK(first.m_manifest == MakeRequest().m_manifest);
+  CHECK(first.m_evacuations == MakeRequest().m_evacuations);
   CHECK(first.m_manifest_version == base::ConfigurationVersion(14));
   REQUIRE(response);
   const auto& second = std::get<FeedResponse>(response.value());
   CHECK(second.m_data_centre == base::DataCentreId("hall-2"));
   CHECK(second.m_status.m_servers == MakeResponse().m_status.m_servers);
+  CHECK(second.m_status.m_evacuations == MakeResponse().m_status.m_evacuations);
   CHECK(second.m_status.m_manifest_version == base::ConfigurationVersion(15));
   CHECK(second.m_status.m_confirmed_age == milliseconds(1200));
   CHECK_FALSE(second.m_status.m_outage_ended_age);
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -266,6 +266,56 @@
         ResponseVerdict::kFetchChanges);
 }
 
+TEST_CASE(
+    "evacuations are compared like the other collections, and only if the "
+    "settings need them") {
+  const auto verdict = [](catalog::Revision known, catalog::Revision offered,
+                          bool is_needed) {
+    FeedMember member(MakeSettings(), 1, At(0));
+    StoreStatus own = MakeStatus(9);
+    own.m_needs_evacuations = is_needed;
+    own.m_evacuations = known;
+    const FeedPoll poll = PollOnce(member, own, At(0));
+    CHECK(poll.m_request.m_evacuations == known);
+    FeedResponse response = MakeResponse(poll, 9);
+    response.m_status.m_evacuations = offered;
+    const auto result =
+        member.HandleResponse(poll.m_peer, response, own, At(2));
+    // What is no news and not behind is as new as the reader's view.
+    CHECK((result == ResponseVerdict::kNothingNew) ==
+          (member.IsFed(At(2)) && (!is_needed || offered >= known)));
+    return result;
+  };
+  const catalog::Revision none;
+  const catalog::Revision restored(base::StoreEra(1), 3);
+
+  CHECK(verdict(catalog::Revision(5), catalog::Revision(6), true) ==
+        ResponseVerdict::kFetchChanges);
+  CHECK(verdict(catalog::Revision(5), restored, true) ==
+        ResponseVerdict::kFetchChanges);
+  CHECK(verdict(none, catalog::Revision(6), true) ==
+        ResponseVerdict::kFetchChanges);
+  CHECK(verdict(catalog::Revision(5), catalog::Revision(5), true) ==
+        ResponseVerdict::kNothingNew);
+  CHECK(verdict(catalog::Revision(6), catalog::Revision(5), true) ==
+        ResponseVerdict::kBehind);
+  CHECK(verdict(none, catalog::Revision(6), false) ==
+        ResponseVerdict::kNothingNew);
+}
+
+TEST_CASE(
+    "a reader that does not read the evacuations feeds no balancer that needs "
+    "them") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  StoreStatus own = MakeStatus(5);
+  own.m_needs_evacuations = true;
+  const FeedPoll poll = PollOnce(member, own, At(0));
+
+  CHECK(member.HandleResponse(poll.m_peer, MakeResponse(poll, 9), own, At(2)) ==
+        ResponseVerdict::kBehind);
+  CHECK_FALSE(member.IsFed(At(2)));
+}
+
 // A balancer that started after the restore had read an older manifest.
 TEST_CASE("a manifest that is newer than the restored store's is fetched") {
   FeedMember member(MakeSettings(), 1, At(0));
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -270,6 +270,62 @@
   CHECK(response.m_objects.m_servers.empty());
 }
 
+TEST_CASE(
+    "an evacuation counts whatever its content is, as its name alone tells the "
+    "data centre") {
+  for (const char* spec : {"{}", "null", "7", R"({"note":1e400})",
+                           R"({"note":"half a pair \ud83d"})"}) {
+    CAPTURE(spec);
+    const CollectionResponse page =
+        DecodePage(Collection::kEvacuations,
+                   R"({"items":[)" + ServerObject("hall-1", spec) +
+                       R"(],"more":false,"store_revision":9})");
+    const CollectionResponse changes = DecodeChanges(
+        Collection::kEvacuations, R"({"events":[{"deleted":false,"object":)" +
+                                      ServerObject("hall-1", spec) +
+                                      R"(}],"store_revision":9})");
+    for (const CollectionResponse& response : {page, changes}) {
+      REQUIRE(response.m_objects.m_evacuations.size() == 1);
+      const auto& evacuation = response.m_objects.m_evacuations[0];
+      CHECK(evacuation.m_data_centre == base::DataCentreId("hall-1"));
+      CHECK(evacuation.m_revision == catalog::Revision(7));
+      CHECK(response.m_objects.m_ignored == 0);
+    }
+  }
+}
+
+TEST_CASE("a removed object ends the evacuation, in the order of the events") {
+  const std::string object = ServerObject("hall-1", "{}");
+  const CollectionResponse response = DecodeChanges(
+      Collection::kEvacuations, R"({"events":[{"deleted":false,"object":)" +
+                                    object + R"(},{"deleted":true,"object":)" +
+                                    object + R"(}],"store_revision":9})");
+
+  REQUIRE(response.m_objects.m_evacuations.size() == 2);
+  CHECK(response.m_objects.m_evacuations[0].m_revision);
+  CHECK_FALSE(response.m_objects.m_evacuations[1].m_revision);
+}
+
+TEST_CASE(
+    "an evacuation without a usable name is ignored and reported, and those "
+    "beside it count") {
+  for (const std::string& name :
+       {std::string("7"), std::string(R"("")"), std::string(R"("\ud83d")"),
+        '"' + std::string(2000, 'h') + '"'}) {
+    CAPTURE(name);
+    const CollectionResponse response = DecodePage(
+        Collection::kEvacuations, R"({"items":[{"meta":{"name":)" + name +
+                                      R"(,"revision":3},"spec":{}},)" +
+                                      ServerObject("hall-2", "{}") +
+                                      R"(],"more":false,"store_revision":9})");
+    REQUIRE(response.m_objects.m_evacuations.size() == 1);
+    CHECK(response.m_objects.m_evacuations[0].m_data_centre ==
+          base::DataCentreId("hall-2"));
+    CHECK(response.m_objects.m_ignored == 1);
+    CHECK(response.m_objects.m_problems.list().size() == 1);
+  }
+}
+
 TEST_CASE("an odd object beside the manifest does not affect it") {
   const std::string manifest =
       R"({"meta":{"name":"main"},"spec":{"version":7,"routes":[]}})";
--- a/Tests/Platform/test_store_calls.cc
+++ b/Tests/Platform/test_store_calls.cc
@@ -45,6 +45,22 @@
             .m_path == "/-/objects/servers?after=i-7f");
 }
 
+TEST_CASE("the evacuations are read from a kind of their own, with their era") {
+  CHECK(MakeRequest(kStore, Collection::kEvacuations, kWatch).m_path ==
+        "/-/objects/evacuations?watch=530&wait_ms=4000");
+  http::Response response = MakeResponse(
+      200, R"({"items":[{"meta":{"name":"hall-1","revision":8},"spec":{}}],)"
+           R"("more":false,"store_revision":9})");
+  response.m_headers = {{"store-era", "4"}};
+
+  const CollectionResponse decoded =
+      DecodeResponse(Collection::kEvacuations, catalog::ListCall{}, response);
+
+  REQUIRE(decoded.m_objects.m_evacuations.size() == 1);
+  CHECK(decoded.m_objects.m_evacuations[0].m_revision ==
+        catalog::Revision(base::StoreEra(4), 8));
+}
+
 TEST_CASE("the timeout of a watch is its wait plus the timeout of a list") {
   const http::Request watch = MakeRequest(kStore, Collection::kServers, kWatch);
   const http::Request list =
