Tests/Soak: Evacuate data centres

Every other seed evacuates a data centre for 6.5 to 9 s, drawn after the other faults so that a seed keeps them. No server there may accept an opening later than the bound after the start (EVACUATED), and openings must not be refused later than the bound after the end.

--- a/Tests/Soak/deployment_profile.h
+++ b/Tests/Soak/deployment_profile.h
@@ -25,6 +25,7 @@
   int m_drain_bound_ms = 3000;
   int m_configuration_bound_ms = 3000;
   int m_settling_time_ms = 4000;
+  int m_evacuation_bound_ms = 5000;
 };
 
 // The bounds of the users' sites.
--- a/Tests/Soak/edge_fleet.cc
+++ b/Tests/Soak/edge_fleet.cc
@@ -189,7 +189,8 @@
       << R"(,17735],"seeds":[)" << seeds
       << R"(],"heartbeat_ms":1200,"forward_mode":"echo","bounds":{"drain_ms":)"
       << changes.m_drain_bound_ms << R"(,"config_apply_ms":)"
-      << m_profile.m_configuration_bound_ms << R"(,"stable_window_ms":)"
+      << m_profile.m_configuration_bound_ms << R"(,"evacuate_ms":)"
+      << m_profile.m_evacuation_bound_ms << R"(,"stable_window_ms":)"
       << m_profile.m_settling_time_ms << R"(,"grace_s":6},)"
       << R"("platform":{"address":")" << ToString(m_network.StoreProxy(index))
       << R"(","forward_mode":"objects"}})";
--- a/Tests/Soak/fault_schedule.cc
+++ b/Tests/Soak/fault_schedule.cc
@@ -23,12 +23,20 @@
 constexpr std::uint64_t kFaultCountRange = 8;
 // The first kinds of the table; the seeds of regressions.txt draw from these.
 constexpr std::size_t kSingleFaultKinds = 23;
+// The kinds before kEvacuate; the seed of edge_soak_grown draws from these.
+constexpr std::size_t kSeriesFaultKinds = 35;
 constexpr std::uint64_t kMinimumSeriesFaults = 12;
 constexpr std::uint64_t kSeriesFaultCountRange = 12;
 constexpr std::uint64_t kRouteChanges = 12;
 constexpr std::uint64_t kMinimumLengthMs = 500;
 constexpr std::uint64_t kLengthRangeMs = 4500;
 constexpr std::uint64_t kRestoreOneIn = 3;
+constexpr std::uint64_t kEvacuateOneIn = 2;
+// Longer than the bound on evacuations.
+constexpr std::uint64_t kMinimumEvacuationMs = 6500;
+constexpr std::uint64_t kEvacuationRangeMs = 2500;
+// A multiple of the numbers of data centres of the deployments.
+constexpr std::uint64_t kEvacuationTargets = 6;
 // The time that a restarted balancer needs until it serves.
 constexpr base::Duration kRestartTime = milliseconds(500);
 // The users' grace_s, after which a process that was told to stop is killed.
@@ -87,6 +95,21 @@
   return faults;
 }
 
+// Adds an evacuation to every other seed. Drawn after the other faults, so that
+// a seed keeps them, and in the first half, so that it has ended when the last
+// requests are counted.
+void AddEvacuation(std::uint64_t seed,
+                   base::Duration length,
+                   std::vector<Fault>& faults) {
+  base::Random random(seed + 2);
+  if (random.Below(kEvacuateOneIn) != 0)
+    return;
+  faults.push_back(
+      {FaultKind::kEvacuate, DrawTime(random, length / 2),
+       milliseconds(kMinimumEvacuationMs + random.Below(kEvacuationRangeMs)),
+       static_cast<std::uint32_t>(random.Below(kEvacuationTargets))});
+}
+
 void InjectStorePathFault(const Fault& fault,
                           const std::string& rule,
                           SoakHarness& harness) {
@@ -210,6 +233,7 @@
     faults.push_back(
         {FaultKind::kRestoreStore, DrawTime(random, length),
          milliseconds(kMinimumLengthMs + random.Below(kLengthRangeMs))});
+  AddEvacuation(seed, length, faults);
   SortByStart(faults);
   return faults;
 }
@@ -220,7 +244,7 @@
                                   std::uint32_t servers) {
   std::vector<Fault> faults = Generate(
       seed, length, edges, servers,
-      {kMinimumSeriesFaults, kSeriesFaultCountRange, kFaultKindNames.size()});
+      {kMinimumSeriesFaults, kSeriesFaultCountRange, kSeriesFaultKinds});
   const bool has_store_faults = seed % 2 == 0;
   if (!has_store_faults)
     std::erase_if(
@@ -229,6 +253,7 @@
   for (std::uint64_t i = 0; i < kRouteChanges; ++i)
     faults.push_back({i % 2 == 0 ? FaultKind::kAddRoute : FaultKind::kDropRoute,
                       DrawTime(random, length)});
+  AddEvacuation(seed, length, faults);
   SortByStart(faults);
   return faults;
 }
@@ -337,6 +362,8 @@
       return;
     case FaultKind::kRestoreStore:
       return harness.RestoreStore(length);
+    case FaultKind::kEvacuate:
+      return harness.Evacuate(fault.m_target, length);
   }
 }
 
--- a/Tests/Soak/fault_schedule.h
+++ b/Tests/Soak/fault_schedule.h
@@ -51,9 +51,10 @@
   kCutReaders,
   kPauseReaders,
   kRestoreStore,
+  kEvacuate,
 };
 
-inline constexpr base::EnumTable<FaultKind, 35> kFaultKindNames{{
+inline constexpr base::EnumTable<FaultKind, 36> kFaultKindNames{{
     {FaultKind::kKillEdge, "kill_edge"},
     {FaultKind::kStopEdge, "stop_edge"},
     {FaultKind::kPauseEdge, "pause_edge"},
@@ -89,13 +90,14 @@
     {FaultKind::kCutReaders, "cut_readers"},
     {FaultKind::kPauseReaders, "pause_readers"},
     {FaultKind::kRestoreStore, "restore_store"},
+    {FaultKind::kEvacuate, "evacuate"},
 }};
 
 struct Fault {
   FaultKind m_kind = FaultKind::kGarbage;
   base::Duration m_at{};
   base::Duration m_length{};
-  // The index of a balancer or of a backend server.
+  // The index of a balancer, of a backend server or of a data centre.
   std::uint32_t m_target = 0;
 };
 
--- a/Tests/Soak/invariant_checker.cc
+++ b/Tests/Soak/invariant_checker.cc
@@ -26,7 +26,9 @@
     : m_change_deadline(std::chrono::milliseconds(
           std::max(profile.m_drain_bound_ms,
                    profile.m_configuration_bound_ms))),
-      m_settling_time(std::chrono::milliseconds(profile.m_settling_time_ms)) {}
+      m_settling_time(std::chrono::milliseconds(profile.m_settling_time_ms)),
+      m_evacuation_bound(
+          std::chrono::milliseconds(profile.m_evacuation_bound_ms)) {}
 
 std::pair<std::uint64_t, std::uint64_t> InvariantChecker::ServedSince(
     base::TimePoint since) const {
@@ -63,8 +65,20 @@
 
 void InvariantChecker::OnServerRegistered(const std::string& server,
                                           const std::string& service,
+                                          const std::string& data_centre,
                                           base::TimePoint now) {
-  m_registered[server] = {service, now};
+  m_registered[server] = {service, data_centre, now};
+  m_data_centres[server] = data_centre;
+}
+
+void InvariantChecker::OnEvacuationStarted(const std::string& data_centre,
+                                           base::TimePoint now) {
+  m_evacuations[data_centre] = {now, std::nullopt};
+}
+
+void InvariantChecker::OnEvacuationEnded(const std::string& data_centre,
+                                         base::TimePoint now) {
+  m_evacuations[data_centre].m_ended_at = now;
 }
 
 void InvariantChecker::OnEntriesLapsed() {
@@ -120,6 +134,8 @@
   if (route->second.m_dropped_at &&
       now > *route->second.m_dropped_at + m_change_deadline)
     Report("CONFIG", "an opening used a removed route: " + details);
+  if (MustBeEvacuated(server, now))
+    Report("EVACUATED", details);
   const auto draining = m_draining.find(server);
   if (draining != m_draining.end() &&
       now > draining->second + m_change_deadline)
@@ -196,10 +212,30 @@
     return server.m_service == service &&
            now >= server.m_since + m_settling_time &&
            !m_draining.contains(entry.first) &&
+           !MayBeEvacuated(server.m_data_centre, now) &&
            IsSettled(m_servers_disturbed_until, entry.first, now);
   });
 }
 
+bool InvariantChecker::MayBeEvacuated(const std::string& data_centre,
+                                      base::TimePoint now) const {
+  const auto found = m_evacuations.find(data_centre);
+  if (found == m_evacuations.end())
+    return false;
+  const auto& ended_at = found->second.m_ended_at;
+  return !ended_at || now <= *ended_at + m_evacuation_bound;
+}
+
+bool InvariantChecker::MustBeEvacuated(const std::string& server,
+                                       base::TimePoint now) const {
+  const auto data_centre = m_data_centres.find(server);
+  if (data_centre == m_data_centres.end())
+    return false;
+  const auto found = m_evacuations.find(data_centre->second);
+  return found != m_evacuations.end() && !found->second.m_ended_at &&
+         now > found->second.m_started_at + m_evacuation_bound;
+}
+
 bool InvariantChecker::HasShown(base::Ipv4Address edge,
                                 std::uint64_t change,
                                 base::TimePoint now) const {
--- a/Tests/Soak/invariant_checker.h
+++ b/Tests/Soak/invariant_checker.h
@@ -48,6 +48,7 @@
   void OnEdgeStarted(base::Ipv4Address edge);
   void OnServerRegistered(const std::string& server,
                           const std::string& service,
+                          const std::string& data_centre,
                           base::TimePoint now);
   void OnServerDeregistered(const std::string& server) {
     m_registered.erase(server);
@@ -55,6 +56,9 @@
   // The store removed the entries of servers that run.
   void OnEntriesLapsed();
   void OnDrainAcknowledged(const std::string& server, base::TimePoint now);
+  // The store acknowledged the start or the end of an evacuation.
+  void OnEvacuationStarted(const std::string& data_centre, base::TimePoint now);
+  void OnEvacuationEnded(const std::string& data_centre, base::TimePoint now);
   void OnRouteAdded(base::Endpoint address,
                     const std::string& service,
                     base::TimePoint now);
@@ -94,8 +98,13 @@
   };
   struct RegisteredServer {
     std::string m_service;
+    std::string m_data_centre;
     base::TimePoint m_since;
   };
+  struct Evacuation {
+    base::TimePoint m_started_at;
+    std::optional<base::TimePoint> m_ended_at;
+  };
   // A change that a server saw in force at a balancer.
   struct SeenChange {
     std::uint64_t m_number = 0;
@@ -113,6 +122,11 @@
   // Whether a balancer must know a server of each service of the route.
   bool HasServers(const RouteHistory& route, base::TimePoint now) const;
   bool HasServer(const std::string& service, base::TimePoint now) const;
+  // Whether a balancer may refuse openings to servers of the data centre.
+  bool MayBeEvacuated(const std::string& data_centre,
+                      base::TimePoint now) const;
+  // Whether every balancer with a current view knows of the evacuation.
+  bool MustBeEvacuated(const std::string& server, base::TimePoint now) const;
   // Whether a server saw the change, or a later one, in force at the balancer's
   // process longer ago than the slack for regressions.
   bool HasShown(base::Ipv4Address edge,
@@ -129,6 +143,7 @@
 
   base::Duration m_change_deadline;
   base::Duration m_settling_time;
+  base::Duration m_evacuation_bound;
   std::map<std::string, base::TimePoint> m_edges_disturbed_until;
   std::map<std::string, base::TimePoint> m_servers_disturbed_until;
   base::TimePoint m_store_disturbed_until;
@@ -139,6 +154,9 @@
   // By balancer and route.
   std::map<std::pair<std::string, base::Endpoint>, int> m_unanswered_probes;
   std::map<std::string, RegisteredServer> m_registered;
+  // Of all servers that ever registered.
+  std::map<std::string, std::string> m_data_centres;
+  std::map<std::string, Evacuation> m_evacuations;
   bool m_have_entries_lapsed = false;
   std::map<flow::FlowKey, OpenFlow> m_open;
   std::set<std::string> m_executed_requests;
--- a/Tests/Soak/soak_harness.cc
+++ b/Tests/Soak/soak_harness.cc
@@ -162,6 +162,7 @@
     for (std::uint32_t index = 0; index < m_servers.size(); ++index)
       Register(index);
     m_store.Put("config", "main", m_manifest);
+    WriteEvacuations();
   });
   Schedule(kRestoreTime + kEntryExpiry, [this] { ExpireEntries(); });
 }
@@ -181,6 +182,29 @@
   m_store.Compact();
 }
 
+void SoakHarness::Evacuate(std::uint32_t data_centre, base::Duration length) {
+  const std::string name =
+      fmt::format("hall-{}", data_centre % m_options.m_profile.m_data_centres);
+  if (!m_evacuated.insert(name).second)
+    return;
+  WriteEvacuations();
+  m_checker.OnEvacuationStarted(name, stand_ins::EventLoop::Now());
+  Schedule(length, [this, name] {
+    m_evacuated.erase(name);
+    WriteEvacuations();
+    m_checker.OnEvacuationEnded(name, stand_ins::EventLoop::Now());
+  });
+}
+
+void SoakHarness::WriteEvacuations() {
+  for (const std::string& name : m_store.Names("evacuations")) {
+    if (!m_evacuated.contains(name))
+      m_store.Remove("evacuations", name);
+  }
+  for (const std::string& name : m_evacuated)
+    m_store.Put("evacuations", name, "{}");
+}
+
 void SoakHarness::PutForeignEntry() {
   constexpr std::size_t kDepth = 400'000;
   constexpr std::size_t kLargeBytes = 900'000;
@@ -276,6 +300,7 @@
   m_store.Put("servers", identity.m_name, server.NextSpec());
   if (!server.IsDraining())
     m_checker.OnServerRegistered(identity.m_name, identity.m_service,
+                                 identity.m_data_centre,
                                  stand_ins::EventLoop::Now());
 }
 
--- a/Tests/Soak/soak_harness.h
+++ b/Tests/Soak/soak_harness.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,8 @@
   // old. The operator and the servers then write again what they wrote.
   void RestoreStore(base::Duration age);
   void CompactStore();
+  // Evacuates a data centre for `length`; the index may exceed their number.
+  void Evacuate(std::uint32_t data_centre, base::Duration length);
   // Writes a server entry that the balancers cannot parse.
   void PutForeignEntry();
   void AddRoute();
@@ -95,6 +98,9 @@
   void Register(std::uint32_t index);
   // Removes the entries of servers that don't run.
   void ExpireEntries();
+  // Writes the evacuations again that a restored store lacks, and removes those
+  // that have ended.
+  void WriteEvacuations();
   void WriteManifest();
   base::Endpoint PickRoute();
   void Schedule(base::Duration delay, std::function<void()> action);
@@ -107,6 +113,7 @@
   std::vector<std::unique_ptr<SoakServer>> m_servers;
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
   std::vector<LiveRoute> m_routes;
+  std::set<std::string> m_evacuated;
   std::uint64_t m_version = 0;
   std::string m_manifest;
   std::uint16_t m_next_port = 1000;
