--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -12,6 +12,7 @@
 #include "LibSteering/flow_token.h"
 #include "LibSteering/server_reachability.h"
 #include "LibSteering/server_record.h"
+#include "LibSteering/slow_answer_evidence.h"
 
 namespace steering {
 
@@ -32,8 +33,13 @@
   std::uint32_t m_flows = 0;
   ServerReachability m_reachability;
   AnswerStatistics m_answer_statistics;
+  // Recorded only while the balancer may send extra openings.
+  SlowAnswerEvidence m_slow_answers;
   // The server is on the list of servers that Steering may have to probe.
   bool m_is_on_probe_list = false;
+  // The server's data centre is evacuated: nothing new goes to the server. Kept
+  // up to date by ServerDirectory, since placement visits every server.
+  bool m_is_evacuated = false;
 
   bool IsGone() const { return m_gone_since.has_value(); }
   // The record was removed although the server had not announced its end by
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -1,12 +1,14 @@
 #include "edge_process.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <signal.h>
 #include <unistd.h>
 
 #include <chrono>
 #include <random>
 #include <utility>
+#include <vector>
 
 #include "LibBase/asio_error.h"
 #include "LibBase/milliseconds.h"
@@ -44,14 +46,18 @@
                          ControlSignals& signals,
                          const EdgeSettings& settings,
                          const std::string& settings_path,
-                         std::optional<std::uint16_t> metrics_port)
+                         std::optional<std::uint16_t> metrics_port,
+                         double extra_openings_percent)
     : m_context(context),
       m_signals(signals),
       m_metrics_port(metrics_port),
       m_settings(EffectiveSettings(settings)),
       m_settings_path(settings_path),
       m_log(STDOUT_FILENO, kLinesPerSecond),
-      m_steering({settings.m_data_centre}, DrawSeed(), base::Clock::now()),
+      m_steering({.m_data_centre = settings.m_data_centre,
+                  .m_extra_openings_percent = extra_openings_percent},
+                 DrawSeed(),
+                 base::Clock::now()),
       m_view(m_context,
              m_settings,
              m_steering,
@@ -245,11 +251,14 @@
 std::string EdgeProcess::RenderStatus() const {
   const ViewVersion version = m_view.Version(base::Clock::now());
   const auto& directory = m_steering.directory();
+  std::vector<std::string> evacuated;
+  for (const base::DataCentreId& data_centre : directory.Evacuated())
+    evacuated.push_back(observability::QuoteJson(data_centre.value()));
   return fmt::format(
       R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
       R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
       R"("store_era":{},"servers_revision":{},"servers_age_ms":{},"flows":{},)"
-      R"("store_calls":{},"reader":{}}})"
+      R"("store_calls":{},"reader":{},"evacuated":[{}]}})"
       "\n",
       observability::QuoteJson(m_settings.m_vm),
       observability::QuoteJson(m_settings.m_data_centre.value()),
@@ -260,7 +269,8 @@
       version.m_servers_revision,
       version.m_servers_age ? base::WholeMilliseconds(*version.m_servers_age)
                             : -1,
-      m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader());
+      m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader(),
+      fmt::join(evacuated, ","));
 }
 
 void EdgeProcess::UpdateReadiness() {
@@ -328,12 +338,22 @@
     if (server != nullptr)
       m_decision_log.WriteUnanswered(request, *server, overdue_after, now);
   }
+  LogSlowServers(now);
   ProbeServers(now);
   m_packets->Sweep();
   StopIfDone(now);
   m_log.Flush();
 }
 
+void EdgeProcess::LogSlowServers(base::TimePoint now) {
+  for (const steering::SlowServerChange& change :
+       m_steering.TakeSlowServerChanges()) {
+    const auto* server = m_steering.directory().FindByHandle(change.m_server);
+    if (server != nullptr)
+      m_decision_log.WriteSlowness(*server, change.m_is_slow, now);
+  }
+}
+
 void EdgeProcess::CheckForPause(base::TimePoint now) {
   const auto pause = m_pauses.DetectPause(BootTime());
   if (!pause)
@@ -398,9 +418,14 @@
       "coltsfootdale_servers_ready", "Backend servers that take openings",
       static_cast<double>(
           m_steering.directory().Count(steering::ServerState::kReady)));
+  m_metrics.SetGauge(
+      "coltsfootdale_evacuations", "Data centres that are evacuated",
+      static_cast<double>(m_steering.directory().Evacuated().size()));
   m_metrics.SetGauge("coltsfootdale_probes",
                      "Probes of servers since the start",
                      static_cast<double>(m_prober.Probes()));
+  if (m_steering.extra_openings().IsEnabled())
+    m_metrics.SetExtraOpenings(m_steering.extra_openings());
   m_metrics.SetGauge("coltsfootdale_flows", "Flows seen of late",
                      static_cast<double>(m_steering.tracker().size()));
   m_metrics.SetGauge("coltsfootdale_log_lines_dropped",
