--- a/Libraries/LibConfiguration/problem.h
+++ b/Libraries/LibConfiguration/problem.h
@@ -33,12 +33,14 @@
   kIdCollision,
   // The incarnation of a backend server is too low.
   kIncarnation,
-  // The only warning: the change is allowed but breaks open flows of a service
-  // or a backend server that was not drained before.
+  // A warning: the change is allowed but breaks open flows of a service, a
+  // backend server or a route that was not drained before.
   kDrainFirst,
+  // A warning: the entry is allowed but never takes effect.
+  kNeverUsed,
 };
 
-inline constexpr base::EnumTable<ProblemKind, 15> kProblemKindNames{{
+inline constexpr base::EnumTable<ProblemKind, 16> kProblemKindNames{{
     {ProblemKind::kSyntax, "syntax"},
     {ProblemKind::kTooLarge, "too_large"},
     {ProblemKind::kTooDeep, "too_deep"},
@@ -54,6 +56,7 @@
     {ProblemKind::kIdCollision, "id_collision"},
     {ProblemKind::kIncarnation, "incarnation"},
     {ProblemKind::kDrainFirst, "drain_first"},
+    {ProblemKind::kNeverUsed, "never_used"},
 }};
 
 // A position in a text. Lines and columns count from 1; 0 means that the
@@ -73,7 +76,10 @@
   std::string m_message;
   Position m_position;
 
-  bool IsWarning() const { return m_kind == ProblemKind::kDrainFirst; }
+  bool IsWarning() const {
+    return m_kind == ProblemKind::kDrainFirst ||
+           m_kind == ProblemKind::kNeverUsed;
+  }
 
   friend bool operator==(const Problem&, const Problem&) = default;
 };
--- a/Services/Edge/commands.cc
+++ b/Services/Edge/commands.cc
@@ -9,7 +9,6 @@
 
 #include "LibHttp/client.h"
 #include "LibLogTrace/log_trace.h"
-#include "platform/manifest_check.h"
 #include "settings_file.h"
 
 namespace edge {
@@ -44,28 +43,6 @@
   return ExitCode::kRefused;
 }
 
-ExitCode CheckManifest(const std::string& path) {
-  const auto text = ReadSettingsFile(path);
-  if (!text) {
-    std::cerr << path << ": cannot be read: " << text.error().message() << "\n";
-    return ExitCode::kUsage;
-  }
-  const adapter::ManifestReport report = adapter::CheckManifest(text.value());
-  if (!report.m_manifest) {
-    std::cerr << path << ": not a valid manifest: " << report.m_problem << "\n";
-    return ExitCode::kRefused;
-  }
-  std::cout << "version " << report.m_manifest->m_version.value() << ", "
-            << report.m_manifest->m_routes.size() << " routes\n";
-  const adapter::FieldProblems& problems = report.m_field_problems;
-  for (const adapter::FieldProblem& problem : problems.list())
-    std::cerr << path << ": " << ToString(problem) << "\n";
-  if (problems.Omitted() > 0)
-    std::cerr << path << ": " << problems.Omitted()
-              << " more fields cannot be used\n";
-  return problems.list().empty() ? ExitCode::kDone : ExitCode::kRefused;
-}
-
 ExitCode PrintStatus(base::Endpoint metrics) {
   asio::io_context context(1);
   http::Client client(context);
--- a/Services/Edge/commands.h
+++ b/Services/Edge/commands.h
@@ -13,9 +13,6 @@
 namespace edge {
 
 ExitCode CheckSettings(const std::string& path);
-// Checks the manifest in the file at `path`, which has the form of the store's
-// object.
-ExitCode CheckManifest(const std::string& path);
 // Prints the status of the balancer with the metrics endpoint `metrics`.
 ExitCode PrintStatus(base::Endpoint metrics);
 // Prints the lines of the log files about a request.
--- a/Services/Edge/exit_code.h
+++ b/Services/Edge/exit_code.h
@@ -12,6 +12,9 @@
   kRefused = 1,
   // The command line is wrong, or a file cannot be read.
   kUsage = 2,
+  // The manifest that was checked has warnings, or at least one error.
+  kWarnings = 1,
+  kErrors = 2,
   // A socket cannot be bound, or the balancer does not respond.
   kUnreachable = 4,
   // An exception that no part handles, such as too few descriptors for the
--- a/Services/Edge/main.cc
+++ b/Services/Edge/main.cc
@@ -20,6 +20,7 @@
 #include "control_signals.h"
 #include "edge_process.h"
 #include "exit_code.h"
+#include "manifest_check_command.h"
 #include "platform/names.h"
 #include "settings_wait.h"
 
@@ -45,27 +46,38 @@
       "  explain  prints the log lines about a request\n"
       "Exit codes: 0 done, 1 the input is invalid or no log line contains the\n"
       "request, 2 usage, 4 a socket cannot be bound or the balancer does not\n"
-      "respond, 5 an internal error.\n\nOptions");
-  description.add_options()("help", "print this text")("version",
-                                                       "print the version")(
-      "settings", options::value<std::string>(),
-      "run, check: the settings file; by default the path\n"
-      "in the environment variable COLTSFOOTDALE_CONFIG")(
-      "metrics-port", options::value<std::uint16_t>(),
-      "run: the TCP port of metrics and status; by default\n"
-      "the first of the settings' internal ports")(
-      "extra-openings-percent", options::value<double>(),
-      "run: the extra openings against slow answers, in percent\n"
-      "of the openings of the last 10 s: 0 (none, the default)\n"
-      "to 20")("manifest", options::value<std::string>(),
-               "check: a file with a manifest's object, checked instead\n"
-               "of settings")(
-      "address", options::value<std::string>(),
-      "status: IP:PORT of the balancer's metrics endpoint")(
-      "request", options::value<std::string>(), "explain: the request's id")(
-      "log", options::value<std::vector<std::string>>()->multitoken(),
-      "explain: log files of the balancers")(
-      "command", options::value<std::string>(), "run, check, status, explain");
+      "respond, 5 an internal error. check --manifest: 0 no problems, 1\n"
+      "warnings, 2 errors.\n\nOptions");
+  auto add = description.add_options();
+  add("help", "print this text");
+  add("version", "print the version");
+  add("settings", options::value<std::string>(),
+      "run, check: the settings file; by default the path "
+      "in the environment variable COLTSFOOTDALE_CONFIG");
+  add("metrics-port", options::value<std::uint16_t>(),
+      "run: the TCP port of metrics and status; by default "
+      "the first of the settings' internal ports");
+  add("extra-openings-percent", options::value<double>(),
+      "run: the extra openings against slow answers, in percent "
+      "of the openings of the last 10 s: 0 (none, the default) "
+      "to 20");
+  add("manifest", options::value<std::string>(),
+      "check: a file with a manifest's object, checked instead "
+      "of settings");
+  add("previous", options::value<std::string>(),
+      "check: a file with the manifest before, to print the "
+      "changes");
+  add("running", options::value<std::string>(),
+      "check: IP:PORT of the control endpoint of a balancer, to "
+      "print the changes from its manifest in force");
+  add("format", options::value<std::string>()->default_value("text"),
+      "check: text or json, for a manifest");
+  add("address", options::value<std::string>(),
+      "status: IP:PORT of the balancer's metrics endpoint");
+  add("request", options::value<std::string>(), "explain: the request's id");
+  add("log", options::value<std::vector<std::string>>()->multitoken(),
+      "explain: log files of the balancers");
+  add("command", options::value<std::string>(), "run, check, status, explain");
   return description;
 }
 
@@ -123,6 +135,22 @@
   }
 }
 
+std::optional<ExitCode> CheckManifest(const options::variables_map& values) {
+  edge::ManifestCheckOptions check;
+  check.m_path = TextOption(values, "manifest");
+  check.m_previous_path = TextOption(values, "previous");
+  check.m_running = base::ParseEndpoint(TextOption(values, "running"));
+  const std::string format = TextOption(values, "format");
+  if (format == "json")
+    check.m_format = edge::ReportFormat::kJson;
+  else if (format != "text")
+    return std::nullopt;
+  if (values.contains("running") &&
+      (!check.m_running || values.contains("previous")))
+    return std::nullopt;
+  return edge::CheckManifest(check);
+}
+
 std::optional<ExitCode> Dispatch(const options::variables_map& values) {
   const std::string command = TextOption(values, "command");
   if (!IsValidPercent(ExtraOpeningsPercent(values)))
@@ -131,7 +159,10 @@
     return Run(values);
   edge::RestoreDefaultSignals();
   if (command == "check" && values.contains("manifest"))
-    return edge::CheckManifest(TextOption(values, "manifest"));
+    return CheckManifest(values);
+  if (command == "check" &&
+      (values.contains("previous") || values.contains("running")))
+    return std::nullopt;
   if (command == "check")
     return edge::CheckSettings(SettingsPath(values));
   const auto address = base::ParseEndpoint(TextOption(values, "address"));
--- a/Services/Edge/settings_file.h
+++ b/Services/Edge/settings_file.h
@@ -3,6 +3,7 @@
 #ifndef SERVICES_EDGE_SETTINGS_FILE_H_
 #define SERVICES_EDGE_SETTINGS_FILE_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -12,9 +13,13 @@
 
 namespace edge {
 
+inline constexpr std::size_t kMaximumSettingsBytes = 1'000'000;
+
 // The content of the file. Errors: those of the system, and file_too_large if
-// the file has more than 1 MB.
-base::Outcome<std::string> ReadSettingsFile(const std::string& path);
+// the file has more than `limit_bytes`.
+base::Outcome<std::string> ReadSettingsFile(
+    const std::string& path,
+    std::size_t limit_bytes = kMaximumSettingsBytes);
 
 // The settings in the result of ReadSettingsFile, or all problems. An error of
 // ReadSettingsFile becomes a problem too.
