LibSteering: Limit the openings to cold servers

A balancer sends a cold server of a service with warmup_per_s at most its share of the rate, in short windows at a random phase. Services without a figure are placed as before.

The placement also takes evidence of other balancers about unanswered requests into account; nothing supplies it yet.

--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -58,6 +58,7 @@
       missing.push_back(name);
   }
   Remove(m_delayed_removals.OnRecordsRemoved(missing, now), now, changes);
+  m_steering.directory().SetHasFirstList();
   return changes;
 }
 
--- a/Libraries/LibSteering/answer_statistics.h
+++ b/Libraries/LibSteering/answer_statistics.h
@@ -36,6 +36,14 @@
     return unanswered / (unanswered + m_answered * factor + kPriorAnswers);
   }
 
+  // The decayed numbers of requests.
+  double Unanswered(base::TimePoint now) const {
+    return m_unanswered == 0 ? 0 : m_unanswered * DecayFactor(now);
+  }
+  double Answered(base::TimePoint now) const {
+    return m_answered == 0 ? 0 : m_answered * DecayFactor(now);
+  }
+
   // Commands.
   void RecordAnswer(base::TimePoint now) {
     Decay(now);
--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -43,11 +43,14 @@
   kServerGone,
   // The flow's server counts as unreachable.
   kServerUnreachable,
+  // All eligible servers of the service are cold, and this balancer's share of
+  // their openings is used up.
+  kServersCold,
   // No manifest or no list of servers has been received yet.
   kNotReady,
 };
 
-inline constexpr base::EnumTable<Reason, 12> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 13> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
@@ -59,6 +62,7 @@
     {Reason::kUnknownToken, "unknown_token"},
     {Reason::kServerGone, "server_gone"},
     {Reason::kServerUnreachable, "server_unreachable"},
+    {Reason::kServersCold, "servers_cold"},
     {Reason::kNotReady, "not_ready"},
 }};
 
--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -12,6 +12,8 @@
 #include "LibSteering/flow_token.h"
 #include "LibSteering/server_reachability.h"
 #include "LibSteering/server_record.h"
+#include "LibSteering/shared_evidence.h"
+#include "LibSteering/warm_up_share.h"
 
 namespace steering {
 
@@ -23,6 +25,14 @@
   ServerTokens m_tokens{};
   // When the server is no longer slow after its start.
   base::TimePoint m_warm_up_ends_at;
+  // When this balancer saw the server start: it registered for the first time,
+  // or with another incarnation. Unset for a server of the first list.
+  std::optional<base::TimePoint> m_started_at;
+  // The server counts as cold until this time for a reason that its record does
+  // not show, such as the end of an evacuation of its data centre.
+  std::optional<base::TimePoint> m_cold_until;
+  // This balancer's share of the openings to the server while it is cold.
+  WarmUpShare m_warm_up_share;
   // When the store's record was removed; unset while the server is registered.
   std::optional<base::TimePoint> m_gone_since;
   // Unanswered requests of this balancer's callers, including openings, without
@@ -32,6 +42,8 @@
   std::uint32_t m_flows = 0;
   ServerReachability m_reachability;
   AnswerStatistics m_answer_statistics;
+  // What the flows of all balancers show about unanswered requests.
+  SharedEvidence m_shared_evidence;
   // The server is on the list of servers that Steering may have to probe.
   bool m_is_on_probe_list = false;
 
--- a/Libraries/LibSteering/opening_placer.cc
+++ b/Libraries/LibSteering/opening_placer.cc
@@ -22,8 +22,10 @@
   const double penalty = server.m_record.m_data_centre == m_own_data_centre
                              ? 0.0
                              : m_policy.m_remote_penalty;
-  const double unanswered = m_policy.m_unanswered_cost *
-                            server.m_answer_statistics.UnansweredShare(now);
+  const double unanswered =
+      m_policy.m_unanswered_cost *
+      std::max(server.m_answer_statistics.UnansweredShare(now),
+               server.m_shared_evidence.UnansweredShare(now));
   return load * factor / slots + penalty + unanswered;
 }
 
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -133,7 +133,10 @@
   if (was_gone || is_restarted) {
     server->m_reachability = ServerReachability();
     server->m_answer_statistics = AnswerStatistics();
+    server->m_shared_evidence = SharedEvidence();
   }
+  if (is_new ? m_has_first_list : is_restarted)
+    server->m_started_at = now;
   if (is_new || was_gone)
     return DirectoryChange::kAdded;
   if (is_restarted)
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -78,10 +78,18 @@
       base::StoreRevision revision) const;
   // The number of registered servers in `state`.
   std::size_t Count(ServerState state) const;
+  // The registered servers by service, those of each in order of their names.
+  const std::map<std::string, std::vector<KnownServer*>, std::less<>>&
+  ByService() const {
+    return m_by_service;
+  }
   // Whether any server that accepts openings does not count as unreachable.
   bool HasReachableServer() const;
 
   // Commands.
+  // From now on, a server that was not known before has just started. The
+  // servers of the first list may have run for long.
+  void SetHasFirstList() { m_has_first_list = true; }
   // Adds or updates a server. Ignores a record that is older than the known
   // record of the same server, see IsOlder.
   DirectoryChange Apply(const ServerRecord& record, base::TimePoint now);
@@ -114,6 +122,7 @@
   // The registered servers of each service in order of their names.
   std::map<std::string, std::vector<KnownServer*>, std::less<>> m_by_service;
   std::uint32_t m_next_handle = 0;
+  bool m_has_first_list = false;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -137,16 +137,19 @@
                                 base::TimePoint now) {
   const std::string& service = route.ServiceFor(flow::HashFlow(packet.m_flow));
   const auto& servers = m_directory.ServersOf(service);
-  auto placement = m_placer.Place(servers, previous_server, m_random, now);
-  if (!placement && previous_server != nullptr)
-    placement = m_placer.Place(servers, nullptr, m_random, now);
+  const ServiceOptions* options = m_routes.OptionsOf(service);
+  auto placement = PlaceAmong(servers, options, previous_server, now);
   // All records may expire at once after the store was unavailable.
   if (!placement && servers.empty())
-    placement = m_placer.Place(
+    placement = PlaceAmong(
         m_directory.ExpiredServersOf(service, now - m_settings.m_expiry_grace),
-        nullptr, m_random, now);
+        options, nullptr, now);
   if (!placement) {
-    Decision refusal = Refuse(packet, Reason::kNoServer);
+    const bool are_cold =
+        WarmUpBudget::IsLimited(options) &&
+        m_placer.Place(servers, nullptr, m_random, now).has_value();
+    Decision refusal =
+        Refuse(packet, are_cold ? Reason::kServersCold : Reason::kNoServer);
     refusal.m_route = &route;
     return refusal;
   }
@@ -168,10 +171,32 @@
   decision.m_reason = previous_server == nullptr   ? Reason::kPlaced
                       : previous_server == &server ? Reason::kPlacedAgain
                                                    : Reason::kPlacedElsewhere;
+  if (previous_server == nullptr)
+    ++m_openings[service];
+  if (previous_server != &server && WarmUpBudget::IsLimited(options) &&
+      WarmUpBudget::IsCold(server, *options, now))
+    WarmUpBudget::RecordOpening(server.m_warm_up_share);
   RecordPlacement(packet.m_flow, server, previous_server, route, now);
   return decision;
 }
 
+std::optional<Placement> Steering::PlaceAmong(
+    std::span<KnownServer* const> servers,
+    const ServiceOptions* options,
+    KnownServer* previous_server,
+    base::TimePoint now) {
+  std::vector<KnownServer*> permitted;
+  if (WarmUpBudget::IsLimited(options)) {
+    permitted =
+        m_warm_up.Permitted(servers, *options, previous_server, m_random, now);
+    servers = permitted;
+  }
+  auto placement = m_placer.Place(servers, previous_server, m_random, now);
+  if (!placement && previous_server != nullptr)
+    placement = m_placer.Place(servers, nullptr, m_random, now);
+  return placement;
+}
+
 void Steering::RecordPlacement(const flow::FlowKey& flow,
                                KnownServer& server,
                                const KnownServer* previous_server,
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -13,7 +13,10 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <span>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -27,6 +30,7 @@
 #include "LibSteering/opening_placer.h"
 #include "LibSteering/route_table.h"
 #include "LibSteering/server_directory.h"
+#include "LibSteering/warm_up_budget.h"
 
 namespace steering {
 
@@ -62,6 +66,10 @@
   const RouteTable& routes() const { return m_routes; }
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
+  // The openings that this balancer has placed since its start, by service.
+  const std::map<std::string, std::uint64_t>& openings() const {
+    return m_openings;
+  }
   // Whether a manifest and a list of servers have been received. Openings
   // can't be decided before.
   bool HasRoutesAndServers() const {
@@ -83,6 +91,9 @@
   }
   // Records that a complete list of servers has been applied.
   void SetServersKnown() { m_are_servers_known = true; }
+  // Limits the openings to cold servers and tells the number of balancers that
+  // share them, see WarmUpBudget.
+  WarmUpBudget& warm_up() { return m_warm_up; }
   // Sets whether the routes in force are known to be the newest. Otherwise a
   // missing route may be one that this balancer has not received yet.
   void SetRoutesCurrent(bool is_current) { m_are_routes_current = is_current; }
@@ -116,6 +127,13 @@
                         const Route& route,
                         KnownServer* previous_server,
                         base::TimePoint now);
+  // The server of least cost, not `previous_server` unless it is the only one.
+  // `options` are those of the service. Cold servers take part while their
+  // budget allows it.
+  std::optional<Placement> PlaceAmong(std::span<KnownServer* const> servers,
+                                      const ServiceOptions* options,
+                                      KnownServer* previous_server,
+                                      base::TimePoint now);
   // Records the opening at its server and schedules its resend.
   // `previous_server` is null for the first placement.
   void RecordPlacement(const flow::FlowKey& flow,
@@ -150,6 +168,8 @@
   ServerDirectory m_directory;
   FlowTracker m_tracker{m_directory};
   OpeningPlacer m_placer;
+  WarmUpBudget m_warm_up;
+  std::map<std::string, std::uint64_t> m_openings;
   // The servers that need probing, so that StartDueProbes does not have to
   // visit every server.
   std::vector<ServerHandle> m_probe_list;
