LibLoadExchange: Exchange load between balancers

Balancers send their load with the feed's polls; the reader of each data centre sums the reports, and the sums spread through responses and the readers' announcements. The number of live balancers divides the rate of cold servers, and a server that leaves requests of several balancers unanswered is avoided by the others.

Nothing is sent unless the settings have evacuate_ms, the manifest has routes with targets and different priorities, or a service has warmup_per_s.

--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -60,6 +60,7 @@
   kReaderStopped,
   kChangesReceived,
   kFeedRefused,
+  kLoadRefused,
   kListenerProblem,
   kProbeNotSent,
   kSettingsReloaded,
@@ -69,7 +70,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 55> kEventNames{{
+inline constexpr base::EnumTable<Event, 56> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
@@ -118,6 +119,7 @@
     {Event::kReaderStopped, "reader_stopped"},
     {Event::kChangesReceived, "changes_received"},
     {Event::kFeedRefused, "feed_refused"},
+    {Event::kLoadRefused, "load_refused"},
     {Event::kListenerProblem, "listener_problem"},
     {Event::kProbeNotSent, "probe_not_sent"},
     {Event::kSettingsReloaded, "settings_reloaded"},
--- a/Libraries/LibSteering/warm_up_budget.h
+++ b/Libraries/LibSteering/warm_up_budget.h
@@ -7,9 +7,9 @@
 // have saved up at the same moment, when the demand rises.
 //
 // The windows of independent balancers fall together at random. With a rate of
-// 20 per second shared out whole, a Poisson distribution exceeds the bound of 35
-// openings (overrun 1.5, slack 5) in one of 1,200 seconds, and in one of ten if
-// the number of balancers is estimated 30% too small. The budget therefore
+// 20 per second shared out whole, a Poisson distribution exceeds the bound of
+// 35 openings (overrun 1.5, slack 5) in one of 1,200 seconds, and in one of ten
+// if the number of balancers is estimated 30% too small. The budget therefore
 // shares out only the rate at which the bound is kTailDeviations standard
 // deviations above the mean despite such an estimate.
 
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -107,6 +107,14 @@
       .Add();
 }
 
+void EdgeMetrics::CountLoad(std::string_view result) {
+  m_registry
+      .CounterOf("coltsfootdale_load_messages_total",
+                 "Messages of peers with load, by what became of the load",
+                 {{"result", std::string(result)}})
+      .Add();
+}
+
 void EdgeMetrics::CountListenerProblem(std::string_view listener,
                                        std::string_view problem) {
   m_registry
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -35,6 +35,9 @@
   void CountFieldProblem(std::string_view field, std::string_view consequence);
   // Counts a message or response of a peer that was not used.
   void CountFeedRefused(std::string_view reason);
+  // Counts the load in a message of a peer; `result` is a name of
+  // load_exchange::kLoadResultNames.
+  void CountLoad(std::string_view result);
   // `problem` is a name of event_loop::kListenerProblemNames.
   void CountListenerProblem(std::string_view listener,
                             std::string_view problem);
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -249,7 +249,8 @@
       R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
       R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
       R"("store_era":{},"servers_revision":{},"servers_age_ms":{},"flows":{},)"
-      R"("store_calls":{},"reader":{}}})"
+      R"("store_calls":{},"reader":{},"exchanges_load":{},)"
+      R"("live_balancers":{}}})"
       "\n",
       observability::QuoteJson(m_settings.m_vm),
       observability::QuoteJson(m_settings.m_data_centre.value()),
@@ -260,7 +261,9 @@
       version.m_servers_revision,
       version.m_servers_age ? base::WholeMilliseconds(*version.m_servers_age)
                             : -1,
-      m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader());
+      m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader(),
+      m_view.ExchangesLoad(),
+      m_view.Fleet().LiveBalancers(base::Clock::now()).value_or(0));
 }
 
 void EdgeProcess::UpdateReadiness() {
@@ -398,6 +401,11 @@
       "coltsfootdale_servers_ready", "Backend servers that take openings",
       static_cast<double>(
           m_steering.directory().Count(steering::ServerState::kReady)));
+  if (m_view.ExchangesLoad())
+    m_metrics.SetGauge(
+        "coltsfootdale_live_balancers",
+        "Balancers that reported their load of late; 0: not known",
+        static_cast<double>(m_view.Fleet().LiveBalancers(now).value_or(0)));
   m_metrics.SetGauge("coltsfootdale_probes",
                      "Probes of servers since the start",
                      static_cast<double>(m_prober.Probes()));
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -123,8 +123,11 @@
 void FeedLink::Advance() {
   const base::TimePoint now = base::Clock::now();
   const feed::StoreStatus status = m_owner.m_status(now);
-  for (const feed::FeedPoll& poll : m_member.Advance(status, now))
-    Send({poll.m_peer, m_endpoint.m_port}, poll.m_request);
+  for (feed::FeedPoll& poll : m_member.Advance(status, now)) {
+    poll.m_request.m_load =
+        m_owner.m_request_load(poll.m_request.m_is_reader, now);
+    Send({poll.m_peer, m_endpoint.m_port}, std::move(poll.m_request));
+  }
   m_owner.m_on_role(now);
   ArmTimer(status, now);
 }
@@ -204,7 +207,11 @@
     if (changes != nullptr && changes->size() <= feed::kMaximumInlineDeltaBytes)
       response->m_delta = *changes;
   }
-  Send(source, *response);
+  if (!request.m_load.empty()) {
+    m_owner.m_on_request_load(source, request.m_load, m_member.IsReader(), now);
+    response->m_load = m_owner.m_response_load(m_member.IsReader(), now);
+  }
+  Send(source, std::move(*response));
 }
 
 void FeedLink::HandleResponse(base::Endpoint source,
@@ -213,6 +220,9 @@
   const feed::StoreStatus own = m_owner.m_status(now);
   const feed::ResponseVerdict verdict =
       m_member.HandleResponse(source.m_address, response, own, now);
+  if (verdict != feed::ResponseVerdict::kUnsolicited &&
+      !response.m_load.empty())
+    m_owner.m_on_response_load(source, response.m_load, now);
   switch (verdict) {
     case feed::ResponseVerdict::kUnsolicited:
       m_owner.m_on_refused(source,
@@ -238,8 +248,12 @@
   Advance();
 }
 
-void FeedLink::Send(base::Endpoint peer, const feed::FeedMessage& message) {
-  const auto bytes = feed::EncodeMessage(message);
+void FeedLink::Send(base::Endpoint peer, feed::FeedMessage message) {
+  auto bytes = feed::EncodeMessage(message);
+  if (!bytes) {
+    std::visit([](auto& content) { content.m_load.clear(); }, message);
+    bytes = feed::EncodeMessage(message);
+  }
   if (!bytes) {
     m_owner.m_on_refused(peer, "does_not_fit");
     return;
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -44,6 +44,21 @@
   // A message or a response was not used.
   std::function<void(base::Endpoint peer, std::string_view reason)>
       m_on_refused;
+  // The load of this balancer and of the fleet that is sent with a request and
+  // with a response; empty if the balancers do not exchange their load.
+  std::function<std::string(bool is_reader, base::TimePoint now)>
+      m_request_load;
+  std::function<std::string(bool is_reader, base::TimePoint now)>
+      m_response_load;
+  // A request or a response contained load.
+  std::function<void(base::Endpoint peer,
+                     std::string_view load,
+                     bool is_reader,
+                     base::TimePoint now)>
+      m_on_request_load;
+  std::function<
+      void(base::Endpoint peer, std::string_view load, base::TimePoint now)>
+      m_on_response_load;
   // The member's role may have changed.
   std::function<void(base::TimePoint now)> m_on_role;
 };
@@ -100,7 +115,9 @@
   void HandleRequest(base::Endpoint source, const feed::FeedRequest& request);
   void HandleResponse(base::Endpoint source,
                       const feed::FeedResponse& response);
-  void Send(base::Endpoint peer, const feed::FeedMessage& message);
+  // Sends the message without its load if it does not fit into a datagram
+  // otherwise.
+  void Send(base::Endpoint peer, feed::FeedMessage message);
   // Fetches the changes that did not fit into a response.
   void FetchChanges(base::Endpoint peer, const feed::StoreStatus& own);
   void ApplyChanges(base::Endpoint peer,
--- a/Services/Edge/view_log.cc
+++ b/Services/Edge/view_log.cc
@@ -165,6 +165,19 @@
                 {{"peer", ToString(peer)}, {"reason", reason}});
 }
 
+void ViewLog::WriteLoad(base::Endpoint peer,
+                        load_exchange::LoadResult result,
+                        base::TimePoint now) {
+  using load_exchange::LoadResult;
+  const std::string_view name = NameOf(load_exchange::kLoadResultNames, result);
+  m_metrics.CountLoad(name);
+  const bool is_fault =
+      result == LoadResult::kMalformed || result == LoadResult::kRefused;
+  if (is_fault && m_log.Admit(Event::kLoadRefused, now))
+    m_log.Write(Severity::kWarning, Event::kLoadRefused,
+                {{"peer", ToString(peer)}, {"reason", name}});
+}
+
 void ViewLog::WriteSnapshotTaken(base::Endpoint peer,
                                  std::size_t servers,
                                  catalog::Revision revision) {
--- a/Services/Edge/view_log.h
+++ b/Services/Edge/view_log.h
@@ -12,6 +12,7 @@
 #include "LibCatalog/view_delta.h"
 #include "LibEdge/store_view.h"
 #include "LibFeed/feed_member.h"
+#include "LibLoadExchange/load_exchange.h"
 #include "LibObservability/non_blocking_log.h"
 #include "edge_metrics.h"
 #include "store_reader.h"
@@ -59,6 +60,10 @@
   void WriteFeedRefused(base::Endpoint peer,
                         std::string_view reason,
                         base::TimePoint now);
+  // The load of a peer's message was accepted or not.
+  void WriteLoad(base::Endpoint peer,
+                 load_exchange::LoadResult result,
+                 base::TimePoint now);
   void WriteSnapshotTaken(base::Endpoint peer,
                           std::size_t servers,
                           catalog::Revision revision);
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -83,14 +83,19 @@
                      const base::Outcome<catalog::Snapshot>& snapshot) {
                 OnSnapshot(peer, snapshot);
               }),
+      m_load(settings.m_feed.value_or(base::Endpoint()).m_address,
+             settings.m_data_centre),
+      m_load_collector(settings.m_data_centre, DrawSeed()),
       m_started_at(base::Clock::now()),
       m_last_sweep(BootTime()) {
   m_peers.SetPeers(settings.m_seeds);
+  UpdateLoadExchange();
 }
 
 base::Outcome<void> ViewUpdater::Listen(
     const std::optional<base::Endpoint>& endpoint) {
   m_settings.m_feed = endpoint;
+  UpdateLoadExchange();
   if (!m_settings.m_feed)
     return base::Success();
   TRY(feed, FeedLink::Create(m_context, *m_settings.m_feed,
@@ -120,9 +125,47 @@
     m_log.WriteFeedRefused(peer, reason, base::Clock::now());
   };
   owner.m_on_role = [this](base::TimePoint now) { ApplyRole(now); };
+  ConnectLoadExchange(owner);
   return owner;
 }
 
+void ViewUpdater::ConnectLoadExchange(FeedOwner& owner) {
+  owner.m_request_load = [this](bool is_reader, base::TimePoint now) {
+    return m_exchanges_load
+               ? m_load.MakeRequestLoad(
+                     m_load_collector.Report(m_steering, m_load.fleet(), now),
+                     is_reader, now)
+               : std::string();
+  };
+  owner.m_response_load = [this](bool is_reader, base::TimePoint now) {
+    return m_exchanges_load
+               ? m_load.MakeResponseLoad(
+                     m_load_collector.Report(m_steering, m_load.fleet(), now),
+                     is_reader, now)
+               : std::string();
+  };
+  owner.m_on_request_load = [this](base::Endpoint peer, std::string_view load,
+                                   bool is_reader, base::TimePoint now) {
+    if (m_exchanges_load)
+      m_log.WriteLoad(
+          peer, m_load.AcceptRequestLoad(peer.m_address, load, is_reader, now),
+          now);
+  };
+  owner.m_on_response_load = [this](base::Endpoint peer, std::string_view load,
+                                    base::TimePoint now) {
+    if (m_exchanges_load)
+      m_log.WriteLoad(peer, m_load.AcceptResponseLoad(load, now), now);
+  };
+}
+
+void ViewUpdater::UpdateLoadExchange() {
+  m_steering.warm_up().SetLimits(
+      {m_settings.m_warm_up_overrun, m_settings.m_warm_up_slack});
+  m_exchanges_load =
+      m_settings.m_feed &&
+      edge::ExchangesLoad(m_settings, m_steering.routes().manifest());
+}
+
 void ViewUpdater::Start() {
   m_started_at = base::Clock::now();
   if (m_feed) {
@@ -135,6 +178,8 @@
 
 void ViewUpdater::Sweep(base::TimePoint now) {
   m_last_sweep = BootTime();
+  if (m_exchanges_load)
+    m_load_collector.Apply(m_load.fleet(), m_steering, now);
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
   m_log.WriteServerChanges(m_view.ApplyDueRemovals(now),
                            m_servers.watcher().KnownRevision(), "lapse", now);
@@ -157,6 +202,7 @@
   m_peers.SetPeers(settings.m_seeds);
   if (m_feed)
     m_feed->SetSettings(MakeFeedSettings(m_settings));
+  UpdateLoadExchange();
   ApplyRole(base::Clock::now());
 }
 
@@ -404,6 +450,7 @@
   if (!m_view.ApplyManifest(manifest))
     return false;
   m_log.WriteManifest(manifest, former, source);
+  UpdateLoadExchange();
   return true;
 }
 
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -16,8 +16,10 @@
 #include "LibBase/outcome.h"
 #include "LibBase/time.h"
 #include "LibEdge/edge_settings.h"
+#include "LibEdge/load_collector.h"
 #include "LibEdge/store_view.h"
 #include "LibEventLoop/http_text_server.h"
+#include "LibLoadExchange/load_exchange.h"
 #include "LibObservability/non_blocking_log.h"
 #include "LibSteering/steering.h"
 #include "decision_log.h"
@@ -50,6 +52,10 @@
   bool AreRoutesCurrent(base::TimePoint now) const;
   // Whether this balancer reads the store for its peers.
   bool IsReader() const;
+  // Whether this balancer exchanges its load with others.
+  bool ExchangesLoad() const { return m_exchanges_load; }
+  // The load of the fleet. Empty if the balancers do not exchange their load.
+  const load_exchange::FleetLoad& Fleet() const { return m_load.fleet(); }
   std::uint64_t StoreCalls() const {
     return m_servers.Calls() + m_manifests.Calls();
   }
@@ -73,6 +79,9 @@
 
  private:
   FeedOwner MakeFeedOwner();
+  void ConnectLoadExchange(FeedOwner& owner);
+  // Applies the settings and the manifest in force to the load exchange.
+  void UpdateLoadExchange();
   feed::StoreStatus Status(base::TimePoint now) const;
   void ApplyRole(base::TimePoint now);
   void OnReaderStatus(const feed::StoreStatus& status);
@@ -103,6 +112,9 @@
   PeerReader m_peers;
   // Null if the settings have no endpoint for the feed.
   std::unique_ptr<FeedLink> m_feed;
+  load_exchange::LoadExchange m_load;
+  LoadCollector m_load_collector;
+  bool m_exchanges_load = false;
   bool m_was_reader = false;
   // When the store confirmed the servers to the reader that responded last.
   std::optional<base::TimePoint> m_reader_confirmed_at;
