LibLoadExchange: Count the other readers of a data centre

Readers do not poll each other, so with two readers in a data centre each was missing in the sums of the other: two of three balancers were counted. A test with three balancers on loopback sockets checks the number, and that nothing is sent where nothing calls for the exchange.

--- a/Libraries/LibLoadExchange/fleet_load.cc
+++ b/Libraries/LibLoadExchange/fleet_load.cc
@@ -180,11 +180,30 @@
 
 LoadSums FleetLoad::Sums(base::TimePoint now) const {
   LoadSums sums;
-  for (const Entry* entry : CountingEntries(now)) {
-    sums.push_back(entry->m_load);
-    sums.back().m_age = now - entry->m_computed_at;
+  const auto add = [&](const Entry& entry) {
+    sums.push_back(entry.m_load);
+    sums.back().m_age = now - entry.m_computed_at;
+  };
+  const auto counting = CountingEntries(now);
+  for (const Entry* entry : counting)
+    add(*entry);
+  for (const Entry& entry : m_entries) {
+    if (now - entry.m_computed_at < kFreshFor &&
+        std::ranges::find(counting, &entry) == counting.end())
+      add(entry);
   }
   return sums;
 }
 
+std::vector<base::Ipv4Address> FleetLoad::ReadersOf(std::uint32_t data_centre,
+                                                    base::TimePoint now) const {
+  std::vector<base::Ipv4Address> readers;
+  for (const Entry& entry : m_entries) {
+    if (entry.m_load.m_data_centre == data_centre &&
+        now - entry.m_computed_at < kFreshFor)
+      readers.push_back(entry.m_load.m_reader);
+  }
+  return readers;
+}
+
 }  // namespace load_exchange
--- a/Libraries/LibLoadExchange/fleet_load.h
+++ b/Libraries/LibLoadExchange/fleet_load.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibBase/ipv4.h"
 #include "LibBase/time.h"
 #include "LibLoadExchange/data_centre_load.h"
 #include "LibLoadExchange/load_codec.h"
@@ -52,8 +53,12 @@
   // The share of the server with the flow token `token`; zero if no evidence is
   // known.
   double UnansweredShare(std::uint32_t token, base::TimePoint now) const;
-  // The sums that count for each data centre, with their ages.
+  // The sums to pass on, with their ages: those that count for each data
+  // centre, and those of its other readers if they are fresh.
   LoadSums Sums(base::TimePoint now) const;
+  // The readers of a data centre whose sums are fresh.
+  std::vector<base::Ipv4Address> ReadersOf(std::uint32_t data_centre,
+                                           base::TimePoint now) const;
 
   // Commands.
   // Records sums unless newer ones of the same reader are known. Their numbers
--- a/Libraries/LibLoadExchange/load_aggregator.cc
+++ b/Libraries/LibLoadExchange/load_aggregator.cc
@@ -59,6 +59,13 @@
   return ReportResult::kAccepted;
 }
 
+bool LoadAggregator::Counts(base::Ipv4Address address,
+                            base::TimePoint now) const {
+  const auto found = m_reports.find(address.value());
+  return found != m_reports.end() &&
+         now - found->second.m_received_at < kReportLifetime;
+}
+
 void LoadAggregator::RemoveExpired(base::TimePoint now) {
   std::erase_if(m_reports, [now](const auto& entry) {
     return now - entry.second.m_received_at >= kReportLifetime;
--- a/Libraries/LibLoadExchange/load_aggregator.h
+++ b/Libraries/LibLoadExchange/load_aggregator.h
@@ -42,6 +42,8 @@
   // Queries.
   // The sums of the reports that have not expired, without reader and sequence.
   DataCentreLoad Sum(base::TimePoint now) const;
+  // Whether a report of the balancer at `address` counts.
+  bool Counts(base::Ipv4Address address, base::TimePoint now) const;
   std::size_t size() const { return m_reports.size(); }
 
   // Commands.
--- a/Libraries/LibLoadExchange/load_exchange.cc
+++ b/Libraries/LibLoadExchange/load_exchange.cc
@@ -18,8 +18,8 @@
     return EncodeReport(own);
   UpdateOwnSums(own, now);
   LoadSums sums = m_fleet.Sums(now);
-  std::erase_if(sums, [&](const DataCentreLoad& load) {
-    return load.m_data_centre != own.m_data_centre;
+  std::erase_if(sums, [this](const DataCentreLoad& load) {
+    return load.m_reader != m_self;
   });
   return EncodeSums(std::move(sums), kMaximumReportBytes);
 }
@@ -89,6 +89,10 @@
   m_aggregator.RemoveExpired(now);
   m_aggregator.Accept(m_self, own, now);
   DataCentreLoad load = m_aggregator.Sum(now);
+  // Readers do not poll each other, so none has a report of another.
+  for (const base::Ipv4Address reader :
+       m_fleet.ReadersOf(own.m_data_centre, now))
+    load.m_balancers += m_aggregator.Counts(reader, now) ? 0 : 1;
   load.m_reader = m_self;
   load.m_sequence = static_cast<std::uint32_t>(own.m_sequence);
   m_fleet.Record(std::move(load), now);
--- a/Tests/Edge/test_view_updater.cc
+++ b/Tests/Edge/test_view_updater.cc
@@ -3,9 +3,12 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <asio.hpp>
 
@@ -88,6 +91,81 @@
   std::unique_ptr<event_loop::HttpTextServer> m_server;
 };
 
+// A balancer at an address of its own. Number 0 is the seed.
+struct LoadBalancer {
+  LoadBalancer(asio::io_context& context,
+               base::Endpoint store,
+               std::uint32_t number,
+               std::uint16_t port,
+               bool has_evacuations)
+      : m_steering({base::DataCentreId("hall-0")},
+                   number + 1,
+                   base::Clock::now()),
+        m_output(::open("/dev/null", O_WRONLY)),
+        m_log(m_output, 1000) {
+    edge::EdgeSettings settings;
+    settings.m_vm = "edge-" + std::to_string(number);
+    settings.m_data_centre = base::DataCentreId("hall-0");
+    const base::Ipv4Address address(kLoopback.value() + number);
+    settings.m_feed = base::Endpoint{address, port};
+    settings.m_is_seed = number == 0;
+    if (number > 0)
+      settings.m_seeds = {{kLoopback, port}};
+    settings.m_store = store;
+    if (has_evacuations)
+      settings.m_evacuation_bound = std::chrono::seconds(5);
+    m_view = std::make_unique<edge::ViewUpdater>(context, settings, m_steering,
+                                                 m_log, m_metrics, [] {});
+    REQUIRE(m_view->Listen(settings.m_feed));
+    m_view->Start();
+  }
+  ~LoadBalancer() { ::close(m_output); }
+
+  std::uint32_t LiveBalancers() const {
+    return m_view->Fleet().LiveBalancers(base::Clock::now()).value_or(0);
+  }
+  bool HasReceivedLoad() const {
+    return m_metrics.Render().find("coltsfootdale_load_messages_total") !=
+           std::string::npos;
+  }
+
+  steering::Steering m_steering;
+  int m_output;
+  observability::NonBlockingLog m_log;
+  edge::EdgeMetrics m_metrics;
+  std::unique_ptr<edge::ViewUpdater> m_view;
+};
+
+// Runs three balancers with a store until `condition` holds for them.
+bool RunLoadBalancers(
+    bool has_evacuations,
+    base::Duration limit,
+    const std::function<bool(const LoadBalancer& balancer)>& condition) {
+  asio::io_context context;
+  Store store(context);
+  const std::uint16_t port =
+      asio::ip::udp::socket(
+          context,
+          asio::ip::udp::endpoint(asio::ip::address_v4(kLoopback.value()), 0))
+          .local_endpoint()
+          .port();
+  std::vector<std::unique_ptr<LoadBalancer>> balancers;
+  for (std::uint32_t i = 0; i < 3; ++i)
+    balancers.push_back(std::make_unique<LoadBalancer>(
+        context, store.endpoint(), i, port, has_evacuations));
+  const auto is_done = [&] {
+    return std::ranges::all_of(
+        balancers, [&](const auto& balancer) { return condition(*balancer); });
+  };
+  const base::TimePoint end = base::Clock::now() + limit;
+  while (!is_done() && base::Clock::now() < end) {
+    context.run_for(milliseconds(20));
+    for (const auto& balancer : balancers)
+      balancer->m_view->Sweep(base::Clock::now());
+  }
+  return is_done();
+}
+
 edge::EdgeSettings MakeSettings(base::Endpoint store) {
   edge::EdgeSettings settings;
   settings.m_vm = "edge-0";
@@ -136,3 +214,16 @@
                   settings.m_configuration_bound));
   ::close(output);
 }
+
+TEST_CASE("balancers with evacuations do not learn how many they are") {
+  CHECK(RunLoadBalancers(true, std::chrono::seconds(20),
+                         [](const LoadBalancer& balancer) {
+                           return balancer.LiveBalancers() == 3;
+                         }));
+}
+
+TEST_CASE("balancers exchange their load although nothing calls for it") {
+  CHECK_FALSE(RunLoadBalancers(
+      false, std::chrono::seconds(4),
+      [](const LoadBalancer& balancer) { return balancer.HasReceivedLoad(); }));
+}
--- a/Tests/LibLoadExchange/test_load_exchange.cc
+++ b/Tests/LibLoadExchange/test_load_exchange.cc
@@ -106,6 +106,34 @@
   CHECK(seed.fleet().LiveBalancers(now) == 2);
 }
 
+TEST_CASE("two readers of a data centre do not count each other") {
+  constexpr base::Ipv4Address kFirst(1);
+  constexpr base::Ipv4Address kSecond(2);
+  const base::DataCentreId hall("hall-0");
+  LoadExchange first(kFirst, hall);
+  LoadExchange second(kSecond, hall);
+  LoadExchange follower(base::Ipv4Address(3), hall);
+  for (int i = 1; i <= 4; ++i) {
+    const base::TimePoint now = kStart + milliseconds(500 * i);
+    const LoadReport own =
+        MakeReport("hall-0", static_cast<std::uint64_t>(500 * i));
+    const std::string report = follower.MakeRequestLoad(own, false, now);
+    for (LoadExchange* reader : {&first, &second}) {
+      reader->AcceptRequestLoad(base::Ipv4Address(3), report, true, now);
+      follower.AcceptResponseLoad(reader->MakeResponseLoad(own, true, now),
+                                  now);
+    }
+    // The follower is the seed.
+    follower.AcceptRequestLoad(kFirst, first.MakeRequestLoad(own, true, now),
+                               false, now);
+    first.AcceptResponseLoad(follower.MakeResponseLoad(own, false, now), now);
+    second.AcceptResponseLoad(follower.MakeResponseLoad(own, false, now), now);
+  }
+
+  for (const LoadExchange* exchange : {&first, &second, &follower})
+    CHECK(exchange->fleet().LiveBalancers(kStart + seconds(2)) == 3);
+}
+
 TEST_CASE("a malformed or foreign message changes what is known") {
   LoadExchange reader(base::Ipv4Address(1), base::DataCentreId("hall-0"));
   const LoadReport own = MakeReport("hall-0", 1);
