--- a/Libraries/LibLoadExchange/load_aggregator.cc
+++ b/Libraries/LibLoadExchange/load_aggregator.cc
@@ -30,8 +30,11 @@
 void RemoveRepeated(LoadReport& report) {
   const auto remove = [](auto& list, auto key) {
     std::ranges::stable_sort(list, {}, key);
-    const auto repeated = std::ranges::unique(list, {}, key);
-    list.erase(repeated.begin(), repeated.end());
+    list.erase(std::unique(list.begin(), list.end(),
+                           [key](const auto& left, const auto& right) {
+                             return left.*key == right.*key;
+                           }),
+               list.end());
   };
   remove(report.m_services, &ServiceLoad::m_service);
   remove(report.m_servers, &ServerEvidence::m_token);
