--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -70,6 +70,7 @@
       missing.push_back(name);
   }
   Remove(m_delayed_removals.OnRecordsRemoved(missing, now), now, changes);
+  m_steering.directory().SetHasFirstList();
   return changes;
 }
 
@@ -120,9 +121,8 @@
   m_evacuations = std::move(evacuations);
   if (changes.empty())
     return changes;
-  steering::ServerDirectory& directory = m_steering.directory();
-  directory.SetEvacuated(std::move(evacuated), now);
-  auto servers = directory.CountByDataCentre();
+  m_steering.SetEvacuated(std::move(evacuated), now);
+  auto servers = m_steering.directory().CountByDataCentre();
   for (EvacuationChange& change : changes)
     change.m_servers = servers[change.m_data_centre];
   return changes;
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -65,6 +65,7 @@
   kReaderStopped,
   kChangesReceived,
   kFeedRefused,
+  kLoadRefused,
   kListenerProblem,
   kProbeNotSent,
   kSettingsReloaded,
@@ -74,7 +75,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 60> kEventNames{{
+inline constexpr base::EnumTable<Event, 61> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
@@ -128,6 +129,7 @@
     {Event::kReaderStopped, "reader_stopped"},
     {Event::kChangesReceived, "changes_received"},
     {Event::kFeedRefused, "feed_refused"},
+    {Event::kLoadRefused, "load_refused"},
     {Event::kListenerProblem, "listener_problem"},
     {Event::kProbeNotSent, "probe_not_sent"},
     {Event::kSettingsReloaded, "settings_reloaded"},
--- a/Libraries/LibSteering/known_server.h
+++ b/Libraries/LibSteering/known_server.h
@@ -12,7 +12,9 @@
 #include "LibSteering/flow_token.h"
 #include "LibSteering/server_reachability.h"
 #include "LibSteering/server_record.h"
+#include "LibSteering/shared_evidence.h"
 #include "LibSteering/slow_answer_evidence.h"
+#include "LibSteering/warm_up_share.h"
 
 namespace steering {
 
@@ -24,6 +26,14 @@
   ServerTokens m_tokens{};
   // When the server is no longer slow after its start.
   base::TimePoint m_warm_up_ends_at;
+  // When this balancer saw the server start: it registered for the first time,
+  // or with another incarnation. Unset for a server of the first list.
+  std::optional<base::TimePoint> m_started_at;
+  // The server counts as cold until this time for a reason that its record does
+  // not show, such as the end of an evacuation of its data centre.
+  std::optional<base::TimePoint> m_cold_until;
+  // This balancer's share of the openings to the server while it is cold.
+  WarmUpShare m_warm_up_share;
   // When the store's record was removed; unset while the server is registered.
   std::optional<base::TimePoint> m_gone_since;
   // Unanswered requests of this balancer's callers, including openings, without
@@ -35,6 +45,8 @@
   AnswerStatistics m_answer_statistics;
   // Recorded only while the balancer may send extra openings.
   SlowAnswerEvidence m_slow_answers;
+  // What the flows of all balancers show about unanswered requests.
+  SharedEvidence m_shared_evidence;
   // The server is on the list of servers that Steering may have to probe.
   bool m_is_on_probe_list = false;
   // The server's data centre is evacuated: nothing new goes to the server. Kept
--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -152,7 +152,10 @@
     server->m_reachability = ServerReachability();
     server->m_answer_statistics = AnswerStatistics();
     server->m_slow_answers = SlowAnswerEvidence();
+    server->m_shared_evidence = SharedEvidence();
   }
+  if (is_new ? m_has_first_list : is_restarted)
+    server->m_started_at = now;
   if (is_new || was_gone)
     return DirectoryChange::kAdded;
   if (is_restarted)
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -83,6 +83,11 @@
       base::StoreRevision revision) const;
   // The number of registered servers in `state`.
   std::size_t Count(ServerState state) const;
+  // The registered servers by service, those of each in order of their names.
+  const std::map<std::string, std::vector<KnownServer*>, std::less<>>&
+  ByService() const {
+    return m_by_service;
+  }
   // Whether any server that accepts openings does not count as unreachable. An
   // evacuation makes no difference, because open flows continue.
   bool HasReachableServer() const;
@@ -95,6 +100,9 @@
       const base::DataCentreId& data_centre) const;
 
   // Commands.
+  // From now on, a server that was not known before has just started. The
+  // servers of the first list may have run for long.
+  void SetHasFirstList() { m_has_first_list = true; }
   // Adds or updates a server. Ignores a record that is older than the known
   // record of the same server, see IsOlder.
   DirectoryChange Apply(const ServerRecord& record, base::TimePoint now);
@@ -133,6 +141,7 @@
   std::uint32_t m_next_handle = 0;
   std::set<base::DataCentreId> m_evacuated;
   std::map<base::DataCentreId, base::TimePoint> m_evacuation_ends;
+  bool m_has_first_list = false;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -24,6 +24,20 @@
   return m_resends.front().first;
 }
 
+void Steering::SetEvacuated(std::set<base::DataCentreId> evacuated,
+                            base::TimePoint now) {
+  m_directory.SetEvacuated(std::move(evacuated), now);
+  for (const auto& [service, servers] : m_directory.ByService()) {
+    const ServiceOptions* options = m_routes.OptionsOf(service);
+    if (options == nullptr)
+      continue;
+    for (KnownServer* server : servers) {
+      if (EvacuationEndedAt(server->m_record.m_data_centre) == now)
+        server->m_cold_until = now + options->m_warm_up;
+    }
+  }
+}
+
 Decision Steering::Handle(const CallerPacket& packet, base::TimePoint now) {
   const Route* route = m_routes.Find(packet.m_flow.m_service);
   if (!packet.m_is_opening)
@@ -154,24 +168,28 @@
                                 base::TimePoint now) {
   const std::string& service = route.ServiceFor(flow::HashFlow(packet.m_flow));
   const auto& servers = m_directory.ServersOf(service);
+  const ServiceOptions* options = m_routes.OptionsOf(service);
   std::optional<Placement> placement;
   if (previous_server == nullptr) {
     m_extra.CountOpening(now);
-    placement = PlaceTrial(route, service, now);
+    placement = PlaceTrial(route, service, options, now);
   }
   const bool is_trial = placement.has_value();
   if (!placement)
-    placement = PlaceWithoutSlow(route, servers, previous_server, now);
-  if (!placement && previous_server != nullptr)
-    placement = m_placer.Place(servers, nullptr, m_random, now);
+    placement = PlaceAmong(route, servers, options, previous_server, now);
   // All records may expire at once after the store was unavailable. Servers in
   // evacuated data centres do not count as an alternative.
   if (!placement && std::ranges::all_of(servers, &KnownServer::m_is_evacuated))
-    placement = m_placer.Place(
+    placement = PlaceAmong(
+        route,
         m_directory.ExpiredServersOf(service, now - m_settings.m_expiry_grace),
-        nullptr, m_random, now);
+        options, nullptr, now);
   if (!placement) {
-    Decision refusal = Refuse(packet, RefusalReason(service, now));
+    const bool are_cold =
+        WarmUpBudget::IsLimited(options) &&
+        m_placer.Place(servers, nullptr, m_random, now).has_value();
+    Decision refusal = Refuse(
+        packet, are_cold ? Reason::kServersCold : RefusalReason(service, now));
     refusal.m_route = &route;
     return refusal;
   }
@@ -195,12 +213,35 @@
                                                    : Reason::kPlacedElsewhere;
   if (is_trial)
     decision.m_extra = ExtraReason::kTrial;
+  if (previous_server == nullptr)
+    ++m_openings[service];
+  if (previous_server != &server && WarmUpBudget::IsLimited(options) &&
+      WarmUpBudget::IsCold(server, *options, now))
+    WarmUpBudget::RecordOpening(server.m_warm_up_share);
   RecordPlacement(packet.m_flow, server, previous_server, route, now);
   if (FlowRecord* record = is_trial ? m_tracker.Find(packet.m_flow) : nullptr)
     record->m_extra = ExtraReason::kTrial;
   return decision;
 }
 
+std::optional<Placement> Steering::PlaceAmong(
+    const Route& route,
+    std::span<KnownServer* const> servers,
+    const ServiceOptions* options,
+    KnownServer* previous_server,
+    base::TimePoint now) {
+  std::vector<KnownServer*> permitted;
+  if (WarmUpBudget::IsLimited(options)) {
+    permitted =
+        m_warm_up.Permitted(servers, *options, previous_server, m_random, now);
+    servers = permitted;
+  }
+  auto placement = PlaceWithoutSlow(route, servers, previous_server, now);
+  if (!placement && previous_server != nullptr)
+    placement = m_placer.Place(servers, nullptr, m_random, now);
+  return placement;
+}
+
 void Steering::RecordPlacement(const flow::FlowKey& flow,
                                KnownServer& server,
                                const KnownServer* previous_server,
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -13,7 +13,9 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,6 +33,7 @@
 #include "LibSteering/opening_placer.h"
 #include "LibSteering/route_table.h"
 #include "LibSteering/server_directory.h"
+#include "LibSteering/warm_up_budget.h"
 
 namespace steering {
 
@@ -72,6 +75,10 @@
   const ExtraOpenings& extra_openings() const { return m_extra; }
   // Whether a manifest and servers have been received, and the evacuations are
   // not awaited. Openings can't be decided before.
+  // The openings that this balancer has placed since its start, by service.
+  const std::map<std::string, std::uint64_t>& openings() const {
+    return m_openings;
+  }
   bool HasRoutesAndServers() const {
     return m_are_servers_known && !m_awaits_evacuations &&
            m_routes.Version() != base::ConfigurationVersion();
@@ -106,9 +113,17 @@
   }
   // Records that a part of the first list of servers has been applied.
   void SetSomeServersKnown() { m_are_servers_known = true; }
+  // Replaces the evacuated data centres. The servers of one whose evacuation
+  // ends may have restarted shortly before, so they count as cold for the
+  // warm-up of their service.
+  void SetEvacuated(std::set<base::DataCentreId> evacuated,
+                    base::TimePoint now);
   // Sets whether openings wait until the evacuations are known, so that a
   // balancer that has just started sends nothing to an evacuated data centre.
   void SetAwaitsEvacuations(bool awaits) { m_awaits_evacuations = awaits; }
+  // Limits the openings to cold servers and tells the number of balancers that
+  // share them, see WarmUpBudget.
+  WarmUpBudget& warm_up() { return m_warm_up; }
   // Sets whether the routes in force are known to be the newest. Otherwise a
   // missing route may be one that this balancer has not received yet.
   void SetRoutesCurrent(bool is_current) { m_are_routes_current = is_current; }
@@ -146,6 +161,14 @@
                         const Route& route,
                         KnownServer* previous_server,
                         base::TimePoint now);
+  // The server of least cost, not `previous_server` unless it is the only one.
+  // `options` are those of the service. Cold servers take part while their
+  // budget allows it.
+  std::optional<Placement> PlaceAmong(const Route& route,
+                                      std::span<KnownServer* const> servers,
+                                      const ServiceOptions* options,
+                                      KnownServer* previous_server,
+                                      base::TimePoint now);
   // Records the opening at its server and schedules its resend.
   // `previous_server` is null for the first placement.
   void RecordPlacement(const flow::FlowKey& flow,
@@ -184,6 +207,7 @@
   // covers the trial.
   std::optional<Placement> PlaceTrial(const Route& route,
                                       const std::string& service,
+                                      const ServiceOptions* options,
                                       base::TimePoint now);
   // Whether a copy of the opening may be sent before m_resend_after. Charges
   // the budget.
@@ -218,6 +242,8 @@
   FlowTracker m_tracker{m_directory};
   OpeningPlacer m_placer;
   ExtraOpenings m_extra;
+  WarmUpBudget m_warm_up;
+  std::map<std::string, std::uint64_t> m_openings;
   // The servers that need probing, so that StartDueProbes does not have to
   // visit every server.
   std::vector<ServerHandle> m_probe_list;
--- a/Libraries/LibSteering/steering_extra_openings.cc
+++ b/Libraries/LibSteering/steering_extra_openings.cc
@@ -49,6 +49,7 @@
 
 std::optional<Placement> Steering::PlaceTrial(const Route& route,
                                               const std::string& service,
+                                              const ServiceOptions* options,
                                               base::TimePoint now) {
   if (!MayBeRepeated(route.m_kind) || !m_extra.slow_servers().HasAny())
     return std::nullopt;
@@ -57,8 +58,8 @@
   if (server == nullptr || !CanTakeOpening(*server) ||
       !m_extra.Take(ExtraReason::kTrial, LoadOf(service, now), now))
     return std::nullopt;
-  // The placer may still exclude the server.
-  return m_placer.Place({&server, 1}, nullptr, m_random, now);
+  // The server may still be excluded for other reasons.
+  return PlaceAmong(route, {&server, 1}, options, nullptr, now);
 }
 
 bool Steering::TakeEarlyCopy(const flow::FlowKey& flow,
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -258,7 +258,8 @@
       R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
       R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
       R"("store_era":{},"servers_revision":{},"servers_age_ms":{},"flows":{},)"
-      R"("store_calls":{},"reader":{},"evacuated":[{}]}})"
+      R"("store_calls":{},"reader":{},"evacuated":[{}],"exchanges_load":{},)"
+      R"("live_balancers":{}}})"
       "\n",
       observability::QuoteJson(m_settings.m_vm),
       observability::QuoteJson(m_settings.m_data_centre.value()),
@@ -270,7 +271,8 @@
       version.m_servers_age ? base::WholeMilliseconds(*version.m_servers_age)
                             : -1,
       m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader(),
-      fmt::join(evacuated, ","));
+      fmt::join(evacuated, ","), m_view.ExchangesLoad(),
+      m_view.Fleet().LiveBalancers(base::Clock::now()).value_or(0));
 }
 
 void EdgeProcess::UpdateReadiness() {
@@ -421,6 +423,11 @@
   m_metrics.SetGauge(
       "coltsfootdale_evacuations", "Data centres that are evacuated",
       static_cast<double>(m_steering.directory().Evacuated().size()));
+  if (m_view.ExchangesLoad())
+    m_metrics.SetGauge(
+        "coltsfootdale_live_balancers",
+        "Balancers that reported their load of late; 0: not known",
+        static_cast<double>(m_view.Fleet().LiveBalancers(now).value_or(0)));
   m_metrics.SetGauge("coltsfootdale_probes",
                      "Probes of servers since the start",
                      static_cast<double>(m_prober.Probes()));
