LibAdmission, LibSteering: Admit openings by priority under overload

Servers that are full answer at once with a refusal, and callers try again twice, so that urgent requests fail as often as others. Each balancer now limits its requests in progress by priority while the acknowledgements of answers show refusals beside slow answers.

--- /dev/null
+++ b/Benchmarks/benchmark_admission.cc
@@ -0,0 +1,108 @@
+// Prints the goodput and the worth of a service by kind of request against the
+// offered load, with and without admission by priority, beside the bound of an
+// allocator with perfect knowledge. Used for docs/design/admission.md.
+
+#include <fmt/core.h>
+
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <string_view>
+
+#include "AdmissionEmulator/admission_emulator.h"
+
+namespace {
+
+using admission_emulator::Admission;
+using admission_emulator::ClassResults;
+using admission_emulator::Deployment;
+using admission_emulator::RetryPath;
+using admission_emulator::Scenario;
+
+void PrintRun(std::string_view name, const Scenario& scenario) {
+  const auto results = admission_emulator::Run(scenario);
+  const ClassResults sum = results.Sum();
+  const ClassResults& urgent = results.m_classes[0];
+  const ClassResults& other = results.m_classes[1];
+  fmt::print(
+      "| {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} "
+      "| {:.3f} | {:.3f} |\n",
+      name, scenario.m_admission == Admission::kOff ? "off" : "by priority",
+      urgent.InTimeShare(), results.m_bound_shares[0], other.InTimeShare(),
+      results.m_bound_shares[1], results.m_worth / results.m_bound_worth,
+      double(sum.m_shed) / double(sum.m_served),
+      double(other.m_admitted) / double(urgent.m_admitted + other.m_admitted),
+      double(sum.m_refused) / double(sum.m_refused + sum.m_admitted));
+  std::fflush(stdout);
+}
+
+void PrintHeader(std::string_view title) {
+  fmt::print("\n{}\n\n", title);
+  fmt::print(
+      "| load | admission | urgent in time | bound | other in time | "
+      "bound | worth/bound | 503/served | other/admitted | refused |\n"
+      "|---|---|---|---|---|---|---|---|---|---|\n");
+}
+
+// The load lasts for 20 s; the last 14 s are counted.
+void PrintLoads(std::string_view title, const Deployment& deployment) {
+  PrintHeader(title);
+  for (const double load : {0.5, 0.8, 0.9, 1.0, 1.2, 1.5, 2.0, 3.0, 4.0}) {
+    for (const Admission admission :
+         {Admission::kOff, Admission::kByPriority}) {
+      Scenario scenario;
+      scenario.m_deployment = deployment;
+      scenario.m_admission = admission;
+      scenario.m_burst_factor =
+          load * deployment.Slots() / deployment.UsedSlots();
+      scenario.m_burst_end_seconds = 24;
+      scenario.m_end_seconds = 24;
+      scenario.m_count_from_seconds = 10;
+      scenario.m_count_to_seconds = 23;
+      PrintRun(fmt::format("{:.1f}", load), scenario);
+    }
+  }
+}
+
+// The requests of a burst of 5 s are counted.
+void PrintBursts(std::string_view title, const Deployment& deployment) {
+  PrintHeader(title);
+  for (const double lost : {0.0, 0.33, 0.5}) {
+    for (const double factor : {1.2, 4.0, 9.0, 10.0}) {
+      for (const Admission admission :
+           {Admission::kOff, Admission::kByPriority}) {
+        Scenario scenario;
+        scenario.m_deployment = deployment;
+        scenario.m_admission = admission;
+        scenario.m_burst_factor = factor;
+        scenario.m_lost_servers = lost;
+        scenario.m_burst_start_seconds = 4;
+        scenario.m_burst_end_seconds = 9;
+        scenario.m_count_from_seconds = 4;
+        scenario.m_count_to_seconds = 9;
+        PrintRun(fmt::format("x{} lost {}", factor, lost), scenario);
+      }
+    }
+  }
+}
+
+}  // namespace
+
+// Runs everything, or the part that the argument names: A, B1, B4 or B10.
+int main(int argc, char** argv) {
+  using admission_emulator::DeploymentA;
+  using admission_emulator::DeploymentB;
+  const std::string part = argc > 1 ? argv[1] : "";
+  for (const std::uint32_t requests : {1U, 4U, 10U}) {
+    if (!part.empty() && part != fmt::format("B{}", requests))
+      continue;
+    Deployment b = DeploymentB();
+    b.m_requests_per_flow = requests;
+    PrintLoads(fmt::format("B, {} requests per flow", requests), b);
+    PrintBursts(fmt::format("B, bursts, {} requests per flow", requests), b);
+  }
+  if (!part.empty() && part != "A")
+    return 0;
+  PrintLoads("A", DeploymentA());
+  PrintBursts("A, bursts", DeploymentA());
+}
--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -6,8 +6,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <variant>
 
+#include "LibAdmission/admission_verdict.h"
 #include "LibBase/enum_table.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
@@ -45,9 +47,11 @@
   kServerUnreachable,
   // No manifest or no list of servers has been received yet.
   kNotReady,
+  // The service is overloaded, and admission by priority refused the opening.
+  kOverloaded,
 };
 
-inline constexpr base::EnumTable<Reason, 12> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 13> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
@@ -60,6 +64,7 @@
     {Reason::kServerGone, "server_gone"},
     {Reason::kServerUnreachable, "server_unreachable"},
     {Reason::kNotReady, "not_ready"},
+    {Reason::kOverloaded, "overloaded"},
 }};
 
 // The balancer writes `m_token` into the packet and sends the packet to
@@ -94,6 +99,8 @@
   // chosen one.
   std::size_t m_candidates = 0;
   double m_cost = 0;
+  // Set for a first opening to a service with admission by priority.
+  std::optional<admission::AdmissionVerdict> m_admission;
   // Set for a packet of an established flow.
   PacketKind m_packet_kind = PacketKind::kNothingNew;
   // Set for an answer or a retransmission: the time since the caller's request
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -56,6 +56,10 @@
     m_last_adoption_at = now;
   }
   if (packet.m_is_end || packet.m_is_reset) {
+    // A caller may close its flow with the packet that acknowledges the answer.
+    const auto acknowledged_before = record->m_acknowledged;
+    if (record->m_is_established && RecordAcknowledgement(*record, packet))
+      RecordSample(*record, true, acknowledged_before, observation, now);
     RemoveFlow(packet.m_flow);
     observation.m_packet_kind = PacketKind::kEnd;
     return observation;
@@ -63,10 +67,15 @@
   Reassign(*record, server);
   record->m_last_seen = now;
   SetActive(*record, true);
+  const bool was_established = record->m_is_established;
+  const auto acknowledged_before = record->m_acknowledged;
   const bool has_answer = RecordAcknowledgement(*record, packet);
   const bool has_new_data = RecordData(*record, packet);
-  if (has_answer)
+  if (has_answer) {
+    RecordSample(*record, was_established, acknowledged_before, observation,
+                 now);
     RecordAnswer(*record, server, now);
+  }
   if (has_new_data)
     StartRequest(*record, timeout, now);
   // The caller repeats a part of a long request that the server has not
@@ -113,6 +122,25 @@
   return is_new;
 }
 
+void FlowTracker::RecordSample(const FlowRecord& record,
+                               bool was_established,
+                               std::optional<std::uint32_t> acknowledged_before,
+                               Observation& observation,
+                               base::TimePoint now) {
+  if (!record.m_is_request_in_progress && !record.m_is_overdue)
+    return;
+  const base::Duration time = now - record.m_answerable_at;
+  if (!was_established) {
+    // The time of an opening that was placed again is that of the last server.
+    if (record.m_resends == 0)
+      observation.m_handshake_time = time;
+    return;
+  }
+  if (acknowledged_before && record.m_acknowledged)
+    observation.m_answer = admission::AnswerSample{
+        time, *record.m_acknowledged - *acknowledged_before};
+}
+
 void FlowTracker::RecordAnswer(FlowRecord& record,
                                KnownServer& server,
                                base::TimePoint now) {
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "LibAdmission/overload_detector.h"
 #include "LibBase/enum_table.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
@@ -48,6 +49,10 @@
   // When the caller sent the request that it waited for when the packet
   // arrived; the time of the packet if no record existed.
   base::TimePoint m_waiting_since;
+  // Set if the packet ends a handshake whose opening this balancer placed, or
+  // acknowledges the first bytes of the answer to a request.
+  std::optional<base::Duration> m_handshake_time;
+  std::optional<admission::AnswerSample> m_answer;
 };
 
 // A request that has been unanswered for so long that its server may have lost
@@ -135,6 +140,13 @@
                                     const CallerPacket& packet);
   // Records the end of the packet's data. Returns whether the data is new.
   static bool RecordData(FlowRecord& record, const CallerPacket& packet);
+  // Adds to `observation` what `packet`, which ends the request or opening in
+  // progress of `record`, shows about the time to the answer.
+  static void RecordSample(const FlowRecord& record,
+                           bool was_established,
+                           std::optional<std::uint32_t> acknowledged_before,
+                           Observation& observation,
+                           base::TimePoint now);
   // Ends the request or opening in progress and updates the statistics of
   // `server`, which is the server of `record`.
   void RecordAnswer(FlowRecord& record,
--- /dev/null
+++ b/Libraries/LibSteering/service_admissions.h
@@ -0,0 +1,62 @@
+// The admission by priority of each service to which it applies.
+
+#ifndef LIBSTEERING_SERVICE_ADMISSIONS_H_
+#define LIBSTEERING_SERVICE_ADMISSIONS_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibAdmission/admission_verdict.h"
+#include "LibAdmission/priority_admission.h"
+#include "LibBase/random.h"
+#include "LibBase/time.h"
+#include "LibFlow/flow_key.h"
+#include "LibSteering/flow_tracker.h"
+#include "LibSteering/manifest.h"
+#include "LibSteering/server_directory.h"
+
+namespace steering {
+
+class ServiceAdmissions {
+ public:
+  using Admissions =
+      std::map<std::string, admission::PriorityAdmission, std::less<>>;
+
+  explicit ServiceAdmissions(const ServerDirectory& directory)
+      : m_directory(directory) {}
+
+  // Queries.
+  const Admissions& admissions() const { return m_admissions; }
+
+  // Commands.
+  // Applies the routes of a manifest. A service whose routes have the same
+  // addresses, targets and priorities as before keeps its state.
+  void SetRoutes(const Manifest& manifest);
+  // Decides about an opening to `service`; nothing if the service has no
+  // admission by priority. `random` is used only during an overload.
+  std::optional<admission::AdmissionVerdict> Decide(std::string_view service,
+                                                    const flow::FlowKey& flow,
+                                                    base::Random& random,
+                                                    base::TimePoint now);
+  // Records what a packet of a flow to `server` showed.
+  void Record(const flow::FlowKey& flow,
+              const KnownServer& server,
+              const Observation& observation,
+              base::TimePoint now);
+
+ private:
+  // This balancer's requests in progress at the service. Requests at
+  // unreachable servers do not count: they end only with their time limits,
+  // and their number says nothing about the other servers.
+  std::uint32_t InProgressOf(std::string_view service) const;
+
+  const ServerDirectory& m_directory;
+  Admissions m_admissions;
+};
+
+}  // namespace steering
+
+#endif  // LIBSTEERING_SERVICE_ADMISSIONS_H_
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -127,8 +127,17 @@
   // A caller that retransmits an opening got no answer to the first.
   const bool is_retransmission =
       previous_server != nullptr && !record->m_is_established;
-  return PlaceOpening(packet, route,
-                      is_retransmission ? previous_server : nullptr, now);
+  if (is_retransmission)
+    return PlaceOpening(packet, route, previous_server, now);
+  const auto verdict =
+      m_admissions.Decide(route.ServiceFor(flow::HashFlow(packet.m_flow)),
+                          packet.m_flow, m_random, now);
+  Decision decision = verdict && !verdict->IsAdmitted()
+                          ? Refuse(packet, Reason::kOverloaded)
+                          : PlaceOpening(packet, route, nullptr, now);
+  decision.m_route = &route;
+  decision.m_admission = verdict;
+  return decision;
 }
 
 Decision Steering::PlaceOpening(const CallerPacket& packet,
@@ -222,6 +231,7 @@
   const Observation observation =
       m_tracker.RecordPacket(packet, *server, route->m_timeout, now);
   decision.m_packet_kind = observation.m_packet_kind;
+  m_admissions.Record(packet.m_flow, *server, observation, now);
   UpdateReachability(*server, observation.m_waiting_since, decision, now);
   const auto reset_reason = ResetReason(*server, *route, now);
   if (packet.m_payload_bytes > 0 && reset_reason) {
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -27,6 +27,7 @@
 #include "LibSteering/opening_placer.h"
 #include "LibSteering/route_table.h"
 #include "LibSteering/server_directory.h"
+#include "LibSteering/service_admissions.h"
 
 namespace steering {
 
@@ -62,6 +63,7 @@
   const RouteTable& routes() const { return m_routes; }
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
+  const ServiceAdmissions& admissions() const { return m_admissions; }
   // Whether a manifest and a list of servers have been received. Openings
   // can't be decided before.
   bool HasRoutesAndServers() const {
@@ -79,7 +81,10 @@
   // Commands.
   ServerDirectory& directory() { return m_directory; }
   bool ApplyManifest(Manifest manifest) {
-    return m_routes.Replace(std::move(manifest));
+    if (!m_routes.Replace(std::move(manifest)))
+      return false;
+    m_admissions.SetRoutes(m_routes.manifest());
+    return true;
   }
   // Records that a complete list of servers has been applied.
   void SetServersKnown() { m_are_servers_known = true; }
@@ -149,6 +154,7 @@
   RouteTable m_routes;
   ServerDirectory m_directory;
   FlowTracker m_tracker{m_directory};
+  ServiceAdmissions m_admissions{m_directory};
   OpeningPlacer m_placer;
   // The servers that need probing, so that StartDueProbes does not have to
   // visit every server.
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -74,6 +74,10 @@
                                const steering::Decision& decision,
                                const ViewVersion& view,
                                base::TimePoint now) {
+  if (decision.m_reason == steering::Reason::kOverloaded) {
+    WriteOverload(flow, decision, view, now);
+    return;
+  }
   const Event event = OpeningEventOf(decision);
   if (!m_log.Admit(event, now))
     return;
@@ -92,6 +96,33 @@
                {"manifest", view.m_manifest_version}});
 }
 
+void DecisionLog::WriteOverload(const flow::FlowKey& flow,
+                                const steering::Decision& decision,
+                                const ViewVersion& view,
+                                base::TimePoint now) {
+  if (!m_log.Admit(Event::kOpeningRefused, now))
+    return;
+  const admission::AdmissionVerdict verdict =
+      decision.m_admission.value_or(admission::AdmissionVerdict());
+  const std::uint32_t priority =
+      decision.m_route == nullptr ? 0 : decision.m_route->m_priority;
+  m_log.Write(
+      Severity::kInfo, Event::kOpeningRefused,
+      {{"caller", ToString(flow.m_caller)},
+       {"address", ToString(flow.m_service)},
+       {"route", RouteNameOf(decision)},
+       {"reason", NameOf(steering::kReasonNames, decision.m_reason)},
+       {"basis", NameOf(admission::kAdmissionBasisNames, verdict.m_basis)},
+       {"priority", std::uint64_t{priority}},
+       {"limit", verdict.m_limit},
+       {"in_progress", std::uint64_t{verdict.m_in_progress}},
+       {"admitted_share", verdict.m_admitted_share},
+       {"refused_share", verdict.m_signs.m_refused_share},
+       {"slowdown", verdict.m_signs.m_slowdown},
+       {"answers", verdict.m_signs.m_answers},
+       {"manifest", view.m_manifest_version}});
+}
+
 void DecisionLog::WriteEstablished(const steering::CallerPacket& packet,
                                    std::string_view request_id,
                                    const steering::Decision& decision,
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -56,6 +56,11 @@
                     const steering::Decision& decision,
                     const ViewVersion& view,
                     base::TimePoint now);
+  // Writes an opening that admission by priority refused.
+  void WriteOverload(const flow::FlowKey& flow,
+                     const steering::Decision& decision,
+                     const ViewVersion& view,
+                     base::TimePoint now);
   void WriteEstablished(const steering::CallerPacket& packet,
                         std::string_view request_id,
                         const steering::Decision& decision,
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -57,6 +57,8 @@
   m_packets[IndexOf(decision.m_reason)]->Add();
   if (decision.m_route == nullptr)
     return;
+  if (decision.m_admission)
+    CountAdmission(*decision.m_admission, *decision.m_route);
   const std::size_t kind = IndexOf(decision.m_route->m_kind);
   if (decision.m_packet_kind == steering::PacketKind::kAnswer)
     m_answers[kind]->Record(Seconds(decision.m_waited));
@@ -64,6 +66,22 @@
     m_repeats[kind]->Add();
 }
 
+void EdgeMetrics::CountAdmission(const admission::AdmissionVerdict& verdict,
+                                 const steering::Route& route) {
+  m_registry
+      .CounterOf(
+          "coltsfootdale_admissions_total",
+          "Openings to services with admission by priority",
+          {{"kind",
+            std::string(NameOf(steering::kRequestKindNames, route.m_kind))},
+           {"priority", route.m_priority == steering::kLeastUrgentPriority
+                            ? std::string("none")
+                            : std::to_string(route.m_priority)},
+           {"basis", std::string(NameOf(admission::kAdmissionBasisNames,
+                                        verdict.m_basis))}})
+      .Add();
+}
+
 void EdgeMetrics::CountDiscarded(std::string_view reason) {
   m_registry
       .CounterOf("coltsfootdale_datagrams_discarded_total",
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "LibAdmission/admission_verdict.h"
 #include "LibBase/time.h"
 #include "LibObservability/metrics.h"
 #include "LibSteering/decision.h"
@@ -48,6 +49,9 @@
   }
 
  private:
+  void CountAdmission(const admission::AdmissionVerdict& verdict,
+                      const steering::Route& route);
+
   static constexpr std::size_t kReasons = steering::kReasonNames.size();
   static constexpr std::size_t kKinds = steering::kRequestKindNames.size();
 
