--- a/Libraries/LibAdmission/priority_admission.cc
+++ b/Libraries/LibAdmission/priority_admission.cc
@@ -34,6 +34,10 @@
 constexpr double kMaximumCut = 0.45;
 constexpr double kRaiseFactor = 1.02;
 constexpr double kRaiseStep = 0.02;
+// With hardly any refusals, a part of the slots is idle, as after servers have
+// returned.
+constexpr double kIdleRefusedShare = 0.02;
+constexpr double kIdleRaiseFactor = 1.06;
 // Answers without queues and refusals show that the overload has ended. The
 // limits then leave within half a second.
 constexpr double kEndedRefusedShare = 0.02;
@@ -240,7 +244,10 @@
     }
     if (!level.m_was_refused || signs.m_refused_share > kRaiseBelowShare)
       continue;
-    level.m_limit = *level.m_limit * kRaiseFactor + kRaiseStep;
+    const bool is_idle = signs.m_refused_share < kIdleRefusedShare;
+    level.m_limit =
+        *level.m_limit * (is_idle ? kIdleRaiseFactor : kRaiseFactor) +
+        kRaiseStep;
     // Less urgent priorities wait until this one needs no higher limit.
     return;
   }
--- /dev/null
+++ b/Tests/LibSteering/test_admission.cc
@@ -0,0 +1,121 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "LibSteering/steering.h"
+#include "LibSteering/steering_fixture.h"
+
+namespace steering {
+
+namespace {
+
+constexpr std::uint16_t kUsualAnswer = 1400;
+constexpr std::uint16_t kRefusal = 150;
+
+// A manifest in which the declarations are more urgent than the feeds.
+Manifest MakePrioritised() {
+  Manifest manifest = MakeManifest(2);
+  manifest.m_routes[0].m_priority = 2;
+  manifest.m_routes[1].m_priority = 1;
+  for (std::size_t i = 0; i < 2; ++i)
+    manifest.m_routes[i].m_target_latency = std::chrono::milliseconds(400);
+  return manifest;
+}
+
+// Occupies the service with requests on open flows.
+void OpenFlows(Steering& steering, int count, int at_ms) {
+  for (int i = 0; i < count; ++i) {
+    const auto port = static_cast<std::uint16_t>(i + 1);
+    const FlowToken token = TokenOf(
+        steering.Handle(MakeOpening(port, kDeclarationPort), At(at_ms)));
+    const Decision request = steering.Handle(
+        MakeData(port, token, 101, 500, 80, kDeclarationPort), At(at_ms + 7));
+    CHECK_FALSE(IsReset(request));
+  }
+}
+
+// Callers that open flows, send one request and acknowledge its answer.
+class Callers {
+ public:
+  explicit Callers(Steering& steering) : m_steering(steering) {
+    for (const char* name : {"i-1", "i-2", "i-3"})
+      steering.directory().Apply(MakeServer(name), At(0));
+  }
+  // Returns the decision about the opening. The caller closes its flow with
+  // the acknowledgement if `closes` is true.
+  Decision Request(int at_ms, int answer_ms, std::uint16_t bytes, bool closes) {
+    const std::uint16_t port = ++m_port;
+    const std::uint16_t service = port % 2 == 0 ? kFeedPort : kDeclarationPort;
+    const Decision opening =
+        m_steering.Handle(MakeOpening(port, service), At(at_ms));
+    if (IsReset(opening))
+      return opening;
+    const FlowToken token = TokenOf(opening);
+    m_steering.Handle(MakeData(port, token, 101, 500, 80, service),
+                      At(at_ms + 7));
+    CallerPacket acknowledgement =
+        MakeData(port, token, 181, 500 + bytes, 0, service);
+    acknowledgement.m_is_end = closes;
+    m_steering.Handle(acknowledgement, At(at_ms + 7 + answer_ms));
+    return opening;
+  }
+  // Answers as of servers with full queues after usual ones, until
+  // At(28'400).
+  void Overload(bool closes) {
+    for (int i = 0; i < 200; ++i)
+      Request(i * 100, 35, kUsualAnswer, closes);
+    OpenFlows(m_steering, 40, 20'000);
+    for (int i = 0; i < 120; ++i)
+      Request(20'000 + i * 70, i % 3 == 0 ? 7 : 60,
+              i % 3 == 0 ? kRefusal : kUsualAnswer, closes);
+  }
+
+ private:
+  Steering& m_steering;
+  std::uint16_t m_port = 1000;
+};
+
+}  // namespace
+
+TEST_CASE("under overload less urgent openings are refused and flows go on") {
+  for (const bool closes : {false, true}) {
+    SteeringWithRoutes steering;
+    REQUIRE(steering.ApplyManifest(MakePrioritised()));
+    Callers callers(steering);
+    callers.Overload(closes);
+
+    const Decision other = steering.Handle(MakeOpening(5000), At(28'410));
+    const Decision urgent =
+        steering.Handle(MakeOpening(5001, kDeclarationPort), At(28'410));
+
+    CHECK(IsReset(other));
+    CHECK(other.m_reason == Reason::kOverloaded);
+    REQUIRE(other.m_admission.has_value());
+    CHECK(other.m_admission->m_in_progress >= 40);
+    CHECK(urgent.m_reason == Reason::kPlaced);
+  }
+}
+
+TEST_CASE("a retransmission of an admitted opening is not refused") {
+  SteeringWithRoutes steering;
+  REQUIRE(steering.ApplyManifest(MakePrioritised()));
+  Callers callers(steering);
+  REQUIRE_FALSE(IsReset(steering.Handle(MakeOpening(5000), At(20'400))));
+  callers.Overload(false);
+
+  CHECK_FALSE(IsReset(steering.Handle(MakeOpening(5000), At(28'410))));
+}
+
+TEST_CASE("without targets and priorities nothing is refused") {
+  SteeringWithRoutes steering;
+  Callers callers(steering);
+  callers.Overload(false);
+
+  const Decision opening = steering.Handle(MakeOpening(5000), At(28'410));
+
+  CHECK(opening.m_reason == Reason::kPlaced);
+  CHECK_FALSE(opening.m_admission.has_value());
+  CHECK(steering.admissions().admissions().empty());
+}
+
+}  // namespace steering
