--- a/Libraries/LibAdmission/priority_admission.cc
+++ b/Libraries/LibAdmission/priority_admission.cc
@@ -21,6 +21,8 @@
 // hardly more than their floor for this long. Requests on their open flows end
 // only with the flows.
 constexpr base::Duration kEscalationDelay = std::chrono::seconds(1);
+// A weaker overload is left to the less urgent limits of all balancers.
+constexpr double kMinimumEscalationCut = 0.16;
 constexpr double kNearFloorShare = 0.2;
 // The limits are held while the share of refusals is between these two. The
 // lower one keeps the slots busy, the upper one keeps refusals below a tenth of
@@ -32,12 +34,14 @@
 constexpr double kMinimumSlowdown = 1.2;
 constexpr double kMinimumCut = 0.15;
 constexpr double kMaximumCut = 0.45;
-constexpr double kRaiseFactor = 1.02;
-constexpr double kRaiseStep = 0.02;
+// Limits are raised by steps and lowered by factors, so that the limits of all
+// balancers approach each other (Chiu and Jain, 1989). Raised by factors, some
+// balancers limited urgent priorities while others admitted all.
+constexpr double kRaiseStep = 0.12;
 // With hardly any refusals, a part of the slots is idle, as after servers have
 // returned.
 constexpr double kIdleRefusedShare = 0.02;
-constexpr double kIdleRaiseFactor = 1.06;
+constexpr double kIdleRaiseStep = 0.3;
 // Answers without queues and refusals show that the overload has ended. The
 // limits then leave within half a second.
 constexpr double kEndedRefusedShare = 0.02;
@@ -210,6 +214,8 @@
       std::clamp(signs.m_refused_share, kMinimumCut, kMaximumCut);
   for (auto level = m_levels.rbegin(); level != m_levels.rend(); ++level) {
     if (!level->m_limit) {
+      if (level != m_levels.rbegin() && cut < kMinimumEscalationCut)
+        return;
       level->m_limit = std::max(kSmallestLimit, m_mean_in_progress * (1 - cut));
       level->m_above_floor_at = now;
       level->m_last_refusal = now;
@@ -229,6 +235,7 @@
                                     base::TimePoint now) {
   const bool has_ended = signs.m_slowdown < kMinimumSlowdown &&
                          signs.m_refused_share < kEndedRefusedShare;
+  const bool is_idle = signs.m_refused_share < kIdleRefusedShare;
   for (Level& level : m_levels) {
     if (!level.m_limit)
       continue;
@@ -238,16 +245,17 @@
         level.m_limit.reset();
       continue;
     }
-    if (now - level.m_last_refusal >= kUnusedLimitTime) {
+    // Without its last limit, a balancer would detect only an overload stronger
+    // than the one that the limits of all balancers maintain, and would admit
+    // more than its part.
+    const bool may_remove = is_idle || &level != &m_levels.back();
+    if (may_remove && now - level.m_last_refusal >= kUnusedLimitTime) {
       level.m_limit.reset();
       continue;
     }
     if (!level.m_was_refused || signs.m_refused_share > kRaiseBelowShare)
       continue;
-    const bool is_idle = signs.m_refused_share < kIdleRefusedShare;
-    level.m_limit =
-        *level.m_limit * (is_idle ? kIdleRaiseFactor : kRaiseFactor) +
-        kRaiseStep;
+    level.m_limit = *level.m_limit + (is_idle ? kIdleRaiseStep : kRaiseStep);
     // Less urgent priorities wait until this one needs no higher limit.
     return;
   }
