--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <variant>
 
+#include "LibAdmission/admission_verdict.h"
 #include "LibBase/enum_table.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
@@ -52,9 +53,11 @@
   kNotReady,
   // All ready servers of the service are in evacuated data centres.
   kEvacuated,
+  // The service is overloaded, and admission by priority refused the opening.
+  kOverloaded,
 };
 
-inline constexpr base::EnumTable<Reason, 14> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 15> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
@@ -69,6 +72,7 @@
     {Reason::kServersCold, "servers_cold"},
     {Reason::kNotReady, "not_ready"},
     {Reason::kEvacuated, "evacuated"},
+    {Reason::kOverloaded, "overloaded"},
 }};
 
 // The balancer writes `m_token` into the packet and sends the packet to
@@ -105,6 +109,8 @@
   double m_cost = 0;
   // Set if the opening is an extra one.
   std::optional<ExtraReason> m_extra;
+  // Set for a first opening to a service with admission by priority.
+  std::optional<admission::AdmissionVerdict> m_admission;
   // Set for a packet of an established flow.
   PacketKind m_packet_kind = PacketKind::kNothingNew;
   // Set for an answer or a retransmission: the time since the caller's request
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -58,6 +58,10 @@
     m_last_adoption_at = now;
   }
   if (packet.m_is_end || packet.m_is_reset) {
+    // A caller may close its flow with the packet that acknowledges the answer.
+    const auto acknowledged_before = record->m_acknowledged;
+    if (record->m_is_established && RecordAcknowledgement(*record, packet))
+      RecordSample(*record, true, acknowledged_before, observation, now);
     RemoveFlow(packet.m_flow);
     observation.m_packet_kind = PacketKind::kEnd;
     return observation;
@@ -66,10 +70,12 @@
   record->m_last_seen = now;
   SetActive(*record, true);
   const bool was_established = record->m_is_established;
+  const auto acknowledged_before = record->m_acknowledged;
   const bool has_answer = RecordAcknowledgement(*record, packet);
   const bool has_new_data = RecordData(*record, packet);
   if (has_answer) {
-    MeasureAnswer(*record, was_established, observation, now);
+    RecordSample(*record, was_established, acknowledged_before, observation,
+                 now);
     RecordAnswer(*record, server, now);
   }
   if (has_new_data)
@@ -109,16 +115,6 @@
   return !was_established || (has_baseline && is_newer);
 }
 
-void FlowTracker::MeasureAnswer(const FlowRecord& record,
-                                bool was_established,
-                                Observation& observation,
-                                base::TimePoint now) {
-  if (!was_established)
-    observation.m_handshake_time = now - record.m_opened_at;
-  else if (record.m_is_request_in_progress || record.m_is_overdue)
-    observation.m_answer_time = now - record.m_answerable_at;
-}
-
 bool FlowTracker::RecordData(FlowRecord& record, const CallerPacket& packet) {
   const std::uint32_t end = packet.m_sequence + packet.m_payload_bytes;
   const bool is_new = packet.m_payload_bytes > 0 &&
@@ -128,6 +124,26 @@
   return is_new;
 }
 
+void FlowTracker::RecordSample(const FlowRecord& record,
+                               bool was_established,
+                               std::optional<std::uint32_t> acknowledged_before,
+                               Observation& observation,
+                               base::TimePoint now) {
+  if (!record.m_is_request_in_progress && !record.m_is_overdue)
+    return;
+  const base::Duration time = now - record.m_answerable_at;
+  if (!was_established) {
+    observation.m_opening_time = now - record.m_opened_at;
+    // The time of an opening that was placed again is that of the last server.
+    if (record.m_resends == 0)
+      observation.m_handshake_time = time;
+    return;
+  }
+  if (acknowledged_before && record.m_acknowledged)
+    observation.m_answer = admission::AnswerSample{
+        time, *record.m_acknowledged - *acknowledged_before};
+}
+
 void FlowTracker::RecordAnswer(FlowRecord& record,
                                KnownServer& server,
                                base::TimePoint now) {
--- a/Libraries/LibSteering/flow_tracker.h
+++ b/Libraries/LibSteering/flow_tracker.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "LibAdmission/overload_detector.h"
 #include "LibBase/enum_table.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
@@ -48,12 +49,13 @@
   // When the caller sent the request that it waited for when the packet
   // arrived; the time of the packet if no record existed.
   base::TimePoint m_waiting_since;
-  // Set if the packet acknowledges the opening: the time since the balancer
-  // first sent the opening to a server.
+  // Set if the packet acknowledges an opening that this balancer placed: the
+  // time since the opening was first sent to a server.
+  std::optional<base::Duration> m_opening_time;
+  // The same, set only if the opening was sent to one server.
   std::optional<base::Duration> m_handshake_time;
-  // Set if the packet acknowledges the first bytes of an answer: the time since
-  // the request could be answered.
-  std::optional<base::Duration> m_answer_time;
+  // Set if the packet acknowledges the first bytes of the answer to a request.
+  std::optional<admission::AnswerSample> m_answer;
 };
 
 // A request that has been unanswered for so long that its server may have lost
@@ -139,13 +141,15 @@
   // new data of the server or the answer to the opening.
   static bool RecordAcknowledgement(FlowRecord& record,
                                     const CallerPacket& packet);
-  // Adds the time that the acknowledgement of an opening or of an answer took.
-  static void MeasureAnswer(const FlowRecord& record,
-                            bool was_established,
-                            Observation& observation,
-                            base::TimePoint now);
   // Records the end of the packet's data. Returns whether the data is new.
   static bool RecordData(FlowRecord& record, const CallerPacket& packet);
+  // Adds to `observation` what `packet`, which ends the request or opening in
+  // progress of `record`, shows about the time to the answer.
+  static void RecordSample(const FlowRecord& record,
+                           bool was_established,
+                           std::optional<std::uint32_t> acknowledged_before,
+                           Observation& observation,
+                           base::TimePoint now);
   // Ends the request or opening in progress and updates the statistics of
   // `server`, which is the server of `record`.
   void RecordAnswer(FlowRecord& record,
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -33,6 +33,7 @@
 #include "LibSteering/opening_placer.h"
 #include "LibSteering/route_table.h"
 #include "LibSteering/server_directory.h"
+#include "LibSteering/service_admissions.h"
 #include "LibSteering/warm_up_budget.h"
 
 namespace steering {
@@ -73,12 +74,13 @@
   const ServerDirectory& directory() const { return m_directory; }
   const FlowTracker& tracker() const { return m_tracker; }
   const ExtraOpenings& extra_openings() const { return m_extra; }
-  // Whether a manifest and servers have been received, and the evacuations are
-  // not awaited. Openings can't be decided before.
   // The openings that this balancer has placed since its start, by service.
   const std::map<std::string, std::uint64_t>& openings() const {
     return m_openings;
   }
+  const ServiceAdmissions& admissions() const { return m_admissions; }
+  // Whether a manifest and servers have been received, and the evacuations are
+  // not awaited. Openings can't be decided before.
   bool HasRoutesAndServers() const {
     return m_are_servers_known && !m_awaits_evacuations &&
            m_routes.Version() != base::ConfigurationVersion();
@@ -104,7 +106,10 @@
   // Commands.
   ServerDirectory& directory() { return m_directory; }
   bool ApplyManifest(Manifest manifest) {
-    return m_routes.Replace(std::move(manifest));
+    if (!m_routes.Replace(std::move(manifest)))
+      return false;
+    m_admissions.SetRoutes(m_routes.manifest());
+    return true;
   }
   // Records that a complete list of servers has been applied.
   void SetServersKnown() {
@@ -240,6 +245,7 @@
   RouteTable m_routes;
   ServerDirectory m_directory;
   FlowTracker m_tracker{m_directory};
+  ServiceAdmissions m_admissions{m_directory};
   OpeningPlacer m_placer;
   ExtraOpenings m_extra;
   WarmUpBudget m_warm_up;
--- a/Libraries/LibSteering/steering_extra_openings.cc
+++ b/Libraries/LibSteering/steering_extra_openings.cc
@@ -100,14 +100,14 @@
                            base::TimePoint now) {
   if (!m_extra.IsEnabled())
     return;
-  if (observation.m_answer_time)
+  if (observation.m_answer)
     m_extra.slow_servers().RecordAnswer(server, packet.m_flow.m_service,
-                                        *observation.m_answer_time, now);
+                                        observation.m_answer->m_time, now);
   const FlowRecord* record =
-      observation.m_handshake_time ? m_tracker.Find(packet.m_flow) : nullptr;
+      observation.m_opening_time ? m_tracker.Find(packet.m_flow) : nullptr;
   if (record == nullptr)
     return;
-  m_extra.RecordHandshake(*observation.m_handshake_time, now);
+  m_extra.RecordHandshake(*observation.m_opening_time, now);
   if (!record->m_extra)
     return;
   const bool is_first = server.m_handle == record->m_first_server;
