LibSteering: Serve in an evacuated data centre that is cut off

Openings go to the evacuated servers now while no other server gives a sign and the view is not confirmed.

--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -27,6 +27,9 @@
   kPlacedAgain,
   // A retransmitted or resent opening goes to another server than before.
   kPlacedElsewhere,
+  // An opening goes to a server in an evacuated data centre, because the
+  // balancer is cut off from the store and from all other data centres.
+  kPlacedInEvacuated,
   // A packet of an established flow goes to the server that its token
   // identifies.
   kTokenFollowed,
@@ -57,10 +60,11 @@
   kOverloaded,
 };
 
-inline constexpr base::EnumTable<Reason, 15> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 16> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
+    {Reason::kPlacedInEvacuated, "placed_in_evacuated"},
     {Reason::kTokenFollowed, "token_followed"},
     {Reason::kNoRoute, "no_route"},
     {Reason::kRouteNotYetKnown, "route_not_yet_known"},
--- a/Libraries/LibSteering/opening_placer.cc
+++ b/Libraries/LibSteering/opening_placer.cc
@@ -40,7 +40,7 @@
   for (KnownServer* server : servers) {
     if (server == excluded || server->m_reachability.IsUnreachable() ||
         server->m_record.m_state != ServerState::kReady ||
-        server->m_is_evacuated)
+        (server->m_is_evacuated && !m_uses_evacuated))
       continue;
     ++best.m_candidates;
     const bool has_failed_probe = server->m_reachability.HasFailedProbe();
--- a/Libraries/LibSteering/opening_placer.h
+++ b/Libraries/LibSteering/opening_placer.h
@@ -51,8 +51,11 @@
   double CostOf(const KnownServer& server, base::TimePoint now) const;
 
   // Commands.
+  // Sets whether servers in evacuated data centres are eligible.
+  void SetUsesEvacuated(bool uses) { m_uses_evacuated = uses; }
   // The ready server of least cost among `servers` without `excluded`. Never
-  // chooses an unreachable or evacuated server, and a server with a failed
+  // chooses an unreachable server, nor an evacuated one unless SetUsesEvacuated,
+  // and a server with a failed
   // probe only if there is no other. Among servers of equal cost, `random`
   // decides.
   std::optional<Placement> Place(std::span<KnownServer* const> servers,
@@ -63,6 +66,7 @@
  private:
   PlacementPolicy m_policy;
   base::DataCentreId m_own_data_centre;
+  bool m_uses_evacuated = false;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -128,6 +128,10 @@
   KnownServer* server = m_directory.FindByHandle(handle);
   if (server == nullptr)
     return nullptr;
+  if (IsRemote(*server) && result == ProbeResult::kAnswered)
+    m_remote_reachability.RecordSign();
+  if (IsRemote(*server) && result == ProbeResult::kSilent)
+    m_remote_reachability.RecordFailedProbe(now);
   const bool is_changed = server->m_reachability.RecordProbeResult(result, now);
   AddToProbeList(*server);
   return is_changed ? server : nullptr;
@@ -178,6 +182,7 @@
   const std::string& service = route.ServiceFor(flow::HashFlow(packet.m_flow));
   const auto& servers = m_directory.ServersOf(service);
   const ServiceOptions* options = m_routes.OptionsOf(service);
+  m_placer.SetUsesEvacuated(MayUseEvacuated(now));
   std::optional<Placement> placement;
   if (previous_server == nullptr) {
     m_extra.CountOpening(now);
@@ -220,6 +225,8 @@
   decision.m_reason = previous_server == nullptr   ? Reason::kPlaced
                       : previous_server == &server ? Reason::kPlacedAgain
                                                    : Reason::kPlacedElsewhere;
+  if (server.m_is_evacuated)
+    decision.m_reason = Reason::kPlacedInEvacuated;
   if (is_trial)
     decision.m_extra = ExtraReason::kTrial;
   if (previous_server == nullptr)
@@ -347,6 +354,8 @@
     return;
   decision.m_waited = now - waiting_since;
   if (is_answer) {
+    if (IsRemote(server))
+      m_remote_reachability.RecordSign();
     if (server.m_reachability.RecordProgress(now))
       decision.m_changed_server = &server;
     return;
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -31,6 +31,7 @@
 #include "LibSteering/extra_openings.h"
 #include "LibSteering/flow_tracker.h"
 #include "LibSteering/opening_placer.h"
+#include "LibSteering/remote_reachability.h"
 #include "LibSteering/route_table.h"
 #include "LibSteering/server_directory.h"
 #include "LibSteering/service_admissions.h"
@@ -235,6 +236,17 @@
                    const Observation& observation,
                    KnownServer& server,
                    base::TimePoint now);
+  // Whether openings may go to evacuated data centres: nothing else can be
+  // reached, and it is not known whether the evacuations are still in force. A
+  // data centre that is cut off serves what it can.
+  bool MayUseEvacuated(base::TimePoint now) const {
+    return !m_are_routes_current && !m_directory.Evacuated().empty() &&
+           m_remote_reachability.IsCutOff(now);
+  }
+  // Whether `server` is in another data centre than this balancer.
+  bool IsRemote(const KnownServer& server) const {
+    return server.m_record.m_data_centre != m_settings.m_data_centre;
+  }
   // Why no server of `service` could be chosen.
   Reason RefusalReason(std::string_view service, base::TimePoint now) const;
   // Whether `server` has ended, so that no answer can arrive.
@@ -249,6 +261,7 @@
   OpeningPlacer m_placer;
   ExtraOpenings m_extra;
   WarmUpBudget m_warm_up;
+  RemoteReachability m_remote_reachability;
   std::map<std::string, std::uint64_t> m_openings;
   // The servers that need probing, so that StartDueProbes does not have to
   // visit every server.
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -45,8 +45,10 @@
     return Event::kOpeningRefused;
   if (std::holds_alternative<steering::Drop>(decision.m_action))
     return Event::kPacketDropped;
-  return decision.m_reason == steering::Reason::kPlaced ? Event::kOpeningPlaced
-                                                        : Event::kOpeningMoved;
+  const bool is_placed =
+      decision.m_reason == steering::Reason::kPlaced ||
+      decision.m_reason == steering::Reason::kPlacedInEvacuated;
+  return is_placed ? Event::kOpeningPlaced : Event::kOpeningMoved;
 }
 
 }  // namespace
--- a/Tests/LibSteering/test_evacuation.cc
+++ b/Tests/LibSteering/test_evacuation.cc
@@ -3,6 +3,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "LibSteering/steering.h"
 #include "LibSteering/steering_fixture.h"
@@ -173,4 +174,36 @@
   CHECK(directory.EvacuationEndedAt(name(last)) == At(static_cast<int>(last)));
 }
 
+// A data centre was evacuated and then cut off: its balancers sent all openings
+// to servers that they could not reach, while the servers beside them served.
+TEST_CASE(
+    "a balancer that is cut off in an evacuated data centre serves there") {
+  SteeringWithRoutes steering;
+  steering.directory().Apply(MakeServerIn("i-here", "here"), At(0));
+  const std::vector<std::string> remote = {"i-1", "i-2", "i-3", "i-4", "i-5"};
+  for (const std::string& name : remote)
+    steering.directory().Apply(MakeServerIn(name, "there"), At(0));
+  steering.directory().SetEvacuated({kHere}, At(0));
+  const auto fail_probes = [&](int at_ms) {
+    for (const std::string& name : remote)
+      steering.RecordProbeResult(
+          steering.directory().FindByName(ServerName(name))->m_handle,
+          ProbeResult::kSilent, At(at_ms));
+  };
+  fail_probes(100);
+
+  // The view is known to be current, so the evacuation is in force.
+  const Decision current = steering.Handle(MakeOpening(1), At(400));
+  CHECK(NameOfServer(current) != "i-here");
+  steering.SetRoutesCurrent(false);
+  const Decision cut_off = steering.Handle(MakeOpening(2), At(400));
+  CHECK(NameOfServer(cut_off) == "i-here");
+  CHECK(cut_off.m_reason == Reason::kPlacedInEvacuated);
+  // A sign of any other server shows that the cut has ended.
+  steering.RecordProbeResult(
+      steering.directory().FindByName(ServerName("i-3"))->m_handle,
+      ProbeResult::kAnswered, At(500));
+  CHECK(NameOfServer(steering.Handle(MakeOpening(3), At(500))) == "i-3");
+}
+
 }  // namespace steering
