Tests: Guard the evidence against services with many slow answers

The test of sound servers passed although the share of slow answers in the service was left out, and with an evidence that two slow answers reach.

--- a/Tests/LibSteering/test_slow_servers.cc
+++ b/Tests/LibSteering/test_slow_servers.cc
@@ -21,12 +21,13 @@
 constexpr int kAnswersPerSecond = 20;
 constexpr double kNetworkMs = 9;
 constexpr double kWorkMs = 26;
-constexpr double kLongShare = 0.03;
 constexpr double kLongFactor = 7;
 
 class AnswerSimulation {
  public:
-  AnswerSimulation() {
+  // `long_share` of the requests take kLongFactor times as long as others.
+  explicit AnswerSimulation(double long_share = 0.03)
+      : m_long_share(long_share) {
     for (int i = 0; i < kServers; ++i)
       m_directory.Apply(MakeServer("i-" + std::to_string(i)), At(0));
   }
@@ -39,7 +40,7 @@
       m_now += 1000 / kAnswersPerSecond;
       KnownServer& server = *servers[m_random.Below(servers.size())];
       const double work = kWorkMs * factor(server) *
-                          (m_random.Unit() < kLongShare ? kLongFactor : 1) *
+                          (m_random.Unit() < m_long_share ? kLongFactor : 1) *
                           (0.75 + 0.5 * m_random.Unit());
       const auto time = std::chrono::duration_cast<base::Duration>(
           std::chrono::duration<double, std::milli>(kNetworkMs + work));
@@ -70,6 +71,7 @@
   SlowServers& slow() { return m_slow; }
 
  private:
+  double m_long_share;
   ServerDirectory m_directory;
   SlowServers m_slow;
   base::Random m_random{17};
@@ -92,10 +94,12 @@
 }  // namespace
 
 TEST_CASE("requests that take long on any server make no sound server slow") {
-  AnswerSimulation simulation;
-  simulation.Run(1800, Usual);
+  for (const double long_share : {0.03, 0.2}) {
+    AnswerSimulation simulation(long_share);
+    simulation.Run(1800, Usual);
 
-  CHECK(simulation.AvoidedShare() < 0.001);
+    CHECK(simulation.AvoidedShare() < 0.001);
+  }
 }
 
 TEST_CASE(
