LibSteering: Count requests on open flows against cold servers

The bound on a cold server counts requests, and flows bring several. The rate of openings is divided by the requests that a flow brings during the cold phase, as this balancer has counted them. Without that, flows of ten requests exceed the bound of 35 per second in the test.

--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -171,8 +171,11 @@
   decision.m_reason = previous_server == nullptr   ? Reason::kPlaced
                       : previous_server == &server ? Reason::kPlacedAgain
                                                    : Reason::kPlacedElsewhere;
-  if (previous_server == nullptr)
+  if (previous_server == nullptr) {
     ++m_openings[service];
+    if (WarmUpBudget::IsLimited(options))
+      m_warm_up.RecordFlow(service, now);
+  }
   if (previous_server != &server && WarmUpBudget::IsLimited(options) &&
       WarmUpBudget::IsCold(server, *options, now))
     WarmUpBudget::RecordOpening(server.m_warm_up_share);
@@ -248,6 +251,8 @@
       m_tracker.RecordPacket(packet, *server, route->m_timeout, now);
   decision.m_packet_kind = observation.m_packet_kind;
   UpdateReachability(*server, observation.m_waiting_since, decision, now);
+  if (packet.m_payload_bytes > 0)
+    RecordRequest(packet.m_flow, *server, now);
   const auto reset_reason = ResetReason(*server, *route, now);
   if (packet.m_payload_bytes > 0 && reset_reason) {
     decision.m_action = Reset{packet.m_acknowledgement};
@@ -259,6 +264,18 @@
   return decision;
 }
 
+void Steering::RecordRequest(const flow::FlowKey& flow,
+                             const KnownServer& server,
+                             base::TimePoint now) {
+  const std::string& service = server.m_record.m_service;
+  if (!WarmUpBudget::IsLimited(m_routes.OptionsOf(service)))
+    return;
+  const FlowRecord* record = m_tracker.Find(flow);
+  if (record != nullptr && record->m_is_request_in_progress &&
+      !record->m_is_long_request && record->m_request_at == now)
+    m_warm_up.RecordRequest(service, now);
+}
+
 void Steering::MarkSuspected(KnownServer& server,
                              base::TimePoint waiting_since) {
   server.m_reachability.RecordSuspicion(waiting_since);
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -144,6 +144,11 @@
   Decision HandleEstablished(const CallerPacket& packet,
                              const Route* route,
                              base::TimePoint now);
+  // Counts a request for the budget of cold servers if a packet of the flow has
+  // just begun one.
+  void RecordRequest(const flow::FlowKey& flow,
+                     const KnownServer& server,
+                     base::TimePoint now);
   // Records that a caller has waited for an answer of `server` since
   // `waiting_since`, and adds the server to the probe list if necessary.
   void MarkSuspected(KnownServer& server, base::TimePoint waiting_since);
--- a/Libraries/LibSteering/warm_up_budget.cc
+++ b/Libraries/LibSteering/warm_up_budget.cc
@@ -8,8 +8,8 @@
 namespace {
 
 // A phase that was drawn for another interval is kept if the intervals differ
-// by less than this factor. The estimated number of balancers varies a little.
-constexpr double kSameInterval = 1.1;
+// by less than this factor. The estimates behind it vary a little.
+constexpr double kSameInterval = 1.25;
 // An interval of this length or more means that the server gets no openings.
 constexpr double kLongestIntervalSeconds = 3600;
 constexpr base::Duration kShortestInterval = std::chrono::milliseconds(1);
@@ -25,6 +25,30 @@
          (server.m_cold_until && now < *server.m_cold_until);
 }
 
+double WarmUpBudget::RequestsOfFlow(const ServiceOptions& options) const {
+  const auto found = m_requests_per_flow.find(options.m_service);
+  if (found == m_requests_per_flow.end())
+    return 1;
+  const double cold_seconds =
+      std::chrono::duration<double>(options.m_warm_up).count();
+  const double most = cold_seconds > 0
+                          ? 1 + kRequestsPerSecondOfFlow * cold_seconds
+                          : found->second.Mean();
+  // Where flows have one request, a few repeated ones make the mean greater.
+  constexpr double kOneRequest = 1.2;
+  const double mean = found->second.Mean();
+  return mean < kOneRequest ? 1 : std::min(mean, most);
+}
+
+void WarmUpBudget::RecordFlow(std::string_view service, base::TimePoint now) {
+  m_requests_per_flow[std::string(service)].RecordOpening(now);
+}
+
+void WarmUpBudget::RecordRequest(std::string_view service,
+                                 base::TimePoint now) {
+  m_requests_per_flow[std::string(service)].RecordRequest(now);
+}
+
 double WarmUpBudget::SharedRate(const ServiceOptions& options,
                                 std::uint32_t balancers) const {
   const double rate = options.m_warm_up_requests_per_second;
@@ -47,7 +71,7 @@
 
 base::Duration WarmUpBudget::IntervalOf(const ServiceOptions& options,
                                         std::uint32_t balancers) const {
-  const double rate = SharedRate(options, balancers);
+  const double rate = SharedRate(options, balancers) / RequestsOfFlow(options);
   const double seconds =
       std::min(balancers / std::max(rate, 1e-9), kLongestIntervalSeconds);
   return std::max(kShortestInterval,
--- a/Libraries/LibSteering/warm_up_budget.h
+++ b/Libraries/LibSteering/warm_up_budget.h
@@ -13,19 +13,28 @@
 // shares out only the rate at which the bound is kTailDeviations standard
 // deviations above the mean despite such an estimate.
 
+// Callers send further requests on a flow, and an open flow cannot be moved.
+// The rate of openings is therefore divided by the requests that a flow brings
+// to the server while the server is cold.
+
 #ifndef LIBSTEERING_WARM_UP_BUDGET_H_
 #define LIBSTEERING_WARM_UP_BUDGET_H_
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibBase/random.h"
 #include "LibBase/time.h"
 #include "LibSteering/known_server.h"
 #include "LibSteering/manifest.h"
+#include "LibSteering/requests_per_flow.h"
 
 namespace steering {
 
@@ -56,6 +65,10 @@
   static constexpr base::Duration kShortestWindow =
       std::chrono::milliseconds(50);
 
+  // Callers of long flows pause for about a second between requests, so a flow
+  // brings no more requests than this in a second.
+  static constexpr double kRequestsPerSecondOfFlow = 1.25;
+
   // Queries.
   // Whether the service has a figure for its cold servers.
   static bool IsLimited(const ServiceOptions* options) {
@@ -64,7 +77,10 @@
   static bool IsCold(const KnownServer& server,
                      const ServiceOptions& options,
                      base::TimePoint now);
-  // The openings per second that `balancers` balancers share out for one cold
+  // The requests that a flow of the service brings to a server while the server
+  // is cold.
+  double RequestsOfFlow(const ServiceOptions& options) const;
+  // The requests per second that `balancers` balancers share out for one cold
   // server of the service.
   double SharedRate(const ServiceOptions& options,
                     std::uint32_t balancers) const;
@@ -75,6 +91,9 @@
   void SetBalancers(std::optional<std::uint32_t> balancers) {
     m_balancers = balancers;
   }
+  // A flow of the service was opened, or a caller has begun a request on one.
+  void RecordFlow(std::string_view service, base::TimePoint now);
+  void RecordRequest(std::string_view service, base::TimePoint now);
   // Whether an opening may go to the cold server with `share` now. Without an
   // estimate of the number of balancers, only if `has_warm` is false: there is
   // no warm server.
@@ -104,6 +123,8 @@
 
   WarmUpLimits m_limits;
   std::optional<std::uint32_t> m_balancers;
+  // By service.
+  std::map<std::string, RequestsPerFlow, std::less<>> m_requests_per_flow;
 };
 
 }  // namespace steering
--- a/Tests/LibSteering/test_warm_up_budget.cc
+++ b/Tests/LibSteering/test_warm_up_budget.cc
@@ -124,6 +124,64 @@
     CheckBound({count, 0.67, 1}, 0.35);
 }
 
+// The most requests in a second at one of the servers of a fleet whose callers
+// send ten requests on each flow, 0.8 s apart.
+std::size_t MostRequestsOnLongFlows(std::uint32_t balancers,
+                                    const ServiceOptions& options,
+                                    std::uint64_t seed) {
+  constexpr double kOpeningsPerSecond = 1486;
+  constexpr int kRequests = 10;
+  constexpr std::chrono::milliseconds kPause(800);
+  base::Random random(seed);
+  std::vector<WarmUpBudget> budgets(balancers);
+  for (WarmUpBudget& budget : budgets) {
+    budget.SetLimits(kLimits);
+    budget.SetBalancers(balancers);
+    // What it has counted in normal operation.
+    for (int i = 0; i < 100 * kRequests; ++i) {
+      budget.RecordRequest(options.m_service, At(0));
+      if (i % kRequests == 0)
+        budget.RecordFlow(options.m_service, At(0));
+    }
+  }
+  std::vector<WarmUpShare> shares(balancers);
+  std::vector<base::TimePoint> requests;
+  const base::TimePoint end = At(0) + options.m_warm_up;
+  const auto gap = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(1 / kOpeningsPerSecond));
+  for (base::TimePoint now = At(0); now < end; now += gap) {
+    const auto chosen = random.Below(balancers);
+    if (!budgets[chosen].MayOpen(shares[chosen], options, true, random, now))
+      continue;
+    WarmUpBudget::RecordOpening(shares[chosen]);
+    for (int i = 0; i < kRequests && now + i * kPause < end; ++i)
+      requests.push_back(now + i * kPause);
+  }
+  std::ranges::sort(requests);
+  std::size_t most = 0;
+  for (std::size_t first = 0, last = 0; last < requests.size(); ++last) {
+    while (requests[last] - requests[first] >= std::chrono::seconds(1))
+      ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+TEST_CASE("further requests on open flows overload a cold server") {
+  for (const std::uint32_t count : kFleets) {
+    for (const int cold_ms : {2500, 10'000}) {
+      for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        const ServiceOptions options = {"portal", "/health",
+                                        std::chrono::milliseconds(cold_ms), 20};
+        CAPTURE(count);
+        CAPTURE(cold_ms);
+        CAPTURE(seed);
+        CHECK(MostRequestsOnLongFlows(count, options, seed) <= 35);
+      }
+    }
+  }
+}
+
 TEST_CASE("openings that were saved up reach a cold server together") {
   for (const std::uint32_t count : kFleets)
     CheckBound({count, 1, 1, 0.25}, 0);
@@ -204,4 +262,32 @@
   CHECK(is_cold("i-later", 8999));
 }
 
+TEST_CASE("the packets of an upload count as requests") {
+  SteeringWithRoutes steering;
+  Manifest manifest = MakeLimitedManifest(20);
+  manifest.m_services.front().m_warm_up = std::chrono::seconds(60);
+  const ServiceOptions options = manifest.m_services.front();
+  steering.ApplyManifest(manifest);
+  steering.directory().Apply(MakeServer("i-warm"), At(0));
+  // Each flow has `requests` requests of three packets.
+  const auto run = [&](std::uint16_t first_port, std::uint32_t requests) {
+    for (std::uint16_t i = 0; i < 50; ++i) {
+      const auto port = static_cast<std::uint16_t>(first_port + i);
+      const auto token = TokenOf(steering.Handle(MakeOpening(port), At(i)));
+      std::uint32_t sequence = 1;
+      for (std::uint32_t request = 1; request <= requests; ++request) {
+        for (int packet = 0; packet < 3; ++packet, sequence += 80)
+          steering.Handle(MakeData(port, token, sequence, request, 80), At(i));
+        steering.Handle(MakeData(port, token, sequence, request + 1, 0), At(i));
+      }
+    }
+  };
+
+  run(1000, 1);
+  CHECK(steering.warm_up().RequestsOfFlow(options) == 1);
+  run(2000, 9);
+  CHECK(steering.warm_up().RequestsOfFlow(options) ==
+        doctest::Approx(5).epsilon(0.02));
+}
+
 }  // namespace steering
