LibLoadExchange: Settle again after a long isolation

After a minute without sums, the first ones are as incomplete as after the start. A reader that nobody asks counts itself, so a balancer without peers has an estimate.

--- a/Libraries/LibLoadExchange/fleet_load.cc
+++ b/Libraries/LibLoadExchange/fleet_load.cc
@@ -64,7 +64,8 @@
 }
 
 void FleetLoad::RecordLargest(base::TimePoint now) {
-  if (!m_first_sums_at)
+  // After a long isolation, sums arrive as after the start.
+  if (m_largest.empty() || now - m_largest.back().first > kLargestFor)
     m_first_sums_at = now;
   const std::uint32_t balancers = LiveBalancers(now).value_or(0);
   while (!m_largest.empty() && m_largest.back().second <= balancers)
--- a/Libraries/LibLoadExchange/load_exchange.h
+++ b/Libraries/LibLoadExchange/load_exchange.h
@@ -56,6 +56,11 @@
   const FleetLoad& fleet() const { return m_fleet; }
 
   // Commands. `own` is this balancer's report.
+  // Keeps the sums of a reader that nobody asks up to date.
+  void Sweep(const LoadReport& own, bool is_reader, base::TimePoint now) {
+    if (is_reader)
+      UpdateOwnSums(own, now);
+  }
   // The load for a request to a peer.
   std::string MakeRequestLoad(const LoadReport& own,
                               bool is_reader,
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -178,8 +178,11 @@
 
 void ViewUpdater::Sweep(base::TimePoint now) {
   m_last_sweep = BootTime();
-  if (m_exchanges_load)
+  if (m_exchanges_load) {
+    m_load.Sweep(m_load_collector.Report(m_steering, m_load.fleet(), now),
+                 IsReader(), now);
     m_load_collector.Apply(m_load.fleet(), m_steering, now);
+  }
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
   m_log.WriteServerChanges(m_view.ApplyDueRemovals(now),
                            m_servers.watcher().KnownRevision(), "lapse", now);
--- a/Tests/LibLoadExchange/test_load_exchange.cc
+++ b/Tests/LibLoadExchange/test_load_exchange.cc
@@ -79,6 +79,10 @@
     CHECK(fleet.LargestBalancers(now) ==
           (i < 4 ? std::nullopt : std::optional(i < 160 ? 90U : 60U)));
   }
+  // After an isolation, the first sums may be incomplete again.
+  fleet.Record(MakeLoad("hall-0", 1, 900, 5), kStart + seconds(300));
+  CHECK_FALSE(fleet.LargestBalancers(kStart + seconds(303)));
+  CHECK(fleet.LargestBalancers(kStart + seconds(304)) == 5);
 }
 
 TEST_CASE("readers do not learn the sums of other data centres from a seed") {
@@ -133,6 +137,12 @@
     CHECK(exchange->fleet().LiveBalancers(kStart + seconds(2)) == 3);
 }
 
+TEST_CASE("a balancer without peers does not count itself") {
+  LoadExchange alone(base::Ipv4Address(1), base::DataCentreId("hall-0"));
+  alone.Sweep(MakeReport("hall-0", 1), true, kStart);
+  CHECK(alone.fleet().LiveBalancers(kStart) == 1);
+}
+
 TEST_CASE("a malformed or foreign message changes what is known") {
   LoadExchange reader(base::Ipv4Address(1), base::DataCentreId("hall-0"));
   const LoadReport own = MakeReport("hall-0", 1);
