--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -10,7 +10,7 @@
 [ ${#targets[@]} -gt 0 ] ||
   targets=(FuzzPacket FuzzPeerCodec FuzzDocument FuzzSettings
            FuzzCallerPacket FuzzStoreAnswer FuzzEdgeSettings
-           FuzzFeedMessage)
+           FuzzFeedMessage FuzzLoadMessage)
 cmake -S . -B build-fuzz -G Ninja -DCOLTSFOOTDALE_FUZZ=ON \
   -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 cmake --build build-fuzz --target "${targets[@]}"
