--- a/Libraries/LibSteering/opening_placer.h
+++ b/Libraries/LibSteering/opening_placer.h
@@ -54,10 +54,9 @@
   // Sets whether servers in evacuated data centres are eligible.
   void SetUsesEvacuated(bool uses) { m_uses_evacuated = uses; }
   // The ready server of least cost among `servers` without `excluded`. Never
-  // chooses an unreachable server, nor an evacuated one unless SetUsesEvacuated,
-  // and a server with a failed
-  // probe only if there is no other. Among servers of equal cost, `random`
-  // decides.
+  // chooses an unreachable server, nor an evacuated one unless
+  // SetUsesEvacuated, and a server with a failed probe only if there is no
+  // other. Among servers of equal cost, `random` decides.
   std::optional<Placement> Place(std::span<KnownServer* const> servers,
                                  const KnownServer* excluded,
                                  base::Random& random,
