--- a/Libraries/LibAdmission/priority_admission.cc
+++ b/Libraries/LibAdmission/priority_admission.cc
@@ -55,6 +55,7 @@
 std::vector<std::optional<base::Duration>> TargetsOf(
     const std::vector<RouteGoal>& routes) {
   std::vector<std::optional<base::Duration>> targets;
+  targets.reserve(routes.size());
   for (const RouteGoal& route : routes)
     targets.push_back(route.m_target);
   return targets;
--- a/Libraries/LibSteering/remote_share.h
+++ b/Libraries/LibSteering/remote_share.h
@@ -29,15 +29,21 @@
       return;
     m_adjusted_at = now;
     const double own = m_own.ValueAt(now, 0);
-    // A data centre without recent answers counts as idle.
-    const double other = m_other.ValueAt(now, m_usual_seconds) + kMarginSeconds;
+    // The other data centres are taken as idle before their first answers and
+    // some seconds after their last ones.
+    m_other_seconds = m_other.ValueAt(
+        now,
+        m_other_seconds + kForgetGain * (m_usual_seconds - m_other_seconds));
     if (own > 0) {
+      if (m_usual_seconds == 0)
+        m_other_seconds = own;
       const double gain = m_usual_seconds == 0    ? 1.0
                           : own < m_usual_seconds ? kDecreaseGain
                                                   : kIncreaseGain;
       m_usual_seconds += gain * (own - m_usual_seconds);
     }
-    const bool is_slower = own > kMinimumFactor * other;
+    const bool is_slower =
+        own > kMinimumFactor * (m_other_seconds + kMarginSeconds);
     m_share = std::clamp(m_share + (is_slower ? kRise : -kFall), 0.0, 1.0);
   }
 
@@ -57,6 +63,10 @@
   // not count as usual.
   static constexpr double kDecreaseGain = 0.1;
   static constexpr double kIncreaseGain = 0.001;
+  // Half of what is known about the other data centres is forgotten in 3.4 s.
+  // Without this memory, openings left a data centre in which waits were the
+  // same as elsewhere.
+  static constexpr double kForgetGain = 0.02;
 
   struct Mean {
     admission::DecayedCount m_answers{kHalfLife};
@@ -71,6 +81,7 @@
   Mean m_own;
   Mean m_other;
   double m_usual_seconds = 0;
+  double m_other_seconds = 0;
   double m_share = 0;
   base::TimePoint m_adjusted_at;
 };
