LibEdge: Report only requests that stay unanswered

Some long requests are overdue for a moment before their answer comes. A request now counts if it is also unanswered at the next report.

--- a/Libraries/LibEdge/load_collector.cc
+++ b/Libraries/LibEdge/load_collector.cc
@@ -57,6 +57,8 @@
   std::set<std::uint32_t> watched;
   for (const ServerEvidence& evidence : fleet.Evidence(now))
     watched.insert(evidence.m_token);
+  std::map<std::uint32_t, double> former_unanswered;
+  former_unanswered.swap(m_unanswered);
   while (m_samples.size() > 1 && now - m_samples[1].first >= kCountingTime)
     m_samples.pop_front();
   for (const auto& [service, servers] : steering.directory().ByService()) {
@@ -67,7 +69,14 @@
     for (const steering::KnownServer* server : servers) {
       load.m_requests_in_progress += server->m_requests_in_progress;
       const auto& statistics = server->m_answer_statistics;
-      const double unanswered = statistics.Unanswered(now);
+      double unanswered = statistics.Unanswered(now);
+      if (unanswered > 0) {
+        m_unanswered[TokenOf(*server)] = unanswered;
+        const auto former = former_unanswered.find(TokenOf(*server));
+        unanswered = former == former_unanswered.end()
+                         ? 0
+                         : std::min(unanswered, former->second);
+      }
       if (unanswered >= kLeastUnanswered || watched.contains(TokenOf(*server)))
         m_report.m_servers.push_back(
             {TokenOf(*server), unanswered, statistics.Answered(now), 0});
--- a/Libraries/LibEdge/load_collector.h
+++ b/Libraries/LibEdge/load_collector.h
@@ -76,6 +76,10 @@
   base::Random m_random;
   load_exchange::LoadReport m_report;
   std::optional<base::TimePoint> m_reported_at;
+  // The unanswered requests of each server, by token, at the last report. Those
+  // that are not answered by the next report either are reported: the answer to
+  // a long request often follows soon after the request is overdue.
+  std::map<std::uint32_t, double> m_unanswered;
   // The numbers of openings of the last kCountingTime, oldest first.
   std::deque<std::pair<base::TimePoint, Openings>> m_samples;
 };
--- a/Tests/LibLoadExchange/fleet_model.cc
+++ b/Tests/LibLoadExchange/fleet_model.cc
@@ -34,7 +34,7 @@
 }
 
 FleetModel::FleetModel(const FleetModelSettings& settings)
-    : m_settings(settings) {
+    : m_settings(settings), m_random(settings.m_seed) {
   for (std::uint32_t i = 0; i < settings.m_balancers; ++i) {
     m_balancers.push_back(std::make_unique<Balancer>(i, DataCentre(i)));
     steering::Steering& steering = m_balancers.back()->m_steering;
@@ -109,6 +109,7 @@
 void FleetModel::Sweep(std::uint32_t balancer) {
   Balancer& own = *m_balancers[balancer];
   own.m_steering.Sweep(m_now);
+  ReportOf(balancer);
   own.m_collector.Apply(own.m_exchange.fleet(), own.m_steering, m_now);
   for (std::uint32_t i = 1; i < m_settings.m_servers; ++i) {
     const auto* server = own.m_steering.directory().FindByName(
--- a/Tests/LibLoadExchange/fleet_model.h
+++ b/Tests/LibLoadExchange/fleet_model.h
@@ -20,6 +20,7 @@
 namespace load_exchange {
 
 struct FleetModelSettings {
+  std::uint64_t m_seed = 1;
   std::uint32_t m_balancers = 95;
   std::uint32_t m_data_centres = 4;
   std::uint32_t m_servers = 120;
@@ -86,7 +87,7 @@
   void SendRequest();
 
   FleetModelSettings m_settings;
-  base::Random m_random{7};
+  base::Random m_random;
   base::TimePoint m_now{std::chrono::hours(1)};
   std::uint64_t m_event_number = 0;
   std::priority_queue<Event> m_events;
--- a/Tests/LibLoadExchange/test_shared_evidence.cc
+++ b/Tests/LibLoadExchange/test_shared_evidence.cc
@@ -10,28 +10,32 @@
 
 constexpr std::chrono::seconds kTime(30);
 
-FleetModelSettings GreySettings(bool exchanges_load) {
+// The requests lost at a server that answers half of them, in three runs.
+int LostAtGreyServer(bool exchanges_load) {
   FleetModelSettings settings;
   settings.m_exchanges_load = exchanges_load;
   settings.m_lost_part = 0.5;
   settings.m_balancers = 195;
   settings.m_data_centres = 3;
-  return settings;
+  int lost = 0;
+  for (settings.m_seed = 1; settings.m_seed <= 3; ++settings.m_seed) {
+    FleetModel fleet(settings);
+    fleet.RunFor(kTime);
+    lost += fleet.Lost();
+    CHECK(fleet.LargestShareOfSound() == 0);
+  }
+  return lost;
 }
 
 }  // namespace
 
 TEST_CASE("every balancer has to lose requests at a server that answers half") {
-  FleetModel alone(GreySettings(false));
-  FleetModel together(GreySettings(true));
-  alone.RunFor(kTime);
-  together.RunFor(kTime);
+  const int alone = LostAtGreyServer(false);
+  const int together = LostAtGreyServer(true);
 
-  MESSAGE("requests lost alone: " << alone.Lost()
-                                  << ", together: " << together.Lost());
-  CHECK(alone.Lost() >= 40);
-  CHECK(together.Lost() * 2 <= alone.Lost());
-  CHECK(together.LargestShareOfSound() == 0);
+  MESSAGE("requests lost alone: " << alone << ", together: " << together);
+  CHECK(alone >= 150);
+  CHECK(together * 2 <= alone);
 }
 
 TEST_CASE("long requests make sound servers look bad") {
@@ -39,10 +43,11 @@
   settings.m_long_part = 0.03;
   // Seven times this is longer than the time after which a request is overdue.
   settings.m_work_ms = 90;
-  FleetModel fleet(settings);
-  fleet.RunFor(kTime);
-
-  CHECK(fleet.LargestShareOfSound() == 0);
+  for (settings.m_seed = 1; settings.m_seed <= 3; ++settings.m_seed) {
+    FleetModel fleet(settings);
+    fleet.RunFor(kTime);
+    CHECK(fleet.LargestShareOfSound() == 0);
+  }
 }
 
 TEST_CASE("one false balancer turns the others away from a sound server") {
