--- a/Libraries/LibAdmission/priority_admission.h
+++ b/Libraries/LibAdmission/priority_admission.h
@@ -57,6 +57,8 @@
   // Otherwise, nothing is ever refused.
   static bool Applies(const std::vector<RouteGoal>& routes);
   const std::vector<RouteGoal>& routes() const { return m_routes; }
+  // Whether any priority has a limit.
+  bool HasLimit() const;
   // The limit of `priority`; nothing if it has none.
   std::optional<double> LimitOf(std::uint32_t priority) const;
   OverloadSigns SignsAt(base::TimePoint now) const {
@@ -66,8 +68,9 @@
   // Commands.
   // Decides about an opening of `caller` on the route with `address`, and
   // records the opening. `in_progress` is the number of this balancer's
-  // requests in progress at the service. A retransmission of an opening is no
-  // opening. `random` is used only while the priority has a limit.
+  // requests in progress at the service; it has no effect without HasLimit. A
+  // retransmission of an opening is no opening. `random` is used only while the
+  // priority has a limit.
   AdmissionVerdict Decide(base::Endpoint address,
                           base::Ipv4Address caller,
                           std::uint32_t in_progress,
@@ -98,7 +101,6 @@
 
   std::optional<std::size_t> IndexOf(base::Endpoint address) const;
   Level& LevelOf(std::uint32_t priority);
-  bool HasLimit() const;
   AdmissionBasis BasisFor(const Level& level,
                           bool is_retry,
                           std::uint32_t in_progress,
--- a/Libraries/LibSteering/service_admissions.cc
+++ b/Libraries/LibSteering/service_admissions.cc
@@ -36,9 +36,11 @@
   const auto found = m_services.find(service);
   if (found == m_services.end())
     return std::nullopt;
-  return found->second.m_admission.Decide(flow.m_service,
-                                          flow.m_caller.m_address,
-                                          InProgressOf(service), random, now);
+  // Without a limit, the servers need not be visited.
+  const std::uint32_t in_progress =
+      found->second.m_admission.HasLimit() ? InProgressOf(service) : 0;
+  return found->second.m_admission.Decide(
+      flow.m_service, flow.m_caller.m_address, in_progress, random, now);
 }
 
 void ServiceAdmissions::Record(const flow::FlowKey& flow,
