LibAdmission: Recognise refusals that come after a wait

The detector took a short answer for a refusal only if it was quicker than usual. The servers of the two new deployments answer 503 after a request has waited in the queue, 60 to 160 ms. A short answer counts as a refusal now, whenever it comes; beside usual times of the other answers it still counts for nothing.

--- a/Libraries/LibAdmission/overload_detector.cc
+++ b/Libraries/LibAdmission/overload_detector.cc
@@ -9,7 +9,9 @@
 
 constexpr base::Duration kShortHalfLife = std::chrono::milliseconds(300);
 constexpr base::Duration kLongHalfLife = std::chrono::milliseconds(2000);
-// A refusal has less than this share of the usual bytes.
+// A refusal has less than this share of the usual bytes. It may come late: some
+// servers refuse a request after it has waited in the queue, 60 to 160 ms in
+// the users' plays, which is longer than a usual answer takes.
 constexpr double kShortAnswerShare = 0.5;
 // An answer after little more than a handshake counts as a refusal even if it
 // is only somewhat shorter than usual. The work takes the rest of the usual
@@ -187,10 +189,12 @@
 bool OverloadDetector::LooksRefused(const Usual& usual,
                                     double seconds,
                                     std::uint32_t bytes) const {
-  if (usual.m_samples < kMinimumSamples || seconds >= usual.m_seconds)
+  if (usual.m_samples < kMinimumSamples)
     return false;
   if (bytes < kShortAnswerShare * usual.m_bytes)
     return true;
+  if (seconds >= usual.m_seconds)
+    return false;
   const double instant =
       m_usual_handshake_seconds +
       kInstantAnswerShare * (usual.m_seconds - m_usual_handshake_seconds);
--- a/Tests/LibAdmission/test_overload_detector.cc
+++ b/Tests/LibAdmission/test_overload_detector.cc
@@ -28,13 +28,18 @@
       RecordAnswer(0, {milliseconds(35), kUsualBytes}, true, At(i * 0.1));
     }
   }
-  // Records `count` answers within 0.3 s; each `period`th is a refusal.
-  void RecordAnswers(int count, int period, int time_ms, int lateness_ms = 0) {
+  // Records `count` answers within 0.3 s; each `period`th is a refusal, which
+  // takes `refusal_ms`.
+  void RecordAnswers(int count,
+                     int period,
+                     int time_ms,
+                     int lateness_ms = 0,
+                     int refusal_ms = 7) {
     for (int i = 0; i < count; ++i) {
       const base::TimePoint now = At(25 + 0.3 * i / count);
       RecordHandshake(milliseconds(7 + lateness_ms), now);
       const bool is_refusal = i % period == 0;
-      const int answer_ms = (is_refusal ? 7 : time_ms) + lateness_ms;
+      const int answer_ms = (is_refusal ? refusal_ms : time_ms) + lateness_ms;
       RecordAnswer(
           0,
           {milliseconds(answer_ms), is_refusal ? kRefusalBytes : kUsualBytes},
@@ -54,6 +59,15 @@
   CHECK(detector.SignsAt(At(25.3)).m_refused_share > 0.25);
 }
 
+// The users' servers answer 503 only after a request has waited in the queue.
+TEST_CASE("refusals that come later than usual answers count as overload") {
+  TrainedDetector detector;
+
+  detector.RecordAnswers(40, 3, 120, 0, 100);
+
+  CHECK(detector.IsOverloaded(At(25.3)));
+}
+
 TEST_CASE(
     "short and quick answers without slow ones do not count as overload") {
   TrainedDetector detector;
