LibAdmission, LibSteering: Use other data centres before the first limit

An overload has to last for 1 s before the first limit if other data centres have servers, and a refused request counts as a slow one for the share of openings that is placed there.

--- a/Libraries/LibAdmission/priority_admission.cc
+++ b/Libraries/LibAdmission/priority_admission.cc
@@ -153,7 +153,7 @@
                                      base::TimePoint now) {
   const auto route = IndexOf(address);
   if (!route)
-    return false;
+    return true;
   const bool is_served =
       m_detector.RecordAnswer(*route, sample, !HasLimit(), now);
   m_mean_in_progress += kInProgressGain * (in_progress - m_mean_in_progress);
@@ -200,10 +200,14 @@
   const OverloadSigns signs = m_detector.SignsAt(now);
   const bool is_overloaded =
       HasLimit() ? IsAboveSetPoint(signs) : m_detector.IsOverloaded(now);
-  if (is_overloaded)
-    LowerLimits(signs, now);
-  else
+  if (!is_overloaded)
+    m_overloaded_since.reset();
+  else if (!m_overloaded_since)
+    m_overloaded_since = now;
+  if (!is_overloaded)
     RaiseLimits(signs, now);
+  else if (HasLimit() || now - *m_overloaded_since >= m_first_limit_delay)
+    LowerLimits(signs, now);
   for (Level& level : m_levels)
     level.m_was_refused = false;
 }
--- a/Libraries/LibAdmission/priority_admission.h
+++ b/Libraries/LibAdmission/priority_admission.h
@@ -66,6 +66,9 @@
   }
 
   // Commands.
+  // Sets how long an overload must last before the first limit. With servers in
+  // other data centres, openings are first placed there.
+  void SetFirstLimitDelay(base::Duration delay) { m_first_limit_delay = delay; }
   // Decides about an opening of `caller` on the route with `address`, and
   // records the opening. `in_progress` is the number of this balancer's
   // requests in progress at the service; it has no effect without HasLimit. A
@@ -123,6 +126,9 @@
   // The moving average of the requests in progress.
   double m_mean_in_progress = 0;
   base::TimePoint m_adjusted_at;
+  // Since when the signs have shown an overload without a break.
+  std::optional<base::TimePoint> m_overloaded_since;
+  base::Duration m_first_limit_delay{};
   base::TimePoint m_lowered_at;
 };
 
--- a/Libraries/LibSteering/service_admissions.cc
+++ b/Libraries/LibSteering/service_admissions.cc
@@ -1,10 +1,20 @@
 #include "LibSteering/service_admissions.h"
 
+#include <algorithm>
+
 #include <utility>
 #include <vector>
 
 namespace steering {
 
+namespace {
+
+// A refused request counts as an answer after this many times its time: the
+// caller's next attempt takes a handshake and an answer of its own.
+constexpr int kRefusalTimes = 3;
+
+}  // namespace
+
 void ServiceAdmissions::SetRoutes(const Manifest& manifest) {
   std::map<std::string, std::vector<admission::RouteGoal>> goals;
   for (const Route& route : manifest.m_routes)
@@ -57,13 +67,20 @@
                                               now);
   if (!observation.m_answer)
     return;
-  const bool is_served = found->second.m_admission.RecordAnswer(
-      flow.m_service, *observation.m_answer,
-      InProgressOf(server.m_record.m_service), now);
-  if (is_served)
-    found->second.m_remote_share.RecordAnswer(
-        server.m_record.m_data_centre == m_own_data_centre,
-        observation.m_answer->m_time, now);
+  admission::PriorityAdmission& admission = found->second.m_admission;
+  if (!admission.HasLimit())
+    admission.SetFirstLimitDelay(HasRemoteServer(server.m_record.m_service)
+                                     ? kOverflowTime
+                                     : base::Duration::zero());
+  const bool is_served =
+      admission.RecordAnswer(flow.m_service, *observation.m_answer,
+                             InProgressOf(server.m_record.m_service), now);
+  // A refused request has to be sent again, so it takes longer than any answer.
+  found->second.m_remote_share.RecordAnswer(
+      server.m_record.m_data_centre == m_own_data_centre,
+      is_served ? observation.m_answer->m_time
+                : kRefusalTimes * observation.m_answer->m_time,
+      now);
 }
 
 double ServiceAdmissions::RemoteShareOf(std::string_view service) const {
@@ -71,6 +88,15 @@
   return found == m_services.end() ? 0.0 : found->second.m_remote_share.Value();
 }
 
+bool ServiceAdmissions::HasRemoteServer(std::string_view service) const {
+  return std::ranges::any_of(
+      m_directory.ServersOf(service), [this](const KnownServer* server) {
+        return server->m_record.m_data_centre != m_own_data_centre &&
+               server->AcceptsOpenings() && !server->m_is_evacuated &&
+               !server->m_reachability.IsUnreachable();
+      });
+}
+
 std::uint32_t ServiceAdmissions::InProgressOf(std::string_view service) const {
   std::uint32_t in_progress = 0;
   for (const KnownServer* server : m_directory.ServersOf(service))
--- a/Libraries/LibSteering/service_admissions.h
+++ b/Libraries/LibSteering/service_admissions.h
@@ -3,6 +3,7 @@
 #ifndef LIBSTEERING_SERVICE_ADMISSIONS_H_
 #define LIBSTEERING_SERVICE_ADMISSIONS_H_
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -34,6 +35,11 @@
   ServiceAdmissions(const ServerDirectory& directory, base::DataCentreId own)
       : m_directory(directory), m_own_data_centre(std::move(own)) {}
 
+  // The time in which the share of openings to other data centres reaches 1,
+  // see RemoteShare, and in which they answer.
+  static constexpr base::Duration kOverflowTime =
+      std::chrono::milliseconds(1000);
+
   // Queries.
   const Services& services() const { return m_services; }
   // The share of the openings to `service` that are to be placed without regard
@@ -61,6 +67,8 @@
   // unreachable servers do not count: they end only with their time limits,
   // and their number says nothing about the other servers.
   std::uint32_t InProgressOf(std::string_view service) const;
+  // Whether an opening may go to a server of `service` in another data centre.
+  bool HasRemoteServer(std::string_view service) const;
 
   const ServerDirectory& m_directory;
   base::DataCentreId m_own_data_centre;
--- a/Tests/Edge/test_evacuation_view.cc
+++ b/Tests/Edge/test_evacuation_view.cc
@@ -107,6 +107,7 @@
                                R"("store_revision":{}}})",
                                fmt::join(objects, ","), m_revision)};
     std::vector<std::string> events;
+    events.reserve(removed.size() + objects.size());
     for (const std::string& object : removed)
       events.push_back(R"({"deleted":true,"object":)" + object + "}");
     for (const std::string& object : objects)
