--- a/Libraries/LibSteering/service_admissions.h
+++ b/Libraries/LibSteering/service_admissions.h
@@ -35,10 +35,10 @@
   ServiceAdmissions(const ServerDirectory& directory, base::DataCentreId own)
       : m_directory(directory), m_own_data_centre(std::move(own)) {}
 
-  // The time in which the share of openings to other data centres reaches 1,
+  // The time in which most openings go to other data centres if that helps,
   // see RemoteShare, and in which they answer.
   static constexpr base::Duration kOverflowTime =
-      std::chrono::milliseconds(1000);
+      std::chrono::milliseconds(600);
 
   // Queries.
   const Services& services() const { return m_services; }
