LibSteering: Split the placement of an opening

PlaceOpening chose the server, counted the opening and recorded it. Choosing and counting are functions of their own now.

--- a/Libraries/LibSteering/opening_placer.h
+++ b/Libraries/LibSteering/opening_placer.h
@@ -39,6 +39,8 @@
   // How many servers were eligible, and the cost of the chosen one.
   std::size_t m_candidates = 0;
   double m_cost = 0;
+  // The opening is to show whether a slow server has recovered.
+  bool m_is_trial = false;
 };
 
 class OpeningPlacer {
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -21,8 +21,8 @@
       m_random(seed),
       m_admissions(m_directory, m_settings.m_data_centre),
       m_placer(m_settings.m_placement, m_settings.m_data_centre),
-      m_even_placer(WithoutRemotePenalty(m_settings.m_placement),
-                    m_settings.m_data_centre),
+      m_remote_placer(WithoutRemotePenalty(m_settings.m_placement),
+                      m_settings.m_data_centre),
       m_extra(m_settings.m_extra_openings_percent),
       m_probe_budget(m_settings.m_probes_per_second, now) {}
 
@@ -192,38 +192,11 @@
                                 KnownServer* previous_server,
                                 base::TimePoint now) {
   const std::string& service = route.ServiceFor(flow::HashFlow(packet.m_flow));
-  const auto& servers = m_directory.ServersOf(service);
-  const ServiceOptions* options = m_routes.OptionsOf(service);
-  const bool may_use_evacuated = MayUseEvacuated(now);
-  m_placer.SetUsesEvacuated(may_use_evacuated);
-  m_even_placer.SetUsesEvacuated(may_use_evacuated);
-  std::optional<Placement> placement;
-  if (previous_server == nullptr) {
+  if (previous_server == nullptr)
     m_extra.CountOpening(now);
-    placement = PlaceTrial(route, service, options, now);
-  }
-  const bool is_trial = placement.has_value();
-  // Services without admission by priority have a share of 0, so that no random
-  // number is drawn for them.
-  const double remote_share = m_admissions.RemoteShareOf(service);
-  const bool is_even = remote_share > 0 && m_random.Unit() < remote_share;
-  const OpeningPlacer& placer = is_even ? m_even_placer : m_placer;
-  if (!placement)
-    placement =
-        PlaceAmong(placer, route, servers, options, previous_server, now);
-  // All records may expire at once after the store was unavailable. Servers in
-  // evacuated data centres do not count as an alternative.
-  if (!placement && std::ranges::all_of(servers, &KnownServer::m_is_evacuated))
-    placement = PlaceAmong(
-        m_placer, route,
-        m_directory.ExpiredServersOf(service, now - m_settings.m_expiry_grace),
-        options, nullptr, now);
+  const auto placement = ChooseServer(route, service, previous_server, now);
   if (!placement) {
-    const bool are_cold =
-        WarmUpBudget::IsLimited(options) &&
-        m_placer.Place(servers, nullptr, m_random, now).has_value();
-    Decision refusal = Refuse(
-        packet, are_cold ? Reason::kServersCold : RefusalReason(service, now));
+    Decision refusal = Refuse(packet, RefusalReason(service, now));
     refusal.m_route = &route;
     return refusal;
   }
@@ -242,13 +215,55 @@
     return decision;
   }
   decision.m_action = Forward{&server, *token};
-  decision.m_reason = previous_server == nullptr   ? Reason::kPlaced
+  decision.m_reason = server.m_is_evacuated        ? Reason::kPlacedInEvacuated
+                      : previous_server == nullptr ? Reason::kPlaced
                       : previous_server == &server ? Reason::kPlacedAgain
                                                    : Reason::kPlacedElsewhere;
-  if (server.m_is_evacuated)
-    decision.m_reason = Reason::kPlacedInEvacuated;
-  if (is_trial)
-    decision.m_extra = ExtraReason::kTrial;
+  CountPlacement(service, server, previous_server, now);
+  RecordPlacement(packet.m_flow, server, previous_server, route, now);
+  if (!placement->m_is_trial)
+    return decision;
+  decision.m_extra = ExtraReason::kTrial;
+  if (FlowRecord* record = m_tracker.Find(packet.m_flow))
+    record->m_extra = ExtraReason::kTrial;
+  return decision;
+}
+
+std::optional<Placement> Steering::ChooseServer(const Route& route,
+                                                const std::string& service,
+                                                KnownServer* previous_server,
+                                                base::TimePoint now) {
+  const auto& servers = m_directory.ServersOf(service);
+  const ServiceOptions* options = m_routes.OptionsOf(service);
+  const bool may_use_evacuated = MayUseEvacuated(now);
+  m_placer.SetUsesEvacuated(may_use_evacuated);
+  m_remote_placer.SetUsesEvacuated(may_use_evacuated);
+  if (previous_server == nullptr) {
+    if (const auto trial = PlaceTrial(route, service, options, now))
+      return trial;
+  }
+  // Services without admission by priority have a share of 0, so that no random
+  // number is drawn for them.
+  const double remote_share = m_admissions.RemoteShareOf(service);
+  const bool is_remote = remote_share > 0 && m_random.Unit() < remote_share;
+  const auto placement =
+      PlaceAmong(is_remote ? m_remote_placer : m_placer, route, servers,
+                 options, previous_server, now);
+  // All records may expire at once after the store was unavailable. Servers in
+  // evacuated data centres do not count as an alternative.
+  if (placement || !std::ranges::all_of(servers, &KnownServer::m_is_evacuated))
+    return placement;
+  return PlaceAmong(
+      m_placer, route,
+      m_directory.ExpiredServersOf(service, now - m_settings.m_expiry_grace),
+      options, nullptr, now);
+}
+
+void Steering::CountPlacement(const std::string& service,
+                              KnownServer& server,
+                              const KnownServer* previous_server,
+                              base::TimePoint now) {
+  const ServiceOptions* options = m_routes.OptionsOf(service);
   if (previous_server == nullptr) {
     ++m_openings[service];
     if (WarmUpBudget::IsLimited(options))
@@ -257,10 +272,6 @@
   if (previous_server != &server && WarmUpBudget::IsLimited(options) &&
       WarmUpBudget::IsCold(server, *options, now))
     WarmUpBudget::RecordOpening(server.m_warm_up_share);
-  RecordPlacement(packet.m_flow, server, previous_server, route, now);
-  if (FlowRecord* record = is_trial ? m_tracker.Find(packet.m_flow) : nullptr)
-    record->m_extra = ExtraReason::kTrial;
-  return decision;
 }
 
 std::optional<Placement> Steering::PlaceAmong(
@@ -424,9 +435,11 @@
   return std::nullopt;
 }
 
-Reason Steering::RefusalReason(std::string_view service,
-                               base::TimePoint now) const {
+Reason Steering::RefusalReason(std::string_view service, base::TimePoint now) {
   std::vector<KnownServer*> ready = m_directory.ServersOf(service);
+  if (WarmUpBudget::IsLimited(m_routes.OptionsOf(service)) &&
+      m_placer.Place(ready, nullptr, m_random, now))
+    return Reason::kServersCold;
   std::erase_if(ready, [](const KnownServer* server) {
     return server->m_record.m_state != ServerState::kReady;
   });
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -167,6 +167,17 @@
                         const Route& route,
                         KnownServer* previous_server,
                         base::TimePoint now);
+  // The server for an opening to `service`; nothing if none is eligible.
+  std::optional<Placement> ChooseServer(const Route& route,
+                                        const std::string& service,
+                                        KnownServer* previous_server,
+                                        base::TimePoint now);
+  // Counts an opening that goes to `server` in the load of the service and in
+  // the budgets of cold servers.
+  void CountPlacement(const std::string& service,
+                      KnownServer& server,
+                      const KnownServer* previous_server,
+                      base::TimePoint now);
   // The server of least cost, not `previous_server` unless it is the only one.
   // `options` are those of the service. Cold servers take part while their
   // budget allows it.
@@ -255,7 +266,7 @@
     return server.m_record.m_data_centre != m_settings.m_data_centre;
   }
   // Why no server of `service` could be chosen.
-  Reason RefusalReason(std::string_view service, base::TimePoint now) const;
+  Reason RefusalReason(std::string_view service, base::TimePoint now);
   // Whether `server` has ended, so that no answer can arrive.
   bool HasEnded(const KnownServer& server, base::TimePoint now) const;
 
@@ -267,7 +278,7 @@
   ServiceAdmissions m_admissions;
   OpeningPlacer m_placer;
   // Places openings without regard to the data centre of the servers.
-  OpeningPlacer m_even_placer;
+  OpeningPlacer m_remote_placer;
   ExtraOpenings m_extra;
   WarmUpBudget m_warm_up;
   RemoteReachability m_remote_reachability;
--- a/Libraries/LibSteering/steering_extra_openings.cc
+++ b/Libraries/LibSteering/steering_extra_openings.cc
@@ -60,7 +60,10 @@
       !m_extra.Take(ExtraReason::kTrial, LoadOf(service, now), now))
     return std::nullopt;
   // The server may still be excluded for other reasons.
-  return PlaceAmong(m_placer, route, {&server, 1}, options, nullptr, now);
+  auto trial = PlaceAmong(m_placer, route, {&server, 1}, options, nullptr, now);
+  if (trial)
+    trial->m_is_trial = true;
+  return trial;
 }
 
 bool Steering::TakeEarlyCopy(const flow::FlowKey& flow,
