--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -26,11 +26,6 @@
 // A process that has not swept for this long was paused, and does not know
 // what happened meanwhile.
 constexpr base::Duration kMaximumSweepGap = milliseconds(500);
-// A balancer that starts does not place openings without the evacuations for
-// this long after it knows servers and routes: a call to the store and a
-// request to a seed may fail. Callers would wait longer if the kind cannot be
-// read.
-constexpr base::Duration kMaximumWaitForEvacuations = milliseconds(1000);
 
 std::uint64_t DrawSeed() {
   std::random_device device;
@@ -61,16 +56,6 @@
   return std::nullopt;
 }
 
-catalog::Evacuations MakeEvacuations(catalog::Revision revision,
-                                     const std::vector<EvacuationEvent>& list) {
-  catalog::Evacuations evacuations{revision, {}};
-  for (const EvacuationEvent& entry : list) {
-    if (entry.m_revision)
-      evacuations.m_objects[entry.m_data_centre] = *entry.m_revision;
-  }
-  return evacuations;
-}
-
 }  // namespace
 
 ViewUpdater::ViewUpdater(asio::io_context& context,
@@ -117,26 +102,6 @@
   UpdateLoadExchange();
 }
 
-void ViewUpdater::UpdateEvacuationUse() {
-  const bool is_needed = m_settings.m_evacuation_bound.has_value();
-  if (is_needed && m_evacuations == nullptr) {
-    m_evacuations = std::make_unique<StoreReader>(
-        m_context, m_settings.m_store, adapter::Collection::kEvacuations,
-        MakeReaderPolicy(m_settings), DrawSeed(),
-        [this](const StoreUpdate& update) {
-          OnStoreUpdate(*m_evacuations, update);
-        });
-    return;
-  }
-  if (is_needed || m_evacuations == nullptr)
-    return;
-  // A later reader lists the kind again.
-  m_evacuations.reset();
-  m_steering.SetAwaitsEvacuations(false);
-  const base::TimePoint now = base::Clock::now();
-  m_log.WriteEvacuations(m_view.ApplyEvacuations({}, now), {}, "settings", now);
-}
-
 base::Outcome<void> ViewUpdater::Listen(
     const std::optional<base::Endpoint>& endpoint) {
   m_settings.m_feed = endpoint;
@@ -235,17 +200,6 @@
   LimitWaitForEvacuations(now);
 }
 
-void ViewUpdater::LimitWaitForEvacuations(base::TimePoint now) {
-  if (!m_steering.AwaitsEvacuations() || !Status(now).HasView())
-    return;
-  if (!m_waits_for_evacuations_since)
-    m_waits_for_evacuations_since = now;
-  if (now - *m_waits_for_evacuations_since < kMaximumWaitForEvacuations)
-    return;
-  m_steering.SetAwaitsEvacuations(false);
-  m_on_change();
-}
-
 void ViewUpdater::OnPaused(base::TimePoint now) {
   m_servers.RestartCall();
   m_manifests.RestartCall();
@@ -390,15 +344,6 @@
   return true;
 }
 
-void ViewUpdater::AdoptEvacuations(const catalog::Evacuations& evacuations,
-                                   base::TimePoint now) {
-  if (!m_evacuations || !m_evacuations->AdoptRevision(evacuations.m_revision))
-    return;
-  m_steering.SetAwaitsEvacuations(false);
-  m_log.WriteEvacuations(m_view.ApplyEvacuations(evacuations, now),
-                         evacuations.m_revision, "peer", now);
-}
-
 ViewVersion ViewUpdater::Version(base::TimePoint now) const {
   ViewVersion version;
   const catalog::Revision servers = m_servers.watcher().KnownRevision();
@@ -526,24 +471,6 @@
   }
 }
 
-void ViewUpdater::OnEvacuations(const StoreUpdate& update,
-                                base::TimePoint now) {
-  const catalog::Revision revision = m_evacuations->watcher().KnownRevision();
-  const auto& objects = update.m_objects;
-  if (update.m_outcome.m_update == catalog::CollectionUpdate::kNone)
-    return;
-  const bool is_whole_list =
-      update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete &&
-      !objects.m_is_cut_short;
-  const EvacuationChanges changes =
-      is_whole_list
-          ? m_view.ApplyEvacuations(
-                MakeEvacuations(revision, objects.m_evacuations), now)
-          : m_view.ApplyEvacuationEvents(objects.m_evacuations, revision, now);
-  m_steering.SetAwaitsEvacuations(false);
-  m_log.WriteEvacuations(changes, revision, "store", now);
-}
-
 void ViewUpdater::OnSnapshot(base::Endpoint peer,
                              const base::Outcome<catalog::Snapshot>& snapshot) {
   const base::TimePoint now = base::Clock::now();
