Tests/Edge: Give the balancers that exchange load addresses of their own

The test looks for a port that is free for UDP at 127.0.0.1 and binds it for TCP too; other tests that run at the same time have connections at 127.0.0.1 with ports from the same range. The failure was not reproduced.

--- a/Tests/Edge/test_view_updater.cc
+++ b/Tests/Edge/test_view_updater.cc
@@ -24,6 +24,10 @@
 using std::chrono::milliseconds;
 
 constexpr base::Ipv4Address kLoopback(0x7F000001);
+// The first address of the balancers that exchange their load. They bind one
+// port for UDP and TCP, which a connection of another test may have taken at
+// 127.0.0.1.
+constexpr base::Ipv4Address kFleetAddress(0x7F5B0001);
 
 // A store that answers the first call for each collection with a list, and the
 // later ones with changes.
@@ -106,11 +110,11 @@
     edge::EdgeSettings settings;
     settings.m_vm = "edge-" + std::to_string(number);
     settings.m_data_centre = base::DataCentreId("hall-0");
-    const base::Ipv4Address address(kLoopback.value() + number);
+    const base::Ipv4Address address(kFleetAddress.value() + number);
     settings.m_feed = base::Endpoint{address, port};
     settings.m_is_seed = number == 0;
     if (number > 0)
-      settings.m_seeds = {{kLoopback, port}};
+      settings.m_seeds = {{kFleetAddress, port}};
     settings.m_store = store;
     if (has_evacuations)
       settings.m_evacuation_bound = std::chrono::seconds(5);
@@ -144,9 +148,9 @@
   asio::io_context context;
   Store store(context);
   const std::uint16_t port =
-      asio::ip::udp::socket(
-          context,
-          asio::ip::udp::endpoint(asio::ip::address_v4(kLoopback.value()), 0))
+      asio::ip::udp::socket(context,
+                            asio::ip::udp::endpoint(
+                                asio::ip::address_v4(kFleetAddress.value()), 0))
           .local_endpoint()
           .port();
   std::vector<std::unique_ptr<LoadBalancer>> balancers;
