LibSteering: Keep a balancer that is cut off on its own data centre

Cause: in an evacuated data centre that is cut off, balancers went on placing openings elsewhere.

Change: an answer counts as a sign only if its request is newer than the first failed probe, and servers elsewhere are the last choice while cut off.

--- a/Libraries/LibSteering/opening_placer.cc
+++ b/Libraries/LibSteering/opening_placer.cc
@@ -19,9 +19,7 @@
                       m_policy.m_flow_weight * server.m_flows;
   const double factor =
       now < server.m_warm_up_ends_at ? m_policy.m_warm_up_factor : 1.0;
-  const double penalty = server.m_record.m_data_centre == m_own_data_centre
-                             ? 0.0
-                             : m_policy.m_remote_penalty;
+  const double penalty = IsRemote(server) ? m_policy.m_remote_penalty : 0.0;
   const double unanswered =
       m_policy.m_unanswered_cost *
       std::max(server.m_answer_statistics.UnansweredShare(now),
@@ -35,29 +33,28 @@
     base::Random& random,
     base::TimePoint now) const {
   Placement best;
-  bool best_has_failed_probe = true;
+  bool best_is_doubtful = true;
   std::size_t equal_count = 0;
   for (KnownServer* server : servers) {
     if (server == excluded || server->m_reachability.IsUnreachable() ||
         server->m_record.m_state != ServerState::kReady ||
-        (server->m_is_evacuated && !m_uses_evacuated))
+        (server->m_is_evacuated && !m_is_cut_off))
       continue;
     ++best.m_candidates;
-    const bool has_failed_probe = server->m_reachability.HasFailedProbe();
+    const bool is_doubtful = server->m_reachability.HasFailedProbe() ||
+                             (m_is_cut_off && IsRemote(*server));
     const double cost = CostOf(*server, now);
-    const bool is_better = best.m_server == nullptr ||
-                           has_failed_probe < best_has_failed_probe ||
-                           (has_failed_probe == best_has_failed_probe &&
-                            cost < best.m_cost - kEqualCost);
-    const bool is_equal = !is_better &&
-                          has_failed_probe == best_has_failed_probe &&
+    const bool is_better =
+        best.m_server == nullptr || is_doubtful < best_is_doubtful ||
+        (is_doubtful == best_is_doubtful && cost < best.m_cost - kEqualCost);
+    const bool is_equal = !is_better && is_doubtful == best_is_doubtful &&
                           cost <= best.m_cost + kEqualCost;
     equal_count = is_better ? 1 : equal_count + (is_equal ? 1 : 0);
     // Reservoir sampling: each server of equal cost has the same probability.
     if (is_better || (is_equal && random.Below(equal_count) == 0)) {
       best.m_server = server;
       best.m_cost = cost;
-      best_has_failed_probe = has_failed_probe;
+      best_is_doubtful = is_doubtful;
     }
   }
   if (best.m_server == nullptr)
--- a/Libraries/LibSteering/opening_placer.h
+++ b/Libraries/LibSteering/opening_placer.h
@@ -53,21 +53,27 @@
   double CostOf(const KnownServer& server, base::TimePoint now) const;
 
   // Commands.
-  // Sets whether servers in evacuated data centres are eligible.
-  void SetUsesEvacuated(bool uses) { m_uses_evacuated = uses; }
+  // Sets whether the balancer is cut off from all other data centres while some
+  // are evacuated.
+  void SetIsCutOff(bool is_cut_off) { m_is_cut_off = is_cut_off; }
   // The ready server of least cost among `servers` without `excluded`. Never
-  // chooses an unreachable server, nor an evacuated one unless
-  // SetUsesEvacuated, and a server with a failed probe only if there is no
-  // other. Among servers of equal cost, `random` decides.
+  // chooses an unreachable server, nor an evacuated one unless SetIsCutOff. A
+  // server with a failed probe, or in another data centre if SetIsCutOff, is
+  // chosen only if there is no other. Among servers of equal cost, `random`
+  // decides.
   std::optional<Placement> Place(std::span<KnownServer* const> servers,
                                  const KnownServer* excluded,
                                  base::Random& random,
                                  base::TimePoint now) const;
 
  private:
+  bool IsRemote(const KnownServer& server) const {
+    return server.m_record.m_data_centre != m_own_data_centre;
+  }
+
   PlacementPolicy m_policy;
   base::DataCentreId m_own_data_centre;
-  bool m_uses_evacuated = false;
+  bool m_is_cut_off = false;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/remote_reachability.h
+++ b/Libraries/LibSteering/remote_reachability.h
@@ -7,7 +7,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
 
 #include "LibBase/time.h"
 
@@ -26,25 +25,29 @@
   // Queries.
   bool IsCutOff(base::TimePoint now) const {
     return m_failed_probes >= kFailedProbesForCut &&
-           now - m_failing_since.value_or(now) >= kSilenceForCut;
+           now - m_failing_since >= kSilenceForCut;
   }
 
   // Commands.
-  // A server of another data centre answered a caller or a probe.
-  void RecordSign() {
+  // A server of another data centre answered a request or a probe that was sent
+  // at `asked_at`. Callers acknowledge answers late, often with their next
+  // request, so an answer to a request from before the failed probes may have
+  // arrived before the data centre was cut off.
+  void RecordSign(base::TimePoint asked_at) {
+    if (m_failed_probes > 0 && asked_at < m_failing_since)
+      return;
     m_failed_probes = 0;
-    m_failing_since.reset();
   }
   void RecordFailedProbe(base::TimePoint now) {
-    ++m_failed_probes;
-    if (!m_failing_since)
+    if (m_failed_probes == 0)
       m_failing_since = now;
+    ++m_failed_probes;
   }
 
  private:
   std::uint32_t m_failed_probes = 0;
-  // When the first of these probes failed.
-  std::optional<base::TimePoint> m_failing_since;
+  // When the first of these probes failed. Used only if there is one.
+  base::TimePoint m_failing_since;
 };
 
 }  // namespace steering
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -141,7 +141,7 @@
   if (server == nullptr)
     return nullptr;
   if (IsRemote(*server) && result == ProbeResult::kAnswered)
-    m_remote_reachability.RecordSign();
+    m_remote_reachability.RecordSign(now);
   if (IsRemote(*server) && result == ProbeResult::kSilent)
     m_remote_reachability.RecordFailedProbe(now);
   const bool is_changed = server->m_reachability.RecordProbeResult(result, now);
@@ -235,9 +235,9 @@
                                                 base::TimePoint now) {
   const auto& servers = m_directory.ServersOf(service);
   const ServiceOptions* options = m_routes.OptionsOf(service);
-  const bool may_use_evacuated = MayUseEvacuated(now);
-  m_placer.SetUsesEvacuated(may_use_evacuated);
-  m_remote_placer.SetUsesEvacuated(may_use_evacuated);
+  const bool is_cut_off = IsCutOffUnderEvacuation(now);
+  m_placer.SetIsCutOff(is_cut_off);
+  m_remote_placer.SetIsCutOff(is_cut_off);
   if (previous_server == nullptr) {
     if (const auto trial = PlaceTrial(route, service, options, now))
       return trial;
@@ -406,7 +406,7 @@
   decision.m_waited = now - waiting_since;
   if (is_answer) {
     if (IsRemote(server))
-      m_remote_reachability.RecordSign();
+      m_remote_reachability.RecordSign(waiting_since);
     if (server.m_reachability.RecordProgress(now))
       decision.m_changed_server = &server;
     return;
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -257,7 +257,7 @@
   // Whether openings may go to evacuated data centres: nothing else can be
   // reached, and it is not known whether the evacuations are still in force. A
   // data centre that is cut off serves what it can.
-  bool MayUseEvacuated(base::TimePoint now) const {
+  bool IsCutOffUnderEvacuation(base::TimePoint now) const {
     return !m_are_routes_current && !m_directory.Evacuated().empty() &&
            m_remote_reachability.IsCutOff(now);
   }
--- a/Tests/LibSteering/test_admission.cc
+++ b/Tests/LibSteering/test_admission.cc
@@ -96,6 +96,46 @@
   }
 }
 
+// Balancers of an evacuated data centre that was cut off went on placing up to
+// a third of their openings elsewhere, because their own servers answered more
+// slowly.
+TEST_CASE("nothing overflows from an evacuated data centre that is cut off") {
+  SteeringWithRoutes steering;
+  REQUIRE(steering.ApplyManifest(MakePrioritised()));
+  Callers callers(steering);
+  for (int i = 0; i < 100; ++i)
+    callers.Request(i * 100, 35, kUsualAnswer, true);
+  for (const char* name : {"i-4", "i-5", "i-6", "i-7", "i-8"}) {
+    ServerRecord record = MakeServer(name);
+    record.m_data_centre = base::DataCentreId("there");
+    steering.directory().Apply(record, At(10'000));
+  }
+  for (int i = 0; i < 40; ++i)
+    callers.Request(10'000 + i * 70, 200, kUsualAnswer, true);
+  const auto elsewhere = [&](int at_ms) {
+    int count = 0;
+    for (std::uint16_t port = 1; port <= 50; ++port) {
+      const Decision opening = steering.Handle(MakeOpening(port), At(at_ms));
+      REQUIRE(ServerOf(opening) != nullptr);
+      count += ServerOf(opening)->m_record.m_data_centre ==
+                       base::DataCentreId("there")
+                   ? 1
+                   : 0;
+    }
+    return count;
+  };
+  REQUIRE(elsewhere(13'000) > 0);
+
+  for (const char* name : {"i-4", "i-5", "i-6", "i-7"})
+    steering.RecordProbeResult(
+        steering.directory().FindByName(ServerName(name))->m_handle,
+        ProbeResult::kSilent, At(13'000));
+  steering.directory().SetEvacuated({base::DataCentreId("here")}, At(13'000));
+  steering.SetRoutesCurrent(false);
+
+  CHECK(elsewhere(13'300) == 0);
+}
+
 TEST_CASE("a retransmission of an admitted opening is not refused") {
   SteeringWithRoutes steering;
   REQUIRE(steering.ApplyManifest(MakePrioritised()));
--- a/Tests/LibSteering/test_evacuation.cc
+++ b/Tests/LibSteering/test_evacuation.cc
@@ -206,4 +206,20 @@
   CHECK(NameOfServer(steering.Handle(MakeOpening(3), At(500))) == "i-3");
 }
 
+// In a data centre that was cut off, callers acknowledged answers from before
+// the cut with their next requests. Each such packet ended the verdict, and
+// openings went to the other data centres for another 500 ms.
+TEST_CASE("an answer from before the failed probes does not end a cut") {
+  RemoteReachability remote;
+  for (std::uint32_t i = 0; i < RemoteReachability::kFailedProbesForCut; ++i)
+    remote.RecordFailedProbe(At(100));
+  REQUIRE(remote.IsCutOff(At(300)));
+
+  remote.RecordSign(At(99));
+
+  CHECK(remote.IsCutOff(At(300)));
+  remote.RecordSign(At(100));
+  CHECK_FALSE(remote.IsCutOff(At(300)));
+}
+
 }  // namespace steering
