LibHttp: Count the bytes of response bodies as they arrive

A user of the client learns of a response only when it is complete, so a transfer that takes a second cannot be seen while it lasts. The client now counts the bytes of bodies with each read, also those of responses that are incomplete or fail.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -28,7 +28,7 @@
     return id;
   }
   auto exchange = std::make_shared<Exchange>(
-      m_context, request, std::move(text).value(),
+      m_context, request, std::move(text).value(), m_received_body_bytes,
       [this, id, callback = std::move(callback)](auto outcome) {
         OnComplete(id, callback, std::move(outcome));
       });
--- a/Libraries/LibHttp/client.h
+++ b/Libraries/LibHttp/client.h
@@ -41,6 +41,9 @@
 
   // Queries.
   std::size_t OpenRequests() const { return m_exchanges.size(); }
+  // The bytes of response bodies received so far, including the bodies of
+  // responses that are incomplete or failed.
+  std::uint64_t ReceivedBodyBytes() const { return m_received_body_bytes; }
 
   // Commands.
   // Starts to send `request`. Every failure, including that of an invalid
@@ -64,6 +67,7 @@
   // False once the client is destroyed; posted callbacks check it.
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
   std::uint64_t m_next_id = 1;
+  std::uint64_t m_received_body_bytes = 0;
 };
 
 }  // namespace http
--- a/Libraries/LibHttp/exchange.cc
+++ b/Libraries/LibHttp/exchange.cc
@@ -23,6 +23,7 @@
 Exchange::Exchange(asio::io_context& context,
                    const Request& request,
                    std::string request_text,
+                   std::uint64_t& received_body_bytes,
                    Callback callback)
     : m_socket(context),
       m_timer(context),
@@ -34,6 +35,7 @@
           std::min(request.m_connect_timeout, request.m_timeout)),
       m_request_text(std::move(request_text)),
       m_parser(request.m_response_limit_bytes),
+      m_received_body_bytes(received_body_bytes),
       m_callback(std::move(callback)) {}
 
 void Exchange::Start() {
@@ -120,8 +122,11 @@
 void Exchange::OnRead(std::error_code error, std::size_t length) {
   if (!m_callback)
     return;
+  const std::size_t former_body_bytes = m_parser.response().m_body.size();
   const auto outcome =
       error ? m_parser.Finish() : m_parser.Feed({m_read_buffer.data(), length});
+  m_received_body_bytes +=
+      m_parser.response().m_body.size() - former_body_bytes;
   if (!outcome) {
     Complete(outcome.error());
     return;
--- a/Libraries/LibHttp/exchange.h
+++ b/Libraries/LibHttp/exchange.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <asio.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,10 +22,13 @@
  public:
   using Callback = std::function<void(base::Outcome<Response>)>;
 
-  // `request_text` is `request` as serialized by SerializeRequest.
+  // `request_text` is `request` as serialized by SerializeRequest. The bytes of
+  // the response's body are added to `received_body_bytes` as they arrive; the
+  // counter must exist until the request has completed or Close is called.
   Exchange(asio::io_context& context,
            const Request& request,
            std::string request_text,
+           std::uint64_t& received_body_bytes,
            Callback callback);
 
   // Commands.
@@ -58,6 +62,7 @@
   std::string m_request_text;
   std::array<char, kReadBytes> m_read_buffer{};
   ResponseParser m_parser;
+  std::uint64_t& m_received_body_bytes;
   Callback m_callback;
 };
 
--- a/Tests/LibHttp/test_client.cc
+++ b/Tests/LibHttp/test_client.cc
@@ -131,6 +131,21 @@
   CHECK_FALSE(http::MayHaveTakenEffect(outcome.error()));
 }
 
+TEST_CASE("the bytes of a response that stalls or breaks off are counted") {
+  asio::io_context context;
+  const SingleResponseServer server(
+      context, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  http::Client client(context);
+  http::Request request;
+  request.m_endpoint = server.ListeningEndpoint();
+  request.m_path = "/";
+  client.Send(request, [](auto outcome) { CHECK_FALSE(outcome); });
+  while (client.OpenRequests() > 0)
+    context.run_one_for(milliseconds(100));
+
+  CHECK(client.ReceivedBodyBytes() == 3);
+}
+
 TEST_CASE("the callback of a cancelled request is not called") {
   asio::io_context context;
   const std::string response = "HTTP/1.1 200 OK\r\n\r\n";
