LibSteering: Do not count failed probes during a bulk transfer

A balancer with a 10 Mbit/s link reset an open flow of a running server while it received a manifest of 0.9 MB. The suspected cause is that the link was full for longer than the 360 ms of both probes; this is not shown.

A probe without a connection is now inconclusive if the balancer received 64 KB or more of response bodies during the probe. It is repeated with the longer wait, the server stays suspected, and a failed probe before it no longer counts. RemoteReachability ignores it. 2 s after the server became suspected, failed probes count again.

The new tests fail without the rule, without its bound, and if a response of another server does not count.

--- a/Libraries/LibSteering/server_reachability.h
+++ b/Libraries/LibSteering/server_reachability.h
@@ -21,7 +21,8 @@
 enum class ProbeResult {
   // A server accepted the connection. The server may be too busy to respond.
   kAnswered,
-  // No server accepted the connection in time.
+  // No server accepted the connection in time. Inconclusive if the balancer's
+  // own link carried a bulk transfer meanwhile.
   kSilent,
   // Another server responds at the address, so the probed server has ended.
   kOtherServer,
@@ -59,6 +60,17 @@
   static constexpr base::Duration kUnreachableProbeInterval =
       std::chrono::milliseconds(400);
 
+  // A bulk transfer on the balancer's link delays a connection by more than a
+  // probe waits. A probe without a connection is inconclusive if the balancer
+  // received at least this much of response bodies meanwhile: a link of
+  // 10 Mbit/s carries it in 50 ms.
+  static constexpr std::uint64_t kBulkTransferBytes = 64UL * 1024UL;
+  // Failed probes count again this long after the server became suspected, so
+  // that a transfer without end does not keep a dead server in use. The bound
+  // covers a manifest of 0.9 MB, which takes 1.2 s at 10 Mbit/s.
+  static constexpr base::Duration kMaximumInconclusiveTime =
+      std::chrono::milliseconds(2000);
+
   // Queries.
   bool IsUnreachable() const {
     return m_failed_probes >= kUnreachableThreshold;
@@ -68,19 +80,36 @@
   bool HasFailedProbe() const { return m_failed_probes > 0; }
   // A probe is in progress or necessary.
   bool NeedsProbing() const {
-    return m_is_suspected || m_is_probe_in_progress || m_failed_probes > 0;
+    return m_suspected_since || m_is_probe_in_progress || m_failed_probes > 0;
   }
   bool IsProbeDue(base::TimePoint now) const {
-    const bool has_reason = m_is_suspected || m_failed_probes > 0;
+    const bool has_reason = m_suspected_since || m_failed_probes > 0;
     return has_reason && !m_is_probe_in_progress && now >= m_next_probe_at;
   }
   std::optional<base::TimePoint> LastProgress() const {
     return m_last_progress_at;
   }
   std::uint32_t FailedProbes() const { return m_failed_probes; }
-  // How long the next probe waits for a connection.
+  // Nothing if the server is not suspected.
+  std::optional<base::TimePoint> SuspectedSince() const {
+    return m_suspected_since;
+  }
+  // How long the next probe waits for a connection. The longer wait after an
+  // inconclusive probe leaves the probe budget to more servers.
   base::Duration NextProbeTimeout() const {
-    return HasFailedProbe() ? kConfirmingProbeTimeout : kProbeTimeout;
+    return HasFailedProbe() || m_was_inconclusive ? kConfirmingProbeTimeout
+                                                  : kProbeTimeout;
+  }
+  // Whether a probe that ended with `result` at `now` proves nothing.
+  // `received_bytes` are the bytes of response bodies that the balancer
+  // received during the probe.
+  bool IsInconclusive(ProbeResult result,
+                      std::uint64_t received_bytes,
+                      base::TimePoint now) const {
+    return result == ProbeResult::kSilent &&
+           received_bytes >= kBulkTransferBytes &&
+           (!m_suspected_since ||
+            now - *m_suspected_since < kMaximumInconclusiveTime);
   }
 
   // Commands. Those with a result return whether IsUnreachable changed.
@@ -92,13 +121,19 @@
   // Records that a caller has waited for an answer since `waiting_since`. A
   // wait that began before the last progress does not make the server
   // suspected.
-  void RecordSuspicion(base::TimePoint waiting_since) {
-    if (!m_last_progress_at || *m_last_progress_at <= waiting_since)
-      m_is_suspected = true;
+  void RecordSuspicion(base::TimePoint waiting_since, base::TimePoint now) {
+    const bool is_new =
+        !m_last_progress_at || *m_last_progress_at <= waiting_since;
+    if (is_new && !m_suspected_since)
+      m_suspected_since = now;
   }
   // The owner must report the probe's result with RecordProbeResult.
   void RecordProbeStart() { m_is_probe_in_progress = true; }
-  bool RecordProbeResult(ProbeResult result, base::TimePoint now) {
+  // An inconclusive probe is repeated, and the server stays suspected. A failed
+  // probe before it no longer counts.
+  bool RecordProbeResult(ProbeResult result,
+                         base::TimePoint now,
+                         std::uint64_t received_bytes = 0) {
     m_is_probe_in_progress = false;
     if (result == ProbeResult::kNotSent) {
       m_next_probe_at = now + kUnreachableProbeInterval;
@@ -109,6 +144,19 @@
       return MarkReachable();
     }
     const bool was_unreachable = IsUnreachable();
+    m_was_inconclusive = IsInconclusive(result, received_bytes, now);
+    if (m_was_inconclusive) {
+      // Progress during the probe may have ended the suspicion. The bound on
+      // the inconclusive probes needs a start.
+      m_suspected_since = m_suspected_since.value_or(now);
+      // The transfer may also have caused the failure of the probe before, so
+      // that only probes in a row count.
+      if (was_unreachable)
+        m_next_probe_at = now + kUnreachableProbeInterval;
+      else
+        m_failed_probes = 0;
+      return false;
+    }
     // A response of another server can't be a lost probe, so one is enough.
     m_failed_probes +=
         result == ProbeResult::kSilent ? 1 : kUnreachableThreshold;
@@ -121,13 +169,16 @@
   // Returns whether the server was unreachable.
   bool MarkReachable() {
     const bool was_unreachable = IsUnreachable();
-    m_is_suspected = false;
+    m_suspected_since.reset();
+    m_was_inconclusive = false;
     m_failed_probes = 0;
     return was_unreachable;
   }
 
-  bool m_is_suspected = false;
+  std::optional<base::TimePoint> m_suspected_since;
   bool m_is_probe_in_progress = false;
+  // The last probe was inconclusive.
+  bool m_was_inconclusive = false;
   std::uint32_t m_failed_probes = 0;
   // The earliest time of the next probe.
   base::TimePoint m_next_probe_at;
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -91,7 +91,7 @@
     }
     // A handshake that is later than most others is no sign of a failure yet.
     if (!is_early)
-      MarkUnansweredSuspected(*record, *previous_server);
+      MarkUnansweredSuspected(*record, *previous_server, now);
     CallerPacket opening;
     opening.m_flow = key;
     opening.m_is_opening = true;
@@ -134,19 +134,24 @@
   return due;
 }
 
-const KnownServer* Steering::RecordProbeResult(ServerHandle handle,
-                                               ProbeResult result,
-                                               base::TimePoint now) {
+ProbeEffect Steering::RecordProbeResult(ServerHandle handle,
+                                        ProbeResult result,
+                                        base::TimePoint now,
+                                        std::uint64_t received_bytes) {
   KnownServer* server = m_directory.FindByHandle(handle);
   if (server == nullptr)
-    return nullptr;
+    return {};
+  ServerReachability& reachability = server->m_reachability;
+  const bool is_inconclusive =
+      reachability.IsInconclusive(result, received_bytes, now);
   if (IsRemote(*server) && result == ProbeResult::kAnswered)
     m_remote_reachability.RecordSign(now);
-  if (IsRemote(*server) && result == ProbeResult::kSilent)
+  if (IsRemote(*server) && result == ProbeResult::kSilent && !is_inconclusive)
     m_remote_reachability.RecordFailedProbe(now);
-  const bool is_changed = server->m_reachability.RecordProbeResult(result, now);
+  const bool is_changed =
+      reachability.RecordProbeResult(result, now, received_bytes);
   AddToProbeList(*server);
-  return is_changed ? server : nullptr;
+  return {server, is_changed, is_inconclusive};
 }
 
 std::vector<OverdueRequest> Steering::Sweep(base::TimePoint now) {
@@ -384,8 +389,9 @@
 }
 
 void Steering::MarkSuspected(KnownServer& server,
-                             base::TimePoint waiting_since) {
-  server.m_reachability.RecordSuspicion(waiting_since);
+                             base::TimePoint waiting_since,
+                             base::TimePoint now) {
+  server.m_reachability.RecordSuspicion(waiting_since, now);
   AddToProbeList(server);
 }
 
@@ -417,7 +423,7 @@
     decision.m_packet_kind = PacketKind::kNothingNew;
     return;
   }
-  MarkSuspected(server, waiting_since);
+  MarkSuspected(server, waiting_since, now);
 }
 
 std::optional<Reason> Steering::ResetReason(const KnownServer& server,
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -64,6 +64,16 @@
   double m_extra_openings_percent = 0;
 };
 
+// What the result of a probe changed.
+struct ProbeEffect {
+  // Null if the server was removed during the probe.
+  const KnownServer* m_server = nullptr;
+  // Whether the server became reachable or unreachable.
+  bool m_is_changed = false;
+  // Whether the probe proves nothing, see ServerReachability::IsInconclusive.
+  bool m_is_inconclusive = false;
+};
+
 class Steering {
  public:
   Steering(SteeringSettings settings, std::uint64_t seed, base::TimePoint now);
@@ -141,11 +151,12 @@
   // The servers that have to be probed now. Their probes count as started; the
   // caller reports each result with RecordProbeResult.
   std::vector<const KnownServer*> StartDueProbes(base::TimePoint now);
-  // Returns the server if the probe changed whether the server is unreachable,
-  // otherwise null.
-  const KnownServer* RecordProbeResult(ServerHandle server,
-                                       ProbeResult result,
-                                       base::TimePoint now);
+  // `received_bytes` are the bytes of response bodies that this balancer
+  // received during the probe.
+  ProbeEffect RecordProbeResult(ServerHandle server,
+                                ProbeResult result,
+                                base::TimePoint now,
+                                std::uint64_t received_bytes = 0);
   // Removes idle flows and servers that are gone. Must be called a few times a
   // second. Returns the newly overdue requests that count as unanswered by
   // their servers.
@@ -204,7 +215,9 @@
                      base::TimePoint now);
   // Records that a caller has waited for an answer of `server` since
   // `waiting_since`, and adds the server to the probe list if necessary.
-  void MarkSuspected(KnownServer& server, base::TimePoint waiting_since);
+  void MarkSuspected(KnownServer& server,
+                     base::TimePoint waiting_since,
+                     base::TimePoint now);
   // Adds a server that needs probing to the probe list.
   void AddToProbeList(KnownServer& server);
   // Updates the server's reachability with an answer or a retransmission.
@@ -248,7 +261,9 @@
                       base::TimePoint at);
   // Records that no sign of the handshake of `record` arrived in time, which
   // concerns `server` and, after an early copy, the first server too.
-  void MarkUnansweredSuspected(const FlowRecord& record, KnownServer& server);
+  void MarkUnansweredSuspected(const FlowRecord& record,
+                               KnownServer& server,
+                               base::TimePoint now);
   // Learns from the times that `packet` shows.
   void RecordTimes(const CallerPacket& packet,
                    const Observation& observation,
--- a/Libraries/LibSteering/steering_extra_openings.cc
+++ b/Libraries/LibSteering/steering_extra_openings.cc
@@ -90,12 +90,13 @@
 }
 
 void Steering::MarkUnansweredSuspected(const FlowRecord& record,
-                                       KnownServer& server) {
-  MarkSuspected(server, record.m_request_at);
+                                       KnownServer& server,
+                                       base::TimePoint now) {
+  MarkSuspected(server, record.m_request_at, now);
   if (record.m_extra != ExtraReason::kEarlyCopy)
     return;
   if (KnownServer* first = m_directory.FindByHandle(record.m_first_server))
-    MarkSuspected(*first, record.m_opened_at);
+    MarkSuspected(*first, record.m_opened_at, now);
 }
 
 void Steering::RecordTimes(const CallerPacket& packet,
@@ -121,7 +122,7 @@
   // alone did not make it suspected.
   KnownServer* first = m_directory.FindByHandle(record->m_first_server);
   if (!is_first && first != nullptr)
-    MarkSuspected(*first, record->m_opened_at);
+    MarkSuspected(*first, record->m_opened_at, now);
 }
 
 }  // namespace steering
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -66,8 +66,11 @@
              [this] { UpdateReadiness(); }),
       m_prober(
           m_context,
-          [this](steering::ServerHandle server, steering::ProbeResult result) {
-            OnProbeResult(server, result);
+          [this] { return m_view.ReceivedBodyBytes(); },
+          [this](steering::ServerHandle server,
+                 steering::ProbeResult result,
+                 std::uint64_t received_bytes) {
+            OnProbeResult(server, result, received_bytes);
           }),
       m_bind_retry(base::Clock::now(), settings.m_stop_grace),
       m_started_at(base::Clock::now()) {
@@ -301,16 +304,17 @@
 }
 
 void EdgeProcess::OnProbeResult(steering::ServerHandle handle,
-                                steering::ProbeResult result) {
+                                steering::ProbeResult result,
+                                std::uint64_t received_bytes) {
   const base::TimePoint now = base::Clock::now();
   if (result == steering::ProbeResult::kNotSent &&
       m_log.Admit(Event::kProbeNotSent, now))
     m_log.Write(Severity::kWarning, Event::kProbeNotSent,
                 {{"probes", m_prober.Probes()}});
-  const steering::KnownServer* changed_server =
-      m_steering.RecordProbeResult(handle, result, now);
-  if (changed_server != nullptr)
-    m_decision_log.WriteReachability(*changed_server, now);
+  const steering::ProbeEffect effect =
+      m_steering.RecordProbeResult(handle, result, now, received_bytes);
+  if (effect.m_is_changed)
+    m_decision_log.WriteReachability(*effect.m_server, now);
   ProbeServers(now);
 }
 
--- a/Services/Edge/edge_process.h
+++ b/Services/Edge/edge_process.h
@@ -89,7 +89,8 @@
   void UpdateReadiness();
   void ProbeServers(base::TimePoint now);
   void OnProbeResult(steering::ServerHandle server,
-                     steering::ProbeResult result);
+                     steering::ProbeResult result,
+                     std::uint64_t received_bytes);
 
   void OnSignal(int signal);
   void Sweep(base::TimePoint now);
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -75,6 +75,10 @@
 
   // Queries.
   const feed::FeedMember& member() const { return m_member; }
+  // The bytes of response bodies received so far, see http::Client.
+  std::uint64_t ReceivedBodyBytes() const {
+    return m_client.ReceivedBodyBytes();
+  }
 
   // Commands.
   void Start();
--- a/Services/Edge/peer_reader.h
+++ b/Services/Edge/peer_reader.h
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,12 @@
   PeerReader(const PeerReader&) = delete;
   PeerReader& operator=(const PeerReader&) = delete;
 
+  // Queries.
+  // The bytes of response bodies received so far, see http::Client.
+  std::uint64_t ReceivedBodyBytes() const {
+    return m_client.ReceivedBodyBytes();
+  }
+
   // Commands.
   void SetPeers(std::vector<base::Endpoint> peers);
   // Requests the snapshot of the next peer in turn, unless a request is in
--- a/Services/Edge/server_prober.cc
+++ b/Services/Edge/server_prober.cc
@@ -40,9 +40,11 @@
   request.m_connect_timeout = server.m_reachability.NextProbeTimeout();
   request.m_timeout = request.m_connect_timeout + kResponseTimeout;
   m_client.Send(request,
-                [this, handle = server.m_handle, name = server.m_record.m_name](
+                [this, handle = server.m_handle, name = server.m_record.m_name,
+                 former_bytes = m_received_bytes()](
                     const base::Outcome<http::Response>& response) {
-                  m_callback(handle, ResultOf(name, response));
+                  m_callback(handle, ResultOf(name, response),
+                             m_received_bytes() - former_bytes);
                 });
 }
 
--- a/Services/Edge/server_prober.h
+++ b/Services/Edge/server_prober.h
@@ -19,11 +19,21 @@
 
 class ServerProber {
  public:
+  // `received_bytes` are the bytes of response bodies that the balancer
+  // received during the probe.
   using Callback = std::function<void(steering::ServerHandle server,
-                                      steering::ProbeResult result)>;
-
-  ServerProber(asio::io_context& context, Callback callback)
-      : m_client(context), m_callback(std::move(callback)) {}
+                                      steering::ProbeResult result,
+                                      std::uint64_t received_bytes)>;
+  // Returns the bytes of response bodies that the balancer has received since
+  // the start of the process.
+  using ByteCounter = std::function<std::uint64_t()>;
+
+  ServerProber(asio::io_context& context,
+               ByteCounter received_bytes,
+               Callback callback)
+      : m_client(context),
+        m_received_bytes(std::move(received_bytes)),
+        m_callback(std::move(callback)) {}
   ServerProber(const ServerProber&) = delete;
   ServerProber& operator=(const ServerProber&) = delete;
 
@@ -37,6 +47,7 @@
 
  private:
   http::Client m_client;
+  ByteCounter m_received_bytes;
   Callback m_callback;
   std::uint64_t m_probes = 0;
 };
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -55,6 +55,10 @@
   }
   // The number of calls since the start of the process.
   std::uint64_t Calls() const { return m_calls; }
+  // The bytes of response bodies received so far, see http::Client.
+  std::uint64_t ReceivedBodyBytes() const {
+    return m_client.ReceivedBodyBytes();
+  }
 
   // Commands.
   // Starts to call the store, or ceases to start calls. A call that is open
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -60,6 +60,13 @@
     return m_servers.Calls() + m_manifests.Calls() +
            (m_evacuations ? m_evacuations->Calls() : 0);
   }
+  // The bytes of response bodies of the store and of peers received so far.
+  std::uint64_t ReceivedBodyBytes() const {
+    return m_servers.ReceivedBodyBytes() + m_manifests.ReceivedBodyBytes() +
+           (m_evacuations ? m_evacuations->ReceivedBodyBytes() : 0) +
+           m_former_evacuation_bytes + m_peers.ReceivedBodyBytes() +
+           (m_feed ? m_feed->ReceivedBodyBytes() : 0);
+  }
 
   // Commands.
   // Binds the feed's endpoint, if there is one. Errors are those of the system.
@@ -120,6 +127,8 @@
   StoreReader m_manifests;
   // Null if the settings have no bound on evacuations.
   std::unique_ptr<StoreReader> m_evacuations;
+  // The bytes that former readers of the evacuations received.
+  std::uint64_t m_former_evacuation_bytes = 0;
   PeerReader m_peers;
   // Null if the settings have no endpoint for the feed.
   std::unique_ptr<FeedLink> m_feed;
--- a/Services/Edge/view_updater_evacuations.cc
+++ b/Services/Edge/view_updater_evacuations.cc
@@ -44,6 +44,7 @@
   }
   if (is_needed || m_evacuations == nullptr)
     return;
+  m_former_evacuation_bytes += m_evacuations->ReceivedBodyBytes();
   // A later reader lists the kind again.
   m_evacuations.reset();
   m_steering.SetAwaitsEvacuations(false);
--- a/Tests/LibSteering/test_evacuation.cc
+++ b/Tests/LibSteering/test_evacuation.cc
@@ -206,6 +206,22 @@
   CHECK(NameOfServer(steering.Handle(MakeOpening(3), At(500))) == "i-3");
 }
 
+TEST_CASE("a bulk transfer on the balancer's link does not look like a cut") {
+  SteeringWithRoutes steering;
+  steering.directory().Apply(MakeServerIn("i-here", "here"), At(0));
+  steering.directory().Apply(MakeServerIn("i-1", "there"), At(0));
+  steering.directory().SetEvacuated({kHere}, At(0));
+  steering.SetRoutesCurrent(false);
+  const auto handle = steering.directory().FindByName(ServerName("i-1"));
+  for (std::uint32_t i = 0; i < RemoteReachability::kFailedProbesForCut; ++i)
+    CHECK(steering
+              .RecordProbeResult(handle->m_handle, ProbeResult::kSilent,
+                                 At(100), 100'000)
+              .m_is_inconclusive);
+
+  CHECK(NameOfServer(steering.Handle(MakeOpening(1), At(400))) == "i-1");
+}
+
 // In a data centre that was cut off, callers acknowledged answers from before
 // the cut with their next requests. Each such packet ended the verdict, and
 // openings went to the other data centres for another 500 ms.
