Services/Edge: Log and count inconclusive probes

The event probe_inconclusive has the server, the bytes received during the probe and the time since the server became suspected. explain prints it with the other events of the server. The counter is coltsfootdale_probes_inconclusive_total.

TestLibObservability 22 of 22, TestLibLogTrace 4 of 4, TestEdgeParts 10 of 10, TestEdge 15 of 15 test cases pass.

--- a/Libraries/LibLogTrace/log_trace.cc
+++ b/Libraries/LibLogTrace/log_trace.cc
@@ -21,8 +21,9 @@
     "packets_held",   "servers_listed", "log_lines_dropped",
 };
 // Events about one backend server.
-constexpr std::array<std::string_view, 3> kServerEvents = {
-    "server_changed", "server_unreachable", "server_reachable"};
+constexpr std::array<std::string_view, 4> kServerEvents = {
+    "server_changed", "server_unreachable", "server_reachable",
+    "probe_inconclusive"};
 
 // The trace covers the time from this long before the first line about the
 // request to this long after the last. It has the openings of the request's
--- a/Libraries/LibObservability/event.h
+++ b/Libraries/LibObservability/event.h
@@ -68,6 +68,7 @@
   kLoadRefused,
   kListenerProblem,
   kProbeNotSent,
+  kProbeInconclusive,
   kSettingsReloaded,
   kSettingsRefused,
   kLogLinesDropped,
@@ -75,7 +76,7 @@
   kEventsSuppressed,
 };
 
-inline constexpr base::EnumTable<Event, 61> kEventNames{{
+inline constexpr base::EnumTable<Event, 62> kEventNames{{
     {Event::kListening, "listening"},
     {Event::kBindDelayed, "bind_delayed"},
     {Event::kBindFailed, "bind_failed"},
@@ -132,6 +133,7 @@
     {Event::kLoadRefused, "load_refused"},
     {Event::kListenerProblem, "listener_problem"},
     {Event::kProbeNotSent, "probe_not_sent"},
+    {Event::kProbeInconclusive, "probe_inconclusive"},
     {Event::kSettingsReloaded, "settings_reloaded"},
     {Event::kSettingsRefused, "settings_refused"},
     {Event::kLogLinesDropped, "log_lines_dropped"},
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -224,4 +224,18 @@
        {"in_progress", server.m_requests_in_progress}});
 }
 
+void DecisionLog::WriteInconclusiveProbe(const steering::KnownServer& server,
+                                         std::uint64_t received_bytes,
+                                         base::TimePoint now) {
+  if (!m_log.Admit(Event::kProbeInconclusive, now))
+    return;
+  const auto suspected = server.m_reachability.SuspectedSince().value_or(now);
+  m_log.Write(Severity::kWarning, Event::kProbeInconclusive,
+              {{"server", server.m_record.m_name.value()},
+               {"data_centre", server.m_record.m_data_centre.value()},
+               {"received_bytes", received_bytes},
+               {"suspected_ms", base::WholeMilliseconds(now - suspected)},
+               {"in_progress", server.m_requests_in_progress}});
+}
+
 }  // namespace edge
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -1,6 +1,7 @@
 // Writes log lines about decisions: one line for each opening and each request,
-// and one for each retransmission, drop, reset, overdue request and change of a
-// server's reachability. Lines above the log's rate limit are not written.
+// and one for each retransmission, drop, reset, overdue request, inconclusive
+// probe and change of a server's reachability. Lines above the log's rate limit
+// are not written.
 
 #ifndef SERVICES_EDGE_DECISION_LOG_H_
 #define SERVICES_EDGE_DECISION_LOG_H_
@@ -54,6 +55,11 @@
   // `server` has become reachable or unreachable.
   void WriteReachability(const steering::KnownServer& server,
                          base::TimePoint now);
+  // A probe of `server` without a connection proves nothing, since the balancer
+  // received `received_bytes` of response bodies during the probe.
+  void WriteInconclusiveProbe(const steering::KnownServer& server,
+                              std::uint64_t received_bytes,
+                              base::TimePoint now);
 
  private:
   void WriteOpening(const flow::FlowKey& flow,
--- a/Services/Edge/edge_metrics.cc
+++ b/Services/Edge/edge_metrics.cc
@@ -47,6 +47,9 @@
   m_unanswered =
       &m_registry.CounterOf("coltsfootdale_requests_unanswered_total",
                             "Requests that waited far longer than others");
+  m_inconclusive_probes = &m_registry.CounterOf(
+      "coltsfootdale_probes_inconclusive_total",
+      "Failed probes that prove nothing because of a bulk transfer");
   m_packet_time = &m_registry.HistogramOf(
       "coltsfootdale_packet_seconds",
       "Processor time of one packet, from receipt to sending",
--- a/Services/Edge/edge_metrics.h
+++ b/Services/Edge/edge_metrics.h
@@ -27,6 +27,8 @@
   void CountDecision(const steering::Decision& decision);
   // Counts an overdue request that counts as unanswered by its server.
   void CountUnanswered() { m_unanswered->Add(); }
+  // Counts a probe that proves nothing because of a bulk transfer.
+  void CountInconclusiveProbe() { m_inconclusive_probes->Add(); }
   // Counts a datagram that was not handled or not sent.
   void CountDiscarded(std::string_view reason);
   // `call_time` is the time from the call to its response or failure.
@@ -68,6 +70,7 @@
   std::array<observability::Counter*, kKinds> m_repeats{};
   std::array<observability::Histogram*, kKinds> m_answers{};
   observability::Counter* m_unanswered = nullptr;
+  observability::Counter* m_inconclusive_probes = nullptr;
   observability::Histogram* m_packet_time = nullptr;
 };
 
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -315,6 +315,11 @@
       m_steering.RecordProbeResult(handle, result, now, received_bytes);
   if (effect.m_is_changed)
     m_decision_log.WriteReachability(*effect.m_server, now);
+  if (effect.m_is_inconclusive) {
+    m_metrics.CountInconclusiveProbe();
+    m_decision_log.WriteInconclusiveProbe(*effect.m_server, received_bytes,
+                                          now);
+  }
   ProbeServers(now);
 }
 
