LibSteering: Keep a server in its service's list when its record is read again

Cause: each record of a list removed its server from the list of its service and inserted it again, which takes time in proportion to the list. A balancer that starts reads each record twice.

--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -140,12 +140,18 @@
     return DirectoryChange::kNone;
   }
 
-  UnlistFromService(*server);
+  // Removing a server from the list of its service takes time in proportion to
+  // the list, and a whole view contains a record of each server.
+  const bool was_listed = !is_new && !was_gone;
+  const bool is_moved = was_listed && previous.m_service != record.m_service;
+  if (is_moved)
+    UnlistFromService(*server);
   server->m_record = record;
   server->m_warm_up_ends_at = now + record.m_warm_up_left;
   server->m_gone_since.reset();
   server->m_is_evacuated = m_evacuated.contains(record.m_data_centre);
-  ListUnderService(*server);
+  if (is_moved || !was_listed)
+    ListUnderService(*server);
   const bool is_restarted = previous.m_incarnation != record.m_incarnation;
   // Earlier observations don't apply to a server that registered again.
   if (was_gone || is_restarted) {
