Services/Edge: Hold packets of servers that are not known yet, and poll

Cause: when a data centre returns, its balancers start within half a second of its servers. Each balancer knows the servers up to another revision, and the router sends a flow's packets to other balancers as more become ready. These dropped the packets as unknown_token, and the callers repeated them after 200 ms.

Change: such a packet waits for up to 150 ms, and a balancer that follows readers polls one at once, at most every 100 ms.

--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -176,6 +176,15 @@
                     : ResponseVerdict::kFetchChanges;
 }
 
+bool FeedMember::RequestPoll(base::TimePoint now) {
+  if (m_poll_requested_at &&
+      now - *m_poll_requested_at < kRequestedPollInterval)
+    return false;
+  m_poll_requested_at = now;
+  m_next_poll_at = std::min(m_next_poll_at, now);
+  return true;
+}
+
 void FeedMember::OnPaused(base::TimePoint now) {
   m_fed_at.reset();
   m_pending.clear();
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -96,6 +96,10 @@
   static constexpr base::Duration kFirstViewPollInterval =
       std::chrono::milliseconds(100);
   static constexpr std::size_t kPolledReaders = 2;
+  // The least time between the polls that are sent because a packet shows that
+  // peers know more. Packets with a wrong token must not cause a poll each.
+  static constexpr base::Duration kRequestedPollInterval =
+      std::chrono::milliseconds(100);
   // A balancer that lists the store after its start does not fetch the view of
   // a peer for this long after its start and after each page of the list,
   // because many balancers may have started together and the link of a reader
@@ -155,6 +159,8 @@
   // The changes of a response with verdict kHasChanges or kFetchChanges were
   // applied.
   void OnChangesApplied(base::TimePoint now) { RecordFed(now); }
+  // Peers know more than this balancer. Returns whether a poll is due at once.
+  bool RequestPoll(base::TimePoint now);
   // The process was paused: what it knows may be outdated.
   void OnPaused(base::TimePoint now);
 
@@ -224,6 +230,8 @@
   // When Advance was last called.
   base::TimePoint m_advanced_at;
   base::TimePoint m_next_poll_at;
+  // When RequestPoll last had an effect.
+  std::optional<base::TimePoint> m_poll_requested_at;
   base::TimePoint m_next_announcement_at;
   std::vector<PendingPoll> m_pending;
   // By address.
--- a/Libraries/LibSteering/pending_packets.h
+++ b/Libraries/LibSteering/pending_packets.h
@@ -1,6 +1,7 @@
 // Buffers the datagrams that arrive before the balancer knows routes and
-// servers. A caller retransmits a dropped packet up to 1.6 s later, so a
-// buffered packet is usually answered sooner than its retransmission.
+// servers, or before it knows the server whose token they carry. A caller
+// retransmits a dropped packet 200 ms to 1.6 s later, so a buffered packet is
+// usually answered sooner than its retransmission.
 
 #ifndef LIBSTEERING_PENDING_PACKETS_H_
 #define LIBSTEERING_PENDING_PACKETS_H_
@@ -20,6 +21,10 @@
  public:
   // Callers have retransmitted older packets twice, or have stopped waiting.
   static constexpr base::Duration kMaximumAge = std::chrono::milliseconds(700);
+  // A packet whose token no known server has is dropped after this time. The
+  // caller retransmits it 200 ms after it was sent.
+  static constexpr base::Duration kMaximumTokenAge =
+      std::chrono::milliseconds(150);
   // The packets that the busiest VM receives in one second.
   static constexpr std::size_t kMaximumPackets = 2048;
 
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -127,6 +127,8 @@
   if (!packets)
     return BindFailure{"packets", m_settings.m_packets, packets.error()};
   m_packets = std::move(packets).value();
+  m_packets->SetUnknownTokenHandler(
+      [this](base::TimePoint now) { m_view.RequestNewServers(now); });
   auto metrics = ListenForHttp(
       "metrics", m_settings.m_metrics,
       [this](std::string_view path) { return MetricsResponse(path); });
@@ -278,6 +280,7 @@
 void EdgeProcess::UpdateReadiness() {
   if (!m_steering.HasRoutesAndServers())
     return;
+  m_packets->HandlePacketsWithUnknownTokens();
   const std::size_t handled = m_packets->HandlePendingPackets();
   if (handled > 0)
     m_log.Write(Severity::kInfo, Event::kPacketsHeld,
@@ -342,6 +345,7 @@
   }
   LogSlowServers(now);
   ProbeServers(now);
+  m_packets->HandlePacketsWithUnknownTokens();
   m_packets->Sweep();
   StopIfDone(now);
   m_log.Flush();
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -122,6 +122,11 @@
   Advance();
 }
 
+void FeedLink::RequestChanges(base::TimePoint now) {
+  if (m_member.RequestPoll(now))
+    Advance();
+}
+
 void FeedLink::Advance() {
   const base::TimePoint now = base::Clock::now();
   const feed::StoreStatus status = m_owner.m_status(now);
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -82,6 +82,8 @@
     m_member.SetSettings(settings);
   }
   void OnPaused(base::TimePoint now);
+  // A peer knows more than this balancer: polls a reader soon.
+  void RequestChanges(base::TimePoint now);
   // Updates the role and sends the requests that are due. To be called when the
   // status of the store changes; a timer does the rest.
   void Advance();
--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -82,17 +82,30 @@
 }
 
 std::size_t PacketLoop::HandlePendingPackets() {
+  auto pending = m_pending_packets.ReleaseUnexpired(base::Clock::now());
+  const std::size_t count = pending.size();
+  HandlePackets(std::move(pending));
+  return count;
+}
+
+void PacketLoop::HandlePacketsWithUnknownTokens() {
+  if (m_packets_with_unknown_tokens.size() > 0)
+    HandlePackets(
+        m_packets_with_unknown_tokens.ReleaseUnexpired(base::Clock::now()));
+}
+
+void PacketLoop::HandlePackets(
+    std::vector<steering::PendingPackets::Packet> packets) {
   const base::TimePoint now = base::Clock::now();
   const ViewVersion view = m_view_version();
-  const auto pending = m_pending_packets.ReleaseUnexpired(now);
-  for (const steering::PendingPackets::Packet& packet : pending) {
+  for (const steering::PendingPackets::Packet& packet : packets) {
     if (m_sending.IsFull())
       Flush();
-    HandleDatagram(packet.m_bytes, view, now);
+    HandleDatagram(packet.m_bytes, view, packet.m_received_at, now);
   }
+  // The packets to send refer to the bytes of `packets`.
   Flush();
   ArmResendTimer();
-  return pending.size();
 }
 
 void PacketLoop::Sweep() {
@@ -123,7 +136,7 @@
     for (std::size_t index = 0; index < m_received.size(); ++index) {
       if (m_sending.IsFull())
         Flush();
-      HandleDatagram(m_received.Bytes(index), view, now);
+      HandleDatagram(m_received.Bytes(index), view, now, now);
     }
     // The packets to send refer to the bytes of the received batch.
     Flush();
@@ -137,6 +150,7 @@
 
 void PacketLoop::HandleDatagram(std::span<const std::uint8_t> datagram,
                                 const ViewVersion& view,
+                                base::TimePoint received_at,
                                 base::TimePoint now) {
   const auto packet = adapter::DecodePacket(datagram);
   if (!packet) {
@@ -144,13 +158,19 @@
     return;
   }
   if (!m_steering.HasRoutesAndServers()) {
-    m_pending_packets.AddPacket(datagram, now);
+    m_pending_packets.AddPacket(datagram, received_at);
     return;
   }
   const steering::Decision decision = m_steering.Handle(packet.value(), now);
-  if (decision.m_reason == steering::Reason::kUnknownToken &&
-      !m_steering.AreServersComplete()) {
-    m_pending_packets.AddPacket(datagram, now);
+  const bool is_unknown = decision.m_reason == steering::Reason::kUnknownToken;
+  if (is_unknown && !m_steering.AreServersComplete()) {
+    m_pending_packets.AddPacket(datagram, received_at);
+    return;
+  }
+  if (is_unknown && m_on_unknown_token &&
+      now - received_at < steering::PendingPackets::kMaximumTokenAge) {
+    m_packets_with_unknown_tokens.AddPacket(datagram, received_at);
+    m_on_unknown_token(now);
     return;
   }
   m_metrics.CountDecision(decision);
--- a/Services/Edge/packet_loop.h
+++ b/Services/Edge/packet_loop.h
@@ -14,6 +14,8 @@
 #include <memory>
 #include <span>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "LibBase/ipv4.h"
 #include "LibBase/outcome.h"
@@ -34,6 +36,9 @@
   // Called after packets were handled. They may have made servers suspected, so
   // that probes are due.
   using BatchHandler = std::function<void(base::TimePoint now)>;
+  // Called when a packet has a token that no known server has: another balancer
+  // placed the flow on a server that this one does not know yet.
+  using UnknownTokenHandler = std::function<void(base::TimePoint now)>;
 
   // Binds the socket; errors are those of the system. Callers receive packets
   // at `caller_port`. The references must outlive the loop.
@@ -55,11 +60,17 @@
 
   // Commands.
   void Start() { WaitForPackets(); }
+  void SetUnknownTokenHandler(UnknownTokenHandler handler) {
+    m_on_unknown_token = std::move(handler);
+  }
   // Sends each opening whose resend is due to a further server.
   void SendDueResends();
   // Handles the packets that arrived before routes and servers were known.
   // Returns how many.
   std::size_t HandlePendingPackets();
+  // Handles the packets with unknown tokens. To be called when servers were
+  // added, and to drop old packets.
+  void HandlePacketsWithUnknownTokens();
   // Removes the saved openings that will not be resent.
   void Sweep();
 
@@ -78,8 +89,10 @@
 
   void WaitForPackets();
   void ReceivePackets();
+  void HandlePackets(std::vector<steering::PendingPackets::Packet> packets);
   void HandleDatagram(std::span<const std::uint8_t> datagram,
                       const ViewVersion& view,
+                      base::TimePoint received_at,
                       base::TimePoint now);
   // Saves the header of an opening for a resend.
   void SaveOpening(const flow::FlowKey& flow,
@@ -103,6 +116,8 @@
   // The openings that may be resent to a further server.
   Openings m_openings;
   steering::PendingPackets m_pending_packets;
+  steering::PendingPackets m_packets_with_unknown_tokens;
+  UnknownTokenHandler m_on_unknown_token;
   base::TimePoint m_last_packet;
 };
 
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -71,6 +71,12 @@
   // or if the store has lost a manifest that a peer has in force.
   // To be called at the interval of these requests.
   void RequestSnapshotIfCutOff(base::TimePoint now);
+  // A packet has the token of a server that is not known: peers may know newer
+  // servers.
+  void RequestNewServers(base::TimePoint now) {
+    if (m_feed)
+      m_feed->RequestChanges(now);
+  }
   // The process was paused: the view may be outdated, and the connections of
   // open calls may be dead.
   void OnPaused(base::TimePoint now);
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -250,6 +250,25 @@
   CHECK(ask(2300, 600) == ResponseVerdict::kFetchChanges);
 }
 
+// After the return of a data centre, balancers dropped packets of flows on
+// servers that peers had known for up to a poll interval.
+TEST_CASE(
+    "a poll is sent at once if peers know more, but not for each packet") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const StoreStatus own = MakeStatus(5);
+  const FeedPoll first = PollOnce(member, own, At(0));
+  member.HandleResponse(kSeed, MakeResponse(first, 5), own, At(5));
+  while (!member.Advance(own, At(10)).empty()) {
+  }
+
+  CHECK(member.RequestPoll(At(20)));
+  CHECK(member.Advance(own, At(20)).size() == 1);
+  CHECK_FALSE(member.RequestPoll(At(119)));
+  CHECK(member.Advance(own, At(119)).empty());
+  CHECK(member.RequestPoll(At(120)));
+  CHECK(member.Advance(own, At(120)).size() == 1);
+}
+
 TEST_CASE("a request of another fleet gets no response") {
   FeedMember member(MakeSettings(), 1, At(0));
   FeedRequest request;
