LibEdge: Ignore the records of a response that must not be applied

Cause: a delayed response to a watch that a peer's newer view already contains, or one of a former era, is reported as CollectionUpdate::kNone. ViewUpdater treated kNone as a page of the first list and applied the records. A server that registered and left within the response was added and stayed: its removal was before the known revision.

Change: CollectionWatcher names a page of the first list (kFirstListPage). StoreView::ApplyServerUpdate decides what to apply, and applies nothing for kNone.

Result: the new test of TestLibEdge failed with the former decision (1 server instead of 0) and passes now.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -135,7 +135,8 @@
   }
   if (page.m_has_more) {
     m_last_listed_name = page.m_last_name;
-    return CollectionUpdate::kNone;
+    return m_revision == Revision() ? CollectionUpdate::kFirstListPage
+                                    : CollectionUpdate::kNone;
   }
   const Revision listed = *m_list_revision;
   ResetList();
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -50,7 +50,10 @@
 
 // How the result of a call changes the known objects.
 enum class CollectionUpdate {
+  // The objects of the response must not be applied.
   kNone,
+  // A page of the first list, which is not complete yet.
+  kFirstListPage,
   // The pages received since the previous kListComplete are one complete list.
   kListComplete,
   // A watch returned the changes since the known revision. There may be none.
--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -7,6 +7,20 @@
 
 namespace edge {
 
+namespace {
+
+std::vector<steering::ServerRecord> RecordsOf(
+    const std::vector<ServerEvent>& events) {
+  std::vector<steering::ServerRecord> records;
+  for (const ServerEvent& event : events) {
+    if (event.m_record)
+      records.push_back(*event.m_record);
+  }
+  return records;
+}
+
+}  // namespace
+
 catalog::Snapshot StoreView::MakeSnapshot(catalog::Revision servers,
                                           catalog::Revision manifest) const {
   return {servers, RecordsNewerThan({}), manifest,
@@ -38,6 +52,27 @@
   return delta;
 }
 
+ServerChanges StoreView::ApplyServerUpdate(
+    catalog::CollectionUpdate update,
+    const std::vector<ServerEvent>& servers,
+    catalog::Revision revision,
+    base::TimePoint now,
+    ListExtent extent) {
+  switch (update) {
+    case catalog::CollectionUpdate::kNone:
+      return {};
+    case catalog::CollectionUpdate::kFirstListPage:
+      if (!servers.empty())
+        ApplyFirstServers(RecordsOf(servers), now);
+      return {};
+    case catalog::CollectionUpdate::kListComplete:
+      return ApplyServerList(RecordsOf(servers), revision, now, extent);
+    case catalog::CollectionUpdate::kChanged:
+      return ApplyServerEvents(servers, revision, now);
+  }
+  return {};
+}
+
 void StoreView::ApplyFirstServers(
     const std::vector<steering::ServerRecord>& records,
     base::TimePoint now) {
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "LibBase/time.h"
+#include "LibCatalog/collection_watcher.h"
 #include "LibCatalog/delayed_removals.h"
 #include "LibCatalog/evacuations.h"
 #include "LibCatalog/known_view.h"
@@ -94,6 +95,13 @@
   void SetOutage(bool is_in_outage, std::optional<base::TimePoint> ended_at) {
     m_delayed_removals.SetOutage(is_in_outage, ended_at);
   }
+  // Applies the servers that a call to the store returned, as `update`
+  // requires. `revision` is the known revision after the call.
+  ServerChanges ApplyServerUpdate(catalog::CollectionUpdate update,
+                                  const std::vector<ServerEvent>& servers,
+                                  catalog::Revision revision,
+                                  base::TimePoint now,
+                                  ListExtent extent = ListExtent::kComplete);
   // Applies servers of a list in progress while none are known, so that
   // openings can be placed before a long list is complete.
   void ApplyFirstServers(const std::vector<steering::ServerRecord>& records,
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -117,7 +117,7 @@
   } else {
     const bool is_complete =
         update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete;
-    if (!is_complete && m_watcher.KnownRevision() == catalog::Revision())
+    if (update.m_outcome.m_update == catalog::CollectionUpdate::kFirstListPage)
       update.m_objects.m_servers = decoded.m_objects.m_servers;
     AppendObjects(m_pages, std::move(decoded.m_objects));
     if (is_complete)
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -32,16 +32,6 @@
   return (std::uint64_t{device()} << 32) | device();
 }
 
-std::vector<steering::ServerRecord> RecordsOf(
-    const std::vector<ServerEvent>& events) {
-  std::vector<steering::ServerRecord> records;
-  for (const ServerEvent& event : events) {
-    if (event.m_record)
-      records.push_back(*event.m_record);
-  }
-  return records;
-}
-
 // Nothing for the evacuations: a kind that some deployments lack must not delay
 // the removal of servers.
 std::optional<catalog::OutageSource> SourceOf(const StoreReader& reader) {
@@ -438,26 +428,18 @@
 void ViewUpdater::OnServers(const StoreUpdate& update, base::TimePoint now) {
   const catalog::Revision revision = m_servers.watcher().KnownRevision();
   const auto& servers = update.m_objects.m_servers;
-  if (update.m_outcome.m_update == catalog::CollectionUpdate::kChanged) {
-    m_log.WriteServerChanges(m_view.ApplyServerEvents(servers, revision, now),
-                             revision, "store", now);
-    return;
-  }
-  if (update.m_outcome.m_update != catalog::CollectionUpdate::kListComplete) {
-    if (!servers.empty())
-      m_view.ApplyFirstServers(RecordsOf(servers), now);
-    return;
-  }
-  const auto records = RecordsOf(servers);
-  m_log.WriteServersListed(records.size(), m_servers);
+  const bool is_list =
+      update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete;
+  if (is_list)
+    m_log.WriteServersListed(servers.size(), m_servers);
   const bool is_first_view = !m_steering.AreServersComplete();
-  const ServerChanges changes = m_view.ApplyServerList(
-      records, revision, now,
+  const ServerChanges changes = m_view.ApplyServerUpdate(
+      update.m_outcome.m_update, servers, revision, now,
       update.m_objects.m_is_cut_short ? ListExtent::kPartial
                                       : ListExtent::kComplete);
   // The line above tells what the first list contains. Right after a start,
   // callers wait for the processor time of a line for each server.
-  if (!is_first_view)
+  if (!is_list || !is_first_view)
     m_log.WriteServerChanges(changes, revision, "store", now);
 }
 
--- a/Services/Edge/view_updater_evacuations.cc
+++ b/Services/Edge/view_updater_evacuations.cc
@@ -75,7 +75,8 @@
                                 base::TimePoint now) {
   const catalog::Revision revision = m_evacuations->watcher().KnownRevision();
   const auto& objects = update.m_objects;
-  if (update.m_outcome.m_update == catalog::CollectionUpdate::kNone)
+  if (update.m_outcome.m_update == catalog::CollectionUpdate::kNone ||
+      update.m_outcome.m_update == catalog::CollectionUpdate::kFirstListPage)
     return;
   const bool is_whole_list =
       update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete &&
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -92,6 +92,29 @@
   CHECK(fixture.Servers() == 2);
 }
 
+// The records of such a response were applied like a page of the first list.
+TEST_CASE(
+    "a delayed response that a peer's view already contains brings back no "
+    "server that has left") {
+  StoreViewFixture fixture;
+  catalog::CollectionWatcher watcher({}, base::Random(1), At(0));
+  watcher.StartDueCall(At(0));
+  watcher.HandleResult(catalog::PageResponse{catalog::Revision(5)}, At(4));
+  fixture.m_view.ApplyServerList({}, catalog::Revision(5), At(4));
+  watcher.StartDueCall(At(4));
+  REQUIRE(watcher.AdoptRevision(catalog::Revision(9)));
+  fixture.m_view.ApplyServerList({}, catalog::Revision(9), At(6));
+
+  // The server registered at revision 6 and left at revision 8.
+  const auto outcome = watcher.HandleResult(
+      catalog::ChangesResponse{catalog::Revision(7)}, At(10));
+  fixture.m_view.ApplyServerUpdate(
+      outcome.m_update, {{steering::ServerName("i-1"), MakeServer("i-1", 6)}},
+      watcher.KnownRevision(), At(10));
+
+  CHECK(fixture.Servers() == 0);
+}
+
 TEST_CASE("a list that is not complete removes no server") {
   StoreViewFixture fixture;
   fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(20),
