LibCatalog: Request events again that partly precede a peer's view

Cause: a peer's view was adopted while a watch was open, and the response reached beyond that view. All events of the response were applied, also those from before the view. A server that had registered and left before was added again; if the response was late, the removal that followed was delayed by 2.3 s and the server received openings.

Change: such a response is not applied and does not confirm the known revision. The next watch starts at once, from the adopted revision.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -171,14 +171,19 @@
     m_next_call_at = now + m_back_off.Next(m_random);
     return CollectionUpdate::kNone;
   }
+  // A peer's view was adopted while the watch was open. Some of the events that
+  // it contains precede that view and would bring back servers that have left.
+  if (m_watch_since != m_revision && received > m_revision) {
+    m_next_call_at = now;
+    return CollectionUpdate::kNone;
+  }
   m_confirmed_at = m_call_started_at;
   // A watch that took at least as long as the pause needs no further pause.
   const bool has_waited =
       now - m_call_started_at >= m_policy.m_pause_between_watches;
   m_next_call_at = has_waited ? now : now + m_policy.m_pause_between_watches;
-  // A peer's view that was adopted while the watch was open contains the events
-  // and what followed them.
-  if (received < m_revision)
+  // The peer's view contains the events and what followed them.
+  if (m_watch_since != m_revision || received < m_revision)
     return CollectionUpdate::kNone;
   m_revision = received;
   return CollectionUpdate::kChanged;
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -352,4 +352,26 @@
   CHECK(watcher.KnownRevision() == Revision(9));
 }
 
+// A server that registered and left before the peer's view was added again, and
+// its removal was delayed as that of a late response.
+TEST_CASE(
+    "events that partly precede a peer's view are requested again from its "
+    "revision, at once") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(4));
+  const auto confirmed = watcher.ConfirmedAt();
+  REQUIRE(watcher.AdoptRevision(Revision(9)));
+
+  const auto outcome =
+      watcher.HandleResult(ChangesResponse{Revision(11)}, At(10));
+
+  CHECK(outcome.m_update == CollectionUpdate::kNone);
+  CHECK(watcher.ConfirmedAt() == confirmed);
+  const auto call = watcher.StartDueCall(At(10));
+  REQUIRE(call);
+  CHECK(std::get<WatchCall>(*call).m_since == Revision(9));
+  CHECK(watcher.HandleResult(ChangesResponse{Revision(11)}, At(12)).m_update ==
+        CollectionUpdate::kChanged);
+}
+
 }  // namespace catalog
