LibEdge: Delay the removal of draining servers whose records expired

Cause: an outage of the store that falls between two responses to a watch is not observed. The removals that it causes are applied at once. A ready server then still has 2.5 s to show progress, but a draining one counts as ended, and its flows are reset though it runs.

Change: if one response removes at least as many ready servers as draining ones, the draining ones are removed 2.3 s later, unless they register again. Weighed: a delay for every draining server. The flows of a server that has really ended would then wait too.

Not covered: the record of a draining server that expires alone cannot be told from its end and is applied at once, as before.

Result: the new test of TestLibEdge failed without the rule, for events and for lists, and passes now.

--- a/Libraries/LibCatalog/delayed_removals.cc
+++ b/Libraries/LibCatalog/delayed_removals.cc
@@ -41,6 +41,12 @@
   return {};
 }
 
+void DelayedRemovals::Delay(const std::vector<steering::ServerName>& names,
+                            base::TimePoint now) {
+  for (const steering::ServerName& name : names)
+    m_due_times.emplace(name, now + kReregistrationTime);
+}
+
 std::vector<steering::ServerName> DelayedRemovals::PopDue(base::TimePoint now) {
   std::vector<steering::ServerName> due;
   if (IsInOutage())
--- a/Libraries/LibCatalog/delayed_removals.h
+++ b/Libraries/LibCatalog/delayed_removals.h
@@ -56,6 +56,10 @@
   std::vector<steering::ServerName> OnRecordsRemoved(
       const std::vector<steering::ServerName>& names,
       base::TimePoint now);
+  // Delays the removal of `names`, whose records may have expired in an outage
+  // that no call has shown.
+  void Delay(const std::vector<steering::ServerName>& names,
+             base::TimePoint now);
   // Cancels the delayed removal of `name`, whose record is in the store again.
   void OnRecordRegistered(const steering::ServerName& name) {
     m_due_times.erase(name);
--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -1,5 +1,7 @@
 #include "LibEdge/store_view.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <set>
 #include <utility>
 
@@ -104,7 +106,7 @@
     if (!listed.contains(name))
       missing.push_back(name);
   }
-  Remove(m_delayed_removals.OnRecordsRemoved(missing, now), now, changes);
+  RemoveRecords(missing, ShowsExpiries(missing), now, changes);
   m_steering.directory().SetHasFirstList();
   return changes;
 }
@@ -113,6 +115,12 @@
     const std::vector<ServerEvent>& events,
     catalog::Revision revision,
     base::TimePoint now) {
+  std::vector<steering::ServerName> removed;
+  for (const ServerEvent& event : events) {
+    if (!event.m_record)
+      removed.push_back(event.m_name);
+  }
+  const bool may_have_expired = ShowsExpiries(removed);
   ServerChanges changes;
   for (const ServerEvent& event : events) {
     if (event.m_record) {
@@ -120,8 +128,7 @@
       continue;
     }
     m_removal_log.OnRemoved(event.m_name, revision);
-    Remove(m_delayed_removals.OnRecordsRemoved({event.m_name}, now), now,
-           changes);
+    RemoveRecords({event.m_name}, may_have_expired, now, changes);
   }
   return changes;
 }
@@ -226,6 +233,38 @@
     changes.push_back({record, change});
 }
 
+bool StoreView::ShowsExpiries(
+    const std::vector<steering::ServerName>& names) const {
+  std::size_t ready = 0;
+  std::size_t draining = 0;
+  for (const steering::ServerName& name : names) {
+    const steering::KnownServer* server =
+        m_steering.directory().FindByName(name);
+    if (server != nullptr && !server->IsGone())
+      ++(server->AcceptsOpenings() ? ready : draining);
+  }
+  return draining > 0 && ready >= draining;
+}
+
+void StoreView::RemoveRecords(const std::vector<steering::ServerName>& names,
+                              bool may_have_expired,
+                              base::TimePoint now,
+                              ServerChanges& changes) {
+  auto removed = m_delayed_removals.OnRecordsRemoved(names, now);
+  if (may_have_expired) {
+    const auto draining = std::ranges::stable_partition(
+        removed, [this](const steering::ServerName& name) {
+          const steering::KnownServer* server =
+              m_steering.directory().FindByName(name);
+          return server == nullptr || server->IsGone() ||
+                 server->AcceptsOpenings();
+        });
+    m_delayed_removals.Delay({draining.begin(), draining.end()}, now);
+    removed.erase(draining.begin(), draining.end());
+  }
+  Remove(removed, now, changes);
+}
+
 void StoreView::Remove(const std::vector<steering::ServerName>& names,
                        base::TimePoint now,
                        ServerChanges& changes) {
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -148,6 +148,16 @@
   void Apply(const steering::ServerRecord& record,
              base::TimePoint now,
              ServerChanges& changes);
+  // Whether a response that removes `names` shows that records have expired,
+  // also those of draining servers. Servers seldom end without draining, so as
+  // many ready servers as draining ones among them are a sign of an outage that
+  // fell between two responses.
+  bool ShowsExpiries(const std::vector<steering::ServerName>& names) const;
+  // Removes the servers whose records were removed, or delays the removal.
+  void RemoveRecords(const std::vector<steering::ServerName>& names,
+                     bool may_have_expired,
+                     base::TimePoint now,
+                     ServerChanges& changes);
   void Remove(const std::vector<steering::ServerName>& names,
               base::TimePoint now,
               ServerChanges& changes);
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -147,6 +147,54 @@
   CHECK(fixture.Servers() == 1);
 }
 
+// An outage between two responses to a watch is not seen. Flows of the draining
+// server were reset though it was still running.
+TEST_CASE(
+    "a draining server whose record expired together with those of ready "
+    "servers is removed only if it does not register again") {
+  for (const bool is_list : {false, true}) {
+    for (const bool registers_again : {false, true}) {
+      StoreViewFixture fixture;
+      StoreView& view = fixture.m_view;
+      steering::ServerRecord draining = MakeServer("i-2", 2);
+      draining.m_state = steering::ServerState::kDraining;
+      view.ApplyServerList({MakeServer("i-1", 1), draining},
+                           catalog::Revision(2), At(0));
+
+      if (is_list)
+        view.ApplyServerList({}, catalog::Revision(4), At(1000));
+      else
+        view.ApplyServerEvents({{draining.m_name, std::nullopt},
+                                {steering::ServerName("i-1"), std::nullopt}},
+                               catalog::Revision(4), At(1000));
+
+      CHECK(fixture.m_steering.directory().RegisteredNames() ==
+            std::vector{draining.m_name});
+      CHECK(view.MakeSnapshot(catalog::Revision(4), {}).m_servers.empty());
+      draining.m_revision = base::StoreRevision(5);
+      if (registers_again)
+        view.ApplyServerEvents({{draining.m_name, draining}},
+                               catalog::Revision(5), At(3000));
+      CHECK(view.ApplyDueRemovals(At(3299)).empty());
+      CHECK(view.ApplyDueRemovals(At(3300)).size() ==
+            (registers_again ? 0 : 1));
+    }
+  }
+}
+
+TEST_CASE("a draining server that ends by itself is removed at once") {
+  StoreViewFixture fixture;
+  steering::ServerRecord draining = MakeServer("i-2", 2);
+  draining.m_state = steering::ServerState::kDraining;
+  fixture.m_view.ApplyServerList({MakeServer("i-1", 1), draining},
+                                 catalog::Revision(2), At(0));
+
+  CHECK(fixture.m_view
+            .ApplyServerEvents({{draining.m_name, std::nullopt}},
+                               catalog::Revision(3), At(1000))
+            .size() == 1);
+}
+
 TEST_CASE("the draining of a server is applied at once also during an outage") {
   StoreViewFixture fixture;
   fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(20),
