LibSteering: Forward flows on record when two servers share their token

Cause: a token that two known servers have identifies neither. New flows get the other token of a server, but the packets of flows that were open before the second server registered were dropped until one of the two left, so these flows hung.

Change: if a token is ambiguous, the balancer forwards to the server that its own record of the flow names, provided that this server has the token. Without such a record the packet is dropped as before.

--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -325,13 +325,27 @@
   m_resends.emplace(position, at, flow);
 }
 
+KnownServer* Steering::FindServerOf(const CallerPacket& packet) {
+  KnownServer* server = m_directory.FindByToken(packet.m_token);
+  if (server != nullptr)
+    return server;
+  const FlowRecord* record = m_tracker.Find(packet.m_flow);
+  if (record == nullptr)
+    return nullptr;
+  server = m_directory.FindByHandle(record->m_server);
+  const bool has_token = server != nullptr &&
+                         std::ranges::find(server->m_tokens, packet.m_token) !=
+                             server->m_tokens.end();
+  return has_token ? server : nullptr;
+}
+
 Decision Steering::HandleEstablished(const CallerPacket& packet,
                                      const Route* route,
                                      base::TimePoint now) {
   Decision decision;
   decision.m_action = Drop{};
   decision.m_route = route;
-  KnownServer* server = m_directory.FindByToken(packet.m_token);
+  KnownServer* server = FindServerOf(packet);
   if (server == nullptr) {
     decision.m_reason = Reason::kUnknownToken;
     return decision;
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -194,6 +194,10 @@
                        const KnownServer* previous_server,
                        const Route& route,
                        base::TimePoint now);
+  // The server of an established flow. If several servers have the token of the
+  // packet, the one that this balancer's record of the flow names. Null if the
+  // packet and the record identify no server.
+  KnownServer* FindServerOf(const CallerPacket& packet);
   Decision HandleEstablished(const CallerPacket& packet,
                              const Route* route,
                              base::TimePoint now);
--- a/Tests/LibSteering/test_steering.cc
+++ b/Tests/LibSteering/test_steering.cc
@@ -54,6 +54,35 @@
   CHECK(decision.m_reason == Reason::kUnknownToken);
 }
 
+// The packets were dropped from the registration of the second server on, so
+// the flow hung.
+TEST_CASE(
+    "an open flow continues when a server with the same token registers, and "
+    "the second server gets flows by its other token") {
+  // The first tokens of both names are 0xf8ef788b.
+  const ServerName first("i-870588c9");
+  const ServerName second("i-47102e0a");
+  REQUIRE(TokensOf(first)[0] == TokensOf(second)[0]);
+  SteeringWithRoutes steering;
+  steering.directory().Apply(MakeServer(first.value()), At(0));
+  const FlowToken token = OpenFlow(steering, 1, 0);
+  REQUIRE(token == TokensOf(first)[0]);
+  steering.directory().Apply(MakeServer(second.value()), At(10));
+
+  const Decision forwarded =
+      steering.Handle(MakeData(1, token, 101, 500, 80), At(20));
+  REQUIRE(ServerOf(forwarded) != nullptr);
+  CHECK(ServerOf(forwarded)->m_record.m_name == first);
+  // A flow that this balancer does not know: no guess and no reset.
+  CHECK(IsDrop(steering.Handle(MakeData(2, token, 101, 500, 80), At(20))));
+
+  steering.directory().Remove(first, At(30));
+  const Decision opening = steering.Handle(MakeOpening(3), At(40));
+  REQUIRE(ServerOf(opening) != nullptr);
+  CHECK(ServerOf(opening)->m_record.m_name == second);
+  CHECK(TokenOf(opening) == TokensOf(second)[1]);
+}
+
 TEST_CASE(
     "an opening without a route is refused only if the routes are "
     "current") {
