LibHttp, platform: List a collection after a watch that was cut off

Cause: a response that ends, or runs out of time, within its body was reported like a store that does not respond, and the same watch was sent again. A response of 1.2 to 2 MB takes longer than the timeout of 1 s on a 10 Mbit/s link, so the watch failed until the response exceeded the limit.

Change: http::Error::kIncompleteResponse, after a part of the body. The adapter reports it as an unusable response, after which CollectionWatcher lists the collection. A response of which only the header fields arrived is treated as before. A page of a list that takes longer than the timeout is still requested again: the store sets its size.

--- a/Libraries/LibCatalog/call_failure.h
+++ b/Libraries/LibCatalog/call_failure.h
@@ -22,8 +22,8 @@
   kHistoryGone,
   // The response is of an earlier era than what is known.
   kFormerEra,
-  // The response is too large or cannot be decoded, or the client did not
-  // accept the call.
+  // The response is too large, was cut off in its body or cannot be decoded, or
+  // the client did not accept the call.
   kMalformed,
 };
 
--- a/Libraries/LibHttp/error.h
+++ b/Libraries/LibHttp/error.h
@@ -23,13 +23,15 @@
   kTimedOut,
   // The connection ended before a complete response. The server may have acted.
   kClosedBeforeResponse,
+  // The same after a part of the response's body. The server may have acted.
+  kIncompleteResponse,
   // The response is not HTTP/1.1. The server may have acted.
   kMalformedResponse,
   // The response is larger than the limit. The server may have acted.
   kResponseTooLarge,
 };
 
-inline constexpr base::EnumTable<Error, 8> kErrorNames{{
+inline constexpr base::EnumTable<Error, 9> kErrorNames{{
     {Error::kInvalidRequest, "invalid request"},
     {Error::kTooManyRequests, "too many open requests"},
     {Error::kNoSocket, "no socket"},
@@ -37,6 +39,7 @@
     {Error::kTimedOut, "timed out"},
     {Error::kClosedBeforeResponse,
      "connection closed before a complete response"},
+    {Error::kIncompleteResponse, "incomplete response"},
     {Error::kMalformedResponse, "malformed response"},
     {Error::kResponseTooLarge, "response too large"},
 }};
--- a/Libraries/LibHttp/exchange.cc
+++ b/Libraries/LibHttp/exchange.cc
@@ -136,6 +136,11 @@
 void Exchange::Complete(base::Outcome<Response> outcome) {
   if (!m_callback)
     return;
+  const bool is_cut_off =
+      !outcome && (outcome.error() == Error::kTimedOut ||
+                   outcome.error() == Error::kClosedBeforeResponse);
+  if (is_cut_off && !m_parser.response().m_body.empty())
+    outcome = make_error_code(Error::kIncompleteResponse);
   const Callback callback = std::move(m_callback);
   Close();
   callback(std::move(outcome));
--- a/Tests/LibHttp/test_client.cc
+++ b/Tests/LibHttp/test_client.cc
@@ -102,6 +102,13 @@
     CHECK(error == Error::kClosedBeforeResponse);
     CHECK(http::MayHaveTakenEffect(error));
   }
+  SUBCASE("connection closed after a part of the body") {
+    const SingleResponseServer server(
+        context, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell");
+    const auto error = SendTo(context, server.ListeningEndpoint()).error();
+    CHECK(error == Error::kIncompleteResponse);
+    CHECK(http::MayHaveTakenEffect(error));
+  }
   SUBCASE("no listening socket") {
     base::Endpoint endpoint;
     {
--- a/Tests/Platform/test_store_calls.cc
+++ b/Tests/Platform/test_store_calls.cc
@@ -81,6 +81,8 @@
         CallFailure::kMalformed);
   CHECK(std::get<CallFailure>(ResultOf(MakeResponse(200, "{}"))) ==
         CallFailure::kMalformed);
+  CHECK(std::get<CallFailure>(ResultOf(make_error_code(
+            http::Error::kIncompleteResponse))) == CallFailure::kMalformed);
   CHECK(std::get<CallFailure>(ResultOf(make_error_code(
             http::Error::kTimedOut))) == CallFailure::kTimedOut);
   CHECK(std::get<CallFailure>(ResultOf(make_error_code(
