LibCatalog: Don't encode a view that peers would refuse for its size

Change: the encoder returns message_size, as its comment says, so that the sender logs snapshot_failed and answers 503.

Result: the new test of TestLibCatalog failed before and passes now.

--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -203,7 +203,10 @@
   } catch (const cereal::Exception&) {
     return std::make_error_code(std::errc::message_size);
   }
-  return std::move(stream).str();
+  std::string bytes = std::move(stream).str();
+  if (bytes.size() > kMaximumSnapshotBytes)
+    return std::make_error_code(std::errc::message_size);
+  return bytes;
 }
 
 template <typename Content>
--- a/Tests/LibCatalog/test_snapshot_codec.cc
+++ b/Tests/LibCatalog/test_snapshot_codec.cc
@@ -91,6 +91,19 @@
   CHECK_FALSE(EncodeSnapshot(snapshot));
 }
 
+// Such a view was sent to each peer in turn, and none could use it.
+TEST_CASE("a view that peers would refuse for its size is not encoded") {
+  Snapshot snapshot = MakeSnapshot();
+  snapshot.m_servers[0].m_service.assign(kMaximumNameBytes, 's');
+  snapshot.m_servers.resize(kMaximumSnapshotBytes / kMaximumNameBytes,
+                            snapshot.m_servers[0]);
+
+  const auto outcome = EncodeSnapshot(snapshot);
+
+  REQUIRE_FALSE(outcome);
+  CHECK(outcome.error() == std::errc::message_size);
+}
+
 TEST_CASE("a route without services and every kind of request are encoded") {
   Snapshot snapshot = MakeSnapshot();
   snapshot.m_manifest.m_routes[0].m_services.clear();
