--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -73,7 +73,9 @@
   std::string items = ServerObject("i-1a", kSpec);
   for (const std::string& spec : unusable_specs)
     items.append(",").append(ServerObject("i-2b", spec));
+  // Names without hexadecimal digits, and with more than an identity has.
   items += ",17," + ServerObject("zzz", kSpec) + "," +
+           ServerObject("i-0123456789abcdef0", kSpec) + "," +
            ServerObject("i-3c", long_service) + "," +
            ServerObject("i-4d" + long_name, kSpec);
 
@@ -82,7 +84,7 @@
       R"({"items":[)" + items + R"(],"more":false,"store_revision":9})");
 
   CHECK(response.m_objects.m_servers.size() == 1);
-  CHECK(response.m_objects.m_ignored == std::size(unusable_specs) + 4);
+  CHECK(response.m_objects.m_ignored == std::size(unusable_specs) + 5);
   CHECK(std::holds_alternative<catalog::PageResponse>(response.m_result));
 }
 
