LibEdge: Build the delay of draining servers with clang

clang 14 does not compile std::ranges::stable_partition of GCC 12's library, so Meta/fuzz.sh could not build FuzzStoreAnswer. The algorithm with iterators does the same. TestLibEdge passes (34 cases).

--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -252,15 +252,16 @@
                               ServerChanges& changes) {
   auto removed = m_delayed_removals.OnRecordsRemoved(names, now);
   if (may_have_expired) {
-    const auto draining = std::ranges::stable_partition(
-        removed, [this](const steering::ServerName& name) {
-          const steering::KnownServer* server =
-              m_steering.directory().FindByName(name);
-          return server == nullptr || server->IsGone() ||
-                 server->AcceptsOpenings();
-        });
-    m_delayed_removals.Delay({draining.begin(), draining.end()}, now);
-    removed.erase(draining.begin(), draining.end());
+    const auto draining =
+        std::stable_partition(removed.begin(), removed.end(),
+                              [this](const steering::ServerName& name) {
+                                const steering::KnownServer* server =
+                                    m_steering.directory().FindByName(name);
+                                return server == nullptr || server->IsGone() ||
+                                       server->AcceptsOpenings();
+                              });
+    m_delayed_removals.Delay({draining, removed.end()}, now);
+    removed.erase(draining, removed.end());
   }
   Remove(removed, now, changes);
 }
