--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -1,5 +1,7 @@
 #include "LibEdge/store_view.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <set>
 #include <utility>
 
@@ -7,6 +9,20 @@
 
 namespace edge {
 
+namespace {
+
+std::vector<steering::ServerRecord> RecordsOf(
+    const std::vector<ServerEvent>& events) {
+  std::vector<steering::ServerRecord> records;
+  for (const ServerEvent& event : events) {
+    if (event.m_record)
+      records.push_back(*event.m_record);
+  }
+  return records;
+}
+
+}  // namespace
+
 catalog::Snapshot StoreView::MakeSnapshot(catalog::Revision servers,
                                           catalog::Revision manifest) const {
   return {servers, RecordsNewerThan({}), manifest,
@@ -38,6 +54,27 @@
   return delta;
 }
 
+ServerChanges StoreView::ApplyServerUpdate(
+    catalog::CollectionUpdate update,
+    const std::vector<ServerEvent>& servers,
+    catalog::Revision revision,
+    base::TimePoint now,
+    ListExtent extent) {
+  switch (update) {
+    case catalog::CollectionUpdate::kNone:
+      return {};
+    case catalog::CollectionUpdate::kFirstListPage:
+      if (!servers.empty())
+        ApplyFirstServers(RecordsOf(servers), now);
+      return {};
+    case catalog::CollectionUpdate::kListComplete:
+      return ApplyServerList(RecordsOf(servers), revision, now, extent);
+    case catalog::CollectionUpdate::kChanged:
+      return ApplyServerEvents(servers, revision, now);
+  }
+  return {};
+}
+
 void StoreView::ApplyFirstServers(
     const std::vector<steering::ServerRecord>& records,
     base::TimePoint now) {
@@ -69,7 +106,7 @@
     if (!listed.contains(name))
       missing.push_back(name);
   }
-  Remove(m_delayed_removals.OnRecordsRemoved(missing, now), now, changes);
+  RemoveRecords(missing, ShowsExpiries(missing), now, changes);
   m_steering.directory().SetHasFirstList();
   return changes;
 }
@@ -78,6 +115,12 @@
     const std::vector<ServerEvent>& events,
     catalog::Revision revision,
     base::TimePoint now) {
+  std::vector<steering::ServerName> removed;
+  for (const ServerEvent& event : events) {
+    if (!event.m_record)
+      removed.push_back(event.m_name);
+  }
+  const bool may_have_expired = ShowsExpiries(removed);
   ServerChanges changes;
   for (const ServerEvent& event : events) {
     if (event.m_record) {
@@ -85,8 +128,7 @@
       continue;
     }
     m_removal_log.OnRemoved(event.m_name, revision);
-    Remove(m_delayed_removals.OnRecordsRemoved({event.m_name}, now), now,
-           changes);
+    RemoveRecords({event.m_name}, may_have_expired, now, changes);
   }
   return changes;
 }
@@ -191,6 +233,39 @@
     changes.push_back({record, change});
 }
 
+bool StoreView::ShowsExpiries(
+    const std::vector<steering::ServerName>& names) const {
+  std::size_t ready = 0;
+  std::size_t draining = 0;
+  for (const steering::ServerName& name : names) {
+    const steering::KnownServer* server =
+        m_steering.directory().FindByName(name);
+    if (server != nullptr && !server->IsGone())
+      ++(server->AcceptsOpenings() ? ready : draining);
+  }
+  return draining > 0 && ready >= draining;
+}
+
+void StoreView::RemoveRecords(const std::vector<steering::ServerName>& names,
+                              bool may_have_expired,
+                              base::TimePoint now,
+                              ServerChanges& changes) {
+  auto removed = m_delayed_removals.OnRecordsRemoved(names, now);
+  if (may_have_expired) {
+    const auto draining =
+        std::stable_partition(removed.begin(), removed.end(),
+                              [this](const steering::ServerName& name) {
+                                const steering::KnownServer* server =
+                                    m_steering.directory().FindByName(name);
+                                return server == nullptr || server->IsGone() ||
+                                       server->AcceptsOpenings();
+                              });
+    m_delayed_removals.Delay({draining, removed.end()}, now);
+    removed.erase(draining, removed.end());
+  }
+  Remove(removed, now, changes);
+}
+
 void StoreView::Remove(const std::vector<steering::ServerName>& names,
                        base::TimePoint now,
                        ServerChanges& changes) {
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "LibBase/time.h"
+#include "LibCatalog/collection_watcher.h"
 #include "LibCatalog/delayed_removals.h"
 #include "LibCatalog/evacuations.h"
 #include "LibCatalog/known_view.h"
@@ -94,6 +95,13 @@
   void SetOutage(bool is_in_outage, std::optional<base::TimePoint> ended_at) {
     m_delayed_removals.SetOutage(is_in_outage, ended_at);
   }
+  // Applies the servers that a call to the store returned, as `update`
+  // requires. `revision` is the known revision after the call.
+  ServerChanges ApplyServerUpdate(catalog::CollectionUpdate update,
+                                  const std::vector<ServerEvent>& servers,
+                                  catalog::Revision revision,
+                                  base::TimePoint now,
+                                  ListExtent extent = ListExtent::kComplete);
   // Applies servers of a list in progress while none are known, so that
   // openings can be placed before a long list is complete.
   void ApplyFirstServers(const std::vector<steering::ServerRecord>& records,
@@ -140,6 +148,16 @@
   void Apply(const steering::ServerRecord& record,
              base::TimePoint now,
              ServerChanges& changes);
+  // Whether a response that removes `names` shows that records have expired,
+  // also those of draining servers. Servers seldom end without draining, so as
+  // many ready servers as draining ones among them are a sign of an outage that
+  // fell between two responses.
+  bool ShowsExpiries(const std::vector<steering::ServerName>& names) const;
+  // Removes the servers whose records were removed, or delays the removal.
+  void RemoveRecords(const std::vector<steering::ServerName>& names,
+                     bool may_have_expired,
+                     base::TimePoint now,
+                     ServerChanges& changes);
   void Remove(const std::vector<steering::ServerName>& names,
               base::TimePoint now,
               ServerChanges& changes);
