Tests/Fuzz: Look for a usable server beside an odd one among events too

The target looked for the usable server in lists only. It now also looks among the events of a watch.

--- a/Tests/Fuzz/fuzz_store_answer.cc
+++ b/Tests/Fuzz/fuzz_store_answer.cc
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <string>
+#include <utility>
 
 #include "LibCatalog/snapshot_codec.h"
 #include "LibEdge/store_view.h"
@@ -44,28 +45,43 @@
     std::abort();
 }
 
-// Aborts if a usable server is not found beside an object with content `spec`.
+// Aborts if the response lacks the record of the usable server.
+void CheckIsFound(const adapter::CollectionResponse& response) {
+  const auto& servers = response.m_objects.m_servers;
+  const bool is_found =
+      std::any_of(servers.begin(), servers.end(), [](const auto& server) {
+        return server.m_name == steering::ServerName("i-7f3a91c2") &&
+               server.m_record.has_value();
+      });
+  if (!is_found)
+    std::abort();
+}
+
+// Aborts if a usable server is not found beside an object with content `spec`,
+// in a list or among the events of a watch.
 void FindServerBeside(const std::string& spec) {
   const auto object = [](const std::string& name, const std::string& content) {
     return R"({"meta":{"name":")" + name + R"(","revision":1},"spec":)" +
            content + R"(,"status":null})";
   };
+  const auto event = [](const std::string& content) {
+    return R"({"deleted":false,"object":)" + content + "}";
+  };
   const std::string usable = object(
       "i-7f3a91c2",
       R"({"backend":"a","address":"10.0.0.1:80","zone":"z","version":"v1",)"
       R"("max_concurrency":3,"state":"ready","warmup_left_ms":0,"seq":4})");
-  for (const std::string& items : {object("i-1", spec) + "," + usable,
-                                   usable + "," + object("i-1", spec)}) {
-    const auto response =
-        Read(adapter::Collection::kServers, catalog::ListCall{},
-             R"({"items":[)" + items + R"(],"more":false,"store_revision":9})");
-    const auto& servers = response.m_objects.m_servers;
-    const bool is_found =
-        std::any_of(servers.begin(), servers.end(), [](const auto& server) {
-          return server.m_name == steering::ServerName("i-7f3a91c2");
-        });
-    if (!is_found)
-      std::abort();
+  const std::string odd = object("i-1", spec);
+  for (const auto& [first, second] :
+       {std::pair(odd, usable), std::pair(usable, odd)}) {
+    std::string list = R"({"items":[)";
+    list.append(first).append(",").append(second);
+    CheckIsFound(Read(adapter::Collection::kServers, catalog::ListCall{},
+                      list + R"(],"more":false,"store_revision":9})"));
+    std::string changes = R"({"events":[)";
+    changes.append(event(first)).append(",").append(event(second));
+    CheckIsFound(Read(adapter::Collection::kServers, catalog::WatchCall{},
+                      changes + R"(],"store_revision":9})"));
   }
 }
 
