LibSteering: Find the options of a service by an index

Each opening and each packet with data looked up the options of a service by a linear search of the manifest's services. The table now has an index by name; of two entries for one service the first counts, as before.

--- a/Libraries/LibSteering/route_table.cc
+++ b/Libraries/LibSteering/route_table.cc
@@ -1,7 +1,5 @@
 #include "LibSteering/route_table.h"
 
-#include <algorithm>
-
 #include <utility>
 
 namespace steering {
@@ -18,12 +16,9 @@
 }
 
 const ServiceOptions* RouteTable::OptionsOf(std::string_view service) const {
-  const auto found =
-      std::ranges::find(m_manifest.m_services, service,
-                        [](const ServiceOptions& options) -> std::string_view {
-                          return options.m_service;
-                        });
-  return found == m_manifest.m_services.end() ? nullptr : &*found;
+  const auto found = m_by_service.find(service);
+  return found == m_by_service.end() ? nullptr
+                                     : &m_manifest.m_services[found->second];
 }
 
 bool RouteTable::Replace(Manifest manifest) {
@@ -34,6 +29,10 @@
   m_by_address.reserve(m_manifest.m_routes.size());
   for (std::size_t index = 0; index < m_manifest.m_routes.size(); ++index)
     m_by_address.emplace(m_manifest.m_routes[index].m_address, index);
+  m_by_service.clear();
+  m_by_service.reserve(m_manifest.m_services.size());
+  for (std::size_t index = 0; index < m_manifest.m_services.size(); ++index)
+    m_by_service.emplace(m_manifest.m_services[index].m_service, index);
   RecordDropped(former);
   return true;
 }
--- a/Libraries/LibSteering/route_table.h
+++ b/Libraries/LibSteering/route_table.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -47,10 +48,21 @@
   // More dropped addresses are forgotten; their open flows then continue.
   static constexpr std::size_t kMaximumDropped = 20'000;
 
+  // Allows look-ups without a copy of the name.
+  struct NameHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view name) const noexcept {
+      return std::hash<std::string_view>()(name);
+    }
+  };
+
   void RecordDropped(const Manifest& former);
 
   Manifest m_manifest;
   std::unordered_map<base::Endpoint, std::size_t> m_by_address;
+  // The positions in the manifest's list of services.
+  std::unordered_map<std::string, std::size_t, NameHash, std::equal_to<>>
+      m_by_service;
   std::unordered_set<base::Endpoint> m_dropped;
 };
 
--- a/Tests/LibSteering/test_route.cc
+++ b/Tests/LibSteering/test_route.cc
@@ -32,4 +32,22 @@
   CHECK(routes.size() == 3);
 }
 
+TEST_CASE(
+    "the options of a service are those of the manifest in force, and the "
+    "first "
+    "of two entries counts") {
+  RouteTable routes;
+  Manifest manifest = MakeManifest(1);
+  manifest.m_services = {{"portal", "/first"}, {"portal", "/second"}, {"left"}};
+  REQUIRE(routes.Replace(manifest));
+  CHECK(routes.HealthPath("portal") == "/first");
+  CHECK(routes.OptionsOf("left") != nullptr);
+
+  manifest.m_version = base::ConfigurationVersion(2);
+  manifest.m_services = {{"new"}, {"portal", "/third"}};
+  REQUIRE(routes.Replace(manifest));
+  CHECK(routes.HealthPath("portal") == "/third");
+  CHECK(routes.OptionsOf("left") == nullptr);
+}
+
 }  // namespace steering
