LibPeer: Decode the content of feed, load and view messages in one place

It is peer::DecodeContent now, with peer::EncodeContent for the other direction. The input buffer of LibPeer's own codec, which needs no copy of the bytes, moves into a header of its own and is used for all of them. The bytes on the wire do not change.

TestLibPeer, TestLibFeed, TestLibCatalog and TestLibLoadExchange pass unchanged.

--- a/Libraries/LibCatalog/snapshot_codec.cc
+++ b/Libraries/LibCatalog/snapshot_codec.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
-#include <sstream>
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -13,6 +12,7 @@
 #include "LibCatalog/snapshot.h"
 #include "LibCatalog/view_delta.h"
 #include "LibPeer/archive.h"
+#include "LibPeer/content_codec.h"
 
 namespace base {
 
@@ -195,15 +195,10 @@
 
 template <typename Content>
 base::Outcome<std::string> Encode(std::string_view magic, Content content) {
-  std::ostringstream stream;
-  stream << magic;
-  try {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    SerializeContent(archive, content);
-  } catch (const cereal::Exception&) {
-    return std::make_error_code(std::errc::message_size);
-  }
-  return std::move(stream).str();
+  return peer::EncodeContent(magic, std::move(content),
+                             [](auto& archive, Content& written) {
+                               SerializeContent(archive, written);
+                             });
 }
 
 template <typename Content>
@@ -212,17 +207,9 @@
     return std::make_error_code(std::errc::message_size);
   if (!bytes.starts_with(magic))
     return std::make_error_code(std::errc::bad_message);
-  std::istringstream stream{std::string(bytes.substr(magic.size()))};
-  try {
-    Content content;
-    cereal::PortableBinaryInputArchive archive(stream);
-    SerializeContent(archive, content);
-    if (stream.peek() == std::istringstream::traits_type::eof())
-      return content;
-  } catch (const std::exception&) {
-    // The error is returned below.
-  }
-  return std::make_error_code(std::errc::bad_message);
+  return peer::DecodeContent<Content>(
+      bytes.substr(magic.size()),
+      [](auto& archive, Content& read) { SerializeContent(archive, read); });
 }
 
 }  // namespace
--- a/Libraries/LibFeed/feed_codec.cc
+++ b/Libraries/LibFeed/feed_codec.cc
@@ -5,14 +5,12 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
-#include <sstream>
 #include <system_error>
 #include <utility>
 
 #include "LibBase/overloaded.h"
 #include "LibPeer/archive.h"
-
-#include <cereal/archives/portable_binary.hpp>
+#include "LibPeer/content_codec.h"
 
 namespace feed {
 
@@ -110,33 +108,22 @@
 
 template <typename Message>
 base::Outcome<std::string> Encode(std::string_view magic, Message message) {
-  std::ostringstream stream;
-  stream << magic;
-  try {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    Serialize(archive, message);
-  } catch (const cereal::Exception&) {
-    return std::make_error_code(std::errc::message_size);
-  }
-  std::string bytes = std::move(stream).str();
+  TRY(bytes, peer::EncodeContent(magic, std::move(message),
+                                 [](auto& archive, Message& content) {
+                                   Serialize(archive, content);
+                                 }));
   if (bytes.size() > kMaximumDatagramBytes)
     return std::make_error_code(std::errc::message_size);
-  return bytes;
+  return std::move(bytes);
 }
 
 template <typename Message>
 base::Outcome<FeedMessage> Decode(std::string_view bytes) {
-  std::istringstream stream{std::string(bytes)};
-  try {
-    Message message;
-    cereal::PortableBinaryInputArchive archive(stream);
-    Serialize(archive, message);
-    if (stream.peek() == std::istringstream::traits_type::eof())
-      return FeedMessage(std::move(message));
-  } catch (const std::exception&) {
-    // The error is returned below.
-  }
-  return std::make_error_code(std::errc::bad_message);
+  TRY(message,
+      peer::DecodeContent<Message>(bytes, [](auto& archive, Message& content) {
+        Serialize(archive, content);
+      }));
+  return FeedMessage(std::move(message));
 }
 
 }  // namespace
--- a/Libraries/LibLoadExchange/load_codec.cc
+++ b/Libraries/LibLoadExchange/load_codec.cc
@@ -5,14 +5,12 @@
 #include <cmath>
 #include <cstdint>
 #include <limits>
-#include <sstream>
 #include <system_error>
 #include <utility>
 
 #include "LibLoadExchange/limits.h"
 #include "LibPeer/archive.h"
-
-#include <cereal/archives/portable_binary.hpp>
+#include "LibPeer/content_codec.h"
 
 namespace load_exchange {
 
@@ -133,29 +131,22 @@
 }
 
 template <typename Message>
-std::string Encode(char magic, Message& message) {
-  std::ostringstream stream;
-  stream << magic;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    Serialize(archive, message);
-  }
-  return std::move(stream).str();
+std::string Encode(char magic, Message message) {
+  // The lists were truncated to their maximum sizes.
+  return peer::EncodeContent(std::string_view(&magic, 1), std::move(message),
+                             [](auto& archive, Message& content) {
+                               Serialize(archive, content);
+                             })
+      .value();
 }
 
 template <typename Message>
 base::Outcome<LoadMessage> Decode(std::string_view bytes) {
-  std::istringstream stream{std::string(bytes)};
-  try {
-    Message message;
-    cereal::PortableBinaryInputArchive archive(stream);
-    Serialize(archive, message);
-    if (stream.peek() == std::istringstream::traits_type::eof())
-      return LoadMessage(std::move(message));
-  } catch (const std::exception&) {
-    // The error is returned below.
-  }
-  return std::make_error_code(std::errc::bad_message);
+  TRY(message,
+      peer::DecodeContent<Message>(bytes, [](auto& archive, Message& content) {
+        Serialize(archive, content);
+      }));
+  return LoadMessage(std::move(message));
 }
 
 // Keeps the elements of greatest rank of all data centres, `maximum` at most.
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -2,12 +2,12 @@
 
 #include <istream>
 #include <sstream>
-#include <streambuf>
 
 #include "LibPeer/archive.h"
 #include "LibPeer/codec_error.h"
 #include "LibPeer/limits.h"
 #include "LibPeer/message.h"
+#include "LibPeer/string_view_buffer.h"
 
 namespace peer {
 
@@ -19,18 +19,6 @@
 constexpr std::size_t kVersionPosition = 2;
 constexpr std::size_t kLengthPosition = 3;
 
-// An input buffer over a string view.
-class StringViewBuffer : public std::streambuf {
- public:
-  explicit StringViewBuffer(std::string_view bytes) {
-    // setg requires char*, but nothing writes to the get area.
-    auto* begin = const_cast<char*>(bytes.data());
-    setg(begin, begin, begin + bytes.size());
-  }
-
-  bool IsExhausted() const { return gptr() == egptr(); }
-};
-
 std::size_t MaximumFrameBytes(Transport transport) {
   return transport == Transport::kDatagram ? kMaximumDatagramBytes
                                            : kMaximumFrameBytes;
