LibSteering: Scan for expired servers only shortly after a removal

An opening that no registered server may get looked through all known servers for those whose records were removed within the last 2.5 s. The directory now knows the time of the last removal and skips the scan if it is earlier. The result is the same.

benchmark_steering, processor time in us of an opening to a service whose servers are all draining, three runs: 300 servers 3.2 to 3.8 before and 0.6 now; 75,000 servers 1,997 to 2,135 and 0.4. All evacuated: 3.3 to 3.8 and 1.0 to 1.1; 1,714 to 1,783 and 0.8.

TestLibSteering: 125 test cases pass.

--- a/Libraries/LibSteering/server_directory.cc
+++ b/Libraries/LibSteering/server_directory.cc
@@ -55,6 +55,9 @@
     std::string_view service,
     base::TimePoint since) const {
   std::vector<KnownServer*> expired;
+  // Called for each opening that no registered server can get.
+  if (m_last_removal_at < since)
+    return expired;
   for (const auto& [name, server] : m_servers) {
     if (server->HasExpired() && *server->m_gone_since >= since &&
         server->m_record.m_service == service)
@@ -204,6 +207,7 @@
     return DirectoryChange::kNone;
   server->m_gone_since = now;
   m_gone.emplace_back(now, name);
+  m_last_removal_at = std::max(m_last_removal_at, now);
   RemoveFromIndex(*server);
   UnlistFromService(*server);
   return DirectoryChange::kGone;
--- a/Libraries/LibSteering/server_directory.h
+++ b/Libraries/LibSteering/server_directory.h
@@ -168,6 +168,7 @@
   // The removed servers in the order of their removal. One that registered
   // again has another m_gone_since.
   std::deque<std::pair<base::TimePoint, ServerName>> m_gone;
+  base::TimePoint m_last_removal_at = base::TimePoint::min();
   std::uint32_t m_next_handle = 0;
   std::set<base::DataCentreId> m_evacuated;
   std::map<base::DataCentreId, base::TimePoint> m_evacuation_ends;
