--- a/Benchmarks/benchmark_steering.cc
+++ b/Benchmarks/benchmark_steering.cc
@@ -181,6 +181,46 @@
   }
 }
 
+// Openings to services of which no server may get one.
+void MeasureRefusals() {
+  fmt::print(
+      "\n| servers | opening to draining servers us | to evacuated servers us "
+      "| to cold servers us |\n|---|---|---|---|\n");
+  for (const std::size_t servers : kServerCounts) {
+    constexpr std::size_t kCalls = 50;
+    std::uint32_t flow = 0;
+    const auto open = [&flow](Balancer& balancer) {
+      return MeanMicroseconds(kCalls,
+                              [&](std::size_t) { balancer.Open(++flow, 1); });
+    };
+    Balancer draining(servers, 2);
+    for (std::size_t number = 0; number < servers; ++number) {
+      steering::ServerRecord record = MakeServer(number);
+      record.m_state = steering::ServerState::kDraining;
+      draining.steering().directory().Apply(record, At(0));
+    }
+    Balancer evacuated(servers, 2);
+    std::set<base::DataCentreId> all;
+    for (std::size_t number = 0; number < kDataCentres; ++number)
+      all.insert(DataCentre(number));
+    evacuated.steering().SetEvacuated(all, At(0));
+    Balancer cold(servers, 2);
+    steering::Manifest manifest = MakeManifest(2);
+    manifest.m_version = base::ConfigurationVersion(2);
+    manifest.m_services.back().m_warm_up = std::chrono::seconds(60);
+    manifest.m_services.back().m_warm_up_requests_per_second = 1;
+    cold.steering().ApplyManifest(manifest);
+    cold.steering().warm_up().SetBalancers(7'500);
+    for (std::size_t number = 0; number < servers; ++number)
+      cold.steering()
+          .directory()
+          .FindByName(MakeServer(number).m_name)
+          ->m_cold_until = At(60'000);
+    fmt::print("| {} | {:.2f} | {:.2f} | {:.2f} |\n", servers, open(draining),
+               open(evacuated), open(cold));
+  }
+}
+
 void MeasureOptions() {
   fmt::print("\n| services | options of a service us |\n|---|---|\n");
   for (const std::size_t services : {2U, 300U, 3'000U}) {
@@ -256,6 +296,7 @@
 
 int main() {
   MeasurePackets();
+  MeasureRefusals();
   MeasureOptions();
   MeasureDirectory();
   return 0;
