Integration tests: Keep the output of the processes of a test

A test that failed once left no log of its balancers, and "the process has ended" did not say how. COLTSFOOTDALE_TEST_LOGS=FOLDER now keeps the lines of each process in a file, and the error names the exit code or the signal.

--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -1,11 +1,14 @@
 #include "child_process.h"
 
 #include <signal.h>
+#include <stdlib.h>
+#include <sys/wait.h>
 
 #include <boost/process.hpp>
 #include <boost/property_tree/json_parser.hpp>
 
 #include <algorithm>
+#include <fstream>
 #include <sstream>
 
 #include "harness_error.h"
@@ -27,6 +30,29 @@
   }
 }
 
+// Opens a file for the output of a child process in the folder that
+// COLTSFOOTDALE_TEST_LOGS names, or returns a closed stream if the variable is
+// not set.
+std::ofstream OpenOutputFile(const std::string& name, int process_id) {
+  const char* folder = std::getenv("COLTSFOOTDALE_TEST_LOGS");
+  if (folder == nullptr)
+    return {};
+  return std::ofstream(std::string(folder) + "/" + name + "-" +
+                       std::to_string(process_id) + ".log");
+}
+
+// Describes how a child process ended, without reaping it.
+std::string DescribeEnd(int process_id) {
+  siginfo_t info{};
+  const int error = ::waitid(P_PID, static_cast<id_t>(process_id), &info,
+                             WEXITED | WNOHANG | WNOWAIT);
+  if (error != 0 || info.si_pid == 0)
+    return "has closed its output and has no exit status yet";
+  if (info.si_code == CLD_EXITED)
+    return "ended with exit code " + std::to_string(info.si_status);
+  return "was ended by signal " + std::to_string(info.si_status);
+}
+
 }  // namespace
 
 struct ChildProcess::Handle {
@@ -62,8 +88,10 @@
 }
 
 void ChildProcess::ReadLines() {
+  std::ofstream file = OpenOutputFile(m_name, m_handle->m_child.id());
   std::string line;
   while (std::getline(m_handle->m_output, line)) {
+    file << line << std::endl;
     auto parsed = ParseLine(line);
     if (!parsed)
       continue;
@@ -151,11 +179,13 @@
                                 std::chrono::milliseconds deadline,
                                 const Predicate& predicate) {
   const auto found = FindWithinFrom(first, event, deadline, predicate);
-  Require(found.has_value(), m_name + " did not print the event " + event +
-                                 " within " + std::to_string(deadline.count()) +
-                                 " ms" +
-                                 (HasEnded() ? "; the process has ended" : "") +
-                                 "; last line: " + LastLine());
+  Require(
+      found.has_value(),
+      m_name + " did not print the event " + event + " within " +
+          std::to_string(deadline.count()) + " ms" +
+          (HasEnded() ? "; the process " + DescribeEnd(m_handle->m_child.id())
+                      : "") +
+          "; last line: " + LastLine());
   return *found;
 }
 
