LibFlow: Send an abort to a flow's server during a probe

test_silent_flows failed with 40 and 40 callers reset and 1 of 80 connections open at the servers. The balancers had joined each other after the first flows were opened ("peer_joined" 2 s after "ready"), so the flow's home did not know it and was probing. The denials of the wrong candidates are lost with all answers, so the probe never ends, and the home sent the aborts to its present candidate although the relaying balancer had named the server. A run with the aborts traced shows this state ("home=1 purpose=6 known=6 state=4"); its candidate was the right one by chance.

A home that is probing now sends a closing packet to the server that the relaying balancer names. An abort without a name goes to the balancers of the search order before the candidate. An abort of a caller takes the same way.

Ruled out: the position of the reset (79 of 80 first aborts at the start of the payload were logged as not acceptable, as intended, and only this flow's were missing), slots of the retransmission table shared by two of the flows (none for the network numbers 104 and 210), the expiry of the home's lease.

--- a/Libraries/LibFlow/flow_director.h
+++ b/Libraries/LibFlow/flow_director.h
@@ -110,6 +110,18 @@
                                    OpeningReason reason);
   Effects HandleClosing(const CallerPacket& packet,
                         const PacketContext& context);
+  // Decides about a closing packet of a flow that this home is probing for.
+  Effects HandleClosingOfProbe(const CallerPacket& packet,
+                               const PacketContext& context,
+                               KnownFlow known);
+  // Forwards a closing packet and records the end of the flow.
+  Effects CloseKnown(const CallerPacket& packet,
+                     const PacketContext& context,
+                     KnownFlow known);
+  // The server that the relaying balancer knew; null if it named none or if the
+  // server is not usable for the service.
+  const RoutedServer* FindRelayedServer(const CallerPacket& packet,
+                                        const PacketContext& context) const;
   Effects HandleData(const CallerPacket& packet, const PacketContext& context);
   Effects ForwardKnown(const CallerPacket& packet,
                        const PacketContext& context,
--- a/Libraries/LibFlow/flow_director_callers.cc
+++ b/Libraries/LibFlow/flow_director_callers.cc
@@ -160,7 +160,42 @@
   }
   if (entry == nullptr)
     return HandleData(packet, context);
+  if (entry->m_state == FlowState::kProbing)
+    return HandleClosingOfProbe(packet, context, known);
+  return CloseKnown(packet, context, known);
+}
 
+// A probe's candidate is not known to have the flow. If the answers of the
+// servers are lost, the probe never finds the server, and an abort that only
+// the candidate gets leaves the flow open at its server.
+Effects FlowDirector::HandleClosingOfProbe(const CallerPacket& packet,
+                                           const PacketContext& context,
+                                           KnownFlow known) {
+  const RoutedServer* server = FindRelayedServer(packet, context);
+  if (server != nullptr) {
+    known.m_entry->m_server = server->m_id;
+    known.m_entry->m_state = FlowState::kEstablished;
+    m_probes.Erase(context.m_key);
+    return CloseKnown(packet, context, {known.m_entry, server});
+  }
+  // Another balancer may have learned the server since the probe started.
+  const RelayPurpose purpose = packet.m_relay.m_purpose;
+  const bool can_search =
+      packet.m_kind == CallerPacketKind::kAborted &&
+      (purpose == RelayPurpose::kNone || purpose == RelayPurpose::kClosing);
+  const auto target = can_search && m_settings.m_mechanisms.m_relay_to_home
+                          ? m_balancers->SearchTarget(context.m_hash, 0)
+                          : std::nullopt;
+  if (target && m_search_budget.Take(context.m_now))
+    return MakeEffects(
+        RelayToBalancer{target->m_traffic, {RelayPurpose::kSearch, 0, {}}});
+  return CloseKnown(packet, context, known);
+}
+
+Effects FlowDirector::CloseKnown(const CallerPacket& packet,
+                                 const PacketContext& context,
+                                 KnownFlow known) {
+  FlowEntry* entry = known.m_entry;
   entry->m_is_closed_by_caller = true;
   const bool has_ended = packet.m_kind == CallerPacketKind::kAborted ||
                          entry->m_is_closed_by_server;
@@ -192,18 +227,22 @@
   }
 
   // A relayed closing packet names the server that the relaying balancer knew.
-  const auto* relayed_server =
-      m_routing->FindServerAt(packet.m_relay.m_known_server);
-  if (relayed_server != nullptr &&
-      relayed_server->m_service == context.m_service.id()) {
-    const RoutedServer* server =
-        FindUsableServer(context, relayed_server->m_server);
-    if (server != nullptr)
-      return MakeEffects(ForwardToServer{server->m_tunnel});
-  }
+  const RoutedServer* server = FindRelayedServer(packet, context);
+  if (server != nullptr)
+    return MakeEffects(ForwardToServer{server->m_tunnel});
   return Search(packet, context);
 }
 
+const RoutedServer* FlowDirector::FindRelayedServer(
+    const CallerPacket& packet,
+    const PacketContext& context) const {
+  const AddressOwner* owner =
+      m_routing->FindServerAt(packet.m_relay.m_known_server);
+  if (owner == nullptr || owner->m_service != context.m_service.id())
+    return nullptr;
+  return FindUsableServer(context, owner->m_server);
+}
+
 Effects FlowDirector::ForwardKnown(const CallerPacket& packet,
                                    const PacketContext& context,
                                    KnownFlow known) {
--- a/Tests/LibFlow/test_flow_director.cc
+++ b/Tests/LibFlow/test_flow_director.cc
@@ -360,6 +360,60 @@
   }
 }
 
+TEST_CASE(
+    "an abort that names the flow's server does not go to a probe's candidate "
+    "instead") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  for (const flow::RoutedServer& server : MakeServers()) {
+    auto director = MakeDirector(now);
+    director.HandleCallerPacket(
+        {kKey, flow::CallerPacketKind::kData, kPosition, {}, bytes, 500}, now);
+
+    // The reset of a silent flow has two aborts. The relaying balancer names
+    // the server in both.
+    for (const std::uint32_t position : {kPosition, kPosition + 60}) {
+      const auto sent = director.HandleCallerPacket(
+          {kKey,
+           flow::CallerPacketKind::kAborted,
+           position,
+           {flow::RelayPurpose::kClosing, 0, server.m_tunnel.m_address},
+           bytes,
+           500},
+          now);
+      REQUIRE(FindEffect<flow::ForwardToServer>(sent));
+      CHECK(FindEffect<flow::ForwardToServer>(sent)->m_tunnel ==
+            server.m_tunnel);
+    }
+  }
+}
+
+TEST_CASE("an abort during a probe reaches a balancer that knows the server") {
+  const base::TimePoint now;
+  const std::vector<std::uint8_t> bytes(60, 7);
+  const base::Endpoint other{base::Ipv4Address(50), 6000};
+  auto director = MakeDirector(now);
+  director.HandleCallerPacket(
+      {kKey, flow::CallerPacketKind::kData, kPosition, {}, bytes, 500}, now);
+  // The other balancer only leaves, so this one stays the home.
+  director.SetBalancers(std::make_shared<flow::BalancerSet>(
+      base::BalancerId(1),
+      std::vector<flow::Balancer>{
+          {base::BalancerId(1), {}},
+          {base::BalancerId(2), other, flow::BalancerState::kLeaving}}));
+  flow::CallerPacket abort{
+      kKey, flow::CallerPacketKind::kAborted, kPosition, {}, bytes, 500};
+
+  for (int copy = 0; copy < 2; ++copy) {
+    const auto searched = director.HandleCallerPacket(abort, now);
+    REQUIRE(FindEffect<flow::RelayToBalancer>(searched));
+    CHECK(FindEffect<flow::RelayToBalancer>(searched)->m_balancer == other);
+  }
+  abort.m_relay.m_purpose = flow::RelayPurpose::kNotFound;
+  CHECK(FindEffect<flow::ForwardToServer>(
+      director.HandleCallerPacket(abort, now)));
+}
+
 TEST_CASE(
     "a late answer of an earlier flow decides neither opening nor probe") {
   constexpr std::uint32_t kEarlierPosition = kPosition + (1u << 23);
