LibFlow: Repeat a watch that lacks replies at once

test_silent_flows failed in 3 of 22 runs (load 18 to 29 on 7 cores) with 14, 6 and 1 connections open at the servers and, in these runs only, the log lines "pause_detected" with paused_ms 1257 to 1625 and, traced, "no decision replies=4 peers=5". A balancer that did not run for a second cancels its watches, as it must; the others dropped their suspects after 6 s and waited for repetitions that they recognise. Each balancer sees a sixth of the packets, so that took some seconds more. In a fourth run (23 open) a lease lapsed, which cancels the watches too.

A watch without all replies now makes its streams suspect again at once, except those that were answered in the replies that arrived and those that were not repeated. No observation of the first watch counts in the second.

--- a/Libraries/LibFlow/silence_detector.cc
+++ b/Libraries/LibFlow/silence_detector.cc
@@ -141,9 +141,8 @@
       EvaluateWatch(watch, now, actions);
     else if (watched < m_settings.m_watch_duration + kReplyTimeout)
       return false;
-    // Without all replies there is no decision. The next repetition adds the
-    // suspect again.
-    m_watches.Remove(watch.m_id);
+    else
+      RepeatWatch(watch, now);
     return true;
   });
 }
@@ -194,6 +193,21 @@
   }
 }
 
+// Without all replies there is no decision. To wait for the next repetition
+// that this balancer recognises would delay the detection by several timeouts
+// of the sender.
+void SilenceDetector::RepeatWatch(const OwnWatch& watch, base::TimePoint now) {
+  const std::vector<StreamReport> own = EndWatch(watch.m_id);
+  for (std::size_t i = 0; i < watch.m_suspects.size(); ++i) {
+    const AggregatedReport total = AggregateReports(watch, own[i], i);
+    Suspect suspect = watch.m_suspects[i];
+    suspect.m_suspected_at = now;
+    ++suspect.m_watches;
+    if (!total.m_is_answered && IsWorthAnotherWatch(suspect, total))
+      m_suspects.push_back(suspect);
+  }
+}
+
 // An end that doubles its timeout without a limit may repeat a payload less
 // often than once a watch.
 bool SilenceDetector::IsWorthAnotherWatch(const Suspect& suspect,
--- a/Libraries/LibFlow/silence_detector.h
+++ b/Libraries/LibFlow/silence_detector.h
@@ -141,6 +141,9 @@
   void EvaluateWatch(const OwnWatch& watch,
                      base::TimePoint now,
                      SilenceActions& actions);
+  // Makes the streams of a watch that lacks replies suspect again, except those
+  // that were answered.
+  void RepeatWatch(const OwnWatch& watch, base::TimePoint now);
   WatchId NextId() { return WatchId(++m_last_id); }
 
   SilenceSettings m_settings;
--- a/Tests/LibFlow/test_silence_detector.cc
+++ b/Tests/LibFlow/test_silence_detector.cc
@@ -59,6 +59,32 @@
   CHECK(simulation.silent().size() == 1);
 }
 
+TEST_CASE(
+    "a watch without a reply is repeated without waiting for a repetition") {
+  constexpr base::BalancerId kPeer(2);
+  constexpr auto kStep = milliseconds(100);
+  for (const bool is_answered : {false, true}) {
+    base::TimePoint now;
+    flow::SilenceDetector detector({}, now);
+    flow::StreamPacket packet;
+    packet.m_payload_bytes = 10;
+    flow::StreamPacket answer;
+    answer.m_sender = flow::StreamEnd::kServer;
+    answer.m_acknowledged = 10;
+    int requests = 0;
+    for (int step = 0; step < 70; ++step, now += kStep) {
+      // Sent three times, of which the last passes during the watch.
+      if (step == 0 || step == 6 || step == 14)
+        detector.Observe(packet, now);
+      if (step == 14 && is_answered)
+        detector.Observe(answer, now);
+      requests += detector.Advance(now, {&kPeer, 1}).m_request ? 1 : 0;
+    }
+
+    CHECK(requests == (is_answered ? 1 : 2));
+  }
+}
+
 TEST_CASE("no flow is reported silent without the replies of all balancers") {
   testing::SilenceSimulation simulation(kBalancers, 3);
   simulation.SetPaused(0, true);
