Integration tests: End the processes of a killed test

A test that is killed runs no destructors. Its balancers go on: they do not read their input, and each process inherits the pipes of those started before it, so the stand-ins see no end of their input either. They hold the addresses of the network number, which the next run of the same test uses.

Each process now asks the kernel to end it with the thread that started it. All tests start processes from their main thread.

--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -2,9 +2,12 @@
 
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/property_tree/json_parser.hpp>
 
 #include <algorithm>
@@ -66,10 +69,17 @@
     : m_name(program.substr(program.rfind('/') + 1)),
       m_handle(std::make_unique<Handle>()) {
   std::error_code error;
+  // A test that is killed runs no destructor. Its processes would go on and
+  // hold the addresses that the next run of the test uses.
+  const auto end_with_parent = [parent = ::getpid()](auto& /*executor*/) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent)
+      ::_exit(EXIT_FAILURE);
+  };
   m_handle->m_child = process::child(
       process::exe = program, process::args = arguments,
       process::std_in<m_handle->m_input, process::std_out> m_handle->m_output,
-      error);
+      process::extend::on_exec_setup = end_with_parent, error);
   Require(!error, program + ": cannot start the program: " + error.message());
   m_reader = std::thread([this] { ReadLines(); });
 }
--- a/Tests/Integration/child_process.h
+++ b/Tests/Integration/child_process.h
@@ -1,5 +1,6 @@
 // A child process of a test. A thread reads the JSON lines that the process
-// prints; the destructor kills the process.
+// prints; the destructor kills the process, and the kernel does so if the
+// thread that started the process ends.
 
 #ifndef TESTS_INTEGRATION_CHILD_PROCESS_H_
 #define TESTS_INTEGRATION_CHILD_PROCESS_H_
