--- a/Libraries/LibLogTrace/log_trace.cc
+++ b/Libraries/LibLogTrace/log_trace.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <chrono>
 #include <limits>
+#include <regex>
 #include <set>
 #include <utility>
 
@@ -39,6 +40,7 @@
   // caller.
   std::string m_flow;
   std::string m_server;
+  std::string m_process;
 };
 
 std::string StringMember(const rapidjson::Document& document,
@@ -49,9 +51,27 @@
   return {member->value.GetString(), member->value.GetStringLength()};
 }
 
+// The name of a log file without a date or the number of a rotated file, which
+// is the same for all files of one process: "edge-1-2026-01-31.log",
+// "edge-1.log.20260131" and "edge-1.log.2" belong to "edge-1.log".
+std::string ProcessOf(const std::string& source) {
+  static const std::regex date(
+      R"([-._]?20[0-9]{2}(-?)(0[1-9]|1[0-2])\1([0-2][0-9]|3[01])(?![0-9]))");
+  static const std::regex rotated(R"(\.log\.[0-9]+$)");
+  return std::regex_replace(std::regex_replace(source, date, ""), rotated,
+                            ".log");
+}
+
 std::vector<ParsedLine> ParseLines(const std::vector<SourcedLine>& lines) {
   std::vector<ParsedLine> parsed;
+  const std::string* source = nullptr;
+  std::string process;
   for (const SourcedLine& line : lines) {
+    // Most lines are from the source of the line before.
+    if (source == nullptr || line.m_source != *source) {
+      source = &line.m_source;
+      process = ProcessOf(line.m_source);
+    }
     const std::size_t brace = line.m_text.find('{');
     if (brace == std::string::npos)
       continue;
@@ -67,7 +87,7 @@
          StringMember(document, "request"),
          caller.empty() ? caller
                         : caller + " " + StringMember(document, "address"),
-         StringMember(document, "server")});
+         StringMember(document, "server"), process});
   }
   return parsed;
 }
@@ -111,7 +131,7 @@
   const std::vector<ParsedLine> parsed = ParseLines(lines);
   std::set<std::string> flows;
   std::set<std::string> servers;
-  std::set<std::string> sources;
+  std::set<std::string> processes;
   for (const ParsedLine& line : parsed) {
     if (line.m_request == id && !line.m_flow.empty())
       flows.insert(line.m_flow);
@@ -125,7 +145,7 @@
       continue;
     if (!line.m_server.empty())
       servers.insert(line.m_server);
-    sources.insert(line.m_line->m_source);
+    processes.insert(line.m_process);
     if (line.m_request == id) {
       first = std::min(first, SecondsSinceEpoch(line.m_time));
       last = std::max(last, SecondsSinceEpoch(line.m_time));
@@ -139,13 +159,12 @@
     const bool is_opening = line.m_event.starts_with("opening_");
     const bool is_of_flow = (is_near || is_opening) && !line.m_flow.empty() &&
                             flows.contains(line.m_flow);
-    const bool is_of_source =
-        is_near && sources.contains(line.m_line->m_source);
-    const bool is_of_server = is_of_source &&
+    const bool has_process = is_near && processes.contains(line.m_process);
+    const bool is_of_server = has_process &&
                               Contains(kServerEvents, line.m_event) &&
                               servers.contains(line.m_server);
     const bool is_of_process =
-        is_of_source && Contains(kProcessEvents, line.m_event);
+        has_process && Contains(kProcessEvents, line.m_event);
     if (is_of_flow || is_of_server || is_of_process)
       selected.push_back(&line);
   }
--- a/Libraries/LibLogTrace/log_trace.h
+++ b/Libraries/LibLogTrace/log_trace.h
@@ -11,7 +11,9 @@
 
 namespace log_trace {
 
-// A log line and the file or process that wrote the line.
+// A log line and the file or process that wrote the line. Files whose names
+// differ only in a date or in the number of a rotated file belong to one
+// process.
 struct SourcedLine {
   std::string m_source;
   std::string m_text;
--- a/Tests/LibLogTrace/test_log_trace.cc
+++ b/Tests/LibLogTrace/test_log_trace.cc
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <array>
+#include <utility>
+
 #include "LibLogTrace/log_trace.h"
 
 namespace log_trace {
@@ -75,6 +78,33 @@
   CHECK(trace[1].m_text.find("2026-02-01") != std::string::npos);
 }
 
+TEST_CASE(
+    "a trace misses no line that is in the process's log of the day before") {
+  const auto line = [](const std::string& file, const std::string& time,
+                       const std::string& fields) {
+    return SourcedLine{file, R"({"time":")" + time + R"(",)" + fields + "}"};
+  };
+  const auto names = std::to_array<std::pair<std::string, std::string>>(
+      {{"edge-1-2026-01-31.log", "edge-1-2026-02-01.log"},
+       {"log/20260131/edge-1.log", "log/20260201/edge-1.log"},
+       {"edge-1.log.1", "edge-1.log"}});
+  for (const auto& [before, after] : names) {
+    const std::vector<SourcedLine> lines = {
+        line(before, "2026-01-31T23:59:58.900Z", R"("event":"store_lost")"),
+        line("edge-2-2026-01-31.log", "2026-01-31T23:59:58.900Z",
+             R"("event":"store_lost")"),
+        line(after, "2026-02-01T00:00:01.300Z",
+             R"("event":"request_forwarded","request":"r1",)" + kFlow +
+                 R"(,"server":"i-1")"),
+    };
+
+    const auto trace = TraceRequest(lines, "r1");
+
+    REQUIRE(trace.size() == 2);
+    CHECK(trace[0].m_source == before);
+  }
+}
+
 // The command ended with a stack overflow.
 TEST_CASE("a line with deep nesting is read like any other") {
   constexpr std::size_t kDepth = 500'000;
