LibSteering: Test that a removed flow leaves no load on its server

It cannot: each path that erases a record clears both counts first, and a server's handle is never used again, so a record of a server that left and came back finds no server to subtract from.

--- a/Tests/LibSteering/test_flow_tracker.cc
+++ b/Tests/LibSteering/test_flow_tracker.cc
@@ -1,7 +1,10 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <string>
+#include <vector>
 
+#include "LibBase/random.h"
 #include "LibSteering/flow_tracker.h"
 #include "LibSteering/steering_fixture.h"
 
@@ -116,4 +119,66 @@
   CHECK(other->m_flows == 1);
 }
 
+TEST_CASE("no order of events leaves the load of a removed flow on a server") {
+  constexpr int kSteps = 20'000;
+  constexpr std::uint64_t kFlows = 40;
+  constexpr std::uint64_t kStepMs = 1000;
+  base::Random random(20261204);
+  ServerDirectory directory;
+  FlowTracker tracker(directory);
+  const std::vector<std::string> names = {"i-1", "i-2", "i-3"};
+  int now_ms = 0;
+  std::uint64_t revision = 0;
+  std::size_t swept = 0;
+  for (int step = 0; step < kSteps; ++step) {
+    now_ms += static_cast<int>(random.Below(kStepMs));
+    const std::string& name = names[random.Below(names.size())];
+    KnownServer* server = directory.FindByName(ServerName(name));
+    const auto caller = static_cast<std::uint16_t>(1 + random.Below(kFlows));
+    const auto event = random.Below(20);
+    if (event == 0 || server == nullptr) {
+      directory.Apply(MakeServer(name, ++revision), At(now_ms));
+    } else if (event == 1) {
+      directory.Remove(ServerName(name), At(now_ms));
+    } else if (event == 2) {
+      // The server may be purged 60 s after it left, while flows refer to it.
+      now_ms += random.Below(10) == 0 ? 61'000 : 0;
+      directory.PurgeGoneServers(At(now_ms));
+    } else if (event < 5) {
+      const std::size_t before = tracker.size();
+      tracker.Sweep(std::chrono::seconds(15), At(now_ms));
+      swept += before - tracker.size();
+    } else if (event < 8) {
+      tracker.RecordOpening(MakeOpening(caller).m_flow, *server, kTimeout,
+                            At(now_ms));
+    } else if (event == 8) {
+      FlowRecord* record = tracker.Find(MakeOpening(caller).m_flow);
+      if (record != nullptr)
+        tracker.Reassign(*record, *server);
+    } else {
+      CallerPacket packet = MakeData(
+          caller, server->m_tokens[0], static_cast<std::uint32_t>(step),
+          static_cast<std::uint32_t>(step), event % 2 == 0 ? 8 : 0);
+      packet.m_is_end = event == 9;
+      tracker.RecordPacket(packet, *server, kTimeout, At(now_ms));
+    }
+
+    for (const std::string& each : names) {
+      const KnownServer* counted = directory.FindByName(ServerName(each));
+      if (counted == nullptr)
+        continue;
+      std::uint32_t active = 0;
+      std::uint32_t in_progress = 0;
+      for (const auto& [key, record] : tracker.flows()) {
+        const bool is_own = record.m_server == counted->m_handle;
+        active += is_own && record.m_is_active ? 1 : 0;
+        in_progress += is_own && record.m_is_request_in_progress ? 1 : 0;
+      }
+      REQUIRE(counted->m_flows == active);
+      REQUIRE(counted->m_requests_in_progress == in_progress);
+    }
+  }
+  CHECK(swept > 0);
+}
+
 }  // namespace steering
