--- a/Tests/LibPeer/test_codec.cc
+++ b/Tests/LibPeer/test_codec.cc
@@ -1,8 +1,6 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
-
 #include "LibPeer/codec.h"
 #include "LibPeer/codec_error.h"
 #include "LibPeer/limits.h"
@@ -13,9 +11,6 @@
 using peer::CodecError;
 using peer::Transport;
 
-// RapidCheck reads its parameters from RC_PARAMS; the seed is fixed.
-const int kSeedIsSet = setenv("RC_PARAMS", "seed=20260514 max_success=300", 1);
-
 std::string MakeText(std::size_t maximum_bytes) {
   const auto size = *rc::gen::inRange<std::size_t>(0, maximum_bytes + 1);
   return *rc::gen::container<std::string>(size, rc::gen::arbitrary<char>());
