--- a/Tests/Integration/child_process.cc
+++ b/Tests/Integration/child_process.cc
@@ -1,11 +1,17 @@
 #include "child_process.h"
 
 #include <signal.h>
+#include <stdlib.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/property_tree/json_parser.hpp>
 
 #include <algorithm>
+#include <fstream>
 #include <sstream>
 
 #include "harness_error.h"
@@ -27,6 +33,29 @@
   }
 }
 
+// Opens a file for the output of a child process in the folder that
+// COLTSFOOTDALE_TEST_LOGS names, or returns a closed stream if the variable is
+// not set.
+std::ofstream OpenOutputFile(const std::string& name, int process_id) {
+  const char* folder = std::getenv("COLTSFOOTDALE_TEST_LOGS");
+  if (folder == nullptr)
+    return {};
+  return std::ofstream(std::string(folder) + "/" + name + "-" +
+                       std::to_string(process_id) + ".log");
+}
+
+// Describes how a child process ended, without reaping it.
+std::string DescribeEnd(int process_id) {
+  siginfo_t info{};
+  const int error = ::waitid(P_PID, static_cast<id_t>(process_id), &info,
+                             WEXITED | WNOHANG | WNOWAIT);
+  if (error != 0 || info.si_pid == 0)
+    return "has closed its output and has no exit status yet";
+  if (info.si_code == CLD_EXITED)
+    return "ended with exit code " + std::to_string(info.si_status);
+  return "was ended by signal " + std::to_string(info.si_status);
+}
+
 }  // namespace
 
 struct ChildProcess::Handle {
@@ -40,10 +69,17 @@
     : m_name(program.substr(program.rfind('/') + 1)),
       m_handle(std::make_unique<Handle>()) {
   std::error_code error;
+  // A test that is killed runs no destructor. Its processes would go on and
+  // hold the addresses that the next run of the test uses.
+  const auto end_with_parent = [parent = ::getpid()](auto& /*executor*/) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent)
+      ::_exit(EXIT_FAILURE);
+  };
   m_handle->m_child = process::child(
       process::exe = program, process::args = arguments,
       process::std_in<m_handle->m_input, process::std_out> m_handle->m_output,
-      error);
+      process::extend::on_exec_setup = end_with_parent, error);
   Require(!error, program + ": cannot start the program: " + error.message());
   m_reader = std::thread([this] { ReadLines(); });
 }
@@ -62,8 +98,10 @@
 }
 
 void ChildProcess::ReadLines() {
+  std::ofstream file = OpenOutputFile(m_name, m_handle->m_child.id());
   std::string line;
   while (std::getline(m_handle->m_output, line)) {
+    file << line << std::endl;
     auto parsed = ParseLine(line);
     if (!parsed)
       continue;
@@ -151,11 +189,13 @@
                                 std::chrono::milliseconds deadline,
                                 const Predicate& predicate) {
   const auto found = FindWithinFrom(first, event, deadline, predicate);
-  Require(found.has_value(), m_name + " did not print the event " + event +
-                                 " within " + std::to_string(deadline.count()) +
-                                 " ms" +
-                                 (HasEnded() ? "; the process has ended" : "") +
-                                 "; last line: " + LastLine());
+  Require(
+      found.has_value(),
+      m_name + " did not print the event " + event + " within " +
+          std::to_string(deadline.count()) + " ms" +
+          (HasEnded() ? "; the process " + DescribeEnd(m_handle->m_child.id())
+                      : "") +
+          "; last line: " + LastLine());
   return *found;
 }
 
