--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -82,10 +82,9 @@
 }
 
 std::size_t PacketLoop::HandlePendingPackets() {
-  auto pending = m_pending_packets.ReleaseUnexpired(base::Clock::now());
-  const std::size_t count = pending.size();
-  HandlePackets(std::move(pending));
-  return count;
+  const auto pending = m_pending_packets.ReleaseUnexpired(base::Clock::now());
+  HandlePackets(pending);
+  return pending.size();
 }
 
 void PacketLoop::HandlePacketsWithUnknownTokens() {
@@ -95,7 +94,7 @@
 }
 
 void PacketLoop::HandlePackets(
-    std::vector<steering::PendingPackets::Packet> packets) {
+    const std::vector<steering::PendingPackets::Packet>& packets) {
   const base::TimePoint now = base::Clock::now();
   const ViewVersion view = m_view_version();
   for (const steering::PendingPackets::Packet& packet : packets) {
--- a/Services/Edge/packet_loop.h
+++ b/Services/Edge/packet_loop.h
@@ -89,7 +89,8 @@
 
   void WaitForPackets();
   void ReceivePackets();
-  void HandlePackets(std::vector<steering::PendingPackets::Packet> packets);
+  void HandlePackets(
+      const std::vector<steering::PendingPackets::Packet>& packets);
   void HandleDatagram(std::span<const std::uint8_t> datagram,
                       const ViewVersion& view,
                       base::TimePoint received_at,
