LibSteering: Limit at once when no data centre answers sooner

An overload had to last for 600 ms before the first limit whenever another data centre had servers, so that openings could go there first. In an overload of all data centres, openings went on for these 600 ms to servers with full queues, and most answers 503 of a burst were sent then.

The delay now applies only while the other data centres answer faster than the balancer's own, which is the condition under which RemoteShare grows.

--- a/Libraries/LibSteering/remote_share.h
+++ b/Libraries/LibSteering/remote_share.h
@@ -17,6 +17,9 @@
  public:
   // Queries.
   double Value() const { return m_share; }
+  // Whether requests wait longer in the balancer's own data centre than in the
+  // others, so that openings placed there are answered sooner.
+  bool AreOthersFaster() const { return m_are_others_faster; }
 
   // Commands.
   // Records the time to an answer. `is_own` is whether the server is in the
@@ -42,9 +45,10 @@
                                                   : kIncreaseGain;
       m_usual_seconds += gain * (own - m_usual_seconds);
     }
-    const bool is_slower =
+    m_are_others_faster =
         own > kMinimumFactor * (m_other_seconds + kMarginSeconds);
-    m_share = std::clamp(m_share + (is_slower ? kRise : -kFall), 0.0, 1.0);
+    m_share =
+        std::clamp(m_share + (m_are_others_faster ? kRise : -kFall), 0.0, 1.0);
   }
 
  private:
@@ -83,6 +87,7 @@
   double m_usual_seconds = 0;
   double m_other_seconds = 0;
   double m_share = 0;
+  bool m_are_others_faster = false;
   base::TimePoint m_adjusted_at;
 };
 
--- a/Libraries/LibSteering/service_admissions.cc
+++ b/Libraries/LibSteering/service_admissions.cc
@@ -68,10 +68,13 @@
   if (!observation.m_answer)
     return false;
   admission::PriorityAdmission& admission = found->second.m_admission;
+  // An overload of all data centres is not served anywhere sooner.
   if (!admission.HasLimit())
-    admission.SetFirstLimitDelay(HasRemoteServer(server.m_record.m_service)
-                                     ? kOverflowTime
-                                     : base::Duration::zero());
+    admission.SetFirstLimitDelay(
+        found->second.m_remote_share.AreOthersFaster() &&
+                HasRemoteServer(server.m_record.m_service)
+            ? kOverflowTime
+            : base::Duration::zero());
   const bool is_served =
       admission.RecordAnswer(flow.m_service, *observation.m_answer,
                              InProgressOf(server.m_record.m_service), now);
--- a/Tests/LibSteering/test_admission.cc
+++ b/Tests/LibSteering/test_admission.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "LibSteering/service_admissions.h"
 #include "LibSteering/steering.h"
 #include "LibSteering/steering_fixture.h"
 
@@ -75,8 +76,47 @@
   std::uint16_t m_port = 1000;
 };
 
+// How long an overload of the balancer's own data centre lasts before openings
+// are limited. An answer from the other data centre takes `other_ms`.
+int MillisecondsToFirstLimit(int other_ms) {
+  ServerDirectory directory;
+  directory.Apply(MakeServer("own"), At(0));
+  ServerRecord record = MakeServer("other");
+  record.m_data_centre = base::DataCentreId("there");
+  directory.Apply(record, At(0));
+  const Manifest manifest = MakePrioritised();
+  ServiceAdmissions admissions(directory, base::DataCentreId("here"));
+  admissions.SetRoutes(manifest);
+  const auto record_answer = [&](const char* server, int answer_ms,
+                                 std::uint16_t bytes, int at_ms) {
+    Observation observation;
+    observation.m_answer =
+        admission::AnswerSample{std::chrono::milliseconds(answer_ms), bytes};
+    admissions.Record(
+        {{base::Ipv4Address(9), 1}, manifest.m_routes[0].m_address},
+        *directory.FindByName(ServerName(server)), observation, At(at_ms));
+  };
+  for (int i = 0; i < 400; ++i)
+    record_answer(i % 4 == 0 ? "other" : "own", 35, kUsualAnswer, i * 10);
+  int after_ms = 0;
+  while (after_ms < 2'000 &&
+         !admissions.services().begin()->second.m_admission.HasLimit()) {
+    after_ms += 10;
+    const bool is_refused = after_ms % 20 == 0;
+    record_answer("own", is_refused ? 60 : 150,
+                  is_refused ? kRefusal : kUsualAnswer, 4'000 + after_ms);
+    record_answer("other", other_ms, kUsualAnswer, 4'000 + after_ms);
+  }
+  return after_ms;
+}
+
 }  // namespace
 
+TEST_CASE("a limit does not wait for other data centres that are overloaded") {
+  CHECK(MillisecondsToFirstLimit(150) < 400);
+  CHECK(MillisecondsToFirstLimit(40) >= 600);
+}
+
 TEST_CASE("under overload less urgent openings are refused and flows go on") {
   for (const bool closes : {false, true}) {
     SteeringWithRoutes steering;
