Benchmarks: Emulate admission with the steering's own decision

The emulator called PriorityAdmission directly, without the delay before the first limit that ServiceAdmissions sets where other data centres have servers, and did not count refused requests in the comparison of data centres.

Servers can refuse after a time.

--- a/Benchmarks/AdmissionEmulator/admission_emulator.cc
+++ b/Benchmarks/AdmissionEmulator/admission_emulator.cc
@@ -11,11 +11,12 @@
 #include <string>
 #include <utility>
 
-#include "LibAdmission/priority_admission.h"
 #include "LibBase/random.h"
+#include "LibSteering/flow_tracker.h"
+#include "LibSteering/manifest.h"
 #include "LibSteering/opening_placer.h"
-#include "LibSteering/remote_share.h"
 #include "LibSteering/server_directory.h"
+#include "LibSteering/service_admissions.h"
 
 namespace admission_emulator {
 
@@ -27,6 +28,7 @@
 // Every caller retries twice.
 constexpr std::uint32_t kAttempts = 3;
 constexpr std::uint32_t kAnswerBytes = 1400;
+constexpr double kMomentSeconds = 0.1;
 constexpr char kService[] = "service";
 
 base::TimePoint TimeOf(double seconds) {
@@ -55,6 +57,8 @@
   double m_asked_at = 0;
   std::uint32_t m_attempts = 0;
   bool m_is_counted = false;
+  // The requests that the present flow has carried.
+  std::uint32_t m_flow_requests = 0;
 };
 using SessionPtr = std::shared_ptr<Session>;
 
@@ -64,22 +68,19 @@
   std::vector<steering::KnownServer*> m_servers;
   std::unique_ptr<steering::OpeningPlacer> m_placer;
   std::unique_ptr<steering::OpeningPlacer> m_even_placer;
-  steering::RemoteShare m_remote_share;
-  std::unique_ptr<admission::PriorityAdmission> m_admission;
-  std::uint32_t InProgress() const {
-    std::uint32_t sum = 0;
-    for (const steering::KnownServer* server : m_servers)
-      if (!server->m_reachability.IsUnreachable())
-        sum += server->m_requests_in_progress;
-    return sum;
-  }
+  std::unique_ptr<steering::ServiceAdmissions> m_admissions;
 };
 
+flow::FlowKey FlowOf(const Session& session) {
+  return {{session.m_address, 1}, AddressOf(session.m_kind)};
+}
+
 struct Server {
   std::size_t m_data_centre = 0;
   std::uint32_t m_running = 0;
   std::deque<std::function<void()>> m_queue;
   bool m_is_lost = false;
+  std::uint64_t m_received_in_burst = 0;
 };
 
 class Emulation {
@@ -130,7 +131,7 @@
   void Answer(const SessionPtr& session, double sent_at, bool is_served);
   void HandleAcknowledgement(std::size_t balancer,
                              std::size_t server,
-                             std::size_t kind,
+                             const flow::FlowKey& flow,
                              double sent_at,
                              std::uint32_t bytes);
   void ReceiveAnswer(const SessionPtr& session);
@@ -138,11 +139,20 @@
   void EndRequest(const SessionPtr& session);
   void CloseFlow(const SessionPtr& session);
   void SetServersLost(bool is_lost);
+  double EndSeconds() const {
+    return double(m_results.m_moments.size()) * kMomentSeconds;
+  }
+  Results::Moment& MomentNow() {
+    return m_results
+        .m_moments[std::min(m_results.m_moments.size() - 1,
+                            static_cast<std::size_t>(m_now / kMomentSeconds))];
+  }
   ClassResults& Count(const SessionPtr& session) {
     return session->m_is_counted ? m_results.m_classes[session->m_kind]
                                  : m_ignored;
   }
   void ComputeBound();
+  void ComputeBusiest();
 
   const Scenario& m_scenario;
   const Deployment& m_deployment;
@@ -166,11 +176,14 @@
   const std::size_t centres = m_deployment.m_data_centres;
   for (std::size_t i = 0; i < m_deployment.m_servers; ++i)
     m_servers.emplace_back().m_data_centre = i % centres;
-  std::vector<admission::RouteGoal> goals;
+  steering::Manifest manifest;
   for (std::size_t kind = 0; kind < m_deployment.m_classes.size(); ++kind) {
     const RequestClass& description = m_deployment.m_classes[kind];
-    goals.push_back({AddressOf(kind), description.m_priority,
-                     DurationOf(description.m_target_seconds)});
+    steering::Route& route = manifest.m_routes.emplace_back();
+    route.m_address = AddressOf(kind);
+    route.m_services.push_back({kService, 1});
+    route.m_priority = description.m_priority;
+    route.m_target_latency = DurationOf(description.m_target_seconds);
   }
   steering::PlacementPolicy policy;
   policy.m_remote_penalty = m_scenario.m_remote_penalty;
@@ -194,11 +207,15 @@
     even.m_remote_penalty = 0;
     balancer->m_even_placer = std::make_unique<steering::OpeningPlacer>(
         even, base::DataCentreId(std::to_string(balancer->m_data_centre)));
-    balancer->m_admission =
-        std::make_unique<admission::PriorityAdmission>(goals);
+    balancer->m_admissions = std::make_unique<steering::ServiceAdmissions>(
+        balancer->m_directory,
+        base::DataCentreId(std::to_string(balancer->m_data_centre)));
+    balancer->m_admissions->SetRoutes(manifest);
     m_balancers.push_back(std::move(balancer));
   }
   m_results.m_classes.resize(m_deployment.m_classes.size());
+  m_results.m_moments.resize(static_cast<std::size_t>(
+      std::ceil(m_scenario.m_end_seconds / kMomentSeconds)));
 }
 
 Results Emulation::RunToEnd() {
@@ -215,6 +232,7 @@
     event.m_action();
   }
   ComputeBound();
+  ComputeBusiest();
   return std::move(m_results);
 }
 
@@ -256,6 +274,7 @@
   session->m_is_counted = m_now >= m_scenario.m_count_from_seconds &&
                           m_now < m_scenario.m_count_to_seconds;
   ++Count(session).m_asked;
+  ++MomentNow().m_asked;
   if (session->m_has_flow && m_servers[session->m_server].m_is_lost)
     CloseFlow(session);
   if (!session->m_has_flow) {
@@ -291,24 +310,25 @@
   const double caller = m_deployment.m_caller_latency_seconds;
   const bool is_admitted =
       m_scenario.m_admission == Admission::kOff ||
-      balancer.m_admission
-          ->Decide(AddressOf(session->m_kind), session->m_address,
-                   balancer.InProgress(), m_random, now)
-          .IsAdmitted();
+      balancer.m_admissions->Decide(kService, FlowOf(*session), m_random, now)
+          ->IsAdmitted();
   if (!is_admitted) {
     ++Count(session).m_refused;
+    ++MomentNow().m_refused;
     At(m_now + caller, [this, session] { RetryOrFail(session); });
     return;
   }
   ++Count(session).m_admitted;
-  const bool is_even = m_scenario.m_adapts_placement &&
-                       m_random.Unit() < balancer.m_remote_share.Value();
+  const bool is_even =
+      m_scenario.m_adapts_placement &&
+      m_random.Unit() < balancer.m_admissions->RemoteShareOf(kService);
   const auto placement =
       (is_even ? balancer.m_even_placer : balancer.m_placer)
           ->Place(balancer.m_servers, nullptr, m_random, now);
   steering::KnownServer& known = *placement->m_server;
   session->m_server = std::stoul(known.m_record.m_name.value());
   session->m_has_flow = true;
+  session->m_flow_requests = 0;
   ++known.m_requests_in_progress;
   ++known.m_flows;
   const double way = Latency(balancer.m_data_centre,
@@ -316,8 +336,12 @@
   const double placed_at = m_now;
   At(HandledAt(m_now + way + kHandshakeSeconds + 2 * caller),
      [this, session, placed_at] {
-       m_balancers[session->m_balancer]->m_admission->RecordHandshake(
-           DurationOf(m_now - placed_at), TimeOf(m_now));
+       Balancer& handler = *m_balancers[session->m_balancer];
+       steering::Observation observation;
+       observation.m_handshake_time = DurationOf(m_now - placed_at);
+       handler.m_admissions->Record(FlowOf(*session),
+                                    *handler.m_servers[session->m_server],
+                                    observation, TimeOf(m_now));
        SendRequest(session);
      });
 }
@@ -332,10 +356,17 @@
 
 void Emulation::HandleRequest(const SessionPtr& session, double sent_at) {
   Server& server = m_servers[session->m_server];
+  server.m_received_in_burst += IsInBurst() ? 1 : 0;
   if (server.m_is_lost || (server.m_running >= m_deployment.m_slots &&
                            server.m_queue.size() >= m_deployment.m_queue)) {
     ++Count(session).m_shed;
-    Answer(session, sent_at, false);
+    ++MomentNow().m_shed;
+    Count(session).m_shed_later += session->m_flow_requests > 0 ? 1 : 0;
+    if (m_deployment.m_refusal_seconds == 0)
+      Answer(session, sent_at, false);
+    else
+      At(m_now + m_deployment.m_refusal_seconds,
+         [this, session, sent_at] { Answer(session, sent_at, false); });
     return;
   }
   if (server.m_running < m_deployment.m_slots)
@@ -350,8 +381,16 @@
   const double work = m_deployment.m_classes[session->m_kind].m_work_seconds *
                       (0.75 + 0.5 * m_random.Unit());
   const bool is_slow = m_random.Unit() < m_deployment.m_slow_share;
-  At(m_now + work * (is_slow ? 7 : 1),
-     [this, session, sent_at] { EndWork(session, sent_at); });
+  const double seconds = work * (is_slow ? 7 : 1);
+  for (double at = m_now; at < std::min(m_now + seconds, EndSeconds());) {
+    const auto moment = static_cast<std::size_t>(at / kMomentSeconds + 1e-6);
+    const double end =
+        std::min(m_now + seconds, double(moment + 1) * kMomentSeconds);
+    m_results.m_moments[std::min(moment, m_results.m_moments.size() - 1)]
+        .m_busy_slot_seconds += end - at;
+    at = end;
+  }
+  At(m_now + seconds, [this, session, sent_at] { EndWork(session, sent_at); });
 }
 
 void Emulation::EndWork(const SessionPtr& session, double sent_at) {
@@ -375,8 +414,8 @@
           : m_scenario.m_refusal_bytes;
   At(HandledAt(m_now + 2 * caller),
      [this, balancer = session->m_balancer, server = session->m_server,
-      kind = session->m_kind, sent_at, bytes] {
-       HandleAcknowledgement(balancer, server, kind, sent_at, bytes);
+      flow = FlowOf(*session), sent_at, bytes] {
+       HandleAcknowledgement(balancer, server, flow, sent_at, bytes);
      });
   At(m_now + caller, [this, session, is_served] {
     if (is_served) {
@@ -390,18 +429,19 @@
 
 void Emulation::HandleAcknowledgement(std::size_t balancer,
                                       std::size_t server,
-                                      std::size_t kind,
+                                      const flow::FlowKey& flow,
                                       double sent_at,
                                       std::uint32_t bytes) {
   Balancer& handler = *m_balancers[balancer];
   --handler.m_servers[server]->m_requests_in_progress;
-  const bool is_served = handler.m_admission->RecordAnswer(
-      AddressOf(kind), {DurationOf(m_now - sent_at), bytes},
-      handler.InProgress(), TimeOf(m_now));
-  if (is_served)
-    handler.m_remote_share.RecordAnswer(
-        m_servers[server].m_data_centre == handler.m_data_centre,
-        DurationOf(m_now - sent_at), TimeOf(m_now));
+  if (bytes == m_scenario.m_refusal_bytes &&
+      m_random.Unit() < m_scenario.m_unseen_refusals)
+    return;
+  steering::Observation observation;
+  observation.m_answer =
+      admission::AnswerSample{DurationOf(m_now - sent_at), bytes};
+  handler.m_admissions->Record(flow, *handler.m_servers[server], observation,
+                               TimeOf(m_now));
 }
 
 void Emulation::ReceiveAnswer(const SessionPtr& session) {
@@ -410,7 +450,9 @@
   if (waited <= kind.m_limit_seconds) {
     const bool is_in_time = waited <= kind.m_target_seconds;
     ++Count(session).m_served;
+    ++MomentNow().m_served;
     Count(session).m_in_time += is_in_time ? 1 : 0;
+    Count(session).m_worth += kind.m_worth * (is_in_time ? 1.0 : 0.3);
     if (session->m_is_counted)
       m_results.m_worth += kind.m_worth * (is_in_time ? 1.0 : 0.3);
   }
@@ -427,6 +469,7 @@
 }
 
 void Emulation::EndRequest(const SessionPtr& session) {
+  ++session->m_flow_requests;
   if (--session->m_remaining == 0) {
     CloseFlow(session);
     return;
@@ -487,6 +530,29 @@
   }
 }
 
+void Emulation::ComputeBusiest() {
+  double slot_seconds = 0;
+  const auto first = static_cast<std::size_t>(
+      m_scenario.m_burst_start_seconds / kMomentSeconds + 0.5);
+  const auto last =
+      std::min(m_results.m_moments.size(),
+               static_cast<std::size_t>(
+                   m_scenario.m_burst_end_seconds / kMomentSeconds + 0.5));
+  for (std::size_t i = first; i < last; ++i)
+    slot_seconds += m_results.m_moments[i].m_busy_slot_seconds;
+  m_results.m_busy_share =
+      slot_seconds /
+      (double(last - first) * kMomentSeconds * m_deployment.Slots());
+  std::uint64_t sum = 0;
+  std::uint64_t busiest = 0;
+  for (const Server& server : m_servers) {
+    sum += server.m_received_in_burst;
+    busiest = std::max(busiest, server.m_received_in_burst);
+  }
+  m_results.m_busiest = double(busiest) * double(m_servers.size()) /
+                        double(std::max<std::uint64_t>(1, sum));
+}
+
 }  // namespace
 
 ClassResults Results::Sum() const {
@@ -498,6 +564,8 @@
     sum.m_admitted += kind.m_admitted;
     sum.m_refused += kind.m_refused;
     sum.m_shed += kind.m_shed;
+    sum.m_shed_later += kind.m_shed_later;
+    sum.m_worth += kind.m_worth;
   }
   return sum;
 }
--- a/Benchmarks/AdmissionEmulator/admission_emulator.h
+++ b/Benchmarks/AdmissionEmulator/admission_emulator.h
@@ -20,6 +20,10 @@
   std::uint64_t m_refused = 0;
   // Requests that servers refused because their queue was full.
   std::uint64_t m_shed = 0;
+  // Those of them on flows that had already served a request.
+  std::uint64_t m_shed_later = 0;
+  // The full worth for an answer within the target, 0.3 of it later.
+  double m_worth = 0;
 
   double InTimeShare() const {
     return m_asked == 0 ? 1 : double(m_in_time) / double(m_asked);
@@ -36,6 +40,19 @@
   // in the order of worth per work time.
   double m_bound_worth = 0;
   std::vector<double> m_bound_shares;
+  // The share of the slots that worked during the burst, and the requests that
+  // the busiest server received during it relative to the mean.
+  double m_busy_share = 0;
+  double m_busiest = 0;
+  // Totals of each tenth of a second of the run.
+  struct Moment {
+    std::uint64_t m_asked = 0;
+    std::uint64_t m_served = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_shed = 0;
+    double m_busy_slot_seconds = 0;
+  };
+  std::vector<Moment> m_moments;
 
   ClassResults Sum() const;
 };
--- a/Benchmarks/AdmissionEmulator/deployment.h
+++ b/Benchmarks/AdmissionEmulator/deployment.h
@@ -38,6 +38,8 @@
   // request in progress about a twentieth of the time.
   std::uint32_t m_requests_per_flow = 1;
   double m_pause_seconds = 0.8;
+  // The time that a server with a full queue takes to refuse a request.
+  double m_refusal_seconds = 0;
 
   // The slots that the usual demand occupies.
   double UsedSlots() const;
@@ -76,6 +78,8 @@
   std::uint32_t m_refusal_bytes = 150;
   // The share of served answers as short as a refusal.
   double m_short_answers = 0;
+  // The share of refusals by servers that balancers do not recognise.
+  double m_unseen_refusals = 0;
   // The cost of a server in another data centre, see PlacementPolicy.
   double m_remote_penalty = 1.0;
   // Whether openings leave a data centre in which requests wait longer.
