--- a/Libraries/LibSteering/service_admissions.cc
+++ b/Libraries/LibSteering/service_admissions.cc
@@ -13,6 +13,10 @@
 // caller's next attempt takes a handshake and an answer of its own.
 constexpr int kRefusalTimes = 3;
 
+// An overload with a smaller share of refusals often passes within the time for
+// which openings go to other data centres.
+constexpr double kStrongRefusedShare = 0.2;
+
 }  // namespace
 
 void ServiceAdmissions::SetRoutes(const Manifest& manifest) {
@@ -68,10 +72,12 @@
   if (!observation.m_answer)
     return false;
   admission::PriorityAdmission& admission = found->second.m_admission;
-  // An overload of all data centres is not served anywhere sooner.
+  // A strong overload of all data centres is not served anywhere sooner.
+  const bool is_strong =
+      admission.SignsAt(now).m_refused_share >= kStrongRefusedShare;
   if (!admission.HasLimit())
     admission.SetFirstLimitDelay(
-        found->second.m_remote_share.AreOthersFaster() &&
+        (!is_strong || found->second.m_remote_share.AreOthersFaster()) &&
                 HasRemoteServer(server.m_record.m_service)
             ? kOverflowTime
             : base::Duration::zero());
