--- a/Benchmarks/AdmissionEmulator/admission_emulator.cc
+++ b/Benchmarks/AdmissionEmulator/admission_emulator.cc
@@ -532,12 +532,12 @@
 
 void Emulation::ComputeBusiest() {
   double slot_seconds = 0;
-  const auto first = static_cast<std::size_t>(
-      m_scenario.m_burst_start_seconds / kMomentSeconds + 0.5);
-  const auto last =
-      std::min(m_results.m_moments.size(),
-               static_cast<std::size_t>(
-                   m_scenario.m_burst_end_seconds / kMomentSeconds + 0.5));
+  const auto moment_of = [](double seconds) {
+    return static_cast<std::size_t>(std::lround(seconds / kMomentSeconds));
+  };
+  const std::size_t first = moment_of(m_scenario.m_burst_start_seconds);
+  const std::size_t last = std::min(m_results.m_moments.size(),
+                                    moment_of(m_scenario.m_burst_end_seconds));
   for (std::size_t i = first; i < last; ++i)
     slot_seconds += m_results.m_moments[i].m_busy_slot_seconds;
   m_results.m_busy_share =
