Benchmarks: Update the index of servers in the admission emulator

Cause: the emulator counts requests in progress by hand, and since the admission reads their sum from the index of the service. The product updates the index in FlowTracker.

--- a/Benchmarks/AdmissionEmulator/admission_emulator.cc
+++ b/Benchmarks/AdmissionEmulator/admission_emulator.cc
@@ -330,6 +330,7 @@
   session->m_has_flow = true;
   session->m_flow_requests = 0;
   ++known.m_requests_in_progress;
+  steering::ServerDirectory::UpdateIndex(known);
   ++known.m_flows;
   const double way = Latency(balancer.m_data_centre,
                              m_servers[session->m_server].m_data_centre);
@@ -434,6 +435,7 @@
                                       std::uint32_t bytes) {
   Balancer& handler = *m_balancers[balancer];
   --handler.m_servers[server]->m_requests_in_progress;
+  steering::ServerDirectory::UpdateIndex(*handler.m_servers[server]);
   if (bytes == m_scenario.m_refusal_bytes &&
       m_random.Unit() < m_scenario.m_unseen_refusals)
     return;
