LibSteering: Compute the signs of an overload only before the first limit

Cause: ServiceAdmissions::Record computed the refused share on each answer, and used it only while no limit is in force. ChooseServer returned an empty placement by its name.

Change: the share is computed where it is used, and the empty result is written as such.

--- a/Libraries/LibSteering/service_admissions.cc
+++ b/Libraries/LibSteering/service_admissions.cc
@@ -70,15 +70,16 @@
   if (!observation.m_answer)
     return false;
   admission::PriorityAdmission& admission = found->second.m_admission;
-  // A strong overload of all data centres is not served anywhere sooner.
-  const bool is_strong =
-      admission.SignsAt(now).m_refused_share >= kStrongRefusedShare;
-  if (!admission.HasLimit())
+  if (!admission.HasLimit()) {
+    // A strong overload of all data centres is not served anywhere sooner.
+    const bool is_strong =
+        admission.SignsAt(now).m_refused_share >= kStrongRefusedShare;
     admission.SetFirstLimitDelay(
         (!is_strong || found->second.m_remote_share.AreOthersFaster()) &&
                 HasRemoteServer(server.m_record.m_service)
             ? kOverflowTime
             : base::Duration::zero());
+  }
   const bool is_served =
       admission.RecordAnswer(flow.m_service, *observation.m_answer,
                              InProgressOf(server.m_record.m_service), now);
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -261,13 +261,13 @@
   if (!placement && sample && !sample->empty())
     placement =
         PlaceAmong(placer, route, servers, options, previous_server, now);
-  // All records may expire at once after the store was unavailable. Servers in
-  // evacuated data centres do not count as an alternative.
   if (placement)
     return placement;
+  // All records may expire at once after the store was unavailable. Servers in
+  // evacuated data centres do not count as an alternative.
   const ServiceTotals totals = m_directory.TotalsOf(service);
   if (totals.m_registered_evacuated < totals.m_registered)
-    return placement;
+    return std::nullopt;
   return PlaceAmong(
       m_placer, route,
       m_directory.ExpiredServersOf(service, now - m_settings.m_expiry_grace),
