review: Show that flows on a server that is back under its id are reset

Cause: a balancer that has seen the server leave, and not yet come back, resets the flows that others have placed on the new start.

--- a/review/world-2/flow-same-id.cc
+++ b/review/world-2/flow-same-id.cc
@@ -25,6 +25,9 @@
                                      : i < 10 ? "hall-2"
                                               : "hall-3");
   const Address route = world.AddRoute("medlemsportal", "non_idempotent");
+  for (const char* zone : {"hall-1", "hall-1", "hall-2", "hall-3"})
+    world.AddServer("aktarkiv", zone);
+  const Address other = world.AddRoute("aktarkiv", "non_idempotent");
   for (auto& server : world.servers)
     server->Start(world.NewId());
   world.WriteManifest();
@@ -41,24 +44,30 @@
           Text(flow.key().caller).c_str(), Text(flow.key().route).c_str(),
           owner->id().c_str());
   };
-  world.KeepFlows(120, {route, "hall-1", 4, 100, 1500}, kEnd);
+  world.KeepFlows(100, {route, "hall-1", 4, 100, 1500}, kEnd);
+  world.KeepFlows(40, {other, "hall-1", 4, 100, 1500}, kEnd);
   if (settings.has_trouble) {
-    // One after the other, all servers of the service.
-    auto next = std::make_shared<std::size_t>(0);
-    auto replace = std::make_shared<std::function<void()>>();
-    *replace = [&world, next, replace] {
-      if (Now() > kEnd - 6000)
-        return;
-      Server* server = world.servers[(*next)++ % world.servers.size()].get();
-      if (server->IsUp()) {
-        const std::string id = server->id();
-        server->Drain(3300, [&world, server, id] {
-          world.loop.After(400, [server, id] { server->Start(id); });
-        });
-      }
-      world.loop.After(830, *replace);
+    // One after the other, all servers of each service.
+    const auto replace_all = [&world](std::size_t first, std::size_t count,
+                                      Ms gap) {
+      auto next = std::make_shared<std::size_t>(0);
+      auto replace = std::make_shared<std::function<void()>>();
+      *replace = [&world, next, replace, first, count, gap] {
+        if (Now() > kEnd - 6000)
+          return;
+        Server* server = world.servers[first + (*next)++ % count].get();
+        if (server->IsUp() && server->DrainedAt() < 0) {
+          const std::string id = server->id();
+          server->Drain(3300, [&world, server, id] {
+            world.loop.After(400, [server, id] { server->Start(id); });
+          });
+        }
+        world.loop.After(gap, *replace);
+      };
+      world.loop.After(2000, *replace);
     };
-    world.loop.After(2000, *replace);
+    replace_all(0, 14, 830);
+    replace_all(14, 4, 1400);
     auto turn = std::make_shared<std::size_t>(0);
     auto roll = std::make_shared<std::function<void()>>();
     *roll = [&world, turn, roll] {
