review: Make the cases 7 and 10 depend less on chance

A reader that had just begun to watch got the entry and the draining in two responses (7); manifests 2.5 s apart rarely met a change of the rotation (10). Changed: an old server leaves before the entry is written (7), and the manifests change each 1.3 s (10).

--- a/review/world-2/drain-unreadable-entry.cc
+++ b/review/world-2/drain-unreadable-entry.cc
@@ -20,7 +20,7 @@
   for (const char* zone :
        {"hall-1", "hall-1", "hall-1", "hall-2", "hall-2", "hall-3"})
     world.AddBalancer(zone);
-  for (int i = 0; i < 17; ++i)
+  for (int i = 0; i < 19; ++i)
     world.AddServer("medlemsportal", i % 3 == 0   ? "hall-1"
                                      : i % 3 == 1 ? "hall-2"
                                                   : "hall-3");
@@ -33,7 +33,7 @@
   world.RunUntil(8000);
   if (!world.AreAllInRotation())
     return 2;
-  const Ms end = 40000;
+  const Ms end = 45000;
   int late = 0;
   world.on_flow_opened = [&](const FlowKey& key, Server& server) {
     const auto opening = world.openings.find(key);
@@ -51,23 +51,24 @@
   };
   for (const char* zone : {"hall-1", "hall-2", "hall-3"})
     world.KeepFlows(20, {route, zone, 6, 100, 1500}, end);
-  // Three steps: a new server starts, an old one drains.
-  for (int step = 0; step < 3; ++step) {
-    const Ms at = 10000 + Ms{5000} * step;
-    world.loop.At(at, [&world, step] {
-      world.servers[14 + static_cast<std::size_t>(step)]->Start(world.NewId());
-    });
+  // Five steps: a new server starts, the old one of two steps before leaves,
+  // the next old one drains. An old server stays for almost two steps.
+  constexpr Ms kStep = 5000;
+  for (std::size_t step = 0; step < 5; ++step) {
+    const Ms at = 10000 + kStep * static_cast<Ms>(step);
+    world.loop.At(
+        at, [&world, step] { world.servers[14 + step]->Start(world.NewId()); });
     if (settings.has_trouble)
-      world.loop.At(at + 60, [&world, step] {
-        const std::string bytes = UnreadableBytes(step);
+      world.loop.At(at + 120, [&world, step] {
+        const std::string bytes = UnreadableBytes(static_cast<int>(step));
         Record(
             "another writer writes the entry agent, %zu bytes that cannot be "
             "read",
             bytes.size());
         world.store->Put("servers", "agent", bytes);
       });
-    world.loop.At(at + 120, [&world, step] {
-      world.servers[static_cast<std::size_t>(step)]->Drain(12000, [] {});
+    world.loop.At(at + 180, [&world, step] {
+      world.servers[step]->Drain(2 * kStep - 120, [] {});
     });
   }
   world.RunUntil(end);
--- a/review/world-2/flow-route-back.cc
+++ b/review/world-2/flow-route-back.cc
@@ -60,7 +60,7 @@
         world.PutRoute(route, "medlemsportal", "non_idempotent");
         added_at = Now();
       });
-      world.loop.After(2500, *change);
+      world.loop.After(1300, *change);
     };
     world.loop.After(2000, *change);
     auto turn = std::make_shared<std::size_t>(0);
