Platform: Read a response to its end whatever an unreadable object contains

Cause: behind an unbalanced object each '{' after a comma was read to its own end, levels x bytes, and the search was given up after 16 MiB. The rest of the page was left out, the list counted as known at its revision, and nothing read the rest again. Events of a watch were lost in the same way. The limit and the notion of a partial list are gone: a response is always read to its end. An unbalanced object stays an element, with the name in front of the fault: the page behind it starts after that name (a page of such objects alone could not be followed), a server whose record it replaces is removed in a response to a watch as in a list, and an evacuation counts whatever its content is. 'an element of a million brackets is divided in time' expected the search to end early and is replaced by one that expects all elements; 'a list that is not complete removes no server' is gone with partial lists.

--- a/Libraries/LibEdge/store_view.cc
+++ b/Libraries/LibEdge/store_view.cc
@@ -58,8 +58,7 @@
     catalog::CollectionUpdate update,
     const std::vector<ServerEvent>& servers,
     catalog::Revision revision,
-    base::TimePoint now,
-    ListExtent extent) {
+    base::TimePoint now) {
   switch (update) {
     case catalog::CollectionUpdate::kNone:
       return {};
@@ -68,7 +67,7 @@
         ApplyFirstServers(RecordsOf(servers), now);
       return {};
     case catalog::CollectionUpdate::kListComplete:
-      return ApplyServerList(RecordsOf(servers), revision, now, extent);
+      return ApplyServerList(RecordsOf(servers), revision, now);
     case catalog::CollectionUpdate::kChanged:
       return ApplyServerEvents(servers, revision, now);
   }
@@ -87,8 +86,7 @@
 ServerChanges StoreView::ApplyServerList(
     const std::vector<steering::ServerRecord>& records,
     catalog::Revision revision,
-    base::TimePoint now,
-    ListExtent extent) {
+    base::TimePoint now) {
   m_steering.SetServersKnown();
   m_removal_log.OnListed(revision);
   ServerChanges changes;
@@ -97,9 +95,6 @@
     listed.insert(record.m_name);
     Apply(record, now, changes);
   }
-  // FIXME: A peer that receives this whole view treats it as complete.
-  if (extent == ListExtent::kPartial)
-    return changes;
   std::vector<steering::ServerName> missing;
   for (const steering::ServerName& name :
        m_steering.directory().RegisteredNames()) {
--- a/Libraries/LibEdge/store_view.h
+++ b/Libraries/LibEdge/store_view.h
@@ -53,9 +53,6 @@
 };
 using EvacuationChanges = std::vector<EvacuationChange>;
 
-// Whether a list contains all objects of the store.
-enum class ListExtent { kComplete, kPartial };
-
 class StoreView {
  public:
   explicit StoreView(steering::Steering& steering) : m_steering(steering) {}
@@ -100,19 +97,17 @@
   ServerChanges ApplyServerUpdate(catalog::CollectionUpdate update,
                                   const std::vector<ServerEvent>& servers,
                                   catalog::Revision revision,
-                                  base::TimePoint now,
-                                  ListExtent extent = ListExtent::kComplete);
+                                  base::TimePoint now);
   // Applies servers of a list in progress while none are known, so that
   // openings can be placed before a long list is complete.
   void ApplyFirstServers(const std::vector<steering::ServerRecord>& records,
                          base::TimePoint now);
-  // Applies a list of `revision`. If it is complete, known servers that are not
-  // in `records` are removed, at once or after a delay (see DelayedRemovals).
+  // Applies a list of `revision`. Known servers that are not in `records` are
+  // removed, at once or after a delay (see DelayedRemovals).
   ServerChanges ApplyServerList(
       const std::vector<steering::ServerRecord>& records,
       catalog::Revision revision,
-      base::TimePoint now,
-      ListExtent extent = ListExtent::kComplete);
+      base::TimePoint now);
   // Applies the changes between the known revision and `revision`.
   ServerChanges ApplyServerEvents(const std::vector<ServerEvent>& events,
                                   catalog::Revision revision,
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -21,7 +21,6 @@
       std::make_move_iterator(objects.m_evacuations.begin()),
       std::make_move_iterator(objects.m_evacuations.end()));
   pages.m_ignored += objects.m_ignored;
-  pages.m_is_cut_short |= objects.m_is_cut_short;
   pages.m_problems.Append(std::move(objects.m_problems));
 }
 
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -434,9 +434,7 @@
     m_log.WriteServersListed(servers.size(), m_servers);
   const bool is_first_view = !m_steering.AreServersComplete();
   const ServerChanges changes = m_view.ApplyServerUpdate(
-      update.m_outcome.m_update, servers, revision, now,
-      update.m_objects.m_is_cut_short ? ListExtent::kPartial
-                                      : ListExtent::kComplete);
+      update.m_outcome.m_update, servers, revision, now);
   // The line above tells what the first list contains. Right after a start,
   // callers wait for the processor time of a line for each server.
   if (!is_list || !is_first_view)
--- a/Services/Edge/view_updater_evacuations.cc
+++ b/Services/Edge/view_updater_evacuations.cc
@@ -79,11 +79,10 @@
   if (update.m_outcome.m_update == catalog::CollectionUpdate::kNone ||
       update.m_outcome.m_update == catalog::CollectionUpdate::kFirstListPage)
     return;
-  const bool is_whole_list =
-      update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete &&
-      !objects.m_is_cut_short;
+  const bool is_list =
+      update.m_outcome.m_update == catalog::CollectionUpdate::kListComplete;
   const EvacuationChanges changes =
-      is_whole_list
+      is_list
           ? m_view.ApplyEvacuations(
                 MakeEvacuations(revision, objects.m_evacuations), now)
           : m_view.ApplyEvacuationEvents(objects.m_evacuations, revision, now);
--- a/Tests/LibEdge/test_store_view.cc
+++ b/Tests/LibEdge/test_store_view.cc
@@ -115,17 +115,6 @@
   CHECK(fixture.Servers() == 0);
 }
 
-TEST_CASE("a list that is not complete removes no server") {
-  StoreViewFixture fixture;
-  fixture.m_view.ApplyServerList({MakeServer("i-1", 1)}, catalog::Revision(20),
-                                 At(0));
-
-  fixture.m_view.ApplyServerList({MakeServer("i-2", 2)}, catalog::Revision(21),
-                                 At(10), ListExtent::kPartial);
-
-  CHECK(fixture.Servers() == 2);
-}
-
 TEST_CASE(
     "servers whose records expired in an outage are removed only if they do "
     "not register again after it") {
--- a/Tests/Platform/test_json_division.cc
+++ b/Tests/Platform/test_json_division.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -48,7 +49,7 @@
   CHECK(array->m_elements[1] == "17");
   CHECK(array->m_elements[3] == kLast);
   CHECK(array->m_rest == R"({"more":false,"items":[],"store_revision":9})");
-  CHECK(array->m_gaps == 0);
+  CHECK(array->m_unbalanced == 0);
   CHECK(DivideArray(Object({}), "items", "meta")->m_elements.empty());
   for (const char* text : {"", "{", "[]", R"({"items":7})", R"({"items":[)"})
     CHECK_FALSE(DivideArray(text, "items", "meta"));
@@ -88,7 +89,6 @@
       CHECK(Contains(*array, middle));
       CHECK(Contains(*array, kLast));
       CHECK(array->m_rest == R"({"more":false,"items":[],"store_revision":9})");
-      CHECK_FALSE(array->m_is_cut_short);
     }
   }
 }
@@ -116,34 +116,55 @@
   }
 }
 
-TEST_CASE("an element of a million brackets is divided in time") {
-  constexpr std::size_t kCount = 300'000;
-  std::string nested;
-  std::string commas;
-  std::string candidates;
-  for (std::size_t i = 0; i < kCount; ++i) {
-    nested += "[{\"a\":";
-    commas += ",{";
-    candidates += ",{\"a\":[1";
-  }
-  for (const std::string& spec : {nested, commas}) {
-    const std::string object = Object({kFirst, Element(spec), kLast});
+// The search for the elements behind an unbalanced one gave up after 16 MiB,
+// and they were left out.
+TEST_CASE("the elements behind an unbalanced one of any shape are found") {
+  constexpr std::size_t kSpecBytes = 1024UL * 1024UL;
+  const auto repeat = [](const std::string& pattern) {
+    std::string text;
+    while (text.size() < kSpecBytes)
+      text += pattern;
+    return text;
+  };
+  const std::string levels =
+      R"({"tree":[0)" + repeat(R"(,{"level":1,"values":[0,1,2],"below":[0)");
+  const std::string specs[] = {
+      repeat("[{\"a\":"),
+      repeat(",{"),
+      repeat(",{\"a\":[1"),
+      repeat(R"(,{"meta":[1)"),
+      repeat(R"(,{"meta":{"a":)"),
+      repeat(R"(,{"a":")"),
+      repeat(R"(,{",":",{":[)"),
+      repeat(R"(,{"\",":[",{\":)"),
+      repeat(", "),
+      levels,
+      levels + '"',
+      levels + "]}]}",
+      // Balanced containers without the member of an element.
+      "}" + repeat(R"(,{"a":[1)") + repeat("]}"),
+      '"' + repeat("x"),
+      repeat("\""),
+      repeat("]"),
+      repeat("}"),
+  };
+  for (const std::string& spec : specs) {
+    INFO(spec.substr(0, 40));
+    const std::string middle = Element("7");
+    const std::string object =
+        Object({kFirst, Element(spec), middle, Element(spec.substr(1)), kLast});
+    const auto started_at = std::chrono::steady_clock::now();
 
     const auto array = DivideArray(object, "items", "meta");
 
     REQUIRE(array);
     CHECK(Contains(*array, kFirst));
+    CHECK(Contains(*array, middle));
     CHECK(Contains(*array, kLast));
-    CHECK_FALSE(array->m_is_cut_short);
+    // The timeout of a call to the store.
+    CHECK(std::chrono::steady_clock::now() - started_at <
+          std::chrono::seconds(1));
   }
-  // Each bracket may be the start of an element, and the search for them ends.
-  const std::string object = Object({kFirst, Element(candidates), kLast});
-
-  const auto array = DivideArray(object, "items", "meta");
-
-  REQUIRE(array);
-  CHECK(Contains(*array, kFirst));
-  CHECK(array->m_is_cut_short);
 }
 
 }  // namespace adapter
--- a/Tests/Platform/test_object_decoder.cc
+++ b/Tests/Platform/test_object_decoder.cc
@@ -229,7 +229,6 @@
     CHECK(page.m_objects.m_servers[1].m_name == steering::ServerName("i-3c"));
     CHECK(page.m_objects.m_ignored == 1);
     CHECK(page.m_objects.m_problems.list().size() == 1);
-    CHECK_FALSE(page.m_objects.m_is_cut_short);
 
     const auto event = [](const std::string& object) {
       return R"({"deleted":false,"object":)" + object + "}";
@@ -261,6 +260,37 @@
 }
 
 // The balancer could not encode changes for its peers.
+// An unbalanced object was left out of the changes, so that the record that it
+// replaced stayed in use.
+TEST_CASE("a server whose record was replaced by unbalanced bytes is removed") {
+  for (const char* spec : {"{", R"({"note":"open})", R"({"note":7}})", "[[1"}) {
+    CAPTURE(spec);
+    std::string events = R"({"events":[{"deleted":false,"object":)";
+    events += ServerObject("i-1", spec);
+    events += R"(},{"deleted":false,"object":)" + ServerObject("i-2", kSpec);
+    const CollectionResponse response = DecodeChanges(
+        Collection::kServers, events + R"(}],"store_revision":12})");
+
+    REQUIRE(response.m_objects.m_servers.size() == 2);
+    CHECK(response.m_objects.m_servers[0].m_name ==
+          steering::ServerName("i-1"));
+    CHECK_FALSE(response.m_objects.m_servers[0].m_record);
+    CHECK(response.m_objects.m_servers[1].m_record);
+  }
+}
+
+// The next page was requested after the last name that was read, so a page with
+// unbalanced objects alone was requested again and again.
+TEST_CASE("the page behind an unbalanced object starts after its name") {
+  const CollectionResponse response = DecodePage(
+      Collection::kServers, R"({"items":[)" + ServerObject("agent", "{[") +
+                                R"(],"more":true,"store_revision":12})");
+
+  REQUIRE(std::holds_alternative<catalog::PageResponse>(response.m_result));
+  CHECK(std::get<catalog::PageResponse>(response.m_result).m_last_name ==
+        "agent");
+}
+
 TEST_CASE("an object with a name that no server can have is not removed") {
   const CollectionResponse response = DecodeChanges(
       Collection::kServers, R"({"events":[{"deleted":true,"object":)" +
@@ -274,7 +304,8 @@
     "an evacuation counts whatever its content is, as its name alone tells the "
     "data centre") {
   for (const char* spec : {"{}", "null", "7", R"({"note":1e400})",
-                           R"({"note":"half a pair \ud83d"})"}) {
+                           R"({"note":"half a pair \ud83d"})", "{",
+                           R"({"note":"open})", R"({"note":7}})"}) {
     CAPTURE(spec);
     const CollectionResponse page =
         DecodePage(Collection::kEvacuations,
