LibEdge: Call the store within the settling time after an outage

Cause: a balancer that no reader feeds waited 2 to 4 s after its first failed call and 4 to 8 s after the next ones, whatever the settling time. With all readers and seeds lost, nobody tells it that the store is back. Change: the wait follows from the settling time, less a call that is lost as the outage ends and the first calls after it: at most 2.3 s for 4 s, 3.2 s for 5 s.

--- a/Libraries/LibEdge/store_pacing.cc
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -40,8 +40,8 @@
 // The first calls of a balancer that is not fed, one for each collection.
 constexpr base::Duration kFirstCallsTime = milliseconds(200);
 constexpr base::Duration kMaximumReaderPause = milliseconds(1000);
-constexpr base::Duration kFallbackInitialBackOff = milliseconds(4000);
-constexpr base::Duration kFallbackMaximumBackOff = milliseconds(8000);
+// A call that is lost at the end of an outage, up to its timeout (1 s).
+constexpr base::Duration kLostCallTime = milliseconds(1100);
 // A fleet that starts has the view within this time if a reader and a seed are
 // up. Traffic starts seconds later.
 constexpr base::Duration kFirstStartPatience = milliseconds(1500);
@@ -93,8 +93,12 @@
 
 catalog::WatcherPolicy MakeFallbackPolicy(const EdgeSettings& settings) {
   catalog::WatcherPolicy policy = MakeReaderPolicy(settings);
-  policy.m_initial_back_off = kFallbackInitialBackOff;
-  policy.m_maximum_back_off = kFallbackMaximumBackOff;
+  const base::Duration back_off =
+      std::max(Scale(settings.m_settling_time, kUsableBoundShare) -
+                   kLostCallTime - kFirstCallsTime,
+               kMinimumPause);
+  policy.m_initial_back_off = back_off;
+  policy.m_maximum_back_off = back_off;
   return policy;
 }
 
--- a/Libraries/LibEdge/store_pacing.h
+++ b/Libraries/LibEdge/store_pacing.h
@@ -23,7 +23,10 @@
 catalog::WatcherPolicy MakeReaderPolicy(const EdgeSettings& settings);
 
 // The same for a balancer that calls the store because no reader is current.
-// Many balancers may be in this state, so the calls are rarer.
+// Many balancers may be in this state, so the calls are rarer while they fail.
+// After an outage, the first call that succeeds comes within the settling time,
+// also if the call before it was lost: there may be no reader left that knows
+// of the store's return.
 catalog::WatcherPolicy MakeFallbackPolicy(const EdgeSettings& settings);
 
 // A balancer without a current reader reads the store early enough to receive a
--- a/Tests/LibEdge/test_fleet_pacing.cc
+++ b/Tests/LibEdge/test_fleet_pacing.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 
 #include "LibEdge/edge_settings.h"
 #include "LibEdge/store_pacing.h"
@@ -78,4 +79,44 @@
   }
 }
 
+// The balancers that were left waited up to 8 s between their own calls, and
+// no peer could tell them that the store was back.
+TEST_CASE(
+    "a change after an outage is known in time though the readers and the "
+    "seeds are lost in it") {
+  constexpr Site kSites[] = {
+      {6, 3, seconds(3), seconds(4), 60},
+      {91, 2, seconds(5), seconds(5), 9},
+      {95, 4, seconds(5), seconds(5), 9},
+      {195, 5, seconds(6), seconds(6), 6},
+  };
+  constexpr feed::StoreFault kFaults[] = {feed::StoreFault::kUnreachable,
+                                          feed::StoreFault::kRefusing,
+                                          feed::StoreFault::kSilent};
+  for (const Site& site : kSites) {
+    for (std::uint64_t seed = 1; seed <= site.m_seeds; ++seed) {
+      const feed::FleetOptions options = MakeOptions(site, seed);
+      feed::FleetSimulation fleet(options);
+      fleet.Run(seconds(12), milliseconds(1700));
+      fleet.ResetCounts();
+      fleet.SetStoreFault(kFaults[seed % std::size(kFaults)]);
+      fleet.Run(seconds(1), {});
+      for (std::size_t index = 0; index < fleet.size(); ++index) {
+        if (index < options.m_seeds || fleet.IsReader(index))
+          fleet.Kill(index);
+      }
+      // A short outage, or one that lasts for several calls.
+      fleet.Run(milliseconds(1500) + milliseconds(410) * (seed % 20), {});
+      fleet.SetStoreFault(feed::StoreFault::kNone);
+      fleet.Run(milliseconds(500), {});
+      fleet.Change();
+      fleet.Run(seconds(12), {});
+
+      INFO("balancers ", site.m_balancers, ", seed ", seed);
+      CHECK(fleet.LongestDelay() < site.m_bound);
+      CHECK(fleet.StepsBack() == 0);
+    }
+  }
+}
+
 }  // namespace edge
--- a/Tests/LibEdge/test_store_pacing.cc
+++ b/Tests/LibEdge/test_store_pacing.cc
@@ -119,6 +119,28 @@
   }
 }
 
+// The waits of up to 8 s were longer than the settling time.
+TEST_CASE(
+    "a balancer without readers calls the store within the settling time after "
+    "an outage") {
+  for (const int settling_ms : {4000, 5000, 6000}) {
+    EdgeSettings settings;
+    settings.m_feed = base::Endpoint{base::Ipv4Address(1), 7721};
+    settings.m_settling_time = milliseconds(settling_ms);
+    const catalog::WatcherPolicy policy = MakeFallbackPolicy(settings);
+
+    constexpr base::Duration kCallTimeout = milliseconds(1000);
+    // The servers first, then the manifest.
+    constexpr base::Duration kNextCallsTime = milliseconds(100);
+    CHECK(policy.m_watch_wait_in_outage + kCallTimeout +
+              policy.m_maximum_back_off + 2 * policy.m_watch_wait_in_outage +
+              kNextCallsTime <=
+          settings.m_settling_time);
+    CHECK(policy.m_initial_back_off >=
+          MakeReaderPolicy(settings).m_maximum_back_off);
+  }
+}
+
 TEST_CASE("only a fleet that starts for the first time waits for a reader") {
   EdgeSettings settings;
   settings.m_feed = base::Endpoint{base::Ipv4Address(1), 7721};
--- a/Tests/LibFeed/fleet_simulation.cc
+++ b/Tests/LibFeed/fleet_simulation.cc
@@ -261,12 +261,16 @@
     const Balancer& balancer,
     const StoreCall& call) const {
   const base::Duration open = m_now - call.m_sent_at;
-  if (m_is_store_down || balancer.m_is_cut_from_store)
+  const bool is_unreachable =
+      m_store_fault == StoreFault::kUnreachable || balancer.m_is_cut_from_store;
+  if (is_unreachable)
     return open < kUnreachableAfter ? std::nullopt
                                     : std::optional<catalog::CallResult>(
                                           catalog::CallFailure::kUnreachable);
   const auto* watch = std::get_if<catalog::WatchCall>(&call.m_call);
-  if (balancer.m_is_store_silent) {
+  if (m_store_fault == StoreFault::kRefusing && open >= kCallTime)
+    return catalog::CallFailure::kUnavailable;
+  if (m_store_fault == StoreFault::kSilent || balancer.m_is_store_silent) {
     const base::Duration wait =
         watch == nullptr ? base::Duration::zero() : watch->m_wait;
     return open < wait + kCallTimeout ? std::nullopt
@@ -386,7 +390,7 @@
 // A change is overdue at every undisturbed balancer that does not know it. A
 // disturbance before the change stretches its time.
 void FleetSimulation::RecordDelays() {
-  if (m_is_store_down)
+  if (m_store_fault != StoreFault::kNone)
     m_store_disturbed_at = m_now;
   for (const Balancer& balancer : m_balancers) {
     if (!CanRun(balancer) || balancer.m_view.m_state == m_history.back() ||
--- a/Tests/LibFeed/fleet_simulation.h
+++ b/Tests/LibFeed/fleet_simulation.h
@@ -26,6 +26,16 @@
 catalog::WatcherPolicy MakeReaderPolicy();
 catalog::WatcherPolicy MakeFallbackPolicy();
 
+// How the store fails for all balancers.
+enum class StoreFault {
+  kNone,
+  kUnreachable,
+  // Each call gets a response at once, which says that nothing was done.
+  kRefusing,
+  // The store accepts the calls and responds to none.
+  kSilent,
+};
+
 struct FleetOptions {
   std::size_t m_balancers = 200;
   std::size_t m_data_centres = 5;
@@ -91,10 +101,13 @@
   void CutDataCentre(std::size_t data_centre) {
     m_cut_data_centre = data_centre;
   }
-  void SetStoreDown(bool is_down) {
-    m_is_store_down = is_down;
+  void SetStoreFault(StoreFault fault) {
+    m_store_fault = fault;
     m_store_disturbed_at = m_now;
   }
+  void SetStoreDown(bool is_down) {
+    SetStoreFault(is_down ? StoreFault::kUnreachable : StoreFault::kNone);
+  }
   // The history is lost: watches from before the current revision fail.
   void CompactHistory() { m_history_from = m_revision.number(); }
 
@@ -180,7 +193,7 @@
   std::vector<State> m_states{1};
   // The states of the store by the number of the revision.
   std::vector<StateId> m_history{0};
-  bool m_is_store_down = false;
+  StoreFault m_store_fault = StoreFault::kNone;
   std::optional<std::size_t> m_cut_data_centre;
   base::TimePoint m_store_disturbed_at;
   std::size_t m_calls = 0;
