LibCatalog: Tell up to which time a collection is known

A balancer has to know whether its view is older than a flow. CurrentAsOf is the start of the last list or watch that was applied and, while a watch is open, the time before which a change would have been reported. EndPause sends the next watch at once when a newer view is needed. Nothing uses them yet. Tests: TestLibCatalog, two cases.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -33,6 +33,15 @@
   return now <= expected + m_policy.m_overdue_response;
 }
 
+std::optional<base::TimePoint> CollectionWatcher::CurrentAsOf(
+    base::TimePoint now) const {
+  const base::TimePoint since = now - m_policy.m_overdue_response;
+  const bool is_watched = IsWatching() && m_call_started_at <= since &&
+                          m_watch_since == m_revision && IsCurrent(now);
+  return std::max(m_current_as_of,
+                  is_watched ? std::optional(since) : std::nullopt);
+}
+
 bool CollectionWatcher::IsConfirmedRecently(base::TimePoint now) const {
   // A watch confirms the time of its start, and the next one may take as long.
   const base::Duration longest = 2 * m_policy.m_watch_wait +
@@ -48,6 +57,8 @@
   m_is_call_open = true;
   m_call_started_at = now;
   m_call_wait = base::Duration::zero();
+  if (m_is_listing && m_last_listed_name.empty())
+    m_list_started_at = now;
   if (m_is_listing)
     return ListCall{m_last_listed_name};
   m_call_wait = NextWatchWait(now);
@@ -65,6 +76,7 @@
 CollectionWatcher::Outcome CollectionWatcher::HandleResult(
     const CallResult& response,
     base::TimePoint now) {
+  const auto current_as_of = CurrentAsOf(now);
   m_is_call_open = false;
   const bool was_failing = m_failing_since.has_value();
   const Revision former = m_revision;
@@ -88,6 +100,14 @@
   const bool is_failing = m_failing_since.has_value();
   if (!is_failing)
     m_responded_at = now;
+  const bool is_confirmed = outcome.m_update == CollectionUpdate::kChanged ||
+                            outcome.m_update == CollectionUpdate::kListComplete;
+  if (is_confirmed)
+    m_current_as_of = std::max(
+        current_as_of,
+        std::optional(outcome.m_update == CollectionUpdate::kListComplete
+                          ? m_list_started_at
+                          : m_call_started_at));
   const bool is_late =
       now - m_call_started_at > m_call_wait + m_policy.m_late_response;
   outcome.m_is_store_lost = !was_failing && (is_failing || is_late);
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -13,6 +13,7 @@
 #ifndef LIBCATALOG_COLLECTION_WATCHER_H_
 #define LIBCATALOG_COLLECTION_WATCHER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -84,6 +85,12 @@
   Revision KnownRevision() const { return m_revision; }
   // The start of the last call that confirmed the known revision.
   std::optional<base::TimePoint> ConfirmedAt() const { return m_confirmed_at; }
+  // All changes made before this time are known: the start of the last list or
+  // watch that was applied or, if it is later, m_overdue_response before
+  // `now` or before the last response, if a watch was open all that time. The
+  // store reports a change as soon as there is one. Nothing before the first
+  // list.
+  std::optional<base::TimePoint> CurrentAsOf(base::TimePoint now) const;
   // The time of the first failure since the last success, if there was one.
   // kHistoryGone does not count as a failure.
   std::optional<base::TimePoint> FailingSince() const {
@@ -113,6 +120,12 @@
   Outcome HandleResult(const CallResult& response, base::TimePoint now);
   // Makes the next call due at once, for example after the process was paused.
   void Expedite(base::TimePoint now) { m_next_call_at = now; }
+  // Ends a pause between two watches, because changes may have been made that
+  // are needed now. Lists and the back-off after a failure are not affected.
+  void EndPause(base::TimePoint now) {
+    if (!m_is_call_open && !m_is_listing && !m_failing_since)
+      m_next_call_at = std::min(m_next_call_at, now);
+  }
   // Records that the owner has applied a complete list that a peer read at
   // `revision`. Returns false if `revision` is not newer than the known one.
   bool AdoptRevision(Revision revision);
@@ -140,6 +153,8 @@
   // newer; the watch returns the changes made between the pages again.
   std::optional<Revision> m_list_revision;
   std::string m_last_listed_name;
+  // When the first page of the last list was requested.
+  base::TimePoint m_list_started_at;
   bool m_is_listing = true;
   // A revision was adopted while a list was open.
   bool m_has_adopted_list = false;
@@ -151,6 +166,8 @@
   base::Duration m_call_wait{};
   base::TimePoint m_next_call_at;
   std::optional<base::TimePoint> m_confirmed_at;
+  // CurrentAsOf at the last response.
+  std::optional<base::TimePoint> m_current_as_of;
   std::optional<base::TimePoint> m_failing_since;
 };
 
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -374,4 +374,43 @@
         CollectionUpdate::kChanged);
 }
 
+TEST_CASE(
+    "a view is current as of the start of its list or watch, and of the recent "
+    "past while a watch is open") {
+  CollectionWatcher watcher = MakeWatcher();
+  const WatcherPolicy policy;
+  CHECK_FALSE(watcher.CurrentAsOf(At(0)));
+  watcher.StartDueCall(At(0));
+  watcher.HandleResult(PageResponse{Revision(5), true, "i-50"}, At(4));
+  CHECK_FALSE(watcher.CurrentAsOf(At(4)));
+  watcher.StartDueCall(At(40));
+  watcher.HandleResult(PageResponse{Revision(8)}, At(44));
+  // The changes between the pages are not known yet.
+  CHECK(watcher.CurrentAsOf(At(44)) == At(0));
+
+  watcher.StartDueCall(At(50));
+  CHECK(watcher.CurrentAsOf(At(100)) == At(0));
+  CHECK(watcher.CurrentAsOf(At(1000)) == At(1000) - policy.m_overdue_response);
+  watcher.HandleResult(ChangesResponse{Revision(9)}, At(1000));
+  // In the pause before the next watch.
+  CHECK(watcher.CurrentAsOf(At(1200)) == At(1000) - policy.m_overdue_response);
+
+  watcher.StartDueCall(At(1900));
+  watcher.HandleResult(CallFailure::kTimedOut, At(2900));
+  CHECK(watcher.CurrentAsOf(At(3000)) == At(1000) - policy.m_overdue_response);
+}
+
+TEST_CASE("a pause between two watches can be ended, a back-off cannot") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(4));
+  watcher.HandleResult(ChangesResponse{Revision(6)}, At(10));
+  CHECK_FALSE(watcher.StartDueCall(At(20)));
+  watcher.EndPause(At(20));
+  CHECK(watcher.StartDueCall(At(20)));
+
+  watcher.HandleResult(CallFailure::kUnavailable, At(30));
+  watcher.EndPause(At(31));
+  CHECK_FALSE(watcher.StartDueCall(At(31)));
+}
+
 }  // namespace catalog
