LibSteering: Reset a denied flow only by a view that is not older than it

A balancer whose view denies a flow reset it whatever the age of the view. A server that had drained and left counted as ended at once; the routes counted as current for 1.5 s after any confirmation. Change: each view has a time up to which it contains all changes; readers pass theirs on with each response. Steering::Deny resets a flow only if that time is not before the balancer's first sight of the flow. Otherwise the packet waits up to 150 ms for a newer view, as those with unknown tokens do, and is then forwarded. The checks beside it are gone. A view that is needed at once ends a reader's pause. Existing tests set the view to current, as they did with the routes.

--- a/Benchmarks/benchmark_slow_answers.cc
+++ b/Benchmarks/benchmark_slow_answers.cc
@@ -78,6 +78,7 @@
       balancer->SetServersKnown();
       balancer->ApplyManifest(manifest);
       balancer->SetRoutesCurrent(true);
+      balancer->SetViewCurrentAsOf(base::TimePoint::max());
       for (int server = 0; server < kServers; ++server)
         balancer->directory().Apply(MakeServer(server), At(0));
     }
--- a/Benchmarks/benchmark_steering.cc
+++ b/Benchmarks/benchmark_steering.cc
@@ -80,6 +80,7 @@
       m_steering.directory().Apply(MakeServer(number), At(0));
     m_steering.SetServersKnown();
     m_steering.SetRoutesCurrent(true);
+    m_steering.SetViewCurrentAsOf(base::TimePoint::max());
   }
 
   steering::Steering& steering() { return m_steering; }
--- a/Libraries/LibFeed/feed_codec.cc
+++ b/Libraries/LibFeed/feed_codec.cc
@@ -58,7 +58,7 @@
   SerializeFlag(archive, status.m_is_current);
   archive(status.m_servers, status.m_manifest, status.m_evacuations,
           status.m_manifest_version);
-  SerializeAge(archive, status.m_confirmed_age);
+  SerializeAge(archive, status.m_view_age);
   SerializeFlag(archive, status.m_is_in_outage);
   SerializeAge(archive, status.m_outage_ended_age);
 }
--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -126,6 +126,7 @@
                                  });
   if (poll == m_pending.end() || response.m_fleet != m_settings.m_fleet)
     return ResponseVerdict::kUnsolicited;
+  m_answered_poll_at = poll->m_sent_at;
   m_pending.erase(poll);
   m_failures.erase(source.value());
   RecordReaders(response, source, now);
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -134,6 +134,8 @@
   }
   // When a current reader last confirmed this balancer's view.
   std::optional<base::TimePoint> FedAt() const { return m_fed_at; }
+  // When the poll was sent that was last responded to.
+  base::TimePoint LastAnsweredPollAt() const { return m_answered_poll_at; }
   // Whether a peer has a newer manifest in force that the store has lost when
   // it came back from a copy of its past.
   bool IsManifestLost(const StoreStatus& own, base::TimePoint now) const;
@@ -234,6 +236,7 @@
   std::optional<base::TimePoint> m_poll_requested_at;
   base::TimePoint m_next_announcement_at;
   std::vector<PendingPoll> m_pending;
+  base::TimePoint m_answered_poll_at;
   // By address.
   std::unordered_map<std::uint32_t, Failures> m_failures;
   std::size_t m_turn = 0;
--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -47,6 +47,12 @@
   kUnknownToken,
   // The flow's server has ended.
   kServerGone,
+  // The view denies the flow: its server has ended, or its route was dropped.
+  // The
+  // view may be older than the flow, so the packet is forwarded.
+  kDenialNotConfirmed,
+  // The packet waited for a newer view, which allows its flow.
+  kAllowedByNewerView,
   // The flow's server counts as unreachable.
   kServerUnreachable,
   // All eligible servers of the service are cold, and this balancer's share of
@@ -60,7 +66,7 @@
   kOverloaded,
 };
 
-inline constexpr base::EnumTable<Reason, 16> kReasonNames{{
+inline constexpr base::EnumTable<Reason, 18> kReasonNames{{
     {Reason::kPlaced, "placed"},
     {Reason::kPlacedAgain, "placed_again"},
     {Reason::kPlacedElsewhere, "placed_elsewhere"},
@@ -72,6 +78,8 @@
     {Reason::kNoServer, "no_server"},
     {Reason::kUnknownToken, "unknown_token"},
     {Reason::kServerGone, "server_gone"},
+    {Reason::kDenialNotConfirmed, "denial_not_confirmed"},
+    {Reason::kAllowedByNewerView, "allowed_by_newer_view"},
     {Reason::kServerUnreachable, "server_unreachable"},
     {Reason::kServersCold, "servers_cold"},
     {Reason::kNotReady, "not_ready"},
--- a/Libraries/LibSteering/flow_record.h
+++ b/Libraries/LibSteering/flow_record.h
@@ -29,10 +29,11 @@
   bool m_is_active = false;
   // The opening was sent to an extra server, or to a slow one as a trial.
   std::optional<ExtraReason> m_extra;
-  // The server that the opening was first sent to, and when. Unset if another
-  // balancer handled the opening.
+  // The server that the opening was first sent to. Unset if another balancer
+  // handled the opening.
   ServerHandle m_first_server;
-  base::TimePoint m_opened_at;
+  // When the balancer first received a packet of the flow.
+  base::TimePoint m_first_seen;
   // When the balancer last received a packet of the flow or placed its opening.
   base::TimePoint m_last_seen;
   // When the caller sent the first packet of the request in progress, or when
--- a/Libraries/LibSteering/flow_tracker.cc
+++ b/Libraries/LibSteering/flow_tracker.cc
@@ -31,7 +31,6 @@
   record->m_answerable_at = now;
   record->m_deadline = now + timeout;
   record->m_first_server = server.m_handle;
-  record->m_opened_at = now;
   SetInProgress(*record, true);
   return record;
 }
@@ -133,7 +132,7 @@
     return;
   const base::Duration time = now - record.m_answerable_at;
   if (!was_established) {
-    observation.m_opening_time = now - record.m_opened_at;
+    observation.m_opening_time = now - record.m_first_seen;
     // The time of an opening that was placed again is that of the last server.
     if (record.m_resends == 0)
       observation.m_handshake_time = time;
@@ -240,6 +239,7 @@
     return nullptr;
   FlowRecord& record = m_flows[key];
   record.m_server = server.m_handle;
+  record.m_first_seen = now;
   record.m_last_seen = now;
   SetActive(record, true);
   return &record;
--- a/Libraries/LibSteering/pending_packets.h
+++ b/Libraries/LibSteering/pending_packets.h
@@ -1,5 +1,5 @@
 // Buffers the datagrams that arrive before the balancer knows routes and
-// servers, or before it knows the server whose token they carry. A caller
+// servers, or whose flows a newer view may allow. A caller
 // retransmits a dropped packet 200 ms to 1.6 s later, so a buffered packet is
 // usually answered sooner than its retransmission.
 
@@ -21,9 +21,9 @@
  public:
   // Callers have retransmitted older packets twice, or have stopped waiting.
   static constexpr base::Duration kMaximumAge = std::chrono::milliseconds(700);
-  // A packet whose token no known server has is dropped after this time. The
-  // caller retransmits it 200 ms after it was sent.
-  static constexpr base::Duration kMaximumTokenAge =
+  // How long a packet waits for a newer view. The caller retransmits it 200 ms
+  // after it was sent.
+  static constexpr base::Duration kMaximumViewWait =
       std::chrono::milliseconds(150);
   // The packets that the busiest VM receives in one second.
   static constexpr std::size_t kMaximumPackets = 2048;
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -158,6 +158,7 @@
 std::vector<OverdueRequest> Steering::Sweep(base::TimePoint now) {
   auto overdue = m_tracker.Sweep(m_routes.manifest().m_idle_timeout, now);
   m_directory.PurgeGoneServers(now);
+  m_denied_flows.Sweep(now);
   m_extra.slow_servers().Sweep(
       [this](ServerHandle server) { return m_directory.FindByHandle(server); },
       now);
@@ -366,18 +367,10 @@
     return decision;
   }
   decision.m_server = server;
+  decision.m_action = Forward{server, packet.m_token};
   if (route == nullptr) {
-    // Packets without data are forwarded, so that an answer in progress is
-    // completed. A new request is reset. Another balancer may have placed the
-    // flow by a manifest that is not known here yet, so the absence of the
-    // route alone is no reason for a reset.
-    const bool was_dropped = m_routes.WasDropped(packet.m_flow.m_service);
-    if (was_dropped && m_are_routes_current && packet.m_payload_bytes > 0) {
-      decision.m_action = Reset{packet.m_acknowledgement};
-      decision.m_reason = Reason::kNoRoute;
-      return decision;
-    }
-    decision.m_action = Forward{server, packet.m_token};
+    if (const auto denial = DenialReason(packet, *server, route, now))
+      Deny(packet, *server, *denial, decision, now);
     return decision;
   }
   const Observation observation =
@@ -389,14 +382,15 @@
   RecordTimes(packet, observation, *server, now);
   if (packet.m_payload_bytes > 0)
     RecordRequest(packet.m_flow, *server, now);
-  const auto reset_reason = ResetReason(*server, *route, now);
-  if (packet.m_payload_bytes > 0 && reset_reason) {
+  if (const auto denial = DenialReason(packet, *server, route, now)) {
+    Deny(packet, *server, *denial, decision, now);
+    return decision;
+  }
+  if (packet.m_payload_bytes > 0 && IsUnreachable(*server, *route)) {
     decision.m_action = Reset{packet.m_acknowledgement};
-    decision.m_reason = *reset_reason;
+    decision.m_reason = Reason::kServerUnreachable;
     m_tracker.RemoveFlow(packet.m_flow);
-    return decision;
   }
-  decision.m_action = Forward{server, packet.m_token};
   return decision;
 }
 
@@ -452,19 +446,48 @@
   MarkSuspected(server, waiting_since, now);
 }
 
-std::optional<Reason> Steering::ResetReason(const KnownServer& server,
-                                            const Route& route,
-                                            base::TimePoint now) const {
+std::optional<Reason> Steering::DenialReason(const CallerPacket& packet,
+                                             const KnownServer& server,
+                                             const Route* route,
+                                             base::TimePoint now) const {
+  // Packets without data are forwarded, so that an answer in progress is
+  // completed.
+  if (packet.m_payload_bytes == 0)
+    return std::nullopt;
+  // Another balancer may have placed the flow by a manifest that is not known
+  // here yet, so the absence of the route alone denies nothing.
+  if (route == nullptr && m_routes.WasDropped(packet.m_flow.m_service))
+    return Reason::kNoRoute;
   if (HasEnded(server, now))
     return Reason::kServerGone;
+  return std::nullopt;
+}
+
+void Steering::Deny(const CallerPacket& packet,
+                    KnownServer& server,
+                    Reason reason,
+                    Decision& decision,
+                    base::TimePoint now) {
+  const FlowRecord* record = m_tracker.Find(packet.m_flow);
+  const base::TimePoint first_seen =
+      record != nullptr ? record->m_first_seen
+                        : m_denied_flows.FirstSeen(packet.m_flow, now);
+  if (!m_view_current_as_of || *m_view_current_as_of < first_seen) {
+    decision.m_action = Forward{&server, packet.m_token};
+    decision.m_reason = Reason::kDenialNotConfirmed;
+    return;
+  }
+  decision.m_action = Reset{packet.m_acknowledgement};
+  decision.m_reason = reason;
+  m_tracker.RemoveFlow(packet.m_flow);
+  m_denied_flows.Remove(packet.m_flow);
+}
+
+bool Steering::IsUnreachable(const KnownServer& server, const Route& route) {
   // The server may become reachable again within the caller's time limit. A
   // caller never repeats such a request once its flow is established, so a
   // reset would make the request fail.
-  if (!MayBeRepeated(route.m_kind))
-    return std::nullopt;
-  if (server.m_reachability.IsUnreachable())
-    return Reason::kServerUnreachable;
-  return std::nullopt;
+  return MayBeRepeated(route.m_kind) && server.m_reachability.IsUnreachable();
 }
 
 Reason Steering::RefusalReason(std::string_view service, base::TimePoint now) {
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -28,6 +28,7 @@
 #include "LibFlow/token_bucket.h"
 #include "LibSteering/caller_packet.h"
 #include "LibSteering/decision.h"
+#include "LibSteering/denied_flows.h"
 #include "LibSteering/extra_openings.h"
 #include "LibSteering/flow_tracker.h"
 #include "LibSteering/opening_placer.h"
@@ -143,6 +144,12 @@
   // Sets whether the routes in force are known to be the newest. Otherwise a
   // missing route may be one that this balancer has not received yet.
   void SetRoutesCurrent(bool is_current) { m_are_routes_current = is_current; }
+  // Sets the time up to which routes and servers contain all changes; nothing
+  // if that is not known. A flow that the balancer first saw later may be of a
+  // server or a route that came back since, and is not reset.
+  void SetViewCurrentAsOf(std::optional<base::TimePoint> time) {
+    m_view_current_as_of = time;
+  }
   // Decides about a packet and updates the states of its flow and its server.
   Decision Handle(const CallerPacket& packet, base::TimePoint now);
   // Places the openings whose resend is due and returns them. The caller sends
@@ -229,11 +236,21 @@
                           base::TimePoint waiting_since,
                           Decision& decision,
                           base::TimePoint now);
-  // The reason to reset a flow of `server`; nothing if the server may still
-  // answer.
-  std::optional<Reason> ResetReason(const KnownServer& server,
-                                    const Route& route,
-                                    base::TimePoint now) const;
+  // Why the view denies a flow of `server`; nothing if it does not. `route` is
+  // null if no route has the address of the packet.
+  std::optional<Reason> DenialReason(const CallerPacket& packet,
+                                     const KnownServer& server,
+                                     const Route* route,
+                                     base::TimePoint now) const;
+  // Resets a flow that the view denies if the view is not older than the flow.
+  // Otherwise forwards the packet to `server`.
+  void Deny(const CallerPacket& packet,
+            KnownServer& server,
+            Reason reason,
+            Decision& decision,
+            base::TimePoint now);
+  // Whether to reset a flow because `server` cannot be reached.
+  static bool IsUnreachable(const KnownServer& server, const Route& route);
   // The load of a service in requests in progress per slot: that of this
   // balancer's callers, or the load that the answer times show if it is higher.
   double LoadOf(const std::string& service, base::TimePoint now) const;
@@ -310,6 +327,8 @@
   bool m_are_servers_complete = false;
   bool m_awaits_evacuations = false;
   bool m_are_routes_current = false;
+  std::optional<base::TimePoint> m_view_current_as_of;
+  DeniedFlows m_denied_flows;
   // The openings that may be resent, with the time of the resend, oldest first.
   std::deque<std::pair<base::TimePoint, flow::FlowKey>> m_resends;
 };
--- a/Libraries/LibSteering/steering_extra_openings.cc
+++ b/Libraries/LibSteering/steering_extra_openings.cc
@@ -95,7 +95,7 @@
   if (record.m_extra != ExtraReason::kEarlyCopy)
     return;
   if (KnownServer* first = m_directory.FindByHandle(record.m_first_server))
-    MarkSuspected(*first, record.m_opened_at, now);
+    MarkSuspected(*first, record.m_first_seen, now);
 }
 
 void Steering::RecordTimes(const CallerPacket& packet,
@@ -121,7 +121,7 @@
   // alone did not make it suspected.
   KnownServer* first = m_directory.FindByHandle(record->m_first_server);
   if (!is_first && first != nullptr)
-    MarkSuspected(*first, record->m_opened_at, now);
+    MarkSuspected(*first, record->m_first_seen, now);
 }
 
 }  // namespace steering
--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -150,7 +150,10 @@
       std::holds_alternative<steering::Forward>(decision.m_action);
   const bool is_repeat =
       decision.m_packet_kind == steering::PacketKind::kRetransmission;
-  if (is_forwarded && !is_repeat && request_id.empty())
+  const bool awaited_view =
+      decision.m_reason == steering::Reason::kDenialNotConfirmed ||
+      decision.m_reason == steering::Reason::kAllowedByNewerView;
+  if (is_forwarded && !is_repeat && !awaited_view && request_id.empty())
     return;
   const Event event = std::holds_alternative<steering::Reset>(decision.m_action)
                           ? Event::kFlowReset
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -23,8 +23,8 @@
   // The era of the store that the view is of.
   std::uint64_t m_store_era = 0;
   std::uint64_t m_servers_revision = 0;
-  // The time since the store last confirmed the servers; nothing if the store
-  // never did.
+  // All changes of servers and manifest that are older are in the view; nothing
+  // if that is not known of any age.
   std::optional<base::Duration> m_servers_age;
   std::uint64_t m_manifest_version = 0;
 };
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -130,8 +130,8 @@
   if (!packets)
     return BindFailure{"packets", m_settings.m_packets, packets.error()};
   m_packets = std::move(packets).value();
-  m_packets->SetUnknownTokenHandler(
-      [this](base::TimePoint now) { m_view.RequestNewServers(now); });
+  m_packets->SetNewerViewHandler(
+      [this](base::TimePoint now) { m_view.RequestNewerView(now); });
   auto metrics = ListenForHttp(
       "metrics", m_settings.m_metrics,
       [this](std::string_view path) { return MetricsResponse(path); });
@@ -283,7 +283,7 @@
 void EdgeProcess::UpdateReadiness() {
   if (!m_steering.HasRoutesAndServers())
     return;
-  m_packets->HandlePacketsWithUnknownTokens();
+  m_packets->HandlePacketsAwaitingView();
   const std::size_t handled = m_packets->HandlePendingPackets();
   if (handled > 0)
     m_log.Write(Severity::kInfo, Event::kPacketsHeld,
@@ -354,7 +354,7 @@
   }
   LogSlowServers(now);
   ProbeServers(now);
-  m_packets->HandlePacketsWithUnknownTokens();
+  m_packets->HandlePacketsAwaitingView();
   m_packets->Sweep();
   StopIfDone(now);
   m_log.Flush();
@@ -419,7 +419,7 @@
   const ViewVersion version = m_view.Version(now);
   m_metrics.SetGauge(
       "coltsfootdale_servers_age_seconds",
-      "Since the store confirmed the servers; -1: never",
+      "Age of the view of servers and manifest; -1: unknown",
       version.m_servers_age
           ? std::chrono::duration<double>(*version.m_servers_age).count()
           : -1.0);
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -247,14 +247,16 @@
       break;
     case feed::ResponseVerdict::kNothingNew:
       m_owner.m_on_reader_status(response.m_status);
+      RecordFed(ViewCurrentAsOf(response.m_status));
       break;
     case feed::ResponseVerdict::kHasChanges:
       m_owner.m_on_reader_status(response.m_status);
-      ApplyChanges(source, catalog::DecodeDelta(response.m_delta));
+      ApplyChanges(source, catalog::DecodeDelta(response.m_delta),
+                   ViewCurrentAsOf(response.m_status));
       break;
     case feed::ResponseVerdict::kFetchChanges:
       m_owner.m_on_reader_status(response.m_status);
-      FetchChanges(source, own);
+      FetchChanges(source, own, ViewCurrentAsOf(response.m_status));
       break;
   }
   // The response may have changed the role and the next poll.
@@ -280,7 +282,22 @@
     m_owner.m_on_refused(peer, "send_failed");
 }
 
-void FeedLink::FetchChanges(base::Endpoint peer, const feed::StoreStatus& own) {
+std::optional<base::TimePoint> FeedLink::ViewCurrentAsOf(
+    const feed::StoreStatus& status) const {
+  // The reader's status is not older than the poll.
+  return status.m_view_age
+             ? std::optional(m_member.LastAnsweredPollAt() - *status.m_view_age)
+             : std::nullopt;
+}
+
+void FeedLink::RecordFed(std::optional<base::TimePoint> current_as_of) {
+  if (current_as_of)
+    m_owner.m_on_fed(*current_as_of);
+}
+
+void FeedLink::FetchChanges(base::Endpoint peer,
+                            const feed::StoreStatus& own,
+                            std::optional<base::TimePoint> current_as_of) {
   if (m_client.OpenRequests() > 0)
     return;
   http::Request request;
@@ -289,19 +306,21 @@
   request.m_timeout = kFetchTimeout;
   request.m_connect_timeout = kFetchConnectTimeout;
   request.m_response_limit_bytes = catalog::kMaximumSnapshotBytes;
-  m_client.Send(
-      request, [this, peer](const base::Outcome<http::Response>& response) {
-        if (!response)
-          m_owner.m_on_refused(peer, response.error().message());
-        else if (response.value().m_status != kHttpOk)
-          m_owner.m_on_refused(peer, "no_changes");
-        else
-          ApplyChanges(peer, catalog::DecodeDelta(response.value().m_body));
-      });
+  m_client.Send(request, [this, peer, current_as_of](
+                             const base::Outcome<http::Response>& response) {
+    if (!response)
+      m_owner.m_on_refused(peer, response.error().message());
+    else if (response.value().m_status != kHttpOk)
+      m_owner.m_on_refused(peer, "no_changes");
+    else
+      ApplyChanges(peer, catalog::DecodeDelta(response.value().m_body),
+                   current_as_of);
+  });
 }
 
 void FeedLink::ApplyChanges(base::Endpoint peer,
-                            const base::Outcome<catalog::ViewDelta>& changes) {
+                            const base::Outcome<catalog::ViewDelta>& changes,
+                            std::optional<base::TimePoint> current_as_of) {
   if (!changes) {
     m_owner.m_on_refused(peer, "malformed_changes");
     return;
@@ -311,6 +330,7 @@
     return;
   }
   m_member.OnChangesApplied(base::Clock::now());
+  RecordFed(current_as_of);
 }
 
 const std::string* FeedLink::ChangesSince(const catalog::KnownView& since,
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,6 +40,9 @@
       m_apply;
   // A current reader has responded.
   std::function<void(const feed::StoreStatus& status)> m_on_reader_status;
+  // The view is that of a reader, or newer. It contains all changes made before
+  // `current_as_of`.
+  std::function<void(base::TimePoint current_as_of)> m_on_fed;
   // A message or a response was not used.
   std::function<void(base::Endpoint peer, std::string_view reason)>
       m_on_refused;
@@ -121,9 +125,19 @@
   // otherwise.
   void Send(base::Endpoint peer, feed::FeedMessage message);
   // Fetches the changes that did not fit into a response.
-  void FetchChanges(base::Endpoint peer, const feed::StoreStatus& own);
+  // The time up to which the view of a reader contains all changes, by the
+  // status in its response.
+  std::optional<base::TimePoint> ViewCurrentAsOf(
+      const feed::StoreStatus& status) const;
+  void RecordFed(std::optional<base::TimePoint> current_as_of);
+  void FetchChanges(base::Endpoint peer,
+                    const feed::StoreStatus& own,
+                    std::optional<base::TimePoint> current_as_of);
+  // Applies changes that lead to a view which contains all changes made before
+  // `current_as_of`.
   void ApplyChanges(base::Endpoint peer,
-                    const base::Outcome<catalog::ViewDelta>& changes);
+                    const base::Outcome<catalog::ViewDelta>& changes,
+                    std::optional<base::TimePoint> current_as_of);
   // Null if the changes cannot be encoded. Valid until the next call.
   const std::string* ChangesSince(const catalog::KnownView& since,
                                   const feed::StoreStatus& own);
--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -83,24 +83,25 @@
 
 std::size_t PacketLoop::HandlePendingPackets() {
   const auto pending = m_pending_packets.ReleaseUnexpired(base::Clock::now());
-  HandlePackets(pending);
+  HandlePackets(pending, Wait::kFirstView);
   return pending.size();
 }
 
-void PacketLoop::HandlePacketsWithUnknownTokens() {
-  if (m_packets_with_unknown_tokens.size() > 0)
-    HandlePackets(
-        m_packets_with_unknown_tokens.ReleaseUnexpired(base::Clock::now()));
+void PacketLoop::HandlePacketsAwaitingView() {
+  if (m_packets_awaiting_view.size() > 0)
+    HandlePackets(m_packets_awaiting_view.ReleaseUnexpired(base::Clock::now()),
+                  Wait::kNewerView);
 }
 
 void PacketLoop::HandlePackets(
-    const std::vector<steering::PendingPackets::Packet>& packets) {
+    const std::vector<steering::PendingPackets::Packet>& packets,
+    Wait wait) {
   const base::TimePoint now = base::Clock::now();
   const ViewVersion view = m_view_version();
   for (const steering::PendingPackets::Packet& packet : packets) {
     if (m_sending.IsFull())
       Flush();
-    HandleDatagram(packet.m_bytes, view, packet.m_received_at, now);
+    HandleDatagram(packet.m_bytes, view, wait, packet.m_received_at, now);
   }
   // The packets to send refer to the bytes of `packets`.
   Flush();
@@ -135,7 +136,7 @@
     for (std::size_t index = 0; index < m_received.size(); ++index) {
       if (m_sending.IsFull())
         Flush();
-      HandleDatagram(m_received.Bytes(index), view, now, now);
+      HandleDatagram(m_received.Bytes(index), view, Wait::kNone, now, now);
     }
     // The packets to send refer to the bytes of the received batch.
     Flush();
@@ -149,6 +150,7 @@
 
 void PacketLoop::HandleDatagram(std::span<const std::uint8_t> datagram,
                                 const ViewVersion& view,
+                                Wait wait,
                                 base::TimePoint received_at,
                                 base::TimePoint now) {
   const auto packet = adapter::DecodePacket(datagram);
@@ -160,18 +162,23 @@
     m_pending_packets.AddPacket(datagram, received_at);
     return;
   }
-  const steering::Decision decision = m_steering.Handle(packet.value(), now);
+  steering::Decision decision = m_steering.Handle(packet.value(), now);
   const bool is_unknown = decision.m_reason == steering::Reason::kUnknownToken;
   if (is_unknown && !m_steering.AreServersComplete()) {
     m_pending_packets.AddPacket(datagram, received_at);
     return;
   }
-  if (is_unknown && m_on_unknown_token &&
-      now - received_at < steering::PendingPackets::kMaximumTokenAge) {
-    m_packets_with_unknown_tokens.AddPacket(datagram, received_at);
-    m_on_unknown_token(now);
+  const bool may_be_allowed =
+      is_unknown || decision.m_reason == steering::Reason::kDenialNotConfirmed;
+  if (may_be_allowed && m_on_newer_view_needed &&
+      now - received_at < steering::PendingPackets::kMaximumViewWait) {
+    m_packets_awaiting_view.AddPacket(datagram, received_at);
+    m_on_newer_view_needed(now);
     return;
   }
+  if (wait == Wait::kNewerView &&
+      decision.m_reason == steering::Reason::kTokenFollowed)
+    decision.m_reason = steering::Reason::kAllowedByNewerView;
   m_metrics.CountDecision(decision);
   m_log.Write(packet.value(),
               adapter::FindRequestId(adapter::PayloadOf(datagram)), decision,
--- a/Services/Edge/packet_loop.h
+++ b/Services/Edge/packet_loop.h
@@ -38,7 +38,7 @@
   using BatchHandler = std::function<void(base::TimePoint now)>;
   // Called when a packet has a token that no known server has: another balancer
   // placed the flow on a server that this one does not know yet.
-  using UnknownTokenHandler = std::function<void(base::TimePoint now)>;
+  using NewerViewHandler = std::function<void(base::TimePoint now)>;
 
   // Binds the socket; errors are those of the system. Callers receive packets
   // at `caller_port`. The references must outlive the loop.
@@ -60,17 +60,17 @@
 
   // Commands.
   void Start() { WaitForPackets(); }
-  void SetUnknownTokenHandler(UnknownTokenHandler handler) {
-    m_on_unknown_token = std::move(handler);
+  void SetNewerViewHandler(NewerViewHandler handler) {
+    m_on_newer_view_needed = std::move(handler);
   }
   // Sends each opening whose resend is due to a further server.
   void SendDueResends();
   // Handles the packets that arrived before routes and servers were known.
   // Returns how many.
   std::size_t HandlePendingPackets();
-  // Handles the packets with unknown tokens. To be called when servers were
-  // added, and to drop old packets.
-  void HandlePacketsWithUnknownTokens();
+  // Handles the packets whose flows a newer view may allow. To be called when
+  // the view has changed or was confirmed, and to give up waiting.
+  void HandlePacketsAwaitingView();
   // Removes the saved openings that will not be resent.
   void Sweep();
 
@@ -89,10 +89,15 @@
 
   void WaitForPackets();
   void ReceivePackets();
+  // What a packet has waited for before it is handled.
+  enum class Wait { kNone, kFirstView, kNewerView };
+
   void HandlePackets(
-      const std::vector<steering::PendingPackets::Packet>& packets);
+      const std::vector<steering::PendingPackets::Packet>& packets,
+      Wait wait);
   void HandleDatagram(std::span<const std::uint8_t> datagram,
                       const ViewVersion& view,
+                      Wait wait,
                       base::TimePoint received_at,
                       base::TimePoint now);
   // Saves the header of an opening for a resend.
@@ -117,8 +122,8 @@
   // The openings that may be resent to a further server.
   Openings m_openings;
   steering::PendingPackets m_pending_packets;
-  steering::PendingPackets m_packets_with_unknown_tokens;
-  UnknownTokenHandler m_on_unknown_token;
+  steering::PendingPackets m_packets_awaiting_view;
+  NewerViewHandler m_on_newer_view_needed;
   base::TimePoint m_last_packet;
 };
 
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -68,6 +68,11 @@
   SendOrScheduleCall();
 }
 
+void StoreReader::EndPause() {
+  m_watcher.EndPause(base::Clock::now());
+  SendOrScheduleCall();
+}
+
 void StoreReader::SendOrScheduleCall() {
   if (!m_is_active)
     return;
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -73,6 +73,8 @@
   // Needed after a pause of the process, when the call's connection may be
   // dead.
   void RestartCall();
+  // Sends the next watch at once if the reader pauses between two.
+  void EndPause();
   // See CollectionWatcher::AdoptRevision.
   bool AdoptRevision(catalog::Revision revision) {
     return m_watcher.AdoptRevision(revision);
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -120,6 +120,11 @@
   owner.m_on_reader_status = [this](const feed::StoreStatus& status) {
     OnReaderStatus(status);
   };
+  owner.m_on_fed = [this](base::TimePoint current_as_of) {
+    m_fed_view_current_as_of =
+        std::max(m_fed_view_current_as_of, std::optional(current_as_of));
+    OnViewConfirmed(base::Clock::now());
+  };
   owner.m_on_refused = [this](base::Endpoint peer, std::string_view reason) {
     m_log.WriteFeedRefused(peer, reason, base::Clock::now());
   };
@@ -185,11 +190,17 @@
     m_load_collector.Apply(m_load.fleet(), m_steering, now);
   }
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
+  m_steering.SetViewCurrentAsOf(ViewCurrentAsOf(now));
   m_log.WriteServerChanges(m_view.ApplyDueRemovals(now),
                            m_servers.watcher().KnownRevision(), "lapse", now);
   LimitWaitForEvacuations(now);
 }
 
+void ViewUpdater::OnViewConfirmed(base::TimePoint now) {
+  m_steering.SetViewCurrentAsOf(ViewCurrentAsOf(now));
+  m_on_change();
+}
+
 void ViewUpdater::OnPaused(base::TimePoint now) {
   m_servers.RestartCall();
   m_manifests.RestartCall();
@@ -239,9 +250,8 @@
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
   status.m_manifest_version = m_steering.routes().Version();
-  if (servers.ConfirmedAt() && manifests.ConfirmedAt())
-    status.m_confirmed_age =
-        now - std::min(*servers.ConfirmedAt(), *manifests.ConfirmedAt());
+  if (const auto current_as_of = OwnViewCurrentAsOf(now))
+    status.m_view_age = now - *current_as_of;
   const catalog::DelayedRemovals& removals = m_view.delayed_removals();
   status.m_is_in_outage = removals.IsInOutage();
   if (removals.OutageEndedAt())
@@ -295,8 +305,6 @@
 // readers only.
 void ViewUpdater::OnReaderStatus(const feed::StoreStatus& status) {
   const base::TimePoint now = base::Clock::now();
-  if (status.m_confirmed_age)
-    m_reader_confirmed_at = now - *status.m_confirmed_age;
   if (m_feed->member().ShouldReadStore(now))
     return;
   m_view.SetOutage(status.m_is_in_outage,
@@ -340,14 +348,37 @@
   version.m_store_era =
       std::max(servers, m_manifests.watcher().KnownRevision()).era().value();
   version.m_servers_revision = servers.number();
-  const auto confirmed =
-      std::max(m_servers.watcher().ConfirmedAt(), m_reader_confirmed_at);
-  if (confirmed)
-    version.m_servers_age = now - *confirmed;
+  if (const auto current_as_of = ViewCurrentAsOf(now))
+    version.m_servers_age = now - *current_as_of;
   version.m_manifest_version = m_steering.routes().Version().value();
   return version;
 }
 
+std::optional<base::TimePoint> ViewUpdater::OwnViewCurrentAsOf(
+    base::TimePoint now) const {
+  // An empty optional is less than any time.
+  return std::min(m_servers.watcher().CurrentAsOf(now),
+                  m_manifests.watcher().CurrentAsOf(now));
+}
+
+std::optional<base::TimePoint> ViewUpdater::ViewCurrentAsOf(
+    base::TimePoint now) const {
+  return std::max(OwnViewCurrentAsOf(now), m_fed_view_current_as_of);
+}
+
+void ViewUpdater::RequestNewerView(base::TimePoint now) {
+  if (m_newer_view_requested_at && now - *m_newer_view_requested_at <
+                                       feed::FeedMember::kRequestedPollInterval)
+    return;
+  m_newer_view_requested_at = now;
+  if (IsReader()) {
+    m_servers.EndPause();
+    m_manifests.EndPause();
+  }
+  if (m_feed)
+    m_feed->RequestChanges(now);
+}
+
 bool ViewUpdater::AreRoutesCurrent(base::TimePoint now) const {
   const auto fed_at = m_feed ? m_feed->member().FedAt() : std::nullopt;
   if (fed_at && now - *fed_at < kRoutesCurrentFor)
@@ -419,7 +450,7 @@
       OnEvacuations(update, now);
       break;
   }
-  m_on_change();
+  OnViewConfirmed(now);
   // The next call is not sent if this balancer is not to read the store.
   if (m_feed)
     m_feed->Advance();
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -48,6 +48,9 @@
 
   // Queries.
   ViewVersion Version(base::TimePoint now) const;
+  // The view contains all changes made before this time; nothing if that is not
+  // known of any time.
+  std::optional<base::TimePoint> ViewCurrentAsOf(base::TimePoint now) const;
   // Whether the routes are known to be the newest.
   bool AreRoutesCurrent(base::TimePoint now) const;
   // Whether this balancer reads the store for its peers.
@@ -78,12 +81,9 @@
   // or if the store has lost a manifest that a peer has in force.
   // To be called at the interval of these requests.
   void RequestSnapshotIfCutOff(base::TimePoint now);
-  // A packet has the token of a server that is not known: peers may know newer
-  // servers.
-  void RequestNewServers(base::TimePoint now) {
-    if (m_feed)
-      m_feed->RequestChanges(now);
-  }
+  // A packet has the token of a server that is not known, or is of a flow that
+  // the view denies: a newer view may allow it.
+  void RequestNewerView(base::TimePoint now);
   // The process was paused: the view may be outdated, and the connections of
   // open calls may be dead.
   void OnPaused(base::TimePoint now);
@@ -97,6 +97,10 @@
   // Applies the settings and the manifest in force to the load exchange.
   void UpdateLoadExchange();
   feed::StoreStatus Status(base::TimePoint now) const;
+  // The same as ViewCurrentAsOf, by this balancer's own calls alone.
+  std::optional<base::TimePoint> OwnViewCurrentAsOf(base::TimePoint now) const;
+  // The view may contain all changes up to a later time than before.
+  void OnViewConfirmed(base::TimePoint now);
   void ApplyRole(base::TimePoint now);
   void OnReaderStatus(const feed::StoreStatus& status);
   // A peer's servers at `revision` are to replace those known at `former`.
@@ -142,8 +146,10 @@
   LoadCollector m_load_collector;
   bool m_exchanges_load = false;
   bool m_was_reader = false;
-  // When the store confirmed the servers to the reader that responded last.
-  std::optional<base::TimePoint> m_reader_confirmed_at;
+  // The time up to which the views of readers that were adopted or equal this
+  // balancer's contain all changes.
+  std::optional<base::TimePoint> m_fed_view_current_as_of;
+  std::optional<base::TimePoint> m_newer_view_requested_at;
   base::TimePoint m_started_at;
   // When the first view was complete but for the evacuations.
   std::optional<base::TimePoint> m_waits_for_evacuations_since;
--- a/Tests/Fuzz/fuzz_caller_packet.cc
+++ b/Tests/Fuzz/fuzz_caller_packet.cc
@@ -37,6 +37,7 @@
   steering.directory().Remove(steering::ServerName("i-3"), kNow);
   steering.SetServersKnown();
   steering.SetRoutesCurrent(true);
+  steering.SetViewCurrentAsOf(base::TimePoint::max());
   return steering;
 }
 
--- a/Tests/LibFeed/test_feed_codec.cc
+++ b/Tests/LibFeed/test_feed_codec.cc
@@ -38,7 +38,7 @@
   response.m_status.m_servers = {base::StoreEra(3), 371};
   response.m_status.m_evacuations = {base::StoreEra(3), 372};
   response.m_status.m_manifest_version = base::ConfigurationVersion(15);
-  response.m_status.m_confirmed_age = milliseconds(1200);
+  response.m_status.m_view_age = milliseconds(1200);
   response.m_readers = {{base::Ipv4Address(0x0A010003),
                          base::DataCentreId("hall-1"), true, milliseconds(40)}};
   response.m_delta = "delta";
@@ -66,7 +66,7 @@
   CHECK(second.m_status.m_servers == MakeResponse().m_status.m_servers);
   CHECK(second.m_status.m_evacuations == MakeResponse().m_status.m_evacuations);
   CHECK(second.m_status.m_manifest_version == base::ConfigurationVersion(15));
-  CHECK(second.m_status.m_confirmed_age == milliseconds(1200));
+  CHECK(second.m_status.m_view_age == milliseconds(1200));
   CHECK_FALSE(second.m_status.m_outage_ended_age);
   REQUIRE(second.m_readers.size() == 1);
   CHECK(second.m_readers[0].m_age == milliseconds(40));
--- a/Tests/LibLoadExchange/fleet_model.cc
+++ b/Tests/LibLoadExchange/fleet_model.cc
@@ -41,6 +41,7 @@
     steering.SetServersKnown();
     steering.ApplyManifest(steering::MakeManifest(1));
     steering.SetRoutesCurrent(true);
+    steering.SetViewCurrentAsOf(base::TimePoint::max());
     for (std::uint32_t j = 0; j < settings.m_servers; ++j) {
       auto record = steering::MakeServer("i-" + std::to_string(j));
       record.m_data_centre = DataCentre(j);
--- a/Tests/LibSteering/steering_fixture.cc
+++ b/Tests/LibSteering/steering_fixture.cc
@@ -67,6 +67,7 @@
   SetServersKnown();
   ApplyManifest(MakeManifest(1));
   SetRoutesCurrent(true);
+  SetViewCurrentAsOf(base::TimePoint::max());
 }
 
 const KnownServer* ServerOf(const Decision& decision) {
--- a/Tests/LibSteering/test_extra_openings.cc
+++ b/Tests/LibSteering/test_extra_openings.cc
@@ -20,6 +20,7 @@
     SetServersKnown();
     ApplyManifest(MakeManifest(1));
     SetRoutesCurrent(true);
+    SetViewCurrentAsOf(base::TimePoint::max());
     for (int i = 0; i < servers; ++i)
       directory().Apply(MakeServer("i-" + std::to_string(i)), At(0));
   }
--- a/Tests/LibSteering/test_steering.cc
+++ b/Tests/LibSteering/test_steering.cc
@@ -249,6 +249,45 @@
   CHECK(decision.m_reason == Reason::kServerGone);
 }
 
+// The balancer took a server that had returned under its name for gone, and
+// reset a flow that another balancer had placed on it.
+TEST_CASE("a flow that may be newer than the view is not reset") {
+  SteeringWithRoutes steering;
+  ServerRecord draining = MakeServer("i-1", 2);
+  draining.m_state = ServerState::kDraining;
+  steering.directory().Apply(draining, At(0));
+  steering.directory().Remove(ServerName("i-1"), At(5000));
+  steering.SetViewCurrentAsOf(At(5100));
+  const FlowToken token = TokensOf(ServerName("i-1"))[0];
+  const CallerPacket request = MakeData(1, token, 101, 500, 80);
+
+  const Decision decision = steering.Handle(request, At(5200));
+  CHECK(ServerOf(decision) != nullptr);
+  CHECK(decision.m_reason == Reason::kDenialNotConfirmed);
+
+  // The view is confirmed after the flow was seen first, and still denies it.
+  steering.SetViewCurrentAsOf(At(5300));
+  CHECK(IsReset(steering.Handle(request, At(5400))));
+}
+
+TEST_CASE("a flow whose route may be back is not reset") {
+  SteeringWithRoutes steering;
+  steering.directory().Apply(MakeServer("i-1"), At(0));
+  Manifest empty;
+  empty.m_version = base::ConfigurationVersion(2);
+  steering.ApplyManifest(empty);
+  steering.SetViewCurrentAsOf(At(90));
+  const FlowToken token = TokensOf(ServerName("i-1"))[0];
+  const CallerPacket request = MakeData(1, token, 101, 500, 80);
+
+  const Decision decision = steering.Handle(request, At(100));
+  CHECK(ServerOf(decision) != nullptr);
+  CHECK(decision.m_reason == Reason::kDenialNotConfirmed);
+
+  steering.SetViewCurrentAsOf(At(110));
+  CHECK(IsReset(steering.Handle(request, At(300))));
+}
+
 TEST_CASE("flows of a server whose record expired continue while it answers") {
   SteeringWithRoutes steering;
   steering.directory().Apply(MakeServer("i-1"), At(0));
