--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -54,16 +54,16 @@
   Store store(record);
   Fleet fleet(record, store, program, folder, octet, {});
   fleet.SetZones({"hall-1", "hall-2", "hall-3"});
-  // Four machines in one zone and two in each of the others. Another one is
+  // Six machines in one zone and two in each of the others. Another one is
   // added later.
-  for (const std::uint8_t last : {11, 12, 13, 14})
+  for (const std::uint8_t last : {11, 12, 13, 14, 16, 17})
     fleet.Add("hall-1", Ip(octet, 1, last));
   for (const std::uint8_t last : {11, 12})
     fleet.Add("hall-2", Ip(octet, 2, last));
   for (const std::uint8_t last : {11, 12})
     fleet.Add("hall-3", Ip(octet, 3, last));
   const std::size_t added = fleet.Add("hall-1", Ip(octet, 1, 15));
-  fleet.SetSeeds({0, 1, 4});
+  fleet.SetSeeds({0, 1, 6});
 
   std::vector<std::unique_ptr<Server>> servers;
   for (int i = 0; i < 6; ++i) {
