Services/Edge: Log what the age of a balancer's view rests on

The log names the view's age (servers_age_ms), but not whether it rests on the balancer's own calls to the store or on a reader's response, so it cannot tell apart the balancers that could be wrong.

Change: request_forwarded, request_repeated, flow_reset and packet_dropped of established flows have the field confirmed_by: "store", the address of the reader, or "none".

--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -40,6 +40,14 @@
   return view.m_servers_age ? base::WholeMilliseconds(*view.m_servers_age) : -1;
 }
 
+// What the age of the view rests on: "store", the address of a reader, or
+// "none".
+std::string ConfirmedBy(const ViewVersion& view) {
+  if (!view.m_servers_age)
+    return "none";
+  return view.m_confirmed_by ? ToString(*view.m_confirmed_by) : "store";
+}
+
 Event OpeningEventOf(const steering::Decision& decision) {
   if (std::holds_alternative<steering::Reset>(decision.m_action))
     return Event::kOpeningRefused;
@@ -175,6 +183,7 @@
                {"in_progress", RequestsInProgressOf(decision)},
                {"servers_revision", view.m_servers_revision},
                {"servers_age_ms", ServersAgeMilliseconds(view)},
+               {"confirmed_by", ConfirmedBy(view)},
                {"manifest", view.m_manifest_version}});
 }
 
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string_view>
 
+#include "LibBase/ipv4.h"
 #include "LibBase/time.h"
 #include "LibFlow/flow_key.h"
 #include "LibObservability/non_blocking_log.h"
@@ -26,6 +27,9 @@
   // All changes of servers and manifest that are older are in the view; nothing
   // if that is not known of any age.
   std::optional<base::Duration> m_servers_age;
+  // The reader whose response the age rests on; nothing if it rests on this
+  // balancer's own calls.
+  std::optional<base::Ipv4Address> m_confirmed_by;
   std::uint64_t m_manifest_version = 0;
 };
 
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -247,7 +247,7 @@
       break;
     case feed::ResponseVerdict::kNothingNew:
       m_owner.m_on_reader_status(response.m_status);
-      RecordFed(ViewCurrentAsOf(response.m_status));
+      RecordFed(source, ViewCurrentAsOf(response.m_status));
       break;
     case feed::ResponseVerdict::kHasChanges:
       m_owner.m_on_reader_status(response.m_status);
@@ -290,9 +290,10 @@
              : std::nullopt;
 }
 
-void FeedLink::RecordFed(std::optional<base::TimePoint> current_as_of) {
+void FeedLink::RecordFed(base::Endpoint reader,
+                         std::optional<base::TimePoint> current_as_of) {
   if (current_as_of)
-    m_owner.m_on_fed(*current_as_of);
+    m_owner.m_on_fed(reader, *current_as_of);
 }
 
 void FeedLink::FetchChanges(base::Endpoint peer,
@@ -330,7 +331,7 @@
     return;
   }
   m_member.OnChangesApplied(base::Clock::now());
-  RecordFed(current_as_of);
+  RecordFed(peer, current_as_of);
 }
 
 const std::string* FeedLink::ChangesSince(const catalog::KnownView& since,
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -40,9 +40,10 @@
       m_apply;
   // A current reader has responded.
   std::function<void(const feed::StoreStatus& status)> m_on_reader_status;
-  // The view is that of a reader, or newer. It contains all changes made before
+  // The view is that of `reader`, or newer. It contains all changes made before
   // `current_as_of`.
-  std::function<void(base::TimePoint current_as_of)> m_on_fed;
+  std::function<void(base::Endpoint reader, base::TimePoint current_as_of)>
+      m_on_fed;
   // A message or a response was not used.
   std::function<void(base::Endpoint peer, std::string_view reason)>
       m_on_refused;
@@ -124,12 +125,13 @@
   // Sends the message without its load if it does not fit into a datagram
   // otherwise.
   void Send(base::Endpoint peer, feed::FeedMessage message);
-  // Fetches the changes that did not fit into a response.
   // The time up to which the view of a reader contains all changes, by the
   // status in its response.
   std::optional<base::TimePoint> ViewCurrentAsOf(
       const feed::StoreStatus& status) const;
-  void RecordFed(std::optional<base::TimePoint> current_as_of);
+  void RecordFed(base::Endpoint reader,
+                 std::optional<base::TimePoint> current_as_of);
+  // Fetches the changes that did not fit into a response.
   void FetchChanges(base::Endpoint peer,
                     const feed::StoreStatus& own,
                     std::optional<base::TimePoint> current_as_of);
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -120,9 +120,12 @@
   owner.m_on_reader_status = [this](const feed::StoreStatus& status) {
     OnReaderStatus(status);
   };
-  owner.m_on_fed = [this](base::TimePoint current_as_of) {
-    m_fed_view_current_as_of =
-        std::max(m_fed_view_current_as_of, std::optional(current_as_of));
+  owner.m_on_fed = [this](base::Endpoint reader,
+                          base::TimePoint current_as_of) {
+    if (m_fed_view_current_as_of < current_as_of) {
+      m_fed_view_current_as_of = current_as_of;
+      m_confirming_reader = reader.m_address;
+    }
     OnViewConfirmed(base::Clock::now());
   };
   owner.m_on_refused = [this](base::Endpoint peer, std::string_view reason) {
@@ -350,6 +353,8 @@
   version.m_servers_revision = servers.number();
   if (const auto current_as_of = ViewCurrentAsOf(now))
     version.m_servers_age = now - *current_as_of;
+  if (OwnViewCurrentAsOf(now) < m_fed_view_current_as_of)
+    version.m_confirmed_by = m_confirming_reader;
   version.m_manifest_version = m_steering.routes().Version().value();
   return version;
 }
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -146,9 +146,10 @@
   LoadCollector m_load_collector;
   bool m_exchanges_load = false;
   bool m_was_reader = false;
-  // The time up to which the views of readers that were adopted or equal this
-  // balancer's contain all changes.
+  // The time up to which the view of m_confirming_reader, which was adopted or
+  // equals this balancer's, contains all changes.
   std::optional<base::TimePoint> m_fed_view_current_as_of;
+  base::Ipv4Address m_confirming_reader;
   std::optional<base::TimePoint> m_newer_view_requested_at;
   base::TimePoint m_started_at;
   // When the first view was complete but for the evacuations.
