LibCatalog: Prove the age of a view by responses only

Cause: while its watch was open, CollectionWatcher::CurrentAsOf took the view for current as of 400 ms ago, until the watch was overdue, up to 1.8 s after its start. Nothing had been received in that time; an open watch looks the same in a calm moment and behind a cut. Followers took the time over, and Steering::Deny resets a denied flow that is older than it. Ruled out: a response held up by the cut (no revision changes after it) and the follower's maximum, which is right if each statement is, since a view loses no changes. Change: the start of the last list or watch that the store responded to is the only proof. This also ends the same claim after a response, which may have been sent at the start of its call. A watch whose events a peer's view already contains now counts, too. Why it works: a linearizable response to a call contains all changes made before the call was sent, however long the response is held up. Tests: the test of CurrentAsOf stated the false claim ('and of the recent past while a watch is open'); the one in its place checks each step as exactly, and fails on the former code.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -33,15 +33,6 @@
   return now <= expected + m_policy.m_overdue_response;
 }
 
-std::optional<base::TimePoint> CollectionWatcher::CurrentAsOf(
-    base::TimePoint now) const {
-  const base::TimePoint since = now - m_policy.m_overdue_response;
-  const bool is_watched = IsWatching() && m_call_started_at <= since &&
-                          m_watch_since == m_revision && IsCurrent(now);
-  return std::max(m_current_as_of,
-                  is_watched ? std::optional(since) : std::nullopt);
-}
-
 bool CollectionWatcher::IsConfirmedRecently(base::TimePoint now) const {
   // A watch confirms the time of its start, and the next one may take as long.
   const base::Duration longest = 2 * m_policy.m_watch_wait +
@@ -76,7 +67,6 @@
 CollectionWatcher::Outcome CollectionWatcher::HandleResult(
     const CallResult& response,
     base::TimePoint now) {
-  const auto current_as_of = CurrentAsOf(now);
   m_is_call_open = false;
   const bool was_failing = m_failing_since.has_value();
   const Revision former = m_revision;
@@ -100,14 +90,6 @@
   const bool is_failing = m_failing_since.has_value();
   if (!is_failing)
     m_responded_at = now;
-  const bool is_confirmed = outcome.m_update == CollectionUpdate::kChanged ||
-                            outcome.m_update == CollectionUpdate::kListComplete;
-  if (is_confirmed)
-    m_current_as_of = std::max(
-        current_as_of,
-        std::optional(outcome.m_update == CollectionUpdate::kListComplete
-                          ? m_list_started_at
-                          : m_call_started_at));
   const bool is_late =
       now - m_call_started_at > m_call_wait + m_policy.m_late_response;
   outcome.m_is_store_lost = !was_failing && (is_failing || is_late);
@@ -172,6 +154,7 @@
   m_has_adopted_list = false;
   m_revision = listed;
   m_confirmed_at = m_call_started_at;
+  m_current_as_of = m_list_started_at;
   return CollectionUpdate::kListComplete;
 }
 
@@ -198,6 +181,7 @@
     return CollectionUpdate::kNone;
   }
   m_confirmed_at = m_call_started_at;
+  m_current_as_of = m_call_started_at;
   // A watch that took at least as long as the pause needs no further pause.
   const bool has_waited =
       now - m_call_started_at >= m_policy.m_pause_between_watches;
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -86,11 +86,9 @@
   // The start of the last call that confirmed the known revision.
   std::optional<base::TimePoint> ConfirmedAt() const { return m_confirmed_at; }
   // All changes made before this time are known: the start of the last list or
-  // watch that was applied or, if it is later, m_overdue_response before
-  // `now` or before the last response, if a watch was open all that time. The
-  // store reports a change as soon as there is one. Nothing before the first
-  // list.
-  std::optional<base::TimePoint> CurrentAsOf(base::TimePoint now) const;
+  // watch that the store responded to. An open call shows nothing, because its
+  // response may have been lost. Nothing before the first list.
+  std::optional<base::TimePoint> CurrentAsOf() const { return m_current_as_of; }
   // The time of the first failure since the last success, if there was one.
   // kHistoryGone does not count as a failure.
   std::optional<base::TimePoint> FailingSince() const {
@@ -166,7 +164,6 @@
   base::Duration m_call_wait{};
   base::TimePoint m_next_call_at;
   std::optional<base::TimePoint> m_confirmed_at;
-  // CurrentAsOf at the last response.
   std::optional<base::TimePoint> m_current_as_of;
   std::optional<base::TimePoint> m_failing_since;
 };
--- a/Libraries/LibFeed/store_status.h
+++ b/Libraries/LibFeed/store_status.h
@@ -31,8 +31,9 @@
   // The manifest in force. It is newer than the one in the store after the
   // store came back from a copy of its past.
   base::ConfigurationVersion m_manifest_version;
-  // All changes that are older than this are known of servers and manifest;
-  // unset if that is not known of any age.
+  // All changes that are older than this are known of servers and manifest, by
+  // the store's responses to this balancer; unset if that is not known of any
+  // age.
   std::optional<base::Duration> m_view_age;
   // Whether an outage of the store is known, and the time since the last one
   // ended. They delay removals, see catalog::DelayedRemovals.
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -126,7 +126,7 @@
       m_fed_view_current_as_of = current_as_of;
       m_confirming_reader = reader.m_address;
     }
-    OnViewConfirmed(base::Clock::now());
+    OnViewConfirmed();
   };
   owner.m_on_refused = [this](base::Endpoint peer, std::string_view reason) {
     m_log.WriteFeedRefused(peer, reason, base::Clock::now());
@@ -193,14 +193,14 @@
     m_load_collector.Apply(m_load.fleet(), m_steering, now);
   }
   m_steering.SetRoutesCurrent(AreRoutesCurrent(now));
-  m_steering.SetViewCurrentAsOf(ViewCurrentAsOf(now));
+  m_steering.SetViewCurrentAsOf(ViewCurrentAsOf());
   m_log.WriteServerChanges(m_view.ApplyDueRemovals(now),
                            m_servers.watcher().KnownRevision(), "lapse", now);
   LimitWaitForEvacuations(now);
 }
 
-void ViewUpdater::OnViewConfirmed(base::TimePoint now) {
-  m_steering.SetViewCurrentAsOf(ViewCurrentAsOf(now));
+void ViewUpdater::OnViewConfirmed() {
+  m_steering.SetViewCurrentAsOf(ViewCurrentAsOf());
   m_on_change();
 }
 
@@ -253,7 +253,7 @@
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
   status.m_manifest_version = m_steering.routes().Version();
-  if (const auto current_as_of = OwnViewCurrentAsOf(now))
+  if (const auto current_as_of = OwnViewCurrentAsOf())
     status.m_view_age = now - *current_as_of;
   const catalog::DelayedRemovals& removals = m_view.delayed_removals();
   status.m_is_in_outage = removals.IsInOutage();
@@ -351,24 +351,22 @@
   version.m_store_era =
       std::max(servers, m_manifests.watcher().KnownRevision()).era().value();
   version.m_servers_revision = servers.number();
-  if (const auto current_as_of = ViewCurrentAsOf(now))
+  if (const auto current_as_of = ViewCurrentAsOf())
     version.m_servers_age = now - *current_as_of;
-  if (OwnViewCurrentAsOf(now) < m_fed_view_current_as_of)
+  if (OwnViewCurrentAsOf() < m_fed_view_current_as_of)
     version.m_confirmed_by = m_confirming_reader;
   version.m_manifest_version = m_steering.routes().Version().value();
   return version;
 }
 
-std::optional<base::TimePoint> ViewUpdater::OwnViewCurrentAsOf(
-    base::TimePoint now) const {
+std::optional<base::TimePoint> ViewUpdater::OwnViewCurrentAsOf() const {
   // An empty optional is less than any time.
-  return std::min(m_servers.watcher().CurrentAsOf(now),
-                  m_manifests.watcher().CurrentAsOf(now));
+  return std::min(m_servers.watcher().CurrentAsOf(),
+                  m_manifests.watcher().CurrentAsOf());
 }
 
-std::optional<base::TimePoint> ViewUpdater::ViewCurrentAsOf(
-    base::TimePoint now) const {
-  return std::max(OwnViewCurrentAsOf(now), m_fed_view_current_as_of);
+std::optional<base::TimePoint> ViewUpdater::ViewCurrentAsOf() const {
+  return std::max(OwnViewCurrentAsOf(), m_fed_view_current_as_of);
 }
 
 void ViewUpdater::RequestNewerView(base::TimePoint now) {
@@ -455,7 +453,7 @@
       OnEvacuations(update, now);
       break;
   }
-  OnViewConfirmed(now);
+  OnViewConfirmed();
   // The next call is not sent if this balancer is not to read the store.
   if (m_feed)
     m_feed->Advance();
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -50,7 +50,7 @@
   ViewVersion Version(base::TimePoint now) const;
   // The view contains all changes made before this time; nothing if that is not
   // known of any time.
-  std::optional<base::TimePoint> ViewCurrentAsOf(base::TimePoint now) const;
+  std::optional<base::TimePoint> ViewCurrentAsOf() const;
   // Whether the routes are known to be the newest.
   bool AreRoutesCurrent(base::TimePoint now) const;
   // Whether this balancer reads the store for its peers.
@@ -98,9 +98,9 @@
   void UpdateLoadExchange();
   feed::StoreStatus Status(base::TimePoint now) const;
   // The same as ViewCurrentAsOf, by this balancer's own calls alone.
-  std::optional<base::TimePoint> OwnViewCurrentAsOf(base::TimePoint now) const;
+  std::optional<base::TimePoint> OwnViewCurrentAsOf() const;
   // The view may contain all changes up to a later time than before.
-  void OnViewConfirmed(base::TimePoint now);
+  void OnViewConfirmed();
   void ApplyRole(base::TimePoint now);
   void OnReaderStatus(const feed::StoreStatus& status);
   // A peer's servers at `revision` are to replace those known at `former`.
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -374,30 +374,45 @@
         CollectionUpdate::kChanged);
 }
 
+// A balancer that the store did not respond to claimed to know all changes up
+// to 400 ms ago while its watch was open, and flows that it or its followers
+// denied were reset, although a change that it had not received allowed them.
 TEST_CASE(
-    "a view is current as of the start of its list or watch, and of the recent "
-    "past while a watch is open") {
+    "a view is current as of the start of the last list or watch that the "
+    "store responded to, and an open call shows nothing") {
   CollectionWatcher watcher = MakeWatcher();
-  const WatcherPolicy policy;
-  CHECK_FALSE(watcher.CurrentAsOf(At(0)));
+  CHECK_FALSE(watcher.CurrentAsOf());
   watcher.StartDueCall(At(0));
   watcher.HandleResult(PageResponse{Revision(5), true, "i-50"}, At(4));
-  CHECK_FALSE(watcher.CurrentAsOf(At(4)));
+  CHECK_FALSE(watcher.CurrentAsOf());
   watcher.StartDueCall(At(40));
   watcher.HandleResult(PageResponse{Revision(8)}, At(44));
   // The changes between the pages are not known yet.
-  CHECK(watcher.CurrentAsOf(At(44)) == At(0));
+  CHECK(watcher.CurrentAsOf() == At(0));
 
   watcher.StartDueCall(At(50));
-  CHECK(watcher.CurrentAsOf(At(100)) == At(0));
-  CHECK(watcher.CurrentAsOf(At(1000)) == At(1000) - policy.m_overdue_response);
+  CHECK(watcher.IsCurrent(At(1000)));
+  CHECK(watcher.CurrentAsOf() == At(0));
+  // A response that was held up may have been sent right after the start.
   watcher.HandleResult(ChangesResponse{Revision(9)}, At(1000));
-  // In the pause before the next watch.
-  CHECK(watcher.CurrentAsOf(At(1200)) == At(1000) - policy.m_overdue_response);
+  CHECK(watcher.CurrentAsOf() == At(50));
 
   watcher.StartDueCall(At(1900));
+  CHECK(watcher.CurrentAsOf() == At(50));
   watcher.HandleResult(CallFailure::kTimedOut, At(2900));
-  CHECK(watcher.CurrentAsOf(At(3000)) == At(1000) - policy.m_overdue_response);
+  CHECK(watcher.CurrentAsOf() == At(50));
+}
+
+TEST_CASE("a peer's newer view is current as of the watch that it overtook") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  const auto listed_at = watcher.CurrentAsOf();
+  watcher.StartDueCall(At(10));
+  REQUIRE(watcher.AdoptRevision(Revision(9)));
+  CHECK(watcher.CurrentAsOf() == listed_at);
+
+  watcher.HandleResult(ChangesResponse{Revision(7)}, At(20));
+
+  CHECK(watcher.CurrentAsOf() == At(10));
 }
 
 TEST_CASE("a pause between two watches can be ended, a back-off cannot") {
--- a/Tests/LibFeed/fleet_simulation.cc
+++ b/Tests/LibFeed/fleet_simulation.cc
@@ -129,6 +129,7 @@
   balancer.m_call.reset();
   balancer.m_frozen_until.reset();
   balancer.m_view = {};
+  balancer.m_fed_current_as_of.reset();
   balancer.m_is_up = true;
   balancer.m_disturbed_at = m_now;
 }
@@ -175,6 +176,8 @@
   status.m_is_current = reads && balancer.m_watcher->IsCurrent(m_now);
   status.m_servers = balancer.m_view.m_revision;
   status.m_manifest = balancer.m_view.m_revision;
+  if (const auto current_as_of = balancer.m_watcher->CurrentAsOf())
+    status.m_view_age = m_now - *current_as_of;
   return status;
 }
 
@@ -200,6 +203,7 @@
   for (std::size_t index = 0; index < m_balancers.size(); ++index)
     StepBalancer(index);
   RecordDelays();
+  CheckClaims();
 }
 
 void FleetSimulation::StepBalancer(std::size_t index) {
@@ -385,6 +389,26 @@
     ApplyChanges(balancer, responder, is_whole_view);
     balancer.m_member->OnChangesApplied(m_now);
   }
+  const bool is_fed = verdict == ResponseVerdict::kNothingNew ||
+                      verdict == ResponseVerdict::kFetchChanges ||
+                      verdict == ResponseVerdict::kHasChanges;
+  if (is_fed && response.m_status.m_view_age)
+    balancer.m_fed_current_as_of =
+        std::max(balancer.m_fed_current_as_of,
+                 std::optional(balancer.m_member->LastAnsweredPollAt() -
+                               *response.m_status.m_view_age));
+}
+
+void FleetSimulation::CheckClaims() {
+  for (Balancer& balancer : m_balancers) {
+    const auto current_as_of = CurrentAsOf(balancer);
+    if (!CanRun(balancer) || !current_as_of)
+      continue;
+    const bool lacks_change =
+        balancer.m_view.m_state != m_history.back() &&
+        FirstUnknownChange(balancer.m_view) < *current_as_of;
+    m_false_claims += lacks_change ? 1 : 0;
+  }
 }
 
 // A change is overdue at every undisturbed balancer that does not know it. A
--- a/Tests/LibFeed/fleet_simulation.h
+++ b/Tests/LibFeed/fleet_simulation.h
@@ -6,6 +6,7 @@
 #ifndef TESTS_LIBFEED_FLEET_SIMULATION_H_
 #define TESTS_LIBFEED_FLEET_SIMULATION_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -77,6 +78,9 @@
   std::size_t StepsBack() const { return m_steps_back; }
   // How often changes were applied to a view that they don't follow.
   std::size_t Gaps() const { return m_gaps; }
+  // How often a balancer claimed to know all changes made before a time, and
+  // lacked one of them.
+  std::size_t FalseClaims() const { return m_false_claims; }
   // Balancers that are up and have no view.
   std::size_t WithoutView() const;
 
@@ -140,6 +144,8 @@
     std::optional<base::TimePoint> m_frozen_until;
     base::TimePoint m_disturbed_at;
     View m_view;
+    // The time up to which readers have shown the view to be complete.
+    std::optional<base::TimePoint> m_fed_current_as_of;
   };
   struct Packet {
     base::TimePoint m_at;
@@ -174,6 +180,11 @@
   void HandleRequest(std::size_t from,
                      std::size_t to,
                      const FeedRequest& request);
+  static std::optional<base::TimePoint> CurrentAsOf(const Balancer& balancer) {
+    return std::max(balancer.m_watcher->CurrentAsOf(),
+                    balancer.m_fed_current_as_of);
+  }
+  void CheckClaims();
   void HandleResponse(std::size_t from,
                       std::size_t to,
                       const FeedResponse& response,
@@ -203,6 +214,7 @@
   base::Duration m_longest_delay{};
   std::size_t m_steps_back = 0;
   std::size_t m_gaps = 0;
+  std::size_t m_false_claims = 0;
 };
 
 }  // namespace feed
--- a/Tests/LibFeed/test_fleet.cc
+++ b/Tests/LibFeed/test_fleet.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 
 #include "LibBase/random.h"
 #include "LibFeed/fleet_simulation.h"
@@ -292,4 +293,53 @@
   }
 }
 
+// A reader whose calls the store did not respond to claimed to know all changes
+// up to 400 ms ago, and its followers reset flows of routes that were back.
+TEST_CASE(
+    "no balancer claims to know changes that it lacks while readers are "
+    "cut, silent, frozen and killed") {
+  constexpr std::uint64_t kDefaultSeeds = 20;
+  const char* count = std::getenv("COLTSFOOTDALE_TEST_SEEDS");
+  const std::uint64_t seeds =
+      count == nullptr ? kDefaultSeeds : std::strtoull(count, nullptr, 10);
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    base::Random random(seed);
+    FleetOptions options;
+    options.m_balancers = 12;
+    options.m_data_centres = 3;
+    options.m_readers_per_data_centre = 1;
+    options.m_seed = seed;
+    FleetSimulation fleet(options);
+    fleet.Run(seconds(8), kChangeInterval);
+    for (int round = 0; round < 30; ++round) {
+      const std::size_t index = random.Below(fleet.size());
+      switch (random.Below(8)) {
+        case 0:
+          fleet.CutFromStore(index, true);
+          break;
+        case 1:
+          fleet.SilenceStore(index, true);
+          break;
+        case 2:
+          fleet.Freeze(index, milliseconds(200 + random.Below(3000)));
+          break;
+        case 3:
+          fleet.Kill(index);
+          fleet.Start(index);
+          break;
+        case 4:
+          fleet.CutFromStore(index, false);
+          fleet.SilenceStore(index, false);
+          break;
+        default:
+          break;
+      }
+      fleet.Run(milliseconds(50 + random.Below(1000)),
+                milliseconds(20 + random.Below(500)));
+    }
+    INFO("seed ", seed);
+    CHECK(fleet.FalseClaims() == 0);
+  }
+}
+
 }  // namespace feed
