LibFeed: Round the ages in messages up

Cause: ages were cut to whole milliseconds, so a view of 1,200.4 ms passed for one of 1,200 ms: it claimed to contain changes of up to 1 ms that it may lack. Change: SerializeAge rounds up, also for the ages of readers and outages, where a millisecond makes no difference. Tests: 'the age of a view is rounded up to whole milliseconds' fails before.

--- a/Libraries/LibFeed/feed_codec.cc
+++ b/Libraries/LibFeed/feed_codec.cc
@@ -38,12 +38,13 @@
   id = base::DataCentreId(std::move(name));
 }
 
+// Rounds up: a claim about what is known must not become newer.
 template <typename Archive>
 void SerializeAge(Archive& archive, std::optional<base::Duration>& age) {
   using std::chrono::milliseconds;
   std::uint32_t age_ms = kNoAge;
   if (age) {
-    const auto count = std::chrono::duration_cast<milliseconds>(*age).count();
+    const auto count = std::chrono::ceil<milliseconds>(*age).count();
     age_ms =
         static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, kNoAge));
   }
--- a/Tests/LibFeed/test_feed_codec.cc
+++ b/Tests/LibFeed/test_feed_codec.cc
@@ -73,6 +73,18 @@
   CHECK(second.m_delta == "delta");
 }
 
+// A view of 1,200.4 ms would have passed as one of 1,200 ms.
+TEST_CASE("the age of a view is rounded up to whole milliseconds") {
+  FeedResponse response = MakeResponse();
+  response.m_status.m_view_age = std::chrono::microseconds(1'200'400);
+
+  const auto decoded = DecodeMessage(EncodeMessage(response).value());
+
+  REQUIRE(decoded);
+  CHECK(std::get<FeedResponse>(decoded.value()).m_status.m_view_age ==
+        milliseconds(1201));
+}
+
 TEST_CASE("the largest response fits into a datagram") {
   FeedResponse response = MakeResponse();
   response.m_data_centre =
