LibFeed: Have a reader's view confirmed by the store on request

Callers would see, since the age of a view rests on responses only: a flow that is over (its server has ended, its route was dropped) and that reaches another balancer is not reset before the reader's next regular call has returned. Cause: a reader's view is confirmed once in each cycle of a pause and a watch. Change: a packet whose denial is not confirmed names the time that the view has to reach. A reader then replaces its open watch by one without a wait, or ends its pause with it, at most once in 50 ms; an overdue watch, a list and a back-off stay, so outages are detected as before. A follower's poll names the age of the view that it needs, and the reader answers once the store has confirmed its view, after 80 ms at the latest (feed::ConfirmationQueue). The age in a response is that at the receipt of the request. Messages have version 4. Packets with unknown tokens only end a pause, as before. Ruled out: waiting for the next regular call. Tests: TestLibCatalog (two cases), TestLibFeed (six), TestEdgeParts (one). The latter waits for a regular call without the change.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -58,6 +58,8 @@
 }
 
 base::Duration CollectionWatcher::NextWatchWait(base::TimePoint now) const {
+  if (NeedsConfirmation())
+    return base::Duration::zero();
   if (m_failing_since || !m_responded_at || !IsConfirmedRecently(now))
     return m_policy.m_watch_wait_in_outage;
   return std::max(m_policy.m_watch_wait - (now - *m_responded_at),
@@ -111,6 +113,25 @@
                     response);
 }
 
+bool CollectionWatcher::RequestConfirmation(base::TimePoint needed_as_of,
+                                            base::TimePoint now) {
+  m_needed_as_of = std::max(m_needed_as_of, std::optional(needed_as_of));
+  if (!NeedsConfirmation() || m_is_listing || m_failing_since)
+    return false;
+  const base::TimePoint due =
+      std::max(now, m_call_started_at + m_policy.m_confirmation_interval);
+  if (!m_is_call_open) {
+    m_next_call_at = std::min(m_next_call_at, due);
+    return false;
+  }
+  // An overdue response shows an outage, so it is awaited.
+  const bool is_waiting = now < m_call_started_at + m_call_wait;
+  if (!is_waiting)
+    return false;
+  m_next_call_at = due;
+  return true;
+}
+
 bool CollectionWatcher::AdoptRevision(Revision revision) {
   if (revision <= m_revision)
     return false;
@@ -186,6 +207,9 @@
   const bool has_waited =
       now - m_call_started_at >= m_policy.m_pause_between_watches;
   m_next_call_at = has_waited ? now : now + m_policy.m_pause_between_watches;
+  if (NeedsConfirmation())
+    m_next_call_at =
+        std::max(now, m_call_started_at + m_policy.m_confirmation_interval);
   // The peer's view contains the events and what followed them.
   if (m_watch_since != m_revision || received < m_revision)
     return CollectionUpdate::kNone;
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -40,6 +40,9 @@
   // A response that takes longer than the wait of its call plus this time was
   // delayed by an outage, in which records may have expired.
   base::Duration m_late_response = std::chrono::milliseconds(600);
+  // The least time between the starts of a watch and of the confirmation that
+  // follows it, see RequestConfirmation.
+  base::Duration m_confirmation_interval = std::chrono::milliseconds(50);
   // A call that takes longer than its wait plus this time may never return. The
   // known revision does not count as current until it does.
   base::Duration m_overdue_response = std::chrono::milliseconds(400);
@@ -124,12 +127,23 @@
     if (!m_is_call_open && !m_is_listing && !m_failing_since)
       m_next_call_at = std::min(m_next_call_at, now);
   }
+  // The changes made before `needed_as_of` have to be known soon. If they are
+  // not, makes a watch without a wait due, which the store responds to at once.
+  // Lists and the back-off after a failure are not affected. Returns whether
+  // the open watch is in the way; the owner then cancels its call and reports
+  // that with HandleCancellation.
+  [[nodiscard]] bool RequestConfirmation(base::TimePoint needed_as_of,
+                                         base::TimePoint now);
+  // The owner has cancelled the open watch.
+  void HandleCancellation() { m_is_call_open = false; }
   // Records that the owner has applied a complete list that a peer read at
   // `revision`. Returns false if `revision` is not newer than the known one.
   bool AdoptRevision(Revision revision);
 
  private:
   bool IsConfirmedRecently(base::TimePoint now) const;
+  // Whether the known changes do not reach up to m_needed_as_of.
+  bool NeedsConfirmation() const { return m_current_as_of < m_needed_as_of; }
   bool IsOfFormerEra(const CallResult& response) const;
   base::Duration NextWatchWait(base::TimePoint now) const;
   CollectionUpdate HandlePage(const PageResponse& page, base::TimePoint now);
@@ -165,6 +179,8 @@
   base::TimePoint m_next_call_at;
   std::optional<base::TimePoint> m_confirmed_at;
   std::optional<base::TimePoint> m_current_as_of;
+  // The latest time of a RequestConfirmation.
+  std::optional<base::TimePoint> m_needed_as_of;
   std::optional<base::TimePoint> m_failing_since;
 };
 
--- a/Libraries/LibFeed/feed_codec.cc
+++ b/Libraries/LibFeed/feed_codec.cc
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr std::string_view kRequestMagic = "CFQ\x03";
-constexpr std::string_view kResponseMagic = "CFR\x03";
+constexpr std::string_view kRequestMagic = "CFQ\x04";
+constexpr std::string_view kResponseMagic = "CFR\x04";
 
 // Stands for an age that does not exist, or that is longer than 49 days.
 constexpr std::uint32_t kNoAge = std::numeric_limits<std::uint32_t>::max();
@@ -72,6 +72,7 @@
   SerializeFlag(archive, request.m_is_current);
   archive(request.m_servers, request.m_manifest, request.m_evacuations,
           request.m_manifest_version);
+  SerializeAge(archive, request.m_needed_view_age);
   archive(peer::MakeBounded<std::uint16_t, FeedRequest::kMaximumLoadBytes>(
       request.m_load));
 }
--- a/Libraries/LibFeed/feed_member.cc
+++ b/Libraries/LibFeed/feed_member.cc
@@ -1,6 +1,7 @@
 #include "LibFeed/feed_member.h"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -66,7 +67,7 @@
   if (needs_feed && now >= m_next_poll_at) {
     m_next_poll_at = now + PollInterval(own, now);
     if (const auto peer = NextPeer(now))
-      polls.push_back(MakePoll(*peer, own, now));
+      polls.push_back(MakeFeedPoll(*peer, own, now));
   }
   if (m_is_reader && now >= m_next_announcement_at) {
     m_next_announcement_at = now + kAnnouncementInterval;
@@ -81,7 +82,7 @@
     const FeedRequest& request,
     const StoreStatus& own,
     base::TimePoint now) {
-  if (request.m_fleet != m_settings.m_fleet || source == m_settings.m_self)
+  if (!IsOfPeer(source, request))
     return std::nullopt;
   if (request.m_is_reader)
     m_registry.Record({source, request.m_data_centre, request.m_is_current, {}},
@@ -177,7 +178,9 @@
                     : ResponseVerdict::kFetchChanges;
 }
 
-bool FeedMember::RequestPoll(base::TimePoint now) {
+bool FeedMember::RequestPoll(std::optional<base::TimePoint> needed_as_of,
+                             base::TimePoint now) {
+  m_needed_as_of = std::max(m_needed_as_of, needed_as_of);
   if (m_poll_requested_at &&
       now - *m_poll_requested_at < kRequestedPollInterval)
     return false;
@@ -382,6 +385,18 @@
   return poll;
 }
 
+FeedPoll FeedMember::MakeFeedPoll(base::Ipv4Address peer,
+                                  const StoreStatus& own,
+                                  base::TimePoint now) {
+  FeedPoll poll = MakePoll(peer, own, now);
+  // Rounded down, so that the response, whose age is rounded up, satisfies the
+  // need.
+  if (const auto needed = std::exchange(m_needed_as_of, std::nullopt))
+    poll.m_request.m_needed_view_age =
+        std::chrono::floor<std::chrono::milliseconds>(now - *needed);
+  return poll;
+}
+
 std::vector<ReaderEntry> FeedMember::ReadersFor(
     const base::DataCentreId& data_centre,
     base::Ipv4Address requester,
--- a/Libraries/LibFeed/feed_member.h
+++ b/Libraries/LibFeed/feed_member.h
@@ -142,6 +142,10 @@
   // When Advance has to be called next.
   base::TimePoint NextAdvanceAt(const StoreStatus& own) const;
   const ReaderRegistry& registry() const { return m_registry; }
+  // Whether a request is of another balancer of this fleet.
+  bool IsOfPeer(base::Ipv4Address source, const FeedRequest& request) const {
+    return request.m_fleet == m_settings.m_fleet && source != m_settings.m_self;
+  }
 
   // Commands.
   void SetSettings(FeedSettings settings) { m_settings = std::move(settings); }
@@ -161,8 +165,11 @@
   // The changes of a response with verdict kHasChanges or kFetchChanges were
   // applied.
   void OnChangesApplied(base::TimePoint now) { RecordFed(now); }
-  // Peers know more than this balancer. Returns whether a poll is due at once.
-  bool RequestPoll(base::TimePoint now);
+  // Peers may know more than this balancer, which needs a view that contains
+  // all changes made before `needed_as_of`; nothing if it takes any newer view.
+  // Returns whether a poll is due at once.
+  bool RequestPoll(std::optional<base::TimePoint> needed_as_of,
+                   base::TimePoint now);
   // The process was paused: what it knows may be outdated.
   void OnPaused(base::TimePoint now);
 
@@ -207,6 +214,10 @@
   FeedPoll MakePoll(base::Ipv4Address peer,
                     const StoreStatus& own,
                     base::TimePoint now);
+  // A request for the changes that this balancer does not know.
+  FeedPoll MakeFeedPoll(base::Ipv4Address peer,
+                        const StoreStatus& own,
+                        base::TimePoint now);
   std::vector<ReaderEntry> ReadersFor(const base::DataCentreId& data_centre,
                                       base::Ipv4Address requester,
                                       base::TimePoint now) const;
@@ -234,6 +245,8 @@
   base::TimePoint m_next_poll_at;
   // When RequestPoll last had an effect.
   std::optional<base::TimePoint> m_poll_requested_at;
+  // The latest needed time of RequestPoll that no poll has named.
+  std::optional<base::TimePoint> m_needed_as_of;
   base::TimePoint m_next_announcement_at;
   std::vector<PendingPoll> m_pending;
   base::TimePoint m_answered_poll_at;
--- a/Libraries/LibFeed/feed_request.h
+++ b/Libraries/LibFeed/feed_request.h
@@ -6,9 +6,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "LibBase/ids.h"
+#include "LibBase/time.h"
 #include "LibCatalog/revision.h"
 
 namespace feed {
@@ -30,6 +32,9 @@
   catalog::Revision m_evacuations;
   // The manifest in force.
   base::ConfigurationVersion m_manifest_version;
+  // The sender needs a view that contains all changes made earlier than this
+  // before the request; unset if it takes any view. In whole milliseconds.
+  std::optional<base::Duration> m_needed_view_age;
   // The encoded load report of the sender, kMaximumLoadBytes at most. Empty if
   // the balancers do not exchange their load.
   std::string m_load;
--- a/Libraries/LibFeed/feed_response.h
+++ b/Libraries/LibFeed/feed_response.h
@@ -24,6 +24,7 @@
   base::DataCentreId m_data_centre;
   // The responder reads the store for others.
   bool m_is_reader = false;
+  // When the response was sent, but for the age of the view.
   StoreStatus m_status;
   // The responder knows too few readers in the requester's data centre and asks
   // the requester to read the store.
--- a/Libraries/LibSteering/decision.h
+++ b/Libraries/LibSteering/decision.h
@@ -48,8 +48,7 @@
   // The flow's server has ended.
   kServerGone,
   // The view denies the flow: its server has ended, or its route was dropped.
-  // The
-  // view may be older than the flow, so the packet is forwarded.
+  // The view may be older than the flow, so the packet is forwarded.
   kDenialNotConfirmed,
   // The packet waited for a newer view, which allows its flow.
   kAllowedByNewerView,
@@ -128,6 +127,9 @@
   // Set for an answer or a retransmission: the time since the caller's request
   // or opening.
   base::Duration m_waited{};
+  // Set if the denial of the flow is not confirmed: a view that contains all
+  // changes made before this time decides about the flow.
+  std::optional<base::TimePoint> m_needed_as_of;
   // The server that became reachable because of this packet; null if there is
   // none.
   const KnownServer* m_changed_server = nullptr;
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -475,6 +475,7 @@
   if (!m_view_current_as_of || *m_view_current_as_of < first_seen) {
     decision.m_action = Forward{&server, packet.m_token};
     decision.m_reason = Reason::kDenialNotConfirmed;
+    decision.m_needed_as_of = first_seen;
     return;
   }
   decision.m_action = Reset{packet.m_acknowledgement};
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -131,7 +131,9 @@
     return BindFailure{"packets", m_settings.m_packets, packets.error()};
   m_packets = std::move(packets).value();
   m_packets->SetNewerViewHandler(
-      [this](base::TimePoint now) { m_view.RequestNewerView(now); });
+      [this](std::optional<base::TimePoint> needed_as_of, base::TimePoint now) {
+        m_view.RequestNewerView(needed_as_of, now);
+      });
   auto metrics = ListenForHttp(
       "metrics", m_settings.m_metrics,
       [this](std::string_view path) { return MetricsResponse(path); });
--- a/Services/Edge/feed_link.cc
+++ b/Services/Edge/feed_link.cc
@@ -122,14 +122,16 @@
   Advance();
 }
 
-void FeedLink::RequestChanges(base::TimePoint now) {
-  if (m_member.RequestPoll(now))
+void FeedLink::RequestChanges(std::optional<base::TimePoint> needed_as_of,
+                              base::TimePoint now) {
+  if (m_member.RequestPoll(needed_as_of, now))
     Advance();
 }
 
 void FeedLink::Advance() {
   const base::TimePoint now = base::Clock::now();
   const feed::StoreStatus status = m_owner.m_status(now);
+  AnswerWaiting(status, now);
   for (feed::FeedPoll& poll : m_member.Advance(status, now)) {
     poll.m_request.m_load =
         m_owner.m_request_load(poll.m_request.m_is_reader, now);
@@ -142,8 +144,10 @@
 void FeedLink::ArmTimer(const feed::StoreStatus& status, base::TimePoint now) {
   // Bounds the wake-ups if a deadline has passed and nothing is to be done.
   constexpr base::Duration kMinimumWait = std::chrono::milliseconds(5);
-  m_timer.expires_at(
-      std::max(m_member.NextAdvanceAt(status), now + kMinimumWait));
+  const base::TimePoint next = std::min(
+      m_member.NextAdvanceAt(status),
+      m_waiting_requests.NextDeadline().value_or(base::TimePoint::max()));
+  m_timer.expires_at(std::max(next, now + kMinimumWait));
   m_timer.async_wait([this](const std::error_code& error) {
     if (!error)
       Advance();
@@ -184,7 +188,7 @@
   }
   std::visit(base::Overloaded{
                  [&](const feed::FeedRequest& request) {
-                   HandleRequest(source, request);
+                   HandleRequest({source, request, base::Clock::now()});
                  },
                  [&](const feed::FeedResponse& response) {
                    HandleResponse(source, response);
@@ -193,15 +197,39 @@
              message.value());
 }
 
-void FeedLink::HandleRequest(base::Endpoint source,
-                             const feed::FeedRequest& request) {
-  const base::TimePoint now = base::Clock::now();
+void FeedLink::HandleRequest(feed::ReceivedRequest request) {
+  const base::TimePoint now = request.m_received_at;
   const feed::StoreStatus own = m_owner.m_status(now);
+  const bool may_wait =
+      m_member.IsReader() &&
+      m_member.IsOfPeer(request.m_source.m_address, request.m_request);
+  if (!may_wait || !m_waiting_requests.ShouldWait(request, own, now)) {
+    Answer(request, own, now);
+    return;
+  }
+  m_waiting_requests.Add(std::move(request));
+  m_owner.m_confirm_view(*m_waiting_requests.NeededAsOf());
+  ArmTimer(own, now);
+}
+
+void FeedLink::AnswerWaiting(const feed::StoreStatus& own,
+                             base::TimePoint now) {
+  for (const feed::ReceivedRequest& request :
+       m_waiting_requests.PopDue(own, now))
+    Answer(request, own, now);
+}
+
+void FeedLink::Answer(const feed::ReceivedRequest& received,
+                      const feed::StoreStatus& own,
+                      base::TimePoint now) {
+  const base::Endpoint source = received.m_source;
+  const feed::FeedRequest& request = received.m_request;
   auto response = m_member.HandleRequest(source.m_address, request, own, now);
   if (!response) {
     m_owner.m_on_refused(source, "other_fleet");
     return;
   }
+  response->m_status.m_view_age = received.AgeAtReceipt(own.m_view_age, now);
   // A requester that names no revision of the evacuations may not need them; if
   // it does, it fetches them with the rest of its first view.
   const bool has_evacuations = request.m_evacuations != catalog::Revision() &&
@@ -284,7 +312,7 @@
 
 std::optional<base::TimePoint> FeedLink::ViewCurrentAsOf(
     const feed::StoreStatus& status) const {
-  // The reader's status is not older than the poll.
+  // The reader received the poll after it was sent.
   return status.m_view_age
              ? std::optional(m_member.LastAnsweredPollAt() - *status.m_view_age)
              : std::nullopt;
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -22,8 +22,10 @@
 #include "LibCatalog/known_view.h"
 #include "LibCatalog/view_delta.h"
 #include "LibEventLoop/http_text_server.h"
+#include "LibFeed/confirmation_queue.h"
 #include "LibFeed/feed_codec.h"
 #include "LibFeed/feed_member.h"
+#include "LibFeed/received_request.h"
 #include "LibFeed/transfer_budget.h"
 #include "LibHttp/client.h"
 
@@ -62,6 +64,9 @@
   std::function<
       void(base::Endpoint peer, std::string_view load, base::TimePoint now)>
       m_on_response_load;
+  // Has the store confirm that the view contains all changes made before
+  // `needed_as_of`, if this balancer reads it.
+  std::function<void(base::TimePoint needed_as_of)> m_confirm_view;
   // The member's role may have changed.
   std::function<void(base::TimePoint now)> m_on_role;
 };
@@ -91,8 +96,9 @@
     m_member.SetSettings(settings);
   }
   void OnPaused(base::TimePoint now);
-  // A peer knows more than this balancer: polls a reader soon.
-  void RequestChanges(base::TimePoint now);
+  // Polls a reader soon, see FeedMember::RequestPoll.
+  void RequestChanges(std::optional<base::TimePoint> needed_as_of,
+                      base::TimePoint now);
   // Updates the role and sends the requests that are due. To be called when the
   // status of the store changes; a timer does the rest.
   void Advance();
@@ -119,7 +125,12 @@
   void WaitForMessages();
   void ReceiveMessages();
   void HandleMessage(base::Endpoint source, std::string_view bytes);
-  void HandleRequest(base::Endpoint source, const feed::FeedRequest& request);
+  void HandleRequest(feed::ReceivedRequest request);
+  // Answers the requests that no longer wait for a confirmation.
+  void AnswerWaiting(const feed::StoreStatus& own, base::TimePoint now);
+  void Answer(const feed::ReceivedRequest& request,
+              const feed::StoreStatus& own,
+              base::TimePoint now);
   void HandleResponse(base::Endpoint source,
                       const feed::FeedResponse& response);
   // Sends the message without its load if it does not fit into a datagram
@@ -149,6 +160,7 @@
   asio::steady_timer m_timer;
   base::Endpoint m_endpoint;
   feed::FeedMember m_member;
+  feed::ConfirmationQueue m_waiting_requests;
   feed::TransferBudget m_budget;
   FeedOwner m_owner;
   http::Client m_client;
--- a/Services/Edge/packet_loop.cc
+++ b/Services/Edge/packet_loop.cc
@@ -173,7 +173,7 @@
   if (may_be_allowed && m_on_newer_view_needed &&
       now - received_at < steering::PendingPackets::kMaximumViewWait) {
     m_packets_awaiting_view.AddPacket(datagram, received_at);
-    m_on_newer_view_needed(now);
+    m_on_newer_view_needed(decision.m_needed_as_of, now);
     return;
   }
   if (wait == Wait::kNewerView &&
--- a/Services/Edge/packet_loop.h
+++ b/Services/Edge/packet_loop.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -36,9 +37,13 @@
   // Called after packets were handled. They may have made servers suspected, so
   // that probes are due.
   using BatchHandler = std::function<void(base::TimePoint now)>;
-  // Called when a packet has a token that no known server has: another balancer
+  // Called when a newer view may allow the flow of a packet. If the view denies
+  // the flow, one that contains all changes made before `needed_as_of` decides.
+  // Otherwise the packet has a token that no known server has: another balancer
   // placed the flow on a server that this one does not know yet.
-  using NewerViewHandler = std::function<void(base::TimePoint now)>;
+  using NewerViewHandler =
+      std::function<void(std::optional<base::TimePoint> needed_as_of,
+                         base::TimePoint now)>;
 
   // Binds the socket; errors are those of the system. Callers receive packets
   // at `caller_port`. The references must outlive the loop.
@@ -87,11 +92,11 @@
                                       adapter::PacketHeader,
                                       steering::FlowTracker::FlowHash>;
 
-  void WaitForPackets();
-  void ReceivePackets();
   // What a packet has waited for before it is handled.
   enum class Wait { kNone, kFirstView, kNewerView };
 
+  void WaitForPackets();
+  void ReceivePackets();
   void HandlePackets(
       const std::vector<steering::PendingPackets::Packet>& packets,
       Wait wait);
--- a/Services/Edge/store_reader.cc
+++ b/Services/Edge/store_reader.cc
@@ -73,6 +73,18 @@
   SendOrScheduleCall();
 }
 
+void StoreReader::RequestConfirmation(base::TimePoint needed_as_of) {
+  if (!m_is_active)
+    return;
+  const bool is_in_the_way =
+      m_watcher.RequestConfirmation(needed_as_of, base::Clock::now());
+  if (is_in_the_way && m_open_call) {
+    m_client.Cancel(*std::exchange(m_open_call, std::nullopt));
+    m_watcher.HandleCancellation();
+  }
+  SendOrScheduleCall();
+}
+
 void StoreReader::SendOrScheduleCall() {
   if (!m_is_active)
     return;
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -75,6 +75,9 @@
   void RestartCall();
   // Sends the next watch at once if the reader pauses between two.
   void EndPause();
+  // Confirms by a call to the store, if active, that all changes made before
+  // `needed_as_of` are known.
+  void RequestConfirmation(base::TimePoint needed_as_of);
   // See CollectionWatcher::AdoptRevision.
   bool AdoptRevision(catalog::Revision revision) {
     return m_watcher.AdoptRevision(revision);
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -131,6 +131,9 @@
   owner.m_on_refused = [this](base::Endpoint peer, std::string_view reason) {
     m_log.WriteFeedRefused(peer, reason, base::Clock::now());
   };
+  owner.m_confirm_view = [this](base::TimePoint needed_as_of) {
+    RequestConfirmation(needed_as_of);
+  };
   owner.m_on_role = [this](base::TimePoint now) { ApplyRole(now); };
   ConnectLoadExchange(owner);
   return owner;
@@ -369,17 +372,29 @@
   return std::max(OwnViewCurrentAsOf(), m_fed_view_current_as_of);
 }
 
-void ViewUpdater::RequestNewerView(base::TimePoint now) {
-  if (m_newer_view_requested_at && now - *m_newer_view_requested_at <
-                                       feed::FeedMember::kRequestedPollInterval)
-    return;
-  m_newer_view_requested_at = now;
-  if (IsReader()) {
-    m_servers.EndPause();
-    m_manifests.EndPause();
-  }
+void ViewUpdater::RequestNewerView(std::optional<base::TimePoint> needed_as_of,
+                                   base::TimePoint now) {
+  if (IsReader() && needed_as_of)
+    RequestConfirmation(*needed_as_of);
+  else if (IsReader())
+    EndPauses(now);
   if (m_feed)
-    m_feed->RequestChanges(now);
+    m_feed->RequestChanges(needed_as_of, now);
+}
+
+void ViewUpdater::RequestConfirmation(base::TimePoint needed_as_of) {
+  m_servers.RequestConfirmation(needed_as_of);
+  m_manifests.RequestConfirmation(needed_as_of);
+}
+
+void ViewUpdater::EndPauses(base::TimePoint now) {
+  // Packets with a wrong token must not cause a call each.
+  constexpr base::Duration kInterval = milliseconds(100);
+  if (m_pauses_ended_at && now - *m_pauses_ended_at < kInterval)
+    return;
+  m_pauses_ended_at = now;
+  m_servers.EndPause();
+  m_manifests.EndPause();
 }
 
 bool ViewUpdater::AreRoutesCurrent(base::TimePoint now) const {
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -81,9 +81,11 @@
   // or if the store has lost a manifest that a peer has in force.
   // To be called at the interval of these requests.
   void RequestSnapshotIfCutOff(base::TimePoint now);
-  // A packet has the token of a server that is not known, or is of a flow that
-  // the view denies: a newer view may allow it.
-  void RequestNewerView(base::TimePoint now);
+  // A newer view may allow the flow of a packet: the packet has the token of a
+  // server that is not known, or the view denies the flow. In the second case
+  // the view has to contain all changes made before `needed_as_of`.
+  void RequestNewerView(std::optional<base::TimePoint> needed_as_of,
+                        base::TimePoint now);
   // The process was paused: the view may be outdated, and the connections of
   // open calls may be dead.
   void OnPaused(base::TimePoint now);
@@ -99,6 +101,11 @@
   feed::StoreStatus Status(base::TimePoint now) const;
   // The same as ViewCurrentAsOf, by this balancer's own calls alone.
   std::optional<base::TimePoint> OwnViewCurrentAsOf() const;
+  // Has the store confirm that the view contains all changes made before
+  // `needed_as_of`.
+  void RequestConfirmation(base::TimePoint needed_as_of);
+  // Ends the pauses between the calls to the store.
+  void EndPauses(base::TimePoint now);
   // The view may contain all changes up to a later time than before.
   void OnViewConfirmed();
   void ApplyRole(base::TimePoint now);
@@ -150,7 +157,7 @@
   // equals this balancer's, contains all changes.
   std::optional<base::TimePoint> m_fed_view_current_as_of;
   base::Ipv4Address m_confirming_reader;
-  std::optional<base::TimePoint> m_newer_view_requested_at;
+  std::optional<base::TimePoint> m_pauses_ended_at;
   base::TimePoint m_started_at;
   // When the first view was complete but for the evacuations.
   std::optional<base::TimePoint> m_waits_for_evacuations_since;
--- a/Tests/Edge/test_view_updater.cc
+++ b/Tests/Edge/test_view_updater.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -140,11 +141,12 @@
   std::unique_ptr<edge::ViewUpdater> m_view;
 };
 
-// Runs three balancers with a store until `condition` holds for them.
+// Runs three balancers with a store until `condition` holds for them. It is
+// checked every 20 ms.
 bool RunLoadBalancers(
     bool has_evacuations,
     base::Duration limit,
-    const std::function<bool(const LoadBalancer& balancer)>& condition) {
+    const std::function<bool(LoadBalancer& balancer)>& condition) {
   asio::io_context context;
   Store store(context);
   const std::uint16_t port =
@@ -158,8 +160,10 @@
     balancers.push_back(std::make_unique<LoadBalancer>(
         context, store.endpoint(), i, port, has_evacuations));
   const auto is_done = [&] {
-    return std::ranges::all_of(
-        balancers, [&](const auto& balancer) { return condition(*balancer); });
+    // Checks each balancer, also after one for which the condition fails.
+    return std::ranges::count_if(balancers, [&](const auto& balancer) {
+             return condition(*balancer);
+           }) == std::ssize(balancers);
   };
   const base::TimePoint end = base::Clock::now() + limit;
   while (!is_done() && base::Clock::now() < end) {
@@ -226,6 +230,42 @@
                          }));
 }
 
+// A follower whose packets wait for a confirmed view got none before its
+// reader's next regular call, and the packets went on to servers that had
+// ended.
+TEST_CASE("a follower's reader has the store confirm its view on request") {
+  constexpr base::Duration kMaximumPacketWait = milliseconds(150);
+  const base::TimePoint start = base::Clock::now();
+  const auto is_settled = [&](const LoadBalancer& balancer) {
+    return base::Clock::now() - start > std::chrono::seconds(4) &&
+           !balancer.m_view->IsReader() && balancer.m_steering.IsReady();
+  };
+  const LoadBalancer* follower = nullptr;
+  base::TimePoint needed;
+  base::Duration longest{};
+  int confirmed = 0;
+
+  RunLoadBalancers(false, std::chrono::seconds(7), [&](LoadBalancer& balancer) {
+    const base::TimePoint now = base::Clock::now();
+    if (follower == nullptr && is_settled(balancer)) {
+      follower = &balancer;
+      needed = now;
+    }
+    if (follower != &balancer)
+      return false;
+    if (balancer.m_view->ViewCurrentAsOf() >= needed) {
+      longest = std::max(longest, now - needed);
+      ++confirmed;
+      needed = now;
+    }
+    balancer.m_view->RequestNewerView(needed, now);
+    return false;
+  });
+
+  CHECK(confirmed > 10);
+  CHECK(longest <= kMaximumPacketWait);
+}
+
 TEST_CASE("balancers exchange their load although nothing calls for it") {
   bool has_received = false;
   RunLoadBalancers(false, std::chrono::seconds(2),
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -415,6 +415,61 @@
   CHECK(watcher.CurrentAsOf() == At(10));
 }
 
+TEST_CASE("a confirmation replaces the open watch and ends the pause") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  const auto first = watcher.StartDueCall(At(10));
+  REQUIRE(first);
+  CHECK(std::get<WatchCall>(*first).m_wait > base::Duration::zero());
+
+  // All changes made before the start of the list are known.
+  CHECK_FALSE(watcher.RequestConfirmation(*watcher.CurrentAsOf(), At(400)));
+  REQUIRE(watcher.RequestConfirmation(At(300), At(400)));
+  watcher.HandleCancellation();
+  const auto second = watcher.StartDueCall(At(400));
+  REQUIRE(second);
+  CHECK(std::get<WatchCall>(*second).m_since ==
+        std::get<WatchCall>(*first).m_since);
+  CHECK(std::get<WatchCall>(*second).m_wait == base::Duration::zero());
+  // A need that arises while the confirmation is open has one of its own.
+  CHECK_FALSE(watcher.RequestConfirmation(At(402), At(402)));
+  watcher.HandleResult(ChangesResponse{Revision(9)}, At(404));
+  CHECK(watcher.CurrentAsOf() == At(400));
+  CHECK_FALSE(watcher.StartDueCall(At(449)));
+  const auto third = watcher.StartDueCall(At(450));
+  REQUIRE(third);
+  CHECK(std::get<WatchCall>(*third).m_wait == base::Duration::zero());
+  watcher.HandleResult(ChangesResponse{Revision(9)}, At(454));
+
+  // In the pause.
+  CHECK_FALSE(watcher.StartDueCall(At(600)));
+  CHECK_FALSE(watcher.RequestConfirmation(At(600), At(600)));
+  REQUIRE(watcher.StartDueCall(At(600)));
+  watcher.HandleResult(ChangesResponse{Revision(9)}, At(604));
+  const auto next =
+      watcher.StartDueCall(At(604) + WatcherPolicy().m_pause_between_watches);
+  REQUIRE(next);
+  CHECK(std::get<WatchCall>(*next).m_wait > base::Duration::zero());
+}
+
+// A confirmation must not hide that the store has ceased to respond.
+TEST_CASE(
+    "a confirmation does not replace an overdue watch, a list or a "
+    "back-off") {
+  CollectionWatcher listing = MakeWatcher();
+  listing.StartDueCall(At(0));
+  CHECK_FALSE(listing.RequestConfirmation(At(1), At(1)));
+
+  CollectionWatcher watcher = MakeListedWatcher();
+  const auto call = watcher.StartDueCall(At(10));
+  REQUIRE(call);
+  const base::TimePoint end = At(10) + std::get<WatchCall>(*call).m_wait;
+  CHECK_FALSE(watcher.RequestConfirmation(At(500), end));
+  watcher.HandleResult(CallFailure::kTimedOut, end);
+  const base::TimePoint next = watcher.NextCallAt();
+  CHECK_FALSE(watcher.RequestConfirmation(end, end));
+  CHECK(watcher.NextCallAt() == next);
+}
+
 TEST_CASE("a pause between two watches can be ended, a back-off cannot") {
   CollectionWatcher watcher = MakeListedWatcher();
   watcher.StartDueCall(At(4));
--- a/Tests/LibFeed/fleet_simulation.cc
+++ b/Tests/LibFeed/fleet_simulation.cc
@@ -80,6 +80,18 @@
   m_burst = 0;
   m_largest_burst = 0;
   m_longest_delay = {};
+  m_longest_confirmation = {};
+}
+
+std::size_t FleetSimulation::Unconfirmed() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_balancers.begin(), m_balancers.end(), [](const Balancer& balancer) {
+        return balancer.m_is_up && balancer.m_needed_as_of;
+      }));
+}
+
+void FleetSimulation::RequireCurrentView(std::size_t index) {
+  m_balancers[index].m_needed_as_of = m_now;
 }
 
 void FleetSimulation::Change() {
@@ -129,7 +141,9 @@
   balancer.m_call.reset();
   balancer.m_frozen_until.reset();
   balancer.m_view = {};
+  balancer.m_waiting_requests = {};
   balancer.m_fed_current_as_of.reset();
+  balancer.m_needed_as_of.reset();
   balancer.m_is_up = true;
   balancer.m_disturbed_at = m_now;
 }
@@ -204,6 +218,7 @@
     StepBalancer(index);
   RecordDelays();
   CheckClaims();
+  RequestNeededViews();
 }
 
 void FleetSimulation::StepBalancer(std::size_t index) {
@@ -227,6 +242,9 @@
       balancer.m_is_cut_from_peers)
     balancer.m_disturbed_at = m_now;
   CallStore(balancer);
+  for (const ReceivedRequest& request :
+       balancer.m_waiting_requests.PopDue(StatusOf(balancer), m_now))
+    Answer(index, request);
   if (m_options.m_has_feed)
     SendPolls(index);
 }
@@ -360,11 +378,38 @@
                                     std::size_t to,
                                     const FeedRequest& request) {
   Balancer& balancer = m_balancers[to];
+  const ReceivedRequest received{{AddressOf(from), 0}, request, m_now};
+  if (!balancer.m_member->IsReader() ||
+      !balancer.m_waiting_requests.ShouldWait(received, StatusOf(balancer),
+                                              m_now)) {
+    Answer(to, received);
+    return;
+  }
+  balancer.m_waiting_requests.Add(received);
+  RequestConfirmation(balancer, *balancer.m_waiting_requests.NeededAsOf());
+}
+
+void FleetSimulation::RequestConfirmation(Balancer& balancer,
+                                          base::TimePoint needed_as_of) {
+  if (!balancer.m_watcher->RequestConfirmation(needed_as_of, m_now))
+    return;
+  balancer.m_call.reset();
+  balancer.m_watcher->HandleCancellation();
+}
+
+void FleetSimulation::Answer(std::size_t index,
+                             const ReceivedRequest& received) {
+  const std::size_t from = IndexOf(received.m_source.m_address);
+  const std::size_t to = index;
+  const FeedRequest& request = received.m_request;
+  Balancer& balancer = m_balancers[to];
   const StoreStatus status = StatusOf(balancer);
   auto response =
       balancer.m_member->HandleRequest(AddressOf(from), request, status, m_now);
   if (!response)
     return;
+  response->m_status.m_view_age =
+      received.AgeAtReceipt(status.m_view_age, m_now);
   if (status.m_is_current && request.m_servers != catalog::Revision() &&
       request.m_servers < status.m_servers)
     response->m_delta = "changes";
@@ -408,6 +453,21 @@
         balancer.m_view.m_state != m_history.back() &&
         FirstUnknownChange(balancer.m_view) < *current_as_of;
     m_false_claims += lacks_change ? 1 : 0;
+    if (balancer.m_needed_as_of && *balancer.m_needed_as_of <= *current_as_of) {
+      m_longest_confirmation =
+          std::max(m_longest_confirmation, m_now - *balancer.m_needed_as_of);
+      balancer.m_needed_as_of.reset();
+    }
+  }
+}
+
+void FleetSimulation::RequestNeededViews() {
+  for (Balancer& balancer : m_balancers) {
+    if (!CanRun(balancer) || !balancer.m_needed_as_of)
+      continue;
+    if (balancer.m_member->IsReader())
+      RequestConfirmation(balancer, *balancer.m_needed_as_of);
+    balancer.m_member->RequestPoll(balancer.m_needed_as_of, m_now);
   }
 }
 
--- a/Tests/LibFeed/fleet_simulation.h
+++ b/Tests/LibFeed/fleet_simulation.h
@@ -18,7 +18,9 @@
 #include "LibBase/random.h"
 #include "LibBase/time.h"
 #include "LibCatalog/collection_watcher.h"
+#include "LibFeed/confirmation_queue.h"
 #include "LibFeed/feed_member.h"
+#include "LibFeed/received_request.h"
 
 namespace feed {
 
@@ -81,6 +83,11 @@
   // How often a balancer claimed to know all changes made before a time, and
   // lacked one of them.
   std::size_t FalseClaims() const { return m_false_claims; }
+  // How long balancers waited until their view was known to contain all changes
+  // made before a RequireCurrentView: the longest time, and how many still
+  // wait.
+  base::Duration LongestConfirmation() const { return m_longest_confirmation; }
+  std::size_t Unconfirmed() const;
   // Balancers that are up and have no view.
   std::size_t WithoutView() const;
 
@@ -90,6 +97,8 @@
   void Run(base::Duration length, base::Duration change_interval);
   void ResetCounts();
   void Change();
+  // A balancer needs a view that contains all changes made before now.
+  void RequireCurrentView(std::size_t index);
   // The store comes back, in a new era, from a copy of its state `changes` ago.
   void Restore(std::size_t changes);
   void Kill(std::size_t index);
@@ -144,8 +153,10 @@
     std::optional<base::TimePoint> m_frozen_until;
     base::TimePoint m_disturbed_at;
     View m_view;
+    ConfirmationQueue m_waiting_requests;
     // The time up to which readers have shown the view to be complete.
     std::optional<base::TimePoint> m_fed_current_as_of;
+    std::optional<base::TimePoint> m_needed_as_of;
   };
   struct Packet {
     base::TimePoint m_at;
@@ -180,11 +191,15 @@
   void HandleRequest(std::size_t from,
                      std::size_t to,
                      const FeedRequest& request);
+  void Answer(std::size_t index, const ReceivedRequest& request);
+  void RequestConfirmation(Balancer& balancer, base::TimePoint needed_as_of);
   static std::optional<base::TimePoint> CurrentAsOf(const Balancer& balancer) {
     return std::max(balancer.m_watcher->CurrentAsOf(),
                     balancer.m_fed_current_as_of);
   }
   void CheckClaims();
+  // Repeats the requests of the balancers that need a current view.
+  void RequestNeededViews();
   void HandleResponse(std::size_t from,
                       std::size_t to,
                       const FeedResponse& response,
@@ -215,6 +230,7 @@
   std::size_t m_steps_back = 0;
   std::size_t m_gaps = 0;
   std::size_t m_false_claims = 0;
+  base::Duration m_longest_confirmation{};
 };
 
 }  // namespace feed
--- a/Tests/LibFeed/test_feed_codec.cc
+++ b/Tests/LibFeed/test_feed_codec.cc
@@ -25,6 +25,7 @@
   request.m_manifest = {base::StoreEra(3), 361};
   request.m_evacuations = {base::StoreEra(3), 362};
   request.m_manifest_version = base::ConfigurationVersion(14);
+  request.m_needed_view_age = milliseconds(35);
   return request;
 }
 
@@ -60,6 +61,7 @@
   CHECK(first.m_manifest == MakeRequest().m_manifest);
   CHECK(first.m_evacuations == MakeRequest().m_evacuations);
   CHECK(first.m_manifest_version == base::ConfigurationVersion(14));
+  CHECK(first.m_needed_view_age == milliseconds(35));
   REQUIRE(response);
   const auto& second = std::get<FeedResponse>(response.value());
   CHECK(second.m_data_centre == base::DataCentreId("hall-2"));
--- a/Tests/LibFeed/test_feed_member.cc
+++ b/Tests/LibFeed/test_feed_member.cc
@@ -261,14 +261,35 @@
   while (!member.Advance(own, At(10)).empty()) {
   }
 
-  CHECK(member.RequestPoll(At(20)));
+  CHECK(member.RequestPoll(std::nullopt, At(20)));
   CHECK(member.Advance(own, At(20)).size() == 1);
-  CHECK_FALSE(member.RequestPoll(At(119)));
+  CHECK_FALSE(member.RequestPoll(std::nullopt, At(119)));
   CHECK(member.Advance(own, At(119)).empty());
-  CHECK(member.RequestPoll(At(120)));
+  CHECK(member.RequestPoll(std::nullopt, At(120)));
   CHECK(member.Advance(own, At(120)).size() == 1);
 }
 
+TEST_CASE("a poll names the age of the view that is needed, once") {
+  FeedMember member(MakeSettings(), 1, At(0));
+  const StoreStatus own = MakeStatus(5);
+  const FeedPoll first = PollOnce(member, own, At(0));
+  CHECK_FALSE(first.m_request.m_needed_view_age);
+  member.HandleResponse(kSeed, MakeResponse(first, 5), own, At(5));
+  while (!member.Advance(own, At(10)).empty()) {
+  }
+
+  CHECK(member.RequestPoll(At(12), At(20)));
+  CHECK_FALSE(member.RequestPoll(At(8), At(21)));
+  const auto needed = member.Advance(own, At(24));
+  CHECK(member.RequestPoll(std::nullopt, At(120)));
+  const auto next = member.Advance(own, At(120));
+
+  REQUIRE(needed.size() == 1);
+  CHECK(needed[0].m_request.m_needed_view_age == milliseconds(12));
+  REQUIRE(next.size() == 1);
+  CHECK_FALSE(next[0].m_request.m_needed_view_age);
+}
+
 TEST_CASE("a request of another fleet gets no response") {
   FeedMember member(MakeSettings(), 1, At(0));
   FeedRequest request;
--- a/Tests/LibFeed/test_fleet.cc
+++ b/Tests/LibFeed/test_fleet.cc
@@ -332,6 +332,7 @@
           fleet.SilenceStore(index, false);
           break;
         default:
+          fleet.RequireCurrentView(index);
           break;
       }
       fleet.Run(milliseconds(50 + random.Below(1000)),
@@ -342,4 +343,24 @@
   }
 }
 
+TEST_CASE(
+    "an undisturbed balancer gets a current view before a packet that "
+    "waits for it is sent on") {
+  constexpr base::Duration kMaximumPacketWait = milliseconds(150);
+  FleetOptions options;
+  options.m_balancers = 60;
+  options.m_loss = 0;
+  FleetSimulation fleet = MakeRunningFleet(options);
+  base::Random random(11);
+  for (int round = 0; round < 300; ++round) {
+    fleet.RequireCurrentView(random.Below(fleet.size()));
+    fleet.Run(milliseconds(10 + random.Below(100)), kChangeInterval);
+  }
+  fleet.Run(kMaximumPacketWait, kChangeInterval);
+
+  CHECK(fleet.Unconfirmed() == 0);
+  CHECK(fleet.LongestConfirmation() <= kMaximumPacketWait);
+  CHECK(fleet.FalseClaims() == 0);
+}
+
 }  // namespace feed
