Services/Edge: State no age of a view across a suspension

Cause: the age of a view is measured by the steady clock, which does not count suspension. A reader that wakes up states the age that its view had before, for as long as its old response counts, and a follower takes the view for current. After a suspension it states no age, and the watchers drop their proof and count only calls that start later. The balancer's own times are in order on its own clock, so it pays one confirmation.

--- a/Libraries/LibCatalog/collection_watcher.cc
+++ b/Libraries/LibCatalog/collection_watcher.cc
@@ -132,6 +132,16 @@
   return true;
 }
 
+void CollectionWatcher::HandleSuspension(base::TimePoint now) {
+  m_suspended_until = now;
+  m_current_as_of.reset();
+}
+
+void CollectionWatcher::RecordCurrentAsOf(base::TimePoint time) {
+  if (time >= m_suspended_until)
+    m_current_as_of = time;
+}
+
 bool CollectionWatcher::AdoptRevision(Revision revision) {
   if (revision <= m_revision)
     return false;
@@ -175,7 +185,7 @@
   m_has_adopted_list = false;
   m_revision = listed;
   m_confirmed_at = m_call_started_at;
-  m_current_as_of = m_list_started_at;
+  RecordCurrentAsOf(m_list_started_at);
   return CollectionUpdate::kListComplete;
 }
 
@@ -202,7 +212,7 @@
     return CollectionUpdate::kNone;
   }
   m_confirmed_at = m_call_started_at;
-  m_current_as_of = m_call_started_at;
+  RecordCurrentAsOf(m_call_started_at);
   // A watch that took at least as long as the pause needs no further pause.
   const bool has_waited =
       now - m_call_started_at >= m_policy.m_pause_between_watches;
--- a/Libraries/LibCatalog/collection_watcher.h
+++ b/Libraries/LibCatalog/collection_watcher.h
@@ -136,6 +136,10 @@
                                          base::TimePoint now);
   // The owner has cancelled the open watch.
   void HandleCancellation() { m_is_call_open = false; }
+  // The machine was suspended for an unknown time before `now`: what was known
+  // before is older than the steady clock says, so CurrentAsOf has to be proved
+  // by a call that starts from now on.
+  void HandleSuspension(base::TimePoint now);
   // Records that the owner has applied a complete list that a peer read at
   // `revision`. Returns false if `revision` is not newer than the known one.
   bool AdoptRevision(Revision revision);
@@ -144,6 +148,8 @@
   bool IsConfirmedRecently(base::TimePoint now) const;
   // Whether the known changes do not reach up to m_needed_as_of.
   bool NeedsConfirmation() const { return m_current_as_of < m_needed_as_of; }
+  // The store has responded to a call with all changes made before `time`.
+  void RecordCurrentAsOf(base::TimePoint time);
   bool IsOfFormerEra(const CallResult& response) const;
   base::Duration NextWatchWait(base::TimePoint now) const;
   CollectionUpdate HandlePage(const PageResponse& page, base::TimePoint now);
@@ -179,6 +185,8 @@
   base::TimePoint m_next_call_at;
   std::optional<base::TimePoint> m_confirmed_at;
   std::optional<base::TimePoint> m_current_as_of;
+  // Calls that started before do not count for m_current_as_of.
+  base::TimePoint m_suspended_until = base::TimePoint::min();
   // The latest time of a RequestConfirmation.
   std::optional<base::TimePoint> m_needed_as_of;
   std::optional<base::TimePoint> m_failing_since;
--- a/Services/Edge/boot_time.h
+++ b/Services/Edge/boot_time.h
@@ -20,6 +20,12 @@
       std::chrono::nanoseconds(time.tv_nsec));
 }
 
+// The time for which the machine has been suspended since it booted.
+inline base::Duration SuspendedTime() {
+  const base::Duration boot_time = BootTime();
+  return boot_time - base::Clock::now().time_since_epoch();
+}
+
 }  // namespace edge
 
 #endif  // SERVICES_EDGE_BOOT_TIME_H_
--- a/Services/Edge/store_reader.h
+++ b/Services/Edge/store_reader.h
@@ -78,6 +78,9 @@
   // Confirms by a call to the store, if active, that all changes made before
   // `needed_as_of` are known.
   void RequestConfirmation(base::TimePoint needed_as_of);
+  void HandleSuspension(base::TimePoint now) {
+    m_watcher.HandleSuspension(now);
+  }
   // See CollectionWatcher::AdoptRevision.
   bool AdoptRevision(catalog::Revision revision) {
     return m_watcher.AdoptRevision(revision);
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -85,6 +85,7 @@
              settings.m_data_centre),
       m_load_collector(settings.m_data_centre, DrawSeed()),
       m_started_at(base::Clock::now()),
+      m_suspension(SuspendedTime()),
       m_last_sweep(BootTime()) {
   m_peers.SetPeers(settings.m_seeds);
   UpdateEvacuationUse();
@@ -190,6 +191,7 @@
 
 void ViewUpdater::Sweep(base::TimePoint now) {
   m_last_sweep = BootTime();
+  CheckForSuspension(now);
   if (m_exchanges_load) {
     m_load.Sweep(m_load_collector.Report(m_steering, m_load.fleet(), now),
                  IsReader(), now);
@@ -202,6 +204,15 @@
   LimitWaitForEvacuations(now);
 }
 
+void ViewUpdater::CheckForSuspension(base::TimePoint now) {
+  const base::Duration suspended = SuspendedTime();
+  if (!m_suspension.WasSuspended(suspended))
+    return;
+  m_suspension.Reset(suspended);
+  m_servers.HandleSuspension(now);
+  m_manifests.HandleSuspension(now);
+}
+
 void ViewUpdater::OnViewConfirmed() {
   m_steering.SetViewCurrentAsOf(ViewCurrentAsOf());
   m_on_change();
@@ -256,7 +267,9 @@
   status.m_servers = servers.KnownRevision();
   status.m_manifest = manifests.KnownRevision();
   status.m_manifest_version = m_steering.routes().Version();
-  if (const auto current_as_of = OwnViewCurrentAsOf())
+  const auto current_as_of = OwnViewCurrentAsOf();
+  // Until the next sweep, a suspension is missing from the age.
+  if (current_as_of && !m_suspension.WasSuspended(SuspendedTime()))
     status.m_view_age = now - *current_as_of;
   const catalog::DelayedRemovals& removals = m_view.delayed_removals();
   status.m_is_in_outage = removals.IsInOutage();
--- a/Services/Edge/view_updater.h
+++ b/Services/Edge/view_updater.h
@@ -18,6 +18,7 @@
 #include "LibEdge/edge_settings.h"
 #include "LibEdge/load_collector.h"
 #include "LibEdge/store_view.h"
+#include "LibEdge/suspension_detector.h"
 #include "LibEventLoop/http_text_server.h"
 #include "LibLoadExchange/load_exchange.h"
 #include "LibObservability/non_blocking_log.h"
@@ -104,6 +105,8 @@
   // Has the store confirm that the view contains all changes made before
   // `needed_as_of`.
   void RequestConfirmation(base::TimePoint needed_as_of);
+  // Drops what the age of the view rests on if the machine was suspended.
+  void CheckForSuspension(base::TimePoint now);
   // Ends the pauses between the calls to the store.
   void EndPauses(base::TimePoint now);
   // The view may contain all changes up to a later time than before.
@@ -161,6 +164,7 @@
   base::TimePoint m_started_at;
   // When the first view was complete but for the evacuations.
   std::optional<base::TimePoint> m_waits_for_evacuations_since;
+  SuspensionDetector m_suspension;
   // By the boot-time clock, which advances while the process is paused.
   base::Duration m_last_sweep{};
 };
--- a/Tests/LibCatalog/test_collection_watcher.cc
+++ b/Tests/LibCatalog/test_collection_watcher.cc
@@ -403,6 +403,23 @@
   CHECK(watcher.CurrentAsOf() == At(50));
 }
 
+// The age of a reader's view lacked the time for which the reader was
+// suspended, and followers took an old view for current.
+TEST_CASE("no call from before a suspension shows how current a view is") {
+  CollectionWatcher watcher = MakeListedWatcher();
+  watcher.StartDueCall(At(10));
+
+  watcher.HandleSuspension(At(20));
+  CHECK_FALSE(watcher.CurrentAsOf());
+  watcher.HandleResult(ChangesResponse{Revision(9)}, At(30));
+  CHECK_FALSE(watcher.CurrentAsOf());
+
+  watcher.EndPause(At(40));
+  REQUIRE(watcher.StartDueCall(At(40)));
+  watcher.HandleResult(ChangesResponse{Revision(9)}, At(44));
+  CHECK(watcher.CurrentAsOf() == At(40));
+}
+
 TEST_CASE("a peer's newer view is current as of the watch that it overtook") {
   CollectionWatcher watcher = MakeListedWatcher();
   const auto listed_at = watcher.CurrentAsOf();
