LibSteering: Decide at one place whether a denied flow is reset

HandleEstablished asked for the reason and denied at two places. Comments that were wrapped badly are wrapped again.

--- a/Libraries/LibSteering/pending_packets.h
+++ b/Libraries/LibSteering/pending_packets.h
@@ -1,7 +1,7 @@
 // Buffers the datagrams that arrive before the balancer knows routes and
-// servers, or whose flows a newer view may allow. A caller
-// retransmits a dropped packet 200 ms to 1.6 s later, so a buffered packet is
-// usually answered sooner than its retransmission.
+// servers, or whose flows a newer view may allow. A caller retransmits a
+// dropped packet 200 ms to 1.6 s later, so a buffered packet is usually
+// answered sooner than its retransmission.
 
 #ifndef LIBSTEERING_PENDING_PACKETS_H_
 #define LIBSTEERING_PENDING_PACKETS_H_
--- a/Libraries/LibSteering/steering.cc
+++ b/Libraries/LibSteering/steering.cc
@@ -369,8 +369,7 @@
   decision.m_server = server;
   decision.m_action = Forward{server, packet.m_token};
   if (route == nullptr) {
-    if (const auto denial = DenialReason(packet, *server, route, now))
-      Deny(packet, *server, *denial, decision, now);
+    DenyIfOver(packet, *server, decision, now);
     return decision;
   }
   const Observation observation =
@@ -382,10 +381,8 @@
   RecordTimes(packet, observation, *server, now);
   if (packet.m_payload_bytes > 0)
     RecordRequest(packet.m_flow, *server, now);
-  if (const auto denial = DenialReason(packet, *server, route, now)) {
-    Deny(packet, *server, *denial, decision, now);
+  if (DenyIfOver(packet, *server, decision, now))
     return decision;
-  }
   if (packet.m_payload_bytes > 0 && IsUnreachable(*server, *route)) {
     decision.m_action = Reset{packet.m_acknowledgement};
     decision.m_reason = Reason::kServerUnreachable;
@@ -463,11 +460,13 @@
   return std::nullopt;
 }
 
-void Steering::Deny(const CallerPacket& packet,
-                    KnownServer& server,
-                    Reason reason,
-                    Decision& decision,
-                    base::TimePoint now) {
+bool Steering::DenyIfOver(const CallerPacket& packet,
+                          KnownServer& server,
+                          Decision& decision,
+                          base::TimePoint now) {
+  const auto denial = DenialReason(packet, server, decision.m_route, now);
+  if (!denial)
+    return false;
   const FlowRecord* record = m_tracker.Find(packet.m_flow);
   const base::TimePoint first_seen =
       record != nullptr ? record->m_first_seen
@@ -476,12 +475,13 @@
     decision.m_action = Forward{&server, packet.m_token};
     decision.m_reason = Reason::kDenialNotConfirmed;
     decision.m_needed_as_of = first_seen;
-    return;
+    return true;
   }
   decision.m_action = Reset{packet.m_acknowledgement};
-  decision.m_reason = reason;
+  decision.m_reason = *denial;
   m_tracker.RemoveFlow(packet.m_flow);
   m_denied_flows.Remove(packet.m_flow);
+  return true;
 }
 
 bool Steering::IsUnreachable(const KnownServer& server, const Route& route) {
--- a/Libraries/LibSteering/steering.h
+++ b/Libraries/LibSteering/steering.h
@@ -242,13 +242,13 @@
                                      const KnownServer& server,
                                      const Route* route,
                                      base::TimePoint now) const;
-  // Resets a flow that the view denies if the view is not older than the flow.
-  // Otherwise forwards the packet to `server`.
-  void Deny(const CallerPacket& packet,
-            KnownServer& server,
-            Reason reason,
-            Decision& decision,
-            base::TimePoint now);
+  // If the view denies the flow, resets it if the view is not older than the
+  // flow, and otherwise forwards the packet to `server`. Returns whether the
+  // view denies the flow.
+  bool DenyIfOver(const CallerPacket& packet,
+                  KnownServer& server,
+                  Decision& decision,
+                  base::TimePoint now);
   // Whether to reset a flow because `server` cannot be reached.
   static bool IsUnreachable(const KnownServer& server, const Route& route);
   // The load of a service in requests in progress per slot: that of this
