--- a/Libraries/LibEdge/store_pacing.cc
+++ b/Libraries/LibEdge/store_pacing.cc
@@ -11,16 +11,20 @@
 
 using std::chrono::milliseconds;
 
-// A lost call up to its timeout (1 s), the longest back-off and a call that
-// succeeds.
-constexpr base::Duration kLostCallAndRetryTime = milliseconds(2000);
+// The time after which a call without a response has failed, from the end of
+// its wait (see platform/store_calls.cc).
+constexpr base::Duration kCallTimeout = milliseconds(1000);
+// A lost call, and until a call succeeds: the longest back-off and the call.
+constexpr base::Duration kLostCallAndRetryTime =
+    kCallTimeout + milliseconds(1000);
 // The rest of a bound is left for delays in the balancer, such as a slow
 // processor or a congested link.
 constexpr double kUsableBoundShare = 0.9;
 constexpr base::Duration kMinimumPause = milliseconds(200);
 // The time to detect, after the wait of a watch, that the watch was lost, and
-// to repeat it: the timeout of a call (1 s), a back-off and a call.
-constexpr base::Duration kLostWatchRecoveryTime = milliseconds(1300);
+// to repeat it after the first back-off.
+constexpr base::Duration kLostWatchRecoveryTime =
+    kCallTimeout + milliseconds(300);
 
 // The bounds on the time without a current reader. A balancer that polls more
 // often gains nothing: a change takes longer to reach the reader.
@@ -40,8 +44,8 @@
 // The first calls of a balancer that is not fed, one for each collection.
 constexpr base::Duration kFirstCallsTime = milliseconds(200);
 constexpr base::Duration kMaximumReaderPause = milliseconds(1000);
-// A call that is lost at the end of an outage, up to its timeout (1 s).
-constexpr base::Duration kLostCallTime = milliseconds(1100);
+// A call that is lost at the end of an outage.
+constexpr base::Duration kLostCallTime = kCallTimeout + milliseconds(100);
 // A fleet that starts has the view within this time if a reader and a seed are
 // up. Traffic starts seconds later.
 constexpr base::Duration kFirstStartPatience = milliseconds(1500);
