Services/Edge: Show on the status page what the age of the view rests on

The status page has the field confirmed_by, as log lines have, so that a test can tell whose claim a balancer repeats. ViewVersion names the age after the view that it covers; log, status and metrics keep their names for it, which operators use.

--- a/Services/Edge/decision_log.cc
+++ b/Services/Edge/decision_log.cc
@@ -36,16 +36,8 @@
 }
 
 // The age in milliseconds; -1 if the store has never confirmed the servers.
-std::int64_t ServersAgeMilliseconds(const ViewVersion& view) {
-  return view.m_servers_age ? base::WholeMilliseconds(*view.m_servers_age) : -1;
-}
-
-// What the age of the view rests on: "store", the address of a reader, or
-// "none".
-std::string ConfirmedBy(const ViewVersion& view) {
-  if (!view.m_servers_age)
-    return "none";
-  return view.m_confirmed_by ? ToString(*view.m_confirmed_by) : "store";
+std::int64_t ViewAgeMilliseconds(const ViewVersion& view) {
+  return view.m_view_age ? base::WholeMilliseconds(*view.m_view_age) : -1;
 }
 
 Event OpeningEventOf(const steering::Decision& decision) {
@@ -61,6 +53,12 @@
 
 }  // namespace
 
+std::string ConfirmedBy(const ViewVersion& view) {
+  if (!view.m_view_age)
+    return "none";
+  return view.m_confirmed_by ? ToString(*view.m_confirmed_by) : "store";
+}
+
 void DecisionLog::Write(const steering::CallerPacket& packet,
                         std::string_view request_id,
                         const steering::Decision& decision,
@@ -104,7 +102,7 @@
                {"cost", decision.m_cost},
                {"in_progress", RequestsInProgressOf(decision)},
                {"servers_revision", view.m_servers_revision},
-               {"servers_age_ms", ServersAgeMilliseconds(view)},
+               {"servers_age_ms", ViewAgeMilliseconds(view)},
                {"manifest", view.m_manifest_version}});
 }
 
@@ -182,7 +180,7 @@
                {"waited_ms", base::WholeMilliseconds(decision.m_waited)},
                {"in_progress", RequestsInProgressOf(decision)},
                {"servers_revision", view.m_servers_revision},
-               {"servers_age_ms", ServersAgeMilliseconds(view)},
+               {"servers_age_ms", ViewAgeMilliseconds(view)},
                {"confirmed_by", ConfirmedBy(view)},
                {"manifest", view.m_manifest_version}});
 }
--- a/Services/Edge/decision_log.h
+++ b/Services/Edge/decision_log.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "LibBase/ipv4.h"
@@ -26,13 +27,17 @@
   std::uint64_t m_servers_revision = 0;
   // All changes of servers and manifest that are older are in the view; nothing
   // if that is not known of any age.
-  std::optional<base::Duration> m_servers_age;
+  std::optional<base::Duration> m_view_age;
   // The reader whose response the age rests on; nothing if it rests on this
   // balancer's own calls.
   std::optional<base::Ipv4Address> m_confirmed_by;
   std::uint64_t m_manifest_version = 0;
 };
 
+// What the age of the view rests on: "store", the address of a reader, or
+// "none".
+std::string ConfirmedBy(const ViewVersion& view);
+
 class DecisionLog {
  public:
   explicit DecisionLog(observability::NonBlockingLog& log) : m_log(log) {}
--- a/Services/Edge/edge_process.cc
+++ b/Services/Edge/edge_process.cc
@@ -264,7 +264,8 @@
   return fmt::format(
       R"({{"vm":{},"data_centre":{},"ready":{},"shutting_down":{},)"
       R"("manifest":{},"routes":{},"servers_ready":{},"servers_draining":{},)"
-      R"("store_era":{},"servers_revision":{},"servers_age_ms":{},"flows":{},)"
+      R"("store_era":{},"servers_revision":{},"servers_age_ms":{},)"
+      R"("confirmed_by":{},"flows":{},)"
       R"("store_calls":{},"reader":{},"evacuated":[{}],"exchanges_load":{},)"
       R"("live_balancers":{}}})"
       "\n",
@@ -275,8 +276,8 @@
       directory.Count(steering::ServerState::kReady),
       directory.Count(steering::ServerState::kDraining), version.m_store_era,
       version.m_servers_revision,
-      version.m_servers_age ? base::WholeMilliseconds(*version.m_servers_age)
-                            : -1,
+      version.m_view_age ? base::WholeMilliseconds(*version.m_view_age) : -1,
+      observability::QuoteJson(ConfirmedBy(version)),
       m_steering.tracker().size(), m_view.StoreCalls(), m_view.IsReader(),
       fmt::join(evacuated, ","), m_view.ExchangesLoad(),
       m_view.Fleet().LiveBalancers(base::Clock::now()).value_or(0));
@@ -422,8 +423,8 @@
   m_metrics.SetGauge(
       "coltsfootdale_servers_age_seconds",
       "Age of the view of servers and manifest; -1: unknown",
-      version.m_servers_age
-          ? std::chrono::duration<double>(*version.m_servers_age).count()
+      version.m_view_age
+          ? std::chrono::duration<double>(*version.m_view_age).count()
           : -1.0);
   m_metrics.SetGauge("coltsfootdale_store_era",
                      "How often the store came back from a copy, as it says",
--- a/Services/Edge/view_updater.cc
+++ b/Services/Edge/view_updater.cc
@@ -368,7 +368,7 @@
       std::max(servers, m_manifests.watcher().KnownRevision()).era().value();
   version.m_servers_revision = servers.number();
   if (const auto current_as_of = ViewCurrentAsOf())
-    version.m_servers_age = now - *current_as_of;
+    version.m_view_age = now - *current_as_of;
   if (OwnViewCurrentAsOf() < m_fed_view_current_as_of)
     version.m_confirmed_by = m_confirming_reader;
   version.m_manifest_version = m_steering.routes().Version().value();
