Tests/Soak: Compare what balancers claim to know with the store's changes

Three reviews found faults in which a balancer acts on more than it knows; the soak passed all of them, as it only sees harm to flows and openings. Change: the soak's store tells of each change that it acknowledges, and the status pages of the balancers are read at random times, each about four times a second. A view that claims to contain all changes up to a time, and lacks one made before, is a violation (CLAIM) that names the balancer, its revisions, the age, and the reader or the store that the claim rests on.

--- a/Tests/Soak/edge_fleet.h
+++ b/Tests/Soak/edge_fleet.h
@@ -49,6 +49,10 @@
   std::vector<std::uint32_t> Readers() const;
   // The packet endpoints of the balancers that answered the last poll.
   std::vector<base::Endpoint> ReadyEdges() const;
+  // Where a balancer serves its metrics and its status page.
+  base::Endpoint MetricsEndpoint(std::uint32_t edge) const {
+    return {m_network.Edge(edge), kMetricsPort};
+  }
 
   // Commands.
   // Sends a signal. After SIGKILL or SIGTERM the process is started again after
--- a/Tests/Soak/invariant_checker.h
+++ b/Tests/Soak/invariant_checker.h
@@ -85,6 +85,8 @@
                          base::Ipv4Address edge,
                          base::TimePoint now);
   void OnRequestEnded(bool is_served, base::TimePoint sent_at);
+  // A balancer claimed to know all changes made before a time, and lacked one.
+  void OnFalseClaim(const std::string& details) { Report("CLAIM", details); }
   void OnUnexpectedExit(const std::string& details) { Report("EXIT", details); }
 
  private:
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -100,6 +100,8 @@
   std::cout << fmt::format(
       "  {} probes of changed routes; {} on added routes were not answered\n",
       harness.prober().Sent(), harness.prober().Unanswered());
+  std::cout << fmt::format("  {} claims of balancers checked\n",
+                           harness.claims().Checked());
   for (const std::string& violation : violations)
     std::cout << "  " << violation << "\n";
   if (violations.empty() && !run.m_keeps_files)
--- a/Tests/Soak/soak_harness.cc
+++ b/Tests/Soak/soak_harness.cc
@@ -54,6 +54,15 @@
   m_prober =
       std::make_unique<RouteProber>(&m_loop, &m_checker, m_fleet.get(),
                                     options.m_network.Caller(kProberIndex));
+  m_claims = std::make_unique<ClaimChecker>(&m_loop, &m_checker, m_fleet.get(),
+                                            options.m_seed);
+  m_store.SetChangeHandler([this](const std::string& kind, std::uint64_t era,
+                                  std::uint64_t revision) {
+    if (kind == "servers")
+      m_claims->OnServersChanged(era, revision, stand_ins::EventLoop::Now());
+    else if (kind == "config")
+      m_claims->OnManifestChanged(m_version, stand_ins::EventLoop::Now());
+  });
 }
 
 void SoakHarness::Run(base::Duration length) {
@@ -156,6 +165,7 @@
   m_store.SetFault(StoreFault::kSilent);
   Schedule(kRestoreTime, [this, age] {
     m_store.Restore(kRestoreTime + age);
+    m_claims->OnStoreRestored();
     m_store.SetFault(StoreFault::kNone);
   });
   Schedule(kRestoreTime + kReregistrationDelay, [this] {
--- a/Tests/Soak/soak_harness.h
+++ b/Tests/Soak/soak_harness.h
@@ -13,6 +13,7 @@
 
 #include "LibBase/random.h"
 #include "StandIns/event_loop.h"
+#include "claim_checker.h"
 #include "deployment_profile.h"
 #include "edge_fleet.h"
 #include "invariant_checker.h"
@@ -48,6 +49,7 @@
   // Queries.
   const InvariantChecker& checker() const { return m_checker; }
   const RouteProber& prober() const { return *m_prober; }
+  const ClaimChecker& claims() const { return *m_claims; }
   std::uint32_t Edges() const { return m_fleet->size(); }
   std::uint32_t Servers() const { return m_options.m_servers; }
 
@@ -119,6 +121,7 @@
   std::uint16_t m_next_port = 1000;
   std::unique_ptr<EdgeFleet> m_fleet;
   std::unique_ptr<RouteProber> m_prober;
+  std::unique_ptr<ClaimChecker> m_claims;
 };
 
 }  // namespace soak
--- a/Tests/Soak/store_stand_in.cc
+++ b/Tests/Soak/store_stand_in.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <restinio/all.hpp>
 #include <string_view>
+#include <utility>
 
 #include "LibBase/time.h"
 #include "StandIns/event_loop.h"
@@ -196,6 +197,8 @@
                         std::string(R"({"deleted":)") +
                             (is_deleted ? "true" : "false") + R"(,"object":)" +
                             object + "}"});
+    if (m_on_change)
+      m_on_change(kind, m_era, m_revision);
     PollWatches();
   }
 
@@ -211,6 +214,7 @@
   // Requests that never get a response.
   std::list<RequestHandle> m_unanswered_requests;
   StoreFault m_fault = StoreFault::kNone;
+  ChangeHandler m_on_change;
   HttpServer m_server;
 };
 
@@ -231,6 +235,10 @@
   return names;
 }
 
+void StoreStandIn::SetChangeHandler(ChangeHandler handler) {
+  m_implementation->m_on_change = std::move(handler);
+}
+
 void StoreStandIn::Put(const std::string& kind,
                        const std::string& name,
                        const std::string& spec) {
--- a/Tests/Soak/store_stand_in.h
+++ b/Tests/Soak/store_stand_in.h
@@ -5,6 +5,7 @@
 #define TESTS_SOAK_STORE_STAND_IN_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,10 +29,15 @@
   StoreStandIn(const StoreStandIn&) = delete;
   StoreStandIn& operator=(const StoreStandIn&) = delete;
 
+  // Called when a change of an object of `kind` is acknowledged.
+  using ChangeHandler = std::function<
+      void(const std::string& kind, std::uint64_t era, std::uint64_t revision)>;
+
   // Queries.
   std::vector<std::string> Names(const std::string& kind) const;
 
   // Commands.
+  void SetChangeHandler(ChangeHandler handler);
   // Writes an object; `spec` is JSON. Does nothing if the object already has
   // this spec.
   void Put(const std::string& kind,
