Tests/Soak: Routes that return, and readers cut right after a change

Open flows from before a route returned are not counted, as the manifest that drops the route ends them, and an opening on a route that has returned shows no manifest, as either of two allows it.

--- a/Tests/Soak/fault_schedule.cc
+++ b/Tests/Soak/fault_schedule.cc
@@ -30,6 +30,8 @@
 constexpr std::uint64_t kRouteChanges = 12;
 constexpr std::uint64_t kMinimumLengthMs = 500;
 constexpr std::uint64_t kLengthRangeMs = 4500;
+constexpr std::uint64_t kMinimumReturnMs = 50;
+constexpr std::uint64_t kReturnRangeMs = 1450;
 constexpr std::uint64_t kRestoreOneIn = 3;
 constexpr std::uint64_t kEvacuateOneIn = 2;
 // Longer than the bound on evacuations.
@@ -110,6 +112,23 @@
        static_cast<std::uint32_t>(random.Below(kEvacuationTargets))});
 }
 
+// Adds routes that return. Drawn after the other faults, so that a seed keeps
+// them.
+void AddReturningRoutes(std::uint64_t seed,
+                        base::Duration length,
+                        std::uint32_t edges,
+                        std::vector<Fault>& faults) {
+  base::Random random(seed + 3);
+  for (const FaultKind kind :
+       {FaultKind::kReturnRouteAtCut, FaultKind::kReturnRoute,
+        FaultKind::kReturnRoute, FaultKind::kChangeTimeout,
+        FaultKind::kChangeTimeout, FaultKind::kChangeTimeout})
+    faults.push_back(
+        {kind, DrawTime(random, length),
+         milliseconds(kMinimumReturnMs + random.Below(kReturnRangeMs)),
+         static_cast<std::uint32_t>(random.Below(edges))});
+}
+
 void InjectStorePathFault(const Fault& fault,
                           const std::string& rule,
                           SoakHarness& harness) {
@@ -212,6 +231,33 @@
   }
 }
 
+// The route is unknown to all balancers when it returns, and its first flows
+// move to other balancers. One reader keeps the store, so that there are such
+// flows.
+void ReturnRouteAtCut(const Fault& fault, SoakHarness& harness) {
+  constexpr base::Duration kAbsence = milliseconds(4000);
+  constexpr base::Duration kChangeBeforeCut = milliseconds(60);
+  constexpr base::Duration kRotationChange = milliseconds(700);
+  const base::TimePoint cut_at = stand_ins::EventLoop::Now() + kAbsence;
+  auto& timers = harness.loop().Timers();
+  harness.ReturnRoute(kAbsence);
+  timers.SubscribeOnce(cut_at - kChangeBeforeCut, [&harness](base::TimePoint) {
+    harness.ChangeTimeout();
+  });
+  timers.SubscribeOnce(cut_at, [fault, &harness](base::TimePoint) {
+    const auto readers = harness.fleet().Readers();
+    const base::Duration length = fault.m_length + kAdditionalCutTime;
+    for (std::size_t i = 0; i + 1 < readers.size(); ++i) {
+      harness.DisturbEdge(readers[i], length);
+      harness.fleet().InjectStorePathFault(readers[i], "cut both", length);
+    }
+  });
+  timers.SubscribeOnce(cut_at + kRotationChange,
+                       [fault, &harness](base::TimePoint) {
+                         StopAndRestart(fault.m_target, harness);
+                       });
+}
+
 void CompactInSeries(const Fault& fault, SoakHarness& harness) {
   constexpr int kCompactions = 6;
   Repeat(harness, kCompactions, fault.m_length,
@@ -253,6 +299,7 @@
   for (std::uint64_t i = 0; i < kRouteChanges; ++i)
     faults.push_back({i % 2 == 0 ? FaultKind::kAddRoute : FaultKind::kDropRoute,
                       DrawTime(random, length)});
+  AddReturningRoutes(seed, length, edges, faults);
   AddEvacuation(seed, length, faults);
   SortByStart(faults);
   return faults;
@@ -364,6 +411,12 @@
       return harness.RestoreStore(length);
     case FaultKind::kEvacuate:
       return harness.Evacuate(fault.m_target, length);
+    case FaultKind::kReturnRoute:
+      return harness.ReturnRoute(length);
+    case FaultKind::kChangeTimeout:
+      return harness.ChangeTimeout();
+    case FaultKind::kReturnRouteAtCut:
+      return ReturnRouteAtCut(fault, harness);
   }
 }
 
--- a/Tests/Soak/fault_schedule.h
+++ b/Tests/Soak/fault_schedule.h
@@ -52,9 +52,14 @@
   kPauseReaders,
   kRestoreStore,
   kEvacuate,
+  kReturnRoute,
+  kChangeTimeout,
+  // A route returns while readers lose the store, right after a change, and the
+  // rotation changes.
+  kReturnRouteAtCut,
 };
 
-inline constexpr base::EnumTable<FaultKind, 36> kFaultKindNames{{
+inline constexpr base::EnumTable<FaultKind, 39> kFaultKindNames{{
     {FaultKind::kKillEdge, "kill_edge"},
     {FaultKind::kStopEdge, "stop_edge"},
     {FaultKind::kPauseEdge, "pause_edge"},
@@ -91,6 +96,9 @@
     {FaultKind::kPauseReaders, "pause_readers"},
     {FaultKind::kRestoreStore, "restore_store"},
     {FaultKind::kEvacuate, "evacuate"},
+    {FaultKind::kReturnRoute, "return_route"},
+    {FaultKind::kChangeTimeout, "change_timeout"},
+    {FaultKind::kReturnRouteAtCut, "return_route_at_cut"},
 }};
 
 struct Fault {
--- a/Tests/Soak/invariant_checker.h
+++ b/Tests/Soak/invariant_checker.h
@@ -70,7 +70,9 @@
                          base::Ipv4Address edge,
                          const flow::FlowKey& flow,
                          base::TimePoint now);
-  void OnFlowOpened(const std::string& server, const flow::FlowKey& flow);
+  void OnFlowOpened(const std::string& server,
+                    const flow::FlowKey& flow,
+                    base::TimePoint now);
   void OnFlowEnded(const flow::FlowKey& flow) { m_open.erase(flow); }
   // A packet of a flow reached a server that does not have the flow.
   void OnMisroutedPacket(const std::string& server, const flow::FlowKey& flow);
@@ -96,7 +98,10 @@
     std::uint64_t m_added_by = 0;
     std::uint64_t m_dropped_by = 0;
     base::TimePoint m_added_at;
+    // Nothing while the route exists.
     std::optional<base::TimePoint> m_dropped_at;
+    // The route was dropped before it was last added.
+    bool m_has_returned = false;
   };
   struct RegisteredServer {
     std::string m_service;
@@ -114,6 +119,7 @@
   };
   struct OpenFlow {
     std::string m_server;
+    base::TimePoint m_opened_at;
     int m_misrouted_packets = 0;
   };
 
--- a/Tests/Soak/soak_harness.h
+++ b/Tests/Soak/soak_harness.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,6 +87,10 @@
   void PutForeignEntry();
   void AddRoute();
   void DropRoute();
+  // Drops a route and writes it back after `absence`.
+  void ReturnRoute(base::Duration absence);
+  // Writes a manifest that differs from the last one in a timeout only.
+  void ChangeTimeout();
   void SendGarbage(std::uint32_t edge);
 
  private:
@@ -104,6 +109,8 @@
   // that have ended.
   void WriteEvacuations();
   void WriteManifest();
+  // Removes a random route from the manifest, if enough others remain.
+  std::optional<LiveRoute> RemoveRoute();
   base::Endpoint PickRoute();
   void Schedule(base::Duration delay, std::function<void()> action);
 
@@ -117,6 +124,7 @@
   std::vector<LiveRoute> m_routes;
   std::set<std::string> m_evacuated;
   std::uint64_t m_version = 0;
+  int m_route_timeout_ms = 1500;
   std::string m_manifest;
   std::uint16_t m_next_port = 1000;
   std::unique_ptr<EdgeFleet> m_fleet;
--- a/Tests/Soak/soak_server.cc
+++ b/Tests/Soak/soak_server.cc
@@ -109,7 +109,8 @@
   if (!flow.m_is_open) {
     flow.m_is_open = true;
     ++flow.m_sequence;
-    m_checker->OnFlowOpened(m_identity.m_name, KeyOf(packet));
+    m_checker->OnFlowOpened(m_identity.m_name, KeyOf(packet),
+                            stand_ins::EventLoop::Now());
   }
   if (packet.Has(kFin)) {
     Send(packet, kFin | kAck, flow.m_sequence, packet.m_sequence + 1);
