--- a/Libraries/LibFeed/confirmation_queue.cc
+++ b/Libraries/LibFeed/confirmation_queue.cc
@@ -45,6 +45,7 @@
 
 std::vector<ReceivedRequest> ConfirmationQueue::PopDue(const StoreStatus& own,
                                                        base::TimePoint now) {
+  // Moves the requests that go on waiting to the front.
   const auto first_due = std::stable_partition(
       m_requests.begin(), m_requests.end(),
       [&](const ReceivedRequest& request) {
--- a/Libraries/LibFeed/feed_response.h
+++ b/Libraries/LibFeed/feed_response.h
@@ -24,7 +24,8 @@
   base::DataCentreId m_data_centre;
   // The responder reads the store for others.
   bool m_is_reader = false;
-  // When the response was sent, but for the age of the view.
+  // The responder's status when it sent the response, except that m_view_age is
+  // the age of its view at the receipt of the request.
   StoreStatus m_status;
   // The responder knows too few readers in the requester's data centre and asks
   // the requester to read the store.
--- a/Libraries/LibFeed/store_status.h
+++ b/Libraries/LibFeed/store_status.h
@@ -33,7 +33,7 @@
   base::ConfigurationVersion m_manifest_version;
   // All changes that are older than this are known of servers and manifest, by
   // the store's responses to this balancer; unset if that is not known of any
-  // age. In a response, the age at the receipt of the request.
+  // age.
   std::optional<base::Duration> m_view_age;
   // Whether an outage of the store is known, and the time since the last one
   // ended. They delay removals, see catalog::DelayedRemovals.
--- a/Services/Edge/feed_link.h
+++ b/Services/Edge/feed_link.h
@@ -128,7 +128,7 @@
   void HandleRequest(feed::ReceivedRequest request);
   // Answers the requests that no longer wait for a confirmation.
   void AnswerWaiting(const feed::StoreStatus& own, base::TimePoint now);
-  void Answer(const feed::ReceivedRequest& request,
+  void Answer(const feed::ReceivedRequest& received,
               const feed::StoreStatus& own,
               base::TimePoint now);
   void HandleResponse(base::Endpoint source,
