LibAdmission: Take the first full packet of an answer for no refusal

Cause: the detector sees an answer by its first acknowledgement. Callers often acknowledge the first packet alone, 1,200 bytes of an answer of 4,000. On a balancer with few answers the usual number of bytes grew past 3,600, and then 1,200 was less than a third of it, which counts as a refusal. With refusals among the answers the usual number is no longer learned, so the state lasts. Change: an acknowledgement of a full packet or more tells no length, and is never a refusal. A refusal has a head and hardly a body. TestLibAdmission, TestLibSteering, TestLibLoadExchange pass.

--- a/Libraries/LibAdmission/overload_detector.cc
+++ b/Libraries/LibAdmission/overload_detector.cc
@@ -15,6 +15,10 @@
 // A half took a tenth to a quarter of the answers of 4,000 bytes on average for
 // refusals; a refusal has a head and hardly a body.
 constexpr double kShortAnswerShare = 0.33;
+// The payload of a full packet (adapter::kMaximumPayloadBytes). Callers often
+// acknowledge the first packet of a longer answer, so this many bytes tell no
+// length.
+constexpr std::uint32_t kFullPacketBytes = 1200;
 // An answer after little more than a handshake counts as a refusal even if it
 // is only somewhat shorter than usual. The work takes the rest of the usual
 // time, so that hardly any served request is as quick.
@@ -191,7 +195,7 @@
 bool OverloadDetector::LooksRefused(const Usual& usual,
                                     double seconds,
                                     std::uint32_t bytes) const {
-  if (usual.m_samples < kMinimumSamples)
+  if (usual.m_samples < kMinimumSamples || bytes >= kFullPacketBytes)
     return false;
   if (bytes < kShortAnswerShare * usual.m_bytes)
     return true;
--- a/Libraries/LibAdmission/overload_detector.h
+++ b/Libraries/LibAdmission/overload_detector.h
@@ -26,7 +26,8 @@
 struct AnswerSample {
   // From the request, sent whole, to the acknowledgement.
   base::Duration m_time{};
-  // How many bytes of the answer the caller acknowledged.
+  // How many bytes of the answer the caller acknowledged first. An answer of
+  // several packets may be longer.
   std::uint32_t m_bytes = 0;
 };
 
--- a/Tests/LibAdmission/test_overload_detector.cc
+++ b/Tests/LibAdmission/test_overload_detector.cc
@@ -50,6 +50,32 @@
 
 }  // namespace
 
+// Callers acknowledged the first packet of some answers of 4,000 bytes. A
+// balancer took these for refusals, and refused openings for 13 s although no
+// server was full.
+TEST_CASE("the first full packet of a longer answer is no refusal") {
+  constexpr std::uint32_t kFullPacketBytes = 1200;
+  OverloadDetector detector({milliseconds(250)});
+  const auto record = [&](int answer, int time_ms) {
+    const bool is_first_packet = answer % 4 == 3;
+    const base::TimePoint now = At(answer * 0.02);
+    detector.RecordHandshake(milliseconds(7), now);
+    return detector.RecordAnswer(
+        0, {milliseconds(time_ms), is_first_packet ? kFullPacketBytes : 4000},
+        true, now);
+  };
+
+  // Answers are usual, then slow, then some arrive right after the handshake.
+  int refusals = 0;
+  for (int answer = 0; answer < 200; ++answer)
+    refusals += record(answer, 55) ? 0 : 1;
+  for (int answer = 200; answer < 300; ++answer)
+    refusals += record(answer, answer % 8 == 3 ? 10 : 90) ? 0 : 1;
+
+  CHECK(refusals == 0);
+  CHECK_FALSE(detector.IsOverloaded(At(6)));
+}
+
 TEST_CASE("refusals beside slow answers count as overload") {
   TrainedDetector detector;
 
